--- /dev/null
+++ b/pkg/core/types.go
@@ -0,0 +1,225 @@
+// Package core is the decision core of the scheduler: a pure state machine that
+// consumes events and returns effects. It reads no clock, performs no I/O and
+// starts no goroutine, so that a recorded event log always yields the same
+// effects.
+package core
+
+import "time"
+
+// Identifiers. All are opaque strings chosen by the process that creates the
+// object; none is reused.
+type (
+	// ProgramID names a program. The id of a child program starts with the id
+	// of its root, see RootOf.
+	ProgramID string
+	// CallID names one request of a caller inside this process.
+	CallID string
+	// AttemptID names one dispatch of a call to an upstream.
+	AttemptID string
+	// UpstreamID names an upstream instance.
+	UpstreamID string
+	// Incarnation names one start of a process: "<instance>.<start number>".
+	Incarnation string
+	// Slot is the unit of program ownership.
+	Slot uint16
+	// Epoch is the fencing number of a slot. It grows by one at each change
+	// of owner.
+	Epoch uint64
+	// Seq is a position in the journal of one incarnation, starting at 1.
+	Seq uint64
+)
+
+// Ran tells what is known about the execution of a request.
+type Ran string
+
+// The values of Ran.
+const (
+	RanNo      Ran = "no"      // the request was never dispatched to an upstream
+	RanYes     Ran = "yes"     // the upstream ran the request
+	RanUnknown Ran = "unknown" // the outcome cannot be known; never repeated
+)
+
+// CallKind separates model calls from calls to plain services.
+type CallKind string
+
+// The kinds of calls.
+const (
+	KindModel   CallKind = "model"
+	KindService CallKind = "service"
+)
+
+// Class is the latency class of a profile.
+type Class string
+
+// The latency classes in order of precedence.
+const (
+	ClassInteractive Class = "interactive"
+	ClassStandard    Class = "standard"
+	ClassBatch       Class = "batch"
+)
+
+// Budget limits what a root program and its children may use. A zero field is
+// unlimited.
+type Budget struct {
+	Tokens     int64         `json:"tokens,omitempty"`      // prompt and generated tokens
+	Calls      int64         `json:"calls,omitempty"`       // calls of any kind
+	SpendMicro int64         `json:"spend_micro,omitempty"` // millionths of the currency unit
+	Wall       time.Duration `json:"wall,omitempty"`        // time since the program was opened
+	Depth      int           `json:"depth,omitempty"`       // levels of sub-agents below the root
+	Width      int           `json:"width,omitempty"`       // children running at the same time
+}
+
+// Profile states how a class of program is treated.
+type Profile struct {
+	Name             string        `json:"name"`
+	Class            Class         `json:"class"`
+	Priority         int           `json:"priority"` // 0 (lowest) to 9
+	Budget           Budget        `json:"budget"`
+	HistoryRetention time.Duration `json:"history_retention"` // kept after the end of the program
+	IdleTimeout      time.Duration `json:"idle_timeout"`      // a program without calls for this long is gone
+	CacheRetention   time.Duration `json:"cache_retention"`   // longest pin over a tool pause
+	RetryLimit       int           `json:"retry_limit"`       // repeated attempts of an idempotent call
+	CallTimeout      time.Duration `json:"call_timeout"`      // deadline of a call that brings none
+	LatencyWeight    float64       `json:"latency_weight"`    // against CacheWeight, in routing and cache decisions
+	CacheWeight      float64       `json:"cache_weight"`
+	RefusalRetry     time.Duration `json:"refusal_retry"`   // shortest Retry-After of a refusal
+	QuarantineTime   time.Duration `json:"quarantine_time"` // how long a crash-causing request stays refused
+}
+
+// ServiceSpec describes a plain service to which calls are routed.
+type ServiceSpec struct {
+	Name           string   `json:"name"`
+	NonIdempotent  []string `json:"non_idempotent,omitempty"`  // operations that must run at most once
+	OutcomeByKey   bool     `json:"outcome_by_key"`            // the service can be asked for the outcome of a key
+	SpendMicroCall int64    `json:"spend_micro_call"`          // budget charge of a call
+	DefaultProfile string   `json:"default_profile,omitempty"` // profile of callers that name none
+}
+
+// Config is the shared configuration in force. Versions only grow.
+type Config struct {
+	Version   uint64                 `json:"version"`
+	Policy    string                 `json:"policy"` // name of the policy, see package policy
+	Without   []string               `json:"without,omitempty"`
+	SlotCount int                    `json:"slot_count"`
+	Regions   []string               `json:"regions"` // slot ranges are divided evenly in this order
+	Profiles  map[string]Profile     `json:"profiles"`
+	Services  map[string]ServiceSpec `json:"services"`
+	Default   string                 `json:"default_profile"`
+}
+
+// Engine orders that an owner gives to a sidecar.
+const (
+	OrderPin         = "pin"
+	OrderRelease     = "release"
+	OrderOffload     = "offload"
+	OrderLoadModel   = "load_model"
+	OrderUnloadModel = "unload_model"
+	OrderLoadAdapter = "load_adapter"
+	OrderSetRole     = "set_role"
+	OrderExportKV    = "export_kv"
+	OrderImportKV    = "import_kv"
+)
+
+// UpstreamInfo is the static description of an upstream.
+type UpstreamInfo struct {
+	ID            UpstreamID `json:"id"`
+	Kind          CallKind   `json:"kind"`
+	Service       string     `json:"service,omitempty"` // for KindService
+	Models        []string   `json:"models,omitempty"`  // loaded models, for KindModel
+	Adapters      []string   `json:"adapters,omitempty"`
+	Region        string     `json:"region"`
+	FailureDomain string     `json:"failure_domain"`
+	Sidecar       string     `json:"sidecar"` // host:port
+	Incarnation   uint64     `json:"incarnation"`
+	Slots         int        `json:"slots"`          // largest batch or concurrency
+	CacheTokens   int64      `json:"cache_tokens"`   // capacity of the prefix cache
+	PrefillRate   float64    `json:"prefill_rate"`   // tokens/s of prompt processing
+	DecodeRate    float64    `json:"decode_rate"`    // tokens/s of one sequence
+	ChecksOrders  bool       `json:"checks_orders"`  // the engine authenticates who orders
+	ChecksFencing bool       `json:"checks_fencing"` // the engine refuses an old fencing number
+}
+
+// Load is an upstream's report of its own load. It lags.
+type Load struct {
+	Upstream     UpstreamID `json:"upstream"`
+	Measured     time.Time  `json:"measured"`
+	Running      int        `json:"running"`
+	Waiting      int        `json:"waiting"`
+	QueuedTokens int64      `json:"queued_tokens"` // prompt tokens not yet processed
+	CacheUsed    int64      `json:"cache_used"`    // tokens
+	CachePinned  int64      `json:"cache_pinned"`  // tokens
+}
+
+// CacheEvent tells that an engine holds or dropped a program's prefix. Events
+// arrive late and with gaps in Number.
+type CacheEvent struct {
+	Upstream UpstreamID `json:"upstream"`
+	Number   uint64     `json:"number"`
+	Prefix   string     `json:"prefix"` // program id or shared prefix id
+	Tokens   int64      `json:"tokens"` // tokens held now; 0 after an eviction
+}
+
+// Call is a request of a caller as the core sees it.
+type Call struct {
+	ID           CallID            `json:"id"`
+	Program      ProgramID         `json:"program"`
+	Caller       string            `json:"caller"`
+	Profile      string            `json:"profile,omitempty"`
+	Kind         CallKind          `json:"kind"`
+	Model        string            `json:"model,omitempty"`
+	Adapter      string            `json:"adapter,omitempty"`
+	Service      string            `json:"service,omitempty"`
+	Operation    string            `json:"operation,omitempty"`
+	Key          string            `json:"key,omitempty"` // idempotency key
+	Digest       uint64            `json:"digest"`        // of the request, to tell a resend from a reused key
+	Fingerprint  uint64            `json:"fingerprint"`   // of the content, for crash suspicion
+	SharedPrefix string            `json:"shared_prefix,omitempty"`
+	SharedTokens int64             `json:"shared_tokens,omitempty"`
+	PromptTokens int64             `json:"prompt_tokens"` // of the whole prompt with history
+	MaxTokens    int64             `json:"max_tokens"`
+	Stream       bool              `json:"stream"`
+	Request      []byte            `json:"request,omitempty"` // what this turn adds to the history
+	Attributes   map[string]string `json:"attributes,omitempty"`
+	Arrived      time.Time         `json:"arrived"`
+	Deadline     time.Time         `json:"deadline"`
+}
+
+// Answer is the result of one attempt.
+type Answer struct {
+	Body         []byte `json:"body,omitempty"` // final answer, whole
+	Status       int    `json:"status"`         // HTTP status of the upstream
+	PromptTokens int64  `json:"prompt_tokens"`
+	CachedTokens int64  `json:"cached_tokens"`
+	OutputTokens int64  `json:"output_tokens"`
+	FinishReason string `json:"finish_reason,omitempty"`
+}
+
+// Refusal is a typed error towards the caller.
+type Refusal struct {
+	Code       string        `json:"code"`
+	Message    string        `json:"message"`
+	Step       string        `json:"step"`
+	Peer       string        `json:"peer,omitempty"`
+	Ran        Ran           `json:"ran"`
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
+}
+
+// The stable error codes.
+const (
+	CodeOverloaded      = "overloaded"
+	CodeBudget          = "budget_exceeded"
+	CodeDeadline        = "deadline_exceeded"
+	CodeQuarantined     = "quarantined"
+	CodeKeyReused       = "idempotency_key_reused"
+	CodeOutcomeUnknown  = "outcome_unknown"
+	CodeNoUpstream      = "no_upstream"
+	CodeUpstreamFailed  = "upstream_failed"
+	CodeNotOwner        = "not_owner"
+	CodeProgramEnded    = "program_ended"
+	CodeProgramUnknown  = "program_unknown"
+	CodeJournalDown     = "journal_unavailable"
+	CodeBadRequest      = "bad_request"
+	CodeShuttingDown    = "shutting_down"
+	CodeCanceled        = "canceled"
+	CodeUnauthenticated = "unauthenticated"
+)
