--- a/pkg/core/event.go
+++ b/pkg/core/event.go
@@ -175,18 +175,23 @@
 	}
 
 	// SlotsAcquired tells that this process now owns the slots, with the
-	// records read from the journals of earlier owners.
+	// records read from the journals of earlier owners. Planned is set after
+	// a hand-over whose records state everything that was dispatched.
 	SlotsAcquired struct {
 		At
 		Slots   map[Slot]Epoch `json:"slots"`
 		Records []Record       `json:"records,omitempty"`
+		Planned bool           `json:"planned,omitempty"`
 	}
 
 	// SlotsReleased tells that this process gives up the slots in a planned
-	// hand-over: no new call of theirs is accepted.
+	// hand-over: no new call of theirs is accepted. Once Core.Busy is 0 and
+	// the hand-over record is durable, a second event with Done makes the core
+	// forget the programs.
 	SlotsReleased struct {
 		At
 		Slots []Slot `json:"slots"`
+		Done  bool   `json:"done,omitempty"`
 	}
 
 	// DrainStarted tells that the process is stopping: new programs are
--- /dev/null
+++ b/pkg/core/program/root.go
@@ -0,0 +1,260 @@
+package program
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Turn is one finished call in the history of a program.
+type Turn struct {
+	Number       int       `json:"number"` // from 1
+	Seq          uint64    `json:"seq"`    // journal position of its record
+	Attempt      string    `json:"attempt"`
+	Caller       string    `json:"caller,omitempty"`
+	Key          string    `json:"key,omitempty"`
+	Digest       uint64    `json:"digest,omitempty"`
+	Request      []byte    `json:"request,omitempty"`
+	Answer       []byte    `json:"answer,omitempty"`
+	Status       int       `json:"status"`
+	PromptTokens int64     `json:"prompt_tokens"`
+	CachedTokens int64     `json:"cached_tokens"`
+	OutputTokens int64     `json:"output_tokens"`
+	FinishReason string    `json:"finish_reason,omitempty"`
+	Service      string    `json:"service,omitempty"`
+	Operation    string    `json:"operation,omitempty"`
+	At           time.Time `json:"at"`
+}
+
+// Key identifies an idempotency record within a root program.
+type Key struct{ Caller, Key string }
+
+// KeyState is the state of an idempotency record.
+type KeyState uint8
+
+// The states of an idempotency record.
+const (
+	Claimed  KeyState = iota + 1 // durable before dispatch, outcome open
+	Answered                     // the turn holds the answer
+	Unknown                      // the outcome cannot be known; never repeated
+)
+
+// KeyRecord states what is known about the call with an idempotency key.
+type KeyRecord struct {
+	State     KeyState
+	Member    string // program that made the call
+	Digest    uint64
+	Attempt   string
+	Upstream  string
+	Service   string
+	Operation string
+	Request   []byte
+	Turn      int    // position in the member's history, for Answered
+	Seq       uint64 // journal position of the last record
+	Forfeited Amount // counted as spent, for Unknown
+}
+
+// Member is a root program or one of its children.
+type Member struct {
+	ID         string
+	Parent     string
+	Profile    string
+	Opened     time.Time
+	LastActive time.Time
+	EndedAt    time.Time // zero while the program is alive
+	Single     bool      // opened by a call without a program; ends with it
+	OpenKey    string    // idempotency key of the open
+	Seq        uint64    // journal position of the open or the end
+	NextChild  int
+	History    []Turn
+	Pins       map[string]time.Time // upstream to the end of the retention
+}
+
+// Alive reports whether the program has not ended.
+func (m *Member) Alive() bool { return m.EndedAt.IsZero() }
+
+// Root is the state of a root program with its children. The journal records
+// of a root program are applied to it in order.
+type Root struct {
+	ID     string
+	Caller string
+	Epoch  uint64 // epoch and position of the last record applied
+	Seq    uint64
+	Calls  int // calls finished
+	// Attained is the service received by all members: prompt tokens that
+	// were not cached, and generated tokens.
+	Attained int64
+	Ledger   Ledger
+	Members  map[string]*Member
+	Keys     map[Key]*KeyRecord
+}
+
+// NewRoot returns a root program without members.
+func NewRoot(id, caller string) *Root {
+	return &Root{ID: id, Caller: caller, Members: make(map[string]*Member, 1)}
+}
+
+// Advance reports whether a record at the position is new, and moves the
+// position to it.
+func (r *Root) Advance(epoch, seq uint64) bool {
+	if epoch < r.Epoch || epoch == r.Epoch && seq <= r.Seq {
+		return false
+	}
+	r.Epoch, r.Seq = epoch, seq
+	return true
+}
+
+// Open adds a member.
+func (r *Root) Open(m *Member) {
+	_, again := r.Members[m.ID]
+	r.Members[m.ID] = m
+	if again {
+		return
+	}
+	if p := r.Members[m.Parent]; p != nil {
+		p.NextChild++
+	}
+}
+
+// Subtree returns a member and its descendants that are alive, sorted by id.
+func (r *Root) Subtree(id string) []*Member {
+	var out []*Member
+	for _, k := range slices.Sorted(maps.Keys(r.Members)) {
+		m := r.Members[k]
+		if m.Alive() && (k == id || len(k) > len(id) && k[:len(id)] == id && k[len(id)] == '~') {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Children returns the number of children that are alive.
+func (r *Root) Children() int {
+	n := 0
+	for _, m := range r.Members {
+		if m.Parent != "" && m.Alive() {
+			n++
+		}
+	}
+	return n
+}
+
+// Touch marks a member and its ancestors as active.
+func (r *Root) Touch(m *Member, now time.Time) {
+	for m != nil {
+		if now.After(m.LastActive) {
+			m.LastActive = now
+		}
+		m = r.Members[m.Parent]
+	}
+}
+
+// Record returns the idempotency record of a key.
+func (r *Root) Record(k Key) (*KeyRecord, bool) {
+	rec, ok := r.Keys[k]
+	return rec, ok
+}
+
+// Claim opens the claim of a key. A claim with a new attempt replaces one
+// whose attempt never ran.
+func (r *Root) Claim(k Key, rec KeyRecord, reserved Amount) {
+	if old, ok := r.Keys[k]; ok && old.Attempt != rec.Attempt {
+		r.Ledger.Release(old.Attempt)
+	}
+	rec.State = Claimed
+	r.setKey(k, &rec)
+	r.Ledger.Reserve(rec.Attempt, reserved, true)
+}
+
+// Refuse closes a claim whose attempt never ran; the key may be used again.
+func (r *Root) Refuse(k Key, attempt string) {
+	if rec, ok := r.Keys[k]; ok && rec.State == Claimed && rec.Attempt == attempt {
+		delete(r.Keys, k)
+	}
+	r.Ledger.Release(attempt)
+}
+
+// Lose closes a claim whose outcome cannot be known.
+func (r *Root) Lose(k Key, attempt string, seq uint64) {
+	if rec, ok := r.Keys[k]; ok && rec.State == Claimed && rec.Attempt == attempt {
+		rec.State, rec.Seq = Unknown, seq
+		rec.Forfeited = r.Ledger.Forfeit(attempt)
+	}
+}
+
+// Finish adds a turn to the history of a member, settles its attempt and, if
+// the call has a key, stores the answer under it. It reports false when the
+// key already has an answer.
+func (r *Root) Finish(m *Member, k Key, t Turn, used Amount) bool {
+	if rec, ok := r.Keys[k]; k.Key != "" && ok {
+		switch rec.State {
+		case Answered:
+			r.Ledger.Release(t.Attempt)
+			return false
+		case Unknown:
+			r.Ledger.Correct(rec.Forfeited, used)
+		default:
+			r.Ledger.Settle(t.Attempt, used)
+		}
+	} else {
+		r.Ledger.Settle(t.Attempt, used)
+	}
+	t.Number = len(m.History) + 1
+	m.History = append(m.History, t)
+	r.Attained += t.PromptTokens - t.CachedTokens + t.OutputTokens
+	r.Calls++
+	if k.Key != "" {
+		r.setKey(k, &KeyRecord{
+			State: Answered, Member: m.ID, Digest: t.Digest, Attempt: t.Attempt,
+			Service: t.Service, Operation: t.Operation, Turn: t.Number, Seq: t.Seq,
+		})
+	}
+	return true
+}
+
+func (r *Root) setKey(k Key, rec *KeyRecord) {
+	if r.Keys == nil {
+		r.Keys = make(map[Key]*KeyRecord)
+	}
+	r.Keys[k] = rec
+}
+
+// Forget drops a member that ended. Answers of its keyed calls go with it.
+func (r *Root) Forget(id string) {
+	delete(r.Members, id)
+	for k, rec := range r.Keys {
+		if rec.Member == id {
+			delete(r.Keys, k)
+		}
+	}
+}
+
+// SortedKeys returns the keys in a fixed order.
+func (r *Root) SortedKeys() []Key {
+	return slices.SortedFunc(maps.Keys(r.Keys), func(a, b Key) int {
+		if a.Caller != b.Caller {
+			if a.Caller < b.Caller {
+				return -1
+			}
+			return 1
+		}
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	})
+}
+
+// Rebase declares everything durable, after the records of an earlier owner
+// have been applied. Positions in that owner's journal mean nothing here.
+func (r *Root) Rebase() {
+	for _, m := range r.Members {
+		m.Seq = 0
+		for i := range m.History {
+			m.History[i].Seq = 0
+		}
+	}
+	for _, rec := range r.Keys {
+		rec.Seq = 0
+	}
+}
--- /dev/null
+++ b/pkg/core/quarantine/quarantine.go
@@ -0,0 +1,177 @@
+// Package quarantine tracks requests that may crash the upstreams that run
+// them. A request on board of one crash is a suspect; it is quarantined when
+// it was the only suspect on board of a further crash.
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// The counts of an entry.
+const (
+	CountSuspect     = 1
+	CountQuarantined = 2
+)
+
+// Entry is what is known about the requests with one fingerprint.
+type Entry struct {
+	Fingerprint uint64
+	Count       int
+	Until       time.Time
+	Released    bool
+
+	// expected names an upstream whose crash is known from a broken attempt
+	// and not yet from the crash report, so that it is counted once.
+	expected string
+}
+
+// List holds the suspects and the quarantined requests.
+type List struct {
+	entries map[uint64]*Entry
+	crashes map[string]uint64 // upstream to the last incarnation reported
+}
+
+// Suspect reports whether a fingerprint was on board of a crash.
+func (l *List) Suspect(fp uint64) bool { return l.entries[fp] != nil }
+
+// Quarantined returns the end of the quarantine of a fingerprint.
+func (l *List) Quarantined(fp uint64) (until time.Time, ok bool) {
+	e := l.entries[fp]
+	if e == nil || e.Count < CountQuarantined {
+		return time.Time{}, false
+	}
+	return e.Until, true
+}
+
+// Broken marks a request as a suspect because its attempt broke in a crash of
+// the upstream that is not reported yet. It returns false if the request was a
+// suspect before: then the report decides.
+func (l *List) Broken(fp uint64, upstream string, until time.Time) (Entry, bool) {
+	if fp == 0 || l.entries[fp] != nil {
+		return Entry{}, false
+	}
+	e := l.set(fp, CountSuspect, until)
+	e.expected = upstream
+	return *e, true
+}
+
+// Crashed counts a crash report and returns the entries that changed, in
+// order of fingerprint. A report that was counted before has no effect.
+func (l *List) Crashed(upstream string, incarnation uint64, fps []uint64, until time.Time) []Entry {
+	if last, ok := l.crashes[upstream]; ok && last >= incarnation {
+		return nil
+	}
+	if l.crashes == nil {
+		l.crashes = make(map[string]uint64)
+	}
+	l.crashes[upstream] = incarnation
+	fps = slices.Compact(slices.Sorted(slices.Values(fps)))
+	var suspects, fresh, counted []uint64
+	for _, fp := range fps {
+		e := l.entries[fp]
+		switch {
+		case fp == 0:
+		case e == nil:
+			fresh = append(fresh, fp)
+		case e.expected == upstream:
+			e.expected = "" // this is the crash already counted
+			counted = append(counted, fp)
+		default:
+			suspects = append(suspects, fp)
+		}
+	}
+	var changed []Entry
+	if len(suspects) == 1 && l.entries[suspects[0]].Count < CountQuarantined {
+		changed = append(changed, *l.set(suspects[0], CountQuarantined, until))
+		for _, fp := range counted {
+			e := *l.entries[fp]
+			e.Released = true
+			delete(l.entries, fp)
+			changed = append(changed, e)
+		}
+		return changed
+	}
+	// A known suspect explains the crash, so others on board stay clear of
+	// suspicion while there is one.
+	if len(suspects) == 0 {
+		for _, fp := range fresh {
+			changed = append(changed, *l.set(fp, CountSuspect, until))
+		}
+	}
+	return changed
+}
+
+// Condemn quarantines a suspect whose second crash was never reported.
+func (l *List) Condemn(fp uint64, until time.Time) Entry {
+	return *l.set(fp, CountQuarantined, until)
+}
+
+// Clear removes a suspect after a successful run. A quarantined request stays
+// until its release.
+func (l *List) Clear(fp uint64) bool {
+	e := l.entries[fp]
+	if e == nil || e.Count >= CountQuarantined {
+		return false
+	}
+	delete(l.entries, fp)
+	return true
+}
+
+// Merge takes over a decision of a peer or an operator.
+func (l *List) Merge(e Entry) {
+	old := l.entries[e.Fingerprint]
+	switch {
+	case e.Fingerprint == 0:
+	case e.Released:
+		delete(l.entries, e.Fingerprint)
+	case old == nil || e.Count > old.Count || e.Count == old.Count && e.Until.After(old.Until):
+		l.set(e.Fingerprint, e.Count, e.Until)
+	}
+}
+
+// Expire removes the entries whose time has come and returns their
+// fingerprints in order.
+func (l *List) Expire(now time.Time) []uint64 {
+	var out []uint64
+	for fp, e := range l.entries {
+		if !now.Before(e.Until) {
+			out = append(out, fp)
+		}
+	}
+	slices.Sort(out)
+	for _, fp := range out {
+		delete(l.entries, fp)
+	}
+	return out
+}
+
+// NextExpiry returns the earliest end of an entry, zero if there is none.
+func (l *List) NextExpiry() time.Time {
+	var next time.Time
+	for _, e := range l.entries {
+		if next.IsZero() || e.Until.Before(next) {
+			next = e.Until
+		}
+	}
+	return next
+}
+
+// Entries returns all entries in order of fingerprint.
+func (l *List) Entries() []Entry {
+	var out []Entry
+	for _, fp := range slices.Sorted(maps.Keys(l.entries)) {
+		out = append(out, *l.entries[fp])
+	}
+	return out
+}
+
+func (l *List) set(fp uint64, count int, until time.Time) *Entry {
+	if l.entries == nil {
+		l.entries = make(map[uint64]*Entry)
+	}
+	e := &Entry{Fingerprint: fp, Count: count, Until: until}
+	l.entries[fp] = e
+	return e
+}
--- a/pkg/core/record.go
+++ b/pkg/core/record.go
@@ -14,6 +14,11 @@
 	RecordOutcome RecordKind = "outcome"
 	RecordRefused RecordKind = "refused" // a claim that was never dispatched
 	RecordProgram RecordKind = "program" // whole state of a program, in checkpoints and hand-overs
+	// RecordReserved states the budget reserved for an attempt that needs no
+	// claim, RecordSettled closes it without a turn: with RanNo the
+	// reservation is released, otherwise it is counted as spent.
+	RecordReserved RecordKind = "reserved"
+	RecordSettled  RecordKind = "settled"
 )
 
 // Record is one entry of the journal. A record belongs to one root program
@@ -41,5 +46,5 @@
 	SpendMicro int64      `json:"spend_micro,omitempty"`
 	Turn       int        `json:"turn,omitempty"` // position in the program's history, from 1
 	At         time.Time  `json:"at"`
-	State      []byte     `json:"state,omitempty"` // for RecordProgram
+	State      []byte     `json:"state,omitempty"` // for RecordProgram; openedSingle in RecordOpened
 }
--- a/pkg/core/slot.go
+++ b/pkg/core/slot.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"strconv"
 	"strings"
@@ -68,3 +70,18 @@
 	}
 	return first, count
 }
+
+// OpenedID returns the id of a root program that is opened with an
+// idempotency key, so that a resent open reaches the same owner.
+func OpenedID(caller, key string) ProgramID { return derivedID("o", caller, key) }
+
+// KeyedID returns the id of the program of a call that has an idempotency key
+// and names no program.
+func KeyedID(caller, key string) ProgramID { return derivedID("k", caller, key) }
+
+// derivedID uses a cryptographic hash, because callers choose their keys and
+// must not be able to reach the program of another caller.
+func derivedID(prefix, caller, key string) ProgramID {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%d/%s/%s", len(caller), caller, key))
+	return ProgramID(prefix + hex.EncodeToString(sum[:16]))
+}
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -80,6 +80,7 @@
 	CacheRetention   time.Duration `json:"cache_retention"`   // longest pin over a tool pause
 	RetryLimit       int           `json:"retry_limit"`       // repeated attempts of an idempotent call
 	CallTimeout      time.Duration `json:"call_timeout"`      // deadline of a call that brings none
+	ClaimWait        time.Duration `json:"claim_wait"`        // longest wait for a claim to become durable; 0: until the deadline
 	LatencyWeight    float64       `json:"latency_weight"`    // against CacheWeight, in routing and cache decisions
 	CacheWeight      float64       `json:"cache_weight"`
 	RefusalRetry     time.Duration `json:"refusal_retry"`   // shortest Retry-After of a refusal
