Decide slot ownership: claims, succession and hand-over

Cause: programs need one owner at a time that peers can find without asking the store, and a successor when the owner is lost.

Change: pkg/core/ownership, pure: claims of free slots and succession by rendezvous hashing within the region, planned hand-over to level the slots and to drain, takeover of another region only on the list's or an operator's word.

--- /dev/null
+++ b/pkg/core/ownership/ownership_test.go
@@ -0,0 +1,172 @@
+package ownership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+)
+
+var start = time.Unix(1000, 0)
+
+func peer(name, region string) Peer {
+	return Peer{Instance: name, Incarnation: core.Incarnation(name + ".1"), Region: region}
+}
+
+func ownedBy(n int, owners ...string) Map {
+	m := Map{Version: 1, Slots: make([]Owner, n)}
+	for i := range m.Slots {
+		m.Slots[i] = Owner{Incarnation: core.Incarnation(owners[i*len(owners)/n] + ".1"), Epoch: 1}
+	}
+	return m
+}
+
+// Guards against two successors, and against none, for a lost owner.
+func TestExactlyOneSuccessor(t *testing.T) {
+	names := []string{"a", "b", "c", "d"}
+	successors := 0
+	for _, self := range names[:3] {
+		m := New(peer(self, "east"), start)
+		m.SetRegions([]string{"east"})
+		m.OnMap(ownedBy(8, "a", "b", "c", "d"))
+		for _, other := range names[:3] {
+			m.OnHeard(start.Add(4*time.Second), peer(other, "east"))
+		}
+		if a, ok := m.Tick(start.Add(4 * time.Second)).(TakeOver); ok {
+			successors++
+			if a.Lost != "d.1" || len(a.Slots) != 2 {
+				t.Errorf("%s proposes %+v, want the two slots of d.1", self, a)
+			}
+		}
+	}
+	if successors != 1 {
+		t.Errorf("%d entries propose to succeed d, want 1", successors)
+	}
+}
+
+// Guards against a region taking over the other's slots while a link is split.
+func TestSplitRegionKeepsItsSlots(t *testing.T) {
+	m := New(peer("a", "east"), start)
+	m.SetRegions([]string{"east", "west"})
+	m.OnMap(ownedBy(8, "a", "w"))
+	west := peer("w", "west")
+	m.OnHeard(start, west)
+	m.OnList(start, []Peer{peer("a", "east"), west})
+	for s := range 300 {
+		if a := m.Tick(start.Add(time.Duration(s) * time.Second)); a != nil {
+			t.Fatalf("after %d s without contact the other region proposes %+v", s, a)
+		}
+	}
+	// The platform reports the region's entries gone: now a successor is due.
+	m.OnList(start.Add(300*time.Second), []Peer{peer("a", "east")})
+	if a := m.Tick(start.Add(301 * time.Second)); a != nil {
+		t.Fatalf("1 s after the list reported the region gone: %+v", a)
+	}
+	if _, ok := m.Tick(start.Add(361 * time.Second)).(TakeOver); !ok {
+		t.Error("no takeover 61 s after the list reported the region gone")
+	}
+}
+
+// Guards against a restarted process that waits for its own earlier start.
+func TestRestartSucceedsItselfAtOnce(t *testing.T) {
+	self := Peer{Instance: "a", Incarnation: "a.2", Region: "east"}
+	m := New(self, start)
+	m.SetRegions([]string{"east"})
+	m.OnMap(ownedBy(4, "a"))
+	if _, ok := m.Tick(start).(TakeOver); !ok {
+		t.Error("the restarted entry does not take over from its earlier start")
+	}
+}
+
+// Guards against slots moving back and forth between entries.
+func TestHandOverConverges(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	slots := ownedBy(32, "a")
+	managers := make(map[string]*Manager)
+	for _, n := range names {
+		managers[n] = New(peer(n, "east"), start)
+		managers[n].SetRegions([]string{"east"})
+	}
+	now := start.Add(4 * time.Second)
+	moves := 0
+	for round := range 50 {
+		for _, n := range names {
+			m := managers[n]
+			for _, o := range names {
+				m.OnHeard(now, peer(o, "east"))
+			}
+			slots.Version++
+			m.OnMap(slots)
+			if a, ok := m.Tick(now).(HandOver); ok {
+				moves++
+				for _, s := range a.Slots {
+					slots.Slots[s] = Owner{Incarnation: a.To.Incarnation, Epoch: slots.Slots[s].Epoch + 1}
+				}
+				m.OnActionDone(now, true)
+			}
+			now = now.Add(100 * time.Millisecond)
+		}
+		_ = round
+	}
+	counts := make(map[core.Incarnation]int)
+	for _, o := range slots.Slots {
+		counts[o.Incarnation]++
+	}
+	for inc, n := range counts {
+		if n < 10 || n > 11 {
+			t.Errorf("%s holds %d of 32 slots, want 10 or 11", inc, n)
+		}
+	}
+	if moves > 8 {
+		t.Errorf("%d hand-overs to level 32 slots, want at most 8", moves)
+	}
+}
+
+// Guards against a claim of one free slot by several entries.
+func TestFreeSlotsAreDivided(t *testing.T) {
+	claimed := make(map[core.Slot]string)
+	for _, self := range []string{"a", "b", "c"} {
+		m := New(peer(self, "east"), start)
+		m.SetRegions([]string{"east"})
+		m.OnMap(Map{Version: 1, Slots: make([]Owner, 64)})
+		now := start.Add(2 * time.Second)
+		for _, o := range []string{"a", "b", "c"} {
+			m.OnHeard(now, peer(o, "east"))
+		}
+		a, ok := m.Tick(now).(ClaimFree)
+		if !ok {
+			t.Fatalf("%s claims nothing", self)
+		}
+		for _, s := range a.Slots {
+			if other, taken := claimed[s]; taken {
+				t.Errorf("slot %d is claimed by %s and %s", s, other, self)
+			}
+			claimed[s] = self
+		}
+	}
+	if len(claimed) != 64 {
+		t.Errorf("%d of 64 slots are claimed", len(claimed))
+	}
+}
+
+// BenchmarkTick measures one decision with 137 entries of a region and 4,096
+// slots, the size of the target.
+func BenchmarkTick(b *testing.B) {
+	var names []string
+	for i := range 137 {
+		names = append(names, fmt.Sprintf("e%03d", i))
+	}
+	m := New(peer(names[0], "east"), start)
+	m.SetRegions([]string{"east"})
+	m.OnMap(ownedBy(4096, names...))
+	now := start.Add(10 * time.Second)
+	for _, n := range names {
+		m.OnHeard(now, peer(n, "east"))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Tick(now)
+		m.OnActionDone(now, true)
+	}
+}
