--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -118,6 +118,7 @@
 	OrderSetRole     = "set_role"
 	OrderExportKV    = "export_kv"
 	OrderImportKV    = "import_kv"
+	OrderResyncCache = "resync_cache" // report all held prefixes again, as events with number 0
 )
 
 // UpstreamInfo is the static description of an upstream.
