--- /dev/null
+++ b/pkg/journal/checkpoint.go
@@ -0,0 +1,173 @@
+package journal
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
+)
+
+// PendingCheckpoint is a place in the log up to which a checkpoint will cover
+// it.
+type PendingCheckpoint struct {
+	w    *Writer
+	done chan waitResult
+}
+
+// BeginCheckpoint fixes the place in the log that a checkpoint covers: all
+// records appended so far. The caller takes the snapshot afterwards, so that
+// the snapshot holds them; a later record that the snapshot holds as well is
+// applied twice, which has no effect.
+func (w *Writer) BeginCheckpoint() *PendingCheckpoint {
+	p := &PendingCheckpoint{w: w, done: make(chan waitResult, 1)}
+	w.put(entry{mark: true, done: p.done})
+	return p
+}
+
+// Checkpoint writes a checkpoint of the records and deletes the objects that it
+// covers. No record that recs lacks may be appended before the call.
+func (w *Writer) Checkpoint(ctx context.Context, recs []core.Record) error {
+	return w.BeginCheckpoint().Write(ctx, recs)
+}
+
+// Write writes the parts of the checkpoint, then its record in the log, and
+// then deletes the covered objects and the checkpoint before. If it fails, the
+// log and the checkpoint before are unchanged.
+func (p *PendingCheckpoint) Write(ctx context.Context, recs []core.Record) error {
+	w := p.w
+	w.checkpointing.Lock()
+	defer w.checkpointing.Unlock()
+	var covered uint64
+	select {
+	case r := <-p.done:
+		if r.err != nil {
+			return r.err
+		}
+		covered = r.object
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "journal %s: checkpoint: wait for the store", w.self)
+	}
+	if covered < w.covered {
+		return errors.Errorf("journal %s: a later checkpoint already covers object %d", w.self, w.covered)
+	}
+	w.generation++
+	gen := w.generation
+	parts, err := w.checkpointParts(recs, gen, covered)
+	if err != nil {
+		return err
+	}
+	var keys []string
+	for i, part := range parts {
+		key := checkpointKey(w.self, gen, uint64(i+1))
+		keys = append(keys, key)
+		if _, err := w.c.Create(ctx, key, part.payload); err != nil {
+			w.garbage = append(w.garbage, keys...)
+			return errors.Wrapf(err, "journal %s: checkpoint %d: part %d", w.self, gen, i+1)
+		}
+	}
+	control := &peerv1.JournalObject{Checkpoint: gen, CheckpointParts: uint64(len(parts))}
+	if _, err := w.wait(ctx, entry{control: control}); err != nil {
+		// The record may still reach the log, so the parts stay until a later
+		// checkpoint takes its place.
+		w.parts = append(w.parts, keys...)
+		return errors.Wrapf(err, "journal %s: checkpoint %d: record", w.self, gen)
+	}
+	garbage := w.garbage
+	garbage = append(garbage, w.parts...)
+	w.parts = keys
+	for n := w.covered + 1; n <= covered; n++ {
+		garbage = append(garbage, ObjectKey(w.self, n))
+	}
+	w.covered = covered
+	w.garbage = w.deleteAll(ctx, garbage)
+	w.o.Logger.Info("journal checkpoint", "journal", w.self, "generation", gen, "parts", len(parts),
+		"records", len(recs), "covered", covered, "undeleted", len(w.garbage))
+	return nil
+}
+
+func (w *Writer) checkpointParts(recs []core.Record, gen, covered uint64) ([]packed, error) {
+	part := uint64(0)
+	build := func() *peerv1.JournalObject {
+		part++
+		return &peerv1.JournalObject{Incarnation: string(w.self), Object: covered, Checkpoint: gen, CheckpointParts: part}
+	}
+	if len(recs) > 0 {
+		return pack(recs, MaxObjectBytes, build)
+	}
+	o := build()
+	payload, err := Encode(o)
+	return []packed{{o, payload}}, err
+}
+
+// deleteAll deletes objects and returns those that are left.
+func (w *Writer) deleteAll(ctx context.Context, keys []string) (left []string) {
+	for i, k := range keys {
+		if w.isHeld(k) {
+			left = append(left, k)
+			continue
+		}
+		if err := w.c.Delete(ctx, k); err != nil {
+			w.o.Logger.Warn("journal object not deleted", "journal", w.self, "key", k, "error", err)
+			return append(left, keys[i:]...)
+		}
+	}
+	return left
+}
+
+// readCheckpoint adds the records of the checkpoint that a log object names. It
+// returns the last object that the checkpoint covers.
+func readCheckpoint(ctx context.Context, c objectapi.Client, inc core.Incarnation, o *peerv1.JournalObject, a *assembler) (uint64, error) {
+	var covered uint64
+	for part := uint64(1); part <= o.CheckpointParts; part++ {
+		key := checkpointKey(inc, o.Checkpoint, part)
+		got, err := c.Get(ctx, key)
+		if err != nil {
+			return 0, errors.Wrapf(err, "journal: recover %s: checkpoint %d part %d", inc, o.Checkpoint, part)
+		}
+		d, err := Decode(got.Value)
+		if err != nil {
+			return 0, errors.Wrapf(err, "journal: recover %s: checkpoint %d part %d", inc, o.Checkpoint, part)
+		}
+		if d.Checkpoint != o.Checkpoint || d.CheckpointParts != part || d.Incarnation != string(inc) ||
+			part > 1 && d.Object != covered || d.Object >= o.Object {
+			return 0, fmt.Errorf("journal: recover %s: %s is not part %d of checkpoint %d", inc, key, part, o.Checkpoint)
+		}
+		covered = d.Object
+		if err := a.add(d.Records); err != nil {
+			return 0, err
+		}
+	}
+	return covered, nil
+}
+
+// Remove deletes the journal and the checkpoints of a lost incarnation, except
+// for the seal, which must go on stopping its appends. Call it when the own log
+// holds the recovered records and the instance list reports the incarnation
+// gone: a retry of an append whose object was deleted would succeed.
+func Remove(ctx context.Context, c objectapi.Client, lost core.Incarnation) error {
+	for _, prefix := range []string{checkpointPrefix(lost), objectPrefix(lost)} {
+		objs, err := c.List(ctx, prefix)
+		if err != nil {
+			return errors.Wrapf(err, "journal: remove %s: list", lost)
+		}
+		for _, o := range objs {
+			if prefix == objectPrefix(lost) {
+				d, err := Decode(o.Value)
+				if err != nil {
+					return errors.Wrapf(err, "journal: remove %s: %s", lost, o.Key)
+				}
+				if d.SealedBy != "" {
+					continue
+				}
+			}
+			if err := c.Delete(ctx, o.Key); err != nil {
+				return errors.Wrapf(err, "journal: remove %s: %s", lost, o.Key)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/journal/pack.go
@@ -0,0 +1,86 @@
+package journal
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+)
+
+// batch is one journal object that is not known to be in the store. Its number
+// and payload never change, because members of the retention set may hold it.
+type batch struct {
+	object  uint64
+	payload []byte
+	seq     core.Seq // highest sequence number that is complete with this object
+	set     []string // new retention set, if the object names one
+}
+
+// stored returns the stored forms of records, with large ones in fragments, and
+// their sizes.
+func stored(recs []core.Record) (out []*peerv1.Record, sizes []int, err error) {
+	for i := range recs {
+		p := ToProto(&recs[i])
+		size := proto.Size(p)
+		if size <= fragmentBytes {
+			out, sizes = append(out, p), append(sizes, size)
+			continue
+		}
+		parts, err := fragments(p)
+		if err != nil {
+			return nil, nil, err
+		}
+		for _, f := range parts {
+			out, sizes = append(out, f), append(sizes, len(f.State)+128)
+		}
+	}
+	return out, sizes, nil
+}
+
+// pack encodes records into as few objects as their sizes allow. build returns
+// the object without its records, in the order of the log.
+func pack(recs []core.Record, limit int, build func() *peerv1.JournalObject) ([]packed, error) {
+	ps, sizes, err := stored(recs)
+	if err != nil {
+		return nil, err
+	}
+	var out []packed
+	for len(ps) > 0 {
+		n, raw := 0, 0
+		for n < len(ps) && (n == 0 || raw+sizes[n] <= maxRawBytes) {
+			raw += sizes[n]
+			n++
+		}
+		o := build()
+		var payload []byte
+		for {
+			o.Records = ps[:n]
+			if payload, err = Encode(o); err != nil {
+				return nil, err
+			}
+			if len(payload) <= limit || n == 1 {
+				break
+			}
+			n = (n + 1) / 2
+		}
+		out = append(out, packed{o, payload})
+		ps, sizes = ps[n:], sizes[n:]
+	}
+	return out, nil
+}
+
+type packed struct {
+	object  *peerv1.JournalObject
+	payload []byte
+}
+
+// completeSeq returns the highest sequence number that ends in the object.
+func completeSeq(o *peerv1.JournalObject) core.Seq {
+	var seq core.Seq
+	for _, p := range o.Records {
+		if p.Kind != kindFragment || p.Turn == p.Reserved {
+			seq = max(seq, core.Seq(p.Seq))
+		}
+	}
+	return seq
+}
--- /dev/null
+++ b/pkg/journal/recover.go
@@ -0,0 +1,129 @@
+package journal
+
+import (
+	"context"
+	"fmt"
+	"sort"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
+)
+
+// GapError tells that the retained batches skip an object. Recover returns the
+// records that it has all the same. Members accept batches only in order, so a
+// gap shows the loss of more members than the retention set tolerates.
+type GapError struct {
+	Journal core.Incarnation
+	Missing uint64
+}
+
+// Error implements error.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("journal: retained batches of %s lack object %d", e.Journal, e.Missing)
+}
+
+// log is the part of a journal that is in the store.
+type log struct {
+	objects    []*peerv1.JournalObject // in order, without the seal
+	seal       *peerv1.JournalObject   // nil if the log is open
+	checkpoint int                     // index of the last checkpoint record, or -1
+}
+
+func readLog(ctx context.Context, c objectapi.Client, inc core.Incarnation) (*log, error) {
+	objs, err := c.List(ctx, objectPrefix(inc))
+	if err != nil {
+		return nil, errors.Wrapf(err, "journal: read %s: list", inc)
+	}
+	l := &log{checkpoint: -1}
+	for _, o := range objs {
+		n, err := numberOf(o.Key)
+		if err != nil {
+			return nil, err
+		}
+		d, err := Decode(o.Value)
+		if err != nil {
+			return nil, errors.Wrapf(err, "journal: read %s: object %d", inc, n)
+		}
+		if d.Object != n || d.Incarnation != string(inc) {
+			return nil, fmt.Errorf("journal: object %s says it is object %d of %s", o.Key, d.Object, d.Incarnation)
+		}
+		if d.SealedBy != "" {
+			l.seal = d
+			break
+		}
+		if d.Checkpoint > 0 {
+			l.checkpoint = len(l.objects)
+		}
+		l.objects = append(l.objects, d)
+	}
+	return l, nil
+}
+
+// Recover returns the records of a sealed log, each once: those of the last
+// checkpoint, of the objects after it and of the retained batches after the end
+// of the log.
+func Recover(ctx context.Context, c objectapi.Client, lost core.Incarnation, retained []*peerv1.Retain) ([]core.Record, error) {
+	l, err := readLog(ctx, c, lost)
+	if err != nil {
+		return nil, err
+	}
+	if l.seal == nil {
+		return nil, fmt.Errorf("journal: recover %s: the log is not sealed", lost)
+	}
+	var a assembler
+	var covered uint64
+	if l.checkpoint >= 0 {
+		if covered, err = readCheckpoint(ctx, c, lost, l.objects[l.checkpoint], &a); err != nil {
+			return nil, err
+		}
+	}
+	want := covered + 1
+	for _, o := range l.objects {
+		if o.Object <= covered {
+			continue
+		}
+		if o.Object != want {
+			return nil, fmt.Errorf("journal: recover %s: object %d is missing", lost, want)
+		}
+		if err := a.add(o.Records); err != nil {
+			return nil, err
+		}
+		want++
+	}
+	if l.seal.Object != want {
+		return nil, fmt.Errorf("journal: recover %s: object %d is missing before the seal at %d", lost, want, l.seal.Object)
+	}
+	err = addRetained(lost, want, retained, &a)
+	return a.out, err
+}
+
+// addRetained adds the retained batches from object next on.
+func addRetained(lost core.Incarnation, next uint64, retained []*peerv1.Retain, a *assembler) error {
+	sorted := append([]*peerv1.Retain(nil), retained...)
+	sort.SliceStable(sorted, func(i, j int) bool { return sorted[i].Object < sorted[j].Object })
+	var gap error
+	for _, m := range sorted {
+		if m.Object < next || m.Incarnation != string(lost) {
+			continue
+		}
+		if m.Object > next && gap == nil {
+			gap = &GapError{Journal: lost, Missing: next}
+		}
+		o, err := Decode(m.Payload)
+		if err != nil {
+			return errors.Wrapf(err, "journal: retained object %d of %s", m.Object, lost)
+		}
+		if o.Object != m.Object || o.Incarnation != string(lost) {
+			return fmt.Errorf("journal: retained object %d of %s says it is object %d of %s",
+				m.Object, lost, o.Object, o.Incarnation)
+		}
+		if err := a.add(o.Records); err != nil {
+			return err
+		}
+		next = m.Object + 1
+	}
+	return gap
+}
