--- /dev/null
+++ b/pkg/entry/config.go
@@ -0,0 +1,60 @@
+// Package entry is the daemon that callers reach: it runs the decision core for
+// the programs it owns, forwards calls of other programs to their owners, and
+// carries out the core's effects against sidecars, the journal and peers.
+package entry
+
+import (
+	"crypto/tls"
+	"log/slog"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/frontend"
+	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
+)
+
+// Timings of the daemon.
+const (
+	heartbeatInterval = 500 * time.Millisecond
+	tickInterval      = 50 * time.Millisecond
+	listInterval      = time.Second
+	slotMapInterval   = 2 * time.Second // re-read as a backstop to the watch
+	forwardRetry      = 200 * time.Millisecond
+	redialInterval    = 500 * time.Millisecond
+)
+
+// Config holds the settings of one entry process.
+type Config struct {
+	Instance      string
+	Incarnation   core.Incarnation // "<instance>.<start number>"
+	Region        string
+	FailureDomain string
+	HTTPListen    string // host:port, port 0 lets the kernel choose
+	PeerListen    string
+	TLS           *tls.Config // nil allows loopback only
+	DataFolder    string      // empty if the instance keeps nothing
+	Seed          uint64
+
+	Callers           []frontend.Caller
+	TrustCallerHeader bool
+	DefaultMaxTokens  int64
+
+	Store  objectapi.Client
+	Logger *slog.Logger
+}
+
+func (c *Config) setDefaults() {
+	if c.HTTPListen == "" {
+		c.HTTPListen = "127.0.0.1:0"
+	}
+	if c.PeerListen == "" {
+		c.PeerListen = "127.0.0.1:0"
+	}
+	if c.DefaultMaxTokens == 0 {
+		c.DefaultMaxTokens = 512
+	}
+	if c.Logger == nil {
+		c.Logger = slog.Default()
+	}
+	c.Logger = c.Logger.With("instance", c.Instance, "role", "entry")
+}
--- /dev/null
+++ b/pkg/entry/entry.go
@@ -0,0 +1,234 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/core/ownership"
+	"github.com/yuccaspindle/yuccaspindle/pkg/core/policy"
+	"github.com/yuccaspindle/yuccaspindle/pkg/frontend"
+	"github.com/yuccaspindle/yuccaspindle/pkg/journal"
+	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
+)
+
+// Entry is one entry process.
+type Entry struct {
+	cfg Config
+	log *slog.Logger
+
+	loop      *loop
+	journal   *journal.Writer
+	transport *transport.Transport
+	http      *frontend.Server
+	server    *http.Server
+	listener  net.Listener
+	peers     *peerSet
+	owner     *ownerRuntime
+	config    *configSync
+	calls     *callTable
+	attempts  *attemptTable
+	metrics   *entryMetrics
+	events    *eventLog
+
+	ctx      context.Context
+	stop     context.CancelFunc
+	draining atomic.Bool
+	work     sync.WaitGroup // attempts and forwarded requests under way
+	running  sync.WaitGroup // goroutines that end with ctx
+}
+
+// New builds an entry from its settings. Nothing runs until Start.
+func New(cfg Config) (*Entry, error) {
+	cfg.setDefaults()
+	n := &Entry{cfg: cfg, log: cfg.Logger, calls: newCallTable(), attempts: newAttemptTable()}
+	n.ctx, n.stop = context.WithCancel(context.Background())
+	n.events = newEventLog(cfg.DataFolder, n.log)
+	p, err := policy.New(policy.Default, cfg.Seed, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "select policy")
+	}
+	c := core.New(core.Options{Self: cfg.Incarnation, Region: cfg.Region, Seed: cfg.Seed, Policy: p})
+	var record func(core.Event)
+	if n.events != nil {
+		record = n.events.record
+	}
+	n.loop = newLoop(c, record)
+	n.loop.exec = n
+	n.config = newConfigSync(n)
+	n.peers = newPeerSet(n)
+	self := ownership.Peer{Instance: cfg.Instance, Incarnation: cfg.Incarnation, Region: cfg.Region, FailureDomain: cfg.FailureDomain}
+	n.owner = newOwnerRuntime(n, self, cfg.Store)
+	n.metrics = newEntryMetrics(n)
+	n.journal = journal.NewWriter(cfg.Store, cfg.Incarnation, journal.WriterOptions{
+		Committed: func(s core.Seq) { n.loop.post(core.JournalCommitted{At: now(), Seq: s}) },
+		Retained:  func(s core.Seq) { n.loop.post(core.JournalRetained{At: now(), Seq: s}) },
+		Sealed:    n.onSealed,
+		Retainer:  n.retainer(),
+		Logger:    n.log,
+	})
+	n.transport, err = transport.New(transport.Config{
+		Listen: cfg.PeerListen, TLS: cfg.TLS, Hello: n.hello, Logger: n.log,
+	}, n.serveStream)
+	if err != nil {
+		return nil, errors.Wrap(err, "set up peer transport")
+	}
+	n.http = frontend.New(frontend.Options{
+		Backend: n, Callers: cfg.Callers, TrustCallerHeader: cfg.TrustCallerHeader,
+		DefaultMaxTokens: cfg.DefaultMaxTokens, Logger: n.log, Metrics: n.metrics.write,
+	})
+	return n, nil
+}
+
+func (n *Entry) hello() *peerv1.Hello {
+	return &peerv1.Hello{
+		Instance:      n.cfg.Instance,
+		Incarnation:   string(n.cfg.Incarnation),
+		Role:          roleEntry,
+		Region:        n.cfg.Region,
+		FailureDomain: n.cfg.FailureDomain,
+		Address:       n.transport.Addr(),
+		ConfigVersion: n.config.version(),
+	}
+}
+
+// onSealed steps down after a successor has sealed the journal. The process
+// can own slots again only as a new incarnation.
+func (n *Entry) onSealed(by core.Incarnation) {
+	n.log.Warn("journal sealed by a successor, stepping down", "peer", by)
+	n.owner.stepDown()
+	n.loop.post(core.JournalSealed{At: now(), By: by})
+}
+
+// Start listens and begins to serve.
+func (n *Entry) Start(context.Context) error {
+	if err := n.transport.Start(); err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	ln, err := net.Listen("tcp", n.cfg.HTTPListen)
+	if err != nil {
+		return errors.Wrapf(err, "listen for callers on %s", n.cfg.HTTPListen)
+	}
+	n.listener = ln
+	n.server = &http.Server{Handler: n.http, ReadHeaderTimeout: 10 * time.Second}
+	n.spawn(n.loop.run)
+	n.spawn(func(ctx context.Context) {
+		if err := n.journal.Run(ctx); err != nil && ctx.Err() == nil {
+			n.log.Error("journal writer ended", "error", err)
+		}
+	})
+	n.spawn(n.config.run)
+	n.spawn(n.owner.run)
+	n.spawn(n.followList)
+	n.spawn(func(context.Context) {
+		if err := n.server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			n.log.Error("caller interface ended", "error", err)
+		}
+	})
+	n.log.Info("entry started", "incarnation", n.cfg.Incarnation, "http", n.HTTPAddr(), "peers", n.PeerAddr())
+	return nil
+}
+
+func (n *Entry) spawn(f func(context.Context)) {
+	n.running.Add(1)
+	go func() {
+		defer n.running.Done()
+		f(n.ctx)
+	}()
+}
+
+// HTTPAddr returns the address of the caller interface.
+func (n *Entry) HTTPAddr() string { return n.listener.Addr().String() }
+
+// PeerAddr returns the address for other processes of the scheduler.
+func (n *Entry) PeerAddr() string { return n.transport.Addr() }
+
+// followList reads the platform's instance list.
+func (n *Entry) followList(ctx context.Context) {
+	t := time.NewTicker(listInterval)
+	defer t.Stop()
+	for {
+		readCtx, cancel := context.WithTimeout(ctx, listInterval)
+		list, err := n.cfg.Store.Instances(readCtx)
+		cancel()
+		if err != nil {
+			n.log.Debug("instance list not read", "error", err)
+		} else {
+			n.peers.update(list)
+			n.owner.onList(list)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// Stop drains the entry: slots are handed over, requests under way finish, and
+// the journal is written. The context bounds the wait.
+func (n *Entry) Stop(ctx context.Context) error {
+	n.draining.Store(true)
+	n.log.Info("entry draining", "calls", n.calls.len(), "slots", n.owner.ownedCount())
+	n.owner.drain()
+	n.loop.post(core.DrainStarted{At: now()})
+	n.waitHandedOver(ctx)
+	err := n.server.Shutdown(ctx)
+	n.waitWork(ctx)
+	if flushErr := n.journal.Flush(ctx); flushErr != nil && err == nil {
+		err = errors.Wrap(flushErr, "write journal")
+	}
+	if closeErr := n.transport.Close(ctx); closeErr != nil && err == nil {
+		err = closeErr
+	}
+	n.stop()
+	n.running.Wait()
+	if n.events != nil {
+		_ = n.events.close()
+	}
+	n.log.Info("entry stopped", "error", err)
+	return err
+}
+
+// Kill ends the process without draining, as a crash does. It serves tests.
+func (n *Entry) Kill() {
+	n.stop()
+	_ = n.server.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = n.transport.Close(ctx)
+	n.running.Wait()
+}
+
+// waitHandedOver waits until no slot is left or nobody can take one.
+func (n *Entry) waitHandedOver(ctx context.Context) {
+	t := time.NewTicker(ownerTick)
+	defer t.Stop()
+	for n.owner.ownedCount() > 0 && n.owner.hasReceiver() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (n *Entry) waitWork(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		n.work.Wait()
+		close(done)
+	}()
+	select {
+	case <-ctx.Done():
+	case <-done:
+	}
+}
--- /dev/null
+++ b/pkg/entry/handler.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
+)
+
+// serveStream answers one request of a peer.
+func (n *Entry) serveStream(ctx context.Context, s *transport.Session, st *transport.Stream, first *peerv1.Envelope) {
+	switch m := first.GetBody().(type) {
+	case *peerv1.Envelope_Forward:
+		n.work.Add(1)
+		defer n.work.Done()
+		n.serveForward(ctx, st, m.Forward)
+	case *peerv1.Envelope_Heartbeat:
+		n.serveHeartbeat(ctx, s, st, m.Heartbeat)
+	case *peerv1.Envelope_Retain:
+		n.serveRetain(ctx, st, m.Retain)
+	case *peerv1.Envelope_Fence:
+		n.serveFence(st, m.Fence)
+	case *peerv1.Envelope_Handover:
+		n.serveHandover(ctx, st, m.Handover)
+	case *peerv1.Envelope_SlotMapRequest:
+		reply(st, n.owner.slotMapMessage())
+	case *peerv1.Envelope_ConfigPush:
+		err := n.config.accept(m.ConfigPush.GetVersion(), m.ConfigPush.GetText(), "peer "+s.Peer().GetInstance())
+		reply(st, &peerv1.Envelope{Body: &peerv1.Envelope_Ack{Ack: &peerv1.Ack{Error: errorText(err)}}})
+	case *peerv1.Envelope_ConfigRequest:
+		version, text := n.config.inForce()
+		reply(st, &peerv1.Envelope{Body: &peerv1.Envelope_ConfigPush{ConfigPush: &peerv1.ConfigPush{Version: version, Text: text}}})
+	case *peerv1.Envelope_Quarantine:
+		q := m.Quarantine
+		n.loop.post(core.QuarantineChanged{
+			At: now(), Fingerprint: q.GetFingerprint(), Count: int(q.GetCount()),
+			Until: time.UnixMilli(q.GetUntilUnixMs()), Released: q.GetReleased(),
+		})
+		reply(st, &peerv1.Envelope{Body: &peerv1.Envelope_Ack{Ack: &peerv1.Ack{}}})
+	case *peerv1.Envelope_StatusRequest:
+		reply(st, &peerv1.Envelope{Body: &peerv1.Envelope_StatusReply{StatusReply: &peerv1.StatusReply{Json: n.statusJSON(ctx)}}})
+	default:
+		n.log.Warn("message of peer is not served", "peer", s.Peer().GetInstance(), "message", first.GetBody())
+	}
+}
+
+func reply(st *transport.Stream, m *peerv1.Envelope) {
+	// A failed send means that the peer is gone, which its own side notices.
+	_ = st.Send(m)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// serveHeartbeat exchanges heartbeats on a connection that a peer has dialed.
+func (n *Entry) serveHeartbeat(ctx context.Context, s *transport.Session, st *transport.Stream, first *peerv1.Heartbeat) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	hello := s.Peer()
+	if hello.GetRole() == roleEntry {
+		n.heard(hello, first)
+	}
+	reply(st, n.heartbeatFor(nil))
+	go n.peers.sendHeartbeats(ctx, nil, st)
+	for {
+		if err := st.SetDeadline(time.Now().Add(heartbeatSilence)); err != nil {
+			return
+		}
+		m, err := st.Recv()
+		if err != nil {
+			return
+		}
+		if hb := m.GetHeartbeat(); hb != nil && hello.GetRole() == roleEntry {
+			n.heard(hello, hb)
+		}
+	}
+}
+
+// shareQuarantine tells every other entry about a crash suspect.
+func (n *Entry) shareQuarantine(e core.ShareQuarantine) {
+	m := &peerv1.Envelope{Body: &peerv1.Envelope_Quarantine{Quarantine: &peerv1.Quarantine{
+		Fingerprint: e.Fingerprint, Count: int64(e.Count), UntilUnixMs: e.Until.UnixMilli(), Released: e.Released,
+	}}}
+	for name, s := range n.peers.entries() {
+		ctx, cancel := context.WithTimeout(n.ctx, resolveTimeout)
+		if _, err := roundTrip(ctx, s, m); err != nil {
+			n.log.Warn("quarantine not shared", "peer", name, "fingerprint", e.Fingerprint, "error", err)
+		}
+		cancel()
+	}
+}
--- /dev/null
+++ b/pkg/entry/metrics.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// entryMetrics holds the metrics of one process. docs/metrics.md lists them.
+type entryMetrics struct {
+	set        *metrics.Set
+	calls      *metrics.Counter
+	forwards   *metrics.Counter
+	takeovers  *metrics.Counter
+	handovers  *metrics.Counter
+	firstToken *metrics.Histogram
+	duration   *metrics.Histogram
+}
+
+func newEntryMetrics(n *Entry) *entryMetrics {
+	set := metrics.NewSet()
+	m := &entryMetrics{
+		set:        set,
+		calls:      set.NewCounter("yuccaspindle_entry_calls_total"),
+		forwards:   set.NewCounter("yuccaspindle_entry_forwards_total"),
+		takeovers:  set.NewCounter("yuccaspindle_entry_takeovers_total"),
+		handovers:  set.NewCounter("yuccaspindle_entry_handovers_total"),
+		firstToken: set.NewHistogram("yuccaspindle_entry_first_token_seconds"),
+		duration:   set.NewHistogram("yuccaspindle_entry_call_duration_seconds"),
+	}
+	set.NewGauge("yuccaspindle_entry_calls_pending", func() float64 { return float64(n.calls.len()) })
+	set.NewGauge("yuccaspindle_entry_attempts_running", func() float64 { return float64(n.attempts.len()) })
+	set.NewGauge("yuccaspindle_entry_slots_owned", func() float64 { return float64(n.owner.ownedCount()) })
+	set.NewGauge("yuccaspindle_entry_config_version", func() float64 { return float64(n.config.version()) })
+	return m
+}
+
+func (m *entryMetrics) refused(code string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("yuccaspindle_entry_refusals_total{code=%q}", code)).Inc()
+}
+
+func (m *entryMetrics) finished(start time.Time) {
+	m.calls.Inc()
+	m.duration.Update(time.Since(start).Seconds())
+}
+
+// write serves the metrics in the Prometheus text format.
+func (m *entryMetrics) write(w http.ResponseWriter, _ *http.Request) {
+	m.writeTo(w)
+}
+
+func (m *entryMetrics) writeTo(w io.Writer) {
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/pkg/entry/retain.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/core/ownership"
+	"github.com/yuccaspindle/yuccaspindle/pkg/journal"
+	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
+)
+
+// maxRetention is the size of the retention set: a store outage together with
+// the loss of the owner and of one member loses nothing.
+const maxRetention = 2
+
+// retentionMember is the connection to one member of the retention set.
+type retentionMember struct{ s *transport.Session }
+
+// Retain implements journal.Retainer.
+func (m retentionMember) Retain(ctx context.Context, r *peerv1.Retain) (*peerv1.RetainResult, error) {
+	answer, err := roundTrip(ctx, m.s, &peerv1.Envelope{Body: &peerv1.Envelope_Retain{Retain: r}})
+	if err != nil {
+		return nil, err
+	}
+	if answer.GetRetainResult() == nil {
+		return nil, errors.Errorf("retain at %s: the answer has no result", m.s.Peer().GetInstance())
+	}
+	return answer.GetRetainResult(), nil
+}
+
+// retainer returns the lookup of members for the journal writer. A member that
+// was replaced by a newer incarnation holds nothing and is not asked.
+func (n *Entry) retainer() func(core.Incarnation) journal.Retainer {
+	return func(member core.Incarnation) journal.Retainer {
+		s := n.peers.entries()[ownership.Instance(member)]
+		if s == nil || s.Peer().GetIncarnation() != string(member) {
+			return nil
+		}
+		return retentionMember{s}
+	}
+}
+
+// followRetention keeps the retention set filled with live entries, the first
+// from another failure domain if there is one.
+func (n *Entry) followRetention(ctx context.Context) {
+	t := time.NewTicker(listInterval)
+	defer t.Stop()
+	var current []core.Incarnation
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		next := n.owner.retentionSet()
+		if sameSet(current, next) {
+			continue
+		}
+		// The set changes only by a durable journal record: a successor must
+		// find every entry that may hold a batch.
+		setCtx, cancel := context.WithTimeout(ctx, resolveTimeout)
+		err := n.journal.SetRetention(setCtx, next)
+		cancel()
+		if err != nil {
+			n.log.Debug("retention set not changed", "error", err)
+			continue
+		}
+		current = next
+		n.log.Info("retention set changed", "members", len(next))
+	}
+}
+
+func sameSet(a, b []core.Incarnation) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// retentionSet chooses the members: live entries of the own region, one of
+// another failure domain first. Entries of another region serve only where the
+// region has no other entry, since their link is slow and paid by volume.
+func (o *ownerRuntime) retentionSet() []core.Incarnation {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	self := o.n.cfg
+	var otherDomain, sameDomain, otherRegion []ownership.Peer
+	for _, p := range o.mgr.LivePeers() {
+		switch {
+		case p.Leaving:
+		case p.Region != self.Region:
+			otherRegion = append(otherRegion, p)
+		case p.FailureDomain != self.FailureDomain:
+			otherDomain = append(otherDomain, p)
+		default:
+			sameDomain = append(sameDomain, p)
+		}
+	}
+	candidates := append(otherDomain, sameDomain...)
+	if len(otherDomain) == 0 {
+		candidates = append(append([]ownership.Peer{}, otherRegion...), sameDomain...)
+	}
+	var set []core.Incarnation
+	for _, p := range candidates[:min(len(candidates), maxRetention)] {
+		set = append(set, p.Incarnation)
+	}
+	return set
+}
--- /dev/null
+++ b/pkg/entry/transfer.go
@@ -0,0 +1,307 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/core/ownership"
+	"github.com/yuccaspindle/yuccaspindle/pkg/journal"
+	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
+)
+
+const (
+	// softDrain is how long a hand-over waits for a moment without running
+	// calls before it holds back new calls of the slot.
+	softDrain = 20 * time.Second
+	busyPoll  = 50 * time.Millisecond
+)
+
+// reassign changes the owner of slots from one incarnation to this one by a
+// conditional update, and returns the new epochs. Slots that have another owner
+// by now are left out.
+func (o *ownerRuntime) reassign(ctx context.Context, slots []core.Slot, from core.Incarnation) (map[core.Slot]core.Epoch, error) {
+	m, err := o.store.read(ctx, o.n.config.slotCount())
+	if err != nil {
+		return nil, err
+	}
+	taken := make(map[core.Slot]core.Epoch)
+	next := ownership.Map{Version: m.Version, Slots: append([]ownership.Owner(nil), m.Slots...)}
+	for _, s := range slots {
+		if int(s) >= len(next.Slots) || next.Slots[s].Incarnation != from {
+			continue
+		}
+		next.Slots[s] = ownership.Owner{Incarnation: o.n.cfg.Incarnation, Epoch: next.Slots[s].Epoch + 1}
+		taken[s] = next.Slots[s].Epoch
+	}
+	if len(taken) == 0 {
+		o.setMap(m)
+		return taken, nil
+	}
+	updated, err := o.store.update(ctx, next)
+	if err != nil {
+		return nil, err
+	}
+	o.setMap(updated)
+	return taken, nil
+}
+
+// serve starts to run the calls of slots.
+func (o *ownerRuntime) serve(slots map[core.Slot]core.Epoch) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.sealed {
+		return
+	}
+	for s, e := range slots {
+		o.serving[s] = e
+		delete(o.released, s)
+	}
+}
+
+func (o *ownerRuntime) claimFree(ctx context.Context, slots []core.Slot) error {
+	taken, err := o.reassign(ctx, slots, "")
+	if err != nil || len(taken) == 0 {
+		return err
+	}
+	o.n.loop.post(core.SlotsAcquired{At: now(), Slots: taken, Planned: true})
+	o.n.loop.do(func(*core.Core) {})
+	o.serve(taken)
+	o.n.log.Info("slots claimed", "count", len(taken))
+	return nil
+}
+
+// takeOver succeeds a lost owner: seal its log, fence and collect the batches
+// that its retention set holds, read its state, write the state to the own
+// journal, and only then change the slot map.
+func (o *ownerRuntime) takeOver(ctx context.Context, a ownership.TakeOver) error {
+	start := time.Now()
+	if _, err := journal.Seal(ctx, o.n.cfg.Store, a.Lost, o.n.cfg.Incarnation); err != nil {
+		return errors.Wrapf(err, "seal journal of %s", a.Lost)
+	}
+	retained, err := o.collectRetained(ctx, a.Lost)
+	if err != nil {
+		return err
+	}
+	records, err := journal.Recover(ctx, o.n.cfg.Store, a.Lost, retained)
+	if err != nil {
+		return errors.Wrapf(err, "recover journal of %s", a.Lost)
+	}
+	if err := o.acquire(ctx, a.Slots, a.Lost, records, false); err != nil {
+		return err
+	}
+	o.n.metrics.takeovers.Inc()
+	o.n.log.Info("owner succeeded", "lost", a.Lost, "slots", len(a.Slots), "records", len(records), "duration", time.Since(start))
+	return nil
+}
+
+// acquire loads the state of slots into the core, waits until it is in the own
+// journal, changes the slot map and starts to serve.
+func (o *ownerRuntime) acquire(ctx context.Context, slots []core.Slot, from core.Incarnation, records []core.Record, planned bool) error {
+	wanted := make(map[core.Slot]bool, len(slots))
+	for _, s := range slots {
+		wanted[s] = true
+	}
+	var own []core.Record
+	for _, r := range records {
+		if wanted[r.Slot] {
+			own = append(own, r)
+		}
+	}
+	current := o.epochsOf(slots, from)
+	if len(current) == 0 {
+		return nil
+	}
+	next := make(map[core.Slot]core.Epoch, len(current))
+	for s, e := range current {
+		next[s] = e + 1
+	}
+	o.n.loop.post(core.SlotsAcquired{At: now(), Slots: next, Records: own, Planned: planned})
+	o.n.loop.do(func(*core.Core) {})
+	if err := o.n.journal.Flush(ctx); err != nil {
+		o.forget(slots)
+		return errors.Wrap(err, "write recovered state")
+	}
+	taken, err := o.reassign(ctx, slots, from)
+	if err != nil {
+		o.forget(slots)
+		return err
+	}
+	var lost []core.Slot
+	for s := range next {
+		if taken[s] != next[s] {
+			lost = append(lost, s)
+			delete(taken, s)
+		}
+	}
+	if len(lost) > 0 {
+		o.forget(lost)
+	}
+	o.serve(taken)
+	return nil
+}
+
+// forget drops state that was loaded for slots which went to another owner.
+func (o *ownerRuntime) forget(slots []core.Slot) {
+	o.n.loop.post(core.SlotsReleased{At: now(), Slots: slots, Done: true})
+}
+
+func (o *ownerRuntime) epochsOf(slots []core.Slot, from core.Incarnation) map[core.Slot]core.Epoch {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	known := o.mgr.Slots().Slots
+	out := make(map[core.Slot]core.Epoch)
+	for _, s := range slots {
+		if int(s) < len(known) && known[s].Incarnation == from {
+			out[s] = known[s].Epoch
+		}
+	}
+	return out
+}
+
+// handOver passes own slots to a peer, one by one, each at a moment without
+// running calls if one comes within softDrain.
+func (o *ownerRuntime) handOver(ctx context.Context, a ownership.HandOver) error {
+	session, err := o.n.peers.entry(ctx, a.To.Instance)
+	if err != nil {
+		return err
+	}
+	moved := 0
+	for _, s := range a.Slots {
+		ok, err := o.release(ctx, s)
+		if err != nil {
+			return err
+		}
+		if !ok {
+			continue
+		}
+		if err := o.sendSlot(ctx, session, s); err != nil {
+			o.takeBack(s)
+			return errors.Wrapf(err, "hand slot %d to %s", s, a.To.Instance)
+		}
+		moved++
+	}
+	o.n.log.Info("slots handed over", "count", moved, "peer", a.To.Instance)
+	o.n.metrics.handovers.Add(moved)
+	return nil
+}
+
+// release stops new calls of a slot once no call of it runs. It returns false
+// if the slot stayed busy.
+func (o *ownerRuntime) release(ctx context.Context, s core.Slot) (bool, error) {
+	deadline := time.Now().Add(softDrain)
+	held := false
+	for {
+		busy := 0
+		o.n.loop.do(func(c *core.Core) {
+			if busy = c.Busy([]core.Slot{s}); busy == 0 || held {
+				o.hold(s)
+			}
+		})
+		if busy == 0 {
+			o.n.loop.post(core.SlotsReleased{At: now(), Slots: []core.Slot{s}})
+			o.n.loop.do(func(*core.Core) {})
+			return true, o.n.journal.Flush(ctx)
+		}
+		if !o.isDraining() {
+			return false, nil // levelling can wait for a quiet moment
+		}
+		if time.Now().After(deadline) {
+			held = true
+		}
+		select {
+		case <-ctx.Done():
+			o.takeBack(s)
+			return false, ctx.Err()
+		case <-time.After(busyPoll):
+		}
+	}
+}
+
+func (o *ownerRuntime) isDraining() bool { return o.n.draining.Load() }
+
+func (o *ownerRuntime) hold(s core.Slot) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.released[s] = true
+}
+
+// takeBack serves a slot again after a failed hand-over, unless the slot map
+// gives it to another owner.
+func (o *ownerRuntime) takeBack(s core.Slot) {
+	o.readMap(o.n.ctx)
+	epochs := o.epochsOf([]core.Slot{s}, o.n.cfg.Incarnation)
+	if len(epochs) == 0 {
+		o.forget([]core.Slot{s})
+		return
+	}
+	var records []core.Record
+	o.n.loop.do(func(c *core.Core) { records = c.Snapshot([]core.Slot{s}) })
+	o.n.loop.post(core.SlotsAcquired{At: now(), Slots: epochs, Records: records, Planned: true})
+	o.n.loop.do(func(*core.Core) {})
+	o.serve(epochs)
+}
+
+// sendSlot gives the state of a slot to its new owner and waits until that has
+// it in its journal and in the slot map.
+func (o *ownerRuntime) sendSlot(ctx context.Context, session *transport.Session, s core.Slot) error {
+	var records []core.Record
+	o.n.loop.do(func(c *core.Core) { records = c.Snapshot([]core.Slot{s}) })
+	m := &peerv1.Handover{From: string(o.n.cfg.Incarnation), Slots: []uint32{uint32(s)}}
+	for i := range records {
+		m.Records = append(m.Records, journal.ToProto(&records[i]))
+	}
+	answer, err := roundTrip(ctx, session, &peerv1.Envelope{Body: &peerv1.Envelope_Handover{Handover: m}})
+	if err != nil {
+		return err
+	}
+	if text := answer.GetAck().GetError(); text != "" {
+		return errors.New(text)
+	}
+	o.forget([]core.Slot{s})
+	o.mu.Lock()
+	delete(o.serving, s)
+	o.mu.Unlock()
+	o.requestRead()
+	return nil
+}
+
+// serveHandover takes slots that a peer hands over.
+func (n *Entry) serveHandover(ctx context.Context, st *transport.Stream, m *peerv1.Handover) {
+	err := n.owner.receiveSlots(ctx, m)
+	if err != nil {
+		n.log.Warn("hand-over not taken", "peer", m.GetFrom(), "error", err)
+	}
+	reply(st, &peerv1.Envelope{Body: &peerv1.Envelope_Ack{Ack: &peerv1.Ack{Error: errorText(err)}}})
+}
+
+func (o *ownerRuntime) receiveSlots(ctx context.Context, m *peerv1.Handover) error {
+	if o.isDraining() {
+		return errors.New("this entry is draining")
+	}
+	var slots []core.Slot
+	for _, s := range m.GetSlots() {
+		slots = append(slots, core.Slot(s))
+	}
+	var records []core.Record
+	for _, p := range m.GetRecords() {
+		r, err := journal.FromProto(p)
+		if err != nil {
+			return errors.Wrap(err, "decode hand-over record")
+		}
+		records = append(records, r)
+	}
+	o.readMap(ctx)
+	if err := o.acquire(ctx, slots, core.Incarnation(m.GetFrom()), records, true); err != nil {
+		return err
+	}
+	for _, s := range slots {
+		if len(o.epochsOf([]core.Slot{s}, o.n.cfg.Incarnation)) == 0 {
+			return errors.Errorf("slot %d went to another owner", s)
+		}
+	}
+	return nil
+}
