--- a/pkg/core/policy/plugins.go
+++ b/pkg/core/policy/plugins.go
@@ -43,7 +43,9 @@
 // kept for the classes before it.
 var classHeadroom = [classCount]float64{1, 0.95, 0.85}
 
-// limitFilter excludes upstreams that are full.
+// limitFilter excludes upstreams that are full. An entry without a call on board
+// may send one while there are free slots, so that the calls of the other
+// entries never keep it out altogether.
 type limitFilter struct{}
 
 func (limitFilter) name() string { return "limit" }
@@ -52,7 +54,8 @@
 	if c.holder {
 		limit += limit * holderOverflow
 	}
-	return c.used < limit
+	u := c.member.up
+	return c.used < limit || (u.own() == 0 && c.used < float64(u.slots()))
 }
 
 // waitScore is the expected wait and the slower decoding in a fuller batch.
@@ -61,7 +64,7 @@
 func (waitScore) name() string { return "wait" }
 func (waitScore) cost(x *routing, c *candidate) float64 {
 	u := c.member.up
-	return x.latency * (expectedWait(u, c.used, c.limit, x.target.service, reportAge(x.now, u)) +
+	return x.latency * (expectedWait(u, c.used, c.limit, x.target.service, c.age) +
 		utilizationCost*c.used/c.limit)
 }
 
@@ -112,7 +115,6 @@
 
 func (perturbScore) name() string { return "perturb" }
 func (p perturbScore) cost(x *routing, c *candidate) float64 {
-	u := c.member.up
-	calls := min(perturbMax, perturbCalls*reportAge(x.now, u))
+	calls := min(perturbMax, perturbCalls*c.age)
 	return x.latency * utilizationCost * calls / c.limit * p.rng.Float64()
 }
--- a/pkg/core/policy/router.go
+++ b/pkg/core/policy/router.go
@@ -59,6 +59,7 @@
 // candidate is an upstream under consideration.
 type candidate struct {
 	member  *member
+	age     float64 // of the load report, s
 	used    float64 // estimated calls on board
 	limit   float64
 	missing int64 // prompt tokens to prefill
@@ -85,6 +86,7 @@
 	filters []filterPlugin
 	scores  []scorePlugin
 	x       routing
+	c       candidate // under consideration; a field, so that it is not allocated
 }
 
 func newRouter(d *defaultPolicy, rng *rand.Rand) *router {
@@ -98,9 +100,8 @@
 // occupancy estimates the calls on board: the own ones, which are known, and
 // those of other entries from the last report, drawn towards the mean of the
 // group as the report ages.
-func (d *defaultPolicy) occupancy(now time.Time, m *member) float64 {
+func (d *defaultPolicy) occupancy(m *member, age float64) float64 {
 	u := m.up
-	age := reportAge(now, u)
 	w := 1 / (1 + age/reportHalfLife)
 	return float64(u.own()) + w*float64(u.others) + (1-w)*m.group.mean()
 }
@@ -151,9 +152,10 @@
 // depends on the request.
 func (d *defaultPolicy) rankKey(m *member) float64 {
 	u := m.up
-	used, limit := d.occupancy(d.now, m), d.effectiveLimit(d.now, u)
+	age := reportAge(d.now, u)
+	used, limit := d.occupancy(m, age), d.effectiveLimit(d.now, u)
 	jitter := d.fleet.rng.Float64() / limit
-	return expectedWait(u, used, limit, m.group.target.service, reportAge(d.now, u)) +
+	return expectedWait(u, used, limit, m.group.target.service, age) +
 		utilizationCost*(used/limit+jitter)
 }
 
@@ -263,8 +265,10 @@
 	if m == nil || m.pos < 0 {
 		return
 	}
-	c := candidate{member: m, missing: x.req.Call.PromptTokens}
-	c.used, c.limit = r.d.occupancy(x.now, m), r.d.effectiveLimit(x.now, m.up)
+	c := &r.c
+	*c = candidate{member: m, missing: x.req.Call.PromptTokens}
+	c.age = reportAge(x.now, m.up)
+	c.used, c.limit = r.d.occupancy(m, c.age), r.d.effectiveLimit(x.now, m.up)
 	if cm := r.d.cache; cm != nil && x.req.Call.Kind == core.KindModel {
 		call := &x.req.Call
 		own := cm.prefix(x.now, m.up, string(call.Program), call.PromptTokens)
@@ -275,18 +279,18 @@
 		c.holder = own > c.shared
 	}
 	for _, f := range r.filters {
-		if !f.allows(x, &c) {
+		if !f.allows(x, c) {
 			return
 		}
 	}
 	cost := 0.0
 	for _, s := range r.scores {
-		cost += s.cost(x, &c)
+		cost += s.cost(x, c)
 		if *bestCost >= 0 && cost >= *bestCost {
 			return
 		}
 	}
-	*best, *bestCost = c, cost
+	*best, *bestCost = *c, cost
 }
 
 // weights returns the profile's weights for latency and wasted cache, scaled to
