--- a/pkg/core/policy/default.go
+++ b/pkg/core/policy/default.go
@@ -387,6 +387,9 @@
 		return
 	}
 	took := now.Sub(fl.sent)
+	if d.queueOrder != nil {
+		d.queueOrder.serve(now, &fl.req)
+	}
 	if a.Status < 500 {
 		fl.target.service += serviceWeight * (took.Seconds() - fl.target.service)
 		if d.retry != nil {
--- a/pkg/core/policy/queue.go
+++ b/pkg/core/policy/queue.go
@@ -26,12 +26,16 @@
 	levelUnit = 4096
 	// priorityStep is the head start of one step of the profile's priority.
 	priorityStep = 0.5
-	// callerSlack is the multiple of the mean demand of the callers that costs
-	// a caller nothing.
-	callerSlack = 4
-	// callerMax bounds the handicap of a caller with far more demand than the
-	// others, in s.
-	callerMax = 8.0
+	// callerMax bounds the handicap in s of a caller with many calls at once. It
+	// is below standardStep, so that classes keep their order.
+	callerMax = 20.0
+	// rateWindow is the time in s over which the served demand is counted.
+	rateWindow = 5.0
+	// rateFade is kept of the highest rate per window, which stands for the
+	// capacity while less is asked for.
+	rateFade = 0.99
+	// initialRate is the capacity in tokens/s before one was seen.
+	initialRate = 1000
 )
 
 // order ranks requests by class, then by the least service attained by the root
@@ -39,14 +43,16 @@
 type order struct {
 	outstanding map[core.ProgramID]int64 // tokens of waiting and running calls per root
 	callers     map[share]int64          // and per caller and profile
-	total       int64
+	served      int64                    // since window
+	window      time.Time
+	rate        float64 // capacity, tokens/s
 }
 
 // share is the owner of a fair share.
 type share struct{ caller, profile string }
 
 func newOrder() *order {
-	return &order{outstanding: map[core.ProgramID]int64{}, callers: map[share]int64{}}
+	return &order{outstanding: map[core.ProgramID]int64{}, callers: map[share]int64{}, rate: initialRate}
 }
 
 // level is the logarithm of the attained service in steps of levelUnit.
@@ -76,15 +82,23 @@
 	return k - priorityStep*float64(r.Program.Profile.Priority)
 }
 
-// excess is the handicap of a caller with many programs at once, one second for
-// each doubling of its demand beyond the slack.
+// excess is the handicap of a caller with many calls at once: the time in which
+// the calls that it has waiting and running could be served. It orders callers
+// as start-time fair queueing does, since a caller that comes later with one
+// call has none.
 func (o *order) excess(r *core.Request) float64 {
-	mine := o.callers[shareOf(r)]
-	if mine == 0 || o.total == 0 {
-		return 0
+	return min(callerMax, float64(o.callers[shareOf(r)])/o.rate)
+}
+
+// serve counts the demand of a call that was served.
+func (o *order) serve(now time.Time, r *core.Request) {
+	o.served += demand(&r.Call)
+	if past := now.Sub(o.window).Seconds(); past >= rateWindow {
+		if !o.window.IsZero() {
+			o.rate = max(o.rate*rateFade, float64(o.served)/past, 1)
+		}
+		o.served, o.window = 0, now
 	}
-	ratio := float64(mine) * float64(len(o.callers)) / (callerSlack * float64(o.total))
-	return min(callerMax, max(0, math.Log2(ratio)))
 }
 
 func shareOf(r *core.Request) share { return share{r.Call.Caller, r.Program.Profile.Name} }
@@ -94,14 +108,12 @@
 	n := demand(&r.Call)
 	o.outstanding[r.Program.Root] += n
 	o.callers[shareOf(r)] += n
-	o.total += n
 }
 
 func (o *order) release(r *core.Request) {
 	n := demand(&r.Call)
 	discharge(o.outstanding, r.Program.Root, n)
 	discharge(o.callers, shareOf(r), n)
-	o.total = max(0, o.total-n)
 }
 
 func discharge[K comparable](m map[K]int64, k K, n int64) {
