Refuse whole callers by a controlled share

Cause: the set of refused callers only grew within a minute and was built anew at the next one, so it overshot. Change: a proportional-integral controller per profile sets the refused share; callers have a place in the order of refusal for the minute, by use less recent minutes with a refusal, made at the first refusal of a minute.

--- a/pkg/core/policy/admission.go
+++ b/pkg/core/policy/admission.go
@@ -27,32 +27,48 @@
 	minRefusalRetry = 2 * time.Second
 )
 
-// waitBound is the expected wait in s, per class, above which new programs are
+// waitBound is the expected wait in s, per class, at which new programs are
 // refused. The later classes can wait, so that they are queued longer, but they
 // see the waits of the earlier classes on top of their own.
 var waitBound = [classCount]float64{2, 6, 20}
 
+// The refused share of a profile follows its expected wait by a
+// proportional-integral controller. With a load of up to twice the capacity and
+// a bound of 2 s it is critically damped.
+const (
+	shedProportional = 0.30
+	shedIntegral     = 0.02 // per s
+	shedMax          = 0.95
+	// refuseAll is the multiple of the bound at which every new program is
+	// refused, since the controller is outrun.
+	refuseAll = 5.0
+)
+
 // callerUse is the recent use of one caller.
 type callerUse struct {
 	name    string
 	use     float64 // tokens, halved every usageHalf
 	at      time.Time
-	active  int   // admitted root programs
-	minute  int64 // last minute with a refusal
-	refused int   // minutes with a refusal, fading
-	shed    bool
+	active  int     // admitted root programs
+	minute  int64   // last minute with a refusal
+	refused int     // recent minutes with a refusal
+	rank    int64   // minute for which place is valid
+	place   float64 // in the order of refusal of this minute, from 0 to 1
 }
 
-// profileUse is how the programs of a profile spread over targets.
+// profileUse is how the programs of a profile spread over targets, and the
+// controller of the share of them that is refused.
 type profileUse struct {
-	targets []*target
-	weights []float64
+	targets  []*target
+	weights  []float64
+	integral float64
+	updated  time.Time
 }
 
 // admission decides on new programs. When the expected wait of a class exceeds
-// its bound, it refuses whole callers for the rest of the minute, the ones with
-// the largest use of their fair share first, instead of every caller now and
-// then: the regulator counts the minutes in which a customer was refused.
+// its bound, it refuses whole callers within the minute instead of every caller
+// now and then: the regulator counts the minutes in which a customer was
+// refused.
 type admission struct {
 	d        *defaultPolicy
 	callers  map[string]*callerUse
@@ -60,7 +76,7 @@
 	profiles map[string]*profileUse
 	updated  time.Time
 	minute   int64
-	shedTo   float64 // share of the use that is refused in this minute
+	ranked   int64 // minute of the order of refusal in force
 }
 
 func newAdmission(d *defaultPolicy) *admission {
@@ -70,7 +86,7 @@
 func (a *admission) caller(now time.Time, name string) *callerUse {
 	c := a.callers[name]
 	if c == nil {
-		c = &callerUse{name: name, at: now, minute: -1}
+		c = &callerUse{name: name, at: now, minute: -1, rank: -1}
 		a.callers[name] = c
 		a.list = append(a.list, c)
 	}
@@ -81,6 +97,15 @@
 	return c.use * math.Exp2(-max(0, now.Sub(c.at).Seconds())/usageHalf)
 }
 
+func (a *admission) profile(now time.Time, name string) *profileUse {
+	p := a.profiles[name]
+	if p == nil {
+		p = &profileUse{updated: now}
+		a.profiles[name] = p
+	}
+	return p
+}
+
 // charge counts the demand of a call against its caller and its profile's mix of
 // targets.
 func (a *admission) charge(now time.Time, r *core.Request, t *target) {
@@ -91,11 +116,7 @@
 	if !t.usable() {
 		return // refused or waiting for a load, whatever the admission decides
 	}
-	p := a.profiles[r.Program.Profile.Name]
-	if p == nil {
-		p = &profileUse{}
-		a.profiles[r.Program.Profile.Name] = p
-	}
+	p := a.profile(now, r.Program.Profile.Name)
 	const fade = 0.99
 	i := slices.Index(p.targets, t)
 	if i < 0 {
@@ -138,15 +159,7 @@
 			w[c] += gain * (wait - w[c])
 		}
 	}
-	if m := now.Unix() / 60; m != a.minute {
-		a.minute, a.shedTo = m, 0
-		for _, c := range a.list {
-			c.shed = false
-			if c.minute < m-refusalMemory {
-				c.refused = 0
-			}
-		}
-	}
+	a.minute = now.Unix() / 60
 }
 
 // slots is the number of calls that a target serves at the same time for this
@@ -162,24 +175,15 @@
 }
 
 // wait is the expected wait of a profile's calls.
-func (a *admission) wait(p *core.Profile) float64 {
-	rank := rankOf(p.Class)
-	use := a.profiles[p.Name]
-	if use == nil {
-		return a.worst(rank)
-	}
+func (a *admission) wait(use *profileUse, rank int) float64 {
 	sum, total := 0.0, 0.0
 	for i, t := range use.targets {
 		sum += use.weights[i] * t.waits[rank]
 		total += use.weights[i]
 	}
-	if total == 0 {
-		return 0
+	if total > 0 {
+		return sum / total
 	}
-	return sum / total
-}
-
-func (a *admission) worst(rank int) float64 {
 	worst := 0.0
 	for _, t := range a.d.fleet.order {
 		worst = max(worst, t.waits[rank])
@@ -187,20 +191,29 @@
 	return worst
 }
 
+// share is the part of a profile's programs that is refused now.
+func (p *profileUse) share(now time.Time, wait, bound float64) float64 {
+	e := min(3, wait/bound-1)
+	past := min(5, now.Sub(p.updated).Seconds())
+	p.updated = now
+	p.integral = min(shedMax, max(0, p.integral+shedIntegral*e*past))
+	return min(shedMax, p.integral+shedProportional*e)
+}
+
 // admit decides on a new root program. The decision takes no waiting: a refusal
 // is returned at once.
 func (a *admission) admit(now time.Time, p core.ProgramView) core.Admission {
 	a.update(now)
-	bound := waitBound[rankOf(p.Profile.Class)]
-	wait := a.wait(&p.Profile)
+	class := rankOf(p.Profile.Class)
+	bound := waitBound[class]
+	use := a.profile(now, p.Profile.Name)
+	wait := a.wait(use, class)
+	share := use.share(now, wait, bound)
 	c := a.caller(now, p.Caller)
-	if wait <= bound {
-		c.active++
-		return core.Admission{OK: true}
+	if share > 0 && a.ranked != a.minute {
+		a.rank(now)
 	}
-	// The share of the use that has to go grows to all at twice the bound.
-	a.shed(now, min(1, wait/bound-1))
-	if !c.shed && wait < 2*bound {
+	if wait < refuseAll*bound && a.placeOf(c) >= share {
 		c.active++
 		return core.Admission{OK: true}
 	}
@@ -208,7 +221,6 @@
 		c.minute = a.minute
 		c.refused = min(refusalMemory, c.refused+1)
 	}
-	c.shed = true
 	return core.Admission{RetryAfter: a.retryAfter(now, &p, wait-bound), Reason: "overloaded"}
 }
 
@@ -224,52 +236,51 @@
 	return max(least, time.Duration(excess*float64(time.Second)), minuteEnd) + spread
 }
 
-// shed marks callers until they make up the share of the recent use. Marks are
-// kept until the minute ends, so that the set grows only as far as it must.
-func (a *admission) shed(now time.Time, share float64) {
-	if share <= a.shedTo {
-		return
-	}
-	a.shedTo = share
+// rank puts the callers in the order of refusal for the rest of the minute:
+// those with the largest use first, so that few are refused, less one step for
+// each recent minute with a refusal, so that it is not always the same ones.
+func (a *admission) rank(now time.Time) {
+	a.ranked = a.minute
 	a.prune(now)
 	total := 0.0
 	for _, c := range a.list {
+		if c.minute < a.minute-refusalMemory {
+			c.refused = 0
+		}
 		total += c.decayed(now) + 1
 	}
-	mean := total / float64(len(a.list))
+	mean := total / max(1, float64(len(a.list)))
+	step := func(c *callerUse) int {
+		return max(0, int(math.Ceil(math.Log2((c.decayed(now)+1)/mean)))) - c.refused
+	}
 	order := slices.Clone(a.list)
 	slices.SortFunc(order, func(x, y *callerUse) int {
-		if d := cmp.Compare(a.place(now, y, mean), a.place(now, x, mean)); d != 0 {
+		if d := cmp.Compare(step(y), step(x)); d != 0 {
 			return d
 		}
 		return cmp.Compare(x.turn(a.minute), y.turn(a.minute))
 	})
 	sum := 0.0
 	for _, c := range order {
-		if sum >= share*total {
-			break
-		}
+		c.rank, c.place = a.minute, sum/total
 		sum += c.decayed(now) + 1
-		c.shed = true
 	}
 }
 
-// place is the rank of a caller among those to be refused, highest first: the
-// use relative to the mean in powers of two, less one for each recent minute
-// with a refusal.
-func (a *admission) place(now time.Time, c *callerUse, mean float64) int {
-	use := (c.decayed(now) + 1) / mean
-	p := max(0, int(math.Ceil(math.Log2(use))))
-	if c.minute == a.minute {
-		return p + refusalMemory // counted already: further refusals cost nothing
+// placeOf is the caller's place in the order of refusal. Callers that came after
+// the order was made are spread over it.
+func (a *admission) placeOf(c *callerUse) float64 {
+	if c.rank != a.minute {
+		c.rank, c.place = a.minute, float64(c.turn(a.minute)>>11)/(1<<53)
 	}
-	return p - c.refused
+	return c.place
 }
 
 // turn orders callers of equal place differently in each minute, and alike in
 // every entry, so that the entries refuse the same callers.
 func (c *callerUse) turn(minute int64) uint64 {
-	return xxhash.Sum64String(c.name) ^ uint64(minute)*0x9e3779b97f4a7c15
+	h := (xxhash.Sum64String(c.name) ^ uint64(minute)) * 0x9e3779b97f4a7c15
+	return h ^ h>>32
 }
 
 // prune forgets callers without recent use.
--- /dev/null
+++ b/pkg/core/policy/admission_test.go
@@ -0,0 +1,170 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+)
+
+// overload drives a policy with callers that open one-call programs, at a
+// multiple of what the upstreams serve. It returns the refusals per caller and
+// the distinct pairs of caller and minute with a refusal.
+type overload struct {
+	policy   core.Policy
+	minutes  map[string]bool
+	refused  map[string]int
+	opened   map[string]int
+	finished int
+	late     int               // refusals without a time to come back
+	left     []core.Assignment // still running
+}
+
+func runOverload(p core.Policy, seconds int, rate map[string]float64, callers []string) *overload {
+	o := &overload{policy: p, minutes: map[string]bool{}, refused: map[string]int{}, opened: map[string]int{}}
+	addEngines(p, 4) // 32 slots, calls of 2 s: 16 programs/s
+	type run struct {
+		a   core.Assignment
+		end time.Time
+	}
+	var running []run
+	due := map[string]float64{}
+	n := 0
+	for ms := 0; ms < seconds*1000; ms += 50 {
+		now := epoch.Add(time.Duration(ms) * time.Millisecond)
+		for len(running) > 0 && !now.Before(running[0].end) {
+			finish(p, now, running[0].a, 0)
+			running = running[1:]
+			o.finished++
+		}
+		for _, c := range callers {
+			for due[c] += rate[c] * 0.05; due[c] >= 1; due[c]-- {
+				n++
+				v := view(fmt.Sprintf("p000-%d", n), c, core.ClassInteractive)
+				o.opened[c]++
+				if a := p.Admit(now, v); !a.OK {
+					o.refused[c]++
+					o.minutes[fmt.Sprint(c, now.Unix()/60)] = true
+					if a.RetryAfter <= 0 {
+						o.late++
+					}
+					continue
+				}
+				p.Enqueue(now, modelCall(v, n, 100))
+			}
+		}
+		for _, a := range drain(p, now) {
+			p.OnFirstToken(now, a.Request.Attempt, 0)
+			running = append(running, run{a, now.Add(2 * time.Second)})
+		}
+	}
+	for _, r := range running {
+		o.left = append(o.left, r.a)
+	}
+	return o
+}
+
+func evenCallers(n int, total float64) (map[string]float64, []string) {
+	rate, names := map[string]float64{}, make([]string, n)
+	for i := range n {
+		names[i] = fmt.Sprintf("caller-%02d", i)
+		rate[names[i]] = total / float64(n)
+	}
+	return rate, names
+}
+
+// Guards against refusals that are scattered over all callers: the regulator
+// counts each minute in which a customer was refused.
+func TestRefusalsAreConcentratedInFewCustomerMinutes(t *testing.T) {
+	rate, callers := evenCallers(40, 24) // 1.5 times the capacity
+	best := 0
+	for _, name := range Names()[1:] {
+		o := runOverload(mustNew(t, name, 1), 300, rate, callers)
+		t.Logf("%s: %d customer-minutes, %d finished", name, len(o.minutes), o.finished)
+		if best == 0 || len(o.minutes) < best {
+			best = len(o.minutes)
+		}
+	}
+	o := runOverload(mustNew(t, NameDefault, 1), 300, rate, callers)
+	t.Logf("default: %d customer-minutes, %d finished", len(o.minutes), o.finished)
+	if got := len(o.minutes); float64(got) > 0.5*float64(best) {
+		t.Errorf("%d customer-minutes with a refusal, the best baseline has %d", got, best)
+	}
+	if o.late > 0 {
+		t.Errorf("%d refusals without a time to come back", o.late)
+	}
+	// Fairness: over five minutes no caller is refused in all of them.
+	for _, c := range callers {
+		if o.refused[c] == o.opened[c] {
+			t.Errorf("%s was refused every time", c)
+		}
+	}
+	if limit := 16 * 300 * 8 / 10; o.finished < limit {
+		t.Errorf("%d programs finished, less than 80%% of the capacity (%d)", o.finished, limit)
+	}
+}
+
+// Guards against a runaway caller whose overload refuses others.
+func TestRunawayCallerIsRefusedFirst(t *testing.T) {
+	rate, callers := evenCallers(20, 8)
+	rate["runaway"] = 30
+	o := runOverload(mustNew(t, NameDefault, 1), 180, rate, append(callers, "runaway"))
+	others := 0
+	for _, c := range callers {
+		others += o.refused[c]
+	}
+	// The others ask for half of the capacity.
+	if o.refused["runaway"] == 0 || others > 0 {
+		t.Errorf("refused: runaway %d of %d, others %d of %d", o.refused["runaway"], o.opened["runaway"], others, 8*180)
+	}
+}
+
+// Guards against refusals without overload: at 80% of the capacity, with bursts.
+func TestNoRefusalBelowCapacity(t *testing.T) {
+	rate, callers := evenCallers(20, 12.8)
+	if o := runOverload(mustNew(t, NameDefault, 1), 300, rate, callers); len(o.minutes) > 0 {
+		t.Errorf("%v refused", o.refused)
+	}
+}
+
+// Guards against an admitted program that is refused or forgotten later: the
+// calls of admitted programs are all dispatched once the load ends.
+func TestAdmittedProgramsAreCarriedThrough(t *testing.T) {
+	rate, callers := evenCallers(10, 40)
+	p := mustNew(t, NameDefault, 1)
+	o := runOverload(p, 60, rate, callers)
+	now := at(61)
+	for _, a := range o.left {
+		finish(p, now, a, 0)
+	}
+	for range 200 {
+		now = now.Add(time.Second)
+		for _, a := range drain(p, now) {
+			finish(p, now, a, 0)
+		}
+	}
+	if left := queueLen(p); left > 0 {
+		t.Errorf("%d calls of admitted programs are still waiting", left)
+	}
+}
+
+// Guards against classes that suffer alike: the wait of batch work must not
+// refuse interactive programs.
+func TestBatchLoadDoesNotRefuseInteractive(t *testing.T) {
+	d := newParts(t, 1)
+	addEngines(d, 1)
+	for i := range 200 {
+		d.Enqueue(at(0), modelCall(view(fmt.Sprintf("p000-%d", i), "c", core.ClassBatch), i, 100))
+	}
+	for s := range 20 {
+		drain(d, at(float64(s)))
+		d.Admit(at(float64(s)), view("p001-x", "c", core.ClassBatch))
+	}
+	if a := d.Admit(at(20), view("p001-b", "c", core.ClassBatch)); a.OK {
+		t.Error("a batch program was admitted behind 200 waiting calls")
+	}
+	if a := d.Admit(at(20), view("p001-i", "c2", core.ClassInteractive)); !a.OK {
+		t.Errorf("an interactive program was refused (%s) because of batch work", a.Reason)
+	}
+}
