--- a/pkg/entry/backend.go
+++ b/pkg/entry/backend.go
@@ -148,12 +148,17 @@
 	ConfigVersion uint64            `json:"config_version"`
 	SlotsOwned    int               `json:"slots_owned"`
 	SlotsVersion  uint64            `json:"slots_version"`
+	SlotCount     int               `json:"slot_count"`
+	Upstreams     int               `json:"upstreams_connected"`
 	CallsPending  int               `json:"calls_pending"`
 	Attempts      int               `json:"attempts_running"`
 	Draining      bool              `json:"draining"`
 	Peers         map[string]uint64 `json:"peer_config_versions"`
 }
 
+// Summary returns the status of the process.
+func (n *Entry) Summary() Status { return n.status() }
+
 func (n *Entry) status() Status {
 	return Status{
 		Instance:      n.cfg.Instance,
@@ -164,6 +169,8 @@
 		ConfigVersion: n.config.version(),
 		SlotsOwned:    n.owner.ownedCount(),
 		SlotsVersion:  n.owner.mapVersion(),
+		SlotCount:     n.owner.slotCount(),
+		Upstreams:     n.peers.connectedUpstreams(),
 		CallsPending:  n.calls.len(),
 		Attempts:      n.attempts.len(),
 		Draining:      n.draining.Load(),
--- a/pkg/entry/config.go
+++ b/pkg/entry/config.go
@@ -36,6 +36,7 @@
 	Seed          uint64
 
 	Callers           []frontend.Caller
+	Operators         []string // callers that may give operators' orders
 	TrustCallerHeader bool
 	DefaultMaxTokens  int64
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -82,7 +82,7 @@
 		return nil, errors.Wrap(err, "set up peer transport")
 	}
 	n.http = frontend.New(frontend.Options{
-		Backend: n, Callers: cfg.Callers, TrustCallerHeader: cfg.TrustCallerHeader,
+		Backend: n, Admin: n, Callers: cfg.Callers, Operators: cfg.Operators, TrustCallerHeader: cfg.TrustCallerHeader,
 		DefaultMaxTokens: cfg.DefaultMaxTokens, Logger: n.log, Metrics: n.metrics.write,
 	})
 	return n, nil
@@ -128,6 +128,7 @@
 	n.spawn(n.config.run)
 	n.spawn(n.owner.run)
 	n.spawn(n.followList)
+	n.spawn(n.followRetention)
 	n.spawn(func(context.Context) {
 		if err := n.server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			n.log.Error("caller interface ended", "error", err)
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -63,10 +63,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	hello := s.Peer()
-	if hello.GetRole() == roleEntry {
-		n.heard(hello, first)
-	}
 	reply(st, n.heartbeatFor(nil))
+	if hello.GetRole() == roleSidecar {
+		// A sidecar starts a heartbeat of its own only to announce a change,
+		// such as that it is leaving.
+		n.onHeartbeat(hello.GetAddress(), hello, first)
+		return
+	}
+	n.heard(hello, first)
 	go n.peers.sendHeartbeats(ctx, nil, st)
 	for {
 		if err := st.SetDeadline(time.Now().Add(heartbeatSilence)); err != nil {
--- a/pkg/entry/owner.go
+++ b/pkg/entry/owner.go
@@ -108,6 +108,12 @@
 	return len(o.mgr.Slots().Slots) > 0
 }
 
+func (o *ownerRuntime) slotCount() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.mgr.Slots().Slots)
+}
+
 func (o *ownerRuntime) mapVersion() uint64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -215,7 +215,7 @@
 			return err
 		}
 		if hb := m.GetHeartbeat(); hb != nil {
-			ps.n.onHeartbeat(k, hello, hb)
+			ps.n.onHeartbeat(k.address, hello, hb)
 		}
 	}
 }
@@ -270,14 +270,14 @@
 }
 
 // onHeartbeat turns a peer's heartbeat into events.
-func (n *Entry) onHeartbeat(k *link, h *peerv1.Hello, hb *peerv1.Heartbeat) {
+func (n *Entry) onHeartbeat(address string, h *peerv1.Hello, hb *peerv1.Heartbeat) {
 	if h.GetRole() == roleEntry {
 		n.heard(h, hb)
 		return
 	}
 	id := core.UpstreamID(h.GetUpstream().GetId())
 	if u := hb.GetUpstream(); u != nil {
-		n.loop.post(core.UpstreamChanged{At: now(), Info: upstreamInfo(u, h, k.address)})
+		n.loop.post(core.UpstreamChanged{At: now(), Info: upstreamInfo(u, h, address)})
 	}
 	n.loop.post(core.UpstreamState{At: now(), Upstream: id, Reachable: hb.GetUpstreamReachable(), Leaving: hb.GetLeaving()})
 	if l := hb.GetLoad(); l != nil {
@@ -291,7 +291,7 @@
 	for _, c := range hb.GetCrashes() {
 		n.loop.post(core.UpstreamCrashed{At: now(), Upstream: id, Incarnation: c.GetIncarnation(), Fingerprints: c.GetFingerprints()})
 	}
-	n.config.peerVersion(k.address, hb.GetConfigVersion())
+	n.config.peerVersion(address, hb.GetConfigVersion())
 }
 
 func loadOf(id core.UpstreamID, l *peerv1.Load) core.Load {
@@ -339,3 +339,15 @@
 	}
 	return k.current()
 }
+
+func (ps *peerSet) connectedUpstreams() int {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	count := 0
+	for _, k := range ps.upstreams {
+		if k.current() != nil {
+			count++
+		}
+	}
+	return count
+}
