--- /dev/null
+++ b/pkg/core/sidecar/state_test.go
@@ -0,0 +1,237 @@
+package sidecar
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(s float64) At { return At{start.Add(time.Duration(s * float64(time.Second)))} }
+
+// one returns the only effect of the type, or fails.
+func one[T Effect](t *testing.T, effects []Effect) T {
+	t.Helper()
+	var found []T
+	for _, e := range effects {
+		if x, ok := e.(T); ok {
+			found = append(found, x)
+		}
+	}
+	if len(found) != 1 {
+		t.Fatalf("%d effects of type %T in %+v, want 1", len(found), *new(T), effects)
+	}
+	return found[0]
+}
+
+func dispatch(id string, epoch core.Epoch) Dispatched {
+	return Dispatched{At: at(0), Ref: 1, Attempt: core.AttemptID(id), Slot: 3, Epoch: epoch, NonIdempotent: true, Key: "k", Fingerprint: 42}
+}
+
+func answer(body string) Result {
+	return Result{Ran: core.RanYes, Answer: &core.Answer{Body: []byte(body), Status: 200}}
+}
+
+// Guards against a request of a paused owner, also when the new owner appears
+// between the dispatch and the write to the upstream.
+func TestFencing(t *testing.T) {
+	s := New(Options{})
+	one[Start](t, s.Step(dispatch("a", 4)))
+	one[PassOrder](t, s.Step(Ordered{At: at(0), Ref: 2, Order: core.OrderPin, Program: "p", Slot: 3, Epoch: 5}))
+	if r := one[Refuse](t, s.Step(PassOn{At: at(0), Ref: 1, Attempt: "a"})); !r.Fenced || r.Ran != core.RanNo {
+		t.Errorf("pass on after a higher epoch: %+v", r)
+	}
+	if r := one[Refuse](t, s.Step(dispatch("b", 4))); !r.Fenced || r.Ran != core.RanNo {
+		t.Errorf("dispatch of the old owner: %+v", r)
+	}
+	if r := one[RefuseOrder](t, s.Step(Ordered{At: at(0), Ref: 3, Order: core.OrderRelease, Program: "p", Slot: 3, Epoch: 4})); !r.Fenced {
+		t.Errorf("order of the old owner: %+v", r)
+	}
+	if s.Running() != 0 {
+		t.Errorf("%d running", s.Running())
+	}
+}
+
+// Guards against "not run" being said of an attempt that runs later.
+func TestResolveNeverSeen(t *testing.T) {
+	s := New(Options{ResultTerm: time.Second, Incarnation: "s.2", OutcomeByKey: true})
+	if o := one[Outcome](t, s.Step(Resolve{At: at(0), Ref: 1, Attempt: "a", Slot: 3, Epoch: 1})); o.Result.Ran != core.RanNo {
+		t.Errorf("never seen: %+v", o)
+	}
+	s.Step(Tick{at(3600)}) // the record expires, the refusal must not
+	d := dispatch("a", 1)
+	d.At = at(3600)
+	if r := one[Refuse](t, s.Step(d)); r.Ran != core.RanNo {
+		t.Errorf("dispatch after never seen: %+v", r)
+	}
+	// An attempt of an earlier incarnation may have run.
+	if l := one[LookUp](t, s.Step(Resolve{At: at(3600), Ref: 2, Attempt: "b", Key: "k", SidecarIncarnation: "s.1"})); l.Key != "k" {
+		t.Errorf("attempt of another incarnation: %+v", l)
+	}
+	if o := one[Outcome](t, s.Step(LookedUp{At: at(3600), Ref: 2, Attempt: "b", Result: Result{Ran: core.RanUnknown}})); o.Result.Ran != core.RanUnknown {
+		t.Errorf("unknown to the service: %+v", o)
+	}
+	d = dispatch("c", 1)
+	d.SidecarIncarnation = "s.1"
+	if r := one[Refuse](t, s.Step(d)); r.Ran != core.RanNo {
+		t.Errorf("claim for an earlier incarnation: %+v", r)
+	}
+}
+
+// Guards against lost outcomes of a running, a done and a lost attempt.
+func TestResolveRunningAndDone(t *testing.T) {
+	s := New(Options{OutcomeByKey: true})
+	s.Step(dispatch("a", 1))
+	one[Pass](t, s.Step(PassOn{At: at(0), Ref: 1, Attempt: "a"}))
+	if o := one[Outcome](t, s.Step(Resolve{At: at(1), Ref: 7, Attempt: "a", Slot: 3, Epoch: 1})); !o.Running {
+		t.Errorf("running: %+v", o)
+	}
+	if o := one[Outcome](t, s.Step(Ended{At: at(2), Attempt: "a", Result: answer("x")})); o.Ref != 7 || o.Running || o.Result.Ran != core.RanYes {
+		t.Errorf("end of a resolved attempt: %+v", o)
+	}
+	if o := one[Outcome](t, s.Step(Resolve{At: at(3), Ref: 8, Attempt: "a", Slot: 3, Epoch: 1})); string(o.Result.Answer.Body) != "x" {
+		t.Errorf("done: %+v", o)
+	}
+	s.Step(dispatch("b", 1))
+	s.Step(PassOn{At: at(0), Ref: 1, Attempt: "b"})
+	s.Step(Ended{At: at(2), Attempt: "b", Result: Result{Ran: core.RanUnknown}})
+	if l := one[LookUp](t, s.Step(Resolve{At: at(3), Ref: 9, Attempt: "b", Slot: 3, Epoch: 1})); l.Key != "k" {
+		t.Errorf("lost answer: %+v", l)
+	}
+	s.Step(Ended{At: at(4), Attempt: "b", Result: answer("late")})
+	if o := one[Outcome](t, s.Step(Resolve{At: at(5), Ref: 10, Attempt: "b", Slot: 3, Epoch: 1})); string(o.Result.Answer.Body) != "late" {
+		t.Errorf("late answer: %+v", o)
+	}
+}
+
+// Guards against a crash report that names requests not on board, or is sent
+// twice, and against pins that outlive the engine's memory.
+func TestCrashReport(t *testing.T) {
+	s := New(Options{})
+	one[ListHeld](t, s.Step(UpstreamSeen{at(0), 7}))
+	s.Step(dispatch("a", 1))
+	s.Step(PassOn{At: at(0), Ref: 1, Attempt: "a"})
+	d := dispatch("b", 1)
+	d.Fingerprint = 43
+	s.Step(d)
+	s.Step(PinRenewed{At: at(0), Program: "p", Slot: 3, Epoch: 1})
+	c := one[Crashed](t, s.Step(UpstreamSeen{at(1), 8}))
+	if c.Incarnation != 7 || fmt.Sprint(c.Fingerprints, c.Attempts) != "[42] [a]" {
+		t.Errorf("crash report %+v", c)
+	}
+	if s.Pins() != 0 {
+		t.Error("pins survived the crash")
+	}
+	for _, e := range s.Step(UpstreamSeen{at(2), 8}) {
+		if _, again := e.(Crashed); again {
+			t.Error("crash reported twice")
+		}
+	}
+	one[Crashed](t, s.Step(UpstreamGone{at(3)}))
+	if e := s.Step(UpstreamGone{at(4)}); len(e) != 0 {
+		t.Errorf("second refusal: %+v", e)
+	}
+}
+
+// Guards against engine memory that stays allocated to lost owners, and
+// against an engine order for each heartbeat.
+func TestPins(t *testing.T) {
+	s := New(Options{PinTerm: 30 * time.Second})
+	s.Step(UpstreamSeen{at(0), 1})
+	s.Step(HeldListed{At: at(0), Incarnation: 1, Pinned: []string{"orphan", "kept"}})
+	renewals := 0
+	for i := 1; i < 40; i++ {
+		for _, e := range s.Step(PinRenewed{At: at(float64(i)), Program: "kept", Slot: 3, Epoch: 1, Term: 30 * time.Second}) {
+			if _, ok := e.(RenewPin); ok {
+				renewals++
+			}
+		}
+		for _, e := range s.Step(Tick{at(float64(i))}) {
+			if r := e.(ReleasePin); r.Program != "orphan" || i != 30 {
+				t.Errorf("release of %s after %d s", r.Program, i)
+			}
+		}
+	}
+	if s.Pins() != 1 || renewals > 4 {
+		t.Errorf("%d pins, %d renewals in 40 s", s.Pins(), renewals)
+	}
+	s.Step(PinRenewed{At: at(40), Program: "kept", Slot: 3, Epoch: 2})
+	s.Step(PinRenewed{At: at(60), Program: "kept", Slot: 3, Epoch: 1}) // of a fenced owner
+	one[ReleasePin](t, s.Step(Tick{at(71)}))
+}
+
+// Guards against a second run of an attempt, a run after "not run", and a run
+// below the highest epoch, under random interleavings.
+func TestRandomInterleavings(t *testing.T) {
+	for seed := uint64(0); seed < 200; seed++ {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		s := New(Options{ResultTerm: 20 * time.Second, ResultBytes: 20, Incarnation: "s.1", OutcomeByKey: seed%2 == 0})
+		passed, notRun := map[core.AttemptID]int{}, map[core.AttemptID]bool{}
+		waiting := map[Ref]core.AttemptID{}
+		epochs := map[core.AttemptID]core.Epoch{}
+		var highest core.Epoch
+		for i := range 400 {
+			a := At{start.Add(time.Duration(i) * 300 * time.Millisecond)}
+			id := core.AttemptID(fmt.Sprint("a", rng.IntN(25)))
+			epoch := core.Epoch(1 + rng.IntN(1+i/50))
+			ref := Ref(i + 1)
+			waiting[ref] = id
+			var e Event
+			switch rng.IntN(9) {
+			case 0, 1:
+				d := dispatch(string(id), epoch)
+				d.At, d.Ref, d.UpstreamIncarnation = a, ref, uint64(rng.IntN(3))
+				e = d
+			case 2, 3:
+				e = PassOn{At: a, Ref: ref, Attempt: id}
+			case 4:
+				e = Ended{At: a, Attempt: id, Result: Result{Ran: core.RanUnknown}}
+				if passed[id] > 0 && rng.IntN(2) == 0 {
+					e = Ended{At: a, Attempt: id, Result: answer("0123456789")}
+				}
+			case 5, 6:
+				e = Resolve{At: a, Ref: ref, Attempt: id, Epoch: epoch, Slot: 3}
+			case 7:
+				e = UpstreamSeen{a, 1 + uint64(rng.IntN(2))}
+			default:
+				e = Tick{a}
+			}
+			effects := s.Step(e)
+			if d, ok := e.(Dispatched); ok && len(effects) == 1 {
+				if _, ok := effects[0].(Start); ok {
+					epochs[id] = d.Epoch
+					if d.Epoch < highest {
+						t.Fatalf("seed %d: dispatch below the highest epoch started", seed)
+					}
+				}
+			}
+			highest = s.Epoch(3)
+			for _, eff := range effects {
+				switch eff := eff.(type) {
+				case Pass:
+					passed[id]++
+					if passed[id] > 1 || notRun[id] || epochs[id] < highest {
+						t.Fatalf("seed %d step %d: %s passed %d times, not run %v, epoch %d of %d", seed, i, id, passed[id], notRun[id], epochs[id], highest)
+					}
+				case Refuse:
+					if eff.Ran == core.RanNo {
+						notRun[waiting[eff.Ref]] = true
+					}
+				case Outcome:
+					if eff.Result.Ran == core.RanNo {
+						notRun[waiting[eff.Ref]] = true
+					}
+				}
+			}
+			for id := range notRun {
+				if passed[id] > 0 {
+					t.Fatalf("seed %d step %d: %s ran and was reported as not run", seed, i, id)
+				}
+			}
+		}
+	}
+}
