--- /dev/null
+++ b/pkg/sidecar/monitor.go
@@ -0,0 +1,185 @@
+package sidecar
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	decide "github.com/yuccaspindle/yuccaspindle/pkg/core/sidecar"
+)
+
+const (
+	// probeFailures is the number of failed health checks in a row after which
+	// an upstream that still accepts connections counts as unreachable.
+	probeFailures = 2
+	// crashMemory is the number of crash reports kept for peers that connect
+	// later.
+	crashMemory = 16
+	// crashReportAge is how long a crash is reported to peers that connect.
+	crashReportAge = time.Minute
+	// tickInterval drives the terms of pins and results.
+	tickInterval = 250 * time.Millisecond
+)
+
+// engineInfo is the answer of GET /v1/info.
+type engineInfo struct {
+	Incarnation   uint64   `json:"incarnation"`
+	Models        []string `json:"models"`
+	Adapters      []string `json:"adapters"`
+	Slots         int64    `json:"slots"`
+	CacheTokens   int64    `json:"cache_tokens"`
+	PrefillRate   float64  `json:"prefill_rate"`
+	DecodeRate    float64  `json:"decode_rate"`
+	ChecksFencing bool     `json:"checks_fencing"`
+}
+
+type crashReport struct {
+	number uint64
+	at     time.Time
+	crash  *peerv1.Crash
+}
+
+// monitor watches the upstream's health and load and drives the terms.
+func (s *Sidecar) monitor() {
+	probe := time.NewTicker(s.cfg.ProbeInterval)
+	defer probe.Stop()
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	failures := 0
+	look := func() {
+		if err := s.probe(s.ctx); err != nil {
+			if failures++; failures >= probeFailures || refused(err) {
+				s.setReachable(false, err)
+			}
+			return
+		}
+		failures = 0
+		s.setReachable(true, nil)
+		s.readLoad()
+	}
+	look()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-probe.C:
+			look()
+		case <-tick.C:
+			s.step(decide.Tick{At: now()})
+		}
+	}
+}
+
+// probe looks at the upstream on a new connection and reports a crash when it
+// refuses the connection or answers as another incarnation.
+func (s *Sidecar) probe(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.ProbeTimeout)
+	defer cancel()
+	var err error
+	var info engineInfo
+	if s.cfg.Upstream.Kind == core.KindModel {
+		err = s.up.getJSON(ctx, s.up.fresh, "/v1/info", &info)
+	} else {
+		err = s.up.getJSON(ctx, s.up.fresh, "/healthz", nil)
+	}
+	switch {
+	case err == nil:
+		s.setInfo(&info)
+		s.step(decide.UpstreamSeen{At: now(), Incarnation: info.Incarnation})
+	case refused(err):
+		s.met.probeFailures.Inc()
+		s.step(decide.UpstreamGone{At: now()})
+	case s.ctx.Err() == nil:
+		s.met.probeFailures.Inc()
+	}
+	return err
+}
+
+func (s *Sidecar) setInfo(i *engineInfo) {
+	if s.cfg.Upstream.Kind != core.KindModel {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := &peerv1.UpstreamInfo{
+		Id: s.cfg.Upstream.ID, Kind: string(s.cfg.Upstream.Kind), Models: i.Models, Adapters: i.Adapters,
+		Incarnation: i.Incarnation, Slots: i.Slots, CacheTokens: i.CacheTokens, PrefillRate: i.PrefillRate,
+		DecodeRate: i.DecodeRate, ChecksOrders: s.cfg.Upstream.ChecksOrders,
+		ChecksFencing: s.cfg.Upstream.ChecksFencing || i.ChecksFencing,
+	}
+	if !proto.Equal(next, s.info) {
+		s.info = next
+		s.infoVersion++
+	}
+}
+
+func (s *Sidecar) setReachable(up bool, cause error) {
+	s.mu.Lock()
+	changed := s.reachable != up
+	s.reachable = up
+	s.mu.Unlock()
+	if !changed {
+		return
+	}
+	if up {
+		s.log.Info("upstream is reachable", "step", "probe", "peer", s.cfg.Upstream.URL)
+	} else {
+		s.log.Warn("upstream is not reachable", "step", "probe", "peer", s.cfg.Upstream.URL, "err", cause)
+	}
+	s.pushHeartbeats()
+}
+
+// readLoad takes the upstream's lagged load report. The load of a service is
+// what this sidecar has under way.
+func (s *Sidecar) readLoad() {
+	if s.cfg.Upstream.Kind != core.KindModel {
+		s.mu.Lock()
+		s.load = &peerv1.Load{MeasuredUnixMs: time.Now().UnixMilli(), Running: int64(s.state.Running())}
+		s.mu.Unlock()
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, s.cfg.ProbeTimeout)
+	defer cancel()
+	var l core.Load
+	if err := s.up.getJSON(ctx, s.up.pooled, "/v1/load", &l); err != nil {
+		s.met.probeFailures.Inc()
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.load = &peerv1.Load{
+		MeasuredUnixMs: l.Measured.UnixMilli(), Running: int64(l.Running), Waiting: int64(l.Waiting),
+		QueuedTokens: l.QueuedTokens, CacheUsed: l.CacheUsed, CachePinned: l.CachePinned,
+	}
+}
+
+// upstreamCrashed breaks the attempts on board and reports their fingerprints.
+func (s *Sidecar) upstreamCrashed(e decide.Crashed) {
+	s.met.crashes.Inc()
+	s.mu.Lock()
+	for _, id := range e.Attempts {
+		if c := s.calls[id]; c != nil {
+			c.crash()
+		}
+	}
+	s.cache.lost()
+	number := uint64(1)
+	if n := len(s.crashes); n > 0 {
+		number = s.crashes[n-1].number + 1
+	}
+	s.crashes = append(s.crashes, crashReport{
+		number: number, at: time.Now(),
+		crash: &peerv1.Crash{Incarnation: e.Incarnation, Fingerprints: e.Fingerprints},
+	})
+	if n := len(s.crashes); n > crashMemory {
+		s.crashes = slices.Clone(s.crashes[n-crashMemory:])
+	}
+	s.mu.Unlock()
+	s.log.Warn("upstream crashed", "step", "crash", "peer", s.cfg.Upstream.URL, "incarnation", e.Incarnation,
+		"on_board", len(e.Attempts), "fingerprints", len(e.Fingerprints))
+	s.pushHeartbeats()
+}
--- /dev/null
+++ b/pkg/sidecar/upstream.go
@@ -0,0 +1,158 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxAnswer bounds a whole answer in bytes, so that Done fits into one
+	// envelope.
+	maxAnswer = 7 << 20
+	// controlTimeout bounds small requests to the upstream.
+	controlTimeout = 2 * time.Second
+)
+
+// upstream is the HTTP client of one upstream.
+type upstream struct {
+	base  string
+	token string
+	// pooled reuses connections; a stale one costs an idempotent repeat.
+	pooled *http.Client
+	// fresh opens a connection per request: for health checks, which must not
+	// use a silent connection, and for non-idempotent calls, whose outcome
+	// would be unknown if a stale connection swallowed them.
+	fresh *http.Client
+}
+
+func newUpstream(cfg Config) *upstream {
+	dialer := &net.Dialer{
+		Timeout: time.Second,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3,
+		},
+	}
+	tr := &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConns: cfg.IdleConns,
+		MaxIdleConnsPerHost: cfg.IdleConns, IdleConnTimeout: 30 * time.Second,
+	}
+	once := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true}
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &upstream{
+		base: strings.TrimSuffix(cfg.Upstream.URL, "/"), token: cfg.Upstream.OrderToken,
+		pooled: &http.Client{Transport: tr, CheckRedirect: noRedirect},
+		fresh:  &http.Client{Transport: once, CheckRedirect: noRedirect},
+	}
+}
+
+func (u *upstream) close() {
+	u.pooled.CloseIdleConnections()
+	u.fresh.CloseIdleConnections()
+}
+
+// statusError is an answer with an HTTP error status.
+type statusError struct {
+	status int
+	body   []byte
+}
+
+func (e *statusError) Error() string {
+	return fmt.Sprintf("upstream answered %d: %s", e.status, bytes.TrimSpace(e.body[:min(len(e.body), 200)]))
+}
+
+// getJSON reads a small document. A nil out discards it.
+func (u *upstream) getJSON(ctx context.Context, c *http.Client, path string, out any) error {
+	return u.doJSON(ctx, c, http.MethodGet, path, nil, out)
+}
+
+func (u *upstream) doJSON(ctx context.Context, c *http.Client, method, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, u.base+path, body)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if u.token != "" {
+		req.Header.Set("Authorization", "Bearer "+u.token)
+	}
+	res, err := c.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer+1))
+	if err != nil {
+		return err
+	}
+	if res.StatusCode/100 != 2 {
+		return &statusError{status: res.StatusCode, body: b}
+	}
+	if len(b) > maxAnswer {
+		return errors.Errorf("answer exceeds %d bytes", maxAnswer)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(b, out)
+}
+
+// escape makes a value one path segment.
+func escape(s string) string { return url.PathEscape(s) }
+
+// refused reports that nothing listens at the upstream's address.
+func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// gatedBody is a request body that asks for permission immediately before its
+// first byte is written. It cannot be rewound, and it is not http.NoBody even
+// when empty, so that net/http never repeats a request with an Idempotency-Key
+// on its own.
+type gatedBody struct {
+	gate func() error
+	open bool
+	r    *bytes.Reader
+}
+
+func newGatedBody(b []byte, gate func() error) *gatedBody {
+	return &gatedBody{gate: gate, r: bytes.NewReader(b)}
+}
+
+func (g *gatedBody) Read(p []byte) (int, error) {
+	if !g.open {
+		if err := g.gate(); err != nil {
+			return 0, err
+		}
+		g.open = true
+	}
+	return g.r.Read(p)
+}
+
+func (g *gatedBody) Close() error { return nil }
+
+// post prepares a gated request.
+func (u *upstream) post(ctx context.Context, path string, body []byte, gate func() error) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u.base+path, newGatedBody(body, gate))
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", "application/json")
+	return req, nil
+}
--- a/pkg/transport/stream.go
+++ b/pkg/transport/stream.go
@@ -14,8 +14,8 @@
 // readBuffer lets a small envelope with its length be read in one step.
 const readBuffer = 256
 
-// Stream carries the envelopes of one request. Send and Recv may be used
-// concurrently with each other; each by one goroutine at a time.
+// Stream carries the envelopes of one request. Send is safe for concurrent use;
+// Recv is for one goroutine at a time.
 type Stream struct {
 	ys      *yamux.Stream
 	session *Session
