--- a/pkg/core/policy/queue.go
+++ b/pkg/core/policy/queue.go
@@ -26,15 +26,34 @@
 	levelUnit = 4096
 	// priorityStep is the head start of one step of the profile's priority.
 	priorityStep = 0.5
+	// callerMax bounds the handicap in s of a caller with many calls at once. It
+	// is below standardStep, so that classes keep their order.
+	callerMax = 20.0
+	// rateWindow is the time in s over which the served demand is counted.
+	rateWindow = 5.0
+	// rateFade is kept of the highest rate per window, which stands for the
+	// capacity while less is asked for.
+	rateFade = 0.99
+	// initialRate is the capacity in tokens/s before one was seen.
+	initialRate = 1000
 )
 
 // order ranks requests by class, then by the least service attained by the root
 // program and its children.
 type order struct {
 	outstanding map[core.ProgramID]int64 // tokens of waiting and running calls per root
+	callers     map[share]int64          // and per caller and profile
+	served      int64                    // since window
+	window      time.Time
+	rate        float64 // capacity, tokens/s
 }
 
-func newOrder() *order { return &order{outstanding: map[core.ProgramID]int64{}} }
+// share is the owner of a fair share.
+type share struct{ caller, profile string }
+
+func newOrder() *order {
+	return &order{outstanding: map[core.ProgramID]int64{}, callers: map[share]int64{}, rate: initialRate}
+}
 
 // level is the logarithm of the attained service in steps of levelUnit.
 func level(attained int64) int {
@@ -59,18 +78,49 @@
 		k += batchStep
 	}
 	k += levelStep * float64(level(o.attained(&r.Program)))
+	k += o.excess(r)
 	return k - priorityStep*float64(r.Program.Profile.Priority)
 }
 
+// excess is the handicap of a caller with many calls at once: the time in which
+// the calls that it has waiting and running could be served. It orders callers
+// as start-time fair queueing does, since a caller that comes later with one
+// call has none.
+func (o *order) excess(r *core.Request) float64 {
+	return min(callerMax, float64(o.callers[shareOf(r)])/o.rate)
+}
+
+// serve counts the demand of a call that was served.
+func (o *order) serve(now time.Time, r *core.Request) {
+	o.served += demand(&r.Call)
+	if past := now.Sub(o.window).Seconds(); past >= rateWindow {
+		if !o.window.IsZero() {
+			o.rate = max(o.rate*rateFade, float64(o.served)/past, 1)
+		}
+		o.served, o.window = 0, now
+	}
+}
+
+func shareOf(r *core.Request) share { return share{r.Call.Caller, r.Program.Profile.Name} }
+
 // charge counts the expected tokens of a call until release.
-func (o *order) charge(r *core.Request) { o.outstanding[r.Program.Root] += demand(&r.Call) }
+func (o *order) charge(r *core.Request) {
+	n := demand(&r.Call)
+	o.outstanding[r.Program.Root] += n
+	o.callers[shareOf(r)] += n
+}
 
 func (o *order) release(r *core.Request) {
-	root := r.Program.Root
-	if left := o.outstanding[root] - demand(&r.Call); left > 0 {
-		o.outstanding[root] = left
+	n := demand(&r.Call)
+	discharge(o.outstanding, r.Program.Root, n)
+	discharge(o.callers, shareOf(r), n)
+}
+
+func discharge[K comparable](m map[K]int64, k K, n int64) {
+	if left := m[k] - n; left > 0 {
+		m[k] = left
 	} else {
-		delete(o.outstanding, root)
+		delete(m, k)
 	}
 }
 
@@ -78,7 +128,7 @@
 // likely cached counts as little as the engine works for it.
 func demand(c *core.Call) int64 {
 	const cachedShare = 8
-	return c.PromptTokens/cachedShare + c.MaxTokens
+	return 1 + c.PromptTokens/cachedShare + c.MaxTokens
 }
 
 // priority maps the rank to the priority of the engine, 0 first: ten levels per
