--- a/pkg/core/policy/default.go
+++ b/pkg/core/policy/default.go
@@ -337,7 +337,7 @@
 func (d *defaultPolicy) sent(now time.Time, r *core.Request, t *target, c *candidate) {
 	u := c.member.up
 	fl := d.fleet.dispatch(now, r, u, t)
-	fl.used = int(c.used)
+	fl.used = c.used + 1
 	if r.Call.Kind == core.KindModel {
 		fl.missing, fl.reserve = c.missing, c.need
 		u.queued += c.missing
--- a/pkg/core/policy/fleet.go
+++ b/pkg/core/policy/fleet.go
@@ -80,10 +80,10 @@
 	index      int // in up.flights
 	sent       time.Time
 	firstToken time.Time
-	reserve    int64 // tokens of memory while it runs
-	missing    int64 // prompt tokens that the engine was expected not to hold
-	used       int   // estimated calls on the upstream at dispatch
-	probe      bool  // sent to test an upstream whose breaker is half open
+	reserve    int64   // tokens of memory while it runs
+	missing    int64   // prompt tokens that the engine was expected not to hold
+	used       float64 // estimated calls on the upstream, with this one
+	probe      bool    // sent to test an upstream whose breaker is half open
 }
 
 // span is the lifetime of an ended attempt, kept until a load report covers it.
--- a/pkg/core/policy/limiter.go
+++ b/pkg/core/policy/limiter.go
@@ -44,7 +44,7 @@
 			s.value = max(1, slots*limitFloor, s.value*limitDecrease)
 			s.lowered = now
 		}
-	case float64(fl.used) >= limitBusy*s.value:
+	case fl.used >= limitBusy*s.value:
 		s.value = min(slots, s.value+1/s.value)
 	}
 }
--- /dev/null
+++ b/pkg/core/policy/pauses_test.go
@@ -0,0 +1,176 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+)
+
+func ordersOf(d *defaultPolicy, s float64, kind string) (out []core.EngineOrder) {
+	for _, o := range d.Orders(at(s)) {
+		if o.Order == kind {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// pausedProgram runs one call of a program and leaves it in a pause.
+func pausedProgram(t *testing.T, d *defaultPolicy, s float64, id string, turn int, prompt int64) {
+	t.Helper()
+	d.Enqueue(at(s), modelCall(view(id, "c", core.ClassStandard), turn, prompt))
+	got := drain(d, at(s))
+	if len(got) != 1 {
+		t.Fatalf("%d calls were dispatched for %s", len(got), id)
+	}
+	finish(d, at(s+0.1), got[0], 0)
+}
+
+// Guards against orders that cost memory or work while the cache has room.
+func TestNoOrdersWithoutMemoryPressure(t *testing.T) {
+	d := newParts(t, 1)
+	addEngines(d, 1)
+	for i := range 5 {
+		pausedProgram(t, d, float64(i), fmt.Sprintf("p000-%d", i), 1, 10_000)
+	}
+	if got := d.Orders(at(10)); len(got) > 0 {
+		t.Errorf("orders %v with an eighth of the cache in use", got)
+	}
+}
+
+// Guards against the loss of a history under memory pressure: a short pause
+// keeps it on the device, a long one moves it to host memory.
+func TestPausesUnderPressure(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		pause float64
+		want  string
+	}{
+		{"short", 1, core.OrderPin},
+		{"long", 100, core.OrderOffload},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d := newParts(t, 1)
+			addEngines(d, 1)
+			v := "p000-a"
+			for turn := range 20 { // teaches the length of the pause
+				pausedProgram(t, d, float64(turn)*tc.pause, v, turn, 20_000)
+			}
+			now := 20 * tc.pause
+			d.Orders(at(now))
+			u := d.fleet.byID[engineInfo(0).ID]
+			u.pause.live = u.info.CacheTokens * 9 / 10
+			pausedProgram(t, d, now, v, 20, 20_000)
+			if got := ordersOf(d, now+0.2, tc.want); len(got) != 1 || got[0].Program != core.ProgramID(v) {
+				t.Errorf("orders %v, want one %s", got, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against pins that fill the cache, so that running calls find no memory.
+func TestPinsAreBounded(t *testing.T) {
+	d := newParts(t, 1)
+	addEngines(d, 1)
+	u := d.fleet.byID[engineInfo(0).ID]
+	d.pauses.estimate(pauseKey{profile: "consult", finish: "tool_calls"}).observe(0.5)
+	for i := range 60 {
+		pausedProgram(t, d, float64(i)*0.01, fmt.Sprintf("p000-%d", i), 1, 15_000)
+	}
+	if limit := pinShare * float64(u.info.CacheTokens); float64(u.pause.pinned) > limit || u.pause.pinned == 0 {
+		t.Errorf("%d tokens are pinned, limit %.0f", u.pause.pinned, limit)
+	}
+	// Pins whose term is over are off the books.
+	d.Orders(at(3600))
+	if u.pause.pinned != 0 {
+		t.Errorf("%d tokens are pinned after an hour", u.pause.pinned)
+	}
+}
+
+// Guards against engine memory that stays allocated to an ended program
+// (invariant 4), and against books that keep counting it.
+func TestEndedProgramReleasesItsCache(t *testing.T) {
+	d := newParts(t, 1)
+	addEngines(d, 1)
+	u := d.fleet.byID[engineInfo(0).ID]
+	pausedProgram(t, d, 1, "p000-a", 1, 10_000)
+	pausedProgram(t, d, 2, "p000-a~1", 1, 5_000)
+	d.ProgramEnded(at(3), "p000-a~1")
+	d.ProgramEnded(at(3), "p000-a")
+	if got := ordersOf(d, 3, core.OrderRelease); len(got) != 2 {
+		t.Errorf("release orders %v, want one each for the program and its child", got)
+	}
+	if u.pause != (pauseState{}) || u.reserved != 0 || u.queued != 0 || len(d.programs) != 0 {
+		t.Errorf("books after the end: %+v, reserved %d, queued %d, %d programs", u.pause, u.reserved, u.queued, len(d.programs))
+	}
+}
+
+// Guards against a pin that is left behind when a program moves, and against
+// trust in the cache of a restarted engine.
+func TestMovedProgramLeavesNoPin(t *testing.T) {
+	d := newParts(t, 1)
+	addEngines(d, 2)
+	pausedProgram(t, d, 1, "p000-a", 1, 10_000)
+	g := d.programs["p000-a"]
+	from := g.at
+	d.pauses.settle(g)
+	d.addPin(g, pin{up: from, tokens: 10_100, until: at(60)})
+	d.SetUpstreamState(at(2), from.info.ID, true, true)
+	pausedProgram(t, d, 3, "p000-a", 2, 10_200)
+	if got := ordersOf(d, 4, core.OrderRelease); len(got) != 1 || got[0].Upstream != from.info.ID {
+		t.Errorf("release orders %v, want one on %s", got, from.info.ID)
+	}
+	if from.pause.pinned != 0 {
+		t.Errorf("%d tokens are counted as pinned on the upstream that was left", from.pause.pinned)
+	}
+}
+
+// Guards against estimates that mix tools: the pause of a quick look-up says
+// nothing about a measurement that takes minutes.
+func TestPausesAreLearnedPerTool(t *testing.T) {
+	d := newParts(t, 1)
+	addEngines(d, 1)
+	d.SetUpstream(epoch, core.UpstreamInfo{ID: "s", Kind: core.KindService, Service: "slow", Region: "coast", Slots: 4})
+	d.SetUpstream(epoch, core.UpstreamInfo{ID: "q", Kind: core.KindService, Service: "quick", Region: "coast", Slots: 4})
+	now := 0.0
+	for i := range 20 {
+		service, pause := "quick", 1.0
+		if i%2 == 0 {
+			service, pause = "slow", 90.0
+		}
+		pausedProgram(t, d, now, "p000-a", 2*i, 5000)
+		r := modelCall(view("p000-a", "c", core.ClassStandard), 2*i+1, 0)
+		r.Call.Kind, r.Call.Service = core.KindService, service
+		d.Enqueue(at(now+0.2), r)
+		for _, a := range drain(d, at(now+0.2)) {
+			d.OnDone(at(now+pause), a.Request.Attempt, core.Answer{Status: 200})
+		}
+		now += pause
+	}
+	quick := d.pauses.estimate(pauseKey{tool: "quick", profile: "consult"}).upper()
+	slow := d.pauses.estimate(pauseKey{tool: "slow", profile: "consult"}).expected()
+	if quick > 5 || slow < 60 {
+		t.Errorf("expected pauses: quick at most %.1f s, slow %.1f s", quick, slow)
+	}
+}
+
+// Guards against a call that is sent where no memory is free and waits in the
+// engine, while another upstream has room.
+func TestCallsAvoidUpstreamsWithoutMemory(t *testing.T) {
+	d := newParts(t, 1)
+	addEngines(d, 2)
+	full := d.fleet.byID[engineInfo(0).ID]
+	d.OnLoad(at(0), core.Load{Upstream: engineInfo(1).ID, Measured: at(0), Running: 6})
+	d.OnLoad(at(0), core.Load{Upstream: engineInfo(0).ID, Measured: at(0)})
+	d.Enqueue(at(0), modelCall(view("p000-big", "c", core.ClassStandard), 1, 200_000))
+	first := drain(d, at(0))
+	if len(first) != 1 || first[0].Upstream != full.info.ID {
+		t.Fatalf("the first call went to %v", first)
+	}
+	full.pause.pinned = 150_000
+	d.Enqueue(at(0.1), modelCall(view("p000-next", "c", core.ClassStandard), 1, 100_000))
+	if got := drain(d, at(0.1)); len(got) != 1 || got[0].Upstream == full.info.ID {
+		t.Errorf("the next call went to %v", got)
+	}
+}
--- a/pkg/core/policy/placement.go
+++ b/pkg/core/policy/placement.go
@@ -50,10 +50,13 @@
 	uses   map[*target]*modelUse
 	next   time.Time
 	orders time.Time // no load before
+	// unloaded keeps an upstream from losing two models before its
+	// description tells of the first one.
+	unloaded map[core.UpstreamID]time.Time
 }
 
 func newPlacement(rng *rand.Rand) *placement {
-	return &placement{rng: rng, uses: map[*target]*modelUse{}}
+	return &placement{rng: rng, uses: map[*target]*modelUse{}, unloaded: map[core.UpstreamID]time.Time{}}
 }
 
 func (p *placement) use(t *target) *modelUse {
@@ -93,7 +96,7 @@
 		}
 		if m.use > loadHigh || missing {
 			p.load(d, now, t, m, copies)
-		} else if m.use < loadLow && copies > minCopies && now.Sub(m.since) >= unloadHold {
+		} else if t.key.adapter == "" && m.use < loadLow && copies > minCopies && now.Sub(m.since) >= unloadHold {
 			p.unload(d, now, t, m)
 		}
 	}
@@ -129,14 +132,11 @@
 	m.loadingTo, m.since = now.Add(placementTerm), now
 	m.tried[u.info.ID] = now
 	p.orders = now.Add(placementSpacing + time.Duration(p.rng.Int64N(int64(placementSpacing/2))))
-	d.orders = append(d.orders, loadOrder(t, u, true))
+	d.orders = append(d.orders, loadOrder(t, u))
 }
 
-func loadOrder(t *target, u *upstream, load bool) core.EngineOrder {
+func loadOrder(t *target, u *upstream) core.EngineOrder {
 	o := core.EngineOrder{Upstream: u.info.ID, Order: core.OrderLoadModel, Argument: t.key.name}
-	if !load {
-		o.Order = core.OrderUnloadModel
-	}
 	if t.key.adapter != "" {
 		o.Order, o.Argument = core.OrderLoadAdapter, t.key.adapter
 	}
@@ -187,19 +187,21 @@
 		for _, x := range g.heap {
 			u := x.up
 			// An upstream that would be left without a model stays as it is.
-			if t.key.adapter == "" && len(u.info.Models) < 2 {
+			if len(u.info.Models) < 2 || u.own()+u.others > 0 {
 				continue
 			}
-			if t.key.adapter != "" || u.own()+u.others == 0 {
-				if best == nil || u.own()+u.others < best.own()+best.others {
-					best = u
-				}
+			if last, ok := p.unloaded[u.info.ID]; ok && now.Sub(last) < placementAgain {
+				continue
+			}
+			if best == nil {
+				best = u
 			}
 		}
 	}
-	if best == nil || t.key.adapter != "" {
+	if best == nil {
 		return
 	}
 	m.since = now
-	d.orders = append(d.orders, loadOrder(t, best, false))
+	p.unloaded[best.info.ID] = now
+	d.orders = append(d.orders, core.EngineOrder{Upstream: best.info.ID, Order: core.OrderUnloadModel, Argument: t.key.name})
 }
