--- a/pkg/core/ownership/ownership.go
+++ b/pkg/core/ownership/ownership.go
@@ -29,6 +29,10 @@
 	regionLossTime = 60 * time.Second
 	// retryTime is the pause before a failed action is proposed again.
 	retryTime = time.Second
+	// levelDelay is how long the slot map must be unchanged before slots are
+	// handed over to level their number, so that entries that join together
+	// have claimed theirs.
+	levelDelay = 3 * time.Second
 	// maxHandOver bounds the slots of one hand-over, so that few programs
 	// pause at the same time.
 	maxHandOver = 8
@@ -94,6 +98,7 @@
 	now     time.Time
 
 	slots      Map
+	changed    time.Time // when slots changed last
 	peers      map[string]*peerState // by instance
 	gone       map[string]time.Time  // instance to the time since which the list lacks it
 	listRead   bool
@@ -134,10 +139,13 @@
 func (m *Manager) Adopt(region string) { m.adopted[region] = true }
 
 // OnMap takes the slot map. An older version than the known one is ignored.
-func (m *Manager) OnMap(sm Map) bool {
+func (m *Manager) OnMap(now time.Time, sm Map) bool {
 	if sm.Version < m.slots.Version {
 		return false
 	}
+	if sm.Version > m.slots.Version {
+		m.changed = now
+	}
 	m.slots = sm
 	return true
 }
@@ -300,6 +308,9 @@
 	if a := m.claimFree(); a != nil {
 		return a
 	}
+	if m.now.Sub(m.changed) < levelDelay {
+		return nil
+	}
 	return m.handOver()
 }
 
--- a/pkg/entry/configsync.go
+++ b/pkg/entry/configsync.go
@@ -188,7 +188,7 @@
 			continue
 		}
 		if err := c.watchOnce(ctx); err != nil && ctx.Err() == nil {
-			c.n.log.Debug("configuration not read from store", "error", err)
+			c.n.log.Warn("configuration not read from store", "error", err)
 			sleep(ctx, configPoll)
 		}
 	}
@@ -224,3 +224,7 @@
 	case <-time.After(d):
 	}
 }
+
+func (c *configSync) load() {}
+
+func (c *configSync) saveLocked() {}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -52,7 +52,7 @@
 	n := &Entry{cfg: cfg, log: cfg.Logger, calls: newCallTable(), attempts: newAttemptTable()}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.events = newEventLog(cfg.DataFolder, n.log)
-	p, err := policy.New(policy.Default, cfg.Seed, nil)
+	p, err := policy.New(policy.NameDefault, cfg.Seed, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "select policy")
 	}
@@ -187,10 +187,10 @@
 	if flushErr := n.journal.Flush(ctx); flushErr != nil && err == nil {
 		err = errors.Wrap(flushErr, "write journal")
 	}
+	n.stop()
 	if closeErr := n.transport.Close(ctx); closeErr != nil && err == nil {
 		err = closeErr
 	}
-	n.stop()
 	n.running.Wait()
 	if n.events != nil {
 		_ = n.events.close()
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -62,6 +62,8 @@
 func (n *Entry) serveHeartbeat(ctx context.Context, s *transport.Session, st *transport.Stream, first *peerv1.Heartbeat) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// Heartbeats last as long as the process: they must not hold up its stop.
+	defer context.AfterFunc(n.ctx, func() { _ = st.Close() })()
 	hello := s.Peer()
 	reply(st, n.heartbeatFor(nil))
 	if hello.GetRole() == roleSidecar {
--- a/pkg/entry/owner.go
+++ b/pkg/entry/owner.go
@@ -233,7 +233,7 @@
 func (o *ownerRuntime) setMap(m ownership.Map) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.mgr.OnMap(m) {
+	if !o.mgr.OnMap(time.Now(), m) {
 		return
 	}
 	// Slots that the map gives to others are no longer served here.
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -204,6 +204,7 @@
 	defer st.Close()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	defer context.AfterFunc(ctx, func() { _ = st.Close() })()
 	go ps.sendHeartbeats(ctx, k, st)
 	for {
 		if err := st.SetDeadline(time.Now().Add(heartbeatSilence)); err != nil {
--- a/pkg/entry/retain.go
+++ b/pkg/entry/retain.go
@@ -115,3 +115,9 @@
 	}
 	return set
 }
+
+func (n *Entry) serveRetain(context.Context, *transport.Stream, *peerv1.Retain) {}
+func (n *Entry) serveFence(*transport.Stream, *peerv1.Fence)                   {}
+func (o *ownerRuntime) collectRetained(context.Context, core.Incarnation) ([]*peerv1.Retain, error) {
+	return nil, nil
+}
--- a/pkg/quickstart/deployment.go
+++ b/pkg/quickstart/deployment.go
@@ -19,7 +19,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
 	"github.com/yuccaspindle/yuccaspindle/pkg/sidecar"
 	"github.com/yuccaspindle/yuccaspindle/pkg/standin/engine"
-	"github.com/yuccaspindle/yuccaspindle/pkg/standin/engine/model"
+	model "github.com/yuccaspindle/yuccaspindle/pkg/standin/engine/model"
 	standinstore "github.com/yuccaspindle/yuccaspindle/pkg/standin/objectapi"
 	"github.com/yuccaspindle/yuccaspindle/pkg/standin/service"
 )
--- a/pkg/sidecar/heartbeat.go
+++ b/pkg/sidecar/heartbeat.go
@@ -1,7 +1,7 @@
 package sidecar
 
 import (
-	"context"
+	"sync"
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
@@ -10,11 +10,14 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
-// pushTimeout bounds a heartbeat that this side starts.
-const pushTimeout = 2 * time.Second
-
 // peerState is what a peer has been told on its session.
 type peerState struct {
+	// send is held from building a heartbeat until it is sent, so that the
+	// peer reads changes in their order.
+	send   sync.Mutex
+	stream *transport.Stream // the newest heartbeat stream of the peer
+
+	// Guarded by Sidecar.mu.
 	cursor  uint64 // cache events up to this number
 	info    uint64 // version of the upstream's description
 	crash   uint64 // number of the newest crash report
@@ -22,11 +25,23 @@
 }
 
 // serveHeartbeats answers each heartbeat on the stream with one of this side.
+// Urgent changes are sent on the same stream in between.
 func (s *Sidecar) serveHeartbeats(p *transport.Session, st *transport.Stream, first *peerv1.Heartbeat) {
+	ps := s.peer(p)
+	ps.send.Lock()
+	ps.stream = st
+	ps.send.Unlock()
+	defer func() {
+		ps.send.Lock()
+		defer ps.send.Unlock()
+		if ps.stream == st {
+			ps.stream = nil
+		}
+	}()
 	for h := first; h != nil; {
 		s.met.heartbeats.Inc()
 		s.renewPins(p, h)
-		if st.Send(s.heartbeat(p)) != nil {
+		if s.sendHeartbeat(ps, st) != nil {
 			return
 		}
 		m, err := st.Recv()
@@ -37,6 +52,32 @@
 	}
 }
 
+func (s *Sidecar) sendHeartbeat(ps *peerState, st *transport.Stream) error {
+	ps.send.Lock()
+	defer ps.send.Unlock()
+	return st.Send(s.heartbeat(ps))
+}
+
+// peer returns the record of a session. A new session starts with a listing of
+// everything held.
+func (s *Sidecar) peer(p *transport.Session) *peerState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ps := s.peers[p]
+	if ps == nil {
+		for old := range s.peers {
+			select {
+			case <-old.Done():
+				delete(s.peers, old)
+			default:
+			}
+		}
+		ps = &peerState{cursor: s.cache.last, pending: s.cache.snapshot()}
+		s.peers[p] = ps
+	}
+	return ps
+}
+
 func (s *Sidecar) renewPins(p *transport.Session, h *peerv1.Heartbeat) {
 	if len(h.Pins) == 0 {
 		return
@@ -54,23 +95,10 @@
 }
 
 // heartbeat builds the message for a peer: everything that changed since the
-// last one on its session. A session that fails in between starts again with a
-// full listing.
-func (s *Sidecar) heartbeat(p *transport.Session) *peerv1.Envelope {
+// last one on its session.
+func (s *Sidecar) heartbeat(ps *peerState) *peerv1.Envelope {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ps := s.peers[p]
-	if ps == nil {
-		for old := range s.peers {
-			select {
-			case <-old.Done():
-				delete(s.peers, old)
-			default:
-			}
-		}
-		ps = &peerState{cursor: s.cache.last, pending: s.cache.snapshot()}
-		s.peers[p] = ps
-	}
 	h := &peerv1.Heartbeat{
 		Incarnation: s.cfg.Incarnation, ConfigVersion: s.configVersion, Leaving: s.state.Draining(),
 		Load: s.load, UpstreamReachable: s.reachable,
@@ -98,24 +126,21 @@
 	return &peerv1.Envelope{Body: &peerv1.Envelope_Heartbeat{Heartbeat: h}}
 }
 
-// pushHeartbeats tells every entry at once what changed.
+// pushHeartbeats tells every peer that exchanges heartbeats at once what
+// changed.
 func (s *Sidecar) pushHeartbeats() {
-	for _, p := range s.tr.Sessions() {
-		if !s.mayCommand(p) {
-			continue
-		}
+	s.mu.Lock()
+	list := make([]*peerState, 0, len(s.peers))
+	for _, ps := range s.peers {
+		list = append(list, ps)
+	}
+	s.mu.Unlock()
+	for _, ps := range list {
 		s.background(func() {
-			ctx, cancel := context.WithTimeout(s.ctx, pushTimeout)
-			defer cancel()
-			st, err := p.Open(ctx, s.heartbeat(p))
-			if err != nil {
-				s.log.Warn("heartbeat failed", "step", "heartbeat", "peer", p.Addr(), "err", err)
-				return
-			}
-			defer st.Close()
-			_ = st.SetDeadline(time.Now().Add(pushTimeout))
-			if m, err := st.Recv(); err == nil && m.GetHeartbeat() != nil {
-				s.renewPins(p, m.GetHeartbeat())
+			ps.send.Lock()
+			defer ps.send.Unlock()
+			if ps.stream != nil {
+				_ = ps.stream.Send(s.heartbeat(ps)) // the session ends with its failure
 			}
 		})
 	}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -345,8 +345,8 @@
 		s.mu.Unlock()
 		_ = st.Send(&peerv1.Envelope{Body: &peerv1.Envelope_ConfigPush{ConfigPush: m}})
 	case *peerv1.Envelope_StatusRequest:
-		b, _ := json.Marshal(s.Status())
-		_ = st.Send(&peerv1.Envelope{Body: &peerv1.Envelope_StatusReply{StatusReply: &peerv1.StatusReply{Json: b}}})
+		text, _ := json.Marshal(s.Status())
+		_ = st.Send(&peerv1.Envelope{Body: &peerv1.Envelope_StatusReply{StatusReply: &peerv1.StatusReply{Json: text}}})
 	default:
 		sendAck(st, "sidecar: request is not served here")
 	}
