Run several cores against a checker in random interleavings

Cause: the reducer's promises hold across takeovers, lost answers and store outages, which scripts alone do not reach.

Replaying the recorded events must give the same effects. It found that timers fired before a seal was processed and that a restarted sidecar could not know which attempts its predecessor had rejected: a claim now names the upstream's incarnation, and Dispatch and ResolveClaim carry it.

Conclusion: no known violation in the paths that the harness covers; children and quarantine are not in it yet.

--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
 )
 
 // maxBounces limits how often a call is passed on from one draining upstream
@@ -24,6 +26,7 @@
 		c.bounce(cl)
 		return
 	}
+	cl.incarnation = c.upstreams[a.Upstream].info.Incarnation
 	if !cl.nonIdempotent {
 		c.dispatch(cl)
 		return
@@ -33,6 +36,7 @@
 		Kind: RecordClaim, Program: cl.Program, Caller: cl.Caller, Key: cl.Key, Digest: cl.Digest,
 		Attempt: attempt, Upstream: cl.upstream, Service: cl.Service, Operation: cl.Operation,
 		Kinds: cl.Kind, Request: cl.Request, Reserved: c.want(cl).Tokens, SpendMicro: cl.spend,
+		State: protowire.AppendVarint(nil, cl.incarnation),
 	})
 	cl.claimed = true
 	cl.state = stateClaiming
@@ -40,10 +44,11 @@
 		c.watchCall(cl, timerClaim, c.now.Add(w))
 	}
 	c.whenCommitted(seq, func() {
+		cl.root.Ledger.Recorded(string(attempt))
 		if cl.attempt != attempt || cl.state != stateClaiming {
 			return
 		}
-		if !c.accepts(cl.upstream) {
+		if !c.accepts(cl.upstream) || c.upstreams[cl.upstream].info.Incarnation != cl.incarnation {
 			c.bounce(cl)
 			return
 		}
@@ -56,7 +61,7 @@
 	cl.state = stateRunning
 	cl.sent = c.now
 	c.emit(Dispatch{
-		Attempt: cl.attempt, Call: cl.ID, Program: cl.Program, Upstream: cl.upstream,
+		Attempt: cl.attempt, Call: cl.ID, Program: cl.Program, Upstream: cl.upstream, Incarnation: cl.incarnation,
 		Slot: cl.root.slot, Epoch: c.slots[cl.root.slot].epoch, Priority: cl.priority,
 		MaxTokens: cl.granted, Deadline: cl.Deadline,
 	})
--- a/pkg/core/claim.go
+++ b/pkg/core/claim.go
@@ -16,7 +16,8 @@
 func (c *Core) resolve(cl *call) {
 	cl.state = stateResolving
 	c.emit(ResolveClaim{
-		Attempt: cl.attempt, Program: cl.Program, Upstream: cl.upstream, Service: cl.Service, Key: cl.Key,
+		Attempt: cl.attempt, Program: cl.Program, Upstream: cl.upstream, Incarnation: cl.incarnation,
+		Service: cl.Service, Key: cl.Key,
 		Slot: cl.root.slot, Epoch: c.slots[cl.root.slot].epoch,
 	})
 	c.watchCall(cl, timerResolve, c.now.Add(resolveTimeout))
--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -127,7 +127,9 @@
 		c.now = t
 	}
 	c.out = nil
-	c.fire()
+	if _, sealed := e.(JournalSealed); !sealed {
+		c.fire() // after a seal nothing that is due may happen any more
+	}
 	c.handle(e)
 	c.pump(e)
 	if len(c.pending) > 0 {
@@ -192,7 +194,7 @@
 	case UpstreamCrashed:
 		c.crashed(e)
 	case QuarantineChanged:
-		c.quarant.Merge(quarantine.Entry{Fingerprint: e.Fingerprint, Count: e.Count, Until: e.Until, Released: e.Released})
+		c.quarant.Merge(quarantine.Entry{Fingerprint: e.Fingerprint, Count: e.Count, Until: e.Until, Released: e.Released}, c.now)
 		c.refuseQuarantined()
 	case SlotsAcquired:
 		c.acquire(e)
--- /dev/null
+++ b/pkg/core/coretest/property_test.go
@@ -0,0 +1,159 @@
+package coretest
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os"
+	"reflect"
+	"strconv"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+)
+
+const (
+	simSteps = 1000
+	// simChecks is the number of interleavings of a normal run; the variable
+	// YUCCA_INTERLEAVINGS replaces it.
+	simChecks = 400
+	simSeed   = 20260101
+)
+
+func interleavings(t testing.TB) int {
+	if v := os.Getenv("YUCCA_INTERLEAVINGS"); v != "" {
+		n, err := strconv.Atoi(v)
+		if err != nil {
+			t.Fatalf("YUCCA_INTERLEAVINGS: %v", err)
+		}
+		return n
+	}
+	return simChecks
+}
+
+// setRapid fixes the seed and the number of checks, unless flags give them.
+func setRapid(t *testing.T, checks int) {
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{
+		"rapid.seed": strconv.Itoa(simSeed), "rapid.checks": strconv.Itoa(checks), "rapid.nofailfile": "true",
+	} {
+		if given[name] {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func runSim(pick func(int) int, faults core.Faults, steps int) *sim {
+	s := newSim(pick, faults)
+	for range steps {
+		s.act()
+	}
+	s.settle()
+	s.check()
+	s.checkRegisters()
+	return s
+}
+
+// Guards against an interleaving of calls, resends, crashes, pauses, lost
+// answers, store outages, takeovers, hand-overs and configuration changes in
+// which a caller is told something untrue, a non-idempotent call runs twice, a
+// budget is exceeded, history is lost or engine memory leaks.
+func TestInterleavings(t *testing.T) {
+	n := interleavings(t)
+	setRapid(t, n)
+	ran := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		ran++
+		gens := map[int]*rapid.Generator[int]{}
+		pick := func(n int) int {
+			if n <= 1 {
+				return 0
+			}
+			if gens[n] == nil {
+				gens[n] = rapid.IntRange(0, n-1)
+			}
+			return gens[n].Draw(rt, "")
+		}
+		if s := runSim(pick, core.Faults{}, simSteps); len(s.violations) > 0 {
+			rt.Fatalf("%s", s.report())
+		}
+	})
+	t.Logf("%d interleavings of %d steps", ran, simSteps)
+}
+
+// seeded returns a source of choices that depends on the seed only. Unlike
+// rapid's generators it does not prefer small numbers.
+func seeded(seed uint64) func(int) int {
+	rng := rand.New(rand.NewPCG(simSeed, seed))
+	return func(n int) int {
+		if n <= 1 {
+			return 0
+		}
+		return rng.IntN(n)
+	}
+}
+
+// Guards like TestInterleavings, with choices that are spread evenly.
+func TestEvenInterleavings(t *testing.T) {
+	n := interleavings(t)
+	for seed := range uint64(n) {
+		if s := runSim(seeded(seed), core.Faults{}, simSteps); len(s.violations) > 0 {
+			t.Fatalf("seed %d:\n%s", seed, s.report())
+		}
+	}
+	t.Logf("%d interleavings of %d steps", n, simSteps)
+}
+
+// Guards against a checker that does not notice a missing protection.
+func TestPlantedFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		faults core.Faults
+		checks []string // each must find the fault in some interleaving
+	}{
+		{"no fence check", core.Faults{NoFenceCheck: true}, []string{"sealed", "fence"}},
+		{"dispatch before claim", core.Faults{DispatchBeforeClaim: true}, []string{"claim", "twice"}},
+		{"accept older configuration", core.Faults{AcceptOlderConfig: true}, []string{"config", "config-register"}},
+		{"acknowledge before durable", core.Faults{AckBeforeDurable: true}, []string{"durable", "history"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			missing := map[string]bool{}
+			for _, c := range tc.checks {
+				missing[c] = true
+			}
+			seed := uint64(0)
+			for ; seed < 400 && len(missing) > 0; seed++ {
+				for _, v := range runSim(seeded(seed), tc.faults, simSteps).violations {
+					delete(missing, v.check)
+				}
+			}
+			if len(missing) > 0 {
+				t.Errorf("checks that found nothing in %d interleavings: %v", seed, sortedKeys(missing))
+			}
+			t.Logf("found after %d interleavings", seed)
+		})
+	}
+}
+
+// Guards against state outside the events: a new core that takes the recorded
+// events must produce the same effects.
+func TestReplayGivesSameEffects(t *testing.T) {
+	for seed := range uint64(20) {
+		s := runSim(seeded(seed), core.Faults{}, simSteps)
+		for _, n := range s.nodes {
+			p := newPolicy()
+			p.pin = n.policy.pin
+			again := core.New(core.Options{Self: n.inc, Seed: n.seed, Policy: p})
+			for i, e := range n.events {
+				if got := again.Step(e); !reflect.DeepEqual(got, n.output[i]) {
+					t.Fatalf("seed %d, %s, event %d %T:\ngot  %+v\nwant %+v", seed, n.inc, i, e, got, n.output[i])
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pkg/core/coretest/sidecar_test.go
@@ -0,0 +1,236 @@
+package coretest
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+)
+
+// sidecar is a fake sidecar with its upstream.
+type sidecar struct {
+	id          core.UpstreamID
+	service     string
+	incarnation uint64 // of the upstream
+	since       uint64 // first incarnation that the sidecar remembers
+	leaving     bool
+	highest     map[core.Slot]core.Epoch
+	inbox       []*attempt
+	running     []*attempt
+	queries     []query
+	rejected    map[core.AttemptID]bool
+	pins        map[core.ProgramID]time.Time
+}
+
+type query struct {
+	node *node
+	ask  core.ResolveClaim
+}
+
+// attempt is what the world knows of a dispatch.
+type attempt struct {
+	d      core.Dispatch
+	node   *node
+	call   *attemptedCall
+	req    *request
+	state  string
+	sent   int64 // logical time of the event that caused the dispatch
+	answer core.Answer
+}
+
+func newSidecar(id core.UpstreamID) *sidecar {
+	sc := &sidecar{
+		id: id, incarnation: 1, since: 1, highest: map[core.Slot]core.Epoch{},
+		rejected: map[core.AttemptID]bool{}, pins: map[core.ProgramID]time.Time{},
+	}
+	if strings.HasPrefix(string(id), "b") {
+		sc.service = "booking"
+	}
+	return sc
+}
+
+func (sc *sidecar) info() core.UpstreamInfo {
+	kind := core.KindModel
+	if sc.service != "" {
+		kind = core.KindService
+	}
+	return core.UpstreamInfo{ID: sc.id, Kind: kind, Service: sc.service, Incarnation: sc.incarnation, Slots: 4}
+}
+
+func (sc *sidecar) lane() string { return "sidecar " + string(sc.id) }
+
+func (sc *sidecar) order(now time.Time, o core.EngineOrder) {
+	if o.Epoch < sc.highest[o.Slot] {
+		return
+	}
+	sc.highest[o.Slot] = o.Epoch
+	switch o.Order {
+	case core.OrderPin:
+		sc.pins[o.Program] = now.Add(o.Term)
+	case core.OrderRelease:
+		delete(sc.pins, o.Program)
+	}
+}
+
+func (sc *sidecar) cancel(id core.AttemptID) {
+	sc.rejected[id] = true
+	sc.running = slices.DeleteFunc(sc.running, func(a *attempt) bool { return a.d.Attempt == id })
+}
+
+// act delivers a dispatch, ends an attempt or answers a query.
+func (sc *sidecar) act(s *sim) {
+	switch k := s.pick(10); {
+	case k < 4:
+		sc.take(s, s.pick(12) == 0)
+	case k < 9:
+		sc.end(s, s.pick(8) == 0)
+	default:
+		sc.answer(s)
+	}
+}
+
+// finishOne does one thing that is left to do, without failures.
+func (sc *sidecar) finishOne(s *sim) bool {
+	return sc.take(s, false) || sc.end(s, false) || sc.answer(s)
+}
+
+func (sc *sidecar) failed(s *sim, a *attempt, f core.AttemptFailed) {
+	f.At, f.Attempt, f.Step, f.Peer = s.at(), a.d.Attempt, "dispatch", string(sc.id)
+	s.send(a.node, sc.lane(), f)
+}
+
+// take handles the next dispatch; a lost one never arrives.
+func (sc *sidecar) take(s *sim, lost bool) bool {
+	if len(sc.inbox) == 0 {
+		return false
+	}
+	a := sc.inbox[0]
+	sc.inbox = sc.inbox[1:]
+	switch {
+	case lost:
+		a.state = "lost"
+		sc.failed(s, a, core.AttemptFailed{Ran: core.RanUnknown})
+	case a.d.Incarnation != sc.incarnation:
+		sc.rejected[a.d.Attempt] = true
+		sc.failed(s, a, core.AttemptFailed{Ran: core.RanNo})
+	case a.d.Epoch < sc.highest[a.d.Slot] && !s.faults.NoFenceCheck:
+		sc.rejected[a.d.Attempt] = true
+		sc.failed(s, a, core.AttemptFailed{Ran: core.RanNo, Fenced: true})
+	case sc.rejected[a.d.Attempt]:
+		sc.failed(s, a, core.AttemptFailed{Ran: core.RanNo})
+	case sc.leaving:
+		sc.rejected[a.d.Attempt] = true
+		sc.failed(s, a, core.AttemptFailed{Ran: core.RanNo, Draining: true})
+	default:
+		sc.highest[a.d.Slot] = max(sc.highest[a.d.Slot], a.d.Epoch)
+		a.state = "running"
+		sc.running = append(sc.running, a)
+		s.ran(a)
+		s.send(a.node, sc.lane(), core.AttemptStarted{At: s.at(), Attempt: a.d.Attempt})
+	}
+	return true
+}
+
+// end finishes a running attempt; the answer may get lost on its way.
+func (sc *sidecar) end(s *sim, lost bool) bool {
+	if len(sc.running) == 0 {
+		return false
+	}
+	i := s.pick(len(sc.running))
+	a := sc.running[i]
+	sc.running = slices.Delete(sc.running, i, i+1)
+	a.state = "done"
+	out := int64(400)
+	if a.d.MaxTokens > 0 {
+		out = min(out, a.d.MaxTokens)
+	}
+	if sc.service != "" {
+		out = 0
+	}
+	a.answer = core.Answer{
+		Body:   fmt.Appendf(nil, "ans:%s:%s", a.req.call.Request, a.d.Attempt),
+		Status: 200, PromptTokens: a.req.call.PromptTokens, OutputTokens: out,
+	}
+	a.req.program.tokens += out
+	if lost {
+		sc.failed(s, a, core.AttemptFailed{Ran: core.RanUnknown})
+	} else {
+		s.send(a.node, sc.lane(), core.AttemptDone{At: s.at(), Attempt: a.d.Attempt, Answer: a.answer})
+	}
+	return true
+}
+
+// answer handles the oldest query about a claim.
+func (sc *sidecar) answer(s *sim) bool {
+	if len(sc.queries) == 0 {
+		return false
+	}
+	q := sc.queries[0]
+	sc.queries = sc.queries[1:]
+	a := s.attempts[q.ask.Attempt]
+	r := core.OutcomeResolved{At: s.at(), Attempt: q.ask.Attempt, Ran: core.RanUnknown}
+	remembers := q.ask.Incarnation >= sc.since
+	switch {
+	case remembers && (a == nil || a.state == "sent" || a.state == "lost" || sc.rejected[a.d.Attempt]):
+		// Never seen: from now on it is rejected.
+		sc.rejected[q.ask.Attempt] = true
+		r.Ran = core.RanNo
+	case a == nil:
+	case a.state == "running" && remembers:
+		sc.queries = append(sc.queries, q) // answered when it ends
+		return len(sc.running) == 0
+	case a.state == "done" && (remembers || q.ask.Key != ""):
+		r.Ran, r.Answer = core.RanYes, a.answer
+	}
+	s.send(q.node, sc.lane(), r)
+	return true
+}
+
+// disturb crashes the upstream, restarts the sidecar or lets it leave.
+func (sc *sidecar) disturb(s *sim) {
+	switch s.pick(4) {
+	case 0:
+		sc.breakAll(s, core.AttemptFailed{Ran: core.RanUnknown, Crashed: true}, "crashed")
+		clear(sc.pins)
+	case 1:
+		for _, a := range sc.inbox {
+			a.state = "lost"
+			sc.failed(s, a, core.AttemptFailed{Ran: core.RanUnknown})
+		}
+		sc.inbox = nil
+		sc.breakAll(s, core.AttemptFailed{Ran: core.RanUnknown}, "broken")
+		sc.since = sc.incarnation
+		clear(sc.rejected)
+		clear(sc.highest)
+		clear(sc.pins)
+	default:
+		sc.leaving = !sc.leaving
+		for _, n := range s.nodes {
+			s.send(n, sc.lane(), core.UpstreamState{At: s.at(), Upstream: sc.id, Reachable: true, Leaving: sc.leaving})
+		}
+	}
+}
+
+func (sc *sidecar) breakAll(s *sim, f core.AttemptFailed, state string) {
+	var fps []uint64
+	for _, a := range sc.running {
+		a.state = state
+		fps = append(fps, a.req.call.Fingerprint)
+		sc.failed(s, a, f)
+	}
+	sc.running = nil
+	sc.incarnation++
+	for _, n := range s.nodes {
+		if f.Crashed {
+			s.send(n, sc.lane(), core.UpstreamCrashed{
+				At: s.at(), Upstream: sc.id, Incarnation: sc.incarnation, Fingerprints: fps,
+			})
+		}
+		s.send(n, sc.lane(), core.UpstreamChanged{At: s.at(), Info: sc.info()})
+		if sc.leaving {
+			s.send(n, sc.lane(), core.UpstreamState{At: s.at(), Upstream: sc.id, Reachable: true, Leaving: true})
+		}
+	}
+}
--- a/pkg/core/crash.go
+++ b/pkg/core/crash.go
@@ -58,7 +58,7 @@
 // crashed counts the report of a crash.
 func (c *Core) crashed(e UpstreamCrashed) {
 	c.crashes[e.Upstream] = c.now
-	changed := c.quarant.Crashed(string(e.Upstream), e.Incarnation, e.Fingerprints, c.quarantineEnd(""))
+	changed := c.quarant.Crashed(string(e.Upstream), e.Incarnation, e.Fingerprints, c.now, c.quarantineEnd(""))
 	for _, entry := range changed {
 		c.share(entry)
 	}
--- a/pkg/core/effect.go
+++ b/pkg/core/effect.go
@@ -23,15 +23,19 @@
 	// Dispatch sends an attempt to an upstream's sidecar.
 	Dispatch struct {
 		isEffect
-		Attempt   AttemptID  `json:"attempt"`
-		Call      CallID     `json:"call"`
-		Program   ProgramID  `json:"program"`
-		Upstream  UpstreamID `json:"upstream"`
-		Slot      Slot       `json:"slot"`
-		Epoch     Epoch      `json:"epoch"`
-		Priority  int        `json:"priority"` // engine priority, 0 is served first
-		MaxTokens int64      `json:"max_tokens"`
-		Deadline  time.Time  `json:"deadline"`
+		Attempt  AttemptID  `json:"attempt"`
+		Call     CallID     `json:"call"`
+		Program  ProgramID  `json:"program"`
+		Upstream UpstreamID `json:"upstream"`
+		// Incarnation is that of the upstream's description for which the
+		// attempt was claimed. A sidecar of another one refuses the attempt as
+		// not run: it does not know which attempts its predecessor rejected.
+		Incarnation uint64    `json:"incarnation"`
+		Slot        Slot      `json:"slot"`
+		Epoch       Epoch     `json:"epoch"`
+		Priority    int       `json:"priority"` // engine priority, 0 is served first
+		MaxTokens   int64     `json:"max_tokens"`
+		Deadline    time.Time `json:"deadline"`
 	}
 
 	// CancelAttempt tells the sidecar to stop an attempt.
@@ -42,16 +46,19 @@
 	}
 
 	// ResolveClaim asks the sidecar, then the service, for the outcome of a
-	// dispatch whose answer was lost. The daemon reports OutcomeResolved.
+	// dispatch whose answer was lost. The daemon reports OutcomeResolved. Only
+	// a sidecar whose memory reaches back to the Incarnation may answer that
+	// the attempt was never seen.
 	ResolveClaim struct {
 		isEffect
-		Attempt  AttemptID  `json:"attempt"`
-		Program  ProgramID  `json:"program"`
-		Upstream UpstreamID `json:"upstream"`
-		Service  string     `json:"service"`
-		Key      string     `json:"key"`
-		Slot     Slot       `json:"slot"`
-		Epoch    Epoch      `json:"epoch"`
+		Attempt     AttemptID  `json:"attempt"`
+		Program     ProgramID  `json:"program"`
+		Upstream    UpstreamID `json:"upstream"`
+		Incarnation uint64     `json:"incarnation"`
+		Service     string     `json:"service"`
+		Key         string     `json:"key"`
+		Slot        Slot       `json:"slot"`
+		Epoch       Epoch      `json:"epoch"`
 	}
 
 	// Reply completes a call. Stored is true when the answer comes from the
--- a/pkg/core/program/codec.go
+++ b/pkg/core/program/codec.go
@@ -182,6 +182,7 @@
 	e.int(11, int64(rec.Turn))
 	e.uint(12, rec.Seq)
 	e.amount(13, rec.Forfeited)
+	e.uint(14, rec.Incarnation)
 }
 
 // Decode reads what Encode wrote.
@@ -321,6 +322,8 @@
 			rec.Seq = f.v
 		case 13:
 			rec.Forfeited, err = decodeAmount(f.b)
+		case 14:
+			rec.Incarnation = f.v
 		}
 		return err
 	})
--- a/pkg/core/programs.go
+++ b/pkg/core/programs.go
@@ -269,7 +269,7 @@
 			if prof.IdleTimeout > 0 && c.idle(r, m) && !c.now.Before(m.LastActive.Add(prof.IdleTimeout)) {
 				c.endMember(r, m, CodeProgramEnded, "program", "the program made no call for its idle time")
 			}
-		case r.queues[ProgramID(id)] == nil && !c.now.Before(m.EndedAt.Add(max(prof.HistoryRetention, minRetention))):
+		case c.quiet(r, m) && !c.now.Before(m.EndedAt.Add(max(prof.HistoryRetention, minRetention))):
 			if m.Parent != "" {
 				r.Forget(id)
 				continue
@@ -281,6 +281,15 @@
 	c.watchRoot(r)
 }
 
+// quiet reports whether no call needs an ended member any more. A root program
+// stays until the claims of its children are settled.
+func (c *Core) quiet(r *root, m *program.Member) bool {
+	if m.Parent == "" {
+		return len(r.queues) == 0
+	}
+	return r.queues[ProgramID(m.ID)] == nil
+}
+
 // idle reports whether a program has neither calls nor live children.
 func (c *Core) idle(r *root, m *program.Member) bool {
 	return r.queues[ProgramID(m.ID)] == nil && len(r.Subtree(m.ID)) == 1
--- a/pkg/core/quarantine/quarantine.go
+++ b/pkg/core/quarantine/quarantine.go
@@ -25,8 +25,16 @@
 	// expected names an upstream whose crash is known from a broken attempt
 	// and not yet from the crash report, so that it is counted once.
 	expected string
+	// told is set when a peer told of the suspect. The report of the same
+	// crash may come later from the sidecar, within sameCrash.
+	told time.Time
 }
 
+// sameCrash is the time within which a crash report is taken for the crash
+// that a peer told of: ten heartbeats of 500 ms. If it was another crash, the
+// quarantine comes one crash later.
+const sameCrash = 5 * time.Second
+
 // List holds the suspects and the quarantined requests.
 type List struct {
 	entries map[uint64]*Entry
@@ -59,7 +67,7 @@
 
 // Crashed counts a crash report and returns the entries that changed, in
 // order of fingerprint. A report that was counted before has no effect.
-func (l *List) Crashed(upstream string, incarnation uint64, fps []uint64, until time.Time) []Entry {
+func (l *List) Crashed(upstream string, incarnation uint64, fps []uint64, now, until time.Time) []Entry {
 	if last, ok := l.crashes[upstream]; ok && last >= incarnation {
 		return nil
 	}
@@ -75,8 +83,8 @@
 		case fp == 0:
 		case e == nil:
 			fresh = append(fresh, fp)
-		case e.expected == upstream:
-			e.expected = "" // this is the crash already counted
+		case e.expected == upstream || !e.told.IsZero() && now.Before(e.told.Add(sameCrash)):
+			e.expected, e.told = "", time.Time{} // this crash is counted already
 			counted = append(counted, fp)
 		default:
 			suspects = append(suspects, fp)
@@ -120,14 +128,19 @@
 }
 
 // Merge takes over a decision of a peer or an operator.
-func (l *List) Merge(e Entry) {
+func (l *List) Merge(e Entry, now time.Time) {
 	old := l.entries[e.Fingerprint]
 	switch {
 	case e.Fingerprint == 0:
 	case e.Released:
 		delete(l.entries, e.Fingerprint)
 	case old == nil || e.Count > old.Count || e.Count == old.Count && e.Until.After(old.Until):
-		l.set(e.Fingerprint, e.Count, e.Until)
+		merged := l.set(e.Fingerprint, e.Count, e.Until)
+		if old == nil {
+			merged.told = now
+		} else {
+			merged.expected, merged.told = old.expected, old.told
+		}
 	}
 }
 
--- a/pkg/core/timer.go
+++ b/pkg/core/timer.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// overdueWait is how long a claimed attempt may stay silent after its deadline,
+// which its sidecar enforces, before its outcome is asked for.
+const overdueWait = 5 * time.Second
+
 // timerKind tells what a timer is for.
 type timerKind uint8
 
@@ -14,6 +18,7 @@
 	timerClaim                     // end of the profile's claim wait
 	timerHeld                      // no crash report came
 	timerResolve                   // no outcome of a claim came
+	timerOverdue                   // a claimed attempt gave no sign after its deadline
 	timerRoot                      // wall time, idle timeout and retention
 	timerPins                      // renewal of retained cache
 )
@@ -118,6 +123,9 @@
 		c.refuse(cl, c.refusal(cl, CodeJournalDown, "claim", "the claim of the call did not become durable in time"))
 	case kind == timerHeld && cl.state == stateHeld:
 		c.condemn(cl)
+	case kind == timerOverdue && cl.state == stateRunning:
+		c.opt.Policy.OnFailed(c.now, Failure{Attempt: cl.attempt, Ran: RanUnknown})
+		c.resolve(cl)
 	case kind == timerResolve && cl.state == stateResolving:
 		c.loseClaim(cl)
 	}
@@ -134,6 +142,9 @@
 	case stateFinishing:
 		c.refuse(cl, c.refusal(cl, CodeJournalDown, "journal", "the answer did not become durable before the deadline"))
 	default:
+		if cl.state == stateRunning && cl.nonIdempotent {
+			c.watchCall(cl, timerOverdue, c.now.Add(overdueWait))
+		}
 		c.refuse(cl, c.refusal(cl, CodeDeadline, "deadline", "the deadline has passed"))
 	}
 }
