--- a/pkg/core/policy/baseline.go
+++ b/pkg/core/policy/baseline.go
@@ -111,13 +111,13 @@
 		return float64(m.up.own()) + b.fleet.rng.Float64()*0.5
 	}
 	switch name {
-	case NameRoundRobin:
+	case RoundRobin:
 		b.pick = pickRoundRobin
-	case NameLeastOutstanding:
+	case LeastOutstanding:
 		b.pick = pickLeastOutstanding
-	case NameSessionAffinity:
+	case SessionAffinity:
 		b.pick = b.pickAffinity
-	case NamePowerOfTwo:
+	case PowerOfTwo:
 		b.pick = b.pickTwo
 	}
 	return b
--- a/pkg/core/policy/cachemap.go
+++ b/pkg/core/policy/cachemap.go
@@ -127,6 +127,22 @@
 	c.set(u, e.Prefix, e.Tokens, time.Time{})
 }
 
+// sweepGaps is the number of gaps after which an unconfirmed holding is dropped.
+const sweepGaps = 6
+
+// sweep drops the holdings of an upstream that nothing can be expected of any
+// more. The events of their eviction were lost.
+func (c *cacheMap) sweep(now time.Time, u *upstream) {
+	for prefix, h := range u.cache.held { // each prefix is independent of the others
+		gone := !h.host && fresh(u.cache.clock-h.clock, u) == 0
+		if now.Before(h.pinned) || (!gone && u.cache.gaps-h.gaps < sweepGaps) {
+			continue
+		}
+		delete(u.cache.held, prefix)
+		c.dropHolder(prefix, u)
+	}
+}
+
 // resyncDue tells whether the upstream should list all that it holds.
 func (c *cacheMap) resyncDue(now time.Time, u *upstream) bool {
 	s := &u.cache
--- a/pkg/core/policy/default.go
+++ b/pkg/core/policy/default.go
@@ -55,6 +55,7 @@
 	pins     pinTimers
 	orders   []core.EngineOrder
 	swept    time.Time
+	sweep    int      // upstream whose holdings are swept next
 	failed   failedOn // the last failure, for the decision on its retry
 }
 
@@ -113,7 +114,7 @@
 }
 
 // Name returns the name of the policy.
-func (d *defaultPolicy) Name() string { return NameDefault }
+func (d *defaultPolicy) Name() string { return Default }
 
 // Admit decides on a new root program.
 func (d *defaultPolicy) Admit(now time.Time, p core.ProgramView) core.Admission {
@@ -298,7 +299,7 @@
 		it := l.items[0]
 		c, ok := d.place(now, l, it)
 		if !ok {
-			if it.req.Suspect {
+			if it.req.Suspect || d.mayBypass(now, l, it) {
 				l.park()
 			} else {
 				l.block(now)
@@ -315,6 +316,21 @@
 	}
 }
 
+const (
+	// bypassDepth is the number of requests that wait for memory while smaller
+	// ones behind them go ahead.
+	bypassDepth = 4
+	// bypassTime is how long a request is passed over; then it holds up its
+	// lane until the memory is free.
+	bypassTime = 2 * time.Second
+)
+
+// mayBypass tells whether the requests behind one that found no upstream may be
+// tried: it needs more memory than is free, and has not waited long.
+func (d *defaultPolicy) mayBypass(now time.Time, l *lane, it *item) bool {
+	return d.router != nil && d.router.x.noMemory && len(l.parked) < bypassDepth && now.Sub(it.since) < bypassTime
+}
+
 // place chooses an upstream, by least outstanding calls without the router.
 func (d *defaultPolicy) place(now time.Time, l *lane, it *item) (candidate, bool) {
 	if d.router != nil {
--- a/pkg/core/policy/fleet.go
+++ b/pkg/core/policy/fleet.go
@@ -196,6 +196,11 @@
 		fresh = true
 	} else {
 		fresh = u.info.Incarnation != info.Incarnation
+		if !fresh && sameTargets(&u.info, &info) {
+			u.info = info // lists of instances repeat themselves
+			f.refresh(now, u)
+			return u, false
+		}
 		f.leaveGroups(now, u)
 	}
 	if fresh {
@@ -230,6 +235,11 @@
 	return keys
 }
 
+func sameTargets(a, b *core.UpstreamInfo) bool {
+	return a.Kind == b.Kind && a.Service == b.Service && a.Region == b.Region &&
+		slices.Equal(a.Models, b.Models) && slices.Equal(a.Adapters, b.Adapters)
+}
+
 func (f *fleet) leaveGroups(now time.Time, u *upstream) {
 	for _, m := range u.members {
 		m.group.remove(m)
--- a/pkg/core/policy/housekeeping.go
+++ b/pkg/core/policy/housekeeping.go
@@ -35,6 +35,10 @@
 	clear(d.watched[len(keep):])
 	d.watched = keep
 	d.expirePins(now)
+	if d.cache != nil && len(d.fleet.list) > 0 {
+		d.sweep++
+		d.cache.sweep(now, d.fleet.list[d.sweep%len(d.fleet.list)])
+	}
 }
 
 // pinTimer is the end of a pin. It is void if the program has another pin since.
--- a/pkg/core/policy/plugins.go
+++ b/pkg/core/policy/plugins.go
@@ -69,7 +69,11 @@
 		return true
 	}
 	taken := float64(u.reserved)*u.entries() + float64(max(0, u.pause.pinned-x.pinnedOn(u)))
-	return taken+float64(c.need) <= float64(u.info.CacheTokens)
+	if taken+float64(c.need) > float64(u.info.CacheTokens) {
+		x.noMemory = true
+		return false
+	}
+	return true
 }
 
 // waitScore is the expected wait and the slower decoding in a fuller batch. The
--- a/pkg/core/policy/router.go
+++ b/pkg/core/policy/router.go
@@ -52,6 +52,7 @@
 	home     string
 	program  *program
 	avoid    bool
+	noMemory bool    // a candidate lacked nothing but memory
 	latency  float64 // weights, 1 in the mean
 	waste    float64
 	groupUse float64 // mean calls on the shortest waits of the group
