--- a/pkg/core/policy/admission_test.go
+++ b/pkg/core/policy/admission_test.go
@@ -86,7 +86,7 @@
 			best = len(o.minutes)
 		}
 	}
-	o := runOverload(mustNew(t, Default, 1), 300, rate, callers)
+	o := runOverload(mustNew(t, NameDefault, 1), 300, rate, callers)
 	t.Logf("default: %d customer-minutes, %d finished", len(o.minutes), o.finished)
 	if got := len(o.minutes); float64(got) > 0.5*float64(best) {
 		t.Errorf("%d customer-minutes with a refusal, the best baseline has %d", got, best)
@@ -109,7 +109,7 @@
 func TestRunawayCallerIsRefusedFirst(t *testing.T) {
 	rate, callers := evenCallers(20, 8)
 	rate["runaway"] = 30
-	o := runOverload(mustNew(t, Default, 1), 180, rate, append(callers, "runaway"))
+	o := runOverload(mustNew(t, NameDefault, 1), 180, rate, append(callers, "runaway"))
 	others := 0
 	for _, c := range callers {
 		others += o.refused[c]
@@ -123,7 +123,7 @@
 // Guards against refusals without overload: at 80% of the capacity, with bursts.
 func TestNoRefusalBelowCapacity(t *testing.T) {
 	rate, callers := evenCallers(20, 12.8)
-	if o := runOverload(mustNew(t, Default, 1), 300, rate, callers); len(o.minutes) > 0 {
+	if o := runOverload(mustNew(t, NameDefault, 1), 300, rate, callers); len(o.minutes) > 0 {
 		t.Errorf("%v refused", o.refused)
 	}
 }
@@ -132,7 +132,7 @@
 // calls of admitted programs are all dispatched once the load ends.
 func TestAdmittedProgramsAreCarriedThrough(t *testing.T) {
 	rate, callers := evenCallers(10, 40)
-	p := mustNew(t, Default, 1)
+	p := mustNew(t, NameDefault, 1)
 	o := runOverload(p, 60, rate, callers)
 	now := at(61)
 	for _, a := range o.left {
--- a/pkg/core/policy/baseline.go
+++ b/pkg/core/policy/baseline.go
@@ -111,13 +111,13 @@
 		return float64(m.up.own()) + b.fleet.rng.Float64()*0.5
 	}
 	switch name {
-	case RoundRobin:
+	case NameRoundRobin:
 		b.pick = pickRoundRobin
-	case LeastOutstanding:
+	case NameLeastOutstanding:
 		b.pick = pickLeastOutstanding
-	case SessionAffinity:
+	case NameSessionAffinity:
 		b.pick = b.pickAffinity
-	case PowerOfTwo:
+	case NamePowerOfTwo:
 		b.pick = b.pickTwo
 	}
 	return b
--- a/pkg/core/policy/bench_test.go
+++ b/pkg/core/policy/bench_test.go
@@ -96,7 +96,7 @@
 func BenchmarkOnLoad(b *testing.B) {
 	for _, n := range []int{10, 100, 1000, 3000} {
 		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
-			p := mustNew(b, Default, 1)
+			p := mustNew(b, NameDefault, 1)
 			for i := range n {
 				info := engineInfo(i)
 				info.Slots = 64
--- a/pkg/core/policy/default.go
+++ b/pkg/core/policy/default.go
@@ -114,7 +114,7 @@
 }
 
 // Name returns the name of the policy.
-func (d *defaultPolicy) Name() string { return Default }
+func (d *defaultPolicy) Name() string { return NameDefault }
 
 // Admit decides on a new root program.
 func (d *defaultPolicy) Admit(now time.Time, p core.ProgramView) core.Admission {
--- a/pkg/core/policy/follow.go
+++ b/pkg/core/policy/follow.go
@@ -24,7 +24,7 @@
 // Follow returns a policy that is the default one until a configuration is
 // applied.
 func Follow(seed uint64) *Following {
-	return &Following{Policy: newDefault(seed, nil), seed: seed, name: Default}
+	return &Following{Policy: newDefault(seed, nil), seed: seed, name: NameDefault}
 }
 
 // Configure puts a configuration in force. If it names a policy or a part that
@@ -32,7 +32,7 @@
 func (f *Following) Configure(cfg core.Config) {
 	name := cfg.Policy
 	if name == "" {
-		name = Default
+		name = NameDefault
 	}
 	f.err = nil
 	if name != f.name || !slices.Equal(cfg.Without, f.without) {
--- a/pkg/core/policy/follow_test.go
+++ b/pkg/core/policy/follow_test.go
@@ -48,7 +48,7 @@
 	}
 	f := Follow(1)
 	f.Configure(core.Config{Version: 1, Policy: "fastest"})
-	if f.Name() != Default || f.Err() == nil {
+	if f.Name() != NameDefault || f.Err() == nil {
 		t.Errorf("policy %s in force after an unknown name, error %v", f.Name(), f.Err())
 	}
 }
--- a/pkg/core/policy/harness_test.go
+++ b/pkg/core/policy/harness_test.go
@@ -37,7 +37,7 @@
 
 func newParts(t testing.TB, seed uint64, without ...string) *defaultPolicy {
 	t.Helper()
-	return mustNew(t, Default, seed, without...).(*defaultPolicy)
+	return mustNew(t, NameDefault, seed, without...).(*defaultPolicy)
 }
 
 func engineInfo(i int) core.UpstreamInfo {
--- a/pkg/core/policy/policy.go
+++ b/pkg/core/policy/policy.go
@@ -17,13 +17,16 @@
 
 // The names of the policies.
 const (
-	Default          = "default"
-	RoundRobin       = "round-robin"
-	LeastOutstanding = "least-outstanding"
-	SessionAffinity  = "session-affinity"
-	PowerOfTwo       = "power-of-two"
+	NameDefault          = "default"
+	NameRoundRobin       = "round-robin"
+	NameLeastOutstanding = "least-outstanding"
+	NameSessionAffinity  = "session-affinity"
+	NamePowerOfTwo       = "power-of-two"
 )
 
+// Default is the policy of a process that has no configuration yet.
+const Default = NameDefault
+
 // The parts of the default policy, as accepted by --without.
 const (
 	PartQueue     = "queue"
@@ -39,7 +42,7 @@
 
 // Names returns the names that New accepts.
 func Names() []string {
-	return []string{Default, RoundRobin, LeastOutstanding, SessionAffinity, PowerOfTwo}
+	return []string{NameDefault, NameRoundRobin, NameLeastOutstanding, NameSessionAffinity, NamePowerOfTwo}
 }
 
 // Parts returns the names of the parts of the default policy that can be
@@ -59,15 +62,15 @@
 	}
 	off := make(map[string]bool, len(without))
 	for _, part := range without {
-		if name != Default {
-			return nil, fmt.Errorf("policy %q has no part %q; only policy %q has parts", name, part, Default)
+		if name != NameDefault {
+			return nil, fmt.Errorf("policy %q has no part %q; only policy %q has parts", name, part, NameDefault)
 		}
 		if !slices.Contains(Parts(), part) {
 			return nil, fmt.Errorf("unknown part %q; valid parts: %s", part, strings.Join(Parts(), ", "))
 		}
 		off[part] = true
 	}
-	if name == Default {
+	if name == NameDefault {
 		return newDefault(seed, off), nil
 	}
 	return newBaseline(name, seed), nil
--- a/pkg/core/policy/policy_test.go
+++ b/pkg/core/policy/policy_test.go
@@ -16,17 +16,17 @@
 		}
 	}
 	for _, part := range Parts() {
-		mustNew(t, Default, 1, part)
+		mustNew(t, NameDefault, 1, part)
 	}
 	_, err := New("fastest", 1, nil)
 	if err == nil || !strings.Contains(err.Error(), strings.Join(Names(), ", ")) {
 		t.Errorf("unknown policy: error %v does not list the valid names", err)
 	}
-	_, err = New(Default, 1, []string{"turbo"})
+	_, err = New(NameDefault, 1, []string{"turbo"})
 	if err == nil || !strings.Contains(err.Error(), strings.Join(Parts(), ", ")) {
 		t.Errorf("unknown part: error %v does not list the valid parts", err)
 	}
-	if _, err = New(RoundRobin, 1, []string{PartQueue}); err == nil {
+	if _, err = New(NameRoundRobin, 1, []string{PartQueue}); err == nil {
 		t.Error("a baseline accepted a part to switch off")
 	}
 }
@@ -38,9 +38,9 @@
 		t.Run(name, func(t *testing.T) { f(t, mustNew(t, name, 7)) })
 	}
 	for _, part := range Parts() {
-		t.Run("without-"+part, func(t *testing.T) { f(t, mustNew(t, Default, 7, part)) })
+		t.Run("without-"+part, func(t *testing.T) { f(t, mustNew(t, NameDefault, 7, part)) })
 	}
-	t.Run("without-all", func(t *testing.T) { f(t, mustNew(t, Default, 7, Parts()...)) })
+	t.Run("without-all", func(t *testing.T) { f(t, mustNew(t, NameDefault, 7, Parts()...)) })
 }
 
 // Guards against work for an upstream that is leaving, unreachable or removed
--- a/pkg/core/policy/router_test.go
+++ b/pkg/core/policy/router_test.go
@@ -16,7 +16,7 @@
 	const entries, engines, calls = 12, 6, 4
 	got := map[core.UpstreamID]int{}
 	for e := range entries {
-		p := mustNew(t, Default, uint64(100+e))
+		p := mustNew(t, NameDefault, uint64(100+e))
 		addEngines(p, engines)
 		for i := range engines {
 			l := core.Load{Upstream: engineInfo(i).ID, Measured: at(10), Running: 3}
@@ -69,7 +69,7 @@
 // Guards against a hot shared prefix that piles all its calls onto the upstream
 // that computed it first, while others idle.
 func TestHotSharedPrefixSpreads(t *testing.T) {
-	p := mustNew(t, Default, 4)
+	p := mustNew(t, NameDefault, 4)
 	addEngines(p, 6)
 	on := map[core.UpstreamID]int{}
 	for i := range 36 {
@@ -91,7 +91,7 @@
 // Guards against a program that loses its history's cache although its upstream
 // has room.
 func TestProgramReturnsToItsCache(t *testing.T) {
-	p := mustNew(t, Default, 2)
+	p := mustNew(t, NameDefault, 2)
 	addEngines(p, 8)
 	home := map[core.ProgramID]core.UpstreamID{}
 	for turn := range 6 {
@@ -113,7 +113,7 @@
 // Guards against calls that cross to another region while their own has room,
 // and against calls that wait at home although crossing is quicker.
 func TestRegionIsKeptUnlessCrossingPays(t *testing.T) {
-	p := mustNew(t, Default, 2)
+	p := mustNew(t, NameDefault, 2)
 	for i := range 4 {
 		info := engineInfo(i)
 		if i >= 2 {
@@ -155,7 +155,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		name := rapid.SampledFrom(Names()).Draw(rt, "policy")
 		var without []string
-		if name == Default {
+		if name == NameDefault {
 			without = rapid.SliceOfNDistinct(rapid.SampledFrom(Parts()), 0, 3, rapid.ID).Draw(rt, "without")
 		}
 		p, err := New(name, rapid.Uint64().Draw(rt, "seed"), without)
