--- a/pkg/core/policy/policy.go
+++ b/pkg/core/policy/policy.go
@@ -24,6 +24,9 @@
 	NamePowerOfTwo       = "power-of-two"
 )
 
+// Default is the policy of a process that has no configuration yet.
+const Default = NameDefault
+
 // The parts of the default policy, as accepted by --without.
 const (
 	PartQueue     = "queue"
