--- a/pkg/sidecar/model.go
+++ b/pkg/sidecar/model.go
@@ -153,12 +153,13 @@
 				report(item{err: err})
 				return
 			}
-			if !report(item{pos: pos, c: c, data: append([]byte(nil), data...)}) {
-				return
-			}
+			at := pos
 			if c.generated() {
 				pos++
 			}
+			if !report(item{pos: at, c: c, data: append([]byte(nil), data...)}) {
+				return
+			}
 		}
 	}()
 }
@@ -263,7 +264,7 @@
 		return outcome{}, false
 	}
 	// A look at the engine tells a crash from a lost connection.
-	err := s.probe(ctx)
+	err := s.verdict(ctx)
 	if cause := context.Cause(ctx); cause != nil {
 		return s.fail(c, m.ran(), stepOf(cause), cause), true
 	}
@@ -326,8 +327,11 @@
 			}
 		}
 	}
-	if reason == "" {
+	switch reason {
+	case "":
 		return outcome{}, false
+	case "cancelled", "canceled", "abort", "error":
+		return s.fail(c, m.ran(), "stream", fmt.Errorf("%w: %s", errCut, reason)), true
 	}
 	return m.finished(reason), true
 }
--- a/pkg/sidecar/monitor.go
+++ b/pkg/sidecar/monitor.go
@@ -21,6 +21,9 @@
 	crashMemory = 16
 	// crashReportAge is how long a crash is reported to peers that connect.
 	crashReportAge = time.Minute
+	// verdictTimeout bounds the search for the reason of a broken connection.
+	verdictTimeout = 1500 * time.Millisecond
+	verdictRetry   = 50 * time.Millisecond
 	// tickInterval drives the terms of pins and results.
 	tickInterval = 250 * time.Millisecond
 )
@@ -99,6 +102,26 @@
 	return err
 }
 
+// verdict looks at the upstream after a connection broke. A dying process still
+// accepts connections and resets them, so such an answer is asked for again.
+func (s *Sidecar) verdict(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, verdictTimeout)
+	defer cancel()
+	for {
+		err := s.probe(ctx)
+		if err == nil || refused(err) || ctx.Err() != nil {
+			return err
+		}
+		timer := time.NewTimer(verdictRetry)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return err
+		}
+	}
+}
+
 func (s *Sidecar) setInfo(i *engineInfo) {
 	if s.cfg.Upstream.Kind != core.KindModel {
 		return
--- a/pkg/sidecar/service.go
+++ b/pkg/sidecar/service.go
@@ -106,7 +106,7 @@
 // from a lost connection.
 func (s *Sidecar) broken(ctx context.Context, c *call, err error) outcome {
 	if c.wasPassed() && ctx.Err() == nil {
-		_ = s.probe(ctx)
+		_ = s.verdict(ctx)
 	}
 	if cause := context.Cause(ctx); cause != nil {
 		return s.fail(c, core.RanUnknown, stepOf(cause), cause)
--- a/pkg/standin/engine/chat.go
+++ b/pkg/standin/engine/chat.go
@@ -128,7 +128,7 @@
 	err := s.eng.Submit(time.Now(), req)
 	var st *state
 	if err == nil {
-		st = &state{id: q.RequestID, model: q.Model, fingerprint: req.Fingerprint, changed: make(chan struct{})}
+		st = &state{id: q.RequestID, model: q.Model, fingerprint: req.Fingerprint, left: time.Now(), changed: make(chan struct{})}
 		s.states[q.RequestID] = st
 		s.runs[q.RequestID]++
 	}
