--- a/pkg/sidecar/cache.go
+++ b/pkg/sidecar/cache.go
@@ -219,16 +219,16 @@
 	} `json:"held"`
 }
 
-// listHeld compares the engine's memory with the pins on record, and corrects
-// the events that were missed.
-func (s *Sidecar) listHeld() {
+// listHeld compares the engine's memory with the pins on record and, with
+// resync, reports everything held to the peers, which corrects missed events.
+func (s *Sidecar) listHeld(resync bool) {
 	for s.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(s.ctx, controlTimeout)
 		var h engineHeld
 		err := s.up.getJSON(ctx, s.up.fresh, "/v1/cache", &h)
 		cancel()
 		if err == nil {
-			s.takeHeld(h)
+			s.takeHeld(h, resync)
 			return
 		}
 		s.log.Warn("engine memory cannot be listed", "step", "reconcile", "peer", s.cfg.Upstream.URL, "err", err)
@@ -242,7 +242,7 @@
 	}
 }
 
-func (s *Sidecar) takeHeld(h engineHeld) {
+func (s *Sidecar) takeHeld(h engineHeld, resync bool) {
 	e := decide.HeldListed{At: now(), Incarnation: h.Incarnation}
 	held := make(map[string]int64)
 	for _, p := range h.Held {
@@ -253,11 +253,17 @@
 			e.Pinned = append(e.Pinned, p.Prefix)
 		}
 	}
+	if resync {
+		s.resync(h.Incarnation, held)
+	}
+	s.step(e)
+}
+
+func (s *Sidecar) resync(incarnation uint64, held map[string]int64) {
 	s.mu.Lock()
-	events := s.cache.resync(h.Incarnation, held)
+	defer s.mu.Unlock()
+	events := s.cache.resync(incarnation, held)
 	for _, ps := range s.peers {
 		ps.pending = events
 	}
-	s.mu.Unlock()
-	s.step(e)
 }
--- a/pkg/sidecar/control_test.go
+++ b/pkg/sidecar/control_test.go
@@ -86,6 +86,11 @@
 	}
 	st = p.open(&peerv1.Envelope{Body: &peerv1.Envelope_StatusRequest{StatusRequest: &peerv1.StatusRequest{}}})
 	var status Status
+	defer func() {
+		// A push that was missed is made up for.
+		p.open(&peerv1.Envelope{Body: &peerv1.Envelope_Heartbeat{Heartbeat: &peerv1.Heartbeat{ConfigVersion: 9}}})
+		eventually(t, "the version of the heartbeat is in force", func() bool { return s.Status().ConfigVersion == 9 })
+	}()
 	if m, err := st.Recv(); err != nil || json.Unmarshal(m.GetStatusReply().GetJson(), &status) != nil || status.ConfigVersion != 7 {
 		t.Errorf("status: %v, %v", m, err)
 	}
--- a/pkg/sidecar/harness_test.go
+++ b/pkg/sidecar/harness_test.go
@@ -99,7 +99,11 @@
 	t.Helper()
 	tr, err := transport.New(transport.Config{
 		Logger: quiet, Hello: func() *peerv1.Hello { return &peerv1.Hello{Instance: "e1", Incarnation: "e1.1", Role: role} },
-	}, func(context.Context, *transport.Session, *transport.Stream, *peerv1.Envelope) {})
+	}, func(_ context.Context, _ *transport.Session, st *transport.Stream, m *peerv1.Envelope) {
+		if m.GetConfigRequest() != nil {
+			_ = st.Send(&peerv1.Envelope{Body: &peerv1.Envelope_ConfigPush{ConfigPush: &peerv1.ConfigPush{Version: 9, Text: []byte("9")}}})
+		}
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/sidecar/heartbeat.go
+++ b/pkg/sidecar/heartbeat.go
@@ -41,6 +41,9 @@
 	for h := first; h != nil; {
 		s.met.heartbeats.Inc()
 		s.renewPins(p, h)
+		if h.ConfigVersion > 0 && s.mayCommand(p) {
+			s.catchUp(p, h.ConfigVersion)
+		}
 		if s.sendHeartbeat(ps, st) != nil {
 			return
 		}
--- a/pkg/sidecar/monitor.go
+++ b/pkg/sidecar/monitor.go
@@ -52,6 +52,9 @@
 	defer probe.Stop()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
+	// Pins that a failed release or a lost order left behind are found here.
+	reconcile := time.NewTicker(s.cfg.PinTerm)
+	defer reconcile.Stop()
 	failures := 0
 	look := func() {
 		if err := s.probe(s.ctx); err != nil {
@@ -73,6 +76,10 @@
 			look()
 		case <-tick.C:
 			s.step(decide.Tick{At: now()})
+		case <-reconcile.C:
+			if s.cfg.Upstream.Kind == core.KindModel {
+				s.background(func() { s.listHeld(false) })
+			}
 		}
 	}
 }
--- a/pkg/sidecar/orders.go
+++ b/pkg/sidecar/orders.go
@@ -74,7 +74,7 @@
 	case core.OrderImportKV:
 		err = s.importKV(ctx, o)
 	case core.OrderResyncCache:
-		s.listHeld()
+		s.listHeld(true)
 	default:
 		err = s.engineOrder(o)
 	}
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -55,6 +55,7 @@
 	peers         map[*transport.Session]*peerState
 	configVersion uint64
 	configText    []byte
+	fetching      bool // a configuration is being fetched
 	stopping      bool
 }
 
@@ -300,7 +301,7 @@
 			s.background(func() { s.engineOrder(&peerv1.Order{Order: core.OrderRelease, Program: e.Program}) })
 		case decide.ListHeld:
 			if s.cfg.Upstream.Kind == core.KindModel {
-				s.background(s.listHeld)
+				s.background(func() { s.listHeld(true) })
 			}
 		}
 	}
@@ -370,18 +371,56 @@
 		sendAck(st, s.refusePeer(p, "config"))
 		return
 	}
+	if !s.takeConfig(p, m) {
+		sendAck(st, "a higher configuration version is in force")
+		return
+	}
+	sendAck(st, "")
+}
+
+// takeConfig reports false for a version below the one in force.
+func (s *Sidecar) takeConfig(p *transport.Session, m *peerv1.ConfigPush) bool {
 	s.mu.Lock()
 	old := s.configVersion
 	if m.Version > old {
 		s.configVersion, s.configText = m.Version, m.Text
 	}
 	s.mu.Unlock()
-	if m.Version < old {
-		sendAck(st, "a higher configuration version is in force")
-		return
-	}
 	if m.Version > old {
 		s.log.Info("configuration taken", "step", "config", "peer", p.Addr(), "version", m.Version, "previous", old)
 	}
-	sendAck(st, "")
+	return m.Version >= old
+}
+
+// catchUp fetches the configuration from an entry whose heartbeat names a
+// higher version, in case a push was missed.
+func (s *Sidecar) catchUp(p *transport.Session, version uint64) {
+	s.mu.Lock()
+	fetch := version > s.configVersion && !s.fetching
+	s.fetching = s.fetching || fetch
+	s.mu.Unlock()
+	if !fetch {
+		return
+	}
+	s.background(func() {
+		defer func() {
+			s.mu.Lock()
+			s.fetching = false
+			s.mu.Unlock()
+		}()
+		ctx, cancel := context.WithTimeout(s.ctx, controlTimeout)
+		defer cancel()
+		st, err := p.Open(ctx, &peerv1.Envelope{Body: &peerv1.Envelope_ConfigRequest{ConfigRequest: &peerv1.ConfigRequest{}}})
+		if err == nil {
+			defer st.Close()
+			_ = st.SetDeadline(time.Now().Add(controlTimeout))
+			var m *peerv1.Envelope
+			if m, err = st.Recv(); err == nil && m.GetConfigPush() != nil {
+				s.takeConfig(p, m.GetConfigPush())
+			}
+		}
+		if err != nil {
+			s.log.Warn("configuration not fetched", "step", "config", "peer", p.Addr(), "err", err)
+		}
+	})
 }
--- a/pkg/standin/engine/chat.go
+++ b/pkg/standin/engine/chat.go
@@ -138,11 +138,10 @@
 		writeError(w, err)
 		return
 	}
-	id := q.RequestID
+	out := &answer{s: s, w: w, r: r, st: st, id: q.RequestID, content: st.fingerprint, faults: f}
 	if f.WrongID > 0 {
-		id = otherID
+		out.id, out.content = otherID, ^st.fingerprint
 	}
-	out := &answer{s: s, w: w, r: r, st: st, id: id, faults: f}
 	if q.Stream {
 		w.Header().Set("Content-Type", "text/event-stream")
 		out.stream(0)
@@ -159,12 +158,15 @@
 
 // answer writes a request's answer to one response.
 type answer struct {
-	s      *Server
-	w      http.ResponseWriter
-	r      *http.Request
-	st     *state
-	id     string
-	faults Faults
+	s  *Server
+	w  http.ResponseWriter
+	r  *http.Request
+	st *state
+	id string
+	// content selects the text; it differs from the request's fingerprint
+	// when the answer of another request is sent.
+	content uint64
+	faults  Faults
 }
 
 // follow calls emit after each change until the request has ended, the reader
@@ -217,7 +219,7 @@
 				u = &usage{PromptTokens: st.prompt, CachedTokens: st.cached, CompletionTokens: next + 1}
 				first = false
 			}
-			a.chunk(tokenText(st.fingerprint, next), "", u)
+			a.chunk(tokenText(a.content, next), "", u)
 			if a.faults.Silent > 0 && next >= a.faults.CutAfter {
 				if flusher != nil {
 					flusher.Flush()
@@ -273,7 +275,7 @@
 		time.Sleep(time.Duration(a.faults.SlowMS) * time.Millisecond)
 		var text strings.Builder
 		for i := range st.tokens {
-			text.WriteString(tokenText(st.fingerprint, i))
+			text.WriteString(tokenText(a.content, i))
 		}
 		writeJSON(a.w, http.StatusOK, map[string]any{
 			"id": a.id, "object": "chat.completion", "model": st.model, "usage": st.usage(),
@@ -313,6 +315,6 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	a := &answer{s: s, w: w, r: r, st: st, id: st.id}
+	a := &answer{s: s, w: w, r: r, st: st, id: st.id, content: st.fingerprint}
 	a.stream(from)
 }
