Check pins at the end of programs and children in the interleavings

Change: the checker looks at the pins when an end is acknowledged and at the turns inside program states; sub-agents and larger calls take part. It found that pins were forgotten when a sidecar restarted although the engine still held them; they are now kept.

--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -293,8 +293,8 @@
 func (c *Core) upstreamChanged(info UpstreamInfo) {
 	u := c.upstreams[info.ID]
 	if u == nil || u.info.Incarnation != info.Incarnation {
-		// A restarted upstream holds no cache.
-		c.dropPins(info.ID)
+		// Pins are kept: after a restart of the sidecar alone the engine still
+		// holds them, and a pin of a prefix that is not held has no effect.
 		u = &upstream{reachable: true}
 		c.upstreams[info.ID] = u
 	}
--- a/pkg/core/coretest/check_test.go
+++ b/pkg/core/coretest/check_test.go
@@ -6,22 +6,31 @@
 	"strings"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/core/program"
 )
 
 // callers lets a random caller open or end a program, make a call or send one
 // again.
 func (s *sim) callers() {
 	switch k := s.pick(20); {
-	case k < 3 && s.alive() < 6:
+	case k < 2 && len(s.programs) > 0:
+		// A sub-agent; the core chooses its id.
+		if parent := s.programs[s.pick(len(s.programs))]; parent.opened && s.alive() < 6 {
+			p := &simProgram{caller: parent.caller, parent: parent, root: parent.root, name: fmt.Sprintf("child%d", len(s.programs))}
+			s.programs = append(s.programs, p)
+			s.sendOpen(p)
+		}
+	case k < 4 && s.alive() < 4:
 		p := &simProgram{
 			id:      core.NewProgramID(core.Slot(s.pick(simSlots)), fmt.Sprintf("prog%d", len(s.programs))),
 			caller:  fmt.Sprintf("caller%d", s.pick(2)),
-			profile: []string{"", "tight", "wide"}[s.pick(3)],
+			profile: []string{"", "tight", "wide", "wide"}[s.pick(4)],
 		}
+		p.name, p.root = string(p.id), p
 		s.programs = append(s.programs, p)
 		s.sendOpen(p)
 	case len(s.programs) == 0:
-	case k < 4:
+	case k < 5:
 		p := s.programs[s.pick(len(s.programs))]
 		if p.opened && s.pick(3) == 0 {
 			p.ended = true
@@ -49,11 +58,14 @@
 
 func (s *sim) newRequest() {
 	p := s.programs[max(0, len(s.programs)-8+s.pick(8))]
+	if p.id == "" {
+		return // a child whose open is not acknowledged
+	}
 	p.next++
 	r := &request{program: p}
 	r.call = core.Call{
-		Program: p.id, Caller: p.caller, Kind: core.KindModel, MaxTokens: []int64{30, 300}[s.pick(2)], PromptTokens: 10,
-		Request:     fmt.Appendf(nil, "%s#%d", p.id, p.next),
+		Program: p.id, Caller: p.caller, Kind: core.KindModel, MaxTokens: []int64{30, 30, 600}[s.pick(3)], PromptTokens: 10,
+		Request:     fmt.Appendf(nil, "%s#%d", p.name, p.next),
 		Fingerprint: uint64(len(s.requests) + 1),
 	}
 	r.call.Digest = r.call.Fingerprint
@@ -71,7 +83,7 @@
 	if r.call.Key != "" && s.pick(6) == 0 {
 		r.call.Program = "" // the core derives the program
 		own := *p
-		own.id, own.profile = core.KeyedID(p.caller, r.call.Key), ""
+		own.id, own.profile, own.root = core.KeyedID(p.caller, r.call.Key), "", &own
 		r.program = &own
 	}
 	s.requests = append(s.requests, r)
@@ -96,9 +108,13 @@
 }
 
 func (s *sim) sendOpen(p *simProgram) {
-	n := s.target(p.id)
-	id := s.newCall(n, &attemptedCall{prog: p, opens: true})
-	s.send(n, "callers", core.ProgramOpened{At: s.at(), Call: id, ID: p.id, Caller: p.caller, Profile: p.profile})
+	n := s.target(p.root.id)
+	open := core.ProgramOpened{At: s.at(), ID: p.id, Caller: p.caller, Profile: p.profile}
+	if p.parent != nil {
+		open.Parent, open.ID, open.Key = p.parent.id, "", p.name
+	}
+	open.Call = s.newCall(n, &attemptedCall{prog: p, opens: true})
+	s.send(n, "callers", open)
 }
 
 func (s *sim) sendEnd(p *simProgram) {
@@ -185,8 +201,8 @@
 func (s *sim) ran(a *attempt) {
 	r := a.req
 	r.runs++
-	r.program.runs++
-	r.program.tokens += r.call.PromptTokens
+	r.program.root.runs++
+	r.program.root.tokens += r.call.PromptTokens
 	if r.nonIdem && r.runs > 1 {
 		s.fail("twice", "%s ran %d times", r.call.Request, r.runs)
 	}
@@ -211,12 +227,9 @@
 		s.fail("answer", "%s got a second answer", c.req.call.Request)
 	}
 	c.req.answers = append(c.req.answers, body)
-	durable := false
-	for _, j := range s.journals {
-		for _, r := range j.durable() {
-			durable = durable || r.Attempt == f.Attempt && r.Answer != nil || r.Kind == core.RecordProgram
-		}
-	}
+	durable := slices.ContainsFunc(s.journals, func(j *journal) bool {
+		return slices.ContainsFunc(j.durable(), func(r core.Record) bool { return holds(r, f.Attempt) })
+	})
 	if !durable {
 		s.fail("durable", "%s was answered before its turn was durable", c.req.call.Request)
 	}
@@ -225,6 +238,25 @@
 	}
 }
 
+// holds reports whether a record states the answer of an attempt.
+func holds(r core.Record, a core.AttemptID) bool {
+	if r.Kind != core.RecordProgram || r.Turn == 0 {
+		return r.Attempt == a && r.Answer != nil
+	}
+	turns, err := program.DecodeTurns(r.State)
+	return err == nil && slices.ContainsFunc(turns, func(t program.Turn) bool { return t.Attempt == string(a) })
+}
+
+// ended notes the acknowledged end of a program. Its owner must have released
+// every pin that it had ordered; those of an earlier owner lapse.
+func (s *sim) ended(n *node, p *simProgram) {
+	for _, sc := range s.sidecars {
+		if pin, ok := sc.pins[p.id]; ok && pin.epoch == s.epoch[core.SlotOf(p.id, simSlots)] {
+			s.fail("pins", "%s: %s ended and %s still holds its cache", n.inc, p.id, sc.id)
+		}
+	}
+}
+
 func (s *sim) refused(n *node, f core.Refuse) {
 	c := s.complete(n, f.Call)
 	if c.req == nil {
@@ -270,6 +302,9 @@
 		}
 	}
 	for _, p := range programs {
+		if p.id == "" {
+			continue
+		}
 		s.checkHistory(p)
 		b := s.configs[0].Profiles[p.profile].Budget
 		if b.Tokens > 0 && p.tokens > b.Tokens || b.Calls > 0 && p.runs > b.Calls {
@@ -278,8 +313,8 @@
 	}
 	// Every program is idle by now; no engine may hold its cache.
 	for _, sc := range s.sidecars {
-		for id, until := range sc.pins {
-			if until.After(s.now) {
+		for id, pin := range sc.pins {
+			if pin.until.After(s.now) {
 				s.fail("pins", "%s still holds %s", sc.id, id)
 			}
 		}
@@ -297,7 +332,7 @@
 			s.fail("history", "%s: turn %d has number %d", p.id, i+1, t.Number)
 		}
 		seen[string(t.Answer)]++
-		want := string(p.id)
+		want := p.name + "#"
 		if len(t.Key) > 0 && p.id == core.KeyedID(p.caller, t.Key) {
 			want = "" // the request names the program that its caller thinks of
 		}
--- a/pkg/core/coretest/sidecar_test.go
+++ b/pkg/core/coretest/sidecar_test.go
@@ -21,7 +21,12 @@
 	running     []*attempt
 	queries     []query
 	rejected    map[core.AttemptID]bool
-	pins        map[core.ProgramID]time.Time
+	pins        map[core.ProgramID]pin
+}
+
+type pin struct {
+	until time.Time
+	epoch core.Epoch
 }
 
 type query struct {
@@ -43,7 +48,7 @@
 func newSidecar(id core.UpstreamID) *sidecar {
 	sc := &sidecar{
 		id: id, incarnation: 1, since: 1, highest: map[core.Slot]core.Epoch{},
-		rejected: map[core.AttemptID]bool{}, pins: map[core.ProgramID]time.Time{},
+		rejected: map[core.AttemptID]bool{}, pins: map[core.ProgramID]pin{},
 	}
 	if strings.HasPrefix(string(id), "b") {
 		sc.service = "booking"
@@ -68,7 +73,7 @@
 	sc.highest[o.Slot] = o.Epoch
 	switch o.Order {
 	case core.OrderPin:
-		sc.pins[o.Program] = now.Add(o.Term)
+		sc.pins[o.Program] = pin{now.Add(o.Term), o.Epoch}
 	case core.OrderRelease:
 		delete(sc.pins, o.Program)
 	}
@@ -142,7 +147,7 @@
 	a := sc.running[i]
 	sc.running = slices.Delete(sc.running, i, i+1)
 	a.state = "done"
-	out := int64(400)
+	out := int64(1000)
 	if a.d.MaxTokens > 0 {
 		out = min(out, a.d.MaxTokens)
 	}
@@ -153,7 +158,7 @@
 		Body:   fmt.Appendf(nil, "ans:%s:%s", a.req.call.Request, a.d.Attempt),
 		Status: 200, PromptTokens: a.req.call.PromptTokens, OutputTokens: out,
 	}
-	a.req.program.tokens += out
+	a.req.program.root.tokens += out
 	if lost {
 		sc.failed(s, a, core.AttemptFailed{Ran: core.RanUnknown})
 	} else {
--- a/pkg/core/coretest/sim_test.go
+++ b/pkg/core/coretest/sim_test.go
@@ -84,7 +84,10 @@
 }
 
 type simProgram struct {
-	id      core.ProgramID
+	id      core.ProgramID // empty for a child until its open is acknowledged
+	name    string
+	root    *simProgram
+	parent  *simProgram
 	caller  string
 	opened  bool // acknowledged
 	ended   bool // an end was requested
@@ -263,8 +266,13 @@
 		}
 	case core.Opened:
 		s.complete(n, f.Call)
-		if c := s.calls[f.Call]; c.opens && c.prog != nil {
+		if c := s.calls[f.Call]; !c.opens {
+			s.ended(n, c.prog)
+		} else {
 			c.prog.opened = true
+			if c.prog.id == "" {
+				c.prog.id = f.ID // of a child
+			}
 			if f.ID != c.prog.id {
 				s.fail("open", "open of %s returned %s", c.prog.id, f.ID)
 			}
