--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -143,9 +143,7 @@
 func (c *Core) handle(e Event) {
 	switch e := e.(type) {
 	case Tick:
-		for _, fp := range c.quarant.Expire(c.now) {
-			c.emit(ShareQuarantine{Fingerprint: fp, Released: true})
-		}
+		c.quarant.Expire(c.now) // peers let it expire by themselves
 	case ConfigApplied:
 		c.configure(e.Config)
 	case ProgramOpened:
--- a/pkg/core/coretest/script_test.go
+++ b/pkg/core/coretest/script_test.go
@@ -35,13 +35,14 @@
 // script runs one core under a datadriven file. Attempt ids are random; the
 // output names them a1, a2 in order of appearance.
 type script struct {
-	c      *core.Core
-	policy *fifoPolicy
-	cfg    core.Config
-	now    time.Time
-	names  map[string]string
-	ids    map[string]string
-	last   []core.Record // records in order, for takeovers
+	c         *core.Core
+	policy    *fifoPolicy
+	cfg       core.Config
+	now       time.Time
+	names     map[string]string
+	ids       map[string]string
+	last      []core.Record // records in order, for takeovers
+	takeovers int
 }
 
 func newScript() *script {
@@ -198,7 +199,8 @@
 		if planned {
 			records = s.c.Snapshot(nil)
 		}
-		ep := core.Epoch(len(s.names) + 2)
+		s.takeovers++
+		ep := core.Epoch(s.takeovers + 1)
 		s.last = nil
 		s.restart("e2.1")
 		out := s.step(core.ConfigApplied{At: core.At{Time: s.now}, Config: s.cfg})
@@ -239,6 +241,11 @@
 // parse fills an event from the arguments of a command, or from its JSON input.
 func (s *script) parse(t *testing.T, d *datadriven.TestData, into any) {
 	m := map[string]json.RawMessage{}
+	if d.Input != "" {
+		if err := json.Unmarshal([]byte(d.Input), &m); err != nil {
+			d.Fatalf(t, "%s: %v", d.Cmd, err)
+		}
+	}
 	for _, a := range d.CmdArgs {
 		val := "true"
 		if len(a.Vals) > 0 {
--- a/pkg/core/crash.go
+++ b/pkg/core/crash.go
@@ -74,7 +74,7 @@
 // cleared removes the suspicion of a request that ran to its end.
 func (c *Core) cleared(fp uint64) {
 	if fp != 0 && c.quarant.Clear(fp) {
-		c.emit(ShareQuarantine{Fingerprint: fp, Released: true})
+		c.share(quarantine.Entry{Fingerprint: fp, Count: quarantine.CountSuspect, Released: true})
 	}
 }
 
--- a/pkg/core/ownership.go
+++ b/pkg/core/ownership.go
@@ -81,7 +81,7 @@
 func (c *Core) adoptRoot(r *root, planned bool) {
 	r.Rebase()
 	if planned {
-		r.Ledger.RecordAll()
+		r.Ledger.Recover(program.Amount{})
 	} else {
 		r.Ledger.Recover(c.limits(r))
 	}
--- a/pkg/core/program/ledger.go
+++ b/pkg/core/program/ledger.go
@@ -150,7 +150,8 @@
 
 // Recover accounts for what the previous owner may have dispatched without a
 // durable record: every reservation other than that of a claim is forfeited,
-// and the margin is counted as spent.
+// and the margin of the limits is counted as spent. After a hand-over the
+// limits are passed as zero.
 func (l *Ledger) Recover(limit Amount) {
 	for _, attempt := range slices.Sorted(maps.Keys(l.open)) {
 		if l.open[attempt].claim {
@@ -162,12 +163,5 @@
 	l.spent = l.spent.add(Amount{limit.Tokens / marginShare, limit.Calls / marginShare, limit.Spend / marginShare})
 }
 
-// RecordAll marks every reservation as durable, after a hand-over.
-func (l *Ledger) RecordAll() {
-	for _, attempt := range slices.Sorted(maps.Keys(l.open)) {
-		l.Recorded(attempt)
-	}
-}
-
 // Open returns the reservation of an attempt that is not settled.
 func (l *Ledger) Open(attempt string) Amount { return l.open[attempt].amount }
--- a/pkg/core/quarantine/quarantine.go
+++ b/pkg/core/quarantine/quarantine.go
@@ -127,11 +127,13 @@
 	return true
 }
 
-// Merge takes over a decision of a peer or an operator.
+// Merge takes over a decision of a peer or an operator. A release with the
+// count of a suspect clears a suspicion only; without it, a quarantine too.
 func (l *List) Merge(e Entry, now time.Time) {
 	old := l.entries[e.Fingerprint]
 	switch {
 	case e.Fingerprint == 0:
+	case e.Released && e.Count == CountSuspect && old != nil && old.Count > CountSuspect:
 	case e.Released:
 		delete(l.entries, e.Fingerprint)
 	case old == nil || e.Count > old.Count || e.Count == old.Count && e.Until.After(old.Until):
@@ -144,20 +146,9 @@
 	}
 }
 
-// Expire removes the entries whose time has come and returns their
-// fingerprints in order.
-func (l *List) Expire(now time.Time) []uint64 {
-	var out []uint64
-	for fp, e := range l.entries {
-		if !now.Before(e.Until) {
-			out = append(out, fp)
-		}
-	}
-	slices.Sort(out)
-	for _, fp := range out {
-		delete(l.entries, fp)
-	}
-	return out
+// Expire removes the entries whose time has come.
+func (l *List) Expire(now time.Time) {
+	maps.DeleteFunc(l.entries, func(_ uint64, e *Entry) bool { return !now.Before(e.Until) })
 }
 
 // NextExpiry returns the earliest end of an entry, zero if there is none.
