Carry out retention, fencing and checkpoints in the entry

Cause: batches were not retained during a store outage and the log was never cut.

Conclusion: to be run with the failure tests.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -27,6 +27,7 @@
 
 	loop      *loop
 	journal   *journal.Writer
+	keeper    *journal.Keeper
 	transport *transport.Transport
 	http      *frontend.Server
 	server    *http.Server
@@ -42,6 +43,7 @@
 	ctx      context.Context
 	stop     context.CancelFunc
 	draining atomic.Bool
+	commits  atomic.Uint64  // appends to the journal
 	work     sync.WaitGroup // attempts and forwarded requests under way
 	running  sync.WaitGroup // goroutines that end with ctx
 }
@@ -69,12 +71,19 @@
 	n.owner = newOwnerRuntime(n, self, cfg.Store)
 	n.metrics = newEntryMetrics(n)
 	n.journal = journal.NewWriter(cfg.Store, cfg.Incarnation, journal.WriterOptions{
-		Committed: func(s core.Seq) { n.loop.post(core.JournalCommitted{At: now(), Seq: s}) },
-		Retained:  func(s core.Seq) { n.loop.post(core.JournalRetained{At: now(), Seq: s}) },
+		Committed: n.onCommitted,
+		Retained:  n.onRetained,
+		// With neither the store nor a member in reach an answer is still
+		// delivered, marked as pending: withholding it helps no caller.
+		Undurable: n.onRetained,
 		Sealed:    n.onSealed,
 		Retainer:  n.retainer(),
 		Logger:    n.log,
 	})
+	n.keeper, err = journal.NewKeeper(cfg.Store, journal.KeeperOptions{Folder: cfg.DataFolder, Logger: n.log})
+	if err != nil {
+		return nil, errors.Wrap(err, "set up retention")
+	}
 	n.transport, err = transport.New(transport.Config{
 		Listen: cfg.PeerListen, TLS: cfg.TLS, Hello: n.hello, Logger: n.log,
 	}, n.serveStream)
@@ -100,6 +109,15 @@
 	}
 }
 
+func (n *Entry) onCommitted(s core.Seq) {
+	n.commits.Add(1)
+	n.loop.post(core.JournalCommitted{At: now(), Seq: s})
+}
+
+func (n *Entry) onRetained(s core.Seq) {
+	n.loop.post(core.JournalRetained{At: now(), Seq: s})
+}
+
 // onSealed steps down after a successor has sealed the journal. The process
 // can own slots again only as a new incarnation.
 func (n *Entry) onSealed(by core.Incarnation) {
@@ -129,6 +147,7 @@
 	n.spawn(n.owner.run)
 	n.spawn(n.followList)
 	n.spawn(n.followRetention)
+	n.spawn(n.checkpoints)
 	n.spawn(func(context.Context) {
 		if err := n.server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			n.log.Error("caller interface ended", "error", err)
--- a/pkg/entry/owner.go
+++ b/pkg/entry/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -274,9 +273,9 @@
 	o.mu.Lock()
 	m := o.mgr.Slots()
 	o.mu.Unlock()
-	value, err := json.Marshal(m.Slots)
+	value, err := encodeSlotMap(m)
 	if err != nil {
-		value = nil
+		o.n.log.Error("slot map not encoded", "error", err)
 	}
 	return &peerv1.Envelope{Body: &peerv1.Envelope_SlotMap{SlotMap: &peerv1.SlotMap{Version: m.Version, Value: value}}}
 }
--- a/pkg/entry/retain.go
+++ b/pkg/entry/retain.go
@@ -116,8 +116,74 @@
 	return set
 }
 
-func (n *Entry) serveRetain(context.Context, *transport.Stream, *peerv1.Retain) {}
-func (n *Entry) serveFence(*transport.Stream, *peerv1.Fence)                   {}
-func (o *ownerRuntime) collectRetained(context.Context, core.Incarnation) ([]*peerv1.Retain, error) {
-	return nil, nil
+// serveRetain keeps a batch of another owner or appends it on its behalf.
+func (n *Entry) serveRetain(ctx context.Context, st *transport.Stream, m *peerv1.Retain) {
+	result, err := n.keeper.Retain(ctx, m)
+	if err != nil {
+		result = &peerv1.RetainResult{Error: err.Error()}
+	}
+	reply(st, &peerv1.Envelope{Body: &peerv1.Envelope_RetainResult{RetainResult: result}})
+}
+
+// serveFence refuses further batches of a lost owner and returns those held.
+func (n *Entry) serveFence(st *transport.Stream, m *peerv1.Fence) {
+	result, err := n.keeper.Fence(core.Incarnation(m.GetIncarnation()))
+	if err != nil {
+		n.log.Error("owner not fenced", "lost", m.GetIncarnation(), "error", err)
+		return // the successor takes a closed stream as unreachable
+	}
+	reply(st, &peerv1.Envelope{Body: &peerv1.Envelope_FenceResult{FenceResult: result}})
+}
+
+// collectRetained fences every member of the lost owner's retention set and
+// returns the batches they hold. A member that cannot be reached and that the
+// instance list does not report gone may still acknowledge batches, so it
+// delays the takeover.
+func (o *ownerRuntime) collectRetained(ctx context.Context, lost core.Incarnation) ([]*peerv1.Retain, error) {
+	members, err := journal.Members(ctx, o.n.cfg.Store, lost)
+	if err != nil {
+		return nil, err
+	}
+	var out []*peerv1.Retain
+	for _, m := range members {
+		held, err := o.fenceMember(ctx, m, lost)
+		if err != nil {
+			if o.goneInList(ownership.Instance(m)) {
+				o.n.log.Warn("member of the retention set is gone", "lost", lost, "member", m)
+				continue
+			}
+			return nil, errors.Wrapf(err, "fence %s at %s", lost, m)
+		}
+		out = append(out, held...)
+	}
+	return out, nil
+}
+
+// fenceMember asks one member. A newer incarnation of the member's instance is
+// asked too, since it may have loaded batches from its data folder.
+func (o *ownerRuntime) fenceMember(ctx context.Context, member, lost core.Incarnation) ([]*peerv1.Retain, error) {
+	if ownership.Instance(member) == o.n.cfg.Instance {
+		result, err := o.n.keeper.Fence(lost)
+		return result.GetRetained(), err
+	}
+	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
+	defer cancel()
+	session, err := o.n.peers.entry(ctx, ownership.Instance(member))
+	if err != nil {
+		return nil, err
+	}
+	answer, err := roundTrip(ctx, session, &peerv1.Envelope{Body: &peerv1.Envelope_Fence{Fence: &peerv1.Fence{Incarnation: string(lost)}}})
+	if err != nil {
+		return nil, err
+	}
+	if answer.GetFenceResult() == nil {
+		return nil, errors.New("the answer has no result")
+	}
+	return answer.GetFenceResult().GetRetained(), nil
+}
+
+func (o *ownerRuntime) goneInList(instance string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.mgr.GoneInList(instance)
 }
--- a/pkg/entry/slotstore.go
+++ b/pkg/entry/slotstore.go
@@ -6,51 +6,69 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
 	"github.com/yuccaspindle/yuccaspindle/pkg/core/ownership"
+	"github.com/yuccaspindle/yuccaspindle/pkg/journal"
 	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
 )
 
-// slotMapKey is the store object that maps slots to owners. 4,096 slots take
-// about 200 KB, below the store's limit of 1 MB per value.
-const slotMapKey = "slots"
-
-// slotStore reads and changes the slot map by conditional updates.
+// slotStore reads and changes the slot map of the store.
 type slotStore struct {
 	c objectapi.Client
 }
 
-// read returns the slot map, creating an empty one of the given size if there
-// is none.
+func mapOf(m *journal.SlotMap) ownership.Map {
+	out := ownership.Map{Version: m.Version, Slots: make([]ownership.Owner, len(m.Slots))}
+	for i, s := range m.Slots {
+		out.Slots[i] = ownership.Owner{Incarnation: s.Owner, Epoch: s.Epoch}
+	}
+	return out
+}
+
+// read returns the slot map; slotCount is its size if there is none yet.
 func (s slotStore) read(ctx context.Context, slotCount int) (ownership.Map, error) {
-	obj, err := s.c.Get(ctx, slotMapKey)
-	if errors.Is(err, objectapi.ErrNotFound) {
-		empty, encErr := json.Marshal(make([]ownership.Owner, slotCount))
-		if encErr != nil {
-			return ownership.Map{}, errors.Wrap(encErr, "encode slot map")
+	m, err := journal.LoadSlots(ctx, s.c, slotCount)
+	if err != nil {
+		return ownership.Map{}, err
+	}
+	return mapOf(m), nil
+}
+
+// errNothingToChange ends an update that would change no slot.
+var errNothingToChange = errors.New("no slot has the expected owner")
+
+// reassign gives those of the slots that belong to from to another owner. It
+// returns the new map and the epochs of the slots that changed.
+func (s slotStore) reassign(ctx context.Context, slotCount int, slots []core.Slot, from, to core.Incarnation) (ownership.Map, map[core.Slot]core.Epoch, error) {
+	var taken map[core.Slot]core.Epoch
+	m, err := journal.UpdateSlots(ctx, s.c, slotCount, func(m *journal.SlotMap) error {
+		taken = make(map[core.Slot]core.Epoch)
+		for _, slot := range slots {
+			if int(slot) >= len(m.Slots) || m.Slots[slot].Owner != from {
+				continue
+			}
+			m.Assign(to, slot)
+			taken[slot] = m.Slots[slot].Epoch
 		}
-		obj, err = s.c.Create(ctx, slotMapKey, empty)
-		if errors.Is(err, objectapi.ErrExists) {
-			obj, err = s.c.Get(ctx, slotMapKey)
+		if len(taken) == 0 {
+			return errNothingToChange
 		}
+		return nil
+	})
+	if errors.Is(err, errNothingToChange) {
+		current, err := s.read(ctx, slotCount)
+		return current, nil, err
 	}
 	if err != nil {
-		return ownership.Map{}, errors.Wrap(err, "read slot map")
+		return ownership.Map{}, nil, err
 	}
-	return decodeSlotMap(obj.Version, obj.Value)
+	return mapOf(m), taken, nil
 }
 
-// update writes the map if the store still holds the version it was read at.
-func (s slotStore) update(ctx context.Context, m ownership.Map) (ownership.Map, error) {
+// encodeSlotMap and decodeSlotMap are the form in which peers exchange the map.
+func encodeSlotMap(m ownership.Map) ([]byte, error) {
 	value, err := json.Marshal(m.Slots)
-	if err != nil {
-		return ownership.Map{}, errors.Wrap(err, "encode slot map")
-	}
-	obj, err := s.c.Update(ctx, slotMapKey, m.Version, value)
-	if err != nil {
-		return ownership.Map{}, errors.Wrap(err, "update slot map")
-	}
-	m.Version = obj.Version
-	return m, nil
+	return value, errors.Wrap(err, "encode slot map")
 }
 
 func decodeSlotMap(version uint64, value []byte) (ownership.Map, error) {
--- a/pkg/entry/transfer.go
+++ b/pkg/entry/transfer.go
@@ -24,28 +24,11 @@
 // conditional update, and returns the new epochs. Slots that have another owner
 // by now are left out.
 func (o *ownerRuntime) reassign(ctx context.Context, slots []core.Slot, from core.Incarnation) (map[core.Slot]core.Epoch, error) {
-	m, err := o.store.read(ctx, o.n.config.slotCount())
+	m, taken, err := o.store.reassign(ctx, o.n.config.slotCount(), slots, from, o.n.cfg.Incarnation)
 	if err != nil {
 		return nil, err
 	}
-	taken := make(map[core.Slot]core.Epoch)
-	next := ownership.Map{Version: m.Version, Slots: append([]ownership.Owner(nil), m.Slots...)}
-	for _, s := range slots {
-		if int(s) >= len(next.Slots) || next.Slots[s].Incarnation != from {
-			continue
-		}
-		next.Slots[s] = ownership.Owner{Incarnation: o.n.cfg.Incarnation, Epoch: next.Slots[s].Epoch + 1}
-		taken[s] = next.Slots[s].Epoch
-	}
-	if len(taken) == 0 {
-		o.setMap(m)
-		return taken, nil
-	}
-	updated, err := o.store.update(ctx, next)
-	if err != nil {
-		return nil, err
-	}
-	o.setMap(updated)
+	o.setMap(m)
 	return taken, nil
 }
 
