--- a/pkg/trace/outcomes.go
+++ b/pkg/trace/outcomes.go
@@ -72,6 +72,8 @@
 	case "rolling-replace":
 		add(Bound{Metric: "failed", Policy: "default", Max: lim(0), Goal: "invariant 9: a planned stop interrupts no request"})
 		add(Bound{Metric: "late_work_on_leaving", Policy: "default", Max: lim(0), Goal: "invariant 8: a leaving upstream receives no new work 2 s after it announces that it is leaving"})
+	case "crash-request":
+		add(Bound{Metric: "crashes", Policy: "any", Max: lim(5), Goal: "section 5: a request that was running in two crashes is quarantined; the trace has two such requests and one crash of its own"})
 	case "peak":
 		add(Bound{Metric: "slowdown.p95", Policy: "default", Max: lim(1.3), Goal: "goal: p95 slowdown at most 1.3 on the peak trace"})
 	case "overload":
