Set token budgets in the traces and tidy the burn page

An endless program of Lango outgrew the memory of the engine before its budget of 2 million tokens ended it: the endless trace had one failed program and 5 refusals upstream_failed. The longest generated program that ends by itself uses 0.12 (0.57) million.

--- a/pkg/replay/measure.go
+++ b/pkg/replay/measure.go
@@ -35,11 +35,12 @@
 type measures struct {
 	s *sim
 
-	latency, lower, slowdown, sinceFirst []float64
-	byClass                              map[core.Class][]float64
-	ttft, refusalMs                      []float64
-	outcomes                             map[string]int
-	completed                            int
+	latency, lower, slowdown []float64
+	sinceFirst, latencyFirst []float64
+	byClass                  map[core.Class][]float64
+	ttft, refusalMs          []float64
+	outcomes                 map[string]int
+	completed                int
 
 	refusals, callRefusals, claimWaits int
 	refusalCodes                       map[string]int
@@ -112,6 +113,7 @@
 	m.latency = append(m.latency, ms(took))
 	m.lower = append(m.lower, lower)
 	m.slowdown = append(m.slowdown, ms(took)/lower)
+	m.latencyFirst = append(m.latencyFirst, ms(m.s.now.Sub(r.firstTry)))
 	m.sinceFirst = append(m.sinceFirst, ms(m.s.now.Sub(r.firstTry))/lower)
 	c := m.s.class(r.p.Profile)
 	m.byClass[c] = append(m.byClass[c], ms(took)/lower)
--- a/pkg/replay/replay.go
+++ b/pkg/replay/replay.go
@@ -184,6 +184,7 @@
 	LatencyMs         Quantiles                `json:"latency_ms"`
 	LowerBoundMs      Quantiles                `json:"lower_bound_ms"`
 	Slowdown          Quantiles                `json:"slowdown"`
+	LatencyFirstTryMs Quantiles                `json:"latency_since_first_try_ms"`
 	SlowdownFirstTry  Quantiles                `json:"slowdown_since_first_try"`
 	SlowdownByClass   map[core.Class]Quantiles `json:"slowdown_by_class"`
 	TTFTMs            Quantiles                `json:"ttft_ms"`
@@ -227,7 +228,7 @@
 		Failed: m.outcomes[outcomeFailed] + m.outcomes[outcomeUnknown], GaveUp: m.outcomes[outcomeGaveUp],
 		BudgetStopped: m.outcomes[outcomeBudget], Quarantined: m.outcomes[outcomeQuarantined], Unfinished: s.active,
 		LatencyMs: quantiles(m.latency), LowerBoundMs: quantiles(m.lower), Slowdown: quantiles(m.slowdown),
-		SlowdownFirstTry: quantiles(m.sinceFirst), SlowdownByClass: map[core.Class]Quantiles{},
+		SlowdownFirstTry: quantiles(m.sinceFirst), LatencyFirstTryMs: quantiles(m.latencyFirst), SlowdownByClass: map[core.Class]Quantiles{},
 		TTFTMs: quantiles(m.ttft), Refusals: m.refusals, CallRefusals: m.callRefusals, RefusalCodes: m.refusalCodes,
 		RefusedMinutes: len(m.refusedMinutes), RefusalMs: quantiles(m.refusalMs),
 		WastedCacheTokens: float64(m.recomputed) + m.goneTokenSeconds, RecomputedTokens: m.recomputed,
--- a/pkg/report/html.go
+++ b/pkg/report/html.go
@@ -79,6 +79,9 @@
 	figureHeight = 2.8 * vg.Inch
 )
 
+// headroom leaves space above the highest value.
+const headroom = 1.06
+
 // render draws a plot as an SVG element without the XML prologue, which is not
 // allowed inside an HTML document.
 func render(p *plot.Plot) (template.HTML, error) {
@@ -110,7 +113,7 @@
 // small.
 const maxPoints = 2000
 
-// series turns one value per minute into points, keeping the highest value of
+// timeSeries turns one value per minute into points, keeping the highest value of
 // each group of minutes.
 func (b *Burn) timeSeries(value func(i int) float64) plotter.XYs {
 	n := len(b.series.active)
@@ -153,7 +156,7 @@
 	}
 	err := line(p, "refused", b.timeSeries(func(i int) float64 { return float64(b.series.bad[i]) }), 1)
 	timeAxis(p, len(b.series.active))
-	p.Y.Max = max(p.Y.Max, 1)
+	p.Y.Max = max(p.Y.Max*headroom, 1)
 	return p, err
 }
 
@@ -166,7 +169,7 @@
 		}
 	}
 	timeAxis(p, len(b.series.active))
-	p.Y.Max = max(p.Y.Max, 1)
+	p.Y.Max = max(p.Y.Max*headroom, 1)
 	return p, nil
 }
 
@@ -191,7 +194,7 @@
 	c.Color, c.LineStyle.Width = palette[1], 0
 	p.Add(c)
 	p.NominalX(names...)
-	p.Y.Min = 0
+	p.Y.Min, p.Y.Max = 0, p.Y.Max*headroom
 	return p, nil
 }
 
@@ -218,7 +221,7 @@
 			return nil, err
 		}
 	}
-	p.X.Min, p.Y.Min, p.Y.Max = 0, 0, 1
+	p.X.Min, p.Y.Min, p.Y.Max = 0, 0, headroom
 	p.Legend.Top = false
 	return p, nil
 }
--- a/pkg/report/text.go
+++ b/pkg/report/text.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"strings"
 	"text/tabwriter"
 
@@ -59,12 +60,20 @@
 	return strings.Join(parts, ", ")
 }
 
-func percent(f float64) string { return fmt.Sprintf("%.4g%%", 100*f) }
+// percent keeps three decimals of small shares and none of large ones.
+func percent(f float64) string {
+	if math.Abs(f) >= 10 {
+		return fmt.Sprintf("%.0f%%", 100*f)
+	}
+	return fmt.Sprintf("%.4g%%", 100*f)
+}
 
 func seconds(ms float64) string { return fmt.Sprintf("%.1fs", ms/1000) }
 
 // rate states the present and the highest burn rate of a window.
-func rate(r Row, i int) string { return fmt.Sprintf("%.3g (max %.3g)", r.Burn[i].Now, r.Burn[i].Max) }
+func rate(r Row, i int) string {
+	return fmt.Sprintf("%s (max %s)", short(r.Burn[i].Now), short(r.Burn[i].Max))
+}
 
 func mark(ok bool) string {
 	if ok {
@@ -72,3 +81,10 @@
 	}
 	return " MISSED"
 }
+
+func short(f float64) string {
+	if f >= 100 {
+		return fmt.Sprintf("%.0f", f)
+	}
+	return fmt.Sprintf("%.3g", f)
+}
--- a/pkg/trace/deployments.go
+++ b/pkg/trace/deployments.go
@@ -51,10 +51,18 @@
 	return out
 }
 
-func profile(name string, class core.Class, priority int, latency, cache float64) core.Profile {
+// Token budgets of a program. They are above the use of the longest generated
+// program (0.12 and 0.57 million) and end an endless one before its history
+// outgrows the memory of an engine.
+const (
+	langoTokens        = 500_000
+	brackenfieldTokens = 1_200_000
+)
+
+func profile(name string, class core.Class, priority int, latency, cache float64, tokens int64) core.Profile {
 	return core.Profile{
 		Name: name, Class: class, Priority: priority,
-		Budget:           core.Budget{Tokens: 2_000_000, Calls: 120, Wall: 2 * time.Hour, Depth: 3, Width: 8},
+		Budget:           core.Budget{Tokens: tokens, Calls: 120, Wall: 2 * time.Hour, Depth: 3, Width: 8},
 		HistoryRetention: 10 * time.Minute, IdleTimeout: 30 * time.Minute, CacheRetention: 5 * time.Minute,
 		RetryLimit: 3, CallTimeout: 5 * time.Minute, LatencyWeight: latency, CacheWeight: cache,
 		RefusalRetry: 5 * time.Second, QuarantineTime: 10 * time.Minute,
@@ -96,9 +104,9 @@
 		d.Config = core.Config{
 			Version: 1, Policy: "default", SlotCount: 256, Regions: d.Regions, Default: "diagnose",
 			Profiles: profiles(
-				profile("diagnose", core.ClassInteractive, 7, 1, 0.4),
-				profile("case-history", core.ClassStandard, 5, 1, 0.5),
-				profile("head-office", core.ClassBatch, 2, 0.6, 0.6)),
+				profile("diagnose", core.ClassInteractive, 7, 1, 0.4, langoTokens),
+				profile("case-history", core.ClassStandard, 5, 1, 0.5, langoTokens),
+				profile("head-office", core.ClassBatch, 2, 0.6, 0.6, langoTokens)),
 			Services: services(
 				core.ServiceSpec{Name: "parts"},
 				core.ServiceSpec{Name: "booking", NonIdempotent: []string{"book"}, OutcomeByKey: true},
@@ -122,9 +130,9 @@
 		d.Config = core.Config{
 			Version: 1, Policy: "default", SlotCount: 256, Regions: d.Regions, Default: "quick",
 			Profiles: profiles(
-				profile("quick", core.ClassInteractive, 7, 1, 0.4),
-				profile("consult", core.ClassStandard, 5, 0.5, 1),
-				profile("orders", core.ClassBatch, 2, 0.4, 0.8)),
+				profile("quick", core.ClassInteractive, 7, 1, 0.4, brackenfieldTokens),
+				profile("consult", core.ClassStandard, 5, 0.5, 1, brackenfieldTokens),
+				profile("orders", core.ClassBatch, 2, 0.4, 0.8, brackenfieldTokens)),
 			Services: services(
 				core.ServiceSpec{Name: "catalog"},
 				core.ServiceSpec{Name: "orders", NonIdempotent: []string{"order", "invoice"}, OutcomeByKey: true},
