--- a/pkg/cli/replaycmd/replay.go
+++ b/pkg/cli/replaycmd/replay.go
@@ -68,7 +68,7 @@
 	}
 	policies := c.StringSlice("policy")
 	if len(policies) == 0 {
-		policies = []string{policy.NameDefault}
+		policies = []string{policy.Default}
 	}
 	for _, name := range policies {
 		if !slices.Contains(policy.Names(), name) {
@@ -76,7 +76,7 @@
 		}
 	}
 	without := c.StringSlice("without")
-	if _, err := policy.New(policy.NameDefault, 1, without); err != nil {
+	if _, err := policy.New(policy.Default, 1, without); err != nil {
 		return usageError("%v", err)
 	}
 	var jobs []*job
@@ -100,7 +100,7 @@
 		}
 		for _, name := range names {
 			opts := replay.Options{Policy: name, Seed: c.Uint64("seed"), Events: c.String("events") != "" || c.Bool("with-events")}
-			if name == policy.NameDefault {
+			if name == policy.Default {
 				opts.Without = without
 			}
 			jobs = append(jobs, &job{trace: t, opts: opts})
--- a/pkg/replay/check.go
+++ b/pkg/replay/check.go
@@ -83,7 +83,7 @@
 	var best float64
 	seen := map[string]bool{}
 	for _, r := range results {
-		if r.Trace != name || r.Policy == policy.NameDefault {
+		if r.Trace != name || r.Policy == policy.Default {
 			continue
 		}
 		v, err := Metric(r, metric)
@@ -96,7 +96,7 @@
 		seen[r.Policy] = true
 	}
 	for _, p := range policy.Names() {
-		if p != policy.NameDefault && !seen[p] {
+		if p != policy.Default && !seen[p] {
 			return 0, errors.Errorf("trace %s was not replayed with the baseline %s", name, p)
 		}
 	}
--- a/pkg/replay/replay_test.go
+++ b/pkg/replay/replay_test.go
@@ -67,7 +67,7 @@
 func TestInvariantsUnderFaults(t *testing.T) {
 	for _, s := range []string{"domain-lost", "rolling-replace", "store-outage", "crash-request", "region-split", "endless"} {
 		tr := short(t, trace.Lango, s, 900)
-		r := mustRun(t, tr, Options{Policy: policy.NameDefault, Seed: 2})
+		r := mustRun(t, tr, Options{Policy: policy.Default, Seed: 2})
 		if r.Unfinished != 0 || r.Unanswered != 0 || r.OrderViolations != 0 || r.BudgetOverruns != 0 ||
 			r.DuplicateEffects != 0 || r.LostEffects != 0 || r.UntrueRefusals != 0 || r.PinnedAtEnd != 0 || r.LateWork != 0 {
 			t.Errorf("%s: %+v", s, r)
@@ -115,16 +115,16 @@
 		r.Slowdown.P95 = 1.2
 		results = append(results, r)
 	}
-	ratio := trace.Bound{Metric: "refused_minutes", Policy: policy.NameDefault, MaxRatio: limit(0.5), Goal: "g"}
+	ratio := trace.Bound{Metric: "refused_minutes", Policy: policy.Default, MaxRatio: limit(0.5), Goal: "g"}
 	for _, c := range []struct {
 		name   string
 		bound  trace.Bound
 		misses int
 	}{
-		{"met", trace.Bound{Metric: "slowdown.p95", Policy: policy.NameDefault, Max: limit(1.3), Goal: "g"}, 0},
-		{"planted miss", trace.Bound{Metric: "slowdown.p95", Policy: policy.NameDefault, Max: limit(1.1), Goal: "g"}, 1},
+		{"met", trace.Bound{Metric: "slowdown.p95", Policy: policy.Default, Max: limit(1.3), Goal: "g"}, 0},
+		{"planted miss", trace.Bound{Metric: "slowdown.p95", Policy: policy.Default, Max: limit(1.1), Goal: "g"}, 1},
 		{"any policy", trace.Bound{Metric: "refused_minutes", Policy: "any", Max: limit(25), Goal: "g"}, 3},
-		{"minimum", trace.Bound{Metric: "completed", Policy: policy.NameDefault, Min: limit(1), Goal: "g"}, 1},
+		{"minimum", trace.Bound{Metric: "completed", Policy: policy.Default, Min: limit(1), Goal: "g"}, 1},
 		{"ratio met", ratio, 0},
 	} {
 		misses, err := Check(&trace.Outcomes{Trace: "x", Bounds: []trace.Bound{c.bound}}, results)
@@ -149,7 +149,7 @@
 // Guards against refused minutes in the result that differ from those that the
 // burn report computes from the events of the same replay.
 func TestRefusedMinutesAgreeWithBurnReport(t *testing.T) {
-	r := mustRun(t, short(t, trace.Lango, "overload", 420), Options{Policy: policy.NameRoundRobin, Seed: 1, Events: true})
+	r := mustRun(t, short(t, trace.Lango, "overload", 420), Options{Policy: policy.RoundRobin, Seed: 1, Events: true})
 	b, err := report.Compute(r.Events, report.DefaultOptions())
 	if err != nil {
 		t.Fatal(err)
@@ -165,7 +165,7 @@
 func TestCrashRequestStopsAfterTwoCrashes(t *testing.T) {
 	tr := short(t, trace.Lango, "crash-request", 240)
 	tr.Faults = tr.Faults[:1]
-	r := mustRun(t, tr, Options{Policy: policy.NameDefault, Seed: 1})
+	r := mustRun(t, tr, Options{Policy: policy.Default, Seed: 1})
 	if r.Crashes > 2 || r.Quarantined != 1 {
 		t.Errorf("%d crashes, %d programs quarantined; want at most 2 and 1", r.Crashes, r.Quarantined)
 	}
