--- a/pkg/loadgen/caller.go
+++ b/pkg/loadgen/caller.go
@@ -109,8 +109,9 @@
 		var ref *refusal
 		if errors.As(err, &ref) {
 			code, wait = ref.Code, max(ref.after, time.Second)
-			retry = (ref.Ran == core.RanNo || safe) && ref.Code != core.CodeBudget && ref.Code != core.CodeQuarantined
-			if !safe && ref.Ran != core.RanNo {
+			lost := ref.Code == core.CodeOutcomeUnknown || !safe && ref.Ran != core.RanNo
+			retry = !lost && ref.Code != core.CodeBudget && ref.Code != core.CodeQuarantined
+			if lost {
 				c.r.count(func(r *Result) { r.Unknown++ })
 			}
 		}
