--- a/pkg/cli/replaycmd/replay.go
+++ b/pkg/cli/replaycmd/replay.go
@@ -33,6 +33,7 @@
    yuccaspindle replay --policy default --policy session-affinity --format json traces/lango-peak.jsonl
    yuccaspindle replay --without cache-map traces/brackenfield-peak.jsonl
    yuccaspindle replay --outcomes traces/*.jsonl
+   yuccaspindle replay --outcomes --format markdown traces/*.jsonl > table.md
 
 Exit codes: 0 done and all stated outcomes met; 1 a stated outcome was missed
 or a trace could not be replayed; 2 wrong arguments.`,
@@ -40,7 +41,7 @@
 			&cli.StringSliceFlag{Name: "policy", Usage: fmt.Sprintf("policy to replay, repeatable; one of %v", policy.Names())},
 			&cli.StringSliceFlag{Name: "without", Usage: fmt.Sprintf("part of the default policy to switch off, repeatable; one of %v", policy.Parts())},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the replay"},
-			&cli.StringFlag{Name: "format", Value: "text", Usage: "text or json, one object a line"},
+			&cli.StringFlag{Name: "format", Value: "text", Usage: "text, json (one object a line) or markdown"},
 			&cli.BoolFlag{Name: "outcomes", Usage: "check the stated outcomes"},
 			&cli.StringFlag{Name: "events", Usage: "write the outcome events of all replays to `FILE` for report burn"},
 			&cli.BoolFlag{Name: "with-events", Usage: "keep the outcome events in the JSON results"},
@@ -59,7 +60,7 @@
 }
 
 func runReplay(ctx context.Context, c *cli.Command) error {
-	if err := checkFormat(c.String("format"), "text", "json"); err != nil {
+	if err := checkFormat(c.String("format"), "text", "json", "markdown"); err != nil {
 		return err
 	}
 	paths := c.Args().Slice()
@@ -183,7 +184,10 @@
 }
 
 func printResults(w io.Writer, format string, results []*replay.Result) error {
-	if format == "json" {
+	switch format {
+	case "markdown":
+		return printMarkdown(w, results)
+	case "json":
 		for _, r := range results {
 			if err := writeJSON(w, r); err != nil {
 				return err
--- a/pkg/replay/replay_test.go
+++ b/pkg/replay/replay_test.go
@@ -149,7 +149,7 @@
 // Guards against refused minutes in the result that differ from those that the
 // burn report computes from the events of the same replay.
 func TestRefusedMinutesAgreeWithBurnReport(t *testing.T) {
-	r := mustRun(t, short(t, trace.Lango, "overload", 420), Options{Policy: policy.RoundRobin, Seed: 1, Events: true})
+	r := mustRun(t, short(t, trace.Lango, "overload", 420), Options{Policy: policy.NameRoundRobin, Seed: 1, Events: true})
 	b, err := report.Compute(r.Events, report.DefaultOptions())
 	if err != nil {
 		t.Fatal(err)
--- a/pkg/trace/trace_test.go
+++ b/pkg/trace/trace_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"math"
+	"os"
 	"strings"
 	"testing"
 )
@@ -63,6 +64,27 @@
 	}
 }
 
+// Guards against shipped traces or stated outcomes that differ from what
+// "trace generate" writes, for example bounds edited to fit a measurement.
+func TestShippedFilesAreGenerated(t *testing.T) {
+	for _, d := range Deployments() {
+		for _, s := range Scenarios() {
+			path := "../../traces/" + d + "-" + s.Name + ".jsonl"
+			want := encode(t, generate(t, d, s.Name, 1))
+			if got, err := os.ReadFile(path); err != nil || !bytes.Equal(got, want) {
+				t.Errorf("%s differs from the generated trace (%v)", path, err)
+			}
+			want, err := StatedOutcomes(d, s).Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, err := os.ReadFile(OutcomesPath(path)); err != nil || !bytes.Equal(got, want) {
+				t.Errorf("%s differs from the stated outcomes (%v)", OutcomesPath(path), err)
+			}
+		}
+	}
+}
+
 const validHeader = `{"kind":"header","format":1,"name":"x","scenario":"x","seed":1,"duration_ms":1000,"busy":0,"deployment":{"name":"x","regions":["r"],"owners":["r"],"link":{"one_way_ms":1,"bits_per_s":1},"domain_ms":1,"client_ms":1,"prefixes":{},"upstreams":[{"id":"e","kind":"model","models":["m"],"region":"r","failure_domain":"d","slots":1,"cache_tokens":10,"prefill_rate":1,"decode_rate":1}],"config":{"slot_count":1,"regions":["r"],"profiles":{"p":{}}}}}`
 
 const validProgram = `{"kind":"program","id":"g0","at_ms":1,"caller":"c","region":"r","profile":"p","model":"m","steps":[{"new":1,"out":1}]}`
