Bound the waits of admitted programs and correct the concurrency limit

The wait bounds are 0.5, 1 and 2 s, the refused share of a class is at least that of the earlier classes, and callers without recent use come last in the order of refusal.

--- a/pkg/core/policy/admission.go
+++ b/pkg/core/policy/admission.go
@@ -30,18 +30,25 @@
 // waitBound is the expected wait in s, per class, at which new programs are
 // refused. The later classes can wait, so that they are queued longer, but they
 // see the waits of the earlier classes on top of their own.
-var waitBound = [classCount]float64{2, 6, 20}
+var waitBound = [classCount]float64{0.5, 1, 2}
 
 // The refused share of a profile follows its expected wait by a
-// proportional-integral controller. With a load of up to twice the capacity and
-// a bound of 2 s it is critically damped.
+// proportional-integral controller. With a load of up to twice the capacity it
+// is critically damped.
 const (
 	shedProportional = 0.30
 	shedIntegral     = 0.02 // per s
 	shedMax          = 0.95
-	// refuseAll is the multiple of the bound at which every new program is
-	// refused, since the controller is outrun.
-	refuseAll = 5.0
+	shedScale        = 1.5 // s of wait beyond the bound that count as 1
+	shedError        = 2.0 // largest error, against overshoot at the start
+	// shedTerm is how long the share of a class holds for the later ones if no
+	// program of the class arrives.
+	shedTerm = 5 * time.Second
+	// newcomerWeight is the weight of one program in the share of newcomers.
+	newcomerWeight = 0.02
+	// refuseAll is the wait in s beyond the bound at which every new program
+	// is refused, since the controller is outrun.
+	refuseAll = 8.0
 )
 
 // callerUse is the recent use of one caller.
@@ -53,6 +60,7 @@
 	minute  int64   // last minute with a refusal
 	refused int     // recent minutes with a refusal
 	rank    int64   // minute for which place is valid
+	fresh   bool    // had no recent use when place was set
 	place   float64 // in the order of refusal of this minute, from 0 to 1
 }
 
@@ -76,11 +84,28 @@
 	profiles map[string]*profileUse
 	updated  time.Time
 	minute   int64
-	ranked   int64 // minute of the order of refusal in force
+	// newcomers is the running share of programs of callers without recent use.
+	newcomers float64
+	shares    [classCount]shedShare // last refused share of each class
+	ranked    int64                 // minute of the order of refusal in force
+}
+
+// shedShare is a refused share and when it was set.
+type shedShare struct {
+	share float64
+	set   time.Time
+}
+
+// at is the share as long as it is recent.
+func (s shedShare) at(now time.Time) float64 {
+	if now.Sub(s.set) > shedTerm {
+		return 0
+	}
+	return s.share
 }
 
 func newAdmission(d *defaultPolicy) *admission {
-	return &admission{d: d, callers: map[string]*callerUse{}, profiles: map[string]*profileUse{}}
+	return &admission{d: d, callers: map[string]*callerUse{}, profiles: map[string]*profileUse{}, newcomers: 1}
 }
 
 func (a *admission) caller(now time.Time, name string) *callerUse {
@@ -193,7 +218,10 @@
 
 // share is the part of a profile's programs that is refused now.
 func (p *profileUse) share(now time.Time, wait, bound float64) float64 {
-	e := min(3, wait/bound-1)
+	e := wait/bound - 1
+	if e > 0 {
+		e = min(shedError, (wait-bound)/shedScale)
+	}
 	past := min(5, now.Sub(p.updated).Seconds())
 	p.updated = now
 	p.integral = min(shedMax, max(0, p.integral+shedIntegral*e*past))
@@ -209,11 +237,21 @@
 	use := a.profile(now, p.Profile.Name)
 	wait := a.wait(use, class)
 	share := use.share(now, wait, bound)
+	// It makes no sense to refuse a class and admit the ones that come after.
+	for c := range class {
+		share = max(share, a.shares[c].at(now))
+	}
+	a.shares[class] = shedShare{share, now}
 	c := a.caller(now, p.Caller)
+	fresh := 0.0
+	if c.decayed(now) < 1 {
+		fresh = 1
+	}
+	a.newcomers += newcomerWeight * (fresh - a.newcomers)
 	if share > 0 && a.ranked != a.minute {
 		a.rank(now)
 	}
-	if wait < refuseAll*bound && a.placeOf(c) >= share {
+	if wait < bound+refuseAll && a.placeOf(now, c) >= share {
 		c.active++
 		return core.Admission{OK: true}
 	}
@@ -262,18 +300,27 @@
 	})
 	sum := 0.0
 	for _, c := range order {
+		use := c.decayed(now)
 		c.rank, c.place = a.minute, sum/total
-		sum += c.decayed(now) + 1
+		if c.fresh = use < 1; c.fresh {
+			c.place = float64(c.turn(a.minute)>>11) / (1 << 53)
+		}
+		sum += use + 1
 	}
 }
 
-// placeOf is the caller's place in the order of refusal. Callers that came after
-// the order was made are spread over it.
-func (a *admission) placeOf(c *callerUse) float64 {
+// placeOf is the caller's place in the order of refusal. Callers without recent
+// use come after those with, in the room that their share of the arrivals takes,
+// and in the order of their turn.
+func (a *admission) placeOf(now time.Time, c *callerUse) float64 {
 	if c.rank != a.minute {
-		c.rank, c.place = a.minute, float64(c.turn(a.minute)>>11)/(1<<53)
+		c.rank, c.fresh = a.minute, c.decayed(now) < 1
+		c.place = float64(c.turn(a.minute)>>11) / (1 << 53)
+	}
+	if c.fresh {
+		return 1 - a.newcomers + a.newcomers*c.place
 	}
-	return c.place
+	return (1 - a.newcomers) * c.place
 }
 
 // turn orders callers of equal place differently in each minute, and alike in
--- a/pkg/core/policy/default.go
+++ b/pkg/core/policy/default.go
@@ -356,6 +356,7 @@
 	fl.used = c.used + 1
 	if r.Call.Kind == core.KindModel {
 		fl.missing, fl.reserve = c.missing, c.need
+		fl.ahead = u.queued + u.otherTok
 		u.queued += c.missing
 		u.reserved += c.need
 	}
@@ -380,7 +381,7 @@
 		return
 	}
 	if d.limiter != nil {
-		prefill := float64(fl.req.Call.PromptTokens-cached) / prefillRate(fl.up)
+		prefill := float64(fl.ahead+fl.req.Call.PromptTokens-cached) / prefillRate(fl.up)
 		d.limiter.observe(now, fl, now.Sub(fl.sent), time.Duration(prefill*float64(time.Second)))
 	}
 	if d.cache != nil {
