--- a/pkg/core/policy/default.go
+++ b/pkg/core/policy/default.go
@@ -55,6 +55,7 @@
 	pins     pinTimers
 	orders   []core.EngineOrder
 	swept    time.Time
+	sweep    int      // upstream whose holdings are swept next
 	failed   failedOn // the last failure, for the decision on its retry
 }
 
@@ -298,7 +299,7 @@
 		it := l.items[0]
 		c, ok := d.place(now, l, it)
 		if !ok {
-			if it.req.Suspect {
+			if it.req.Suspect || d.mayBypass(now, l, it) {
 				l.park()
 			} else {
 				l.block(now)
@@ -315,6 +316,21 @@
 	}
 }
 
+const (
+	// bypassDepth is the number of requests that wait for memory while smaller
+	// ones behind them go ahead.
+	bypassDepth = 4
+	// bypassTime is how long a request is passed over; then it holds up its
+	// lane until the memory is free.
+	bypassTime = 2 * time.Second
+)
+
+// mayBypass tells whether the requests behind one that found no upstream may be
+// tried: it needs more memory than is free, and has not waited long.
+func (d *defaultPolicy) mayBypass(now time.Time, l *lane, it *item) bool {
+	return d.router != nil && d.router.x.noMemory && len(l.parked) < bypassDepth && now.Sub(it.since) < bypassTime
+}
+
 // place chooses an upstream, by least outstanding calls without the router.
 func (d *defaultPolicy) place(now time.Time, l *lane, it *item) (candidate, bool) {
 	if d.router != nil {
@@ -340,6 +356,7 @@
 	fl.used = c.used + 1
 	if r.Call.Kind == core.KindModel {
 		fl.missing, fl.reserve = c.missing, c.need
+		fl.ahead = u.queued + u.otherTok
 		u.queued += c.missing
 		u.reserved += c.need
 	}
@@ -364,7 +381,7 @@
 		return
 	}
 	if d.limiter != nil {
-		prefill := float64(fl.req.Call.PromptTokens-cached) / prefillRate(fl.up)
+		prefill := float64(fl.ahead+fl.req.Call.PromptTokens-cached) / prefillRate(fl.up)
 		d.limiter.observe(now, fl, now.Sub(fl.sent), time.Duration(prefill*float64(time.Second)))
 	}
 	if d.cache != nil {
