--- a/pkg/entry/owner.go
+++ b/pkg/entry/owner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -233,7 +232,7 @@
 func (o *ownerRuntime) setMap(m ownership.Map) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.mgr.OnMap(m) {
+	if !o.mgr.OnMap(time.Now(), m) {
 		return
 	}
 	// Slots that the map gives to others are no longer served here.
@@ -274,9 +273,9 @@
 	o.mu.Lock()
 	m := o.mgr.Slots()
 	o.mu.Unlock()
-	value, err := json.Marshal(m.Slots)
+	value, err := encodeSlotMap(m)
 	if err != nil {
-		value = nil
+		o.n.log.Error("slot map not encoded", "error", err)
 	}
 	return &peerv1.Envelope{Body: &peerv1.Envelope_SlotMap{SlotMap: &peerv1.SlotMap{Version: m.Version, Value: value}}}
 }
