--- a/pkg/cli/daemoncmd/daemon.go
+++ b/pkg/cli/daemoncmd/daemon.go
@@ -34,7 +34,8 @@
 
 const exitCodes = `
 
-Exit codes: 0 stopped on request, 1 failed while running, 2 wrong usage or settings.`
+Exit codes: 0 stopped on request, 1 failed while running, 2 wrong usage or
+settings, 4 an entry was succeeded by another and must be started again.`
 
 // Commands returns entry, sidecar and standin.
 func Commands() []*cli.Command {
@@ -185,9 +186,11 @@
 	if err := app.Start(startCtx); err != nil {
 		return cli.Exit(errors.Wrap(err, "start"), 1)
 	}
+	exitCode := 0
 	select {
 	case s := <-app.Wait():
-		log.Info("stop requested", "signal", s.Signal)
+		exitCode = s.ExitCode
+		log.Info("stop requested", "signal", s.Signal, "exit_code", s.ExitCode)
 	case <-ctx.Done():
 	}
 	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
@@ -195,5 +198,8 @@
 	if err := app.Stop(stopCtx); err != nil {
 		return cli.Exit(errors.Wrap(err, "stop"), 1)
 	}
+	if exitCode != 0 {
+		return cli.Exit("a successor has taken over: start the process again", exitCode)
+	}
 	return nil
 }
--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -221,7 +221,11 @@
 		c.refuse(cl, ref)
 		return
 	}
-	cl.tries++
+	if e.Ran != RanNo {
+		// An attempt that no upstream received does not count: a call must
+		// outlive the restart of every upstream that could serve it.
+		cl.tries++
+	}
 	if broken {
 		c.hold(cl)
 		return
--- a/pkg/core/ownership/ownership.go
+++ b/pkg/core/ownership/ownership.go
@@ -98,7 +98,7 @@
 	now     time.Time
 
 	slots      Map
-	changed    time.Time // when slots changed last
+	changed    time.Time             // when slots changed last
 	peers      map[string]*peerState // by instance
 	gone       map[string]time.Time  // instance to the time since which the list lacks it
 	listRead   bool
--- a/pkg/core/policy/retry.go
+++ b/pkg/core/policy/retry.go
@@ -20,6 +20,9 @@
 	upstreamBurst = 1.5
 	retryBase     = 50 * time.Millisecond
 	retryMax      = 2 * time.Second
+	// unreachedDelay is the mean pause after an attempt that did not reach its
+	// upstream. Heartbeats report an unreachable upstream every 500 ms.
+	unreachedDelay = 250 * time.Millisecond
 )
 
 // bucket is a token bucket that is filled by successful calls.
@@ -58,6 +61,16 @@
 	u.retry.earn(retryRatio)
 }
 
+// unreached allows a further attempt of a request that no upstream received. It
+// cost no upstream anything, so only the deadline bounds it.
+func (t *retrier) unreached(now time.Time, r *core.Request) (time.Duration, bool) {
+	delay := unreachedDelay/2 + time.Duration(t.rng.Int64N(int64(unreachedDelay)))
+	if !r.Call.Deadline.IsZero() && !now.Add(delay).Before(r.Call.Deadline) {
+		return 0, false
+	}
+	return delay, true
+}
+
 // decide allows a further attempt. Up is the upstream that failed, nil if it
 // was removed. An attempt that a draining upstream returned is free: nothing
 // failed, and every planned stop returns some.
@@ -65,6 +78,9 @@
 	if f.Draining && f.Ran == core.RanNo {
 		return 0, true
 	}
+	if f.Ran == core.RanNo && !f.Crashed {
+		return t.unreached(now, r)
+	}
 	limit := r.Program.Profile.RetryLimit
 	if limit <= 0 {
 		limit = defaultRetryLimit
--- a/pkg/core/policy/retry_test.go
+++ b/pkg/core/policy/retry_test.go
@@ -140,3 +140,23 @@
 		t.Errorf("limit %.1f of %d slots a minute after the waits ended", u.limit.value, u.slots())
 	}
 }
+
+// Guards against a call that is given up while every upstream that could serve
+// it restarts, although no attempt reached one.
+func TestUnreachedAttemptsAreBoundedByDeadlineOnly(t *testing.T) {
+	d, err := New(NameDefault, 1, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := core.Request{Call: core.Call{ID: "c", Caller: "lango", Deadline: at(10)}, Tries: 3}
+	r.Program.Profile.RetryLimit = 1
+	f := core.Failure{Attempt: "a", Ran: core.RanNo}
+	for i := range 100 {
+		if delay, ok := d.Retry(at(1), r, f); !ok || delay <= 0 {
+			t.Fatalf("attempt %d that reached no upstream: delay %v, allowed %t", i, delay, ok)
+		}
+	}
+	if _, ok := d.Retry(at(10), r, f); ok {
+		t.Error("an attempt after the deadline is allowed")
+	}
+}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -43,7 +43,9 @@
 	ctx      context.Context
 	stop     context.CancelFunc
 	draining atomic.Bool
-	commits  atomic.Uint64  // appends to the journal
+	commits  atomic.Uint64 // appends to the journal
+	fenced   chan struct{} // closed when a successor has sealed the journal
+	fence    sync.Once
 	work     sync.WaitGroup // attempts and forwarded requests under way
 	running  sync.WaitGroup // goroutines that end with ctx
 }
@@ -51,7 +53,7 @@
 // New builds an entry from its settings. Nothing runs until Start.
 func New(cfg Config) (*Entry, error) {
 	cfg.setDefaults()
-	n := &Entry{cfg: cfg, log: cfg.Logger, calls: newCallTable(), attempts: newAttemptTable()}
+	n := &Entry{cfg: cfg, log: cfg.Logger, calls: newCallTable(), attempts: newAttemptTable(), fenced: make(chan struct{})}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.events = newEventLog(cfg.DataFolder, n.log)
 	p, err := policy.New(policy.NameDefault, cfg.Seed, nil)
@@ -119,11 +121,26 @@
 }
 
 // onSealed steps down after a successor has sealed the journal. The process
-// can own slots again only as a new incarnation.
+// sends no more heartbeats, so that its remaining slots find owners, and can own
+// slots again only as a new incarnation.
 func (n *Entry) onSealed(by core.Incarnation) {
 	n.log.Warn("journal sealed by a successor, stepping down", "peer", by)
 	n.owner.stepDown()
 	n.loop.post(core.JournalSealed{At: now(), By: by})
+	n.fence.Do(func() { close(n.fenced) })
+}
+
+// Fenced is closed when a successor has sealed the journal: the process must be
+// started again.
+func (n *Entry) Fenced() <-chan struct{} { return n.fenced }
+
+func (n *Entry) isFenced() bool {
+	select {
+	case <-n.fenced:
+		return true
+	default:
+		return false
+	}
 }
 
 // Start listens and begins to serve.
@@ -203,7 +220,7 @@
 	n.waitHandedOver(ctx)
 	err := n.server.Shutdown(ctx)
 	n.waitWork(ctx)
-	if flushErr := n.journal.Flush(ctx); flushErr != nil && err == nil {
+	if flushErr := n.journal.Flush(ctx); flushErr != nil && err == nil && !n.isFenced() {
 		err = errors.Wrap(flushErr, "write journal")
 	}
 	n.stop()
@@ -232,7 +249,7 @@
 func (n *Entry) waitHandedOver(ctx context.Context) {
 	t := time.NewTicker(ownerTick)
 	defer t.Stop()
-	for n.owner.ownedCount() > 0 && n.owner.hasReceiver() {
+	for n.owner.ownedCount() > 0 && n.owner.hasReceiver() && !n.isFenced() {
 		select {
 		case <-ctx.Done():
 			return
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -60,6 +60,9 @@
 
 // serveHeartbeat exchanges heartbeats on a connection that a peer has dialed.
 func (n *Entry) serveHeartbeat(ctx context.Context, s *transport.Session, st *transport.Stream, first *peerv1.Heartbeat) {
+	if n.isFenced() {
+		return
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// Heartbeats last as long as the process: they must not hold up its stop.
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -166,7 +166,7 @@
 
 // maintain keeps one connection up until the context ends.
 func (ps *peerSet) maintain(ctx context.Context, k *link) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !ps.n.isFenced() {
 		if err := ps.serve(ctx, k); err != nil && ctx.Err() == nil {
 			ps.n.log.Info("connection to peer ended", "peer", k.address, "peer_role", k.role, "error", err)
 		}
@@ -232,6 +232,9 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-ps.n.fenced:
+			_ = st.Close()
+			return
 		case <-t.C:
 		}
 		if st.Send(ps.n.heartbeatFor(k)) != nil {
