--- /dev/null
+++ b/pkg/journal/options.go
@@ -0,0 +1,88 @@
+package journal
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+)
+
+// Retainer is the connection to one member of the retention set.
+type Retainer interface {
+	Retain(ctx context.Context, m *peerv1.Retain) (*peerv1.RetainResult, error)
+}
+
+// WriterOptions configures a Writer. The callbacks are called from Run, in
+// order and without a lock; nil callbacks are left out. Zero durations take the
+// defaults in parentheses.
+type WriterOptions struct {
+	// Committed tells that every record up to seq is in the store.
+	Committed func(seq core.Seq)
+	// Retained tells that every record up to seq is in the store or held by
+	// every reachable member of the retention set, and by at least one.
+	Retained func(seq core.Seq)
+	// Undurable tells that neither the store nor a member can be reached for
+	// the records up to seq.
+	Undurable func(seq core.Seq)
+	// Sealed tells that another incarnation has sealed the journal. Run
+	// returns a SealedError afterwards.
+	Sealed func(by core.Incarnation)
+
+	// Retention is the first retention set: incarnations of other entries.
+	Retention []core.Incarnation
+	// Retainer returns the connection to a member, or nil if that
+	// incarnation cannot be reached.
+	Retainer func(member core.Incarnation) Retainer
+
+	AppendTimeout time.Duration // of one attempt to append (5 s)
+	RetainAfter   time.Duration // age of an append at which its batch is retained (300 ms)
+	RetainTimeout time.Duration // of one message to a member (1 s)
+	MinCollect    time.Duration // shortest time between the starts of two appends (5 ms)
+	MaxCollect    time.Duration // longest such time (50 ms)
+	Logger        *slog.Logger
+}
+
+func (o *WriterOptions) setDefaults() {
+	def := func(d *time.Duration, v time.Duration) {
+		if *d <= 0 {
+			*d = v
+		}
+	}
+	def(&o.AppendTimeout, 5*time.Second)
+	def(&o.RetainAfter, 300*time.Millisecond)
+	def(&o.RetainTimeout, time.Second)
+	def(&o.MinCollect, 5*time.Millisecond)
+	def(&o.MaxCollect, 50*time.Millisecond)
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
+	seq := func(f *func(core.Seq)) {
+		if *f == nil {
+			*f = func(core.Seq) {}
+		}
+	}
+	seq(&o.Committed)
+	seq(&o.Retained)
+	seq(&o.Undurable)
+	if o.Sealed == nil {
+		o.Sealed = func(core.Incarnation) {}
+	}
+	if o.Retainer == nil {
+		o.Retainer = func(core.Incarnation) Retainer { return nil }
+	}
+}
+
+// SealedError tells that a journal was ended by another incarnation.
+type SealedError struct {
+	Journal core.Incarnation
+	By      core.Incarnation
+	Object  uint64
+}
+
+// Error implements error.
+func (e *SealedError) Error() string {
+	return fmt.Sprintf("journal: journal of %s was sealed by %s at object %d", e.Journal, e.By, e.Object)
+}
--- a/pkg/journal/recover.go
+++ b/pkg/journal/recover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sort"
 
 	"github.com/pkg/errors"
@@ -127,3 +128,33 @@
 	}
 	return gap
 }
+
+// Members returns the incarnations that may hold retained batches of a sealed
+// log. A successor fences all of them before Recover. After a change of the set,
+// batches that were acknowledged under the set before may still be on their way
+// to the new one, so the members of both are returned until the next checkpoint.
+func Members(ctx context.Context, c objectapi.Client, lost core.Incarnation) ([]core.Incarnation, error) {
+	l, err := readLog(ctx, c, lost)
+	if err != nil {
+		return nil, err
+	}
+	if l.seal == nil {
+		return nil, fmt.Errorf("journal: members of %s: the log is not sealed", lost)
+	}
+	var before, last []string
+	for _, o := range l.objects {
+		if o.Retention != nil && !slices.Equal(o.Retention, last) {
+			before, last = last, o.Retention
+		}
+		if o.Checkpoint > 0 {
+			before = nil
+		}
+	}
+	set := setOf(last)
+	for _, m := range setOf(before) {
+		if !slices.Contains(set, m) {
+			set = append(set, m)
+		}
+	}
+	return set, nil
+}
--- /dev/null
+++ b/pkg/journal/retain_test.go
@@ -0,0 +1,425 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
+)
+
+// link is the connection of the owner to a keeper.
+type link struct {
+	*Keeper
+	down bool
+}
+
+func (l *link) Retain(ctx context.Context, m *peerv1.Retain) (*peerv1.RetainResult, error) {
+	if l.down {
+		<-ctx.Done() // a silent connection
+		return nil, ctx.Err()
+	}
+	return l.Keeper.Retain(ctx, m)
+}
+
+// withMembers returns an owner whose retention set is b.1 and c.1.
+func withMembers(t *testing.T, mem *objectapi.Memory) (*rig, map[core.Incarnation]*link) {
+	t.Helper()
+	links := map[core.Incarnation]*link{}
+	for _, id := range []core.Incarnation{"b.1", "c.1"} {
+		k, err := NewKeeper(mem.Client(string(id[:1])), KeeperOptions{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		links[id] = &link{Keeper: k}
+	}
+	r := run(t, mem, WriterOptions{
+		Retention: []core.Incarnation{"b.1", "c.1"},
+		Retainer:  func(id core.Incarnation) Retainer { return links[id] },
+	})
+	r.Append([]core.Record{turn("p", 1)})
+	if err := r.Flush(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return r, links
+}
+
+var outage = objectapi.Faults{Outage: true}
+
+// takeOver acts as the successor d.1: seal, fence, recover.
+func takeOver(t *testing.T, mem *objectapi.Memory, links map[core.Incarnation]*link) []core.Record {
+	t.Helper()
+	ctx := t.Context()
+	if _, err := Seal(ctx, mem, "a.1", "d.1"); err != nil {
+		t.Fatal(err)
+	}
+	members, err := Members(ctx, mem, "a.1")
+	if err != nil || len(members) != 2 {
+		t.Fatalf("Members = %v, %v", members, err)
+	}
+	var retained []*peerv1.Retain
+	for _, id := range members {
+		if links[id].down {
+			continue // reported gone
+		}
+		res, err := links[id].Fence("a.1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		retained = append(retained, res.Retained...)
+	}
+	recs, err := Recover(ctx, mem, "a.1", retained)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return recs
+}
+
+// Guards against the loss of turns that were acknowledged in an outage whose
+// owner dies, alone or with one member, and against an owner that goes on after
+// its members were fenced.
+func TestSuccessorGetsRetainedBatches(t *testing.T) {
+	for _, lost := range []core.Incarnation{"", "b.1", "c.1"} {
+		t.Run("without "+string(lost), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				mem := objectapi.NewMemory(objectapi.MemoryOptions{})
+				r, links := withMembers(t, mem)
+				mem.SetFaults("", outage)
+				r.Append([]core.Record{turn("p", 2)})
+				time.Sleep(time.Second)
+				r.Append([]core.Record{turn("q", 3)})
+				time.Sleep(time.Second)
+				if r.retained != 3 || r.committed != 1 {
+					t.Fatalf("retained %d, committed %d", r.retained, r.committed)
+				}
+				if lost != "" {
+					links[lost].down = true
+				}
+				mem.SetFaults("", objectapi.Faults{})
+				mem.SetFaults("a", outage) // the owner stays cut off
+				mem.SetFaults("b", outage)
+				mem.SetFaults("c", outage)
+				wantSeqs(t, takeOver(t, mem, links), 1, 3)
+
+				r.Append([]core.Record{turn("p", 4)})
+				var s *SealedError
+				if err := <-r.done; !errors.As(err, &s) {
+					t.Errorf("Run of the fenced owner: %v", err)
+				}
+				if r.retained != 3 || r.committed != 1 {
+					t.Errorf("after the fence: retained %d, committed %d", r.retained, r.committed)
+				}
+				mem.SetFaults("a", objectapi.Faults{})
+				recs, err := Recover(t.Context(), mem, "a.1", nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				wantSeqs(t, recs, 1, 1)
+			})
+		})
+	}
+}
+
+// Guards against batches that stay with the members, or reach the log twice or
+// out of order, when the store returns.
+func TestOutageEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := objectapi.NewMemory(objectapi.MemoryOptions{})
+		r, links := withMembers(t, mem)
+		mem.SetFaults("", outage)
+		for s := core.Seq(2); s <= 40; s++ {
+			r.Append([]core.Record{turn("p", s)})
+			time.Sleep(100 * time.Millisecond)
+		}
+		mem.SetFaults("", objectapi.Faults{LoseAnswers: 3})
+		if err := r.Flush(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		if r.committed != 40 {
+			t.Errorf("committed %d, want 40", r.committed)
+		}
+		for id, l := range links {
+			if n, bytes := l.Held(); n != 0 || bytes != 0 {
+				t.Errorf("%s still holds %d batches of %d bytes", id, n, bytes)
+			}
+		}
+		for _, k := range mem.Keys("journal/") {
+			if mem.Writes(k) != 1 {
+				t.Errorf("%s was written %d times", k, mem.Writes(k))
+			}
+		}
+		r.stop()
+		<-r.done
+		wantSeqs(t, recoverLog(t, mem, "d.1"), 1, 40)
+	})
+}
+
+// Guards against an owner that waits although a member reaches the store.
+func TestMemberRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := objectapi.NewMemory(objectapi.MemoryOptions{})
+		r, _ := withMembers(t, mem)
+		mem.SetFaults("a", outage)
+		r.Append([]core.Record{turn("p", 2)})
+		time.Sleep(time.Second)
+		if r.committed != 2 {
+			t.Errorf("committed %d, want 2 through a member", r.committed)
+		}
+	})
+}
+
+// Guards against a relayed append that takes effect after the seal.
+func TestSealStopsRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := objectapi.NewMemory(objectapi.MemoryOptions{})
+		r, _ := withMembers(t, mem)
+		mem.SetFaults("a", outage)
+		if _, err := Seal(t.Context(), mem, "a.1", "d.1"); err != nil {
+			t.Fatal(err)
+		}
+		r.Append([]core.Record{turn("p", 2)})
+		var s *SealedError
+		if err := <-r.done; !errors.As(err, &s) || r.committed != 1 || r.retained != 0 {
+			t.Errorf("Run = %v, committed %d, retained %d", err, r.committed, r.retained)
+		}
+	})
+}
+
+// Guards against a batch that counts as retained although nobody holds it, and
+// against a silent member that blocks the others.
+func TestUnreachableMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := objectapi.NewMemory(objectapi.MemoryOptions{})
+		r, links := withMembers(t, mem)
+		mem.SetFaults("", outage)
+		links["b.1"].down = true
+		r.Append([]core.Record{turn("p", 2)})
+		time.Sleep(2 * time.Second)
+		if r.retained != 2 || r.undurable != 0 {
+			t.Errorf("with one member: retained %d, undurable %d", r.retained, r.undurable)
+		}
+		links["c.1"].down = true
+		r.Append([]core.Record{turn("p", 3)})
+		time.Sleep(3 * time.Second)
+		if r.retained != 2 || r.undurable != 3 {
+			t.Errorf("without a member: retained %d, undurable %d", r.retained, r.undurable)
+		}
+		links["b.1"].down = false
+		time.Sleep(5 * time.Second)
+		if r.retained != 3 {
+			t.Errorf("after a member returned: retained %d, want 3", r.retained)
+		}
+		if n, _ := links["b.1"].Held(); n != 2 {
+			t.Errorf("the member that was silent holds %d batches, want both", n)
+		}
+	})
+}
+
+// Guards against a slow store that holds back acknowledgements.
+func TestSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := objectapi.NewMemory(objectapi.MemoryOptions{})
+		r, _ := withMembers(t, mem)
+		mem.SetFaults("", objectapi.Faults{Delay: 4 * time.Second})
+		r.Append([]core.Record{turn("p", 2)})
+		time.Sleep(time.Second)
+		if r.retained != 2 {
+			t.Errorf("retained %d after 1 s with a slow store, want 2", r.retained)
+		}
+	})
+}
+
+// Guards against a keeper that accepts a gap, another content under a number it
+// holds, or a batch after a fence, also after a restart.
+func TestKeeperRefuses(t *testing.T) {
+	mem := objectapi.NewMemory(objectapi.MemoryOptions{})
+	mem.SetFaults("", outage)
+	dir := t.TempDir()
+	open := func() *Keeper {
+		k, err := NewKeeper(mem, KeeperOptions{Folder: dir})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return k
+	}
+	msg := func(object uint64, r core.Record) *peerv1.Retain {
+		p, err := Encode(&peerv1.JournalObject{Incarnation: "a.1", Object: object, Records: []*peerv1.Record{ToProto(&r)}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &peerv1.Retain{Incarnation: "a.1", Object: object, Payload: p, Committed: 4}
+	}
+	k := open()
+	for i, c := range []struct {
+		m    *peerv1.Retain
+		want bool
+	}{
+		{msg(5, turn("p", 5)), true},
+		{msg(5, turn("p", 5)), true},
+		{msg(5, turn("p", 6)), false},
+		{msg(7, turn("p", 7)), false},
+		{msg(6, turn("p", 6)), true},
+		{&peerv1.Retain{Incarnation: "a.1", Object: 7, Payload: []byte("junk"), Committed: 4}, false},
+		{&peerv1.Retain{Incarnation: "../x", Object: 1}, false},
+	} {
+		res, err := k.Retain(t.Context(), c.m)
+		if err != nil || res.Retained != c.want || !c.want && res.Error == "" {
+			t.Errorf("message %d: %v, %v", i, res, err)
+		}
+	}
+	// A write that was cut short by the end of the process.
+	if err := os.WriteFile(k.disk.file("a.1", 7), msg(7, turn("p", 7)).Payload[:9], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	k = open()
+	res, err := k.Fence("a.1")
+	if err != nil || len(res.Retained) != 2 || res.Retained[1].Object != 6 {
+		t.Fatalf("Fence after a restart = %v, %v", res, err)
+	}
+	if r, _ := open().Retain(t.Context(), msg(7, turn("p", 7))); !r.Sealed {
+		t.Errorf("Retain after a fence and a restart = %v", r)
+	}
+}
+
+// cut is a client whose calls fail from some call on.
+type cut struct {
+	objectapi.Client
+	left int
+}
+
+func (c *cut) call() error {
+	if c.left--; c.left < 0 {
+		return objectapi.ErrUnavailable
+	}
+	return nil
+}
+
+func (c *cut) Create(ctx context.Context, key string, v []byte) (objectapi.Object, error) {
+	if err := c.call(); err != nil {
+		return objectapi.Object{}, err
+	}
+	return c.Client.Create(ctx, key, v)
+}
+
+func (c *cut) Delete(ctx context.Context, key string) error {
+	if err := c.call(); err != nil {
+		return err
+	}
+	return c.Client.Delete(ctx, key)
+}
+
+// Guards against the loss of records by a fault at any call of a checkpoint.
+func TestFaultInCheckpoint(t *testing.T) {
+	for fault := range 14 {
+		synctest.Test(t, func(t *testing.T) {
+			mem := objectapi.NewMemory(objectapi.MemoryOptions{})
+			c := &cut{mem, 1000}
+			w := NewWriter(c, "a.1", WriterOptions{Retention: []core.Incarnation{"b.1"}})
+			ctx, stop := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() { done <- w.Run(ctx) }()
+			var all []core.Record
+			for s := core.Seq(1); s <= 4; s++ {
+				all = append(all, turn("p", s))
+				w.Append(all[s-1:])
+				if err := w.Flush(ctx); err != nil {
+					t.Fatal(err)
+				}
+			}
+			first := w.Checkpoint(ctx, all[:4])
+			c.left = fault
+			p := w.BeginCheckpoint()
+			w.Append([]core.Record{turn("p", 5)}) // after the snapshot
+			cctx, cancel := context.WithTimeout(ctx, time.Minute)
+			second := p.Write(cctx, all[:4])
+			cancel()
+			if first != nil || fault > 3 && second != nil {
+				t.Fatalf("fault %d: checkpoints %v, %v", fault, first, second)
+			}
+			c.left = 1000
+			if err := w.Flush(ctx); err != nil {
+				t.Fatal(err)
+			}
+			stop()
+			<-done
+			wantSeqs(t, recoverLog(t, mem, "b.1"), 1, 5)
+			if m, err := Members(t.Context(), mem, "a.1"); err != nil || len(m) != 1 {
+				t.Errorf("Members after a checkpoint = %v, %v", m, err)
+			}
+			if err := Remove(t.Context(), mem, "a.1"); err != nil || len(mem.Keys("")) != 1 {
+				t.Errorf("Remove left %v, %v", mem.Keys(""), err)
+			}
+		})
+	}
+}
+
+// Guards against histories that mix or lose turns when many programs share the
+// log, with random faults, sizes, checkpoints and records above the limit of an
+// object.
+func TestManyPrograms(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 1))
+			mem := objectapi.NewMemory(objectapi.MemoryOptions{})
+			r, links := withMembers(t, mem)
+			want := map[core.ProgramID][]core.Record{"p": {turn("p", 1)}}
+			seq := core.Seq(1)
+			for range 60 {
+				var batch []core.Record
+				for range rnd.IntN(20) {
+					seq++
+					rec := turn(string(rune('a'+rnd.IntN(26))), seq)
+					if rnd.IntN(100) == 0 {
+						rec.State = make([]byte, rnd.IntN(3_000_000))
+						for i := range rec.State {
+							rec.State[i] = byte(rnd.Uint32())
+						}
+					}
+					want[rec.Program] = append(want[rec.Program], rec)
+					batch = append(batch, rec)
+				}
+				r.Append(batch)
+				time.Sleep(time.Duration(rnd.IntN(200)) * time.Millisecond)
+				mem.SetFaults([]string{"", "a", "b", "c"}[rnd.IntN(4)], objectapi.Faults{
+					Outage: rnd.IntN(4) == 0, LoseAnswers: rnd.IntN(3), LoseWrites: rnd.IntN(2),
+					Delay: time.Duration(rnd.IntN(3)*rnd.IntN(200)) * time.Millisecond,
+				})
+				links["b.1"].down = rnd.IntN(5) == 0
+			}
+			time.Sleep(10 * time.Second)
+			durable := max(r.committed, r.retained)
+			r.stop()
+			<-r.done
+			for _, c := range []string{"", "a", "b", "c"} {
+				mem.SetFaults(c, objectapi.Faults{})
+			}
+			links["b.1"].down = false
+			got := map[core.ProgramID][]core.Record{}
+			for _, rec := range takeOver(t, mem, links) {
+				got[rec.Program] = append(got[rec.Program], rec)
+			}
+			for id, recs := range want {
+				for i, rec := range recs {
+					if rec.Seq > durable && i >= len(got[id]) {
+						break
+					}
+					if i >= len(got[id]) || !proto.Equal(ToProto(&got[id][i]), ToProto(&rec)) {
+						t.Fatalf("seed %d: program %s record %d is lost or changed (durable %d)", seed, id, i, durable)
+					}
+				}
+				if len(got[id]) > len(recs) {
+					t.Fatalf("seed %d: program %s has %d records, want %d", seed, id, len(got[id]), len(recs))
+				}
+			}
+		})
+	}
+}
--- a/pkg/journal/writer.go
+++ b/pkg/journal/writer.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"log/slog"
 	"sync"
 	"time"
 
@@ -14,83 +12,6 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
 )
 
-// Retainer is the connection to one member of the retention set.
-type Retainer interface {
-	Retain(ctx context.Context, m *peerv1.Retain) (*peerv1.RetainResult, error)
-}
-
-// WriterOptions configures a Writer. The callbacks are called from Run, in
-// order and without a lock; nil callbacks are left out. Zero durations take the
-// defaults in parentheses.
-type WriterOptions struct {
-	// Committed tells that every record up to seq is in the store.
-	Committed func(seq core.Seq)
-	// Retained tells that every record up to seq is in the store or held by
-	// every reachable member of the retention set, and by at least one.
-	Retained func(seq core.Seq)
-	// Undurable tells that neither the store nor a member can be reached for
-	// the records up to seq.
-	Undurable func(seq core.Seq)
-	// Sealed tells that another incarnation has sealed the journal. Run
-	// returns a SealedError afterwards.
-	Sealed func(by core.Incarnation)
-
-	// Retention is the first retention set: incarnations of other entries.
-	Retention []core.Incarnation
-	// Retainer returns the connection to a member, or nil if that
-	// incarnation cannot be reached.
-	Retainer func(member core.Incarnation) Retainer
-
-	AppendTimeout time.Duration // of one attempt to append (5 s)
-	RetainAfter   time.Duration // age of an append at which its batch is retained (300 ms)
-	RetainTimeout time.Duration // of one message to a member (1 s)
-	MinCollect    time.Duration // shortest time between the starts of two appends (5 ms)
-	MaxCollect    time.Duration // longest such time (50 ms)
-	Logger        *slog.Logger
-}
-
-func (o *WriterOptions) setDefaults() {
-	def := func(d *time.Duration, v time.Duration) {
-		if *d <= 0 {
-			*d = v
-		}
-	}
-	def(&o.AppendTimeout, 5*time.Second)
-	def(&o.RetainAfter, 300*time.Millisecond)
-	def(&o.RetainTimeout, time.Second)
-	def(&o.MinCollect, 5*time.Millisecond)
-	def(&o.MaxCollect, 50*time.Millisecond)
-	if o.Logger == nil {
-		o.Logger = slog.New(slog.DiscardHandler)
-	}
-	seq := func(f *func(core.Seq)) {
-		if *f == nil {
-			*f = func(core.Seq) {}
-		}
-	}
-	seq(&o.Committed)
-	seq(&o.Retained)
-	seq(&o.Undurable)
-	if o.Sealed == nil {
-		o.Sealed = func(core.Incarnation) {}
-	}
-	if o.Retainer == nil {
-		o.Retainer = func(core.Incarnation) Retainer { return nil }
-	}
-}
-
-// SealedError tells that a journal was ended by another incarnation.
-type SealedError struct {
-	Journal core.Incarnation
-	By      core.Incarnation
-	Object  uint64
-}
-
-// Error implements error.
-func (e *SealedError) Error() string {
-	return fmt.Sprintf("journal: journal of %s was sealed by %s at object %d", e.Journal, e.By, e.Object)
-}
-
 // Pauses between attempts while the store cannot be reached.
 const (
 	minRetry = 100 * time.Millisecond
@@ -419,86 +340,6 @@
 	return nil
 }
 
-// startAppend sends the oldest batch to the store if none is on its way.
-func (w *Writer) startAppend(ctx context.Context, now time.Time) {
-	if w.inflight != nil || len(w.queue) == 0 || now.Before(w.retryAt) {
-		return
-	}
-	b := w.queue[0]
-	w.inflight = &flight{b: b, started: now}
-	w.lastStart = now
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, w.o.AppendTimeout)
-		defer cancel()
-		// With one append in flight the buffer of one is empty.
-		w.appendc <- appendResult{b, appendObject(ctx, w.c, w.self, b.object, b.payload)}
-	}()
-}
-
-// appended takes the result of an append.
-func (w *Writer) appended(r appendResult) error {
-	now := time.Now()
-	age := now.Sub(w.inflight.started)
-	w.inflight = nil
-	var s *SealedError
-	switch {
-	case r.err == nil:
-		w.latency = (3*w.latency + age) / 4
-		w.retry, w.retryAt = 0, time.Time{}
-		w.commitTo(r.b.object)
-		if w.degraded && age < w.o.RetainAfter && len(w.queue) == 0 {
-			w.degraded = false
-			w.o.Logger.Info("journal appends again", "journal", w.self, "object", r.b.object)
-		}
-	case errors.As(r.err, &s):
-		return s
-	default:
-		if !w.degraded {
-			w.o.Logger.Warn("journal append failed", "journal", w.self, "object", r.b.object, "error", r.err)
-		}
-		w.degraded = true
-		w.retry = min(max(2*w.retry, minRetry), maxRetry)
-		w.retryAt = now.Add(w.retry)
-	}
-	return nil
-}
-
-// commitTo records that every object up to n is in the store.
-func (w *Writer) commitTo(n uint64) {
-	if n <= w.committed {
-		return
-	}
-	w.committed = n
-	seq := w.seq
-	for len(w.queue) > 0 && w.queue[0].object <= n {
-		b := w.queue[0]
-		seq = max(seq, b.seq)
-		if b.set != nil {
-			w.set = setOf(b.set)
-		}
-		w.queue[0] = nil
-		w.queue = w.queue[1:]
-	}
-	if seq > w.seq {
-		w.seq = seq
-		w.o.Committed(seq)
-	}
-	w.notify()
-}
-
-// notify answers the waiters whose objects are committed.
-func (w *Writer) notify() {
-	rest := w.waiters[:0]
-	for _, wt := range w.waiters {
-		if wt.object <= w.committed {
-			wt.done <- waitResult{object: wt.object}
-			continue
-		}
-		rest = append(rest, wt)
-	}
-	w.waiters = rest
-}
-
 // untilNext returns the time after which Run has work without a new event.
 func (w *Writer) untilNext(now time.Time) time.Duration {
 	d := time.Hour
@@ -524,25 +365,3 @@
 	}
 	return d
 }
-
-// appendObject creates a journal object. A conflict with the same content is
-// the own write, whose answer was lost or which a member relayed.
-func appendObject(ctx context.Context, c objectapi.Client, self core.Incarnation, object uint64, payload []byte) error {
-	key := ObjectKey(self, object)
-	_, err := c.Create(ctx, key, payload)
-	if err == nil || !errors.Is(err, objectapi.ErrExists) {
-		return errors.Wrapf(err, "journal %s: append object %d", self, object)
-	}
-	o, err := c.Get(ctx, key)
-	if err != nil {
-		return errors.Wrapf(err, "journal %s: read back object %d", self, object)
-	}
-	if string(o.Value) == string(payload) {
-		return nil
-	}
-	s := &SealedError{Journal: self, Object: object, By: "unknown"}
-	if d, derr := Decode(o.Value); derr == nil && d.SealedBy != "" {
-		s.By = core.Incarnation(d.SealedBy)
-	}
-	return s
-}
