--- a/pkg/core/call.go
+++ b/pkg/core/call.go
@@ -98,6 +98,10 @@
 			return
 		}
 	}
+	if _, bad := c.damaged[RootOf(cl.Program)]; bad {
+		c.reject(cl, CodeProgramUnknown, "program", "the stored state of the program cannot be read")
+		return
+	}
 	if cl.member == nil && (r != nil || !single) {
 		c.reject(cl, CodeProgramUnknown, "program", "the program does not exist or is past its retention")
 		return
--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -51,7 +51,7 @@
 	sealed    bool
 	draining  bool
 	crashes   map[UpstreamID]time.Time // time of the last crash report
-	damaged   []ProgramID              // programs whose stored state could not be decoded
+	damaged   map[ProgramID]damaged
 
 	seq       Seq // of the last record
 	committed Seq
@@ -87,6 +87,14 @@
 	key  program.Key
 }
 
+// damaged is a program whose stored state could not be decoded. Its records are
+// passed on to the next owner and its calls are refused, so that nothing is
+// lost or written over before the cause is found.
+type damaged struct {
+	slot    Slot
+	records []Record
+}
+
 type upstream struct {
 	info      UpstreamInfo
 	reachable bool
@@ -117,6 +125,7 @@
 		late:      make(map[AttemptID]lateClaim),
 		upstreams: make(map[UpstreamID]*upstream),
 		crashes:   make(map[UpstreamID]time.Time),
+		damaged:   make(map[ProgramID]damaged),
 	}
 }
 
--- /dev/null
+++ b/pkg/core/coretest/recover_test.go
@@ -0,0 +1,106 @@
+package coretest
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+)
+
+// recordsOf returns the records that effects append.
+func recordsOf(effects []core.Effect) (out []core.Record) {
+	for _, f := range effects {
+		if a, ok := f.(core.AppendJournal); ok {
+			out = append(out, a.Records...)
+		}
+	}
+	return out
+}
+
+// longProgram returns a core with one program of n turns of 100 KB, and its
+// records.
+func longProgram(n int) (*script, []core.Record) {
+	s := newScript()
+	at := core.At{Time: s.now}
+	s.step(core.ConfigApplied{At: at, Config: s.cfg})
+	s.step(core.UpstreamChanged{At: at, Info: core.UpstreamInfo{ID: "m1", Kind: core.KindModel}})
+	s.step(core.SlotsAcquired{At: at, Slots: allSlots(16, 1)})
+	records := recordsOf(s.c.Step(core.ProgramOpened{At: at, Call: "o", ID: "p003-aa", Caller: "lango"}))
+	for i := range n {
+		out := s.c.Step(core.CallArrived{At: at, Call: core.Call{
+			ID: core.CallID(fmt.Sprint(i)), Program: "p003-aa", Caller: "lango", Kind: core.KindModel,
+			Request: fmt.Appendf(nil, "turn %d", i+1),
+		}})
+		out = s.c.Step(core.AttemptDone{At: at, Attempt: out[0].(core.Dispatch).Attempt, Answer: core.Answer{Body: make([]byte, 100<<10)}})
+		rec := recordsOf(out)
+		records = append(records, rec...)
+		s.c.Step(core.JournalCommitted{At: at, Seq: rec[0].Seq})
+	}
+	return s, records
+}
+
+// acquireAll gives records to a new core.
+func acquireAll(records []core.Record) (*core.Core, []core.Record) {
+	s := newScript()
+	at := core.At{Time: s.now}
+	s.step(core.ConfigApplied{At: at, Config: s.cfg})
+	out := s.c.Step(core.SlotsAcquired{At: at, Slots: allSlots(16, 2), Records: records})
+	return s.c, recordsOf(out)
+}
+
+// Guards against a history that does not fit into one journal object, and
+// against turns that are lost or doubled when a checkpoint overlaps the tail of
+// the journal or records come twice.
+func TestHistorySurvivesCheckpointAndTail(t *testing.T) {
+	const turns = 12
+	s, tail := longProgram(turns)
+	snapshot := s.c.Snapshot(nil)
+	for _, r := range snapshot {
+		if len(r.State) > 900<<10 {
+			t.Errorf("record of %d bytes", len(r.State))
+		}
+	}
+	if len(snapshot) < 4 {
+		t.Errorf("%d records for %d turns of 100 KB", len(snapshot), turns)
+	}
+	for name, records := range map[string][]core.Record{
+		"tail":               tail,
+		"tail twice":         append(append([]core.Record{}, tail...), tail...),
+		"checkpoint":         snapshot,
+		"checkpoint twice":   append(append([]core.Record{}, snapshot...), snapshot...),
+		"tail, checkpoint":   append(append([]core.Record{}, tail...), snapshot...),
+		"checkpoint and end": append(append([]core.Record{}, snapshot...), tail[len(tail)-3:]...),
+	} {
+		c, own := acquireAll(records)
+		h := c.History("p003-aa")
+		if len(h) != turns || string(h[turns-1].Request) != "turn 12" {
+			t.Errorf("%s: %d turns", name, len(h))
+		}
+		// The records that the new owner writes restore the same program.
+		if again, _ := acquireAll(own); len(again.History("p003-aa")) != turns {
+			t.Errorf("%s: %d turns after another takeover", name, len(again.History("p003-aa")))
+		}
+	}
+}
+
+// Guards against a damaged record that makes a program disappear: its records
+// must reach the next owner, and nothing may be written over them.
+func TestDamagedStateIsKept(t *testing.T) {
+	s, _ := longProgram(1)
+	snapshot := s.c.Snapshot(nil)
+	good := snapshot[0].State
+	snapshot[0].State = good[:len(good)-3]
+	c, own := acquireAll(snapshot)
+	if d := c.Damaged(); len(d) != 1 || d[0] != "p003-aa" || len(own) != len(snapshot) {
+		t.Fatalf("damaged %v, %d records of %d", d, len(own), len(snapshot))
+	}
+	out := c.Step(core.ProgramOpened{At: core.At{Time: epoch0}, Call: "o", ID: "p003-aa", Caller: "lango"})
+	if _, ok := out[0].(core.Refuse); !ok {
+		t.Errorf("an open replaced the damaged program: %v", out)
+	}
+	repaired := c.Snapshot(nil)
+	repaired[0].State = good
+	if again, _ := acquireAll(repaired); len(again.History("p003-aa")) != 1 {
+		t.Error("the repaired records do not restore the program")
+	}
+}
--- a/pkg/core/journal.go
+++ b/pkg/core/journal.go
@@ -163,6 +163,7 @@
 	c.runCovered()
 	for len(c.claims) > 0 && c.claims[0].seq <= c.committed {
 		w := c.claims[0]
+		c.claims[0] = wait{} // the array keeps no finished call alive
 		c.claims = c.claims[1:]
 		w.run()
 	}
@@ -179,6 +180,7 @@
 func (c *Core) runCovered() {
 	for len(c.covered) > 0 && c.covered[0].seq <= c.durable() {
 		w := c.covered[0]
+		c.covered[0] = wait{}
 		c.covered = c.covered[1:]
 		w.run()
 	}
@@ -199,6 +201,7 @@
 	clear(c.roots)
 	clear(c.slots)
 	clear(c.late)
+	clear(c.damaged)
 	c.timers = nil
 }
 
--- a/pkg/core/ownership.go
+++ b/pkg/core/ownership.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -33,8 +34,12 @@
 	for i := range records {
 		c.restore(restored, &records[i])
 	}
+	c.keepDamaged(records)
 	for _, id := range sortedKeys(restored) {
 		r := restored[id]
+		if _, bad := c.damaged[id]; bad {
+			continue
+		}
 		if top := r.Members[r.ID]; top == nil || c.roots[id] != nil {
 			continue
 		}
@@ -64,8 +69,8 @@
 			r = &root{Root: program.NewRoot(string(id), rec.Caller), slot: rec.Slot}
 			roots[id] = r
 		}
-		if !c.applyState(r, rec) && !slices.Contains(c.damaged, id) {
-			c.damaged = append(c.damaged, id)
+		if !c.applyState(r, rec) {
+			c.damaged[id] = damaged{slot: rec.Slot}
 		}
 		return
 	case r == nil && rec.Kind == RecordOpened && rec.Parent == "":
@@ -77,6 +82,22 @@
 	c.apply(r, rec)
 }
 
+// keepDamaged copies the records of damaged programs into this journal.
+func (c *Core) keepDamaged(records []Record) {
+	for _, rec := range records {
+		id := RootOf(rec.Program)
+		d, ok := c.damaged[id]
+		if !ok {
+			continue
+		}
+		c.seq++
+		rec.Seq, rec.Epoch = c.seq, c.slots[d.slot].epoch
+		c.pending = append(c.pending, rec)
+		d.records = append(d.records, rec)
+		c.damaged[id] = d
+	}
+}
+
 // adoptRoot puts a restored program into this process's journal and in force.
 func (c *Core) adoptRoot(r *root, planned bool) {
 	r.Rebase()
@@ -163,6 +184,7 @@
 // the new owner renews its pins or lets them lapse.
 func (c *Core) lose(s Slot) {
 	delete(c.slots, s)
+	maps.DeleteFunc(c.damaged, func(_ ProgramID, d damaged) bool { return d.slot == s })
 	calls := c.sortedCalls(func(cl *call) bool { return cl.root.slot == s })
 	c.refuseWaits(func(w wait) bool { return w.root != nil && w.root.slot == s })
 	for _, cl := range calls {
@@ -195,7 +217,7 @@
 
 // Damaged returns the programs whose stored state could not be decoded when
 // their slot was acquired.
-func (c *Core) Damaged() []ProgramID { return slices.Clone(c.damaged) }
+func (c *Core) Damaged() []ProgramID { return sortedKeys(c.damaged) }
 
 // Turn is one finished call in the history of a program.
 type Turn = program.Turn
--- a/pkg/core/programs.go
+++ b/pkg/core/programs.go
@@ -60,6 +60,10 @@
 		c.acknowledgeOpen(e.Call, r, m)
 		return
 	}
+	if _, bad := c.damaged[id]; bad {
+		refuse(CodeProgramUnknown, "program", "the stored state of the program cannot be read")
+		return
+	}
 	r = &root{Root: program.NewRoot(string(id), e.Caller), slot: slot}
 	if ref, ok := c.admit(r, e.Profile); !ok {
 		c.emit(Refuse{Call: e.Call, Refusal: ref})
--- a/pkg/core/state.go
+++ b/pkg/core/state.go
@@ -28,6 +28,11 @@
 			out = append(out, rec)
 		}
 	}
+	for _, id := range sortedKeys(c.damaged) {
+		if d := c.damaged[id]; slots == nil || wanted[d.slot] {
+			out = append(out, d.records...)
+		}
+	}
 	return out
 }
 
