Forget callers, targets and programs that are gone

Cause: callers were forgotten only under overload, and demand and pause estimates of names that do not exist stayed. Change: callers are pruned each minute, the demand is part of the target, pauses are learned only for known services; a test counts what is left.

--- a/pkg/core/policy/admission.go
+++ b/pkg/core/policy/admission.go
@@ -184,7 +184,10 @@
 			w[c] += gain * (wait - w[c])
 		}
 	}
-	a.minute = now.Unix() / 60
+	if m := now.Unix() / 60; m != a.minute {
+		a.minute = m
+		a.prune(now)
+	}
 }
 
 // slots is the number of calls that a target serves at the same time for this
@@ -279,7 +282,6 @@
 // each recent minute with a refusal, so that it is not always the same ones.
 func (a *admission) rank(now time.Time) {
 	a.ranked = a.minute
-	a.prune(now)
 	total := 0.0
 	for _, c := range a.list {
 		if c.minute < a.minute-refusalMemory {
--- a/pkg/core/policy/default.go
+++ b/pkg/core/policy/default.go
@@ -55,6 +55,7 @@
 	pins     pinTimers
 	orders   []core.EngineOrder
 	swept    time.Time
+	pruned   time.Time
 	sweep    int      // upstream whose holdings are swept next
 	failed   failedOn // the last failure, for the decision on its retry
 }
--- a/pkg/core/policy/housekeeping.go
+++ b/pkg/core/policy/housekeeping.go
@@ -16,6 +16,9 @@
 	}
 }
 
+// pruneEvery is the interval at which callers without a past are forgotten.
+const pruneEvery = time.Minute
+
 // housekeeping applies the changes that time alone brings.
 func (d *defaultPolicy) housekeeping(now time.Time) {
 	if now.Sub(d.swept) < housekeepingEvery {
@@ -35,6 +38,10 @@
 	clear(d.watched[len(keep):])
 	d.watched = keep
 	d.expirePins(now)
+	if d.retry != nil && now.Sub(d.pruned) >= pruneEvery {
+		d.pruned = now
+		d.retry.prune()
+	}
 	if d.cache != nil && len(d.fleet.list) > 0 {
 		d.sweep++
 		d.cache.sweep(now, d.fleet.list[d.sweep%len(d.fleet.list)])
--- a/pkg/core/policy/pauses.go
+++ b/pkg/core/policy/pauses.go
@@ -167,8 +167,9 @@
 
 // tool refines the expectation once the tool is known.
 func (p *pauses) tool(d *defaultPolicy, now time.Time, g *program, service string) {
-	if g.paused.IsZero() || service == "" {
-		return
+	t := d.fleet.targets[targetKey{kind: core.KindService, name: service}]
+	if g.paused.IsZero() || t == nil || !t.seen {
+		return // nothing is learned of services that do not exist
 	}
 	g.toolKey = pauseKey{tool: service, profile: g.profile.Name}
 	if e := p.estimate(g.toolKey); e.n > 0 && g.live {
--- a/pkg/core/policy/placement.go
+++ b/pkg/core/policy/placement.go
@@ -47,7 +47,6 @@
 // placement loads models and adapters where the demand is.
 type placement struct {
 	rng    *rand.Rand
-	uses   map[*target]*modelUse
 	next   time.Time
 	orders time.Time // no load before
 	// unloaded keeps an upstream from losing two models before its
@@ -56,16 +55,7 @@
 }
 
 func newPlacement(rng *rand.Rand) *placement {
-	return &placement{rng: rng, uses: map[*target]*modelUse{}, unloaded: map[core.UpstreamID]time.Time{}}
-}
-
-func (p *placement) use(t *target) *modelUse {
-	m := p.uses[t]
-	if m == nil {
-		m = &modelUse{tried: map[core.UpstreamID]time.Time{}}
-		p.uses[t] = m
-	}
-	return m
+	return &placement{rng: rng, unloaded: map[core.UpstreamID]time.Time{}}
 }
 
 // plan appends the orders that are due.
@@ -80,7 +70,7 @@
 		if t.key.kind != core.KindModel || (!t.seen && !d.loadable(t)) {
 			continue
 		}
-		m := p.use(t)
+		m := &t.demand
 		calls, slots, copies := demandOf(t)
 		level := 1.0
 		if slots > 0 {
@@ -130,6 +120,9 @@
 		return
 	}
 	m.loadingTo, m.since = now.Add(placementTerm), now
+	if m.tried == nil {
+		m.tried = map[core.UpstreamID]time.Time{}
+	}
 	m.tried[u.info.ID] = now
 	p.orders = now.Add(placementSpacing + time.Duration(p.rng.Int64N(int64(placementSpacing/2))))
 	d.orders = append(d.orders, loadOrder(t, u))
--- a/pkg/core/policy/placement_test.go
+++ b/pkg/core/policy/placement_test.go
@@ -133,8 +133,9 @@
 	}
 }
 
-// Guards against memory that grows with requests for names that do not exist.
-func TestUnknownModelsLeaveNothingBehind(t *testing.T) {
+// Guards against memory that grows with requests for names that do not exist and
+// with programs that have ended.
+func TestThePastLeavesNothingBehind(t *testing.T) {
 	d := newParts(t, 1)
 	addEngines(d, 1)
 	lanes, targets := len(d.queue.list), len(d.fleet.order)
@@ -150,4 +151,23 @@
 	if len(d.queue.list) != lanes || len(d.fleet.order) != targets || len(d.fleet.targets) != targets {
 		t.Errorf("%d lanes and %d targets are left", len(d.queue.list)-lanes, len(d.fleet.order)-targets)
 	}
+	// Nor with callers that were seen once.
+	d.ProgramEnded(at(200), "p000-a")
+	for i := range 2000 {
+		now := at(200 + float64(i))
+		v := view(fmt.Sprintf("p000-%d", i), fmt.Sprintf("caller-%d", i), core.ClassStandard)
+		d.Admit(now, v)
+		d.Enqueue(now, modelCall(v, i, 100))
+		for _, a := range drain(d, now) {
+			finish(d, now, a, 0)
+		}
+		d.ProgramEnded(now, v.ID)
+	}
+	if n, m := len(d.admission.callers), len(d.retry.callers); n > 1300 || m > 100 {
+		t.Errorf("%d and %d of 2000 callers are remembered", n, m)
+	}
+	if len(d.programs)+len(d.cache.holders)+len(d.queue.items)+len(d.queueOrder.callers) > 0 {
+		t.Errorf("%d programs, %d prefixes, %d waiting calls, %d shares are left",
+			len(d.programs), len(d.cache.holders), len(d.queue.items), len(d.queueOrder.callers))
+	}
 }
--- a/pkg/core/policy/retry.go
+++ b/pkg/core/policy/retry.go
@@ -52,6 +52,15 @@
 	return b
 }
 
+// prune forgets the callers whose budget is full, which is how it starts.
+func (t *retrier) prune() {
+	for name, b := range t.callers { // each caller is independent of the others
+		if b.tokens >= b.burst {
+			delete(t.callers, name)
+		}
+	}
+}
+
 // success earns a part of a retry.
 func (t *retrier) success(caller string, u *upstream) {
 	t.caller(caller).earn(retryRatio)
