--- a/pkg/replay/measure.go
+++ b/pkg/replay/measure.go
@@ -211,23 +211,22 @@
 
 func (m *measures) checkAgent(a *agent) {
 	turns := a.run.owner.core.History(a.id)
-	n := 0
+	requests := make([]string, len(turns))
 	for i := range turns {
-		if n < len(a.turns) && string(turns[i].Request) == a.turns[n] {
-			n++
-			continue
-		}
-		// A turn beyond the answered ones belongs to the call under way.
-		if n < len(a.turns) {
-			m.orderFaults++
-			return
-		}
+		requests[i] = string(turns[i].Request)
 	}
-	if n < len(a.turns) {
+	if !startsWith(requests, a.turns) {
 		m.orderFaults++
 	}
 }
 
+// startsWith reports whether a history begins with the answered requests in
+// their order. Turns beyond them belong to calls whose answer the caller has not
+// seen.
+func startsWith(history, answered []string) bool {
+	return len(history) >= len(answered) && slices.Equal(history[:len(answered)], answered)
+}
+
 // sample looks at the engines' memory.
 func (m *measures) sample() {
 	if m.s.ended {
--- a/pkg/replay/replay_test.go
+++ b/pkg/replay/replay_test.go
@@ -170,3 +170,55 @@
 		t.Errorf("%d crashes, %d programs quarantined; want at most 2 and 1", r.Crashes, r.Quarantined)
 	}
 }
+
+// Guards against a policy that is told of calls before they are made: changing
+// the end of a program must not change anything that happened before.
+func TestPolicyDoesNotSeeAhead(t *testing.T) {
+	tr := short(t, trace.Lango, "peak", 120)
+	before := mustRun(t, tr, Options{Policy: policy.Default, Seed: 1, Events: true}).Events
+	// The program whose last call starts latest; its earlier calls end before.
+	last := tr.Programs[len(tr.Programs)/2]
+	steps := last.Steps
+	answered, until := 0, 0
+	for i, e := range before {
+		if e.Program == last.ID && e.Scope == report.ScopeCall {
+			if answered++; answered == len(steps)-1 {
+				until = i
+			}
+		}
+	}
+	if until == 0 {
+		t.Fatalf("program %s made %d of %d calls", last.ID, answered, len(steps))
+	}
+	changed := &steps[len(steps)-1]
+	changed.New, changed.Out = changed.New+5000, changed.Out+900
+	after := mustRun(t, tr, Options{Policy: policy.Default, Seed: 1, Events: true}).Events
+	for i := range until + 1 {
+		if before[i] != after[i] {
+			t.Fatalf("event %d of %d differs after a change of the future: %+v, %+v", i, until, before[i], after[i])
+		}
+	}
+	if len(after) > until && len(before) == len(after) && before[len(before)-1] == after[len(after)-1] {
+		t.Error("the change of the last call has no effect, so the test compares nothing")
+	}
+}
+
+// Guards against a history check that accepts lost, swapped or foreign turns.
+func TestHistoryCheck(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		history, answered string
+		ok                bool
+	}{
+		{"same", "a b c", "a b c", true},
+		{"one more under way", "a b c", "a b", true},
+		{"lost turn", "a c", "a b c", false},
+		{"lost last turn", "a b", "a b c", false},
+		{"swapped", "b a c", "a b c", false},
+		{"foreign", "a x b", "a b", false},
+	} {
+		if got := startsWith(strings.Fields(c.history), strings.Fields(c.answered)); got != c.ok {
+			t.Errorf("%s: %v, want %v", c.name, got, c.ok)
+		}
+	}
+}
