--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -143,9 +143,7 @@
 func (c *Core) handle(e Event) {
 	switch e := e.(type) {
 	case Tick:
-		for _, fp := range c.quarant.Expire(c.now) {
-			c.emit(ShareQuarantine{Fingerprint: fp, Released: true})
-		}
+		c.quarant.Expire(c.now) // peers let it expire by themselves
 	case ConfigApplied:
 		c.configure(e.Config)
 	case ProgramOpened:
@@ -293,8 +291,8 @@
 func (c *Core) upstreamChanged(info UpstreamInfo) {
 	u := c.upstreams[info.ID]
 	if u == nil || u.info.Incarnation != info.Incarnation {
-		// A restarted upstream holds no cache.
-		c.dropPins(info.ID)
+		// Pins are kept: after a restart of the sidecar alone the engine still
+		// holds them, and a pin of a prefix that is not held has no effect.
 		u = &upstream{reachable: true}
 		c.upstreams[info.ID] = u
 	}
