--- a/pkg/trace/generate.go
+++ b/pkg/trace/generate.go
@@ -113,10 +113,13 @@
 	if s.only != "" {
 		emphasize(list, s.only)
 	}
-	g := &generator{t: t, s: s, shapes: list, callers: zipf(callers, callerSkew)}
-	g.fit(seed)
+	g := &generator{
+		t: t, s: s, shapes: list, callers: zipf(callers, callerSkew),
+		rand: rand.New(rand.NewPCG(seed, 2)), times: rand.New(rand.NewPCG(seed, 3)),
+	}
+	g.fit(rand.New(rand.NewPCG(seed, 1)))
 	if s.faults != nil {
-		s.faults(t, g.rand)
+		s.faults(t, rand.New(rand.NewPCG(seed, 4)))
 		for i := range t.Faults {
 			t.Faults[i].Kind = KindFault
 		}
@@ -145,35 +148,49 @@
 	fitTolerance = 0.01
 )
 
-// fit draws the programs at the arrival rate at which their work is within
+// fit takes as many programs as arrive at the rate at which their work is within
 // fitTolerance of the requested busy fraction. A few long programs carry much of
 // the work, so the rate computed from the mean work alone misses it by up to
-// 9%. The work grows with the rate, because the programs and the unit-rate
-// arrivals depend on the seed alone; so bisection finds the rate.
-func (g *generator) fit(seed uint64) {
+// 9%. The programs and the unit-rate arrivals depend on the seed alone, so the
+// work grows with the rate and bisection finds it.
+func (g *generator) fit(r *rand.Rand) {
 	want := g.s.Busy
 	if g.s.burst > 1 {
 		want *= 1 + (g.s.burst-1)*burstMs/burstEveryMs
 	}
-	d := &g.t.Header.Deployment
-	g.rand = rand.New(rand.NewPCG(seed, 1))
-	perMs := g.s.Busy * float64(len(d.Engines())) / g.meanWork() / 1000
+	capacity := float64(len(g.t.Header.Deployment.Engines())) * float64(g.t.Header.DurationMs) / 1000
+	perMs := g.s.Busy * float64(len(g.t.Header.Deployment.Engines())) / g.meanWork(r) / 1000
 	low, high := perMs/2, perMs*2
+	n := 0
 	for range fitRounds {
-		g.rand = rand.New(rand.NewPCG(seed, 2))
-		g.t.Programs = g.t.Programs[:0]
-		g.arrivals(perMs, rand.New(rand.NewPCG(seed, 3)))
-		got := g.t.BusyFraction()
-		switch {
-		case math.Abs(got/want-1) <= fitTolerance:
-			return
-		case got < want:
+		n = g.arrivals(perMs)
+		got := 0.0
+		if n > 0 {
+			got = g.drawn[n-1].work / capacity
+		}
+		if math.Abs(got/want-1) <= fitTolerance {
+			break
+		}
+		if got < want {
 			low = perMs
-		default:
+		} else {
 			high = perMs
 		}
 		perMs = (low + high) / 2
 	}
+	for i := range n {
+		p := g.drawn[i].program
+		p.AtMs = g.when(g.drawn[i].unit / perMs)
+		g.t.Programs = append(g.t.Programs, p)
+	}
+}
+
+// drawn is a program with its arrival time at unit rate and the work of all
+// programs up to it.
+type drawn struct {
+	program Program
+	unit    float64
+	work    float64
 }
 
 type generator struct {
@@ -181,11 +198,13 @@
 	s       Scenario
 	shapes  []shape
 	rand    *rand.Rand
+	times   *rand.Rand
 	callers []float64 // cumulative shares
+	drawn   []drawn
 }
 
-func (g *generator) pick() *shape {
-	x := g.rand.Float64()
+func (g *generator) pick(r *rand.Rand) *shape {
+	x := r.Float64()
 	for i := range g.shapes {
 		if x -= g.shapes[i].weight; x < 0 {
 			return &g.shapes[i]
@@ -196,11 +215,11 @@
 
 // meanWork estimates the engine time of a program from 4,000 samples, which
 // keeps the error of the mean below 2%.
-func (g *generator) meanWork() float64 {
+func (g *generator) meanWork(r *rand.Rand) float64 {
 	const samples = 4000
 	var sum float64
 	for range samples {
-		a := g.pick().sample(g.rand, g.s.pause)
+		a := g.pick(r).sample(r, g.s.pause)
 		sum += g.t.Header.Deployment.WorkSeconds(&a)
 	}
 	return sum / samples
@@ -212,15 +231,16 @@
 	burstMs      = 60_000
 )
 
-// arrivals draws a Poisson process with the given rate outside of bursts.
-func (g *generator) arrivals(perMs float64, times *rand.Rand) {
-	for u := 0.0; ; {
-		u += times.ExpFloat64()
-		at := g.when(u / perMs)
-		if at >= g.t.Header.DurationMs {
-			return
+// arrivals returns the number of programs that arrive within the trace in a
+// Poisson process with the given rate outside of bursts.
+func (g *generator) arrivals(perMs float64) int {
+	for i := 0; ; i++ {
+		if i == len(g.drawn) {
+			g.draw()
+		}
+		if g.when(g.drawn[i].unit/perMs) >= g.t.Header.DurationMs {
+			return i
 		}
-		g.program(at)
 	}
 }
 
@@ -240,10 +260,15 @@
 	return int64(n*burstEveryMs + rest)
 }
 
-func (g *generator) program(at int64) {
+// draw adds the next program and its arrival.
+func (g *generator) draw() {
 	d := &g.t.Header.Deployment
-	sh := g.pick()
-	p := Program{Kind: KindProgram, ID: "g" + strconv.Itoa(len(g.t.Programs)), AtMs: at, Profile: sh.profile, Agent: sh.sample(g.rand, g.s.pause)}
+	var unit, work float64
+	if n := len(g.drawn); n > 0 {
+		unit, work = g.drawn[n-1].unit, g.drawn[n-1].work
+	}
+	sh := g.pick(g.rand)
+	p := Program{Kind: KindProgram, ID: "g" + strconv.Itoa(len(g.drawn)), Profile: sh.profile, Agent: sh.sample(g.rand, g.s.pause)}
 	c, _ := slices.BinarySearch(g.callers, g.rand.Float64())
 	p.Caller = "c" + strconv.Itoa(c)
 	// A caller always calls from the same region; one in four is in the second.
@@ -255,7 +280,7 @@
 		p.Endless = true
 		p.Steps = slices.DeleteFunc(p.Steps, func(s Step) bool { return s.Service != "" || len(s.Agents) > 0 })
 	}
-	g.t.Programs = append(g.t.Programs, p)
+	g.drawn = append(g.drawn, drawn{program: p, unit: unit + g.times.ExpFloat64(), work: work + d.WorkSeconds(&p.Agent)})
 }
 
 // zipf returns the cumulative shares of n ranks.
