Let calls wait for the restart of their last upstream

Cause: when a crash-causing request took both engines down, the call that was on board of the first crash was refused with no_upstream after 3 s, before an engine had restarted (5 s).

Change: calls wait 15 s for a target that lost its last member.

Conclusion: an admitted program outlives the restart of all its upstreams.

--- a/pkg/core/policy/lanes.go
+++ b/pkg/core/policy/lanes.go
@@ -164,9 +164,11 @@
 }
 
 // unroutableGrace is how long requests wait for a target that had members and
-// lost the last one, before they are refused. It covers the restart of a single
-// instance and the 3 s after which a silent connection is replaced.
-const unroutableGrace = 3 * time.Second
+// lost the last one, before they are refused. An admitted program is carried
+// through, so the time covers the restart of an engine process (5 s in the
+// stand-in), its health check, and the 3 s after which a silent connection is
+// replaced; 3 s refused calls that were on board of a crash of both engines.
+const unroutableGrace = 15 * time.Second
 
 // adapterGrace is how long requests wait for an adapter that is being loaded.
 const adapterGrace = 10 * time.Second
