--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -27,6 +27,7 @@
 
 	loop      *loop
 	journal   *journal.Writer
+	keeper    *journal.Keeper
 	transport *transport.Transport
 	http      *frontend.Server
 	server    *http.Server
@@ -42,6 +43,9 @@
 	ctx      context.Context
 	stop     context.CancelFunc
 	draining atomic.Bool
+	commits  atomic.Uint64 // appends to the journal
+	fenced   chan struct{} // closed when a successor has sealed the journal
+	fence    sync.Once
 	work     sync.WaitGroup // attempts and forwarded requests under way
 	running  sync.WaitGroup // goroutines that end with ctx
 }
@@ -49,7 +53,7 @@
 // New builds an entry from its settings. Nothing runs until Start.
 func New(cfg Config) (*Entry, error) {
 	cfg.setDefaults()
-	n := &Entry{cfg: cfg, log: cfg.Logger, calls: newCallTable(), attempts: newAttemptTable()}
+	n := &Entry{cfg: cfg, log: cfg.Logger, calls: newCallTable(), attempts: newAttemptTable(), fenced: make(chan struct{})}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.events = newEventLog(cfg.DataFolder, n.log)
 	p, err := policy.New(policy.NameDefault, cfg.Seed, nil)
@@ -69,12 +73,19 @@
 	n.owner = newOwnerRuntime(n, self, cfg.Store)
 	n.metrics = newEntryMetrics(n)
 	n.journal = journal.NewWriter(cfg.Store, cfg.Incarnation, journal.WriterOptions{
-		Committed: func(s core.Seq) { n.loop.post(core.JournalCommitted{At: now(), Seq: s}) },
-		Retained:  func(s core.Seq) { n.loop.post(core.JournalRetained{At: now(), Seq: s}) },
+		Committed: n.onCommitted,
+		Retained:  n.onRetained,
+		// With neither the store nor a member in reach an answer is still
+		// delivered, marked as pending: withholding it helps no caller.
+		Undurable: n.onRetained,
 		Sealed:    n.onSealed,
 		Retainer:  n.retainer(),
 		Logger:    n.log,
 	})
+	n.keeper, err = journal.NewKeeper(cfg.Store, journal.KeeperOptions{Folder: cfg.DataFolder, Logger: n.log})
+	if err != nil {
+		return nil, errors.Wrap(err, "set up retention")
+	}
 	n.transport, err = transport.New(transport.Config{
 		Listen: cfg.PeerListen, TLS: cfg.TLS, Hello: n.hello, Logger: n.log,
 	}, n.serveStream)
@@ -100,12 +111,36 @@
 	}
 }
 
+func (n *Entry) onCommitted(s core.Seq) {
+	n.commits.Add(1)
+	n.loop.post(core.JournalCommitted{At: now(), Seq: s})
+}
+
+func (n *Entry) onRetained(s core.Seq) {
+	n.loop.post(core.JournalRetained{At: now(), Seq: s})
+}
+
 // onSealed steps down after a successor has sealed the journal. The process
-// can own slots again only as a new incarnation.
+// sends no more heartbeats, so that its remaining slots find owners, and can own
+// slots again only as a new incarnation.
 func (n *Entry) onSealed(by core.Incarnation) {
 	n.log.Warn("journal sealed by a successor, stepping down", "peer", by)
 	n.owner.stepDown()
 	n.loop.post(core.JournalSealed{At: now(), By: by})
+	n.fence.Do(func() { close(n.fenced) })
+}
+
+// Fenced is closed when a successor has sealed the journal: the process must be
+// started again.
+func (n *Entry) Fenced() <-chan struct{} { return n.fenced }
+
+func (n *Entry) isFenced() bool {
+	select {
+	case <-n.fenced:
+		return true
+	default:
+		return false
+	}
 }
 
 // Start listens and begins to serve.
@@ -129,6 +164,7 @@
 	n.spawn(n.owner.run)
 	n.spawn(n.followList)
 	n.spawn(n.followRetention)
+	n.spawn(n.checkpoints)
 	n.spawn(func(context.Context) {
 		if err := n.server.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			n.log.Error("caller interface ended", "error", err)
@@ -184,7 +220,7 @@
 	n.waitHandedOver(ctx)
 	err := n.server.Shutdown(ctx)
 	n.waitWork(ctx)
-	if flushErr := n.journal.Flush(ctx); flushErr != nil && err == nil {
+	if flushErr := n.journal.Flush(ctx); flushErr != nil && err == nil && !n.isFenced() {
 		err = errors.Wrap(flushErr, "write journal")
 	}
 	n.stop()
@@ -213,7 +249,7 @@
 func (n *Entry) waitHandedOver(ctx context.Context) {
 	t := time.NewTicker(ownerTick)
 	defer t.Stop()
-	for n.owner.ownedCount() > 0 && n.owner.hasReceiver() {
+	for n.owner.ownedCount() > 0 && n.owner.hasReceiver() && !n.isFenced() {
 		select {
 		case <-ctx.Done():
 			return
