--- a/pkg/entry/backend.go
+++ b/pkg/entry/backend.go
@@ -103,11 +103,11 @@
 // whole prompt.
 func (n *Entry) setTurn(r *frontend.CallRequest) error {
 	var turns []core.Turn
-	ok := n.loop.do(func(c *core.Core) { turns = c.History(r.Call.Program) })
+	ok := n.loop.do(func(c *core.Core) { turns = c.History(r.Target) })
 	if !ok {
 		return frontend.Refuse(core.CodeShuttingDown, "read history", "the entry instance is stopping")
 	}
-	if err := r.SetTurn(turns); err != nil {
+	if err := n.histories.SetTurn(r, turns); err != nil {
 		return frontend.Refuse(core.CodeBadRequest, "read history", "%v", err)
 	}
 	return nil
--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -79,7 +79,7 @@
 
 // runAttempt carries one attempt to its end and returns the event that ends it.
 func (n *Entry) runAttempt(ctx context.Context, d core.Dispatch, p *pendingCall, turns []core.Turn, partial string) core.Event {
-	body, err := frontend.DispatchBody(p.req, turns, partial, d.MaxTokens)
+	body, err := n.histories.DispatchBody(p.req, turns, partial, d.MaxTokens)
 	if err != nil {
 		return failedAttempt(d, "build request", core.RanNo, err)
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -39,6 +39,7 @@
 	attempts  *attemptTable
 	metrics   *entryMetrics
 	events    *eventLog
+	histories *frontend.Histories
 
 	ctx      context.Context
 	stop     context.CancelFunc
@@ -53,7 +54,7 @@
 // New builds an entry from its settings. Nothing runs until Start.
 func New(cfg Config) (*Entry, error) {
 	cfg.setDefaults()
-	n := &Entry{cfg: cfg, log: cfg.Logger, calls: newCallTable(), attempts: newAttemptTable(), fenced: make(chan struct{})}
+	n := &Entry{cfg: cfg, log: cfg.Logger, calls: newCallTable(), attempts: newAttemptTable(), fenced: make(chan struct{}), histories: frontend.NewHistories()}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.events = newEventLog(cfg.DataFolder, n.log)
 	p, err := policy.New(policy.NameDefault, cfg.Seed, nil)
--- a/pkg/frontend/chat.go
+++ b/pkg/frontend/chat.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -59,12 +60,13 @@
 	MaxTokens int64     `json:"max_tokens"`
 	Stream    bool      `json:"stream"`
 
+	body   []byte
 	fields map[string]json.RawMessage
 }
 
 // ParseChat checks and decodes a chat completion request.
 func ParseChat(body []byte) (*ChatRequest, error) {
-	var r ChatRequest
+	r := ChatRequest{body: body}
 	if err := json.Unmarshal(body, &r.fields); err != nil {
 		return nil, errors.Wrap(err, "body is not a JSON object")
 	}
@@ -83,27 +85,58 @@
 	return &r, nil
 }
 
-// UpstreamBody returns the request for the engine with the whole prompt.
-func (r *ChatRequest) UpstreamBody(messages []Message, partial string, maxTokens int64) ([]byte, error) {
-	out := make(map[string]json.RawMessage, len(r.fields)+2)
-	for name, value := range r.fields {
-		out[name] = value
+// UpstreamBody returns the request for the engine: the history before the
+// request's own messages, and the text that the answer is to continue, if any.
+// The body is put together from its encoded parts, since a long history would
+// take milliseconds to encode again.
+func (r *ChatRequest) UpstreamBody(history []Message, partial string, maxTokens int64) ([]byte, error) {
+	if len(history) == 0 && partial == "" && (maxTokens == 0 || maxTokens == r.MaxTokens) {
+		return r.body, nil
+	}
+	size := len(r.body) + len(partial) + 128
+	for _, m := range history {
+		size += len(m.Raw) + 1
+	}
+	out := make([]byte, 0, size)
+	out = append(out, `{"messages":[`...)
+	for _, list := range [][]Message{history, r.Messages} {
+		for _, m := range list {
+			out = append(append(out, m.Raw...), ',')
+		}
 	}
-	if partial != "" {
-		messages = append(messages[:len(messages):len(messages)], Message{Role: "assistant", Content: partial})
-		out["continue_final_message"] = json.RawMessage("true")
+	if partial == "" {
+		out = out[:len(out)-1]
+	} else {
+		last, err := json.Marshal(Message{Role: "assistant", Content: partial})
+		if err != nil {
+			return nil, errors.Wrap(err, "encode partial answer")
+		}
+		out = append(out, last...)
 	}
-	encoded, err := json.Marshal(messages)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode messages")
+	out = append(out, ']')
+	if partial != "" {
+		out = append(out, `,"continue_final_message":true`...)
 	}
-	out["messages"] = encoded
 	if maxTokens > 0 {
-		if out["max_tokens"], err = json.Marshal(maxTokens); err != nil {
-			return nil, errors.Wrap(err, "encode max_tokens")
+		out = strconv.AppendInt(append(out, `,"max_tokens":`...), maxTokens, 10)
+	}
+	return r.appendOthers(out, partial, maxTokens)
+}
+
+// appendOthers adds the fields that are passed on unchanged.
+func (r *ChatRequest) appendOthers(out []byte, partial string, maxTokens int64) ([]byte, error) {
+	for name, value := range r.fields {
+		switch {
+		case name == "messages", name == "max_tokens" && maxTokens > 0, name == "continue_final_message" && partial != "":
+			continue
+		}
+		key, err := json.Marshal(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode field name")
 		}
+		out = append(append(append(append(out, ','), key...), ':'), value...)
 	}
-	return json.Marshal(out)
+	return append(out, '}'), nil
 }
 
 // Fingerprint identifies the content of a request independently of its key and
--- a/pkg/frontend/frontend_test.go
+++ b/pkg/frontend/frontend_test.go
@@ -168,16 +168,17 @@
 func TestMessagesOfHistory(t *testing.T) {
 	answer := []byte(`{"choices":[{"message":{"role":"assistant","content":"which gate?"}}]}`)
 	first := &CallRequest{Chat: mustParse(t, `{"model":"m","messages":[{"role":"user","content":"stuck"}]}`)}
-	if err := first.SetTurn(nil); err != nil {
+	histories := NewHistories()
+	if err := histories.SetTurn(first, nil); err != nil {
 		t.Fatal(err)
 	}
-	turns := []core.Turn{{Request: first.Call.Request, Answer: answer}}
+	turns := []core.Turn{{Attempt: "a1", Request: first.Call.Request, Answer: answer}}
 	full := &CallRequest{Chat: mustParse(t, `{"model":"m","messages":[{"role":"user","content":"stuck"},{"role":"assistant","content":"which gate?"},{"role":"user","content":"north"}]}`)}
-	if err := full.SetTurn(turns); err != nil {
+	if err := histories.SetTurn(full, turns); err != nil {
 		t.Fatal(err)
 	}
-	turns = append(turns, core.Turn{Request: full.Call.Request, Answer: answer})
-	got, err := Messages(turns)
+	turns = append(turns, core.Turn{Attempt: "a2", Request: full.Call.Request, Answer: answer})
+	got, err := histories.Messages("", turns)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -190,6 +191,34 @@
 	}
 }
 
+// Guards against a history kept from an earlier owner's turns after another
+// sequence of turns became the durable one.
+func TestHistoriesNoticeOtherTurns(t *testing.T) {
+	turn := func(attempt, text string) core.Turn {
+		return core.Turn{
+			Attempt: attempt,
+			Request: []byte(`{"messages":[{"role":"user","content":"` + text + `"}]}`),
+			Answer:  []byte(`{"choices":[]}`),
+		}
+	}
+	h := NewHistories()
+	for _, turns := range [][]core.Turn{
+		{turn("a", "one"), turn("b", "two")},
+		{turn("a", "one")},
+		{turn("a", "one"), turn("c", "three"), turn("d", "four")},
+	} {
+		got, err := h.Messages("p", turns)
+		if err != nil || len(got) != len(turns) {
+			t.Fatalf("%d messages of %d turns, error %v", len(got), len(turns), err)
+		}
+		for i, m := range got {
+			if want := string(turns[i].Request); !strings.Contains(want, `"`+m.Content+`"`) {
+				t.Errorf("message %d is %q, the turn is %s", i, m.Content, want)
+			}
+		}
+	}
+}
+
 func mustParse(t *testing.T, body string) *ChatRequest {
 	t.Helper()
 	r, err := ParseChat([]byte(body))
