--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -1,6 +1,10 @@
 package config
 
 import (
+	"cmp"
+	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -133,3 +137,48 @@
 		_, _ = ParseProcess("f", text)
 	})
 }
+
+// Guards against worked deployments that a release no longer accepts, keys
+// without documentation, and a profile that changes when it is printed.
+func TestDeploymentsAndDocumentation(t *testing.T) {
+	doc, err := os.ReadFile("../../docs/configuration.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range append(ProcessKeys(), SharedKeys()...) {
+		def := k.Default
+		if k.Required {
+			def = "required"
+		}
+		row := fmt.Sprintf("| `%s` | %s | %s | `%s` | %s |", k.Name, cmp.Or(k.Unit, "-"), cmp.Or(def, "-"), k.Example, k.Help)
+		if !strings.Contains(string(doc), row) {
+			t.Errorf("docs/configuration.md lacks %s", row)
+		}
+	}
+	files, err := filepath.Glob("../../deploy/*/*.ini")
+	if err != nil || len(files) != 8 {
+		t.Fatalf("files %v, %v", files, err)
+	}
+	for _, f := range files {
+		if filepath.Base(f) != "shared.ini" {
+			if _, err := LoadProcess(f); err != nil {
+				t.Error(err)
+			}
+			continue
+		}
+		data, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		cfg, err := ParseShared(f, data)
+		if err != nil {
+			t.Error(err)
+		}
+		for name, p := range cfg.Profiles {
+			again, err := ParseShared("printed", []byte("[cluster]\nregions = a\ndefault_profile = "+name+"\n"+FormatProfile(p)))
+			if err != nil || again.Profiles[name] != p {
+				t.Errorf("%s: profile %s is printed as\n%s%v", f, name, FormatProfile(p), err)
+			}
+		}
+	}
+}
--- a/pkg/config/shared.go
+++ b/pkg/config/shared.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -147,3 +148,26 @@
 		d.fault(d.line(clusterName, "regions"), clusterName+".regions", "at most slot_count regions", "")
 	}
 }
+
+// FormatProfile returns a profile with all its keys as a section of the shared
+// configuration.
+func FormatProfile(p core.Profile) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[%s%s]\n", profilePrefix, p.Name)
+	for _, kv := range []struct {
+		key   string
+		value any
+	}{
+		{"class", p.Class}, {"priority", p.Priority},
+		{"latency_weight", p.LatencyWeight}, {"cache_weight", p.CacheWeight},
+		{"budget_tokens", p.Budget.Tokens}, {"budget_calls", p.Budget.Calls}, {"budget_spend", p.Budget.SpendMicro},
+		{"budget_wall", short(p.Budget.Wall)}, {"budget_depth", p.Budget.Depth}, {"budget_width", p.Budget.Width},
+		{"history_retention", short(p.HistoryRetention)}, {"idle_timeout", short(p.IdleTimeout)},
+		{"cache_retention", short(p.CacheRetention)}, {"retry_limit", p.RetryLimit},
+		{"call_timeout", short(p.CallTimeout)}, {"refusal_retry", short(p.RefusalRetry)},
+		{"quarantine_time", short(p.QuarantineTime)},
+	} {
+		fmt.Fprintf(&b, "%s = %v\n", kv.key, kv.value)
+	}
+	return b.String()
+}
