--- a/pkg/core/coretest/check_test.go
+++ b/pkg/core/coretest/check_test.go
@@ -295,6 +295,11 @@
 			s.fail("silent", "call %s at %s got no final effect", id, c.node.inc)
 		}
 	}
+	for _, n := range s.nodes {
+		if p, ok := n.policy.Policy.(*fifoPolicy); ok && !n.dead && len(p.running)+len(p.queue) > 0 {
+			s.fail("policy", "%s counts %d attempts and %d requests that are over", n.inc, len(p.running), len(p.queue))
+		}
+	}
 	programs := slices.Clone(s.programs)
 	for _, r := range s.requests {
 		if !slices.Contains(programs, r.program) {
--- a/pkg/core/journal.go
+++ b/pkg/core/journal.go
@@ -208,11 +208,14 @@
 // abandon refuses a call that another owner now decides on, without touching
 // the state of its program.
 func (c *Core) abandon(cl *call, by string) {
-	if cl.state == stateWaiting {
+	switch cl.state {
+	case stateWaiting:
 		c.opt.Policy.Remove(cl.ID)
-	}
-	if cl.state == stateRunning && !cl.nonIdempotent {
-		c.emit(CancelAttempt{Attempt: cl.attempt, Upstream: cl.upstream})
+	case stateRunning, stateClaiming:
+		c.opt.Policy.OnFailed(c.now, Failure{Attempt: cl.attempt, Canceled: true, Ran: cl.outcome()})
+		if cl.state == stateRunning && !cl.nonIdempotent {
+			c.emit(CancelAttempt{Attempt: cl.attempt, Upstream: cl.upstream})
+		}
 	}
 	if !cl.replied {
 		ref := c.refusal(cl, CodeNotOwner, "journal", "another entry has taken over the program")
--- a/pkg/core/pins.go
+++ b/pkg/core/pins.go
@@ -16,6 +16,10 @@
 // orders carries out the cache and placement orders of the policy.
 func (c *Core) orders() {
 	for _, o := range c.opt.Policy.Orders(c.now) {
+		if o.Order == OrderResyncCache {
+			c.emit(o) // every entry has its own cache map
+			continue
+		}
 		// An order that concerns no program is fenced by the slot to which
 		// the upstream's id hashes, so that one entry gives such orders.
 		o.Slot = SlotOf(ProgramID(o.Upstream), c.slotCount())
