Scale own demand to all entries by the ratio of the fleet

Cause: the ratio of foreign to own calls on one upstream at one moment is noise; with two entries it overstated the memory demand. The estimate of evictions by age lowered holdings that cache events report exactly. Change: one running ratio for the fleet; the memory filter counts foreign calls at the mean need; age is used only while an upstream sends no events.

--- a/pkg/core/policy/cachemap.go
+++ b/pkg/core/policy/cachemap.go
@@ -49,10 +49,13 @@
 
 // cacheMap estimates the prefix tokens that each upstream holds.
 type cacheMap struct {
+	fleet   *fleet
 	holders map[string][]*upstream
 }
 
-func newCacheMap() *cacheMap { return &cacheMap{holders: map[string][]*upstream{}} }
+func newCacheMap(f *fleet) *cacheMap {
+	return &cacheMap{fleet: f, holders: map[string][]*upstream{}}
+}
 
 // reset forgets what an upstream held, after its restart or removal.
 func (c *cacheMap) reset(u *upstream) {
@@ -134,7 +137,7 @@
 // more. The events of their eviction were lost.
 func (c *cacheMap) sweep(now time.Time, u *upstream) {
 	for prefix, h := range u.cache.held { // each prefix is independent of the others
-		gone := !h.host && fresh(u.cache.clock-h.clock, u) == 0
+		gone := !h.host && u.cache.last == 0 && c.fresh(u.cache.clock-h.clock, u) == 0
 		if now.Before(h.pinned) || (!gone && u.cache.gaps-h.gaps < sweepGaps) {
 			continue
 		}
@@ -164,8 +167,9 @@
 	p := 1.0
 	if !now.Before(h.pinned) {
 		p = s.accuracy
-		if !h.host {
-			p *= fresh(s.clock-h.clock, u)
+		if !h.host && s.last == 0 {
+			// Events tell of evictions; without any, age has to do.
+			p *= c.fresh(s.clock-h.clock, u)
 		}
 		for range s.gaps - h.gaps {
 			p *= gapDoubt
@@ -177,12 +181,12 @@
 // fresh is the probability that a prefix has survived the tokens that were
 // written since its last use. The writes of other entries are inferred from
 // their share of the calls.
-func fresh(written int64, u *upstream) float64 {
+func (c *cacheMap) fresh(written int64, u *upstream) float64 {
 	capacity := float64(u.info.CacheTokens)
 	if capacity <= 0 {
 		return 1
 	}
-	w := float64(written) * u.entries()
+	w := float64(written) * c.fleet.entries()
 	return min(1, max(0, (1-w/capacity)/(1-freshShare)))
 }
 
--- a/pkg/core/policy/default.go
+++ b/pkg/core/policy/default.go
@@ -56,6 +56,7 @@
 	orders   []core.EngineOrder
 	swept    time.Time
 	pruned   time.Time
+	meanNeed float64  // running mean of the memory of a call
 	sweep    int      // upstream whose holdings are swept next
 	failed   failedOn // the last failure, for the decision on its retry
 }
@@ -73,7 +74,7 @@
 		d.queueOrder = newOrder()
 	}
 	if !off[PartCacheMap] {
-		d.cache = newCacheMap()
+		d.cache = newCacheMap(d.fleet)
 	}
 	if !off[PartPauses] {
 		d.pauses = newPauses()
@@ -357,6 +358,7 @@
 	fl.used = c.used + 1
 	if r.Call.Kind == core.KindModel {
 		fl.missing, fl.reserve = c.missing, c.need
+		d.meanNeed += serviceWeight * (float64(c.need) - d.meanNeed)
 		fl.ahead = u.queued + u.otherTok
 		u.queued += c.missing
 		u.reserved += c.need
--- a/pkg/core/policy/fleet.go
+++ b/pkg/core/policy/fleet.go
@@ -117,31 +117,39 @@
 
 func (u *upstream) own() int { return len(u.flights) }
 
-// entries estimates how many times the calls of all entries exceed the own ones.
-func (u *upstream) entries() float64 {
-	if u.others == 0 {
+// entries estimates how many times the demand of all entries exceeds the own
+// one. The ratio is that of the whole fleet over time: the one of a single
+// upstream at one moment is mostly noise (maxEntries 8 on it cost 40% more wasted
+// tokens with two entries).
+func (f *fleet) entries() float64 {
+	if f.foreign == 0 {
 		return 1
 	}
-	return min(maxEntries, 1+float64(u.others)/float64(max(u.own(), 1)))
+	return min(maxEntries, 1+f.foreign/max(f.mine, 0.1))
 }
 
-// maxEntries bounds the extrapolation from own calls to those of all entries.
-const maxEntries = 8
+const (
+	// maxEntries bounds the extrapolation from own calls to those of all entries.
+	maxEntries = 16
+	// entriesWeight is the weight of one load report in the ratio.
+	entriesWeight = 0.005
+)
 
 func (u *upstream) slots() int { return max(u.info.Slots, 1) }
 
 // fleet indexes the upstreams by target and region and tracks the attempts on
 // their way.
 type fleet struct {
-	rng       *rand.Rand
-	byID      map[core.UpstreamID]*upstream
-	list      []*upstream // sorted by id
-	targets   map[targetKey]*target
-	order     []*target // targets in order of creation
-	flights   map[core.AttemptID]*flight
-	free      []*flight
-	keyOf     func(*member) float64 // rank in the heap, lowest first
-	available func(*upstream) bool  // beyond reachable and not leaving
+	rng           *rand.Rand
+	byID          map[core.UpstreamID]*upstream
+	list          []*upstream // sorted by id
+	targets       map[targetKey]*target
+	order         []*target // targets in order of creation
+	flights       map[core.AttemptID]*flight
+	free          []*flight
+	keyOf         func(*member) float64 // rank in the heap, lowest first
+	available     func(*upstream) bool  // beyond reachable and not leaving
+	mine, foreign float64               // running mean of own and foreign calls per report
 }
 
 func newFleet(seed uint64) *fleet {
@@ -391,6 +399,10 @@
 	for _, m := range u.members {
 		m.group.others += others - u.others
 	}
+	if u.info.Kind == core.KindModel {
+		f.mine += entriesWeight * (float64(own) - f.mine)
+		f.foreign += entriesWeight * (float64(others) - f.foreign)
+	}
 	u.others = others
 	u.otherTok = max(0, l.QueuedTokens-ownTok)
 	u.load, u.loadAt = l, now
--- a/pkg/core/policy/pauses.go
+++ b/pkg/core/policy/pauses.go
@@ -98,19 +98,19 @@
 
 // pressure is the demand of running calls and paused programs, those of other
 // entries in proportion to their calls, as a share of the cache.
-func pressure(u *upstream, extra int64) float64 {
+func pressure(u *upstream, extra int64, entries float64) float64 {
 	if u.info.CacheTokens <= 0 {
 		return 0
 	}
-	return float64(u.pause.live+u.reserved+extra) * u.entries() / float64(u.info.CacheTokens)
+	return float64(u.pause.live+u.reserved+extra) * entries / float64(u.info.CacheTokens)
 }
 
 // choose weighs the recomputation of the history against the memory it holds
 // during the pause. Per token and second the gain of keeping depends only on
 // the length of the pause, so the longest pause that is kept shrinks as pins
 // fill the cache.
-func choose(u *upstream, tokens int64, e *duration, p *core.Profile) (choice, time.Duration) {
-	if tokens < minPinTokens || pressure(u, tokens) < idlePressure {
+func choose(u *upstream, tokens int64, e *duration, p *core.Profile, entries float64) (choice, time.Duration) {
+	if tokens < minPinTokens || pressure(u, tokens, entries) < idlePressure {
 		return choiceNone, 0
 	}
 	if e.returns < 0.3 {
@@ -121,7 +121,7 @@
 		retention = defaultCacheRetention
 	}
 	_, waste := weights(p)
-	pinned := float64(u.pause.pinned+tokens) * u.entries() / float64(u.info.CacheTokens)
+	pinned := float64(u.pause.pinned+tokens) * entries / float64(u.info.CacheTokens)
 	room := max(0, 1-pinned/pinShare)
 	transfer := float64(tokens) / offloadRate
 	again := float64(tokens) / prefillRate(u)
@@ -208,7 +208,7 @@
 		g.pin.counted = false
 	}
 	u.pause.live -= g.tokens
-	c, term := choose(u, g.tokens, e, &g.profile)
+	c, term := choose(u, g.tokens, e, &g.profile, d.fleet.entries())
 	u.pause.live += g.tokens
 	order := core.EngineOrder{Upstream: u.info.ID, Program: g.id}
 	switch c {
--- a/pkg/core/policy/plugins.go
+++ b/pkg/core/policy/plugins.go
@@ -60,15 +60,15 @@
 
 // memoryFilter excludes upstreams whose running calls and pins leave no memory
 // for the call: it would take a place in the engine's queue and wait there.
-type memoryFilter struct{}
+type memoryFilter struct{ d *defaultPolicy }
 
 func (memoryFilter) name() string { return "memory" }
-func (memoryFilter) allows(x *routing, c *candidate) bool {
+func (f memoryFilter) allows(x *routing, c *candidate) bool {
 	u := c.member.up
 	if c.need == 0 || u.own() == 0 || u.info.CacheTokens <= 0 {
 		return true
 	}
-	taken := float64(u.reserved)*u.entries() + float64(max(0, u.pause.pinned-x.pinnedOn(u)))
+	taken := float64(u.reserved+max(0, u.pause.pinned-x.pinnedOn(u))) + float64(u.others)*f.d.meanNeed
 	if taken+float64(c.need) > float64(u.info.CacheTokens) {
 		x.noMemory = true
 		return false
--- a/pkg/core/policy/router.go
+++ b/pkg/core/policy/router.go
@@ -106,7 +106,7 @@
 func newRouter(d *defaultPolicy, rng *rand.Rand) *router {
 	return &router{
 		rng: rng, d: d,
-		filters: []filterPlugin{usableFilter{}, suspectFilter{}, avoidFilter{}, breakerFilter{d}, limitFilter{}, memoryFilter{}},
+		filters: []filterPlugin{usableFilter{}, suspectFilter{}, avoidFilter{}, breakerFilter{d}, limitFilter{}, memoryFilter{d}},
 		scores:  []scorePlugin{waitScore{}, prefillScore{}, spreadScore{}, crossingScore{}, perturbScore{rng}},
 	}
 }
