Take configuration through the distributor; settings for operators and orders

Cause: the entry carried its own copy of the configuration exchange; sidecars with TLS could not be told which entries may give orders.

Conclusion: one path for configuration.

--- a/pkg/cli/daemoncmd/daemon.go
+++ b/pkg/cli/daemoncmd/daemon.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -148,6 +149,10 @@
 		return sidecar.Config{}, err
 	}
 	u := p.Upstream
+	token, err := orderToken(u.OrderTokenFile)
+	if err != nil {
+		return sidecar.Config{}, err
+	}
 	return sidecar.Config{
 		Instance:      p.Instance,
 		Incarnation:   string(p.Incarnation(time.Now())),
@@ -160,12 +165,22 @@
 		EntryNames:    p.EntryNames,
 		Upstream: sidecar.Upstream{
 			ID: u.ID, Kind: u.Kind, Service: u.Service, URL: "http://" + u.Address,
+			OutcomeByKey: u.OutcomeByKey, OrderToken: token,
 			ChecksOrders: u.ChecksOrders, ChecksFencing: u.ChecksFencing, Slots: u.Slots,
 		},
 		Logger: logger(p),
 	}, nil
 }
 
+// orderToken reads the bearer token of engine orders.
+func orderToken(file string) (string, error) {
+	if file == "" {
+		return "", nil
+	}
+	text, err := os.ReadFile(file)
+	return strings.TrimSpace(string(text)), errors.Wrap(err, "read token of engine orders")
+}
+
 // run runs an application until a signal or the end of ctx.
 func run(ctx context.Context, log *slog.Logger, opts ...fx.Option) error {
 	opts = append(opts,
--- a/pkg/config/process.go
+++ b/pkg/config/process.go
@@ -32,10 +32,12 @@
 
 	HTTPListen        string
 	TrustCallerHeader bool
+	Operators         []string // callers that may give operators' orders
 
 	PeerListen    string
 	PeerAdvertise string   // address under which peers reach this process
 	Seeds         []string // peers to ask before the instance list can be read
+	EntryNames    []string // certificate names of the entries, for sidecars with TLS
 	TLSCert       string
 	TLSKey        string
 	TLSCA         string
@@ -62,18 +64,20 @@
 
 // Upstream describes the upstream of a sidecar.
 type Upstream struct {
-	ID            string
-	Kind          core.CallKind
-	Service       string
-	Address       string
-	Models        []string
-	Adapters      []string
-	Slots         int
-	CacheTokens   int64
-	PrefillRate   float64
-	DecodeRate    float64
-	ChecksOrders  bool
-	ChecksFencing bool
+	ID             string
+	Kind           core.CallKind
+	Service        string
+	Address        string
+	Models         []string
+	Adapters       []string
+	Slots          int
+	CacheTokens    int64
+	PrefillRate    float64
+	DecodeRate     float64
+	ChecksOrders   bool
+	ChecksFencing  bool
+	OutcomeByKey   bool
+	OrderTokenFile string // file with the bearer token of orders; empty: none
 }
 
 // Incarnation returns the incarnation of a process that starts at the time: its
@@ -127,6 +131,8 @@
 			value: hostPort(func(p *Process) *string { return &p.HTTPListen })},
 		{name: "trust_caller_header", def: "false", example: "true", help: "Takes the caller from Yucca-Caller without a key. Allowed on a loopback address only.",
 			value: boolean(func(p *Process) *bool { return &p.TrustCallerHeader })},
+		{name: "operators", example: "ops", help: "Callers that may use /v1/admin: status of the fleet, drain, quarantine.",
+			value: list("names", plainName, func(p *Process) *[]string { return &p.Operators })},
 	}},
 	{"peer", []spec[Process]{
 		{name: "listen", required: true, example: "10.20.1.11:7070", help: "Address for sessions of other processes.",
@@ -135,6 +141,8 @@
 			value: hostPort(func(p *Process) *string { return &p.PeerAdvertise })},
 		{name: "seeds", example: "10.20.1.12:7070, 10.20.2.11:7070", help: "Entries to ask for the configuration while the instance list cannot be read.",
 			value: list("host:port", validHostPort, func(p *Process) *[]string { return &p.Seeds })},
+		{name: "entries", example: "dar-a-entry-1, dar-b-entry-1", help: "Certificate names of the entries from which a sidecar takes calls and orders. Needed for sidecars with TLS.",
+			value: list("names", plainName, func(p *Process) *[]string { return &p.EntryNames })},
 		{name: "tls_cert", example: "/etc/yuccaspindle/peer.crt", help: "Certificate file (PEM) for mutual TLS. Needed unless listen is a loopback address.",
 			value: nonEmpty("a file name", func(p *Process) *string { return &p.TLSCert })},
 		{name: "tls_key", example: "/etc/yuccaspindle/peer.key", help: "Key file (PEM) of tls_cert.",
@@ -171,7 +179,7 @@
 		value: nameOf(func(u *Upstream) *string { return &u.ID })},
 	{name: "kind", required: true, example: "model", help: "Kind of the upstream.",
 		value: oneOf(func(u *Upstream) *core.CallKind { return &u.Kind }, core.KindModel, core.KindService)},
-	{name: "service", example: "bookings", help: "Name of the service. Needed for kind service.",
+	{name: "service", example: "booking", help: "Name of the service. Needed for kind service.",
 		value: nameOf(func(u *Upstream) *string { return &u.Service })},
 	{name: "address", required: true, example: "127.0.0.1:9001", help: "Address of the upstream's HTTP interface.",
 		value: hostPort(func(u *Upstream) *string { return &u.Address })},
@@ -191,6 +199,10 @@
 		value: boolean(func(u *Upstream) *bool { return &u.ChecksOrders })},
 	{name: "checks_fencing", def: "false", example: "true", help: "The upstream refuses an order with an old fencing number.",
 		value: boolean(func(u *Upstream) *bool { return &u.ChecksFencing })},
+	{name: "outcome_by_key", def: "false", example: "true", help: "The service answers GET /outcomes/{key}.",
+		value: boolean(func(u *Upstream) *bool { return &u.OutcomeByKey })},
+	{name: "order_token_file", example: "/etc/yuccaspindle/engine.token", help: "File with the bearer token that the engine expects with an order.",
+		value: nonEmpty("a file name", func(u *Upstream) *string { return &u.OrderTokenFile })},
 }
 
 // ProcessKeys documents the settings of a process.
@@ -303,6 +315,9 @@
 	if set != 0 && set != 3 {
 		d.fault(d.line("peer", ""), "peer.tls_cert", "tls_cert, tls_key and tls_ca together", "")
 	}
+	if set == 3 && p.Role == RoleSidecar && len(p.EntryNames) == 0 {
+		d.fault(d.line("peer", "entries"), "peer.entries", "the certificate names of the entries, because the sidecar uses TLS", "nothing")
+	}
 	if set == 0 && p.PeerListen != "" && !loopback(p.PeerListen) {
 		d.fault(d.line("peer", "listen"), "peer.tls_cert",
 			"tls_cert, tls_key and tls_ca, because peer.listen is not a loopback address", "nothing")
--- a/pkg/config/shared.go
+++ b/pkg/config/shared.go
@@ -30,7 +30,7 @@
 		value: integer(1, 4096, func(c *core.Config) *int { return &c.SlotCount })},
 	{name: "regions", required: true, example: "dar-coast, arusha-north", help: "Regions that divide the slots, in this order.",
 		value: list("region names", plainName, func(c *core.Config) *[]string { return &c.Regions })},
-	{name: "default_profile", required: true, example: "gate-repair", help: "Profile of callers that name none and use no service with a default.",
+	{name: "default_profile", required: true, example: "diagnose", help: "Profile of callers that name none and use no service with a default.",
 		value: nameOf(func(c *core.Config) *string { return &c.Default })},
 }
 
@@ -80,7 +80,7 @@
 		value: boolean(func(s *core.ServiceSpec) *bool { return &s.OutcomeByKey })},
 	{name: "spend", def: "0", unit: "millionths of the currency unit", example: "250000", help: "Charge of one call to the budget of the program.",
 		value: integer(0, 1<<50, func(s *core.ServiceSpec) *int64 { return &s.SpendMicroCall })},
-	{name: "default_profile", example: "bookings", help: "Profile of callers that name none.",
+	{name: "default_profile", example: "booking", help: "Profile of callers that name none.",
 		value: nameOf(func(s *core.ServiceSpec) *string { return &s.DefaultProfile })},
 }
 
--- a/pkg/entry/config.go
+++ b/pkg/entry/config.go
@@ -31,6 +31,8 @@
 	FailureDomain string
 	HTTPListen    string // host:port, port 0 lets the kernel choose
 	PeerListen    string
+	PeerAdvertise string      // address under which peers reach this process, if it differs
+	Seeds         []string    // peers to dial while the instance list cannot be read
 	TLS           *tls.Config // nil allows loopback only
 	DataFolder    string      // empty if the instance keeps nothing
 	Seed          uint64
--- a/pkg/entry/configsync.go
+++ b/pkg/entry/configsync.go
@@ -23,59 +23,76 @@
 	configPoll        = 500 * time.Millisecond
 )
 
-// configSync holds the shared configuration in force and spreads newer versions
-// from the store to peers. Versions only grow.
+// configSync holds the shared configuration in force and levels it with peers.
+// Versions only grow.
 type configSync struct {
 	n     *Entry
 	store *config.Store
+	dist  *config.Distributor
 
-	mu      sync.Mutex
-	current config.Versioned
-	parsed  core.Config
-	peers   map[string]uint64 // configuration version by peer address
-	asking  map[string]bool   // peers with a push or request under way
+	object uint64 // version of the watched store object, used by run only
+
+	mu     sync.Mutex
+	peers  map[string]uint64 // configuration version by peer address
+	asking map[string]bool   // peers with a push or request under way
 }
 
 func newConfigSync(n *Entry) *configSync {
-	return &configSync{
+	c := &configSync{
 		n:      n,
-		store:  config.NewStore(n.cfg.Store),
+		store:  config.NewStore(n.cfg.Store, time.Now),
 		peers:  make(map[string]uint64),
 		asking: make(map[string]bool),
 	}
+	c.dist = config.NewDistributor(config.DistributorOptions{
+		Folder: n.cfg.DataFolder, Applied: c.applied, Logger: n.log,
+	})
+	return c
 }
 
-func (c *configSync) version() uint64 {
+// applied puts a configuration in force in this process and passes it on. The
+// distributor calls it once for each version, in order.
+func (c *configSync) applied(cfg core.Config) {
+	c.n.owner.setRegions(cfg.Regions)
+	c.n.loop.post(core.ConfigApplied{At: now(), Config: cfg})
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.current.Version
+	for addr, v := range c.peers {
+		if v < cfg.Version {
+			c.syncLocked(addr)
+		}
+	}
 }
 
-func (c *configSync) inForce() (uint64, []byte) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.current.Version, c.current.Text
+func (c *configSync) version() uint64 {
+	v, _ := c.dist.Current()
+	return v
 }
 
+func (c *configSync) inForce() (uint64, []byte) { return c.dist.Current() }
+
 func (c *configSync) slotCount() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.parsed.SlotCount
+	cfg, _ := c.dist.Config()
+	return cfg.SlotCount
 }
 
 func (c *configSync) regions() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.parsed.Regions
+	cfg, _ := c.dist.Config()
+	return cfg.Regions
 }
 
 func (c *configSync) service(name string) (core.ServiceSpec, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s, ok := c.parsed.Services[name]
+	cfg, _ := c.dist.Config()
+	s, ok := cfg.Services[name]
 	return s, ok
 }
 
+// accept offers a version that a peer sent.
+func (c *configSync) accept(version uint64, text []byte, source string) error {
+	_, err := c.dist.Offer(version, text)
+	return errors.Wrapf(err, "configuration version %d from %s", version, source)
+}
+
 func (c *configSync) peerVersions() map[string]uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -86,39 +103,12 @@
 	return out
 }
 
-// accept puts a configuration in force if it is newer than the present one.
-func (c *configSync) accept(version uint64, text []byte, source string) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if version <= c.current.Version {
-		return nil
-	}
-	parsed, err := config.ParseShared(source, text)
-	if err != nil {
-		return errors.Wrapf(err, "configuration version %d from %s", version, source)
-	}
-	parsed.Version = version
-	c.current = config.Versioned{Version: version, Text: text}
-	c.parsed = parsed
-	c.n.owner.setRegions(parsed.Regions)
-	// Posted under the lock, so that the core sees versions in order.
-	c.n.loop.post(core.ConfigApplied{At: now(), Config: parsed})
-	c.n.log.Info("configuration in force", "version", version, "source", source)
-	c.saveLocked()
-	for addr, v := range c.peers {
-		if v < version {
-			c.syncLocked(addr)
-		}
-	}
-	return nil
-}
-
 // peerVersion records the version of a peer and levels the two.
 func (c *configSync) peerVersion(addr string, version uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.peers[addr] = version
-	if version != c.current.Version {
+	if version != c.version() {
 		c.syncLocked(addr)
 	}
 }
@@ -148,14 +138,15 @@
 	}
 	ctx, cancel := context.WithTimeout(c.n.ctx, resolveTimeout)
 	defer cancel()
+	version, text := c.inForce()
 	c.mu.Lock()
-	mine, theirs := c.current, c.peers[addr]
+	theirs := c.peers[addr]
 	c.mu.Unlock()
-	if theirs > mine.Version {
+	if theirs > version {
 		return c.fetch(ctx, s)
 	}
 	answer, err := roundTrip(ctx, s, &peerv1.Envelope{Body: &peerv1.Envelope_ConfigPush{
-		ConfigPush: &peerv1.ConfigPush{Version: mine.Version, Text: mine.Text},
+		ConfigPush: &peerv1.ConfigPush{Version: version, Text: text},
 	}})
 	if err != nil {
 		return err
@@ -165,7 +156,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.peers[addr] = max(c.peers[addr], mine.Version)
+	c.peers[addr] = max(c.peers[addr], version)
 	return nil
 }
 
@@ -179,21 +170,42 @@
 	return c.accept(push.GetVersion(), push.GetText(), "peer "+s.Peer().GetInstance())
 }
 
-// run reads the configuration at start and follows it.
+// run takes the highest version that the data folder, the store and the peers
+// offer, and follows the store if this entry is one of those that watch it.
 func (c *configSync) run(ctx context.Context) {
-	c.load()
+	for c.version() == 0 && ctx.Err() == nil {
+		startCtx, cancel := context.WithTimeout(ctx, resolveTimeout)
+		err := c.dist.Start(startCtx, c.sources()...)
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			c.n.log.Warn("no configuration yet", "error", err)
+			sleep(ctx, configPoll)
+		}
+	}
 	for ctx.Err() == nil {
-		if c.version() > 0 && !c.watches() {
+		if !c.watches() {
 			sleep(ctx, configPoll)
 			continue
 		}
 		if err := c.watchOnce(ctx); err != nil && ctx.Err() == nil {
-			c.n.log.Warn("configuration not read from store", "error", err)
+			c.n.log.Debug("configuration not read from store", "error", err)
 			sleep(ctx, configPoll)
 		}
 	}
 }
 
+// sources returns the store and the connected peers.
+func (c *configSync) sources() []config.Source {
+	out := []config.Source{c.store.Source()}
+	for _, s := range c.n.peers.all() {
+		out = append(out, func(ctx context.Context) (uint64, []byte, error) {
+			answer, err := roundTrip(ctx, s, &peerv1.Envelope{Body: &peerv1.Envelope_ConfigRequest{ConfigRequest: &peerv1.ConfigRequest{}}})
+			return answer.GetConfigPush().GetVersion(), answer.GetConfigPush().GetText(), err
+		})
+	}
+	return out
+}
+
 // watches reports whether this entry is one of those of its failure domain that
 // watch the store.
 func (c *configSync) watches() bool {
@@ -207,15 +219,16 @@
 	return rank < watchersPerDomain
 }
 
-// watchOnce waits for a version newer than the present one.
+// watchOnce waits for the object to change and offers what it holds.
 func (c *configSync) watchOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, watchTime)
 	defer cancel()
-	v, err := c.store.Watch(ctx, c.version())
+	v, object, err := c.store.Watch(ctx, c.object)
 	if err != nil {
 		return err
 	}
-	return c.accept(v.Version, v.Text, "store")
+	c.object = object
+	return c.accept(v.Version, []byte(v.Text), "store")
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -224,7 +237,3 @@
 	case <-time.After(d):
 	}
 }
-
-func (c *configSync) load() {}
-
-func (c *configSync) saveLocked() {}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -107,7 +107,7 @@
 		Role:          roleEntry,
 		Region:        n.cfg.Region,
 		FailureDomain: n.cfg.FailureDomain,
-		Address:       n.transport.Addr(),
+		Address:       n.PeerAddr(),
 		ConfigVersion: n.config.version(),
 	}
 }
@@ -187,7 +187,12 @@
 func (n *Entry) HTTPAddr() string { return n.listener.Addr().String() }
 
 // PeerAddr returns the address for other processes of the scheduler.
-func (n *Entry) PeerAddr() string { return n.transport.Addr() }
+func (n *Entry) PeerAddr() string {
+	if n.cfg.PeerAdvertise != "" {
+		return n.cfg.PeerAdvertise
+	}
+	return n.transport.Addr()
+}
 
 // followList reads the platform's instance list.
 func (n *Entry) followList(ctx context.Context) {
@@ -199,6 +204,7 @@
 		cancel()
 		if err != nil {
 			n.log.Debug("instance list not read", "error", err)
+			n.peers.dialSeeds(n.cfg.Seeds)
 		} else {
 			n.peers.update(list)
 			n.owner.onList(list)
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -142,11 +142,23 @@
 	}
 }
 
+// dialSeeds connects to the entries that the settings name. It serves a start
+// while the instance list cannot be read.
+func (ps *peerSet) dialSeeds(addresses []string) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for _, addr := range addresses {
+		if ps.links[addr] == nil && addr != ps.n.PeerAddr() {
+			ps.connect(objectapi.Instance{Role: roleEntry, Address: addr})
+		}
+	}
+}
+
 func (ps *peerSet) connect(in objectapi.Instance) {
 	ctx, cancel := context.WithCancel(ps.n.ctx)
 	k := &link{address: in.Address, role: in.Role, cancel: cancel, instance: in.ID}
 	ps.links[in.Address] = k
-	if in.Role == roleEntry {
+	if in.Role == roleEntry && in.ID != "" {
 		ps.instances[in.ID] = k
 	}
 	go ps.maintain(ctx, k)
@@ -196,6 +208,9 @@
 	if hello.GetRole() == roleSidecar {
 		ps.addUpstream(k, hello)
 	}
+	if hello.GetRole() == roleEntry {
+		ps.addEntry(k, hello.GetInstance())
+	}
 	k.set(s)
 	st, err := s.Open(ctx, ps.n.heartbeatFor(k))
 	if err != nil {
@@ -243,6 +258,16 @@
 	}
 }
 
+// addEntry names the entry behind a link that was dialed by its address only.
+func (ps *peerSet) addEntry(k *link, instance string) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	k.instance = instance
+	if ps.instances[instance] == nil {
+		ps.instances[instance] = k
+	}
+}
+
 func (ps *peerSet) addUpstream(k *link, h *peerv1.Hello) {
 	info := upstreamInfo(h.GetUpstream(), h, k.address)
 	ps.mu.Lock()
--- a/pkg/quickstart/bench_test.go
+++ b/pkg/quickstart/bench_test.go
@@ -50,7 +50,7 @@
 	}
 	for _, q := range []float64{0.50, 0.99} {
 		x, y := quantile(directTimes, q), quantile(pathTimes, q)
-		b.ReportMetric(float64((y-x).Microseconds()), fmt.Sprintf("added-p%.0f-us", q*100))
+		b.ReportMetric(float64((y - x).Microseconds()), fmt.Sprintf("added-p%.0f-us", q*100))
 		b.ReportMetric(float64(x.Microseconds()), fmt.Sprintf("direct-p%.0f-us", q*100))
 	}
 }
