Count each crash once at every entry and name the sidecar in claims

Cause: interleavings with a request that crashes every upstream showed that an entry that processed a crash report late, after its peers' words about it, counted the crash twice and quarantined an innocent request. Claims named the upstream's incarnation, but it is the sidecar that forgets what it rejected.

Change: ShareQuarantine and QuarantineChanged name the crash that was counted (Upstream, Incarnation; without the names a report within 5 s is taken for the same crash). UpstreamInfo has SidecarIncarnation; Dispatch, ResolveClaim and claims carry it, as the messages Dispatch and Resolve already do. Without it nothing is checked. The core's Dispatch.Incarnation and ResolveClaim.Incarnation, which no other part used, are gone.

Conclusion: the daemons have to fill the new fields.

--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"google.golang.org/protobuf/encoding/protowire"
 )
 
 // maxBounces limits how often a call is passed on from one draining upstream
@@ -26,7 +24,7 @@
 		c.bounce(cl)
 		return
 	}
-	cl.incarnation = c.upstreams[a.Upstream].info.Incarnation
+	cl.sidecar = c.upstreams[a.Upstream].info.SidecarIncarnation
 	if !cl.nonIdempotent {
 		c.dispatch(cl)
 		return
@@ -36,7 +34,7 @@
 		Kind: RecordClaim, Program: cl.Program, Caller: cl.Caller, Key: cl.Key, Digest: cl.Digest,
 		Attempt: attempt, Upstream: cl.upstream, Service: cl.Service, Operation: cl.Operation,
 		Kinds: cl.Kind, Request: cl.Request, Reserved: c.want(cl).Tokens, SpendMicro: cl.spend,
-		State: protowire.AppendVarint(nil, cl.incarnation),
+		State: []byte(cl.sidecar),
 	})
 	cl.claimed = true
 	cl.state = stateClaiming
@@ -48,7 +46,7 @@
 		if cl.attempt != attempt || cl.state != stateClaiming {
 			return
 		}
-		if !c.accepts(cl.upstream) || c.upstreams[cl.upstream].info.Incarnation != cl.incarnation {
+		if !c.accepts(cl.upstream) || c.upstreams[cl.upstream].info.SidecarIncarnation != cl.sidecar {
 			c.bounce(cl)
 			return
 		}
@@ -61,7 +59,7 @@
 	cl.state = stateRunning
 	cl.sent = c.now
 	c.emit(Dispatch{
-		Attempt: cl.attempt, Call: cl.ID, Program: cl.Program, Upstream: cl.upstream, Incarnation: cl.incarnation,
+		Attempt: cl.attempt, Call: cl.ID, Program: cl.Program, Upstream: cl.upstream, SidecarIncarnation: cl.sidecar,
 		Slot: cl.root.slot, Epoch: c.slots[cl.root.slot].epoch, Priority: cl.priority,
 		MaxTokens: cl.granted, Deadline: cl.Deadline,
 	})
--- a/pkg/core/call.go
+++ b/pkg/core/call.go
@@ -28,23 +28,23 @@
 // caller has not come back; it then has no call id.
 type call struct {
 	Call
-	number      uint64 // order of arrival
-	root        *root
-	member      *program.Member
-	state       callState
-	attempt     AttemptID
-	upstream    UpstreamID
-	incarnation uint64 // of the upstream when it was chosen
-	priority    int
-	suspect     bool      // when it was given to the policy
-	sent        time.Time // when it was dispatched
-	granted     int64     // tokens it may generate
-	spend       int64     // spend reserved for an attempt
-	tries       int
-	bounces     int // attempts refused by draining sidecars
-	avoid       []UpstreamID
-	ran         Ran    // what is known of the attempts that ended
-	timer       uint64 // the timer that moves the call on, if any
+	number   uint64 // order of arrival
+	root     *root
+	member   *program.Member
+	state    callState
+	attempt  AttemptID
+	upstream UpstreamID
+	sidecar  Incarnation // of the upstream when it was chosen
+	priority int
+	suspect  bool      // when it was given to the policy
+	sent     time.Time // when it was dispatched
+	granted  int64     // tokens it may generate
+	spend    int64     // spend reserved for an attempt
+	tries    int
+	bounces  int // attempts refused by draining sidecars
+	avoid    []UpstreamID
+	ran      Ran    // what is known of the attempts that ended
+	timer    uint64 // the timer that moves the call on, if any
 
 	nonIdempotent bool
 	claimed       bool // the journal has a claim of the attempt
--- a/pkg/core/claim.go
+++ b/pkg/core/claim.go
@@ -16,7 +16,7 @@
 func (c *Core) resolve(cl *call) {
 	cl.state = stateResolving
 	c.emit(ResolveClaim{
-		Attempt: cl.attempt, Program: cl.Program, Upstream: cl.upstream, Incarnation: cl.incarnation,
+		Attempt: cl.attempt, Program: cl.Program, Upstream: cl.upstream, SidecarIncarnation: cl.sidecar,
 		Service: cl.Service, Key: cl.Key,
 		Slot: cl.root.slot, Epoch: c.slots[cl.root.slot].epoch,
 	})
--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -201,7 +201,10 @@
 	case UpstreamCrashed:
 		c.crashed(e)
 	case QuarantineChanged:
-		c.quarant.Merge(quarantine.Entry{Fingerprint: e.Fingerprint, Count: e.Count, Until: e.Until, Released: e.Released}, c.now)
+		c.quarant.Merge(quarantine.Entry{
+			Fingerprint: e.Fingerprint, Count: e.Count, Until: e.Until, Released: e.Released,
+			Upstream: string(e.Upstream), Incarnation: e.Incarnation,
+		}, c.now)
 		c.refuseQuarantined()
 	case SlotsAcquired:
 		c.acquire(e)
@@ -299,7 +302,7 @@
 
 func (c *Core) upstreamChanged(info UpstreamInfo) {
 	u := c.upstreams[info.ID]
-	if u == nil || u.info.Incarnation != info.Incarnation {
+	if u == nil || u.info.Incarnation != info.Incarnation || u.info.SidecarIncarnation != info.SidecarIncarnation {
 		// Pins are kept: after a restart of the sidecar alone the engine still
 		// holds them, and a pin of a prefix that is not held has no effect.
 		u = &upstream{reachable: true}
--- a/pkg/core/coretest/check_test.go
+++ b/pkg/core/coretest/check_test.go
@@ -68,8 +68,15 @@
 		Request:     fmt.Appendf(nil, "%s#%d", p.name, p.next),
 		Fingerprint: uint64(len(s.requests) + 1),
 	}
-	r.call.Digest = r.call.Fingerprint
-	switch s.pick(4) {
+	if s.poison && s.pick(8) == 0 {
+		r.call.Fingerprint = poisonous
+	}
+	r.call.Digest = uint64(len(s.requests) + 1)
+	kind := s.pick(4)
+	if r.call.Fingerprint == poisonous {
+		kind = 3 // a model call
+	}
+	switch kind {
 	case 0, 1:
 		r.call.Kind, r.call.Service, r.call.Operation = core.KindService, "booking", "charge"
 		r.call.MaxTokens, r.call.PromptTokens, r.nonIdem = 0, 0, true
@@ -269,6 +276,9 @@
 			s.fail("retry-after", "refusal %s of %s has no retry time", ref.Code, c.req.call.Request)
 		}
 	}
+	if s.poison && ref.Code == core.CodeQuarantined && c.req.call.Fingerprint != poisonous {
+		s.fail("quarantine", "%s: %s is innocent", n.inc, c.req.call.Request)
+	}
 	if ref.Ran != core.RanNo {
 		return
 	}
--- a/pkg/core/coretest/property_test.go
+++ b/pkg/core/coretest/property_test.go
@@ -51,13 +51,17 @@
 
 func runSim(pick func(int) int, policy func(uint64) core.Policy, faults core.Faults, steps int) *sim {
 	s := newSim(pick, policy, faults)
+	s.run(steps)
+	return s
+}
+
+func (s *sim) run(steps int) {
 	for range steps {
 		s.act()
 	}
 	s.settle()
 	s.check()
 	s.checkRegisters()
-	return s
 }
 
 // Guards against an interleaving of calls, resends, crashes, pauses, lost
@@ -190,3 +194,24 @@
 		})
 	}
 }
+
+// Guards against the quarantine of a request that only shared upstreams with
+// one that crashes them, and against one that goes on crashing upstreams.
+func TestPoisonousRequests(t *testing.T) {
+	n, requests, crashes := interleavings(t)/4, 0, 0
+	for seed := range uint64(n) {
+		s := newSim(seeded(seed), pinningPolicy, core.Faults{})
+		s.poison = true
+		s.run(simSteps)
+		if len(s.violations) > 0 {
+			t.Fatalf("seed %d:\n%s", seed, s.report())
+		}
+		for _, r := range s.requests {
+			if r.call.Fingerprint == poisonous {
+				requests += r.sent
+			}
+		}
+		crashes += s.crashes
+	}
+	t.Logf("%d interleavings of %d steps: %d crashes by a request sent %d times", n, simSteps, crashes, requests)
+}
--- a/pkg/core/coretest/script_test.go
+++ b/pkg/core/coretest/script_test.go
@@ -189,7 +189,7 @@
 		// All slots in epoch 1, one model and one booking upstream.
 		out := s.step(core.ConfigApplied{At: core.At{Time: s.now}, Config: s.cfg})
 		out += s.step(core.UpstreamChanged{At: core.At{Time: s.now}, Info: core.UpstreamInfo{ID: "m1", Kind: core.KindModel}})
-		out += s.step(core.UpstreamChanged{At: core.At{Time: s.now}, Info: core.UpstreamInfo{ID: "b1", Kind: core.KindService, Service: "booking"}})
+		out += s.step(core.UpstreamChanged{At: core.At{Time: s.now}, Info: core.UpstreamInfo{ID: "b1", Kind: core.KindService, Service: "booking", SidecarIncarnation: "b1.1"}})
 		return out + s.step(core.SlotsAcquired{At: core.At{Time: s.now}, Slots: allSlots(16, 1)})
 	case "takeover":
 		// A new core acquires all slots with the records appended so far, or
@@ -205,7 +205,7 @@
 		s.restart("e2.1")
 		out := s.step(core.ConfigApplied{At: core.At{Time: s.now}, Config: s.cfg})
 		out += s.step(core.UpstreamChanged{At: core.At{Time: s.now}, Info: core.UpstreamInfo{ID: "m1", Kind: core.KindModel}})
-		out += s.step(core.UpstreamChanged{At: core.At{Time: s.now}, Info: core.UpstreamInfo{ID: "b1", Kind: core.KindService, Service: "booking"}})
+		out += s.step(core.UpstreamChanged{At: core.At{Time: s.now}, Info: core.UpstreamInfo{ID: "b1", Kind: core.KindService, Service: "booking", SidecarIncarnation: "b1.1"}})
 		return out + s.step(core.SlotsAcquired{At: core.At{Time: s.now}, Slots: allSlots(16, ep), Records: records, Planned: planned})
 	case "history":
 		var b strings.Builder
--- a/pkg/core/coretest/sidecar_test.go
+++ b/pkg/core/coretest/sidecar_test.go
@@ -9,12 +9,15 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
 )
 
+// poisonous is the fingerprint of the requests that crash every upstream.
+const poisonous = 1 << 40
+
 // sidecar is a fake sidecar with its upstream.
 type sidecar struct {
 	id          core.UpstreamID
 	service     string
 	incarnation uint64 // of the upstream
-	since       uint64 // first incarnation that the sidecar remembers
+	session     int    // grows when the sidecar restarts and loses its memory
 	leaving     bool
 	highest     map[core.Slot]core.Epoch
 	inbox       []*attempt
@@ -47,7 +50,7 @@
 
 func newSidecar(id core.UpstreamID) *sidecar {
 	sc := &sidecar{
-		id: id, incarnation: 1, since: 1, highest: map[core.Slot]core.Epoch{},
+		id: id, incarnation: 1, highest: map[core.Slot]core.Epoch{},
 		rejected: map[core.AttemptID]bool{}, pins: map[core.ProgramID]pin{},
 	}
 	if strings.HasPrefix(string(id), "b") {
@@ -61,7 +64,12 @@
 	if sc.service != "" {
 		kind = core.KindService
 	}
-	return core.UpstreamInfo{ID: sc.id, Kind: kind, Service: sc.service, Incarnation: sc.incarnation, Slots: 4}
+	return core.UpstreamInfo{ID: sc.id, Kind: kind, Service: sc.service, Incarnation: sc.incarnation, Slots: 4, SidecarIncarnation: sc.process()}
+}
+
+// process is the incarnation of the sidecar itself.
+func (sc *sidecar) process() core.Incarnation {
+	return core.Incarnation(fmt.Sprintf("%s.%d", sc.id, sc.session))
 }
 
 func (sc *sidecar) lane() string { return "sidecar " + string(sc.id) }
@@ -117,7 +125,7 @@
 	case lost:
 		a.state = "lost"
 		sc.failed(s, a, core.AttemptFailed{Ran: core.RanUnknown})
-	case a.d.Incarnation != sc.incarnation:
+	case a.d.SidecarIncarnation != sc.process():
 		sc.rejected[a.d.Attempt] = true
 		sc.failed(s, a, core.AttemptFailed{Ran: core.RanNo})
 	case a.d.Epoch < sc.highest[a.d.Slot] && !s.faults.NoFenceCheck:
@@ -133,6 +141,12 @@
 		a.state = "running"
 		sc.running = append(sc.running, a)
 		s.ran(a)
+		if a.req.call.Fingerprint == poisonous {
+			s.crashes++
+			sc.breakAll(s, core.AttemptFailed{Ran: core.RanUnknown, Crashed: true}, "crashed")
+			clear(sc.pins)
+			break
+		}
 		s.send(a.node, sc.lane(), core.AttemptStarted{At: s.at(), Attempt: a.d.Attempt})
 	}
 	return true
@@ -176,7 +190,7 @@
 	sc.queries = sc.queries[1:]
 	a := s.attempts[q.ask.Attempt]
 	r := core.OutcomeResolved{At: s.at(), Attempt: q.ask.Attempt, Ran: core.RanUnknown}
-	remembers := q.ask.Incarnation >= sc.since
+	remembers := q.ask.SidecarIncarnation == sc.process()
 	switch {
 	case remembers && (a == nil || a.state == "sent" || a.state == "lost" || sc.rejected[a.d.Attempt]):
 		// Never seen: from now on it is rejected.
@@ -197,6 +211,9 @@
 func (sc *sidecar) disturb(s *sim) {
 	switch s.pick(4) {
 	case 0:
+		if s.poison {
+			return
+		}
 		sc.breakAll(s, core.AttemptFailed{Ran: core.RanUnknown, Crashed: true}, "crashed")
 		clear(sc.pins)
 	case 1:
@@ -205,8 +222,8 @@
 			sc.failed(s, a, core.AttemptFailed{Ran: core.RanUnknown})
 		}
 		sc.inbox = nil
+		sc.session++
 		sc.breakAll(s, core.AttemptFailed{Ran: core.RanUnknown}, "broken")
-		sc.since = sc.incarnation
 		clear(sc.rejected)
 		clear(sc.highest)
 		clear(sc.pins)
@@ -226,7 +243,9 @@
 		sc.failed(s, a, f)
 	}
 	sc.running = nil
-	sc.incarnation++
+	if f.Crashed {
+		sc.incarnation++
+	}
 	for _, n := range s.nodes {
 		if f.Crashed {
 			s.send(n, sc.lane(), core.UpstreamCrashed{
--- a/pkg/core/coretest/sim_test.go
+++ b/pkg/core/coretest/sim_test.go
@@ -22,6 +22,8 @@
 	now    time.Time
 	clock  int64 // logical time of the registers
 
+	poison   bool // some requests crash every upstream, nothing else crashes one
+	crashes  int  // caused by them
 	storeUp  bool
 	nodes    []*node // every incarnation, also dead ones
 	starts   int
@@ -164,7 +166,7 @@
 		cfg.Version = uint64(v + 1)
 		s.configs = append(s.configs, cfg)
 	}
-	for _, id := range []core.UpstreamID{"m1", "m2", "b1", "b2"} {
+	for _, id := range []core.UpstreamID{"m1", "m2", "m3", "b1", "b2"} {
 		s.sidecars = append(s.sidecars, newSidecar(id))
 	}
 	for range 3 {
@@ -302,6 +304,7 @@
 			if other != n {
 				s.send(other, "peer "+string(n.inc), core.QuarantineChanged{
 					At: s.at(), Fingerprint: f.Fingerprint, Count: f.Count, Until: f.Until, Released: f.Released,
+					Upstream: f.Upstream, Incarnation: f.Incarnation,
 				})
 			}
 		}
--- a/pkg/core/crash.go
+++ b/pkg/core/crash.go
@@ -23,7 +23,10 @@
 }
 
 func (c *Core) share(e quarantine.Entry) {
-	c.emit(ShareQuarantine{Fingerprint: e.Fingerprint, Count: e.Count, Until: e.Until, Released: e.Released})
+	c.emit(ShareQuarantine{
+		Fingerprint: e.Fingerprint, Count: e.Count, Until: e.Until, Released: e.Released,
+		Upstream: UpstreamID(e.Upstream), Incarnation: e.Incarnation,
+	})
 }
 
 // broken marks the request of an attempt that broke in a crash as a suspect.
--- a/pkg/core/effect.go
+++ b/pkg/core/effect.go
@@ -27,15 +27,15 @@
 		Call     CallID     `json:"call"`
 		Program  ProgramID  `json:"program"`
 		Upstream UpstreamID `json:"upstream"`
-		// Incarnation is that of the upstream's description for which the
-		// attempt was claimed. A sidecar of another one refuses the attempt as
-		// not run: it does not know which attempts its predecessor rejected.
-		Incarnation uint64    `json:"incarnation"`
-		Slot        Slot      `json:"slot"`
-		Epoch       Epoch     `json:"epoch"`
-		Priority    int       `json:"priority"` // engine priority, 0 is served first
-		MaxTokens   int64     `json:"max_tokens"`
-		Deadline    time.Time `json:"deadline"`
+		// SidecarIncarnation is that for which the attempt was chosen or claimed.
+		// Another one refuses the attempt as not run: it does not know which
+		// attempts its predecessor rejected.
+		SidecarIncarnation Incarnation `json:"sidecar_incarnation,omitempty"`
+		Slot               Slot        `json:"slot"`
+		Epoch              Epoch       `json:"epoch"`
+		Priority           int         `json:"priority"` // engine priority, 0 is served first
+		MaxTokens          int64       `json:"max_tokens"`
+		Deadline           time.Time   `json:"deadline"`
 	}
 
 	// CancelAttempt tells the sidecar to stop an attempt.
@@ -47,18 +47,18 @@
 
 	// ResolveClaim asks the sidecar, then the service, for the outcome of a
 	// dispatch whose answer was lost. The daemon reports OutcomeResolved. Only
-	// a sidecar whose memory reaches back to the Incarnation may answer that
-	// the attempt was never seen.
+	// the sidecar of the same incarnation may answer that the attempt was never
+	// seen.
 	ResolveClaim struct {
 		isEffect
-		Attempt     AttemptID  `json:"attempt"`
-		Program     ProgramID  `json:"program"`
-		Upstream    UpstreamID `json:"upstream"`
-		Incarnation uint64     `json:"incarnation"`
-		Service     string     `json:"service"`
-		Key         string     `json:"key"`
-		Slot        Slot       `json:"slot"`
-		Epoch       Epoch      `json:"epoch"`
+		Attempt            AttemptID   `json:"attempt"`
+		Program            ProgramID   `json:"program"`
+		Upstream           UpstreamID  `json:"upstream"`
+		SidecarIncarnation Incarnation `json:"sidecar_incarnation,omitempty"`
+		Service            string      `json:"service"`
+		Key                string      `json:"key"`
+		Slot               Slot        `json:"slot"`
+		Epoch              Epoch       `json:"epoch"`
 	}
 
 	// Reply completes a call. Stored is true when the answer comes from the
@@ -106,12 +106,16 @@
 		Epoch    Epoch         `json:"epoch"`
 	}
 
-	// ShareQuarantine tells every peer about a crash suspect.
+	// ShareQuarantine tells every peer about a crash suspect. Upstream and
+	// Incarnation name the crash that was counted last, so that no peer counts
+	// it again; Incarnation is 0 until the crash is reported.
 	ShareQuarantine struct {
 		isEffect
-		Fingerprint uint64    `json:"fingerprint"`
-		Count       int       `json:"count"`
-		Until       time.Time `json:"until"`
-		Released    bool      `json:"released"`
+		Fingerprint uint64     `json:"fingerprint"`
+		Count       int        `json:"count"`
+		Until       time.Time  `json:"until"`
+		Released    bool       `json:"released"`
+		Upstream    UpstreamID `json:"upstream,omitempty"`
+		Incarnation uint64     `json:"incarnation,omitempty"`
 	}
 )
--- a/pkg/core/event.go
+++ b/pkg/core/event.go
@@ -168,10 +168,12 @@
 	// QuarantineChanged carries another entry's or an operator's decision.
 	QuarantineChanged struct {
 		At
-		Fingerprint uint64    `json:"fingerprint"`
-		Count       int       `json:"count"`
-		Until       time.Time `json:"until"`
-		Released    bool      `json:"released"`
+		Fingerprint uint64     `json:"fingerprint"`
+		Count       int        `json:"count"`
+		Until       time.Time  `json:"until"`
+		Released    bool       `json:"released"`
+		Upstream    UpstreamID `json:"upstream,omitempty"` // the crash that was counted last, if known
+		Incarnation uint64     `json:"incarnation,omitempty"`
 	}
 
 	// SlotsAcquired tells that this process now owns the slots, with the
--- a/pkg/core/journal.go
+++ b/pkg/core/journal.go
@@ -3,8 +3,6 @@
 import (
 	"sort"
 
-	"google.golang.org/protobuf/encoding/protowire"
-
 	"github.com/yuccaspindle/yuccaspindle/pkg/core/program"
 )
 
@@ -61,11 +59,10 @@
 			r.Ledger.Forfeit(attempt)
 		}
 	case RecordClaim:
-		incarnation, _ := protowire.ConsumeVarint(rec.State) // 0 if damaged, then no sidecar answers "never seen"
 		r.Claim(key, program.KeyRecord{
 			Member: string(rec.Program), Digest: rec.Digest, Attempt: attempt,
 			Upstream: string(rec.Upstream), Service: rec.Service, Operation: rec.Operation,
-			Request: rec.Request, Seq: uint64(rec.Seq), Incarnation: incarnation,
+			Request: rec.Request, Seq: uint64(rec.Seq), Sidecar: string(rec.State),
 		}, reservedAmount(rec))
 	case RecordRefused:
 		r.Refuse(key, attempt)
--- a/pkg/core/ownership.go
+++ b/pkg/core/ownership.go
@@ -154,7 +154,7 @@
 				Operation: rec.Operation, Key: key, Digest: rec.Digest, Request: rec.Request,
 			},
 			number: c.nextCall, root: r, member: m, attempt: AttemptID(rec.Attempt),
-			upstream: UpstreamID(rec.Upstream), incarnation: rec.Incarnation, ran: RanNo, nonIdempotent: true, claimed: true, replied: true,
+			upstream: UpstreamID(rec.Upstream), sidecar: Incarnation(rec.Sidecar), ran: RanNo, nonIdempotent: true, claimed: true, replied: true,
 			spend: r.Ledger.Open(rec.Attempt).Spend,
 		}
 		c.attempts[cl.attempt] = cl
--- a/pkg/core/program/codec.go
+++ b/pkg/core/program/codec.go
@@ -182,7 +182,7 @@
 	e.int(11, int64(rec.Turn))
 	e.uint(12, rec.Seq)
 	e.amount(13, rec.Forfeited)
-	e.uint(14, rec.Incarnation)
+	e.string(14, rec.Sidecar)
 }
 
 // Decode reads what Encode wrote.
@@ -323,7 +323,7 @@
 		case 13:
 			rec.Forfeited, err = decodeAmount(f.b)
 		case 14:
-			rec.Incarnation = f.v
+			rec.Sidecar = f.string()
 		}
 		return err
 	})
--- a/pkg/core/program/codec_test.go
+++ b/pkg/core/program/codec_test.go
@@ -15,7 +15,7 @@
 		Pins: map[string]time.Time{"m1": at}})
 	r.Open(&Member{ID: "p003-aa~1", Parent: "p003-aa", Opened: at, LastActive: at, EndedAt: at, Single: true})
 	r.Claim(Key{"lango", "k"}, KeyRecord{Member: "p003-aa", Digest: 9, Attempt: "a1", Upstream: "b1",
-		Incarnation: 3, Service: "booking", Operation: "charge", Request: []byte("req")}, Amount{1, 2, 3})
+		Sidecar: "s1.3", Service: "booking", Operation: "charge", Request: []byte("req")}, Amount{1, 2, 3})
 	r.Ledger.Settle("x", Amount{-4, 5, 6})
 	return r
 }
--- a/pkg/core/program/ledger.go
+++ b/pkg/core/program/ledger.go
@@ -13,9 +13,9 @@
 // Amount is a quantity of each budgeted resource. As a limit, zero means
 // unlimited.
 type Amount struct {
-	Tokens int64 // prompt and generated tokens
-	Calls  int64 // dispatched attempts
-	Spend  int64 // millionths of the currency unit
+	Tokens int64 `json:"tokens,omitempty"`      // prompt and generated tokens
+	Calls  int64 `json:"calls,omitempty"`       // dispatched attempts
+	Spend  int64 `json:"spend_micro,omitempty"` // millionths of the currency unit
 }
 
 func (a Amount) add(b Amount) Amount {
--- a/pkg/core/program/root.go
+++ b/pkg/core/program/root.go
@@ -41,18 +41,18 @@
 
 // KeyRecord states what is known about the call with an idempotency key.
 type KeyRecord struct {
-	State       KeyState
-	Member      string // program that made the call
-	Digest      uint64
-	Attempt     string
-	Upstream    string
-	Incarnation uint64 // of the upstream
-	Service     string
-	Operation   string
-	Request     []byte
-	Turn        int    // position in the member's history, for Answered
-	Seq         uint64 // journal position of the last record
-	Forfeited   Amount // counted as spent, for Unknown
+	State     KeyState
+	Member    string // program that made the call
+	Digest    uint64
+	Attempt   string
+	Upstream  string
+	Sidecar   string // incarnation of the sidecar
+	Service   string
+	Operation string
+	Request   []byte
+	Turn      int    // position in the member's history, for Answered
+	Seq       uint64 // journal position of the last record
+	Forfeited Amount // counted as spent, for Unknown
 }
 
 // Member is a root program or one of its children.
--- a/pkg/core/quarantine/quarantine.go
+++ b/pkg/core/quarantine/quarantine.go
@@ -22,11 +22,17 @@
 	Until       time.Time
 	Released    bool
 
-	// expected names an upstream whose crash is known from a broken attempt
-	// and not yet from the crash report, so that it is counted once.
+	// Upstream and Incarnation name the crash that was counted last. Peers tell
+	// each other, so that none counts it again. Incarnation is 0 until the crash
+	// is reported.
+	Upstream    string
+	Incarnation uint64
+
+	// expected names an upstream whose crash is known from a broken attempt,
+	// here or at a peer, and not yet from the crash report.
 	expected string
-	// told is set when a peer told of the suspect. The report of the same
-	// crash may come later from the sidecar, within sameCrash.
+	// told is set when a peer told of the suspect without naming the crash. The
+	// report of the same crash may come later, within sameCrash.
 	told time.Time
 }
 
@@ -61,7 +67,7 @@
 		return Entry{}, false
 	}
 	e := l.set(fp, CountSuspect, until)
-	e.expected = upstream
+	e.Upstream, e.expected = upstream, upstream
 	return *e, true
 }
 
@@ -83,8 +89,9 @@
 		case fp == 0:
 		case e == nil:
 			fresh = append(fresh, fp)
-		case e.expected == upstream || !e.told.IsZero() && now.Before(e.told.Add(sameCrash)):
-			e.expected, e.told = "", time.Time{} // this crash is counted already
+		case e.Upstream == upstream && e.Incarnation >= incarnation, e.expected == upstream,
+			e.expected == "" && now.Before(e.told.Add(sameCrash)):
+			e.counted(upstream, max(incarnation, e.Incarnation))
 			counted = append(counted, fp)
 		default:
 			suspects = append(suspects, fp)
@@ -92,7 +99,7 @@
 	}
 	var changed []Entry
 	if len(suspects) == 1 && l.entries[suspects[0]].Count < CountQuarantined {
-		changed = append(changed, *l.set(suspects[0], CountQuarantined, until))
+		changed = append(changed, *l.count(suspects[0], CountQuarantined, until, upstream, incarnation))
 		for _, fp := range counted {
 			e := *l.entries[fp]
 			e.Released = true
@@ -105,7 +112,7 @@
 	// suspicion while there is one.
 	if len(suspects) == 0 {
 		for _, fp := range fresh {
-			changed = append(changed, *l.set(fp, CountSuspect, until))
+			changed = append(changed, *l.count(fp, CountSuspect, until, upstream, incarnation))
 		}
 	}
 	return changed
@@ -136,12 +143,19 @@
 	case e.Released && e.Count == CountSuspect && old != nil && old.Count > CountSuspect:
 	case e.Released:
 		delete(l.entries, e.Fingerprint)
-	case old == nil || e.Count > old.Count || e.Count == old.Count && e.Until.After(old.Until):
-		merged := l.set(e.Fingerprint, e.Count, e.Until)
-		if old == nil {
+	case old == nil:
+		merged := l.count(e.Fingerprint, e.Count, e.Until, e.Upstream, e.Incarnation)
+		if e.Incarnation == 0 {
+			merged.expected = e.Upstream
 			merged.told = now
-		} else {
-			merged.expected, merged.told = old.expected, old.told
+		}
+	case e.Count >= old.Count:
+		old.Count = e.Count
+		if e.Until.After(old.Until) {
+			old.Until = e.Until
+		}
+		if e.Incarnation != 0 && old.Incarnation == 0 {
+			old.counted(e.Upstream, e.Incarnation)
 		}
 	}
 }
@@ -171,6 +185,19 @@
 	return out
 }
 
+// counted notes the report of the crash for which the entry was made.
+func (e *Entry) counted(upstream string, incarnation uint64) {
+	e.expected, e.told = "", time.Time{}
+	e.Upstream, e.Incarnation = upstream, incarnation
+}
+
+// count sets an entry for a reported crash.
+func (l *List) count(fp uint64, count int, until time.Time, upstream string, incarnation uint64) *Entry {
+	e := l.set(fp, count, until)
+	e.Upstream, e.Incarnation = upstream, incarnation
+	return e
+}
+
 func (l *List) set(fp uint64, count int, until time.Time) *Entry {
 	if l.entries == nil {
 		l.entries = make(map[uint64]*Entry)
--- a/pkg/core/quarantine/quarantine_test.go
+++ b/pkg/core/quarantine/quarantine_test.go
@@ -60,6 +60,29 @@
 	}
 }
 
+// Guards against counting one crash again after a long pause, in which the
+// words of peers and the report pile up in any order.
+func TestNamedCrashCountsOnceAtAnyTime(t *testing.T) {
+	broken := Entry{Fingerprint: 1, Count: CountSuspect, Until: until, Upstream: "m1"}
+	named := Entry{Fingerprint: 1, Count: CountSuspect, Until: t0.Add(time.Minute), Upstream: "m1", Incarnation: 7}
+	for name, told := range map[string][]Entry{
+		"broken": {broken}, "named": {named}, "broken, named": {broken, named}, "named, broken": {named, broken},
+	} {
+		var l List
+		for _, e := range told {
+			l.Merge(e, t0)
+		}
+		l.Crashed("m1", 7, []uint64{1}, t0.Add(time.Minute), until)
+		if got := state(&l, 1); got != CountSuspect {
+			t.Errorf("%s: count %d after one crash", name, got)
+		}
+		l.Crashed("m1", 8, []uint64{1}, t0.Add(time.Minute), until)
+		if got := state(&l, 1); got != CountQuarantined {
+			t.Errorf("%s: count %d after two crashes", name, got)
+		}
+	}
+}
+
 // Guards against a suspicion that a peer clears while another peer has
 // decided on a quarantine, and against entries that outlive their time.
 func TestReleaseAndExpiry(t *testing.T) {
--- a/pkg/core/record.go
+++ b/pkg/core/record.go
@@ -46,5 +46,5 @@
 	SpendMicro int64      `json:"spend_micro,omitempty"`
 	Turn       int        `json:"turn,omitempty"` // position in the program's history, from 1
 	At         time.Time  `json:"at"`
-	State      []byte     `json:"state,omitempty"` // for RecordProgram; openedSingle in RecordOpened; upstream incarnation in RecordClaim
+	State      []byte     `json:"state,omitempty"` // for RecordProgram; openedSingle in RecordOpened; sidecar incarnation in RecordClaim
 }
--- a/pkg/core/types.go
+++ b/pkg/core/types.go
@@ -133,12 +133,15 @@
 	FailureDomain string     `json:"failure_domain"`
 	Sidecar       string     `json:"sidecar"` // host:port
 	Incarnation   uint64     `json:"incarnation"`
-	Slots         int        `json:"slots"`          // largest batch or concurrency
-	CacheTokens   int64      `json:"cache_tokens"`   // capacity of the prefix cache
-	PrefillRate   float64    `json:"prefill_rate"`   // tokens/s of prompt processing
-	DecodeRate    float64    `json:"decode_rate"`    // tokens/s of one sequence
-	ChecksOrders  bool       `json:"checks_orders"`  // the engine authenticates who orders
-	ChecksFencing bool       `json:"checks_fencing"` // the engine refuses an old fencing number
+	// SidecarIncarnation is that of the sidecar process, which forgets at a
+	// restart which attempts it has rejected.
+	SidecarIncarnation Incarnation `json:"sidecar_incarnation,omitempty"`
+	Slots              int         `json:"slots"`          // largest batch or concurrency
+	CacheTokens        int64       `json:"cache_tokens"`   // capacity of the prefix cache
+	PrefillRate        float64     `json:"prefill_rate"`   // tokens/s of prompt processing
+	DecodeRate         float64     `json:"decode_rate"`    // tokens/s of one sequence
+	ChecksOrders       bool        `json:"checks_orders"`  // the engine authenticates who orders
+	ChecksFencing      bool        `json:"checks_fencing"` // the engine refuses an old fencing number
 }
 
 // Load is an upstream's report of its own load. It lags.
