Tighten the wait bounds of the later classes

Cause: admitted standard and batch programs waited up to 2 s in each call of an overload, behind the interactive ones. Change: bounds of 0.5, 0.7 and 1 s; a caller is refused if at least half of its part of the use has to go. A test bounds allocations and candidates of a decision at 3,000 upstreams.

--- a/pkg/core/policy/admission.go
+++ b/pkg/core/policy/admission.go
@@ -30,7 +30,7 @@
 // waitBound is the expected wait in s, per class, at which new programs are
 // refused. The later classes can wait, so that they are queued longer, but they
 // see the waits of the earlier classes on top of their own.
-var waitBound = [classCount]float64{0.5, 1, 2}
+var waitBound = [classCount]float64{0.5, 0.7, 1}
 
 // The refused share of a profile follows its expected wait by a
 // proportional-integral controller. With a load of up to twice the capacity it
@@ -303,7 +303,9 @@
 	sum := 0.0
 	for _, c := range order {
 		use := c.decayed(now)
-		c.rank, c.place = a.minute, sum/total
+		// The middle of the caller's part: it is refused if at least half of it
+		// has to go.
+		c.rank, c.place = a.minute, (sum+(use+1)/2)/total
 		if c.fresh = use < 1; c.fresh {
 			c.place = float64(c.turn(a.minute)>>11) / (1 << 53)
 		}
--- a/pkg/core/policy/router_test.go
+++ b/pkg/core/policy/router_test.go
@@ -308,3 +308,57 @@
 	}
 	return p.(*baseline).queue.len()
 }
+
+// Guards against a routing decision whose work or memory grows with the fleet:
+// the allocations of a whole call are the same for 10 and for 3,000 upstreams,
+// and the number of candidates that are scored is bounded.
+func TestDecisionDoesNotGrowWithTheFleet(t *testing.T) {
+	measure := func(n int) (allocs float64, scored int) {
+		d := newParts(t, 1)
+		for i := range n {
+			info := engineInfo(i)
+			info.Slots, info.CacheTokens = 64, 4_000_000
+			info.Region = fmt.Sprintf("r%d", i%3)
+			d.SetUpstream(epoch, info)
+		}
+		counter := &countingScore{}
+		d.router.scores = append(d.router.scores, counter)
+		v := view("p000-a", "c", core.ClassStandard)
+		v.Region = "r0"
+		r := modelCall(v, 1, 8000)
+		r.Call.SharedPrefix, r.Call.SharedTokens = "sys", 2000
+		s := 0.0
+		cycle := func() {
+			s += 0.3
+			d.Enqueue(at(s), r)
+			a, ok := d.Next(at(s))
+			if !ok {
+				t.Fatal("no upstream for the call")
+			}
+			finish(d, at(s+0.2), a, 100)
+		}
+		for range 100 {
+			cycle()
+		}
+		counter.n = 0
+		allocs = testing.AllocsPerRun(100, cycle)
+		return allocs, counter.n / 101
+	}
+	small, _ := measure(10)
+	large, scored := measure(3000)
+	if large > small {
+		t.Errorf("%.1f allocations per call with 3,000 upstreams, %.1f with 10", large, small)
+	}
+	// Three regions, the holders of the history, and those of the prefix.
+	if limit := 3*candidateTop + 10 + candidateShared; scored > limit {
+		t.Errorf("%d candidates were scored, want at most %d", scored, limit)
+	}
+}
+
+type countingScore struct{ n int }
+
+func (*countingScore) name() string { return "counting" }
+func (c *countingScore) cost(*routing, *candidate) float64 {
+	c.n++
+	return 0
+}
