--- a/pkg/core/journal.go
+++ b/pkg/core/journal.go
@@ -163,6 +163,7 @@
 	c.runCovered()
 	for len(c.claims) > 0 && c.claims[0].seq <= c.committed {
 		w := c.claims[0]
+		c.claims[0] = wait{} // the array keeps no finished call alive
 		c.claims = c.claims[1:]
 		w.run()
 	}
@@ -179,6 +180,7 @@
 func (c *Core) runCovered() {
 	for len(c.covered) > 0 && c.covered[0].seq <= c.durable() {
 		w := c.covered[0]
+		c.covered[0] = wait{}
 		c.covered = c.covered[1:]
 		w.run()
 	}
@@ -199,17 +201,21 @@
 	clear(c.roots)
 	clear(c.slots)
 	clear(c.late)
+	clear(c.damaged)
 	c.timers = nil
 }
 
 // abandon refuses a call that another owner now decides on, without touching
 // the state of its program.
 func (c *Core) abandon(cl *call, by string) {
-	if cl.state == stateWaiting {
+	switch cl.state {
+	case stateWaiting:
 		c.opt.Policy.Remove(cl.ID)
-	}
-	if cl.state == stateRunning && !cl.nonIdempotent {
-		c.emit(CancelAttempt{Attempt: cl.attempt, Upstream: cl.upstream})
+	case stateRunning, stateClaiming:
+		c.opt.Policy.OnFailed(c.now, Failure{Attempt: cl.attempt, Canceled: true, Ran: cl.outcome()})
+		if cl.state == stateRunning && !cl.nonIdempotent {
+			c.emit(CancelAttempt{Attempt: cl.attempt, Upstream: cl.upstream})
+		}
 	}
 	if !cl.replied {
 		ref := c.refusal(cl, CodeNotOwner, "journal", "another entry has taken over the program")
--- a/pkg/sidecar/heartbeat.go
+++ b/pkg/sidecar/heartbeat.go
@@ -41,6 +41,9 @@
 	for h := first; h != nil; {
 		s.met.heartbeats.Inc()
 		s.renewPins(p, h)
+		if h.ConfigVersion > 0 && s.mayCommand(p) {
+			s.catchUp(p, h.ConfigVersion)
+		}
 		if s.sendHeartbeat(ps, st) != nil {
 			return
 		}
@@ -126,6 +129,24 @@
 	return &peerv1.Envelope{Body: &peerv1.Envelope_Heartbeat{Heartbeat: h}}
 }
 
+// endHeartbeats ends the heartbeat streams, which peers keep open, so that the
+// transport can close.
+func (s *Sidecar) endHeartbeats() {
+	s.mu.Lock()
+	list := make([]*peerState, 0, len(s.peers))
+	for _, ps := range s.peers {
+		list = append(list, ps)
+	}
+	s.mu.Unlock()
+	for _, ps := range list {
+		ps.send.Lock()
+		if ps.stream != nil {
+			_ = ps.stream.SetDeadline(time.Unix(1, 0))
+		}
+		ps.send.Unlock()
+	}
+}
+
 // pushHeartbeats tells every peer that exchanges heartbeats at once what
 // changed.
 func (s *Sidecar) pushHeartbeats() {
