--- a/pkg/cli/configcmd/actions.go
+++ b/pkg/cli/configcmd/actions.go
@@ -69,7 +69,7 @@
 		if err != nil {
 			return fail(err)
 		}
-		texts[0] = []byte(cur.Text)
+		texts[0] = cur.Text
 	}
 	for i, f := range files {
 		data, err := os.ReadFile(f)
--- a/pkg/cli/configcmd/configcmd.go
+++ b/pkg/cli/configcmd/configcmd.go
@@ -75,8 +75,8 @@
   yuccaspindle profile list deploy/lango/shared.ini
   yuccaspindle profile list --store 10.20.0.5:8400`, profileList, store()),
 			cmd("show", "show one profile with all defaults, as a section of a file", "NAME [FILE]", `Examples:
-  yuccaspindle profile show gate-repair deploy/lango/shared.ini
-  yuccaspindle profile show --store 10.20.0.5:8400 gate-repair`, profileShow, store()),
+  yuccaspindle profile show diagnose deploy/lango/shared.ini
+  yuccaspindle profile show --store 10.20.0.5:8400 diagnose`, profileShow, store()),
 		}},
 	}
 }
@@ -152,5 +152,5 @@
 	if err != nil {
 		return nil, nil, fail(err)
 	}
-	return config.NewStore(client, nil), client.Close, nil
+	return config.NewStore(client), client.Close, nil
 }
--- a/pkg/config/distributor.go
+++ b/pkg/config/distributor.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
 )
 
 // DistributorOptions configures a Distributor.
@@ -81,7 +82,7 @@
 	if cur, _ := d.Current(); version <= cur {
 		return false, nil
 	}
-	cfg, err := Versioned{Version: version, Text: string(text)}.Parse()
+	cfg, err := Versioned{Version: version, Text: text}.Parse()
 	if err != nil {
 		return false, err
 	}
@@ -145,7 +146,7 @@
 func (s *Store) Source() Source {
 	return func(ctx context.Context) (uint64, []byte, error) {
 		v, err := s.Current(ctx)
-		return v.Version, []byte(v.Text), err
+		return v.Version, v.Text, err
 	}
 }
 
@@ -157,12 +158,16 @@
 func (d *Distributor) Follow(ctx context.Context, s *Store, pushed func(version uint64, text []byte)) error {
 	var after uint64
 	for {
-		v, object, err := s.Watch(ctx, after)
+		if cur, _ := d.Current(); cur > after {
+			after = cur
+		}
+		v, err := s.Watch(ctx, after)
 		if err == nil {
-			after = max(after, object)
+			// A version that does not parse is not asked for again.
+			after = max(after, v.Version)
 			var ok bool
-			if ok, err = d.Offer(v.Version, []byte(v.Text)); ok && pushed != nil {
-				pushed(v.Version, []byte(v.Text))
+			if ok, err = d.Offer(v.Version, v.Text); ok && pushed != nil {
+				pushed(v.Version, v.Text)
 			}
 		}
 		if ctx.Err() != nil {
@@ -170,7 +175,6 @@
 		}
 		if err != nil {
 			d.o.Logger.Warn("configuration not followed", "error", err)
-			after = max(after, object)
 			select {
 			case <-time.After(watchPause):
 			case <-ctx.Done():
@@ -181,18 +185,35 @@
 
 const savedFile = "config.json"
 
-// save keeps the newest version in the data folder. The rename replaces the
-// file as a whole.
 func (d *Distributor) save(version uint64, text []byte) error {
 	if d.o.Folder == "" {
 		return nil
 	}
-	data, err := json.Marshal(Versioned{Version: version, Text: string(text)})
+	return Save(d.o.Folder, version, text)
+}
+
+// load offers the version in the data folder.
+func (d *Distributor) load() error {
+	if d.o.Folder == "" {
+		return nil
+	}
+	version, text, err := Load(d.o.Folder)
+	if err != nil || version == 0 {
+		return err
+	}
+	_, err = d.Offer(version, text)
+	return err
+}
+
+// Save keeps a version in a data folder. It takes the place of the one before
+// as a whole.
+func Save(folder string, version uint64, text []byte) error {
+	data, err := json.Marshal(Versioned{Version: version, Text: text})
 	if err != nil {
 		return errors.Wrap(err, "config: keep")
 	}
-	name := filepath.Join(d.o.Folder, savedFile)
-	f, err := os.CreateTemp(d.o.Folder, savedFile+".tmp-*")
+	name := filepath.Join(folder, savedFile)
+	f, err := os.CreateTemp(folder, savedFile+".tmp-*")
 	if err != nil {
 		return errors.Wrap(err, "config: keep")
 	}
@@ -212,22 +233,16 @@
 	return errors.Wrapf(err, "config: keep %s", name)
 }
 
-// load offers the version in the data folder.
-func (d *Distributor) load() error {
-	if d.o.Folder == "" {
-		return nil
-	}
-	data, err := os.ReadFile(filepath.Join(d.o.Folder, savedFile))
+// Load returns the version in a data folder, or version 0 if there is none.
+func Load(folder string) (version uint64, text []byte, err error) {
+	name := filepath.Join(folder, savedFile)
+	data, err := os.ReadFile(name)
 	if os.IsNotExist(err) {
-		return nil
+		return 0, nil, nil
 	}
 	if err != nil {
-		return errors.Wrap(err, "config: data folder")
+		return 0, nil, errors.Wrap(err, "config: data folder")
 	}
-	var v Versioned
-	if err := json.Unmarshal(data, &v); err != nil {
-		return errors.Wrapf(err, "config: %s", filepath.Join(d.o.Folder, savedFile))
-	}
-	_, err = d.Offer(v.Version, []byte(v.Text))
-	return err
+	v, err := decodeVersioned(objectapi.Object{Key: name, Value: data})
+	return v.Version, v.Text, err
 }
--- a/pkg/config/process.go
+++ b/pkg/config/process.go
@@ -111,7 +111,7 @@
 
 var processSections = []processSection{
 	{"instance", []spec[Process]{
-		{name: "id", required: true, example: "dar-a-entry-1", help: "Name of the instance, unique in the deployment.",
+		{name: "id", required: true, example: "dar-coast-a-entry-1", help: "Name of the instance, unique in the deployment.",
 			value: nameOf(func(p *Process) *string { return &p.Instance })},
 		{name: "start", def: "0", example: "42", help: "Start number, higher than that of every earlier start of the instance. 0 takes the milliseconds of the clock.",
 			value: integer(0, 1<<53, func(p *Process) *uint64 { return &p.Start })},
@@ -119,7 +119,7 @@
 			value: oneOf(func(p *Process) *string { return &p.Role }, RoleEntry, RoleSidecar)},
 		{name: "region", required: true, example: "dar-coast", help: "Region of the instance.",
 			value: nameOf(func(p *Process) *string { return &p.Region })},
-		{name: "failure_domain", required: true, example: "dar-a", help: "Failure domain of the instance.",
+		{name: "failure_domain", required: true, example: "dar-coast-a", help: "Failure domain of the instance.",
 			value: nameOf(func(p *Process) *string { return &p.FailureDomain })},
 	}},
 	{"http", []spec[Process]{
@@ -167,17 +167,17 @@
 }
 
 var upstreamSpecs = []spec[Upstream]{
-	{name: "id", required: true, example: "dar-a-engine-1", help: "Name of the upstream, unique in the deployment.",
+	{name: "id", required: true, example: "dar-coast-a-engine-1", help: "Name of the upstream, unique in the deployment.",
 		value: nameOf(func(u *Upstream) *string { return &u.ID })},
 	{name: "kind", required: true, example: "model", help: "Kind of the upstream.",
 		value: oneOf(func(u *Upstream) *core.CallKind { return &u.Kind }, core.KindModel, core.KindService)},
-	{name: "service", example: "bookings", help: "Name of the service. Needed for kind service.",
+	{name: "service", example: "booking", help: "Name of the service. Needed for kind service.",
 		value: nameOf(func(u *Upstream) *string { return &u.Service })},
 	{name: "address", required: true, example: "127.0.0.1:9001", help: "Address of the upstream's HTTP interface.",
 		value: hostPort(func(u *Upstream) *string { return &u.Address })},
-	{name: "models", example: "gate-diag-8b", help: "Models that the engine has loaded. Needed for kind model.",
+	{name: "models", example: "gate-9b", help: "Models that the engine has loaded. Needed for kind model.",
 		value: list("names", func(s string) bool { return s != "" }, func(u *Upstream) *[]string { return &u.Models })},
-	{name: "adapters", example: "swahili, english", help: "Adapters that the engine has loaded.",
+	{name: "adapters", example: "orders", help: "Adapters that the engine has loaded.",
 		value: list("names", func(s string) bool { return s != "" }, func(u *Upstream) *[]string { return &u.Adapters })},
 	{name: "slots", def: "16", unit: "requests", example: "32", help: "Largest batch of an engine or largest concurrency of a service.",
 		value: integer(1, 100000, func(u *Upstream) *int { return &u.Slots })},
--- a/pkg/config/shared.go
+++ b/pkg/config/shared.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/core/policy"
 )
 
 const (
@@ -15,25 +16,21 @@
 	clusterName   = "cluster"
 )
 
-// Policies and parts that the shared configuration may name. They repeat
-// policy.Names and policy.Parts, which this package does not import because the
-// policy depends on the core's types only and the configuration on nothing
-// that decides.
-var policies = []string{"default", "round-robin", "least-outstanding", "session-affinity", "power-of-two"}
-
 var clusterSpecs = []spec[core.Config]{
 	{name: "policy", def: "default", example: "default", help: "Scheduling policy.",
-		value: oneOf(func(c *core.Config) *string { return &c.Policy }, policies...)},
+		value: oneOf(func(c *core.Config) *string { return &c.Policy }, policy.Names()...)},
 	{name: "without", example: "placement", help: "Parts of the policy that are switched off.",
-		value: list("part names", plainName, func(c *core.Config) *[]string { return &c.Without })},
+		value: list("parts ("+strings.Join(policy.Parts(), ", ")+")", isPart, func(c *core.Config) *[]string { return &c.Without })},
 	{name: "slot_count", def: "256", unit: "slots", example: "256", help: "Units of ownership. It must not change while programs are in progress.",
 		value: integer(1, 4096, func(c *core.Config) *int { return &c.SlotCount })},
 	{name: "regions", required: true, example: "dar-coast, arusha-north", help: "Regions that divide the slots, in this order.",
 		value: list("region names", plainName, func(c *core.Config) *[]string { return &c.Regions })},
-	{name: "default_profile", required: true, example: "gate-repair", help: "Profile of callers that name none and use no service with a default.",
+	{name: "default_profile", required: true, example: "diagnose", help: "Profile of callers that name none and use no service with a default.",
 		value: nameOf(func(c *core.Config) *string { return &c.Default })},
 }
 
+func isPart(v string) bool { return slices.Contains(policy.Parts(), v) }
+
 const day = 24 * time.Hour
 
 var profileSpecs = []spec[core.Profile]{
@@ -67,6 +64,8 @@
 		value: integer(0, 100, func(p *core.Profile) *int { return &p.RetryLimit })},
 	{name: "call_timeout", def: "60s", unit: "duration", example: "45s", help: "Deadline of a call that brings none.",
 		value: duration(100*time.Millisecond, day, func(p *core.Profile) *time.Duration { return &p.CallTimeout })},
+	{name: "claim_wait", def: "0s", unit: "duration", example: "10s", help: "Longest wait of a non-idempotent call for its claim to become durable; the call is then refused without having run. 0s: until its deadline.",
+		value: duration(0, day, func(p *core.Profile) *time.Duration { return &p.ClaimWait })},
 	{name: "refusal_retry", def: "5s", unit: "duration", example: "10s", help: "Shortest Retry-After of a refusal.",
 		value: duration(time.Second, time.Hour, func(p *core.Profile) *time.Duration { return &p.RefusalRetry })},
 	{name: "quarantine_time", def: "1h", unit: "duration", example: "1h", help: "Time for which a request that crashed upstreams stays refused.",
@@ -164,7 +163,7 @@
 		{"budget_wall", short(p.Budget.Wall)}, {"budget_depth", p.Budget.Depth}, {"budget_width", p.Budget.Width},
 		{"history_retention", short(p.HistoryRetention)}, {"idle_timeout", short(p.IdleTimeout)},
 		{"cache_retention", short(p.CacheRetention)}, {"retry_limit", p.RetryLimit},
-		{"call_timeout", short(p.CallTimeout)}, {"refusal_retry", short(p.RefusalRetry)},
+		{"call_timeout", short(p.CallTimeout)}, {"claim_wait", short(p.ClaimWait)}, {"refusal_retry", short(p.RefusalRetry)},
 		{"quarantine_time", short(p.QuarantineTime)},
 	} {
 		fmt.Fprintf(&b, "%s = %v\n", kv.key, kv.value)
--- a/pkg/config/store.go
+++ b/pkg/config/store.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,12 +29,24 @@
 	Who     string    `json:"who"`
 	Why     string    `json:"why"`
 	At      time.Time `json:"at"`
-	Text    string    `json:"text"`
+	Text    Text      `json:"text"`
+}
+
+// Text is an INI text. In JSON it is a string.
+type Text []byte
+
+// MarshalText implements encoding.TextMarshaler.
+func (t Text) MarshalText() ([]byte, error) { return t, nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (t *Text) UnmarshalText(data []byte) error {
+	*t = append(Text(nil), data...)
+	return nil
 }
 
 // Parse returns the configuration with its version.
 func (v Versioned) Parse() (core.Config, error) {
-	cfg, err := ParseShared(fmt.Sprintf("version %d", v.Version), []byte(v.Text))
+	cfg, err := ParseShared(fmt.Sprintf("version %d", v.Version), v.Text)
 	cfg.Version = v.Version
 	return cfg, err
 }
@@ -52,18 +65,19 @@
 
 // Store keeps the versions of the shared configuration in the object store.
 type Store struct {
-	c   objectapi.Client
-	now func() time.Time
-}
+	// Now returns the time recorded with a change.
+	Now func() time.Time
 
-// NewStore returns a store. now may be nil.
-func NewStore(c objectapi.Client, now func() time.Time) *Store {
-	if now == nil {
-		now = time.Now
-	}
-	return &Store{c, now}
+	c  objectapi.Client
+	mu sync.Mutex
+	// The newest version seen and the version of the object that held it,
+	// from which Watch goes on.
+	seen, object uint64
 }
 
+// NewStore returns a store.
+func NewStore(c objectapi.Client) *Store { return &Store{c: c, Now: time.Now} }
+
 func decodeVersioned(o objectapi.Object) (Versioned, error) {
 	var v Versioned
 	dec := json.NewDecoder(bytes.NewReader(o.Value))
@@ -96,15 +110,32 @@
 	return v, o.Version, err
 }
 
-// Watch waits for a version of the store's object above after and returns the
-// configuration and the version of the object.
-func (s *Store) Watch(ctx context.Context, after uint64) (Versioned, uint64, error) {
-	o, err := s.c.Watch(ctx, ObjectKey, after)
-	if err != nil {
-		return Versioned{}, after, errors.Wrap(err, "config: watch")
+// Watch waits until a version above after is in force.
+func (s *Store) Watch(ctx context.Context, after uint64) (Versioned, error) {
+	for {
+		s.mu.Lock()
+		from := s.object
+		if s.seen > after {
+			from = 0 // the caller does not have what was seen last
+		}
+		s.mu.Unlock()
+		o, err := s.c.Watch(ctx, ObjectKey, from)
+		if err != nil {
+			return Versioned{}, errors.Wrap(err, "config: watch")
+		}
+		v, err := decodeVersioned(o)
+		if err != nil {
+			return Versioned{}, err
+		}
+		s.mu.Lock()
+		if o.Version > s.object {
+			s.seen, s.object = v.Version, o.Version
+		}
+		s.mu.Unlock()
+		if v.Version > after {
+			return v, nil
+		}
 	}
-	v, err := decodeVersioned(o)
-	return v, o.Version, err
 }
 
 // Apply checks a text in full and puts it in force if base is still the version
@@ -131,7 +162,7 @@
 			return Versioned{}, err
 		}
 	}
-	next := Versioned{Version: base + 1, Who: who, Why: why, At: s.now().UTC(), Text: string(text)}
+	next := Versioned{Version: base + 1, Who: who, Why: why, At: s.Now().UTC(), Text: text}
 	if cur.Version == 0 {
 		// A history without a version in force shows that the object was
 		// deleted. The next version must still be above all of them.
@@ -171,7 +202,7 @@
 // conflict answers a change whose base is not in force, unless the change
 // itself made the version that is.
 func conflict(base uint64, cur Versioned, text []byte, who, why string) (Versioned, error) {
-	if cur.Version == base+1 && cur.Who == who && cur.Why == why && cur.Text == string(text) {
+	if cur.Version == base+1 && cur.Who == who && cur.Why == why && string(cur.Text) == string(text) {
 		return cur, nil
 	}
 	return Versioned{}, &ConflictError{Base: base, Other: cur}
@@ -236,5 +267,5 @@
 	if err != nil {
 		return Versioned{}, err
 	}
-	return s.Apply(ctx, cur.Version, []byte(old.Text), who, fmt.Sprintf("roll back from version %d to %d", cur.Version, to))
+	return s.Apply(ctx, cur.Version, old.Text, who, fmt.Sprintf("roll back from version %d to %d", cur.Version, to))
 }
--- a/pkg/config/store_test.go
+++ b/pkg/config/store_test.go
@@ -20,7 +20,9 @@
 
 func newStore() (*objectapi.Memory, *Store) {
 	mem := objectapi.NewMemory(objectapi.MemoryOptions{})
-	return mem, NewStore(mem, func() time.Time { return time.Date(2026, 3, 4, 5, 6, 7, 0, time.UTC) })
+	s := NewStore(mem)
+	s.Now = func() time.Time { return time.Date(2026, 3, 4, 5, 6, 7, 0, time.UTC) }
+	return mem, s
 }
 
 // Guards against a change that overwrites another operator's, and against a
@@ -33,7 +35,7 @@
 	won := 0
 	for i := range operators {
 		wg.Go(func() {
-			s := NewStore(mem.Client(fmt.Sprint(i)), nil)
+			s := NewStore(mem.Client(fmt.Sprint(i)))
 			_, err := s.Apply(t.Context(), 0, sample(i), fmt.Sprintf("operator %d", i), "trial")
 			var c *ConflictError
 			mu.Lock()
@@ -71,7 +73,7 @@
 		t.Fatal(err)
 	}
 	v, err := s.Rollback(ctx, 1, "neema")
-	if err != nil || v.Version != 4 || v.Text != string(sample(1)) {
+	if err != nil || v.Version != 4 || string(v.Text) != string(sample(1)) {
 		t.Fatalf("Rollback = version %d, %v", v.Version, err)
 	}
 	h, err := s.History(ctx)
