--- a/pkg/cli/configcmd/configcmd.go
+++ b/pkg/cli/configcmd/configcmd.go
@@ -152,5 +152,5 @@
 	if err != nil {
 		return nil, nil, fail(err)
 	}
-	return config.NewStore(client, nil), client.Close, nil
+	return config.NewStore(client), client.Close, nil
 }
