--- a/pkg/core/journal.go
+++ b/pkg/core/journal.go
@@ -3,8 +3,6 @@
 import (
 	"sort"
 
-	"google.golang.org/protobuf/encoding/protowire"
-
 	"github.com/yuccaspindle/yuccaspindle/pkg/core/program"
 )
 
@@ -61,11 +59,10 @@
 			r.Ledger.Forfeit(attempt)
 		}
 	case RecordClaim:
-		incarnation, _ := protowire.ConsumeVarint(rec.State) // 0 if damaged, then no sidecar answers "never seen"
 		r.Claim(key, program.KeyRecord{
 			Member: string(rec.Program), Digest: rec.Digest, Attempt: attempt,
 			Upstream: string(rec.Upstream), Service: rec.Service, Operation: rec.Operation,
-			Request: rec.Request, Seq: uint64(rec.Seq), Incarnation: incarnation,
+			Request: rec.Request, Seq: uint64(rec.Seq), Sidecar: string(rec.State),
 		}, reservedAmount(rec))
 	case RecordRefused:
 		r.Refuse(key, attempt)
@@ -208,11 +205,14 @@
 // abandon refuses a call that another owner now decides on, without touching
 // the state of its program.
 func (c *Core) abandon(cl *call, by string) {
-	if cl.state == stateWaiting {
+	switch cl.state {
+	case stateWaiting:
 		c.opt.Policy.Remove(cl.ID)
-	}
-	if cl.state == stateRunning && !cl.nonIdempotent {
-		c.emit(CancelAttempt{Attempt: cl.attempt, Upstream: cl.upstream})
+	case stateRunning, stateClaiming:
+		c.opt.Policy.OnFailed(c.now, Failure{Attempt: cl.attempt, Canceled: true, Ran: cl.outcome()})
+		if cl.state == stateRunning && !cl.nonIdempotent {
+			c.emit(CancelAttempt{Attempt: cl.attempt, Upstream: cl.upstream})
+		}
 	}
 	if !cl.replied {
 		ref := c.refusal(cl, CodeNotOwner, "journal", "another entry has taken over the program")
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -39,6 +39,7 @@
 	attempts  *attemptTable
 	metrics   *entryMetrics
 	events    *eventLog
+	histories *frontend.Histories
 
 	ctx      context.Context
 	stop     context.CancelFunc
@@ -53,7 +54,7 @@
 // New builds an entry from its settings. Nothing runs until Start.
 func New(cfg Config) (*Entry, error) {
 	cfg.setDefaults()
-	n := &Entry{cfg: cfg, log: cfg.Logger, calls: newCallTable(), attempts: newAttemptTable(), fenced: make(chan struct{})}
+	n := &Entry{cfg: cfg, log: cfg.Logger, calls: newCallTable(), attempts: newAttemptTable(), fenced: make(chan struct{}), histories: frontend.NewHistories()}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.events = newEventLog(cfg.DataFolder, n.log)
 	p, err := policy.New(policy.NameDefault, cfg.Seed, nil)
@@ -106,7 +107,7 @@
 		Role:          roleEntry,
 		Region:        n.cfg.Region,
 		FailureDomain: n.cfg.FailureDomain,
-		Address:       n.transport.Addr(),
+		Address:       n.PeerAddr(),
 		ConfigVersion: n.config.version(),
 	}
 }
@@ -186,7 +187,12 @@
 func (n *Entry) HTTPAddr() string { return n.listener.Addr().String() }
 
 // PeerAddr returns the address for other processes of the scheduler.
-func (n *Entry) PeerAddr() string { return n.transport.Addr() }
+func (n *Entry) PeerAddr() string {
+	if n.cfg.PeerAdvertise != "" {
+		return n.cfg.PeerAdvertise
+	}
+	return n.transport.Addr()
+}
 
 // followList reads the platform's instance list.
 func (n *Entry) followList(ctx context.Context) {
@@ -198,6 +204,7 @@
 		cancel()
 		if err != nil {
 			n.log.Debug("instance list not read", "error", err)
+			n.peers.dialSeeds(n.cfg.Seeds)
 		} else {
 			n.peers.update(list)
 			n.owner.onList(list)
