Answer never seen only for the sidecar incarnation that is named

Cause: a restarted sidecar answered never seen, so not run, for a booking that its predecessor had passed on; the call would have been repeated.

Change: Resolve without sidecar_incarnation, or with another one, gets the service's answer by key or unknown; the attempt is refused from then on.

Conclusion: owners must name the incarnation to which they dispatched; until they do, an attempt that never arrived is reported as unknown.

--- a/pkg/core/sidecar/state.go
+++ b/pkg/core/sidecar/state.go
@@ -329,12 +329,15 @@
 	a := s.attempts[e.Attempt]
 	if a == nil {
 		ran, known := s.expired[digestOf(e.Attempt)]
-		foreign := e.SidecarIncarnation != "" && e.SidecarIncarnation != s.o.Incarnation
 		switch {
-		case !known && !foreign:
+		case !known && e.SidecarIncarnation == s.o.Incarnation:
 			s.neverRun(e.Attempt, e.Slot, e.Epoch)
 			ran = core.RanNo
 		case !known:
+			// A predecessor may have passed it on; this process must not.
+			a := &attempt{id: e.Attempt, nonIdempotent: true, slot: e.Slot, epoch: e.Epoch, key: e.Key}
+			s.attempts[e.Attempt] = a
+			s.end(a, ended, Result{Ran: core.RanUnknown})
 			s.lookUp(e.Ref, e.Attempt, e.Key)
 			return
 		case ran != core.RanNo:
@@ -369,11 +372,7 @@
 		s.emit(LookUp{Ref: ref, Attempt: id, Key: key})
 		return
 	}
-	ran := s.ranOf(id)
-	if s.attempts[id] == nil && ran == core.RanNo {
-		ran = core.RanUnknown // an earlier incarnation may have passed it on
-	}
-	s.emit(Outcome{Ref: ref, Result: Result{Ran: ran}})
+	s.emit(Outcome{Ref: ref, Result: Result{Ran: s.ranOf(id)}})
 }
 
 func (s *State) lookedUp(e LookedUp) {
--- a/pkg/core/sidecar/state_test.go
+++ b/pkg/core/sidecar/state_test.go
@@ -59,7 +59,7 @@
 // Guards against "not run" being said of an attempt that runs later.
 func TestResolveNeverSeen(t *testing.T) {
 	s := New(Options{ResultTerm: time.Second, Incarnation: "s.2", OutcomeByKey: true})
-	if o := one[Outcome](t, s.Step(Resolve{At: at(0), Ref: 1, Attempt: "a", Slot: 3, Epoch: 1})); o.Result.Ran != core.RanNo {
+	if o := one[Outcome](t, s.Step(Resolve{At: at(0), Ref: 1, Attempt: "a", Slot: 3, Epoch: 1, SidecarIncarnation: "s.2"})); o.Result.Ran != core.RanNo {
 		t.Errorf("never seen: %+v", o)
 	}
 	s.Step(Tick{at(3600)}) // the record expires, the refusal must not
@@ -75,6 +75,17 @@
 	if o := one[Outcome](t, s.Step(LookedUp{At: at(3600), Ref: 2, Attempt: "b", Result: Result{Ran: core.RanUnknown}})); o.Result.Ran != core.RanUnknown {
 		t.Errorf("unknown to the service: %+v", o)
 	}
+	one[LookUp](t, s.Step(Resolve{At: at(3600), Ref: 2, Attempt: "b", Key: "k", SidecarIncarnation: "s.1"})) // asked again
+	d = dispatch("b", 1)
+	if r := one[Refuse](t, s.Step(d)); r.Ran != core.RanUnknown {
+		t.Errorf("dispatch of an attempt that may have run: %+v", r)
+	}
+	s = New(Options{Incarnation: "s.2"})
+	for range 2 {
+		if o := one[Outcome](t, s.Step(Resolve{At: at(0), Ref: 3, Attempt: "e", Slot: 3, Epoch: 1})); o.Result.Ran != core.RanUnknown {
+			t.Errorf("resolve without an incarnation: %+v", o)
+		}
+	}
 	d = dispatch("c", 1)
 	d.SidecarIncarnation = "s.1"
 	if r := one[Refuse](t, s.Step(d)); r.Ran != core.RanNo {
@@ -199,7 +210,7 @@
 					e = Ended{At: a, Attempt: id, Result: answer("0123456789")}
 				}
 			case 5, 6:
-				e = Resolve{At: a, Ref: ref, Attempt: id, Epoch: epoch, Slot: 3}
+				e = Resolve{At: a, Ref: ref, Attempt: id, Epoch: epoch, Slot: 3, SidecarIncarnation: []string{"s.1", "s.1", "s.0", ""}[rng.IntN(4)]}
 			case 7:
 				e = UpstreamSeen{a, 1 + uint64(rng.IntN(2))}
 			default:
--- a/pkg/sidecar/harness_test.go
+++ b/pkg/sidecar/harness_test.go
@@ -134,7 +134,9 @@
 
 func (p *peer) resolve(attempt, key string) *peerv1.Outcome {
 	p.t.Helper()
-	st := p.open(&peerv1.Envelope{Body: &peerv1.Envelope_Resolve{Resolve: &peerv1.Resolve{Attempt: attempt, Key: key, Slot: 3, Epoch: 1}}})
+	st := p.open(&peerv1.Envelope{Body: &peerv1.Envelope_Resolve{Resolve: &peerv1.Resolve{
+		Attempt: attempt, Key: key, Slot: 3, Epoch: 1, SidecarIncarnation: "s.1",
+	}}})
 	defer st.Close()
 	m, err := st.Recv()
 	if err != nil {
--- a/pkg/sidecar/service_test.go
+++ b/pkg/sidecar/service_test.go
@@ -79,6 +79,33 @@
 	}
 }
 
+// Guards against a restarted sidecar that reports a booking as not run which
+// its predecessor passed on, and against its running again.
+func TestResolveAfterRestart(t *testing.T) {
+	for _, lookup := range []bool{true, false} {
+		v := startService(t, !lookup)
+		first := startSidecar(t, serviceUpstream(v, lookup), nil)
+		if r := receive(connect(t, first, roleEntry).dispatch(book("a", "k"))); r.done == nil {
+			t.Fatalf("%+v", r)
+		}
+		second := startSidecar(t, serviceUpstream(v, lookup), func(c *Config) { c.Incarnation = "s.2" })
+		p := connect(t, second, roleEntry)
+		want := core.RanUnknown
+		if lookup {
+			want = core.RanYes
+		}
+		for range 2 {
+			if o := p.resolve("a", "k"); o.Ran != string(want) {
+				t.Errorf("lookup %v: outcome %v, want %q", lookup, o, want)
+			}
+		}
+		receive(p.dispatch(book("a", "k")))
+		if n := v.Runs()["k"]; n != 1 {
+			t.Errorf("ran %d times, want 1", n)
+		}
+	}
+}
+
 // Guards against an answer that comes after the deadline being lost, and a
 // refusal that waits for it.
 func TestLateOutcome(t *testing.T) {
