Run the quickstart command

Cause: the first of the README's two commands did not build.

Change: pkg/entry follows the configuration store's new interface.

--- a/pkg/entry/configsync.go
+++ b/pkg/entry/configsync.go
@@ -30,8 +30,6 @@
 	store *config.Store
 	dist  *config.Distributor
 
-	object uint64 // version of the watched store object, used by run only
-
 	mu     sync.Mutex
 	peers  map[string]uint64 // configuration version by peer address
 	asking map[string]bool   // peers with a push or request under way
@@ -40,7 +38,7 @@
 func newConfigSync(n *Entry) *configSync {
 	c := &configSync{
 		n:      n,
-		store:  config.NewStore(n.cfg.Store, time.Now),
+		store:  config.NewStore(n.cfg.Store),
 		peers:  make(map[string]uint64),
 		asking: make(map[string]bool),
 	}
@@ -219,16 +217,15 @@
 	return rank < watchersPerDomain
 }
 
-// watchOnce waits for the object to change and offers what it holds.
+// watchOnce waits for a version above the one in force and offers it.
 func (c *configSync) watchOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, watchTime)
 	defer cancel()
-	v, object, err := c.store.Watch(ctx, c.object)
+	v, err := c.store.Watch(ctx, c.version())
 	if err != nil {
 		return err
 	}
-	c.object = object
-	return c.accept(v.Version, []byte(v.Text), "store")
+	return c.accept(v.Version, v.Text, "store")
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/pkg/quickstart/deployment.go
+++ b/pkg/quickstart/deployment.go
@@ -134,7 +134,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = config.NewStore(client, time.Now).Apply(ctx, 0, d.opt.Shared, "quickstart", "first configuration")
+	_, err = config.NewStore(client).Apply(ctx, 0, d.opt.Shared, "quickstart", "first configuration")
 	return errors.Wrap(err, "apply shared configuration")
 }
 
