Bound the numbers of tokens that callers and upstreams state

Cause: a call with max_tokens near the largest integer overflowed the sum of the budget and was granted; a negative count in an answer lowered the account.

Change: stated numbers are bounded to 0..2^40 on arrival of calls and answers. Ended calls let go of their request, which their deadline timer kept in memory until it fired. The refusal for an id in use names no other caller.

Conclusion: no caller can pass its budget with stated numbers.

--- a/pkg/core/call.go
+++ b/pkg/core/call.go
@@ -73,12 +73,27 @@
 	}
 }
 
+// maxCallTokens is far above any context; without a bound, sums of stated
+// numbers could overflow and pass a budget.
+const maxCallTokens = 1 << 40
+
+// tokens bounds a number of tokens that a caller or an upstream stated.
+func tokens(n int64) int64 { return min(max(n, 0), maxCallTokens) }
+
+// bounded bounds the numbers in an answer.
+func bounded(a Answer) Answer {
+	a.PromptTokens, a.OutputTokens = tokens(a.PromptTokens), tokens(a.OutputTokens)
+	a.CachedTokens = min(tokens(a.CachedTokens), a.PromptTokens)
+	return a
+}
+
 // arrive takes in a new call or a resend.
 func (c *Core) arrive(in Call) {
 	if _, ok := c.calls[in.ID]; ok {
 		return
 	}
 	cl := &call{Call: in, ran: RanNo}
+	cl.PromptTokens, cl.MaxTokens = tokens(in.PromptTokens), tokens(in.MaxTokens)
 	single := in.Program == ""
 	if single {
 		cl.Program = c.singleProgram(&in)
--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -178,10 +178,11 @@
 			c.opt.Policy.OnFirstToken(c.now, e.Attempt, e.CachedTokens)
 		}
 	case AttemptDone:
-		c.attemptDone(e.Attempt, e.Answer)
+		c.attemptDone(e.Attempt, bounded(e.Answer))
 	case AttemptFailed:
 		c.attemptFailed(e)
 	case OutcomeResolved:
+		e.Answer = bounded(e.Answer)
 		c.resolved(e)
 	case UpstreamChanged:
 		c.upstreamChanged(e.Info)
--- a/pkg/core/coretest/recover_test.go
+++ b/pkg/core/coretest/recover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
@@ -104,3 +105,28 @@
 		t.Error("the repaired records do not restore the program")
 	}
 }
+
+// Guards against numbers of tokens that overflow or lower the budget account.
+func TestStatedTokensCannotPassBudget(t *testing.T) {
+	s := newScript()
+	at := core.At{Time: s.now}
+	std := s.cfg.Profiles["std"]
+	std.Budget.Tokens = 100
+	s.cfg.Profiles["std"] = std
+	s.step(core.ConfigApplied{At: at, Config: s.cfg})
+	s.step(core.UpstreamChanged{At: at, Info: core.UpstreamInfo{ID: "m1", Kind: core.KindModel}})
+	s.step(core.SlotsAcquired{At: at, Slots: allSlots(16, 1)})
+	s.step(core.ProgramOpened{At: at, Call: "o", ID: "p003-aa", Caller: "lango"})
+	s.step(core.CallArrived{At: at, Call: core.Call{
+		ID: "c1", Program: "p003-aa", Caller: "lango", Kind: core.KindModel, PromptTokens: 10, MaxTokens: math.MaxInt64,
+	}})
+	out := s.c.Step(core.JournalCommitted{At: at, Seq: 2})
+	d, ok := out[len(out)-1].(core.Dispatch)
+	if !ok || d.MaxTokens != 90 {
+		t.Fatalf("effects %v", out)
+	}
+	s.step(core.AttemptDone{At: at, Attempt: d.Attempt, Answer: core.Answer{PromptTokens: -1 << 62, OutputTokens: 40}})
+	if st, _ := s.c.Program("p003-aa"); st.Spent.Tokens != 40 {
+		t.Errorf("spent %d tokens", st.Spent.Tokens)
+	}
+}
--- a/pkg/core/finish.go
+++ b/pkg/core/finish.go
@@ -62,7 +62,7 @@
 
 // leave removes a call that has ended and starts the next one of its program.
 func (c *Core) leave(cl *call) {
-	cl.state = stateDone
+	cl.done()
 	r := cl.root
 	if cl.ID != "" {
 		delete(c.calls, cl.ID)
@@ -89,6 +89,13 @@
 	c.advance(r, cl.member)
 }
 
+// done marks a call as ended. Its timers may keep it until its deadline, so it
+// lets go of the request.
+func (cl *call) done() {
+	cl.state = stateDone
+	cl.Request, cl.Attributes = nil, nil
+}
+
 // budgetFreed looks again at the calls that wait for budget.
 func (c *Core) budgetFreed(r *root) {
 	waiting := r.budget
--- a/pkg/core/journal.go
+++ b/pkg/core/journal.go
@@ -221,7 +221,7 @@
 	}
 	delete(c.calls, cl.ID)
 	delete(c.attempts, cl.attempt)
-	cl.state = stateDone
+	cl.done()
 }
 
 // refuseWaits refuses the requests that wait for the journal only, such as
--- a/pkg/core/programs.go
+++ b/pkg/core/programs.go
@@ -40,7 +40,7 @@
 	}
 	r := c.roots[RootOf(id)]
 	if r != nil && r.Caller != e.Caller {
-		refuse(CodeProgramUnknown, "program", "the program belongs to another caller")
+		refuse(CodeProgramUnknown, "program", "the id cannot be used")
 		return
 	}
 	if e.Parent != "" {
