--- a/pkg/trace/outcomes.go
+++ b/pkg/trace/outcomes.go
@@ -83,7 +83,7 @@
 	if s.Name == "peak" || s.Name == "overload" {
 		add(Bound{Metric: "latency_ms.p95", Policy: "default", MaxRatio: lim(0.6), Goal: "goal: p95 program latency at most 0.6 of the best baseline on the same trace"})
 	}
-	if s.Name == "peak" || s.Name == "long-pauses" {
+	if s.Name == "peak" || s.Name == "overload" || s.Name == "long-pauses" {
 		add(Bound{Metric: "wasted_cache_tokens", Policy: "default", MaxRatio: lim(0.3), Goal: "goal: wasted cache at most 0.3 of the best baseline on the same trace"})
 	}
 	return o
