Record events with the digest of their effects, and outcomes for the burn report

Cause: a recorded event log could not be compared with a second run, and the entry wrote no outcomes; entries of the quickstart used small seeds from which attempt ids derive, so two starts could have made the same ids.

Change: pkg/eventlog writes each event with a digest of its effects and verifies a log with a new core; the entry writes outcome events; the seed of the core is random; first-token and between-token histograms.

--- a/pkg/entry/backend.go
+++ b/pkg/entry/backend.go
@@ -12,6 +12,7 @@
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
 	"github.com/yuccaspindle/yuccaspindle/pkg/frontend"
+	"github.com/yuccaspindle/yuccaspindle/pkg/report"
 )
 
 // idBytes is the size of random identifiers: 128 bits.
@@ -43,12 +44,14 @@
 
 // Open implements frontend.Backend.
 func (n *Entry) Open(ctx context.Context, r frontend.OpenRequest) (core.ProgramID, error) {
+	start := time.Now()
 	call := core.CallID(n.NewID())
 	p := &pendingCall{done: make(chan completionResult, 1)}
 	res := n.submit(ctx, call, p, core.ProgramOpened{
 		At: now(), Call: call, ID: r.ID, Parent: r.Parent, Caller: r.Caller, Profile: r.Profile, Key: r.Key,
 	})
 	if res.refusal != nil {
+		n.recordOutcome(report.ScopeProgram, r.Caller, r.Profile, r.ID, start, res.refusal)
 		return "", &frontend.RefusalError{Refusal: *res.refusal}
 	}
 	return res.id, nil
@@ -56,12 +59,16 @@
 
 // End implements frontend.Backend.
 func (n *Entry) End(ctx context.Context, id core.ProgramID, caller string) error {
+	st, _ := n.Program(ctx, id)
 	call := core.CallID(n.NewID())
 	p := &pendingCall{done: make(chan completionResult, 1)}
 	res := n.submit(ctx, call, p, core.ProgramEnded{At: now(), Call: call, ID: id, Caller: caller})
 	if res.refusal != nil {
 		return &frontend.RefusalError{Refusal: *res.refusal}
 	}
+	if st.Ended.IsZero() {
+		n.recordOutcome(report.ScopeProgram, caller, st.Profile, id, st.Opened, nil)
+	}
 	return nil
 }
 
@@ -81,9 +88,10 @@
 	}
 	p := &pendingCall{req: r, done: make(chan completionResult, 1)}
 	if sink != nil {
-		p.sinks = append(p.sinks, sink)
+		p.sinks = append(p.sinks, &observeSink{Sink: sink, n: n, start: start})
 	}
 	res := n.submit(ctx, r.Call.ID, p, core.CallArrived{At: now(), Call: r.Call})
+	n.recordOutcome(report.ScopeCall, r.Call.Caller, r.Call.Profile, r.Target, start, res.refusal)
 	if res.refusal != nil {
 		return frontend.Result{}, &frontend.RefusalError{Refusal: *res.refusal}
 	}
--- a/pkg/entry/config.go
+++ b/pkg/entry/config.go
@@ -35,7 +35,7 @@
 	Seeds         []string    // peers to dial while the instance list cannot be read
 	TLS           *tls.Config // nil allows loopback only
 	DataFolder    string      // empty if the instance keeps nothing
-	Seed          uint64
+	Seed          uint64      // of the core; 0 takes a random one, which products must
 
 	Callers           []frontend.Caller
 	Operators         []string // callers that may give operators' orders
@@ -56,6 +56,9 @@
 	if c.DefaultMaxTokens == 0 {
 		c.DefaultMaxTokens = 512
 	}
+	if c.Seed == 0 {
+		c.Seed = randomSeed()
+	}
 	if c.Logger == nil {
 		c.Logger = slog.Default()
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -10,13 +10,16 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"gopkg.in/natefinch/lumberjack.v2"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
 	"github.com/yuccaspindle/yuccaspindle/pkg/core/ownership"
 	"github.com/yuccaspindle/yuccaspindle/pkg/core/policy"
+	"github.com/yuccaspindle/yuccaspindle/pkg/eventlog"
 	"github.com/yuccaspindle/yuccaspindle/pkg/frontend"
 	"github.com/yuccaspindle/yuccaspindle/pkg/journal"
+	"github.com/yuccaspindle/yuccaspindle/pkg/report"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
@@ -38,9 +41,12 @@
 	calls     *callTable
 	attempts  *attemptTable
 	metrics   *entryMetrics
-	events    *eventLog
+	events    *eventlog.Writer // nil without a data folder
+	outcomes  *report.Writer   // nil without a data folder
 	histories *frontend.Histories
 
+	outcomesFile *lumberjack.Logger
+
 	ctx      context.Context
 	stop     context.CancelFunc
 	draining atomic.Bool
@@ -56,17 +62,12 @@
 	cfg.setDefaults()
 	n := &Entry{cfg: cfg, log: cfg.Logger, calls: newCallTable(), attempts: newAttemptTable(), fenced: make(chan struct{}), histories: frontend.NewHistories()}
 	n.ctx, n.stop = context.WithCancel(context.Background())
-	n.events = newEventLog(cfg.DataFolder, n.log)
 	p, err := policy.New(policy.NameDefault, cfg.Seed, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "select policy")
 	}
 	c := core.New(core.Options{Self: cfg.Incarnation, Region: cfg.Region, Seed: cfg.Seed, Policy: p})
-	var record func(core.Event)
-	if n.events != nil {
-		record = n.events.record
-	}
-	n.loop = newLoop(c, record)
+	n.loop = newLoop(c)
 	n.loop.exec = n
 	n.config = newConfigSync(n)
 	n.peers = newPeerSet(n)
@@ -146,6 +147,13 @@
 
 // Start listens and begins to serve.
 func (n *Entry) Start(context.Context) error {
+	if err := n.openRecords(); err != nil {
+		return err
+	}
+	if n.events != nil {
+		n.loop.record = n.recordEvent
+		n.spawn(n.flushOutcomes)
+	}
 	if err := n.transport.Start(); err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
@@ -235,8 +243,8 @@
 		err = closeErr
 	}
 	n.running.Wait()
-	if n.events != nil {
-		_ = n.events.close()
+	if closeErr := n.closeRecords(); closeErr != nil && err == nil {
+		err = closeErr
 	}
 	n.log.Info("entry stopped", "error", err)
 	return err
@@ -250,6 +258,7 @@
 	cancel()
 	_ = n.transport.Close(ctx)
 	n.running.Wait()
+	_ = n.closeRecords()
 }
 
 // waitHandedOver waits until no slot is left or nobody can take one.
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -22,16 +22,15 @@
 	events chan core.Event
 	reads  chan func(*core.Core)
 	exec   executor
-	record func(core.Event)
+	record func(core.Event, []core.Effect) // nil without an event log
 	done   chan struct{}
 }
 
-func newLoop(c *core.Core, record func(core.Event)) *loop {
+func newLoop(c *core.Core) *loop {
 	return &loop{
 		core:   c,
 		events: make(chan core.Event, eventQueue),
 		reads:  make(chan func(*core.Core)),
-		record: record,
 		done:   make(chan struct{}),
 	}
 }
@@ -78,20 +77,22 @@
 			l.step(e)
 		case f := <-l.reads:
 			f(l.core)
-		case now := <-tick.C:
-			l.step(core.Tick{At: core.At{Time: now}})
+		case <-tick.C:
+			l.step(core.Tick{At: now()})
 		}
 	}
 }
 
 func (l *loop) step(e core.Event) {
+	effects := l.core.Step(e)
 	if l.record != nil {
-		l.record(e)
+		l.record(e, effects)
 	}
-	for _, eff := range l.core.Step(e) {
+	for _, eff := range effects {
 		l.exec.execute(eff)
 	}
 }
 
-// now returns the event time of this moment.
-func now() core.At { return core.At{Time: time.Now()} }
+// now returns the event time of this moment, in the form in which the event log
+// restores it: without monotonic reading and location.
+func now() core.At { return core.At{Time: time.Now().UTC().Round(0)} }
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -11,27 +11,29 @@
 
 // entryMetrics holds the metrics of one process. docs/metrics.md lists them.
 type entryMetrics struct {
-	set         *metrics.Set
-	calls       *metrics.Counter
-	forwards    *metrics.Counter
-	takeovers   *metrics.Counter
-	handovers   *metrics.Counter
-	checkpoints *metrics.Counter
-	firstToken  *metrics.Histogram
-	duration    *metrics.Histogram
+	set           *metrics.Set
+	calls         *metrics.Counter
+	forwards      *metrics.Counter
+	takeovers     *metrics.Counter
+	handovers     *metrics.Counter
+	checkpoints   *metrics.Counter
+	firstToken    *metrics.Histogram
+	duration      *metrics.Histogram
+	betweenTokens *metrics.Histogram
 }
 
 func newEntryMetrics(n *Entry) *entryMetrics {
 	set := metrics.NewSet()
 	m := &entryMetrics{
-		set:         set,
-		calls:       set.NewCounter("yuccaspindle_entry_calls_total"),
-		forwards:    set.NewCounter("yuccaspindle_entry_forwards_total"),
-		takeovers:   set.NewCounter("yuccaspindle_entry_takeovers_total"),
-		handovers:   set.NewCounter("yuccaspindle_entry_handovers_total"),
-		checkpoints: set.NewCounter("yuccaspindle_entry_checkpoints_total"),
-		firstToken:  set.NewHistogram("yuccaspindle_entry_first_token_seconds"),
-		duration:    set.NewHistogram("yuccaspindle_entry_call_duration_seconds"),
+		set:           set,
+		calls:         set.NewCounter("yuccaspindle_entry_calls_total"),
+		forwards:      set.NewCounter("yuccaspindle_entry_forwards_total"),
+		takeovers:     set.NewCounter("yuccaspindle_entry_takeovers_total"),
+		handovers:     set.NewCounter("yuccaspindle_entry_handovers_total"),
+		checkpoints:   set.NewCounter("yuccaspindle_entry_checkpoints_total"),
+		firstToken:    set.NewHistogram("yuccaspindle_entry_first_token_seconds"),
+		betweenTokens: set.NewHistogram("yuccaspindle_entry_between_tokens_seconds"),
+		duration:      set.NewHistogram("yuccaspindle_entry_call_duration_seconds"),
 	}
 	set.NewGauge("yuccaspindle_entry_calls_pending", func() float64 { return float64(n.calls.len()) })
 	set.NewGauge("yuccaspindle_entry_attempts_running", func() float64 { return float64(n.attempts.len()) })
--- a/pkg/quickstart/deployment.go
+++ b/pkg/quickstart/deployment.go
@@ -158,7 +158,7 @@
 	inc := d.nextIncarnation(spec.Name)
 	n, err := entry.New(entry.Config{
 		Instance: spec.Name, Incarnation: inc, Region: spec.Region, FailureDomain: spec.FailureDomain,
-		HTTPListen: spec.HTTPListen, DataFolder: spec.DataFolder, Seed: uint64(len(d.Entries)) + 1,
+		HTTPListen: spec.HTTPListen, DataFolder: spec.DataFolder,
 		TrustCallerHeader: true, Operators: []string{"operator"}, Store: client, Logger: d.log,
 	})
 	if err != nil {
