Expect the wait of the dispatch in the concurrency limit

Cause: calls that were sent beyond the slots to the holder of their history were expected to wait, but counted as slow, so that the limit fell under overload. Change: the limiter compares with the wait expected at dispatch.

--- a/pkg/core/policy/default.go
+++ b/pkg/core/policy/default.go
@@ -359,7 +359,7 @@
 	if r.Call.Kind == core.KindModel {
 		fl.missing, fl.reserve = c.missing, c.need
 		d.meanNeed += serviceWeight * (float64(c.need) - d.meanNeed)
-		fl.ahead = u.queued + u.otherTok
+		fl.wait = expectedWait(u, c.used, max(1, c.limit), t.service, c.age)
 		u.queued += c.missing
 		u.reserved += c.need
 	}
@@ -384,8 +384,8 @@
 		return
 	}
 	if d.limiter != nil {
-		prefill := float64(fl.ahead+fl.req.Call.PromptTokens-cached) / prefillRate(fl.up)
-		d.limiter.observe(now, fl, now.Sub(fl.sent), time.Duration(prefill*float64(time.Second)))
+		expected := fl.wait + float64(fl.req.Call.PromptTokens-cached)/prefillRate(fl.up)
+		d.limiter.observe(now, fl, now.Sub(fl.sent), time.Duration(expected*float64(time.Second)))
 	}
 	if d.cache != nil {
 		d.cache.onFirstToken(fl, cached)
--- a/pkg/core/policy/fleet.go
+++ b/pkg/core/policy/fleet.go
@@ -84,7 +84,7 @@
 	reserve    int64   // tokens of memory while it runs
 	missing    int64   // prompt tokens that the engine was expected not to hold
 	used       float64 // estimated calls on the upstream, with this one
-	ahead      int64   // prompt tokens queued on the upstream at dispatch
+	wait       float64 // expected wait on the upstream at dispatch, s
 	probe      bool    // sent to test an upstream whose breaker is half open
 }
 
