--- a/pkg/core/call.go
+++ b/pkg/core/call.go
@@ -28,23 +28,23 @@
 // caller has not come back; it then has no call id.
 type call struct {
 	Call
-	number      uint64 // order of arrival
-	root        *root
-	member      *program.Member
-	state       callState
-	attempt     AttemptID
-	upstream    UpstreamID
-	incarnation uint64 // of the upstream when it was chosen
-	priority    int
-	suspect     bool      // when it was given to the policy
-	sent        time.Time // when it was dispatched
-	granted     int64     // tokens it may generate
-	spend       int64     // spend reserved for an attempt
-	tries       int
-	bounces     int // attempts refused by draining sidecars
-	avoid       []UpstreamID
-	ran         Ran    // what is known of the attempts that ended
-	timer       uint64 // the timer that moves the call on, if any
+	number   uint64 // order of arrival
+	root     *root
+	member   *program.Member
+	state    callState
+	attempt  AttemptID
+	upstream UpstreamID
+	sidecar  Incarnation // of the upstream when it was chosen
+	priority int
+	suspect  bool      // when it was given to the policy
+	sent     time.Time // when it was dispatched
+	granted  int64     // tokens it may generate
+	spend    int64     // spend reserved for an attempt
+	tries    int
+	bounces  int // attempts refused by draining sidecars
+	avoid    []UpstreamID
+	ran      Ran    // what is known of the attempts that ended
+	timer    uint64 // the timer that moves the call on, if any
 
 	nonIdempotent bool
 	claimed       bool // the journal has a claim of the attempt
@@ -73,12 +73,27 @@
 	}
 }
 
+// maxCallTokens is far above any context; without a bound, sums of stated
+// numbers could overflow and pass a budget.
+const maxCallTokens = 1 << 40
+
+// tokens bounds a number of tokens that a caller or an upstream stated.
+func tokens(n int64) int64 { return min(max(n, 0), maxCallTokens) }
+
+// bounded bounds the numbers in an answer.
+func bounded(a Answer) Answer {
+	a.PromptTokens, a.OutputTokens = tokens(a.PromptTokens), tokens(a.OutputTokens)
+	a.CachedTokens = min(tokens(a.CachedTokens), a.PromptTokens)
+	return a
+}
+
 // arrive takes in a new call or a resend.
 func (c *Core) arrive(in Call) {
 	if _, ok := c.calls[in.ID]; ok {
 		return
 	}
 	cl := &call{Call: in, ran: RanNo}
+	cl.PromptTokens, cl.MaxTokens = tokens(in.PromptTokens), tokens(in.MaxTokens)
 	single := in.Program == ""
 	if single {
 		cl.Program = c.singleProgram(&in)
