Continue a broken stream on another engine without losing or repeating words

Cause: after an engine crash the next attempt was asked to continue the answer, but the stand-in began again, so the caller would have got words twice; the token limit was not reduced by what had been delivered.

Change: the engine protocol has continue_final_message; the stand-in continues the last message; the entry reduces max_tokens and adds the delivered tokens to the usage.

Figures: go test -race -run StreamSurvives ./pkg/quickstart: the text of a stream whose engine is crashed in the middle equals that of an undisturbed one (600 tokens).

Conclusion: invariant 5 holds for a crash in the middle of a stream.

--- a/pkg/core/ownership/ownership.go
+++ b/pkg/core/ownership/ownership.go
@@ -86,7 +86,6 @@
 type peerState struct {
 	Peer
 	heard  time.Time
-	listed bool
 	inList bool
 }
 
--- a/pkg/entry/calls.go
+++ b/pkg/entry/calls.go
@@ -23,6 +23,7 @@
 	mu        sync.Mutex
 	sinks     []frontend.Sink
 	delivered []byte // text already sent to the caller
+	tokens    int64  // tokens already sent to the caller
 	attempt   core.AttemptID
 }
 
@@ -91,18 +92,24 @@
 	}
 }
 
-// begin makes an attempt the one whose parts reach the caller and returns the
-// text that earlier attempts delivered.
-func (p *pendingCall) begin(id core.AttemptID) string {
+// partialAnswer is what earlier attempts of a call have delivered.
+type partialAnswer struct {
+	text   string
+	tokens int64
+}
+
+// begin makes an attempt the one whose parts reach the caller and returns what
+// earlier attempts delivered, which the attempt is to continue.
+func (p *pendingCall) begin(id core.AttemptID) partialAnswer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.attempt = id
-	return string(p.delivered)
+	return partialAnswer{string(p.delivered), p.tokens}
 }
 
 // chunk passes a part of a streamed answer on. Parts of an attempt that is no
 // longer the live one are dropped, so that no answer mixes two attempts.
-func (p *pendingCall) chunk(id core.AttemptID, chunk []byte) {
+func (p *pendingCall) chunk(id core.AttemptID, chunk []byte, tokens int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.attempt != id {
@@ -113,6 +120,7 @@
 		return // made from the result once the turn is durable
 	}
 	p.delivered = append(p.delivered, text...)
+	p.tokens += tokens
 	kept := p.sinks[:0]
 	for _, s := range p.sinks {
 		if s.Chunk(chunk) == nil {
--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -78,8 +78,11 @@
 }
 
 // runAttempt carries one attempt to its end and returns the event that ends it.
-func (n *Entry) runAttempt(ctx context.Context, d core.Dispatch, p *pendingCall, turns []core.Turn, partial string) core.Event {
-	body, err := n.histories.DispatchBody(p.req, turns, partial, d.MaxTokens)
+func (n *Entry) runAttempt(ctx context.Context, d core.Dispatch, p *pendingCall, turns []core.Turn, partial partialAnswer) core.Event {
+	if d.MaxTokens > 0 && partial.tokens > 0 {
+		d.MaxTokens = max(d.MaxTokens-partial.tokens, 1)
+	}
+	body, err := n.histories.DispatchBody(p.req, turns, partial.text, d.MaxTokens)
 	if err != nil {
 		return failedAttempt(d, "build request", core.RanNo, err)
 	}
@@ -134,7 +137,7 @@
 }
 
 // receive reads the sidecar's messages until the attempt ends.
-func (n *Entry) receive(d core.Dispatch, p *pendingCall, st *transport.Stream, partial string) core.Event {
+func (n *Entry) receive(d core.Dispatch, p *pendingCall, st *transport.Stream, partial partialAnswer) core.Event {
 	first := true
 	for {
 		env, err := st.Recv()
@@ -152,7 +155,7 @@
 				first = false
 				n.loop.post(core.FirstToken{At: now(), Attempt: d.Attempt, CachedTokens: m.Data.GetCachedTokens()})
 			}
-			p.chunk(d.Attempt, m.Data.GetChunk())
+			p.chunk(d.Attempt, m.Data.GetChunk(), m.Data.GetTokens())
 		case *peerv1.Envelope_Done:
 			return core.AttemptDone{At: now(), Attempt: d.Attempt, Answer: answerOf(m.Done, partial)}
 		case *peerv1.Envelope_Failed:
@@ -167,13 +170,13 @@
 
 // answerOf returns the answer with the text that earlier attempts delivered put
 // before it.
-func answerOf(m *peerv1.Done, partial string) core.Answer {
+func answerOf(m *peerv1.Done, partial partialAnswer) core.Answer {
 	return core.Answer{
-		Body:         frontend.PrependText(m.GetBody(), partial),
+		Body:         frontend.PrependText(m.GetBody(), partial.text),
 		Status:       int(m.GetStatus()),
 		PromptTokens: m.GetPromptTokens(),
 		CachedTokens: m.GetCachedTokens(),
-		OutputTokens: m.GetOutputTokens(),
+		OutputTokens: m.GetOutputTokens() + partial.tokens,
 		FinishReason: m.GetFinishReason(),
 	}
 }
@@ -204,7 +207,7 @@
 	} else {
 		outcome.Ran = core.Ran(m.GetRan())
 		if m.GetDone() != nil {
-			outcome.Answer = answerOf(m.GetDone(), "")
+			outcome.Answer = answerOf(m.GetDone(), partialAnswer{})
 		}
 	}
 	outcome.At = now()
--- a/pkg/quickstart/failure_test.go
+++ b/pkg/quickstart/failure_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/frontend"
 	"github.com/yuccaspindle/yuccaspindle/pkg/journal"
 	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
 	"github.com/yuccaspindle/yuccaspindle/pkg/standin/engine"
@@ -287,3 +288,48 @@
 	wg.Wait()
 	mustOK(t, "request that was on board", bystander)
 }
+
+// Guards invariant 5 (the whole answer) against an engine that crashes in the
+// middle of a stream: the answer is continued on another engine, with no word
+// lost or repeated.
+func TestStreamSurvivesEngineCrash(t *testing.T) {
+	d := startSmall(t, "entry-1", "entry-2")
+	body := `{"model":"m","max_tokens":1000,"stream":true,"standin_output_tokens":600,"messages":[{"role":"user","content":"regrind"}]}`
+	whole := textOf(t, post(t, d, "entry-1", "/v1/chat/completions", body).body)
+	var broken response
+	var wg sync.WaitGroup
+	wg.Go(func() { broken = post(t, d, "entry-1", "/v1/chat/completions", body) })
+	time.Sleep(400 * time.Millisecond)
+	crashed := 0
+	for _, e := range d.Engines {
+		if e.Stats().Running > 0 {
+			e.Crash()
+			crashed++
+		}
+	}
+	wg.Wait()
+	if crashed != 1 {
+		t.Fatalf("%d engines ran the stream, want 1", crashed)
+	}
+	if got := textOf(t, broken.body); got != whole {
+		t.Errorf("the continued answer has %d words, the whole one %d", len(strings.Fields(got)), len(strings.Fields(whole)))
+	}
+	if !strings.HasSuffix(broken.body, "data: [DONE]\n\n") {
+		t.Errorf("the stream was cut: %q", tail(broken.body))
+	}
+}
+
+// textOf returns the text of a stream.
+func textOf(t *testing.T, stream string) string {
+	t.Helper()
+	var out strings.Builder
+	for line := range strings.Lines(stream) {
+		data, ok := strings.CutPrefix(line, "data: {")
+		if !ok {
+			continue
+		}
+		text, _ := frontend.ChunkText([]byte("{" + data))
+		out.WriteString(text)
+	}
+	return out.String()
+}
--- a/pkg/standin/engine/chat.go
+++ b/pkg/standin/engine/chat.go
@@ -28,6 +28,23 @@
 	SharedPrefix string            `json:"shared_prefix"`
 	// OutputTokens fixes the length of the answer in tests and load runs.
 	OutputTokens int64 `json:"standin_output_tokens"`
+	// Continue tells that the last message is the beginning of the answer,
+	// which is to be continued and not repeated.
+	Continue bool `json:"continue_final_message"`
+}
+
+// begun returns the messages before the answer and the number of tokens of the
+// answer that the request brings.
+func (q *chatRequest) begun() (messages []json.RawMessage, tokens int64) {
+	if !q.Continue {
+		return q.Messages, 0
+	}
+	var last struct {
+		Content string `json:"content"`
+	}
+	n := len(q.Messages) - 1
+	_ = json.Unmarshal(q.Messages[n], &last)
+	return q.Messages[:n], int64(len(strings.Fields(last.Content)))
 }
 
 type usage struct {
@@ -42,6 +59,7 @@
 	id          string
 	model       string
 	fingerprint uint64
+	offset      int64 // tokens of the answer that the request brought
 	prompt      int64
 	cached      int64
 	tokens      int64
@@ -101,9 +119,13 @@
 		writeError(w, fmt.Errorf("request_id and messages are required"))
 		return
 	}
+	question, offset := q.begun()
+	if q.OutputTokens > 0 {
+		q.OutputTokens = max(q.OutputTokens-offset, 1)
+	}
 	req := model.Request{
 		ID: q.RequestID, Program: q.Program, Model: q.Model, Adapter: q.Adapter, SharedPrefix: q.SharedPrefix,
-		MaxTokens: q.MaxTokens, OutputTokens: q.OutputTokens, Priority: q.Priority, Fingerprint: Fingerprint(q.Model, q.Messages),
+		MaxTokens: q.MaxTokens, OutputTokens: q.OutputTokens, Priority: q.Priority, Fingerprint: Fingerprint(q.Model, question),
 	}
 	system := true
 	for _, m := range q.Messages {
@@ -128,7 +150,7 @@
 	err := s.eng.Submit(time.Now(), req)
 	var st *state
 	if err == nil {
-		st = &state{id: q.RequestID, model: q.Model, fingerprint: req.Fingerprint, left: time.Now(), changed: make(chan struct{})}
+		st = &state{id: q.RequestID, model: q.Model, fingerprint: req.Fingerprint, offset: offset, left: time.Now(), changed: make(chan struct{})}
 		s.states[q.RequestID] = st
 		s.runs[q.RequestID]++
 	}
@@ -219,7 +241,7 @@
 				u = &usage{PromptTokens: st.prompt, CachedTokens: st.cached, CompletionTokens: next + 1}
 				first = false
 			}
-			a.chunk(tokenText(a.content, next), "", u)
+			a.chunk(tokenText(a.content, a.st.offset+next), "", u)
 			if a.faults.Silent > 0 && next >= a.faults.CutAfter {
 				if flusher != nil {
 					flusher.Flush()
@@ -275,7 +297,7 @@
 		time.Sleep(time.Duration(a.faults.SlowMS) * time.Millisecond)
 		var text strings.Builder
 		for i := range st.tokens {
-			text.WriteString(tokenText(a.content, i))
+			text.WriteString(tokenText(a.content, a.st.offset+i))
 		}
 		writeJSON(a.w, http.StatusOK, map[string]any{
 			"id": a.id, "object": "chat.completion", "model": st.model, "usage": st.usage(),
