--- a/pkg/objectapi/http.go
+++ b/pkg/objectapi/http.go
@@ -91,14 +91,20 @@
 
 func objectPath(key string) string { return "/v1/objects/" + key }
 
-// do sends one request and decodes a 200 or 201 answer into out. It returns the
-// status, and an error for every status of 400 or more.
-func (b *httpBackend) do(ctx context.Context, method, path string, header http.Header, body, out any) (int, error) {
+// errNoContent tells that a call with an answer got a 204.
+var errNoContent = fmt.Errorf("%w: answer without content", ErrUnavailable)
+
+// errNoVersion tells that an answer misses the version of the object.
+var errNoVersion = fmt.Errorf("%w: answer without a version", ErrUnavailable)
+
+// do sends one request and decodes the answer into out, if out is not nil. It
+// returns an error for every status other than 2xx.
+func (b *httpBackend) do(ctx context.Context, method, path string, header http.Header, body, out any) error {
 	var rd *bytes.Reader
 	if body != nil {
 		data, err := json.Marshal(body)
 		if err != nil {
-			return 0, fmt.Errorf("%w: %w", ErrInvalid, err)
+			return fmt.Errorf("%w: %w", ErrInvalid, err)
 		}
 		rd = bytes.NewReader(data)
 	} else {
@@ -106,7 +112,7 @@
 	}
 	req, err := http.NewRequestWithContext(ctx, method, b.base+path, rd)
 	if err != nil {
-		return 0, fmt.Errorf("%w: %w", ErrInvalid, err)
+		return fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
 	for k, v := range header {
 		req.Header[k] = v
@@ -119,19 +125,22 @@
 	}
 	resp, err := b.hc.Do(req)
 	if err != nil {
-		return 0, unavailable(ctx, err)
+		return unavailable(ctx, err)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode >= 300 {
-		return resp.StatusCode, statusError(resp)
+	switch {
+	case resp.StatusCode < 200 || resp.StatusCode >= 300:
+		return statusError(resp)
+	case out == nil:
+		return nil
+	case resp.StatusCode == http.StatusNoContent:
+		return errNoContent
 	}
-	if out != nil && resp.StatusCode != http.StatusNoContent {
-		if err := DecodeBody(resp.Body, out); err != nil {
-			// A broken body loses the answer, whatever the status says.
-			return resp.StatusCode, unavailable(ctx, err)
-		}
+	if err := DecodeBody(resp.Body, out); err != nil {
+		// A broken body loses the answer, whatever the status says.
+		return unavailable(ctx, err)
 	}
-	return resp.StatusCode, nil
+	return nil
 }
 
 func unavailable(ctx context.Context, err error) error {
@@ -163,7 +172,10 @@
 
 func (b *httpBackend) Get(ctx context.Context, key string) (Object, error) {
 	var w WireObject
-	_, err := b.do(ctx, http.MethodGet, objectPath(key), nil, nil, &w)
+	err := b.do(ctx, http.MethodGet, objectPath(key), nil, nil, &w)
+	if err == nil && w.Version == 0 {
+		err = errNoVersion
+	}
 	return Object{Key: key, Version: w.Version, Value: w.Value}, err
 }
 
@@ -175,12 +187,15 @@
 		h.Set("If-Match", strconv.Quote(strconv.FormatUint(cond.Version, 10)))
 	}
 	var w WireVersion
-	_, err := b.do(ctx, http.MethodPut, objectPath(key), h, WirePut{Value: value}, &w)
+	err := b.do(ctx, http.MethodPut, objectPath(key), h, WirePut{Value: value}, &w)
+	if err == nil && w.Version == 0 {
+		err = errNoVersion
+	}
 	return w.Version, err
 }
 
 func (b *httpBackend) Delete(ctx context.Context, key string) error {
-	_, err := b.do(ctx, http.MethodDelete, objectPath(key), nil, nil, nil)
+	err := b.do(ctx, http.MethodDelete, objectPath(key), nil, nil, nil)
 	if errors.Is(err, ErrNotFound) {
 		return nil
 	}
@@ -193,11 +208,14 @@
 		q.Set("after", after)
 	}
 	var w WireList
-	if _, err := b.do(ctx, http.MethodGet, "/v1/objects?"+q.Encode(), nil, nil, &w); err != nil {
+	if err := b.do(ctx, http.MethodGet, "/v1/objects?"+q.Encode(), nil, nil, &w); err != nil {
 		return nil, "", err
 	}
 	objs := make([]Object, len(w.Objects))
 	for i, o := range w.Objects {
+		if o.Version == 0 {
+			return nil, "", errNoVersion
+		}
 		objs[i] = Object(o)
 	}
 	return objs, w.Next, nil
@@ -209,8 +227,11 @@
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
 	var w WireObject
-	status, err := b.do(ctx, http.MethodGet, objectPath(key)+"?"+q.Encode(), nil, nil, &w)
-	if err != nil || status == http.StatusNoContent {
+	err := b.do(ctx, http.MethodGet, objectPath(key)+"?"+q.Encode(), nil, nil, &w)
+	if errors.Is(err, errNoContent) {
+		return Object{}, false, nil
+	}
+	if err != nil {
 		return Object{}, false, err
 	}
 	return Object{Key: key, Version: w.Version, Value: w.Value}, true, nil
@@ -218,6 +239,6 @@
 
 func (b *httpBackend) Instances(ctx context.Context) ([]Instance, error) {
 	var w WireInstances
-	_, err := b.do(ctx, http.MethodGet, "/v1/instances", nil, nil, &w)
+	err := b.do(ctx, http.MethodGet, "/v1/instances", nil, nil, &w)
 	return w.Instances, err
 }
