Change the retention set one step at a time

Cause: a change of the set whose caller gave up can still be on its way when the next one is made. A successor reads two sets from the log; batches that were acknowledged under a third one would be lost. Found by reading the entry's loop, which repeats the change after a time limit.

Change: the writer refuses a change in an outage or while an earlier one is not committed, and a checkpoint while a change is open. OpenSealed lets a takeover read the log once for the members and the records.

Conclusion: at most two sets are open at any time.

--- a/pkg/journal/recover.go
+++ b/pkg/journal/recover.go
@@ -63,44 +63,102 @@
 	return l, nil
 }
 
-// Recover returns the records of a sealed log, each once: those of the last
-// checkpoint, of the objects after it and of the retained batches after the end
-// of the log.
-func Recover(ctx context.Context, c objectapi.Client, lost core.Incarnation, retained []*peerv1.Retain) ([]core.Record, error) {
+// SealedLog is a log that has been read after its seal.
+type SealedLog struct {
+	lost core.Incarnation
+	c    objectapi.Client
+	l    *log
+}
+
+// OpenSealed reads a sealed log.
+func OpenSealed(ctx context.Context, c objectapi.Client, lost core.Incarnation) (*SealedLog, error) {
 	l, err := readLog(ctx, c, lost)
 	if err != nil {
 		return nil, err
 	}
 	if l.seal == nil {
-		return nil, fmt.Errorf("journal: recover %s: the log is not sealed", lost)
+		return nil, fmt.Errorf("journal: read %s: the log is not sealed", lost)
 	}
+	return &SealedLog{lost, c, l}, nil
+}
+
+// SealedBy returns the incarnation that sealed the log.
+func (s *SealedLog) SealedBy() core.Incarnation { return core.Incarnation(s.l.seal.SealedBy) }
+
+// Recover opens a sealed log and returns its records, see SealedLog.Recover.
+func Recover(ctx context.Context, c objectapi.Client, lost core.Incarnation, retained []*peerv1.Retain) ([]core.Record, error) {
+	s, err := OpenSealed(ctx, c, lost)
+	if err != nil {
+		return nil, err
+	}
+	return s.Recover(ctx, retained)
+}
+
+// Members opens a sealed log and returns the members of its retention set, see
+// SealedLog.Members.
+func Members(ctx context.Context, c objectapi.Client, lost core.Incarnation) ([]core.Incarnation, error) {
+	s, err := OpenSealed(ctx, c, lost)
+	if err != nil {
+		return nil, err
+	}
+	return s.Members(), nil
+}
+
+// Recover returns the records of the log, each once: those of the last
+// checkpoint, of the objects after it and of the retained batches after the end
+// of the log.
+func (s *SealedLog) Recover(ctx context.Context, retained []*peerv1.Retain) ([]core.Record, error) {
 	var a assembler
 	var covered uint64
-	if l.checkpoint >= 0 {
-		if covered, err = readCheckpoint(ctx, c, lost, l.objects[l.checkpoint], &a); err != nil {
+	var err error
+	if s.l.checkpoint >= 0 {
+		if covered, err = readCheckpoint(ctx, s.c, s.lost, s.l.objects[s.l.checkpoint], &a); err != nil {
 			return nil, err
 		}
 	}
 	want := covered + 1
-	for _, o := range l.objects {
+	for _, o := range s.l.objects {
 		if o.Object <= covered {
 			continue
 		}
 		if o.Object != want {
-			return nil, fmt.Errorf("journal: recover %s: object %d is missing", lost, want)
+			return nil, fmt.Errorf("journal: recover %s: object %d is missing", s.lost, want)
 		}
 		if err := a.add(o.Records); err != nil {
 			return nil, err
 		}
 		want++
 	}
-	if l.seal.Object != want {
-		return nil, fmt.Errorf("journal: recover %s: object %d is missing before the seal at %d", lost, want, l.seal.Object)
+	if s.l.seal.Object != want {
+		return nil, fmt.Errorf("journal: recover %s: object %d is missing before the seal at %d", s.lost, want, s.l.seal.Object)
 	}
-	err = addRetained(lost, want, retained, &a)
+	err = addRetained(s.lost, want, retained, &a)
 	return a.out, err
 }
 
+// Members returns the incarnations that may hold retained batches of the log. A
+// successor fences all of them before Recover. After a change of the set,
+// batches that were acknowledged under the set before may still be on their way
+// to the new one, so the members of both are returned until the next checkpoint.
+func (s *SealedLog) Members() []core.Incarnation {
+	var before, last []string
+	for _, o := range s.l.objects {
+		if o.Retention != nil && !slices.Equal(o.Retention, last) {
+			before, last = last, o.Retention
+		}
+		if o.Checkpoint > 0 {
+			before = nil
+		}
+	}
+	set := setOf(last)
+	for _, m := range setOf(before) {
+		if !slices.Contains(set, m) {
+			set = append(set, m)
+		}
+	}
+	return set
+}
+
 // addRetained adds the retained batches from object next on.
 func addRetained(lost core.Incarnation, next uint64, retained []*peerv1.Retain, a *assembler) error {
 	sorted := append([]*peerv1.Retain(nil), retained...)
@@ -128,33 +186,3 @@
 	}
 	return gap
 }
-
-// Members returns the incarnations that may hold retained batches of a sealed
-// log. A successor fences all of them before Recover. After a change of the set,
-// batches that were acknowledged under the set before may still be on their way
-// to the new one, so the members of both are returned until the next checkpoint.
-func Members(ctx context.Context, c objectapi.Client, lost core.Incarnation) ([]core.Incarnation, error) {
-	l, err := readLog(ctx, c, lost)
-	if err != nil {
-		return nil, err
-	}
-	if l.seal == nil {
-		return nil, fmt.Errorf("journal: members of %s: the log is not sealed", lost)
-	}
-	var before, last []string
-	for _, o := range l.objects {
-		if o.Retention != nil && !slices.Equal(o.Retention, last) {
-			before, last = last, o.Retention
-		}
-		if o.Checkpoint > 0 {
-			before = nil
-		}
-	}
-	set := setOf(last)
-	for _, m := range setOf(before) {
-		if !slices.Contains(set, m) {
-			set = append(set, m)
-		}
-	}
-	return set, nil
-}
--- a/pkg/journal/retain_test.go
+++ b/pkg/journal/retain_test.go
@@ -45,7 +45,12 @@
 	}
 	r := run(t, mem, WriterOptions{
 		Retention: []core.Incarnation{"b.1", "c.1"},
-		Retainer:  func(id core.Incarnation) Retainer { return links[id] },
+		Retainer: func(id core.Incarnation) Retainer {
+			if l := links[id]; l != nil {
+				return l
+			}
+			return nil
+		},
 	})
 	r.Append([]core.Record{turn("p", 1)})
 	if err := r.Flush(t.Context()); err != nil {
@@ -292,6 +297,45 @@
 	}
 }
 
+// Guards against a retention set that changes more than once before the first
+// change is durable: batches held by the oldest set would not be found.
+func TestSetChangesOneByOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := objectapi.NewMemory(objectapi.MemoryOptions{})
+		r, links := withMembers(t, mem)
+		mem.SetFaults("", objectapi.Faults{Delay: 200 * time.Millisecond})
+		first := make(chan error, 1)
+		go func() { first <- r.SetRetention(t.Context(), []core.Incarnation{"c.1", "d.1"}) }()
+		time.Sleep(100 * time.Millisecond)
+		mem.SetFaults("", outage) // the change stays on its way
+		r.Append([]core.Record{turn("p", 2)})
+		time.Sleep(time.Second)
+		if r.retained.Load() != 2 {
+			t.Errorf("retained %d, want 2 with the set before", r.retained.Load())
+		}
+		if err := r.SetRetention(t.Context(), []core.Incarnation{"e.1"}); err == nil {
+			t.Error("a second change was accepted in the outage")
+		}
+		if n, _ := links["b.1"].Held(); n != 2 {
+			t.Errorf("member of the set before holds %d batches, want 2", n)
+		}
+		mem.SetFaults("", objectapi.Faults{})
+		if err := <-first; err != nil {
+			t.Error(err)
+		}
+		time.Sleep(5 * time.Second)
+		if err := r.SetRetention(t.Context(), []core.Incarnation{"e.1"}); err != nil {
+			t.Errorf("a change after the outage: %v", err)
+		}
+		if _, err := Seal(t.Context(), mem, "a.1", "d.1"); err != nil {
+			t.Fatal(err)
+		}
+		if m, err := Members(t.Context(), mem, "a.1"); err != nil || len(m) != 3 {
+			t.Errorf("Members = %v, %v; want c.1, d.1 and e.1", m, err)
+		}
+	})
+}
+
 // cut is a client whose calls fail from some call on.
 type cut struct {
 	objectapi.Client
--- a/pkg/journal/writer.go
+++ b/pkg/journal/writer.go
@@ -52,6 +52,7 @@
 	waiters   []waiter
 	set       []core.Incarnation // retention set in force
 	named     []string           // retention set that the log names last
+	change    uint64             // object of the last change of the set
 	members   map[core.Incarnation]*member
 	degraded  bool // appends fail or are slow
 	lastStart time.Time
@@ -280,6 +281,10 @@
 			return err
 		}
 		if e.control != nil {
+			if err := w.admitControl(e); err != nil {
+				e.done <- waitResult{err: err}
+				continue
+			}
 			first := w.next
 			if err := w.enqueue(e.recs, e.control); err != nil {
 				return err
@@ -301,11 +306,28 @@
 	return nil
 }
 
+// admitControl refuses a change of the retention set or a checkpoint while an
+// earlier change is not known to be committed, and a change in an outage. A
+// successor reads at most two sets from the log, see Members: batches that were
+// acknowledged under a third one would be lost.
+func (w *Writer) admitControl(e entry) error {
+	open := w.change > w.committed
+	switch {
+	case e.done == nil: // the first set
+		return nil
+	case e.control.Retention != nil && (open || w.degraded):
+		return errors.Errorf("journal %s: the retention set cannot change now: object %d is not committed", w.self, w.committed+1)
+	case e.control.Checkpoint > 0 && open:
+		return errors.Errorf("journal %s: no checkpoint while the retention set changes in object %d", w.self, w.change)
+	}
+	return nil
+}
+
 // enqueue encodes records into batches whose other fields are those of base.
 func (w *Writer) enqueue(recs []core.Record, base *peerv1.JournalObject) error {
 	switch {
 	case base.Retention != nil:
-		w.named = base.Retention
+		w.named, w.change = base.Retention, w.next
 	case base.Checkpoint > 0:
 		// The object that named the set may be covered and deleted.
 		base.Retention = w.named
