--- a/pkg/entry/config.go
+++ b/pkg/entry/config.go
@@ -4,8 +4,10 @@
 package entry
 
 import (
+	"context"
 	"crypto/tls"
 	"log/slog"
+	"net"
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
@@ -42,6 +44,9 @@
 	TrustCallerHeader bool
 	DefaultMaxTokens  int64
 
+	// Dialer makes the connections to peers; nil: net.Dialer.
+	Dialer func(ctx context.Context, address string) (net.Conn, error)
+
 	Store  objectapi.Client
 	Logger *slog.Logger
 }
--- a/pkg/quickstart/deployment.go
+++ b/pkg/quickstart/deployment.go
@@ -69,6 +69,7 @@
 	log   *slog.Logger
 	ctx   context.Context
 	stop  context.CancelFunc
+	net   *partition
 	Store *standinstore.Server
 
 	mu       sync.Mutex
@@ -88,6 +89,7 @@
 	d := &Deployment{
 		opt:      opt,
 		log:      opt.Logger,
+		net:      newPartition(),
 		Store:    standinstore.New(standinstore.Options{InstanceLag: opt.ListLag, Logger: opt.Logger}),
 		starts:   make(map[string]uint64),
 		Entries:  make(map[string]*entry.Entry),
@@ -159,6 +161,7 @@
 	n, err := entry.New(entry.Config{
 		Instance: spec.Name, Incarnation: inc, Region: spec.Region, FailureDomain: spec.FailureDomain,
 		HTTPListen: spec.HTTPListen, DataFolder: spec.DataFolder,
+		Dialer:            d.net.dialer(spec.Region),
 		TrustCallerHeader: true, Operators: []string{"operator"}, Store: client, Logger: d.log,
 	})
 	if err != nil {
@@ -244,6 +247,7 @@
 func (d *Deployment) list(in objectapi.Instance) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.net.place(in.Address, in.Region)
 	d.listed[in.ID] = in
 	d.publishLocked()
 }
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -20,6 +20,9 @@
 	Hello     func() *peerv1.Hello // called for each new session
 	KeepAlive time.Duration        // default DefaultKeepAlive
 	Logger    *slog.Logger         // default slog.Default
+	// Dialer makes the connections; nil: net.Dialer. Tests use it to separate
+	// processes.
+	Dialer func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Handler serves one stream opened by a peer. The stream is closed when it
@@ -75,6 +78,12 @@
 	if cfg.Logger == nil {
 		cfg.Logger = slog.Default()
 	}
+	if cfg.Dialer == nil {
+		cfg.Dialer = func(ctx context.Context, address string) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", address)
+		}
+	}
 	t := &Transport{
 		cfg: cfg, handler: h, log: cfg.Logger,
 		sessions: make(map[*Session]struct{}),
@@ -230,8 +239,7 @@
 func (t *Transport) connect(addr string) (*Session, error) {
 	ctx, cancel := context.WithTimeout(t.ctx, dialTimeout)
 	defer cancel()
-	var nd net.Dialer
-	conn, err := nd.DialContext(ctx, "tcp", addr)
+	conn, err := t.cfg.Dialer(ctx, addr)
 	if err != nil {
 		return nil, &Error{Step: "dial", Peer: addr, Err: err}
 	}
