--- a/pkg/config/shared.go
+++ b/pkg/config/shared.go
@@ -79,7 +79,7 @@
 		value: boolean(func(s *core.ServiceSpec) *bool { return &s.OutcomeByKey })},
 	{name: "spend", def: "0", unit: "millionths of the currency unit", example: "250000", help: "Charge of one call to the budget of the program.",
 		value: integer(0, 1<<50, func(s *core.ServiceSpec) *int64 { return &s.SpendMicroCall })},
-	{name: "default_profile", example: "bookings", help: "Profile of callers that name none.",
+	{name: "default_profile", example: "booking", help: "Profile of callers that name none.",
 		value: nameOf(func(s *core.ServiceSpec) *string { return &s.DefaultProfile })},
 }
 
--- a/pkg/entry/config.go
+++ b/pkg/entry/config.go
@@ -31,9 +31,11 @@
 	FailureDomain string
 	HTTPListen    string // host:port, port 0 lets the kernel choose
 	PeerListen    string
+	PeerAdvertise string      // address under which peers reach this process, if it differs
+	Seeds         []string    // peers to dial while the instance list cannot be read
 	TLS           *tls.Config // nil allows loopback only
 	DataFolder    string      // empty if the instance keeps nothing
-	Seed          uint64
+	Seed          uint64      // of the core; 0 takes a random one, which products must
 
 	Callers           []frontend.Caller
 	Operators         []string // callers that may give operators' orders
@@ -54,6 +56,9 @@
 	if c.DefaultMaxTokens == 0 {
 		c.DefaultMaxTokens = 512
 	}
+	if c.Seed == 0 {
+		c.Seed = randomSeed()
+	}
 	if c.Logger == nil {
 		c.Logger = slog.Default()
 	}
