Delete the logs of succeeded owners once their process is gone

Cause: a takeover left the old log in the store for ever.

Change: the successor deletes it, except the seal, when the instance list or a newer start of the instance shows that the process has ended.

Conclusion: the store holds the logs of living owners only, unless a successor ends before it has deleted a log.

--- a/pkg/core/ownership/ownership.go
+++ b/pkg/core/ownership/ownership.go
@@ -269,6 +269,21 @@
 	return ok
 }
 
+// ProcessGone reports whether the process of an incarnation has ended, by the
+// instance list or by contact with a newer start of its instance. Loss of
+// contact alone does not show it.
+func (m *Manager) ProcessGone(inc core.Incarnation) bool {
+	name := Instance(inc)
+	if name == m.self.Instance {
+		return inc != m.self.Incarnation
+	}
+	if m.GoneInList(name) {
+		return true
+	}
+	st := m.peers[name]
+	return st != nil && !st.heard.IsZero() && older(inc, st.Incarnation)
+}
+
 // Highest returns the highest-ranked peer for a key by rendezvous hashing.
 func Highest(peers []Peer, key string) (Peer, bool) {
 	var best Peer
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -171,6 +171,7 @@
 	})
 	n.spawn(n.config.run)
 	n.spawn(n.owner.run)
+	n.spawn(n.owner.removeLogs)
 	n.spawn(n.followList)
 	n.spawn(n.followRetention)
 	n.spawn(n.checkpoints)
--- a/pkg/entry/owner.go
+++ b/pkg/entry/owner.go
@@ -29,6 +29,9 @@
 	released map[core.Slot]bool       // being handed over
 	wake     chan struct{}
 	sealed   bool // another incarnation has taken over: this one owns nothing more
+	// removable are succeeded incarnations whose logs are deleted once their
+	// process is known to be gone.
+	removable map[core.Incarnation]bool
 }
 
 func newOwnerRuntime(n *Entry, self ownership.Peer, store objectapi.Client) *ownerRuntime {
@@ -38,7 +41,9 @@
 		mgr:      ownership.New(self, time.Now()),
 		serving:  make(map[core.Slot]core.Epoch),
 		released: make(map[core.Slot]bool),
-		wake:     make(chan struct{}, 1),
+
+		removable: make(map[core.Incarnation]bool),
+		wake:      make(chan struct{}, 1),
 	}
 }
 
--- a/pkg/entry/transfer.go
+++ b/pkg/entry/transfer.go
@@ -77,6 +77,7 @@
 		return err
 	}
 	o.n.metrics.takeovers.Inc()
+	o.markRemovable(a.Lost)
 	o.n.log.Info("owner succeeded", "lost", a.Lost, "slots", len(a.Slots), "records", len(records), "duration", time.Since(start))
 	return nil
 }
