Script that a leaving upstream gets no new work

Cause: a mutation (trial) that dispatches to a leaving upstream went unnoticed.

Change: a script with a claim that becomes durable after its upstream announced to leave, and with a policy that assigns to leaving upstreams.

Conclusion: the check of the core itself is tested, apart from the policy's.

--- a/pkg/core/coretest/policy_test.go
+++ b/pkg/core/coretest/policy_test.go
@@ -19,6 +19,7 @@
 	active    map[core.ProgramID]bool
 	maxActive int
 	retries   int
+	blind     bool // assigns to upstreams that are leaving, too
 	delay     time.Duration
 	pin       time.Duration // pins the prefix of each finished model call, if not 0
 	orders    []core.EngineOrder
@@ -102,7 +103,7 @@
 			for _, id := range p.ids() {
 				u := p.upstreams[id]
 				full := u.Slots > 0 && p.load(id) >= u.Slots
-				if best != "" || full || p.down[id] || !p.fits(u, r.Call) || slices.Contains(r.Avoid, id) != avoided {
+				if best != "" || full || p.down[id] && !p.blind || !p.fits(u, r.Call) || slices.Contains(r.Avoid, id) != avoided {
 					continue
 				}
 				if r.Suspect && p.suspectOn(id) {
--- a/pkg/core/coretest/script_test.go
+++ b/pkg/core/coretest/script_test.go
@@ -169,7 +169,8 @@
 			Retries *int           `json:"retries"`
 			Delay   *time.Duration `json:"delay"`
 			Pin     *time.Duration `json:"pin"`
-		}{&s.policy.maxActive, &s.policy.retries, &s.policy.delay, &s.policy.pin}); err != nil {
+			Blind   *bool          `json:"blind"`
+		}{&s.policy.maxActive, &s.policy.retries, &s.policy.delay, &s.policy.pin, &s.policy.blind}); err != nil {
 			d.Fatalf(t, "policy: %v", err)
 		}
 		return ""
