--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -10,13 +10,16 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"gopkg.in/natefinch/lumberjack.v2"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
 	"github.com/yuccaspindle/yuccaspindle/pkg/core/ownership"
 	"github.com/yuccaspindle/yuccaspindle/pkg/core/policy"
+	"github.com/yuccaspindle/yuccaspindle/pkg/eventlog"
 	"github.com/yuccaspindle/yuccaspindle/pkg/frontend"
 	"github.com/yuccaspindle/yuccaspindle/pkg/journal"
+	"github.com/yuccaspindle/yuccaspindle/pkg/report"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
@@ -38,9 +41,12 @@
 	calls     *callTable
 	attempts  *attemptTable
 	metrics   *entryMetrics
-	events    *eventLog
+	events    *eventlog.Writer // nil without a data folder
+	outcomes  *report.Writer   // nil without a data folder
 	histories *frontend.Histories
 
+	outcomesFile *lumberjack.Logger
+
 	ctx      context.Context
 	stop     context.CancelFunc
 	draining atomic.Bool
@@ -56,17 +62,12 @@
 	cfg.setDefaults()
 	n := &Entry{cfg: cfg, log: cfg.Logger, calls: newCallTable(), attempts: newAttemptTable(), fenced: make(chan struct{}), histories: frontend.NewHistories()}
 	n.ctx, n.stop = context.WithCancel(context.Background())
-	n.events = newEventLog(cfg.DataFolder, n.log)
 	p, err := policy.New(policy.NameDefault, cfg.Seed, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "select policy")
 	}
 	c := core.New(core.Options{Self: cfg.Incarnation, Region: cfg.Region, Seed: cfg.Seed, Policy: p})
-	var record func(core.Event)
-	if n.events != nil {
-		record = n.events.record
-	}
-	n.loop = newLoop(c, record)
+	n.loop = newLoop(c)
 	n.loop.exec = n
 	n.config = newConfigSync(n)
 	n.peers = newPeerSet(n)
@@ -88,7 +89,7 @@
 		return nil, errors.Wrap(err, "set up retention")
 	}
 	n.transport, err = transport.New(transport.Config{
-		Listen: cfg.PeerListen, TLS: cfg.TLS, Hello: n.hello, Logger: n.log,
+		Listen: cfg.PeerListen, TLS: cfg.TLS, Hello: n.hello, Logger: n.log, Dialer: cfg.Dialer,
 	}, n.serveStream)
 	if err != nil {
 		return nil, errors.Wrap(err, "set up peer transport")
@@ -107,7 +108,7 @@
 		Role:          roleEntry,
 		Region:        n.cfg.Region,
 		FailureDomain: n.cfg.FailureDomain,
-		Address:       n.transport.Addr(),
+		Address:       n.PeerAddr(),
 		ConfigVersion: n.config.version(),
 	}
 }
@@ -146,6 +147,13 @@
 
 // Start listens and begins to serve.
 func (n *Entry) Start(context.Context) error {
+	if err := n.openRecords(); err != nil {
+		return err
+	}
+	if n.events != nil {
+		n.loop.record = n.recordEvent
+		n.spawn(n.flushOutcomes)
+	}
 	if err := n.transport.Start(); err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
@@ -187,7 +195,12 @@
 func (n *Entry) HTTPAddr() string { return n.listener.Addr().String() }
 
 // PeerAddr returns the address for other processes of the scheduler.
-func (n *Entry) PeerAddr() string { return n.transport.Addr() }
+func (n *Entry) PeerAddr() string {
+	if n.cfg.PeerAdvertise != "" {
+		return n.cfg.PeerAdvertise
+	}
+	return n.transport.Addr()
+}
 
 // followList reads the platform's instance list.
 func (n *Entry) followList(ctx context.Context) {
@@ -199,6 +212,7 @@
 		cancel()
 		if err != nil {
 			n.log.Debug("instance list not read", "error", err)
+			n.peers.dialSeeds(n.cfg.Seeds)
 		} else {
 			n.peers.update(list)
 			n.owner.onList(list)
@@ -229,8 +243,8 @@
 		err = closeErr
 	}
 	n.running.Wait()
-	if n.events != nil {
-		_ = n.events.close()
+	if closeErr := n.closeRecords(); closeErr != nil && err == nil {
+		err = closeErr
 	}
 	n.log.Info("entry stopped", "error", err)
 	return err
@@ -244,6 +258,7 @@
 	cancel()
 	_ = n.transport.Close(ctx)
 	n.running.Wait()
+	_ = n.closeRecords()
 }
 
 // waitHandedOver waits until no slot is left or nobody can take one.
