Scan only lanes with waiting requests

Cause: Next and Unroutable looked at every lane that was ever used; with an adapter per workspace there are tens of thousands. Change: lanes with waiting requests are kept in a list of their own.

--- a/pkg/core/policy/admission.go
+++ b/pkg/core/policy/admission.go
@@ -166,6 +166,9 @@
 	}
 	a.updated = now
 	for _, t := range a.d.fleet.order {
+		if len(t.lanes) == 0 {
+			continue
+		}
 		w := &t.waits
 		var waiting [classCount]int
 		for _, l := range t.lanes {
--- a/pkg/core/policy/lanes.go
+++ b/pkg/core/policy/lanes.go
@@ -32,6 +32,7 @@
 	region  string
 	items   laneHeap
 	parked  []*item // cannot be placed now although others of the lane may be
+	active  int     // in lanes.active, -1 while nothing waits
 	blocked bool    // nothing of the lane can be placed until it is woken
 	retryAt time.Time
 	ranks   [classCount]int // waiting requests per class rank
@@ -69,9 +70,12 @@
 	fleet *fleet
 	byKey map[laneKey]*lane
 	list  []*lane
-	items map[core.CallID]*item
-	seq   uint64
-	free  []*item
+	// active are the lanes with waiting requests, in no particular order:
+	// what is chosen from them does not depend on it.
+	active []*lane
+	items  map[core.CallID]*item
+	seq    uint64
+	free   []*item
 	// loadable tells whether a target without members can be brought up by
 	// placement; nil if there is none.
 	loadable func(*target) bool
@@ -87,7 +91,7 @@
 	l := q.byKey[k]
 	if l == nil {
 		t := q.fleet.target(k.targetKey)
-		l = &lane{target: t, region: k.region}
+		l = &lane{target: t, region: k.region, active: -1}
 		q.byKey[k] = l
 		q.list = append(q.list, l)
 		t.lanes = append(t.lanes, l)
@@ -111,6 +115,10 @@
 	q.items[r.Call.ID] = it
 	l.ranks[it.rank]++
 	heap.Push(&l.items, it)
+	if l.active < 0 {
+		l.active = len(q.active)
+		q.active = append(q.active, l)
+	}
 	if len(l.items) == 1 || l.items[0] == it {
 		l.blocked = false
 	}
@@ -120,7 +128,7 @@
 // first returns the lane whose head comes first, among those not blocked.
 func (q *lanes) first(now time.Time) *lane {
 	var best *lane
-	for _, l := range q.list {
+	for _, l := range q.active {
 		if l.blocked && !now.Before(l.retryAt) {
 			l.unblock()
 		}
@@ -149,6 +157,14 @@
 		}
 	}
 	l.ranks[it.rank]--
+	if l.len() == 0 {
+		last := len(q.active) - 1
+		q.active[l.active] = q.active[last]
+		q.active[l.active].active = l.active
+		q.active[last] = nil
+		q.active = q.active[:last]
+		l.active = -1
+	}
 	delete(q.items, r.Call.ID)
 	*it = item{}
 	q.free = append(q.free, it)
@@ -176,9 +192,10 @@
 // unroutable takes the requests out of the queue that nothing can serve.
 func (q *lanes) unroutable(now time.Time) []core.Request {
 	var out []core.Request
-	for _, l := range q.list {
+	for i := len(q.active) - 1; i >= 0; i-- { // an emptied lane leaves the list
+		l := q.active[i]
 		t := l.target
-		if l.len() == 0 || t.usable() {
+		if t.usable() {
 			continue
 		}
 		if t.seen && now.Sub(t.lost) < unroutableGrace {
--- a/pkg/core/policy/placement_test.go
+++ b/pkg/core/policy/placement_test.go
@@ -148,6 +148,9 @@
 			t.Fatalf("%d calls were refused, want 1", len(got))
 		}
 	}
+	if len(d.queue.active) > 0 {
+		t.Errorf("%d lanes without a request are scanned by Next", len(d.queue.active))
+	}
 	if len(d.queue.list) != lanes || len(d.fleet.order) != targets || len(d.fleet.targets) != targets {
 		t.Errorf("%d lanes and %d targets are left", len(d.queue.list)-lanes, len(d.fleet.order)-targets)
 	}
