--- a/pkg/core/policy/pauses_test.go
+++ b/pkg/core/policy/pauses_test.go
@@ -174,3 +174,44 @@
 		t.Errorf("the next call went to %v", got)
 	}
 }
+
+// Guards against a call with a long history that never finds memory because
+// shorter calls behind it take every token that is freed, and against one that
+// holds up all others while it waits.
+func TestCallThatNeedsMuchMemoryIsNotStarved(t *testing.T) {
+	d := newParts(t, 1, PartAdmission)
+	info := engineInfo(0)
+	info.CacheTokens = 100_000
+	d.SetUpstream(epoch, info)
+	type run struct {
+		a    core.Assignment
+		step int
+	}
+	var running []run
+	n, passed := 0, 0
+	for step := range 100 { // a call of 20,000 tokens every 0.1 s; each takes 0.4 s
+		now := at(float64(step) * 0.1)
+		for len(running) > 0 && step-running[0].step >= 4 {
+			finish(d, now, running[0].a, 0)
+			running = running[1:]
+		}
+		n++
+		d.Enqueue(now, modelCall(view(fmt.Sprintf("p000-%d", n), "c", core.ClassStandard), n, 20_000))
+		if step == 10 {
+			d.Enqueue(now, modelCall(view("p000-big", "c", core.ClassInteractive), 0, 90_000))
+		}
+		for _, a := range drain(d, now) {
+			if a.Request.Program.ID == "p000-big" {
+				if passed == 0 {
+					t.Error("the shorter calls were held up although there was memory for them")
+				}
+				return
+			}
+			running = append(running, run{a, step})
+			if step >= 10 {
+				passed++
+			}
+		}
+	}
+	t.Error("the call with 90,000 tokens still waits after 9 s")
+}
