--- a/pkg/entry/config.go
+++ b/pkg/entry/config.go
@@ -4,8 +4,10 @@
 package entry
 
 import (
+	"context"
 	"crypto/tls"
 	"log/slog"
+	"net"
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
@@ -35,13 +37,16 @@
 	Seeds         []string    // peers to dial while the instance list cannot be read
 	TLS           *tls.Config // nil allows loopback only
 	DataFolder    string      // empty if the instance keeps nothing
-	Seed          uint64
+	Seed          uint64      // of the core; 0 takes a random one, which products must
 
 	Callers           []frontend.Caller
 	Operators         []string // callers that may give operators' orders
 	TrustCallerHeader bool
 	DefaultMaxTokens  int64
 
+	// Dialer makes the connections to peers; nil: net.Dialer.
+	Dialer func(ctx context.Context, address string) (net.Conn, error)
+
 	Store  objectapi.Client
 	Logger *slog.Logger
 }
@@ -56,6 +61,9 @@
 	if c.DefaultMaxTokens == 0 {
 		c.DefaultMaxTokens = 512
 	}
+	if c.Seed == 0 {
+		c.Seed = randomSeed()
+	}
 	if c.Logger == nil {
 		c.Logger = slog.Default()
 	}
