--- a/pkg/cli/daemoncmd/daemon.go
+++ b/pkg/cli/daemoncmd/daemon.go
@@ -103,6 +103,15 @@
 
 func logger(p *config.Process) *slog.Logger { return logging.New(os.Stderr, p.Level()) }
 
+// advertise returns the address for peers. With port 0 the kernel chooses the
+// port, so only the daemon knows the address.
+func advertise(p *config.Process) string {
+	if strings.HasSuffix(p.PeerAdvertise, ":0") {
+		return ""
+	}
+	return p.PeerAdvertise
+}
+
 func tlsConfig(p *config.Process) (*tls.Config, error) {
 	if p.TLSCert == "" {
 		return nil, nil
@@ -128,7 +137,7 @@
 		FailureDomain:     p.FailureDomain,
 		HTTPListen:        p.HTTPListen,
 		PeerListen:        p.PeerListen,
-		PeerAdvertise:     p.PeerAdvertise,
+		PeerAdvertise:     advertise(p),
 		Seeds:             p.Seeds,
 		TLS:               tlsCfg,
 		DataFolder:        p.DataFolder,
@@ -159,7 +168,7 @@
 		Region:        p.Region,
 		FailureDomain: p.FailureDomain,
 		Listen:        p.PeerListen,
-		Advertise:     p.PeerAdvertise,
+		Advertise:     advertise(p),
 		HTTPListen:    p.HTTPListen,
 		TLS:           tlsCfg,
 		EntryNames:    p.EntryNames,
