--- a/pkg/journal/retain_test.go
+++ b/pkg/journal/retain_test.go
@@ -509,3 +509,51 @@
 		})
 	}
 }
+
+// Guards against an owner that acknowledges a record which its successor does
+// not recover: the takeover happens at a random moment, with random faults, and
+// the owner goes on without knowing of it.
+func TestNothingAcknowledgedIsLost(t *testing.T) {
+	fenced := 0
+	for seed := range uint64(300) {
+		synctest.Test(t, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 2))
+			mem := objectapi.NewMemory(objectapi.MemoryOptions{})
+			r, links := withMembers(t, mem)
+			seq := core.Seq(1)
+			busy := func(steps int) {
+				for range steps {
+					for range rnd.IntN(4) {
+						seq++
+						r.Append([]core.Record{turn("p", seq)})
+					}
+					time.Sleep(time.Duration(rnd.IntN(300)) * time.Millisecond)
+					mem.SetFaults([]string{"a", "b", "c"}[rnd.IntN(3)], objectapi.Faults{
+						Outage: rnd.IntN(2) == 0, LoseAnswers: rnd.IntN(2), LoseWrites: rnd.IntN(2),
+						Delay: time.Duration(rnd.IntN(3)*rnd.IntN(300)) * time.Millisecond,
+					})
+					links[[]core.Incarnation{"b.1", "c.1"}[rnd.IntN(2)]].down.Store(rnd.IntN(4) == 0)
+				}
+			}
+			busy(rnd.IntN(30))
+			for _, l := range links { // the successor reaches every member
+				l.down.Store(false)
+			}
+			recs := takeOver(t, mem, links)
+			busy(10)
+			r.stop()
+			var s *SealedError
+			if errors.As(<-r.done, &s) {
+				fenced++
+			}
+			durable := core.Seq(max(r.committed.Load(), r.retained.Load()))
+			if last := recs[len(recs)-1].Seq; last < durable {
+				t.Errorf("seed %d: acknowledged up to %d, recovered up to %d", seed, durable, last)
+			}
+			wantSeqs(t, recs, 1, recs[len(recs)-1].Seq)
+		})
+	}
+	if fenced < 150 {
+		t.Errorf("only %d of 300 owners learnt of the takeover", fenced)
+	}
+}
--- a/pkg/journal/writer.go
+++ b/pkg/journal/writer.go
@@ -237,15 +237,16 @@
 	return d
 }
 
+// mayForm reports whether a new batch may follow those in the queue. In normal
+// operation records collect while a batch is on its way to the store, in an
+// outage while one is on its way to the members.
+func (w *Writer) mayForm() bool {
+	return len(w.queue) == 0 || w.degraded && !w.retaining
+}
+
 // due reports whether the pending records may form a batch now.
 func (w *Writer) due(now time.Time, bytes int) bool {
-	if len(w.queue) > 0 && !w.degraded {
-		return false
-	}
-	if w.degraded && w.retaining {
-		return false // the round in progress would not hold it
-	}
-	return bytes >= maxRawBytes || !now.Before(w.lastStart.Add(w.collect()))
+	return w.mayForm() && (bytes >= maxRawBytes || !now.Before(w.lastStart.Add(w.collect())))
 }
 
 // form turns pending entries into batches.
@@ -379,7 +380,7 @@
 	w.mu.Lock()
 	waiting := len(w.pending) > 0
 	w.mu.Unlock()
-	if waiting && (len(w.queue) == 0 || w.degraded && !w.retaining) {
+	if waiting && w.mayForm() {
 		at(w.lastStart.Add(w.collect()))
 	}
 	if t, ok := w.nextRetain(); ok {
