Find out whether a replaced change took effect

Cause: a change whose answer was lost, and which another operator replaced before it was read back, was reported as refused although it had been in force.

Change: Apply looks up the history entry of its own version in this case.

--- a/pkg/config/store.go
+++ b/pkg/config/store.go
@@ -188,6 +188,18 @@
 		if rerr != nil {
 			return Versioned{}, rerr
 		}
+		if objectapi.IsUnknown(err) && cur.Version > next.Version {
+			// The change may have taken effect and been replaced before the
+			// lost answer was resolved. The one that replaced it wrote its
+			// history entry.
+			was, rerr := s.Get(ctx, next.Version)
+			if rerr != nil {
+				return Versioned{}, rerr
+			}
+			if was.Who == who && was.At.Equal(next.At) && string(was.Text) == string(text) {
+				return was, nil
+			}
+		}
 		return conflict(base, cur, text, who, why)
 	}
 	if err != nil {
