Tell refused callers the time until they are likely admitted

Cause: callers came back right after the counted minute, and each minute in which they were refused again counted as well. Change: Retry-After adds share/(1-share) minutes, at most 2, to the end of the minute.

--- a/pkg/core/policy/admission.go
+++ b/pkg/core/policy/admission.go
@@ -23,6 +23,8 @@
 	// refusalMemory is the number of past minutes with a refusal that lower a
 	// caller's place among those to be refused.
 	refusalMemory = 5
+	// maxComeBack bounds the minutes that are added to Retry-After.
+	maxComeBack = 2 * time.Minute
 	// minRefusalRetry is the shortest Retry-After if the profile states none.
 	minRefusalRetry = 2 * time.Second
 )
@@ -265,17 +267,22 @@
 		c.minute = a.minute
 		c.refused = min(refusalMemory, c.refused+1)
 	}
-	return core.Admission{RetryAfter: a.retryAfter(now, &p, wait-bound), Reason: "overloaded"}
+	return core.Admission{RetryAfter: a.retryAfter(now, &p, wait-bound, share), Reason: "overloaded"}
 }
 
 // retryAfter is the time for the excess to drain, and not before the minute that
-// is already counted ends.
-func (a *admission) retryAfter(now time.Time, p *core.ProgramView, excess float64) time.Duration {
+// is already counted ends. While a share of the callers is refused in each
+// minute, a caller that came back at once would be refused in share/(1-share)
+// further minutes on average, each of which counts; it is told that time.
+func (a *admission) retryAfter(now time.Time, p *core.ProgramView, excess, share float64) time.Duration {
 	least := p.Profile.RefusalRetry
 	if least <= 0 {
 		least = minRefusalRetry
 	}
 	minuteEnd := time.Unix((a.minute+1)*60, 0).Sub(now)
+	if share > 0 {
+		minuteEnd += min(maxComeBack, time.Duration(share/(1-share)*float64(time.Minute)))
+	}
 	spread := time.Duration(a.d.fleet.rng.Int64N(int64(5 * time.Second)))
 	return max(least, time.Duration(excess*float64(time.Second)), minuteEnd) + spread
 }
--- a/pkg/core/policy/admission_test.go
+++ b/pkg/core/policy/admission_test.go
@@ -168,3 +168,24 @@
 		t.Errorf("an interactive program was refused (%s) because of batch work", a.Reason)
 	}
 }
+
+// Guards against callers that are told to come back into the minute in which
+// they are refused anyway, or so soon that every further minute counts as well;
+// and against a time that keeps a caller away for long after a short overload.
+func TestRetryAfterLeavesTheCountedMinute(t *testing.T) {
+	a := newParts(t, 1).admission
+	p := view("p000-a", "c", core.ClassInteractive)
+	a.minute = at(20).Unix() / 60 // 40 s of the minute are left
+	for _, tc := range []struct {
+		share    float64
+		from, to time.Duration
+	}{
+		{0.01, 40 * time.Second, 46 * time.Second},
+		{0.5, 100 * time.Second, 105 * time.Second},
+		{shedMax, 40*time.Second + maxComeBack, 45*time.Second + maxComeBack},
+	} {
+		if got := a.retryAfter(at(20), &p, 1, tc.share); got < tc.from || got > tc.to {
+			t.Errorf("with %.0f%% refused: come back after %v, want %v to %v", 100*tc.share, got, tc.from, tc.to)
+		}
+	}
+}
