Pass sidecar incarnations and crash identities between processes

Cause: the core names the sidecar incarnation of a claim and the crash that was counted last, but the entry did not send them: a restarted sidecar could have answered never seen for its predecessor's attempt, and a peer counted a crash twice.

Change: dispatch, resolve and quarantine messages carry them.

Conclusion: a claim is resolved only by the sidecar that received it.

--- a/pkg/cli/opscmd/commands.go
+++ b/pkg/cli/opscmd/commands.go
@@ -8,20 +8,23 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"sort"
 	"text/tabwriter"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/eventlog"
 )
 
 const exitCodes = `
 
 Exit codes: 0 done, 1 refused or failed, 2 wrong usage, 3 the entry cannot be reached.`
 
-// Commands returns status, program, drain, adopt and quarantine.
+// Commands returns status, program, drain, quarantine and eventlog.
 func Commands() []*cli.Command {
-	return []*cli.Command{statusCommand(), programCommand(), drainCommand(), quarantineCommand()}
+	return []*cli.Command{statusCommand(), programCommand(), drainCommand(), quarantineCommand(), eventlogCommand()}
 }
 
 func statusCommand() *cli.Command {
@@ -184,3 +187,42 @@
 	_, err := out.WriteTo(w)
 	return err
 }
+
+func eventlogCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "eventlog",
+		Usage: "recorded events of an entry's decision core",
+		Commands: []*cli.Command{{
+			Name:      "verify",
+			Usage:     "run the core again on a recorded log and compare the effects",
+			ArgsUsage: "FILE",
+			Description: `The file must begin with the start of the process; a rotated file cannot be
+verified on its own.
+
+Example:
+   yuccaspindle eventlog verify /var/lib/yuccaspindle/events.jsonl
+
+Exit codes: 0 the effects are the same, 1 they differ or the file cannot be
+read, 2 wrong usage.`,
+			Action: verifyEventLog,
+		}},
+	}
+}
+
+func verifyEventLog(_ context.Context, cmd *cli.Command) error {
+	name := cmd.Args().First()
+	if name == "" {
+		return cli.Exit("eventlog verify: the argument FILE is missing", 2)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return cli.Exit(err, exitFailed)
+	}
+	defer f.Close()
+	n, err := eventlog.Verify(f)
+	if err != nil {
+		return cli.Exit(errors.Wrap(err, name), exitFailed)
+	}
+	_, err = fmt.Fprintf(cmd.Root().Writer, "%d events, same effects\n", n)
+	return err
+}
--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -127,6 +127,8 @@
 		Fingerprint:   call.Fingerprint,
 		Stream:        call.Stream,
 		Body:          body,
+
+		SidecarIncarnation: string(d.SidecarIncarnation),
 	}
 }
 
@@ -220,7 +222,7 @@
 func (n *Entry) askOutcome(ctx context.Context, e core.ResolveClaim) (*peerv1.Outcome, error) {
 	ask := &peerv1.Envelope{Body: &peerv1.Envelope_Resolve{Resolve: &peerv1.Resolve{
 		Attempt: string(e.Attempt), Service: e.Service, Key: serviceKey(e.Program, e.Key),
-		Slot: uint32(e.Slot), Epoch: uint64(e.Epoch),
+		Slot: uint32(e.Slot), Epoch: uint64(e.Epoch), SidecarIncarnation: string(e.SidecarIncarnation),
 	}}}
 	for {
 		session, err := n.peers.sidecar(ctx, e.Upstream)
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -36,7 +36,8 @@
 		q := m.Quarantine
 		n.loop.post(core.QuarantineChanged{
 			At: now(), Fingerprint: q.GetFingerprint(), Count: int(q.GetCount()),
-			Until: time.UnixMilli(q.GetUntilUnixMs()), Released: q.GetReleased(),
+			Until: time.UnixMilli(q.GetUntilUnixMs()).UTC(), Released: q.GetReleased(),
+			Upstream: core.UpstreamID(q.GetUpstream()), Incarnation: q.GetIncarnation(),
 		})
 		reply(st, &peerv1.Envelope{Body: &peerv1.Envelope_Ack{Ack: &peerv1.Ack{}}})
 	case *peerv1.Envelope_StatusRequest:
@@ -95,6 +96,7 @@
 func (n *Entry) shareQuarantine(e core.ShareQuarantine) {
 	m := &peerv1.Envelope{Body: &peerv1.Envelope_Quarantine{Quarantine: &peerv1.Quarantine{
 		Fingerprint: e.Fingerprint, Count: int64(e.Count), UntilUnixMs: e.Until.UnixMilli(), Released: e.Released,
+		Upstream: string(e.Upstream), Incarnation: e.Incarnation,
 	}}}
 	for name, s := range n.peers.entries() {
 		ctx, cancel := context.WithTimeout(n.ctx, resolveTimeout)
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -288,6 +288,9 @@
 		Region:        h.GetRegion(),
 		FailureDomain: h.GetFailureDomain(),
 		Sidecar:       address,
+
+		SidecarIncarnation: core.Incarnation(h.GetIncarnation()),
+
 		Incarnation:   u.GetIncarnation(),
 		Slots:         int(u.GetSlots()),
 		CacheTokens:   u.GetCacheTokens(),
