Find out whether a replaced update of the slot map took effect

Cause: a successor whose update took effect, whose answer was lost and whose map was changed by another process before the read-back ran its change again, found nothing to take and would have given up slots that the map says it owns.

Change: UpdateSlots compares the owners and epochs it wrote with the later map.

Figures: TestSlotsLostAnswer gives the error "taken" without the change (it is the error of its own callback) and passes with it.

Conclusion: the map and its reader agree after a lost answer.

--- a/pkg/journal/slots.go
+++ b/pkg/journal/slots.go
@@ -125,7 +125,9 @@
 
 // UpdateSlots changes the slot map by a conditional update. It reads the map,
 // calls change and writes the result; when another process wrote meanwhile, it
-// starts again. An error of change ends the update and is returned.
+// starts again. An error of change ends the update and is returned. If the
+// answer was lost and another process changed the map since, the map returned
+// holds both changes.
 func UpdateSlots(ctx context.Context, c objectapi.Client, count int, change func(*SlotMap) error) (*SlotMap, error) {
 	for {
 		old, err := LoadSlots(ctx, c, count)
@@ -156,7 +158,28 @@
 		if !errors.Is(err, objectapi.ErrConflict) && !errors.Is(err, objectapi.ErrExists) {
 			return nil, errors.Wrap(err, "journal: write slot map")
 		}
+		if objectapi.IsUnknown(err) {
+			now, err := LoadSlots(ctx, c, count)
+			if err != nil {
+				return nil, err
+			}
+			if tookEffect(old, m, now) {
+				return now, nil
+			}
+		}
+	}
+}
+
+// tookEffect reports whether the change from old to m is part of a later map.
+// The update is atomic and no other writes the same owner and epoch, so that
+// one slot tells.
+func tookEffect(old, m, now *SlotMap) bool {
+	for i := range m.Slots {
+		if m.Slots[i] != old.Slots[i] && i < len(now.Slots) && now.Slots[i] == m.Slots[i] {
+			return true
+		}
 	}
+	return false
 }
 
 // checkSlots enforces that an owner never changes without a higher epoch.
--- a/pkg/journal/slots_test.go
+++ b/pkg/journal/slots_test.go
@@ -56,6 +56,50 @@
 	}
 }
 
+// replaced is a client whose answer is lost, with another update of the map
+// before the client reads it back.
+type replaced struct {
+	objectapi.Client
+	other func()
+}
+
+func (r *replaced) Update(ctx context.Context, key string, version uint64, v []byte) (objectapi.Object, error) {
+	if _, err := r.Client.Update(ctx, key, version, v); err != nil || r.other == nil {
+		return objectapi.Object{}, err
+	}
+	r.other()
+	r.other = nil
+	return objectapi.Object{}, &objectapi.Error{Step: "update", Key: key, Unknown: true, Err: objectapi.ErrConflict}
+}
+
+// Guards against a successor that gives up slots which the map says it owns,
+// because the answer of its update was lost and the map has changed since.
+func TestSlotsLostAnswer(t *testing.T) {
+	mem := objectapi.NewMemory(objectapi.MemoryOptions{})
+	ctx := t.Context()
+	assign := func(c objectapi.Client, me core.Incarnation, slot core.Slot) (*SlotMap, error) {
+		return UpdateSlots(ctx, c, 4, func(m *SlotMap) error {
+			if m.Slots[slot].Owner != "" {
+				return errors.New("taken")
+			}
+			m.Assign(me, slot)
+			return nil
+		})
+	}
+	if _, err := assign(mem, "x.1", 0); err != nil {
+		t.Fatal(err)
+	}
+	c := &replaced{mem, func() {
+		if _, err := assign(mem, "b.1", 2); err != nil {
+			t.Error(err)
+		}
+	}}
+	m, err := assign(c, "a.1", 1)
+	if err != nil || m.Slots[1] != (SlotOwner{"a.1", 1}) || m.Slots[2].Owner != "b.1" {
+		t.Errorf("UpdateSlots = %+v, %v", m, err)
+	}
+}
+
 // Guards against a hand-over that a checkpoint deletes before the new owner has
 // read it, or that loses a part.
 func TestHandoverOutlivesCheckpoint(t *testing.T) {
