Refuse a quarantined call at its retry, close claims that were never stored

Change: every attempt looks at the quarantine first; whether a crash was reported after a dispatch is decided by the number of the event, not by its time. In the interleavings crash reports overtake failures, and an entry that knows of a quarantine must not dispatch. Claims from retained batches that are not in the store (Record.Retained) are closed as not run. While a sidecar cannot be reached (OutcomeResolved.Unreachable), it is asked again.

--- a/pkg/core/attempt.go
+++ b/pkg/core/attempt.go
@@ -57,7 +57,7 @@
 // dispatch sends the current attempt to its upstream.
 func (c *Core) dispatch(cl *call) {
 	cl.state = stateRunning
-	cl.sent = c.now
+	cl.sent = c.steps
 	c.emit(Dispatch{
 		Attempt: cl.attempt, Call: cl.ID, Program: cl.Program, Upstream: cl.upstream, SidecarIncarnation: cl.sidecar,
 		Slot: cl.root.slot, Epoch: c.slots[cl.root.slot].epoch, Priority: cl.priority,
--- a/pkg/core/call.go
+++ b/pkg/core/call.go
@@ -28,23 +28,24 @@
 // caller has not come back; it then has no call id.
 type call struct {
 	Call
-	number   uint64 // order of arrival
-	root     *root
-	member   *program.Member
-	state    callState
-	attempt  AttemptID
-	upstream UpstreamID
-	sidecar  Incarnation // of the upstream when it was chosen
-	priority int
-	suspect  bool      // when it was given to the policy
-	sent     time.Time // when it was dispatched
-	granted  int64     // tokens it may generate
-	spend    int64     // spend reserved for an attempt
-	tries    int
-	bounces  int // attempts refused by draining sidecars
-	avoid    []UpstreamID
-	ran      Ran    // what is known of the attempts that ended
-	timer    uint64 // the timer that moves the call on, if any
+	number    uint64 // order of arrival
+	root      *root
+	member    *program.Member
+	state     callState
+	attempt   AttemptID
+	upstream  UpstreamID
+	sidecar   Incarnation // of the upstream when it was chosen
+	priority  int
+	suspect   bool   // when it was given to the policy
+	sent      uint64 // step in which it was dispatched
+	granted   int64  // tokens it may generate
+	spend     int64  // spend reserved for an attempt
+	tries     int
+	bounces   int // attempts refused by draining sidecars
+	avoid     []UpstreamID
+	ran       Ran       // what is known of the attempts that ended
+	resolveBy time.Time // when the search for its outcome ends
+	timer     uint64    // the timer that moves the call on, if any
 
 	nonIdempotent bool
 	claimed       bool // the journal has a claim of the attempt
@@ -296,6 +297,11 @@
 // prepare reserves budget for the next attempt of a call and hands it to the
 // policy.
 func (c *Core) prepare(cl *call) {
+	if until, ok := c.quarant.Quarantined(cl.Fingerprint); ok {
+		// The decision may have come while the call was at an upstream.
+		c.refuse(cl, c.quarantineRefusal(cl, until))
+		return
+	}
 	limits := c.limits(cl.root)
 	if cl.Kind == KindService {
 		cl.spend = c.cfg.Services[cl.Service].SpendMicroCall
--- a/pkg/core/claim.go
+++ b/pkg/core/claim.go
@@ -11,16 +11,26 @@
 // query of the service.
 const resolveTimeout = 10 * time.Second
 
+// askAgain is the time between two questions if the sidecar cannot be reached:
+// one heartbeat.
+const askAgain = 500 * time.Millisecond
+
 // resolve asks for the outcome of a claimed attempt whose answer was lost. The
 // program's next call waits for it.
 func (c *Core) resolve(cl *call) {
 	cl.state = stateResolving
+	cl.resolveBy = c.now.Add(resolveTimeout)
+	c.ask(cl)
+}
+
+// ask sends the question for the outcome of a claim.
+func (c *Core) ask(cl *call) {
 	c.emit(ResolveClaim{
 		Attempt: cl.attempt, Program: cl.Program, Upstream: cl.upstream, SidecarIncarnation: cl.sidecar,
 		Service: cl.Service, Key: cl.Key,
 		Slot: cl.root.slot, Epoch: c.slots[cl.root.slot].epoch,
 	})
-	c.watchCall(cl, timerResolve, c.now.Add(resolveTimeout))
+	c.watchCall(cl, timerResolve, cl.resolveBy)
 }
 
 // resolved takes the outcome of a claim.
@@ -36,6 +46,8 @@
 		return
 	}
 	switch {
+	case e.Unreachable && c.now.Add(askAgain).Before(cl.resolveBy):
+		c.watchCall(cl, timerAsk, c.now.Add(askAgain))
 	case e.Ran == RanYes:
 		c.finish(cl, e.Answer)
 	case e.Ran == RanNo && cl.ran != RanYes:
--- a/pkg/core/core.go
+++ b/pkg/core/core.go
@@ -50,7 +50,8 @@
 	nextCall  uint64
 	sealed    bool
 	draining  bool
-	crashes   map[UpstreamID]time.Time // time of the last crash report
+	steps     uint64                // number of events, to order what happens at one time
+	crashes   map[UpstreamID]uint64 // step of the last crash report
 	damaged   map[ProgramID]damaged
 
 	seq       Seq // of the last record
@@ -124,7 +125,7 @@
 		opens:     make(map[program.Key]ProgramID),
 		late:      make(map[AttemptID]lateClaim),
 		upstreams: make(map[UpstreamID]*upstream),
-		crashes:   make(map[UpstreamID]time.Time),
+		crashes:   make(map[UpstreamID]uint64),
 		damaged:   make(map[ProgramID]damaged),
 	}
 }
@@ -136,6 +137,7 @@
 		c.now = t
 	}
 	c.out = nil
+	c.steps++
 	if _, sealed := e.(JournalSealed); !sealed {
 		c.fire() // after a seal nothing that is due may happen any more
 	}
--- a/pkg/core/coretest/check_test.go
+++ b/pkg/core/coretest/check_test.go
@@ -167,6 +167,9 @@
 		s.fail("attempt", "dispatch for the unknown call %q", d.Call)
 		return
 	}
+	if s.poison && n.quarantined && c.req.call.Fingerprint == poisonous {
+		s.fail("quarantine", "%s dispatches a quarantined request", n.inc)
+	}
 	a := &attempt{d: d, node: n, call: c, req: c.req, state: "sent", sent: s.clock}
 	s.attempts[d.Attempt] = a
 	for _, other := range s.attempts {
--- a/pkg/core/coretest/recover_test.go
+++ b/pkg/core/coretest/recover_test.go
@@ -130,3 +130,33 @@
 		t.Errorf("spent %d tokens", st.Spent.Tokens)
 	}
 }
+
+// Guards against an unknown outcome of a claim that was never in the store, and
+// so never dispatched, and against the same verdict on a claim that was.
+func TestRetainedClaimDidNotRun(t *testing.T) {
+	s := newScript()
+	at := core.At{Time: s.now}
+	s.step(core.ConfigApplied{At: at, Config: s.cfg})
+	s.step(core.UpstreamChanged{At: at, Info: core.UpstreamInfo{ID: "b1", Kind: core.KindService, Service: "booking"}})
+	s.step(core.SlotsAcquired{At: at, Slots: allSlots(16, 1)})
+	call := core.CallArrived{At: at, Call: core.Call{
+		ID: "c1", Program: "p003-aa", Caller: "lango", Kind: core.KindService, Service: "booking", Operation: "charge",
+		Key: "k", Digest: 7,
+	}}
+	stored := recordsOf(s.c.Step(core.ProgramOpened{At: at, Call: "o", ID: "p003-aa", Caller: "lango"}))
+	stored = append(stored, recordsOf(s.c.Step(call))...)
+	retained := append([]core.Record{}, stored...)
+	retained[1].Retained = true
+	for name, tc := range map[string]struct {
+		records []core.Record
+		last    core.RecordKind
+	}{
+		"retained":            {retained, core.RecordRefused},
+		"retained and stored": {append(append([]core.Record{}, retained...), stored...), core.RecordProgram},
+	} {
+		_, own := acquireAll(tc.records)
+		if got := own[len(own)-1].Kind; got != tc.last {
+			t.Errorf("%s: the last record is %s, want %s", name, got, tc.last)
+		}
+	}
+}
--- a/pkg/core/coretest/sidecar_test.go
+++ b/pkg/core/coretest/sidecar_test.go
@@ -100,13 +100,13 @@
 	case k < 9:
 		sc.end(s, s.pick(8) == 0)
 	default:
-		sc.answer(s)
+		sc.answer(s, s.pick(4) == 0)
 	}
 }
 
 // finishOne does one thing that is left to do, without failures.
 func (sc *sidecar) finishOne(s *sim) bool {
-	return sc.take(s, false) || sc.end(s, false) || sc.answer(s)
+	return sc.take(s, false) || sc.end(s, false) || sc.answer(s, false)
 }
 
 func (sc *sidecar) failed(s *sim, a *attempt, f core.AttemptFailed) {
@@ -182,12 +182,16 @@
 }
 
 // answer handles the oldest query about a claim.
-func (sc *sidecar) answer(s *sim) bool {
+func (sc *sidecar) answer(s *sim, unreachable bool) bool {
 	if len(sc.queries) == 0 {
 		return false
 	}
 	q := sc.queries[0]
 	sc.queries = sc.queries[1:]
+	if unreachable {
+		s.send(q.node, sc.lane(), core.OutcomeResolved{At: s.at(), Attempt: q.ask.Attempt, Ran: core.RanUnknown, Unreachable: true})
+		return true
+	}
 	a := s.attempts[q.ask.Attempt]
 	r := core.OutcomeResolved{At: s.at(), Attempt: q.ask.Attempt, Ran: core.RanUnknown}
 	remembers := q.ask.SidecarIncarnation == sc.process()
@@ -248,7 +252,7 @@
 	}
 	for _, n := range s.nodes {
 		if f.Crashed {
-			s.send(n, sc.lane(), core.UpstreamCrashed{
+			s.send(n, "crashes", core.UpstreamCrashed{ // before or after the failed attempts
 				At: s.at(), Upstream: sc.id, Incarnation: sc.incarnation, Fingerprints: fps,
 			})
 		}
--- a/pkg/core/coretest/sim_test.go
+++ b/pkg/core/coretest/sim_test.go
@@ -9,6 +9,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/core/quarantine"
 )
 
 const simSlots = 4
@@ -60,6 +61,7 @@
 	output [][]core.Effect // their effects
 	log    *journal
 
+	quarantined   bool // it knows that the poisonous request is quarantined
 	configVersion uint64
 	configOps     []porcupine.Operation
 	releasing     []core.Slot // planned hand-over under way
@@ -80,8 +82,11 @@
 // durable returns the records that a successor can read.
 func (j *journal) durable() []core.Record {
 	var out []core.Record
-	for _, b := range j.batches[:max(j.stored, j.retained)] {
-		out = append(out, b.Records...)
+	for i, b := range j.batches[:max(j.stored, j.retained)] {
+		for _, r := range b.Records {
+			r.Retained = i >= j.stored
+			out = append(out, r)
+		}
 	}
 	return append(out, j.extra...)
 }
@@ -240,6 +245,9 @@
 	n.events = append(n.events, e)
 	out := n.core.Step(e)
 	n.output = append(n.output, out)
+	if q, ok := e.(core.QuarantineChanged); ok && q.Count == quarantine.CountQuarantined {
+		n.quarantined = true
+	}
 	if _, ok := e.(core.JournalSealed); ok {
 		n.sealed = true
 	}
@@ -300,6 +308,7 @@
 			}
 		}
 	case core.ShareQuarantine:
+		n.quarantined = n.quarantined || f.Count == quarantine.CountQuarantined
 		for _, other := range s.nodes {
 			if other != n {
 				s.send(other, "peer "+string(n.inc), core.QuarantineChanged{
--- a/pkg/core/crash.go
+++ b/pkg/core/crash.go
@@ -36,7 +36,7 @@
 	if cl.Fingerprint == 0 {
 		return false
 	}
-	reported := c.crashes[cl.upstream].After(cl.sent)
+	reported := c.crashes[cl.upstream] > cl.sent
 	if !cl.suspect && !reported {
 		if e, ok := c.quarant.Broken(cl.Fingerprint, string(cl.upstream), c.quarantineEnd(cl.member.Profile)); ok {
 			c.share(e)
@@ -60,7 +60,7 @@
 
 // crashed counts the report of a crash.
 func (c *Core) crashed(e UpstreamCrashed) {
-	c.crashes[e.Upstream] = c.now
+	c.crashes[e.Upstream] = c.steps
 	changed := c.quarant.Crashed(string(e.Upstream), e.Incarnation, e.Fingerprints, c.now, c.quarantineEnd(""))
 	for _, entry := range changed {
 		c.share(entry)
--- a/pkg/core/event.go
+++ b/pkg/core/event.go
@@ -123,6 +123,8 @@
 		Attempt AttemptID `json:"attempt"`
 		Ran     Ran       `json:"ran"`
 		Answer  Answer    `json:"answer"` // valid for RanYes
+		// Unreachable is set when nobody could be asked; the core asks again.
+		Unreachable bool `json:"unreachable,omitempty"`
 	}
 
 	// UpstreamChanged adds an upstream or replaces its description.
--- a/pkg/core/journal.go
+++ b/pkg/core/journal.go
@@ -62,7 +62,7 @@
 		r.Claim(key, program.KeyRecord{
 			Member: string(rec.Program), Digest: rec.Digest, Attempt: attempt,
 			Upstream: string(rec.Upstream), Service: rec.Service, Operation: rec.Operation,
-			Request: rec.Request, Seq: uint64(rec.Seq), Sidecar: string(rec.State),
+			Request: rec.Request, Seq: uint64(rec.Seq), Sidecar: string(rec.State), Retained: rec.Retained,
 		}, reservedAmount(rec))
 	case RecordRefused:
 		r.Refuse(key, attempt)
--- a/pkg/core/ownership.go
+++ b/pkg/core/ownership.go
@@ -28,7 +28,15 @@
 		return !ok
 	})
 	slices.SortStableFunc(records, func(a, b Record) int {
-		return cmp.Or(cmp.Compare(a.Epoch, b.Epoch), cmp.Compare(a.Seq, b.Seq))
+		// Of two copies the one from the store counts.
+		retained := 0
+		if a.Retained != b.Retained {
+			retained = 1
+			if b.Retained {
+				retained = -1
+			}
+		}
+		return cmp.Or(cmp.Compare(a.Epoch, b.Epoch), cmp.Compare(a.Seq, b.Seq), retained)
 	})
 	restored := make(map[ProgramID]*root)
 	for i := range records {
@@ -143,6 +151,15 @@
 		if rec.State != program.Claimed || m == nil {
 			continue
 		}
+		if rec.Retained {
+			// The earlier owner dispatches after JournalCommitted only, which it
+			// never got for this claim.
+			c.append(r, Record{
+				Kind: RecordRefused, Program: ProgramID(m.ID), Caller: k.Caller, Key: k.Key, Digest: rec.Digest,
+				Attempt: AttemptID(rec.Attempt), Ran: RanNo,
+			})
+			continue
+		}
 		key := k.Key
 		if key == attemptKey+rec.Attempt {
 			key = ""
--- a/pkg/core/program/root.go
+++ b/pkg/core/program/root.go
@@ -46,6 +46,7 @@
 	Digest    uint64
 	Attempt   string
 	Upstream  string
+	Retained  bool   // the claim was never in the store; not encoded
 	Sidecar   string // incarnation of the sidecar
 	Service   string
 	Operation string
--- a/pkg/core/record.go
+++ b/pkg/core/record.go
@@ -46,5 +46,8 @@
 	SpendMicro int64      `json:"spend_micro,omitempty"`
 	Turn       int        `json:"turn,omitempty"` // position in the program's history, from 1
 	At         time.Time  `json:"at"`
-	State      []byte     `json:"state,omitempty"` // for RecordProgram; openedSingle in RecordOpened; sidecar incarnation in RecordClaim
+	// Retained is set on the records that a successor got from a retained batch
+	// which is not in the store. It is not stored itself.
+	Retained bool   `json:"retained,omitempty"`
+	State    []byte `json:"state,omitempty"` // for RecordProgram; openedSingle in RecordOpened; sidecar incarnation in RecordClaim
 }
--- a/pkg/core/timer.go
+++ b/pkg/core/timer.go
@@ -18,6 +18,7 @@
 	timerClaim                     // end of the profile's claim wait
 	timerHeld                      // no crash report came
 	timerResolve                   // no outcome of a claim came
+	timerAsk                       // the outcome of a claim is asked for again
 	timerOverdue                   // a claimed attempt gave no sign after its deadline
 	timerRoot                      // wall time, idle timeout and retention
 	timerPins                      // renewal of retained cache
@@ -126,6 +127,8 @@
 	case kind == timerOverdue && cl.state == stateRunning:
 		c.opt.Policy.OnFailed(c.now, Failure{Attempt: cl.attempt, Ran: RanUnknown})
 		c.resolve(cl)
+	case kind == timerAsk && cl.state == stateResolving:
+		c.ask(cl)
 	case kind == timerResolve && cl.state == stateResolving:
 		c.loseClaim(cl)
 	}
