--- a/pkg/cli/replaycmd/load.go
+++ b/pkg/cli/replaycmd/load.go
@@ -18,7 +18,7 @@
 		Usage:     "run a trace over real sockets against an entry",
 		ArgsUsage: "TRACE",
 		Description: `The run starts programs at their times in the trace, divided by --speed, and
-is bounded by --programs and --duration. It measures with HdrHistogram.
+is bounded by --programs, --duration and --drain. It measures with HdrHistogram.
 
 Examples:
    yuccaspindle load --target http://127.0.0.1:8080 traces/lango-ordinary.jsonl
@@ -31,6 +31,7 @@
 			&cli.StringFlag{Name: "key", Usage: "bearer key; without it the caller's name is sent in Yucca-Caller", Sources: cli.EnvVars("YUCCA_KEY")},
 			&cli.IntFlag{Name: "programs", Value: 200, Usage: "most programs to start"},
 			&cli.DurationFlag{Name: "duration", Value: time.Minute, Usage: "time in which programs start"},
+			&cli.DurationFlag{Name: "drain", Value: time.Minute, Usage: "time for programs under way after that; the others are cut off"},
 			&cli.FloatFlag{Name: "speed", Value: 1, Usage: "factor by which arrivals and pauses are shortened"},
 			&cli.IntFlag{Name: "parallel", Value: 256, Usage: "most programs under way"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the retry times"},
@@ -52,7 +53,7 @@
 		return failure(err)
 	}
 	res, err := loadgen.Run(ctx, t, loadgen.Options{
-		Target: c.String("target"), Key: c.String("key"), Programs: c.Int("programs"), Duration: c.Duration("duration"),
+		Target: c.String("target"), Key: c.String("key"), Programs: c.Int("programs"), Duration: c.Duration("duration"), Drain: c.Duration("drain"),
 		Speed: c.Float("speed"), Parallel: c.Int("parallel"), Seed: c.Uint64("seed"),
 	})
 	if err != nil {
@@ -73,8 +74,8 @@
 
 func printLoad(c *cli.Command, r *loadgen.Result) error {
 	tw := tabwriter.NewWriter(out(c), 0, 4, 2, ' ', 0)
-	fmt.Fprintf(tw, "%s against %s, %.1f s: %d programs started, %d completed, %d failed, %d late; %d calls, %d refusals, %d unknown effects\n",
-		r.Trace, r.Target, r.Seconds, r.Started, r.Completed, r.Failed, r.Late, r.Calls, r.Refusals, r.Unknown)
+	fmt.Fprintf(tw, "%s against %s, %.1f s: %d programs started, %d completed, %d failed, %d cut off, %d late; %d calls, %d refusals, %d unknown effects\n",
+		r.Trace, r.Target, r.Seconds, r.Started, r.Completed, r.Failed, r.CutOff, r.Late, r.Calls, r.Refusals, r.Unknown)
 	for code, n := range r.Errors {
 		fmt.Fprintf(tw, "error %s\t%d\n", code, n)
 	}
--- a/pkg/loadgen/caller.go
+++ b/pkg/loadgen/caller.go
@@ -105,6 +105,9 @@
 		if err == nil {
 			return nil
 		}
+		if ctx.Err() != nil {
+			return err
+		}
 		code, wait, retry := "connection", time.Second, safe
 		var ref *refusal
 		if errors.As(err, &ref) {
@@ -116,7 +119,7 @@
 			}
 		}
 		c.r.count(func(r *Result) { r.Refusals++; r.Errors[code]++ })
-		if !retry || try == callTries || ctx.Err() != nil {
+		if !retry || try == callTries {
 			return err
 		}
 		c.mu.Lock()
--- a/pkg/loadgen/loadgen.go
+++ b/pkg/loadgen/loadgen.go
@@ -21,16 +21,14 @@
 	Target   string        // base URL of an entry
 	Key      string        // bearer key of the caller; empty: the caller header is sent
 	Programs int           // most programs to start
-	Duration time.Duration // no program starts later, and the run ends a minute after
+	Duration time.Duration // no program starts later
+	Drain    time.Duration // time for programs under way after that, one minute if zero; later ones are cut off
 	Speed    float64       // factor by which arrivals and pauses are shortened
 	Parallel int           // most programs under way; later ones wait and count as late
 	Seed     uint64
 	Client   *http.Client
 }
 
-// drainTime is the time that programs under way get after the last start.
-const drainTime = time.Minute
-
 // Latencies are quantiles in ms.
 type Latencies struct {
 	Count int64   `json:"count"`
@@ -48,7 +46,8 @@
 	Started   int            `json:"started"`
 	Completed int            `json:"completed"`
 	Failed    int            `json:"failed"`
-	Late      int            `json:"late"` // started after their time because too many were under way
+	CutOff    int            `json:"cut_off"` // still under way when the run ended
+	Late      int            `json:"late"`    // started after their time because too many were under way
 	Calls     int            `json:"calls"`
 	Refusals  int            `json:"refusals"`
 	Unknown   int            `json:"unknown_effects"`
@@ -76,8 +75,11 @@
 
 // Run runs the trace.
 func Run(ctx context.Context, t *trace.Trace, o Options) (*Result, error) {
-	if o.Programs <= 0 || o.Duration <= 0 || o.Speed <= 0 || o.Parallel <= 0 {
-		return nil, errors.New("programs, duration, speed and parallel must be positive")
+	if o.Programs <= 0 || o.Duration <= 0 || o.Drain < 0 || o.Speed <= 0 || o.Parallel <= 0 {
+		return nil, errors.New("programs, duration, speed and parallel must be positive, drain must not be negative")
+	}
+	if o.Drain == 0 {
+		o.Drain = time.Minute
 	}
 	if o.Client == nil {
 		o.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second}}
@@ -86,7 +88,7 @@
 		o: o, t: t, program: newHistogram(), call: newHistogram(), ttft: newHistogram(), between: newHistogram(),
 		res: Result{Trace: t.Header.Name, Target: o.Target, Errors: map[string]int{}},
 	}
-	ctx, cancel := context.WithTimeout(ctx, o.Duration+drainTime)
+	ctx, cancel := context.WithTimeout(ctx, o.Duration+o.Drain)
 	defer cancel()
 	begin := time.Now()
 	slots := make(chan struct{}, o.Parallel)
@@ -150,10 +152,13 @@
 	begin := time.Now()
 	err := c.agent(ctx, &p.Agent, p.Profile, "", p.Endless, 0)
 	r.mu.Lock()
-	if err != nil {
-		r.res.Failed++
-	} else {
+	switch {
+	case err == nil:
 		r.res.Completed++
+	case ctx.Err() != nil:
+		r.res.CutOff++
+	default:
+		r.res.Failed++
 	}
 	r.mu.Unlock()
 	if err == nil {
--- a/pkg/loadgen/loadgen_test.go
+++ b/pkg/loadgen/loadgen_test.go
@@ -52,6 +52,11 @@
 }
 
 func runLoad(t *testing.T, e *entry, programs int, step trace.Step) *Result {
+	t.Helper()
+	return runDrained(t, e, programs, step, time.Minute)
+}
+
+func runDrained(t *testing.T, e *entry, programs int, step trace.Step, drain time.Duration) *Result {
 	t.Helper()
 	srv := httptest.NewServer(e)
 	defer srv.Close()
@@ -61,7 +66,7 @@
 			Caller: fmt.Sprintf("c%d", i), Agent: trace.Agent{Model: "m", Steps: []trace.Step{step, step}},
 		})
 	}
-	r, err := Run(context.Background(), tr, Options{Target: srv.URL, Programs: programs, Duration: 10 * time.Second, Speed: 1, Parallel: 10, Client: srv.Client()})
+	r, err := Run(context.Background(), tr, Options{Target: srv.URL, Programs: programs, Duration: min(10*time.Second, drain), Drain: drain, Speed: 1, Parallel: 10, Client: srv.Client()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -99,3 +104,12 @@
 		t.Errorf("%+v, want no completed call after %d tries", r, callTries)
 	}
 }
+
+// Guards against a run that goes on beyond its bound, and against counting what
+// it cuts off as failures.
+func TestRunEndsAtItsBound(t *testing.T) {
+	r := runDrained(t, &entry{opened: map[string]int{"c0": 1}}, 1, trace.Step{New: 1, Out: 1, PauseMs: 3_600_000}, 50*time.Millisecond)
+	if r.Started != 1 || r.CutOff != 1 || r.Failed != 0 || r.Refusals != 0 {
+		t.Errorf("%+v, want one program cut off", r)
+	}
+}
