--- a/pkg/entry/effects.go
+++ b/pkg/entry/effects.go
@@ -12,6 +12,7 @@
 	case core.AppendJournal:
 		n.journal.Append(e.Records)
 	case core.Dispatch:
+		n.metrics.attempt()
 		n.startAttempt(e)
 	case core.CancelAttempt:
 		n.attempts.cancel(e.Attempt)
@@ -30,6 +31,7 @@
 	case core.Opened:
 		n.calls.finish(e.Call, completionResult{id: e.ID})
 	case core.EngineOrder:
+		n.metrics.order(e.Order)
 		go n.order(e)
 	case core.ShareQuarantine:
 		go n.shareQuarantine(e)
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -36,6 +36,7 @@
 		located = t.Parent
 	}
 	m := forwardMessage(n.cfg.Instance, t, r, body)
+	n.metrics.forwards.Inc()
 	for {
 		sent, err := n.forwardOnce(ctx, located, m, r, body, w)
 		if err == nil {
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -12,6 +12,7 @@
 // entryMetrics holds the metrics of one process. docs/metrics.md lists them.
 type entryMetrics struct {
 	set           *metrics.Set
+	attempts      *metrics.Counter
 	calls         *metrics.Counter
 	forwards      *metrics.Counter
 	takeovers     *metrics.Counter
@@ -26,24 +27,33 @@
 	set := metrics.NewSet()
 	m := &entryMetrics{
 		set:           set,
-		calls:         set.NewCounter("yuccaspindle_entry_calls_total"),
-		forwards:      set.NewCounter("yuccaspindle_entry_forwards_total"),
-		takeovers:     set.NewCounter("yuccaspindle_entry_takeovers_total"),
-		handovers:     set.NewCounter("yuccaspindle_entry_handovers_total"),
-		checkpoints:   set.NewCounter("yuccaspindle_entry_checkpoints_total"),
-		firstToken:    set.NewHistogram("yuccaspindle_entry_first_token_seconds"),
-		betweenTokens: set.NewHistogram("yuccaspindle_entry_between_tokens_seconds"),
-		duration:      set.NewHistogram("yuccaspindle_entry_call_duration_seconds"),
+		calls:         set.NewCounter("yucca_entry_calls_total"),
+		forwards:      set.NewCounter("yucca_entry_forwards_total"),
+		attempts:      set.NewCounter("yucca_entry_attempts_total"),
+		takeovers:     set.NewCounter("yucca_entry_takeovers_total"),
+		handovers:     set.NewCounter("yucca_entry_handovers_total"),
+		checkpoints:   set.NewCounter("yucca_entry_checkpoints_total"),
+		firstToken:    set.NewHistogram("yucca_entry_first_token_seconds"),
+		betweenTokens: set.NewHistogram("yucca_entry_between_tokens_seconds"),
+		duration:      set.NewHistogram("yucca_entry_call_duration_seconds"),
 	}
-	set.NewGauge("yuccaspindle_entry_calls_pending", func() float64 { return float64(n.calls.len()) })
-	set.NewGauge("yuccaspindle_entry_attempts_running", func() float64 { return float64(n.attempts.len()) })
-	set.NewGauge("yuccaspindle_entry_slots_owned", func() float64 { return float64(n.owner.ownedCount()) })
-	set.NewGauge("yuccaspindle_entry_config_version", func() float64 { return float64(n.config.version()) })
+	set.NewGauge("yucca_entry_calls_pending", func() float64 { return float64(n.calls.len()) })
+	set.NewGauge("yucca_entry_attempts_running", func() float64 { return float64(n.attempts.len()) })
+	set.NewGauge("yucca_entry_slots_owned", func() float64 { return float64(n.owner.ownedCount()) })
+	set.NewGauge("yucca_entry_config_version", func() float64 { return float64(n.config.version()) })
 	return m
 }
 
 func (m *entryMetrics) refused(code string) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("yuccaspindle_entry_refusals_total{code=%q}", code)).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf("yucca_entry_refusals_total{code=%q}", code)).Inc()
+}
+
+// attempt counts a dispatch of the core.
+func (m *entryMetrics) attempt() { m.attempts.Inc() }
+
+// order counts a cache or placement order of the policy.
+func (m *entryMetrics) order(name string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("yucca_entry_orders_total{order=%q}", name)).Inc()
 }
 
 func (m *entryMetrics) finished(start time.Time) {
