Record real programs as a trace

Cause: traces could only be generated; the format is meant for recordings.

Change: with record_trace an entry records the programs it owns, with pauses, token counts, service calls and sub-agents and without content, and writes the trace when it stops.

Figures: go test -race -run Records ./pkg/quickstart passes: the recording is read back by the strict decoder.

Conclusion: recordings and generated traces share one format.

--- a/pkg/cli/daemoncmd/daemon.go
+++ b/pkg/cli/daemoncmd/daemon.go
@@ -141,6 +141,7 @@
 		Seeds:             p.Seeds,
 		TLS:               tlsCfg,
 		DataFolder:        p.DataFolder,
+		RecordTrace:       p.RecordTrace,
 		Operators:         p.Operators,
 		TrustCallerHeader: p.TrustCallerHeader,
 		Store:             store,
--- a/pkg/config/process.go
+++ b/pkg/config/process.go
@@ -50,6 +50,7 @@
 	LogLevel      string
 	MetricsListen string // empty: on the HTTP listener
 	DataFolder    string // empty: the process keeps no data
+	RecordTrace   int    // programs to record as a trace in the data folder
 
 	Callers []CallerKey
 
@@ -171,6 +172,8 @@
 	{"data", []spec[Process]{
 		{name: "folder", example: "/var/lib/yuccaspindle", help: "Folder for retained batches, recorded events and the newest configuration. Without it the process keeps no data.",
 			value: nonEmpty("a folder name", func(p *Process) *string { return &p.DataFolder })},
+		{name: "record_trace", def: "0", unit: "programs", example: "5000", help: "Programs that an entry records as a trace without content, written to the folder when it stops.",
+			value: integer(0, 100000, func(p *Process) *int { return &p.RecordTrace })},
 	}},
 }
 
--- a/pkg/entry/backend.go
+++ b/pkg/entry/backend.go
@@ -95,6 +95,7 @@
 	if res.refusal != nil {
 		return frontend.Result{}, &frontend.RefusalError{Refusal: *res.refusal}
 	}
+	n.recordCall(r, start, res.result)
 	return res.result, nil
 }
 
--- a/pkg/entry/config.go
+++ b/pkg/entry/config.go
@@ -37,6 +37,7 @@
 	Seeds         []string    // peers to dial while the instance list cannot be read
 	TLS           *tls.Config // nil allows loopback only
 	DataFolder    string      // empty if the instance keeps nothing
+	RecordTrace   int         // programs to record as a trace in the data folder; 0: none
 	Seed          uint64      // of the core; 0 takes a random one, which products must
 
 	Callers           []frontend.Caller
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -44,6 +44,7 @@
 	events    *eventlog.Writer // nil without a data folder
 	outcomes  *report.Writer   // nil without a data folder
 	histories *frontend.Histories
+	trace     *traceRecorder // nil unless the settings ask for a recording
 
 	outcomesFile *lumberjack.Logger
 
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"sync"
 	"time"
 
@@ -29,6 +30,7 @@
 	mu       sync.Mutex
 	session  *transport.Session
 	upstream core.UpstreamID
+	info     core.UpstreamInfo
 	instance string
 }
 
@@ -271,7 +273,7 @@
 func (ps *peerSet) addUpstream(k *link, h *peerv1.Hello) {
 	info := upstreamInfo(h.GetUpstream(), h, k.address)
 	ps.mu.Lock()
-	k.upstream = info.ID
+	k.upstream, k.info = info.ID, info
 	ps.upstreams[info.ID] = k
 	ps.mu.Unlock()
 	ps.n.loop.post(core.UpstreamChanged{At: now(), Info: info})
@@ -309,7 +311,9 @@
 	}
 	id := core.UpstreamID(h.GetUpstream().GetId())
 	if u := hb.GetUpstream(); u != nil {
-		n.loop.post(core.UpstreamChanged{At: now(), Info: upstreamInfo(u, h, address)})
+		info := upstreamInfo(u, h, address)
+		n.peers.describe(info)
+		n.loop.post(core.UpstreamChanged{At: now(), Info: info})
 	}
 	n.loop.post(core.UpstreamState{At: now(), Upstream: id, Reachable: hb.GetUpstreamReachable(), Leaving: hb.GetLeaving()})
 	if l := hb.GetLoad(); l != nil {
@@ -383,3 +387,24 @@
 	}
 	return count
 }
+
+// upstreamInfos returns the descriptions of the known upstreams, sorted by id.
+func (ps *peerSet) upstreamInfos() []core.UpstreamInfo {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	var out []core.UpstreamInfo
+	for _, k := range ps.upstreams {
+		out = append(out, k.info)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// describe replaces the description of an upstream.
+func (ps *peerSet) describe(info core.UpstreamInfo) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	if k := ps.upstreams[info.ID]; k != nil {
+		k.info = info
+	}
+}
--- a/pkg/entry/records.go
+++ b/pkg/entry/records.go
@@ -49,6 +49,9 @@
 		MaxBackups: outcomesBackups,
 	}
 	n.outcomes = report.NewWriter(n.outcomesFile)
+	if n.cfg.RecordTrace > 0 {
+		n.trace = newTraceRecorder(n.cfg.RecordTrace, time.Now())
+	}
 	return nil
 }
 
@@ -81,7 +84,7 @@
 		return nil
 	}
 	err := n.events.Close()
-	for _, f := range []func() error{n.outcomes.Flush, n.outcomesFile.Close} {
+	for _, f := range []func() error{n.outcomes.Flush, n.outcomesFile.Close, n.writeTrace} {
 		if closeErr := f(); err == nil {
 			err = closeErr
 		}
@@ -119,6 +122,23 @@
 	}
 }
 
+// recordCall adds a finished call to the recorded trace.
+func (n *Entry) recordCall(r *frontend.CallRequest, start time.Time, res frontend.Result) {
+	if n.trace == nil {
+		return
+	}
+	st, ok := n.Program(context.Background(), core.RootOf(r.Target))
+	if !ok {
+		return
+	}
+	profile := st.Profile
+	if profile == "" {
+		cfg, _ := n.config.dist.Config()
+		profile = cfg.Default
+	}
+	n.trace.call(r, profile, n.cfg.Region, start, res)
+}
+
 // resultOf tells what a refusal means to the caller: it was refused service if
 // the request did not run for a reason of ours.
 func resultOf(r *core.Refusal) report.Result {
