Let a second successor go on after the seal of the first

Cause: the entry's takeover ends at a SealedError. If the successor that sealed the log dies before it changes the slot map, no other can take the slots over.

Change: SealAndOpen seals a log or finds it sealed and reads it once for the members and the records; the update of the slot map decides between successors.

Figures: TestSecondSuccessor recovers the same records for both successors.

Conclusion: the entry should call it in place of Seal, Members and Recover.

--- a/pkg/journal/journal_test.go
+++ b/pkg/journal/journal_test.go
@@ -129,6 +129,32 @@
 	}
 }
 
+// Guards against slots that nobody can take over because the first successor
+// died after its seal.
+func TestSecondSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := objectapi.NewMemory(objectapi.MemoryOptions{})
+		r := run(t, mem, WriterOptions{Retention: []core.Incarnation{"c.1"}})
+		r.Append([]core.Record{turn("p", 1)})
+		if err := r.Flush(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		r.stop()
+		<-r.done
+		for _, by := range []core.Incarnation{"b.1", "d.1"} {
+			l, err := SealAndOpen(t.Context(), mem, "a.1", by)
+			if err != nil || l.SealedBy() != "b.1" || len(l.Members()) != 1 {
+				t.Fatalf("SealAndOpen by %s: %v", by, err)
+			}
+			recs, err := l.Recover(t.Context(), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			wantSeqs(t, recs, 1, 1)
+		}
+	})
+}
+
 // Guards against an append that is written twice, or reported as failed, when
 // only its answer was lost.
 func TestLostAnswerIsNotWrittenTwice(t *testing.T) {
--- a/pkg/journal/seal.go
+++ b/pkg/journal/seal.go
@@ -64,3 +64,15 @@
 	}
 	return object - 1, &SealedError{Journal: lost, By: core.Incarnation(o.SealedBy), Object: object}
 }
+
+// SealAndOpen seals the log of a lost incarnation, or finds it sealed, and reads
+// it. A seal by another successor is no error: that successor may have died
+// since, and the conditional update of the slot map decides between successors
+// that are both alive. SealedBy tells who made the seal.
+func SealAndOpen(ctx context.Context, c objectapi.Client, lost, by core.Incarnation) (*SealedLog, error) {
+	var s *SealedError
+	if _, err := Seal(ctx, c, lost, by); err != nil && !errors.As(err, &s) {
+		return nil, err
+	}
+	return OpenSealed(ctx, c, lost)
+}
