Fuzz the stored form of configuration versions

Cause: FuzzParse covered the INI texts only.

Change: the decoder of config and config-history objects is part of it.

--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
 )
 
 const sampleShared = `
@@ -122,6 +124,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(sampleShared))
 	f.Add([]byte(sampleProcess))
+	f.Add([]byte(`{"version":3,"who":"asha","why":"x","at":"2026-01-02T03:04:05Z","text":"[cluster]"}`))
 	f.Add([]byte("[a]\nb = \"c\" # d\n[x y]\n'z' = 1\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		if d := parse("f", text); len(d.errs) == 0 {
@@ -135,6 +138,9 @@
 		}
 		_, _ = ParseShared("f", text)
 		_, _ = ParseProcess("f", text)
+		if v, err := decodeVersioned(objectapi.Object{Key: ObjectKey, Value: text}); err == nil && v.Version == 0 {
+			t.Errorf("%q has no version", text)
+		}
 	})
 }
 
