Let an owner take back a hand-over that failed

Cause: a slot released for a hand-over refused its calls for good when the hand-over did not come about.

Change: SlotsAcquired with the epoch in force ends the release.

Conclusion: the entry can give up a hand-over before its record is written.

--- a/pkg/core/ownership.go
+++ b/pkg/core/ownership.go
@@ -16,6 +16,8 @@
 	}
 	for _, s := range sortedKeys(e.Slots) {
 		if old := c.slots[s]; old != nil && old.epoch >= e.Slots[s] {
+			// The same epoch again ends a hand-over that failed.
+			old.released = old.released && old.epoch > e.Slots[s]
 			continue
 		}
 		if c.slots[s] != nil {
