--- a/pkg/core/crash.go
+++ b/pkg/core/crash.go
@@ -51,10 +51,10 @@
 	c.watchCall(cl, timerHeld, c.now.Add(crashReportWait))
 }
 
-// condemn quarantines a suspect whose second crash was not reported in time:
+// quarantineHeld quarantines a suspect whose second crash was not reported in time:
 // the sidecar may have died with its upstream.
-func (c *Core) condemn(cl *call) {
-	c.share(c.quarant.Condemn(cl.Fingerprint, c.quarantineEnd(cl.member.Profile)))
+func (c *Core) quarantineHeld(cl *call) {
+	c.share(c.quarant.Quarantine(cl.Fingerprint, c.quarantineEnd(cl.member.Profile)))
 	c.refuseQuarantined()
 }
 
--- a/pkg/core/quarantine/quarantine.go
+++ b/pkg/core/quarantine/quarantine.go
@@ -118,8 +118,8 @@
 	return changed
 }
 
-// Condemn quarantines a suspect whose second crash was never reported.
-func (l *List) Condemn(fp uint64, until time.Time) Entry {
+// Quarantine quarantines a suspect whose second crash was never reported.
+func (l *List) Quarantine(fp uint64, until time.Time) Entry {
 	return *l.set(fp, CountQuarantined, until)
 }
 
--- a/pkg/core/quarantine/quarantine_test.go
+++ b/pkg/core/quarantine/quarantine_test.go
@@ -61,7 +61,7 @@
 }
 
 // Guards against counting one crash again after a long pause, in which the
-// words of peers and the report pile up in any order.
+// messages of peers and the report arrive in any order.
 func TestNamedCrashCountsOnceAtAnyTime(t *testing.T) {
 	broken := Entry{Fingerprint: 1, Count: CountSuspect, Until: until, Upstream: "m1"}
 	named := Entry{Fingerprint: 1, Count: CountSuspect, Until: t0.Add(time.Minute), Upstream: "m1", Incarnation: 7}
--- a/pkg/core/timer.go
+++ b/pkg/core/timer.go
@@ -123,7 +123,7 @@
 	case kind == timerClaim && cl.state == stateClaiming:
 		c.refuse(cl, c.refusal(cl, CodeJournalDown, "claim", "the claim of the call did not become durable in time"))
 	case kind == timerHeld && cl.state == stateHeld:
-		c.condemn(cl)
+		c.quarantineHeld(cl)
 	case kind == timerOverdue && cl.state == stateRunning:
 		c.opt.Policy.OnFailed(c.now, Failure{Attempt: cl.attempt, Ran: RanUnknown})
 		c.resolve(cl)
