Give joined resends the answer of the running call

Cause: a resend that arrived while the first send still ran was joined to it in the core, but the daemon answered only the first: the resend hung until its connection ended.

Change: a finished request completes the resends that joined it.

Conclusion: a resend can come at any moment.

--- a/pkg/entry/calls.go
+++ b/pkg/entry/calls.go
@@ -21,6 +21,7 @@
 	done chan completionResult // buffered, receives exactly one result
 
 	mu        sync.Mutex
+	joined    []core.CallID // resends that get the same answer
 	sinks     []frontend.Sink
 	delivered []byte // text already sent to the caller
 	tokens    int64  // tokens already sent to the caller
@@ -61,7 +62,8 @@
 	return len(t.calls)
 }
 
-// finish completes a request; later results for the same call are dropped.
+// finish completes a request and the resends that joined it; later results for
+// the same call are dropped.
 func (t *callTable) finish(id core.CallID, r completionResult) {
 	p := t.get(id)
 	if p == nil {
@@ -71,6 +73,13 @@
 	case p.done <- r:
 	default:
 	}
+	p.mu.Lock()
+	joined := p.joined
+	p.joined = nil
+	p.mu.Unlock()
+	for _, other := range joined {
+		t.finish(other, r)
+	}
 }
 
 // join gives the caller of a resend the parts of a running call.
@@ -84,6 +93,7 @@
 	resend.mu.Unlock()
 	running.mu.Lock()
 	defer running.mu.Unlock()
+	running.joined = append(running.joined, id)
 	for _, s := range sinks {
 		if len(running.delivered) > 0 && s.Chunk(frontend.TextChunk(string(running.delivered))) != nil {
 			continue
--- a/pkg/quickstart/failure_test.go
+++ b/pkg/quickstart/failure_test.go
@@ -245,6 +245,29 @@
 	mustRunOnce(t, d, 1)
 }
 
+// Guards invariants 5 and 7 against a caller that resends its booking through
+// another entry while the first one still runs.
+func TestResendWhileRunning(t *testing.T) {
+	d := startSmall(t, "entry-1", "entry-2")
+	program := open(t, d, "entry-1", "open-1")
+	d.Services["bookings-1"].SetFaults(service.Faults{SlowMS: 1000})
+	answers := make([]response, 4)
+	var wg sync.WaitGroup
+	for i := range answers {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+			answers[i] = book(t, d, []string{"entry-1", "entry-2"}[i%2], program, "b-1")
+		})
+	}
+	wg.Wait()
+	for i, r := range answers {
+		if r.status != http.StatusOK || r.body != answers[0].body {
+			t.Errorf("send %d: %d %s, the first answer was %s", i, r.status, r.body, answers[0].body)
+		}
+	}
+	mustRunOnce(t, d, 1)
+}
+
 // Guards against a request that crashes one upstream after another, and against
 // condemning a request that was only on board.
 func TestCrashingRequestIsQuarantined(t *testing.T) {
