Leave the protection of the interactive class to the order

Cause: batch and standard calls were kept to 85% and 95% of the slots, so that slots stayed empty while programs were refused. Change: only batch is kept to 95%.

--- a/pkg/core/policy/plugins.go
+++ b/pkg/core/policy/plugins.go
@@ -41,7 +41,7 @@
 
 // classHeadroom is the share of the limit that a class may fill. The rest is
 // kept for the classes before it.
-var classHeadroom = [classCount]float64{1, 0.95, 0.85}
+var classHeadroom = [classCount]float64{1, 1, 0.95}
 
 // limitFilter excludes upstreams that are full. An entry without a call on board
 // may send one while there are free slots, so that the calls of the other
