Let the entry's policy follow the configuration

Cause: the entry ran the default policy whatever the shared configuration named.

Change: the core gets policy.Follow, which changes the policy and its parts when a configuration comes into force; the event log builds its core the same way.

Conclusion: a change of policy takes effect without touching an instance.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -61,13 +61,18 @@
 // New builds an entry from its settings. Nothing runs until Start.
 func New(cfg Config) (*Entry, error) {
 	cfg.setDefaults()
-	n := &Entry{cfg: cfg, log: cfg.Logger, calls: newCallTable(), attempts: newAttemptTable(), fenced: make(chan struct{}), histories: frontend.NewHistories()}
-	n.ctx, n.stop = context.WithCancel(context.Background())
-	p, err := policy.New(policy.NameDefault, cfg.Seed, nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "select policy")
+	n := &Entry{
+		cfg:       cfg,
+		log:       cfg.Logger,
+		calls:     newCallTable(),
+		attempts:  newAttemptTable(),
+		fenced:    make(chan struct{}),
+		histories: frontend.NewHistories(),
 	}
-	c := core.New(core.Options{Self: cfg.Incarnation, Region: cfg.Region, Seed: cfg.Seed, Policy: p})
+	n.ctx, n.stop = context.WithCancel(context.Background())
+	c := core.New(core.Options{
+		Self: cfg.Incarnation, Region: cfg.Region, Seed: cfg.Seed, Policy: policy.Follow(cfg.Seed),
+	})
 	n.loop = newLoop(c)
 	n.loop.exec = n
 	n.config = newConfigSync(n)
@@ -85,6 +90,7 @@
 		Retainer:  n.retainer(),
 		Logger:    n.log,
 	})
+	var err error
 	n.keeper, err = journal.NewKeeper(cfg.Store, journal.KeeperOptions{Folder: cfg.DataFolder, Logger: n.log})
 	if err != nil {
 		return nil, errors.Wrap(err, "set up retention")
--- a/pkg/entry/records.go
+++ b/pkg/entry/records.go
@@ -11,7 +11,6 @@
 	"gopkg.in/natefinch/lumberjack.v2"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
-	"github.com/yuccaspindle/yuccaspindle/pkg/core/policy"
 	"github.com/yuccaspindle/yuccaspindle/pkg/eventlog"
 	"github.com/yuccaspindle/yuccaspindle/pkg/frontend"
 	"github.com/yuccaspindle/yuccaspindle/pkg/report"
@@ -38,7 +37,7 @@
 	}
 	var err error
 	n.events, err = eventlog.Create(n.cfg.DataFolder, eventlog.Start{
-		Self: n.cfg.Incarnation, Region: n.cfg.Region, Seed: n.cfg.Seed, Policy: policy.NameDefault,
+		Self: n.cfg.Incarnation, Region: n.cfg.Region, Seed: n.cfg.Seed,
 	})
 	if err != nil {
 		return err
--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -31,7 +31,6 @@
 	Self   core.Incarnation `json:"self"`
 	Region string           `json:"region"`
 	Seed   uint64           `json:"seed"`
-	Policy string           `json:"policy"`
 }
 
 // line is one line of the log.
@@ -126,10 +125,7 @@
 			return n, errors.Wrapf(err, "event log line %d", n)
 		}
 		if l.Start != nil {
-			var err error
-			if c, err = newCore(*l.Start); err != nil {
-				return n, err
-			}
+			c = newCore(*l.Start)
 			continue
 		}
 		if c == nil {
@@ -142,12 +138,10 @@
 	return max(n-1, 0), errors.Wrap(sc.Err(), "read event log")
 }
 
-func newCore(s Start) (*core.Core, error) {
-	p, err := policy.New(s.Policy, s.Seed, nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "event log: policy")
-	}
-	return core.New(core.Options{Self: s.Self, Region: s.Region, Seed: s.Seed, Policy: p}), nil
+// newCore builds the core as the daemon does: its policy follows the recorded
+// configurations.
+func newCore(s Start) *core.Core {
+	return core.New(core.Options{Self: s.Self, Region: s.Region, Seed: s.Seed, Policy: policy.Follow(s.Seed)})
 }
 
 func verifyLine(c *core.Core, n int, l *line) error {
--- a/pkg/eventlog/eventlog_test.go
+++ b/pkg/eventlog/eventlog_test.go
@@ -18,16 +18,13 @@
 // record runs a few events through a core and returns the log.
 func record(t *testing.T) string {
 	t.Helper()
-	s := Start{Self: "entry-1.1", Region: "east", Seed: 7, Policy: policy.NameDefault}
+	s := Start{Self: "entry-1.1", Region: "east", Seed: 7}
 	var out buffer
 	w, err := NewWriter(&out, s)
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := newCore(s)
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := newCore(s)
 	at := func(ms int) core.At {
 		return core.At{Time: time.Unix(100, 0).UTC().Add(time.Duration(ms) * time.Millisecond)}
 	}
