--- a/pkg/quickstart/deployment.go
+++ b/pkg/quickstart/deployment.go
@@ -36,7 +36,8 @@
 	Place
 	HTTPListen string // default: a free loopback port
 	DataFolder string
-	Record     int // programs to record as a trace in the data folder
+	Seeds      []string // peers to dial while the instance list cannot be read
+	Record     int      // programs to record as a trace in the data folder
 }
 
 // EngineSpec describes a model engine with its sidecar.
@@ -161,7 +162,7 @@
 	inc := d.nextIncarnation(spec.Name)
 	n, err := entry.New(entry.Config{
 		Instance: spec.Name, Incarnation: inc, Region: spec.Region, FailureDomain: spec.FailureDomain,
-		HTTPListen: spec.HTTPListen, DataFolder: spec.DataFolder, RecordTrace: spec.Record,
+		HTTPListen: spec.HTTPListen, DataFolder: spec.DataFolder, RecordTrace: spec.Record, Seeds: spec.Seeds,
 		Dialer:            d.net.dialer(spec.Region),
 		TrustCallerHeader: true, Operators: []string{"operator"}, Store: client, Logger: d.log,
 	})
