Drain slot by slot without holding back callers

Cause: a hand-over stopped at the first slot with a running call; while a long stream ran, no other slot moved, and after 20 s new calls of the slot were held back for up to 10 s at a time.

Change: busy slots are skipped and tried again; after 20 s of draining a busy slot's new calls are held back for at most 1 s at a time.

Conclusion: a drain moves idle slots at once and delays a call by at most 1 s.

--- a/pkg/core/ownership/ownership.go
+++ b/pkg/core/ownership/ownership.go
@@ -33,8 +33,8 @@
 	// handed over to level their number, so that entries that join together
 	// have claimed theirs.
 	levelDelay = 3 * time.Second
-	// maxHandOver bounds the slots of one hand-over, so that few programs
-	// pause at the same time.
+	// maxHandOver bounds the slots of one levelling hand-over, so that few
+	// programs pause at the same time.
 	maxHandOver = 8
 )
 
@@ -458,11 +458,11 @@
 	if !ok {
 		return nil
 	}
-	excess := len(mine)
-	if !m.draining {
-		// Half of the difference levels the two; a difference of one stays.
-		excess = (len(mine) - held) / 2
+	if m.draining {
+		return HandOver{To: target, Slots: mine}
 	}
+	// Half of the difference levels the two; a difference of one stays.
+	excess := (len(mine) - held) / 2
 	if excess <= 0 {
 		return nil
 	}
--- a/pkg/entry/admin.go
+++ b/pkg/entry/admin.go
@@ -16,12 +16,8 @@
 
 // Drain implements frontend.Admin.
 func (n *Entry) Drain() {
-	if n.draining.Swap(true) {
-		return
-	}
 	n.log.Info("drain ordered by an operator")
-	n.owner.drain()
-	n.loop.post(core.DrainStarted{At: now()})
+	n.startDrain()
 }
 
 // Adopt implements frontend.Admin.
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -52,10 +52,13 @@
 	stop     context.CancelFunc
 	draining atomic.Bool
 	commits  atomic.Uint64 // appends to the journal
-	fenced   chan struct{} // closed when a successor has sealed the journal
-	fence    sync.Once
-	work     sync.WaitGroup // attempts and forwarded requests under way
-	running  sync.WaitGroup // goroutines that end with ctx
+
+	drainStarted atomic.Int64 // Unix nanoseconds, 0 while not draining
+
+	fenced  chan struct{} // closed when a successor has sealed the journal
+	fence   sync.Once
+	work    sync.WaitGroup // attempts and forwarded requests under way
+	running sync.WaitGroup // goroutines that end with ctx
 }
 
 // New builds an entry from its settings. Nothing runs until Start.
@@ -236,10 +239,8 @@
 // Stop drains the entry: slots are handed over, requests under way finish, and
 // the journal is written. The context bounds the wait.
 func (n *Entry) Stop(ctx context.Context) error {
-	n.draining.Store(true)
 	n.log.Info("entry draining", "calls", n.calls.len(), "slots", n.owner.ownedCount())
-	n.owner.drain()
-	n.loop.post(core.DrainStarted{At: now()})
+	n.startDrain()
 	n.waitHandedOver(ctx)
 	err := n.server.Shutdown(ctx)
 	n.waitWork(ctx)
@@ -258,6 +259,16 @@
 	return err
 }
 
+// startDrain begins the hand-over of every slot, once.
+func (n *Entry) startDrain() {
+	if n.draining.Swap(true) {
+		return
+	}
+	n.drainStarted.Store(time.Now().UnixNano())
+	n.owner.drain()
+	n.loop.post(core.DrainStarted{At: now()})
+}
+
 // Kill ends the process without draining, as a crash does. It serves tests.
 func (n *Entry) Kill() {
 	n.stop()
--- a/pkg/entry/transfer.go
+++ b/pkg/entry/transfer.go
@@ -14,10 +14,13 @@
 )
 
 const (
-	// softDrain is how long a hand-over waits for a moment without running
-	// calls before it holds back new calls of the slot.
+	// softDrain is how long a drain waits for moments without running calls
+	// before it holds back new calls of busy slots.
 	softDrain = 20 * time.Second
-	busyPoll  = 50 * time.Millisecond
+	// maxHold bounds the delay that a hold adds to a call. A long stream
+	// outlasts it; its slot is tried again until the stream has ended.
+	maxHold  = time.Second
+	busyPoll = 20 * time.Millisecond
 )
 
 // reassign changes the owner of slots from one incarnation to this one by a
@@ -147,7 +150,7 @@
 }
 
 // handOver passes own slots to a peer, one by one, each at a moment without
-// running calls if one comes within softDrain.
+// running calls. A slot that stays busy is left for the next time.
 func (o *ownerRuntime) handOver(ctx context.Context, a ownership.HandOver) error {
 	session, err := o.n.peers.entry(ctx, a.To.Instance)
 	if err != nil {
@@ -168,41 +171,66 @@
 		}
 		moved++
 	}
-	o.n.log.Info("slots handed over", "count", moved, "peer", a.To.Instance)
-	o.n.metrics.handovers.Add(moved)
+	if moved > 0 {
+		o.n.log.Info("slots handed over", "count", moved, "peer", a.To.Instance)
+		o.n.metrics.handovers.Add(moved)
+	}
 	return nil
 }
 
-// release stops new calls of a slot once no call of it runs. It returns false
-// if the slot stayed busy.
+// release stops new calls of a slot if no call of it runs. It returns false if
+// the slot is busy: its owner goes on serving it.
 func (o *ownerRuntime) release(ctx context.Context, s core.Slot) (bool, error) {
-	deadline := time.Now().Add(softDrain)
-	held := false
-	for {
-		busy := 0
-		o.n.loop.do(func(c *core.Core) {
-			if busy = c.Busy([]core.Slot{s}); busy == 0 || held {
-				o.hold(s)
-			}
-		})
-		if busy == 0 {
-			o.n.loop.post(core.SlotsReleased{At: now(), Slots: []core.Slot{s}})
-			o.n.loop.do(func(*core.Core) {})
-			return true, o.n.journal.Flush(ctx)
-		}
-		if !o.isDraining() {
-			return false, nil // levelling can wait for a quiet moment
-		}
-		if time.Now().After(deadline) {
-			held = true
+	idle := o.holdIfIdle(s)
+	if !idle && o.drainingLong() {
+		idle = o.holdUntilIdle(ctx, s)
+	}
+	if !idle {
+		return false, nil
+	}
+	o.n.loop.post(core.SlotsReleased{At: now(), Slots: []core.Slot{s}})
+	o.n.loop.do(func(*core.Core) {})
+	if err := o.n.journal.Flush(ctx); err != nil {
+		o.takeBack(s)
+		return false, err
+	}
+	return true, nil
+}
+
+// holdIfIdle holds back new calls of a slot if none runs.
+func (o *ownerRuntime) holdIfIdle(s core.Slot) bool {
+	idle := false
+	o.n.loop.do(func(c *core.Core) {
+		if idle = c.Busy([]core.Slot{s}) == 0; idle {
+			o.hold(s)
 		}
-		select {
-		case <-ctx.Done():
-			o.takeBack(s)
-			return false, ctx.Err()
-		case <-time.After(busyPoll):
+	})
+	return idle
+}
+
+// drainingLong reports whether the drain has waited long enough for moments
+// without running calls.
+func (o *ownerRuntime) drainingLong() bool {
+	started := o.n.drainStarted.Load()
+	return started != 0 && time.Since(time.Unix(0, started)) > softDrain
+}
+
+// holdUntilIdle holds back new calls of a busy slot for a short time, so that a
+// slot in which some call always runs can be handed over. Calls that arrive
+// meanwhile wait at the entries that received them.
+func (o *ownerRuntime) holdUntilIdle(ctx context.Context, s core.Slot) bool {
+	o.hold(s)
+	deadline := time.Now().Add(maxHold)
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		if o.holdIfIdle(s) {
+			return true
 		}
+		sleep(ctx, busyPoll)
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.released, s)
+	return false
 }
 
 func (o *ownerRuntime) isDraining() bool { return o.n.draining.Load() }
