Report a crash before the failures of its attempts

Cause: the failure of an attempt could reach an entry before the report of the crash that broke it, so that the entry had to guess which crash it was.

Change: failures of attempts on board are sent once the report is on every heartbeat stream, at most 100 ms later.

--- a/pkg/sidecar/dispatch.go
+++ b/pkg/sidecar/dispatch.go
@@ -31,14 +31,16 @@
 	d       *peerv1.Dispatch
 	arrived time.Time
 	cancel  context.CancelCauseFunc
-	// crash is called with Sidecar.mu held.
-	crash func()
+	// crash gives the attempt up because of a crash. Its failure is sent when
+	// the channel is closed.
+	crash func(reported <-chan struct{})
 
-	mu     sync.Mutex
-	passed bool           // the upstream may have seen the request
-	veto   *decide.Refuse // the reason why it was not passed on
-	onPass func()         // called once, when it is passed on
-	send   func(*peerv1.Data) error
+	mu       sync.Mutex
+	passed   bool            // the upstream may have seen the request
+	reported <-chan struct{} // closed when the peers know of the crash
+	veto     *decide.Refuse  // the reason why it was not passed on
+	onPass   func()          // called once, when it is passed on
+	send     func(*peerv1.Data) error
 }
 
 func (c *call) wasPassed() bool {
@@ -156,7 +158,12 @@
 	base, stop := context.WithDeadline(base, limit)
 	runCtx, cancel := context.WithCancelCause(base)
 	c.cancel = cancel
-	c.crash = func() { cancel(errCrashed) }
+	c.crash = func(reported <-chan struct{}) {
+		c.mu.Lock()
+		c.reported = reported
+		c.mu.Unlock()
+		cancel(errCrashed)
+	}
 	started := make(chan struct{})
 	c.onPass = sync.OnceFunc(func() { close(started) })
 	announce := sync.OnceFunc(func() {
@@ -261,6 +268,15 @@
 
 // deliver sends the outcome to the owner.
 func (s *Sidecar) deliver(st *transport.Stream, c *call, o outcome, closed chan error) {
+	c.mu.Lock()
+	reported := c.reported
+	c.mu.Unlock()
+	if reported != nil {
+		select {
+		case <-reported:
+		case <-s.ctx.Done():
+		}
+	}
 	var err error
 	if o.done != nil {
 		s.mu.Lock()
--- a/pkg/sidecar/heartbeat.go
+++ b/pkg/sidecar/heartbeat.go
@@ -148,21 +148,34 @@
 }
 
 // pushHeartbeats tells every peer that exchanges heartbeats at once what
-// changed.
-func (s *Sidecar) pushHeartbeats() {
+// changed. The returned channel is closed when all have been told or have
+// failed.
+func (s *Sidecar) pushHeartbeats() <-chan struct{} {
 	s.mu.Lock()
 	list := make([]*peerState, 0, len(s.peers))
 	for _, ps := range s.peers {
 		list = append(list, ps)
 	}
 	s.mu.Unlock()
+	var wg sync.WaitGroup
 	for _, ps := range list {
-		s.background(func() {
+		wg.Add(1)
+		started := s.background(func() {
+			defer wg.Done()
 			ps.send.Lock()
 			defer ps.send.Unlock()
 			if ps.stream != nil {
 				_ = ps.stream.Send(s.heartbeat(ps)) // the session ends with its failure
 			}
 		})
+		if !started {
+			wg.Done()
+		}
 	}
+	told := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(told)
+	}()
+	return told
 }
--- a/pkg/sidecar/model_test.go
+++ b/pkg/sidecar/model_test.go
@@ -189,6 +189,8 @@
 	d := chat("a2", "poison", 10)
 	d.Fingerprint = 666
 	culprit := receive(p.dispatch(d))
+	// The report is sent before the failures: it waits on the heartbeat stream.
+	_ = hb.SetDeadline(time.Now().Add(500 * time.Millisecond))
 	for _, r := range []ended{culprit, receive(bystander)} {
 		if r.failed == nil || !r.failed.Crashed || r.failed.Ran == string(core.RanNo) {
 			t.Errorf("on board of a crash: %+v", r)
--- a/pkg/sidecar/monitor.go
+++ b/pkg/sidecar/monitor.go
@@ -24,6 +24,9 @@
 	// verdictTimeout bounds the search for the reason of a broken connection.
 	verdictTimeout = 1500 * time.Millisecond
 	verdictRetry   = 50 * time.Millisecond
+	// crashReportWait bounds the wait for peers to take a crash report before
+	// the failures of the attempts on board are sent.
+	crashReportWait = 100 * time.Millisecond
 	// tickInterval drives the terms of pins and results.
 	tickInterval = 250 * time.Millisecond
 )
@@ -202,12 +205,15 @@
 }
 
 // upstreamCrashed breaks the attempts on board and reports their fingerprints.
+// The owners hear of the failures after the report: an entry that knows of the
+// crash does not have to guess which one broke its attempt.
 func (s *Sidecar) upstreamCrashed(e decide.Crashed) {
 	s.met.crashes.Inc()
+	reported := make(chan struct{})
 	s.mu.Lock()
 	for _, id := range e.Attempts {
 		if c := s.calls[id]; c != nil {
-			c.crash()
+			c.crash(reported)
 		}
 	}
 	s.cache.lost()
@@ -226,5 +232,14 @@
 	s.mu.Unlock()
 	s.log.Warn("upstream crashed", "step", "crash", "peer", s.cfg.Upstream.URL, "incarnation", e.Incarnation,
 		"on_board", len(e.Attempts), "fingerprints", len(e.Fingerprints))
-	s.pushHeartbeats()
+	told := s.pushHeartbeats()
+	s.background(func() {
+		defer close(reported)
+		timer := time.NewTimer(crashReportWait)
+		defer timer.Stop()
+		select {
+		case <-told:
+		case <-timer.C:
+		}
+	})
 }
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -307,13 +307,14 @@
 	}
 }
 
-// background runs f unless the sidecar has stopped.
-func (s *Sidecar) background(f func()) {
+// background runs f and reports true, unless the sidecar has stopped.
+func (s *Sidecar) background(f func()) bool {
 	s.loopMu.Lock()
 	defer s.loopMu.Unlock()
 	if !s.ended {
 		s.loops.Go(f)
 	}
+	return !s.ended
 }
 
 // mayCommand reports whether the peer may dispatch and give orders.
