--- a/pkg/core/coretest/recover_test.go
+++ b/pkg/core/coretest/recover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
@@ -104,3 +105,58 @@
 		t.Error("the repaired records do not restore the program")
 	}
 }
+
+// Guards against numbers of tokens that overflow or lower the budget account.
+func TestStatedTokensCannotPassBudget(t *testing.T) {
+	s := newScript()
+	at := core.At{Time: s.now}
+	std := s.cfg.Profiles["std"]
+	std.Budget.Tokens = 100
+	s.cfg.Profiles["std"] = std
+	s.step(core.ConfigApplied{At: at, Config: s.cfg})
+	s.step(core.UpstreamChanged{At: at, Info: core.UpstreamInfo{ID: "m1", Kind: core.KindModel}})
+	s.step(core.SlotsAcquired{At: at, Slots: allSlots(16, 1)})
+	s.step(core.ProgramOpened{At: at, Call: "o", ID: "p003-aa", Caller: "lango"})
+	s.step(core.CallArrived{At: at, Call: core.Call{
+		ID: "c1", Program: "p003-aa", Caller: "lango", Kind: core.KindModel, PromptTokens: 10, MaxTokens: math.MaxInt64,
+	}})
+	out := s.c.Step(core.JournalCommitted{At: at, Seq: 2})
+	d, ok := out[len(out)-1].(core.Dispatch)
+	if !ok || d.MaxTokens != 90 {
+		t.Fatalf("effects %v", out)
+	}
+	s.step(core.AttemptDone{At: at, Attempt: d.Attempt, Answer: core.Answer{PromptTokens: -1 << 62, OutputTokens: 40}})
+	if st, _ := s.c.Program("p003-aa"); st.Spent.Tokens != 40 {
+		t.Errorf("spent %d tokens", st.Spent.Tokens)
+	}
+}
+
+// Guards against an unknown outcome of a claim that was never in the store, and
+// so never dispatched, and against the same verdict on a claim that was.
+func TestRetainedClaimDidNotRun(t *testing.T) {
+	s := newScript()
+	at := core.At{Time: s.now}
+	s.step(core.ConfigApplied{At: at, Config: s.cfg})
+	s.step(core.UpstreamChanged{At: at, Info: core.UpstreamInfo{ID: "b1", Kind: core.KindService, Service: "booking"}})
+	s.step(core.SlotsAcquired{At: at, Slots: allSlots(16, 1)})
+	call := core.CallArrived{At: at, Call: core.Call{
+		ID: "c1", Program: "p003-aa", Caller: "lango", Kind: core.KindService, Service: "booking", Operation: "charge",
+		Key: "k", Digest: 7,
+	}}
+	stored := recordsOf(s.c.Step(core.ProgramOpened{At: at, Call: "o", ID: "p003-aa", Caller: "lango"}))
+	stored = append(stored, recordsOf(s.c.Step(call))...)
+	retained := append([]core.Record{}, stored...)
+	retained[1].Retained = true
+	for name, tc := range map[string]struct {
+		records []core.Record
+		last    core.RecordKind
+	}{
+		"retained":            {retained, core.RecordRefused},
+		"retained and stored": {append(append([]core.Record{}, retained...), stored...), core.RecordProgram},
+	} {
+		_, own := acquireAll(tc.records)
+		if got := own[len(own)-1].Kind; got != tc.last {
+			t.Errorf("%s: the last record is %s, want %s", name, got, tc.last)
+		}
+	}
+}
--- a/pkg/core/event.go
+++ b/pkg/core/event.go
@@ -123,6 +123,8 @@
 		Attempt AttemptID `json:"attempt"`
 		Ran     Ran       `json:"ran"`
 		Answer  Answer    `json:"answer"` // valid for RanYes
+		// Unreachable is set when nobody could be asked; the core asks again.
+		Unreachable bool `json:"unreachable,omitempty"`
 	}
 
 	// UpstreamChanged adds an upstream or replaces its description.
@@ -189,7 +191,8 @@
 	// SlotsReleased tells that this process gives up the slots in a planned
 	// hand-over: no new call of theirs is accepted. Once Core.Busy is 0 and
 	// the hand-over record is durable, a second event with Done makes the core
-	// forget the programs.
+	// forget the programs. If the hand-over fails, SlotsAcquired with the same
+	// epoch and no records makes the core accept calls again.
 	SlotsReleased struct {
 		At
 		Slots []Slot `json:"slots"`
--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -78,8 +78,11 @@
 }
 
 // runAttempt carries one attempt to its end and returns the event that ends it.
-func (n *Entry) runAttempt(ctx context.Context, d core.Dispatch, p *pendingCall, turns []core.Turn, partial string) core.Event {
-	body, err := n.histories.DispatchBody(p.req, turns, partial, d.MaxTokens)
+func (n *Entry) runAttempt(ctx context.Context, d core.Dispatch, p *pendingCall, turns []core.Turn, partial partialAnswer) core.Event {
+	if d.MaxTokens > 0 && partial.tokens > 0 {
+		d.MaxTokens = max(d.MaxTokens-partial.tokens, 1)
+	}
+	body, err := n.histories.DispatchBody(p.req, turns, partial.text, d.MaxTokens)
 	if err != nil {
 		return failedAttempt(d, "build request", core.RanNo, err)
 	}
@@ -124,6 +127,8 @@
 		Fingerprint:   call.Fingerprint,
 		Stream:        call.Stream,
 		Body:          body,
+
+		SidecarIncarnation: string(d.SidecarIncarnation),
 	}
 }
 
@@ -134,7 +139,7 @@
 }
 
 // receive reads the sidecar's messages until the attempt ends.
-func (n *Entry) receive(d core.Dispatch, p *pendingCall, st *transport.Stream, partial string) core.Event {
+func (n *Entry) receive(d core.Dispatch, p *pendingCall, st *transport.Stream, partial partialAnswer) core.Event {
 	first := true
 	for {
 		env, err := st.Recv()
@@ -152,7 +157,7 @@
 				first = false
 				n.loop.post(core.FirstToken{At: now(), Attempt: d.Attempt, CachedTokens: m.Data.GetCachedTokens()})
 			}
-			p.chunk(d.Attempt, m.Data.GetChunk())
+			p.chunk(d.Attempt, m.Data.GetChunk(), m.Data.GetTokens())
 		case *peerv1.Envelope_Done:
 			return core.AttemptDone{At: now(), Attempt: d.Attempt, Answer: answerOf(m.Done, partial)}
 		case *peerv1.Envelope_Failed:
@@ -167,13 +172,13 @@
 
 // answerOf returns the answer with the text that earlier attempts delivered put
 // before it.
-func answerOf(m *peerv1.Done, partial string) core.Answer {
+func answerOf(m *peerv1.Done, partial partialAnswer) core.Answer {
 	return core.Answer{
-		Body:         frontend.PrependText(m.GetBody(), partial),
+		Body:         frontend.PrependText(m.GetBody(), partial.text),
 		Status:       int(m.GetStatus()),
 		PromptTokens: m.GetPromptTokens(),
 		CachedTokens: m.GetCachedTokens(),
-		OutputTokens: m.GetOutputTokens(),
+		OutputTokens: m.GetOutputTokens() + partial.tokens,
 		FinishReason: m.GetFinishReason(),
 	}
 }
@@ -204,7 +209,7 @@
 	} else {
 		outcome.Ran = core.Ran(m.GetRan())
 		if m.GetDone() != nil {
-			outcome.Answer = answerOf(m.GetDone(), "")
+			outcome.Answer = answerOf(m.GetDone(), partialAnswer{})
 		}
 	}
 	outcome.At = now()
@@ -217,7 +222,7 @@
 func (n *Entry) askOutcome(ctx context.Context, e core.ResolveClaim) (*peerv1.Outcome, error) {
 	ask := &peerv1.Envelope{Body: &peerv1.Envelope_Resolve{Resolve: &peerv1.Resolve{
 		Attempt: string(e.Attempt), Service: e.Service, Key: serviceKey(e.Program, e.Key),
-		Slot: uint32(e.Slot), Epoch: uint64(e.Epoch),
+		Slot: uint32(e.Slot), Epoch: uint64(e.Epoch), SidecarIncarnation: string(e.SidecarIncarnation),
 	}}}
 	for {
 		session, err := n.peers.sidecar(ctx, e.Upstream)
--- a/pkg/quickstart/deployment.go
+++ b/pkg/quickstart/deployment.go
@@ -36,6 +36,7 @@
 	Place
 	HTTPListen string // default: a free loopback port
 	DataFolder string
+	Record     int // programs to record as a trace in the data folder
 }
 
 // EngineSpec describes a model engine with its sidecar.
@@ -69,6 +70,7 @@
 	log   *slog.Logger
 	ctx   context.Context
 	stop  context.CancelFunc
+	net   *partition
 	Store *standinstore.Server
 
 	mu       sync.Mutex
@@ -88,6 +90,7 @@
 	d := &Deployment{
 		opt:      opt,
 		log:      opt.Logger,
+		net:      newPartition(),
 		Store:    standinstore.New(standinstore.Options{InstanceLag: opt.ListLag, Logger: opt.Logger}),
 		starts:   make(map[string]uint64),
 		Entries:  make(map[string]*entry.Entry),
@@ -158,7 +161,8 @@
 	inc := d.nextIncarnation(spec.Name)
 	n, err := entry.New(entry.Config{
 		Instance: spec.Name, Incarnation: inc, Region: spec.Region, FailureDomain: spec.FailureDomain,
-		HTTPListen: spec.HTTPListen, DataFolder: spec.DataFolder, Seed: uint64(len(d.Entries)) + 1,
+		HTTPListen: spec.HTTPListen, DataFolder: spec.DataFolder, RecordTrace: spec.Record,
+		Dialer:            d.net.dialer(spec.Region),
 		TrustCallerHeader: true, Operators: []string{"operator"}, Store: client, Logger: d.log,
 	})
 	if err != nil {
@@ -244,6 +248,7 @@
 func (d *Deployment) list(in objectapi.Instance) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.net.place(in.Address, in.Region)
 	d.listed[in.ID] = in
 	d.publishLocked()
 }
