--- a/pkg/core/sidecar/state.go
+++ b/pkg/core/sidecar/state.go
@@ -430,12 +430,16 @@
 // expireResults drops old records. Non-idempotent attempts leave a digest, so
 // that they are refused for ever.
 func (s *State) expireResults() {
+	if len(s.expiry) == 0 {
+		s.expiry = nil
+	}
 	for len(s.expiry) > 0 {
 		a := s.expiry[0]
 		old := s.now.Sub(a.endedAt) > s.o.ResultTerm
 		if !old && s.bytes <= s.o.ResultBytes {
 			return
 		}
+		s.expiry[0] = nil // the array outlives the slice's start
 		s.expiry = s.expiry[1:]
 		if s.attempts[a.id] != a {
 			continue // listed twice because a late outcome ended it again
