Test takeovers under changes of the retention set and checkpoints

Cause: the random test of takeovers covered neither. With checkpoints it hung: a second checkpoint waited in a mutex for the first, beyond its own time limit.

Change: checkpoints wait for each other only as long as their context allows. The test draws sets and checkpoints, and checks that enough runs had them.

--- a/pkg/journal/checkpoint.go
+++ b/pkg/journal/checkpoint.go
@@ -39,8 +39,12 @@
 // log and the checkpoint before are unchanged.
 func (p *PendingCheckpoint) Write(ctx context.Context, recs []core.Record) error {
 	w := p.w
-	w.checkpointing.Lock()
-	defer w.checkpointing.Unlock()
+	select {
+	case w.checkpointing <- struct{}{}:
+		defer func() { <-w.checkpointing }()
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "journal %s: checkpoint: wait for the one before", w.self)
+	}
 	var covered uint64
 	select {
 	case r := <-p.done:
--- a/pkg/journal/property_test.go
+++ b/pkg/journal/property_test.go
@@ -1,9 +1,11 @@
 package journal
 
 import (
+	"context"
 	"encoding/binary"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -117,49 +119,95 @@
 }
 
 // Guards against an owner that acknowledges a record which its successor does
-// not recover: the takeover happens at a random moment, with random faults, and
-// the owner goes on without knowing of it.
+// not recover: the takeover happens at a random moment, with random faults,
+// changes of the retention set and checkpoints, and the owner goes on without
+// knowing of it.
 func TestNothingAcknowledgedIsLost(t *testing.T) {
-	fenced := 0
+	fenced, changed, covered := 0, 0, 0
 	for seed := range uint64(300) {
 		synctest.Test(t, func(t *testing.T) {
 			rnd := rand.New(rand.NewPCG(seed, 2))
 			mem := objectapi.NewMemory(objectapi.MemoryOptions{})
 			r, links := withMembers(t, mem)
-			seq := core.Seq(1)
+			ids := []core.Incarnation{"b.1", "c.1", "d.1"}
+			k, err := NewKeeper(mem.Client("d"), KeeperOptions{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			links["d.1"] = &link{Keeper: k}
+			all := []core.Record{turn("p", 1)}
+			var wg sync.WaitGroup
+			limited := func(f func(context.Context) error) {
+				limit := time.Duration(rnd.IntN(3000)) * time.Millisecond
+				wg.Go(func() {
+					ctx, cancel := context.WithTimeout(t.Context(), limit)
+					defer cancel()
+					_ = f(ctx)
+				})
+			}
 			busy := func(steps int) {
 				for range steps {
 					for range rnd.IntN(4) {
-						seq++
-						r.Append([]core.Record{turn("p", seq)})
+						all = append(all, turn("p", core.Seq(len(all)+1)))
+						r.Append(all[len(all)-1:])
+					}
+					switch rnd.IntN(6) {
+					case 0:
+						rnd.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+						set := append([]core.Incarnation(nil), ids[:1+rnd.IntN(2)]...)
+						limited(func(ctx context.Context) error { return r.SetRetention(ctx, set) })
+					case 1:
+						p, snapshot := r.BeginCheckpoint(), all[:len(all):len(all)]
+						limited(func(ctx context.Context) error { return p.Write(ctx, snapshot) })
 					}
 					time.Sleep(time.Duration(rnd.IntN(300)) * time.Millisecond)
-					mem.SetFaults([]string{"a", "b", "c"}[rnd.IntN(3)], objectapi.Faults{
+					mem.SetFaults([]string{"a", "b", "c", "d"}[rnd.IntN(4)], objectapi.Faults{
 						Outage: rnd.IntN(2) == 0, LoseAnswers: rnd.IntN(2), LoseWrites: rnd.IntN(2),
 						Delay: time.Duration(rnd.IntN(3)*rnd.IntN(300)) * time.Millisecond,
 					})
-					links[[]core.Incarnation{"b.1", "c.1"}[rnd.IntN(2)]].down.Store(rnd.IntN(4) == 0)
+					links[ids[rnd.IntN(3)]].down.Store(rnd.IntN(4) == 0)
 				}
 			}
-			busy(rnd.IntN(30))
-			for _, l := range links { // the successor reaches every member
-				l.down.Store(false)
+			busy(rnd.IntN(40))
+			// The members that the log names answer; any other is lost.
+			l, err := SealAndOpen(t.Context(), mem, "a.1", "e.1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			var retained []*peerv1.Retain
+			for _, id := range l.Members() {
+				res, err := links[id].Fence("a.1")
+				if err != nil {
+					t.Fatal(err)
+				}
+				retained = append(retained, res.Retained...)
+			}
+			recs, err := l.Recover(t.Context(), retained)
+			if err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+			if len(l.Members()) != 2 {
+				changed++
+			}
+			if l.l.checkpoint >= 0 {
+				covered++
 			}
-			recs := takeOver(t, mem, links)
 			busy(10)
 			r.stop()
 			var s *SealedError
 			if errors.As(<-r.done, &s) {
 				fenced++
 			}
+			wg.Wait()
 			durable := core.Seq(max(r.committed.Load(), r.retained.Load()))
-			if last := recs[len(recs)-1].Seq; last < durable {
+			last := recs[len(recs)-1].Seq
+			if last < durable {
 				t.Errorf("seed %d: acknowledged up to %d, recovered up to %d", seed, durable, last)
 			}
-			wantSeqs(t, recs, 1, recs[len(recs)-1].Seq)
+			wantSeqs(t, recs, 1, last)
 		})
 	}
-	if fenced < 150 {
-		t.Errorf("only %d of 300 owners learnt of the takeover", fenced)
+	if fenced < 150 || changed < 30 || covered < 30 {
+		t.Errorf("of 300 runs %d learnt of the takeover, %d had a changed set, %d a checkpoint", fenced, changed, covered)
 	}
 }
--- a/pkg/journal/writer.go
+++ b/pkg/journal/writer.go
@@ -35,8 +35,9 @@
 
 	held map[uint64]uint64 // last object of a hand-over to its first; guarded by mu
 
-	// checkpointing guards the fields up to the next empty line.
-	checkpointing sync.Mutex
+	// checkpointing holds a value while a checkpoint is written. It guards the
+	// fields up to the next empty line.
+	checkpointing chan struct{}
 	generation    uint64
 	covered       uint64   // last object that the last checkpoint covers
 	parts         []string // keys of the last checkpoint
@@ -100,7 +101,8 @@
 	w := &Writer{
 		c: c, self: self, o: o, wake: make(chan struct{}, 1), next: 1,
 		members: map[core.Incarnation]*member{}, held: map[uint64]uint64{},
-		appendc: make(chan appendResult, 1), retainc: make(chan retainRound, 1),
+		checkpointing: make(chan struct{}, 1),
+		appendc:       make(chan appendResult, 1), retainc: make(chan retainRound, 1),
 	}
 	if len(o.Retention) > 0 {
 		w.put(entry{control: &peerv1.JournalObject{Retention: setNames(o.Retention)}})
