Read and write a streamed token with fewer allocations

Each token that the owner passes on was decoded into a whole chunk with usage and index, and written through a buffer of its own. ChunkText now decodes only the text and the finish reason into an array for the one choice, and the sink keeps its buffer.

--- a/pkg/frontend/stream.go
+++ b/pkg/frontend/stream.go
@@ -23,6 +23,7 @@
 	w       http.ResponseWriter
 	program core.ProgramID
 	started bool
+	buf     []byte // of the event, used again for each chunk
 }
 
 func (k *sseSink) start() {
@@ -40,11 +41,10 @@
 // Chunk implements Sink.
 func (k *sseSink) Chunk(chunk []byte) error {
 	k.start()
-	buf := make([]byte, 0, len(ssePrefix)+len(chunk)+len(sseEnd))
-	buf = append(buf, ssePrefix...)
-	buf = append(buf, bytes.TrimSpace(chunk)...)
-	buf = append(buf, sseEnd...)
-	if _, err := k.w.Write(buf); err != nil {
+	k.buf = append(k.buf[:0], ssePrefix...)
+	k.buf = append(k.buf, bytes.TrimSpace(chunk)...)
+	k.buf = append(k.buf, sseEnd...)
+	if _, err := k.w.Write(k.buf); err != nil {
 		return errors.Wrap(err, "write to caller")
 	}
 	flush(k.w)
@@ -170,9 +170,24 @@
 	})
 }
 
+// chunkText is the part of a chunk that ChunkText reads. It is decoded for each
+// token, so the fields that are not needed are left out.
+type chunkText struct {
+	Choices []chunkTextChoice `json:"choices"`
+	first   [1]chunkTextChoice
+}
+
+type chunkTextChoice struct {
+	Delta struct {
+		Content string `json:"content"`
+	} `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
 // ChunkText returns the text of a chunk and whether it carries a finish reason.
 func ChunkText(chunk []byte) (text string, final bool) {
-	var b chunkBody
+	var b chunkText
+	b.Choices = b.first[:0] // an answer has one choice, which needs no allocation
 	if err := json.Unmarshal(chunk, &b); err != nil || len(b.Choices) == 0 {
 		return "", err == nil
 	}
