Let only the watchers of the store push a configuration change

Now the two watching entries per failure domain push; a process that they miss is levelled by the next heartbeat of any entry, as before. A change that came into force during an exchange with a peer waited for the peer's next heartbeat, which the many pushes had hidden; the exchange is now repeated at once.

--- a/pkg/entry/configsync.go
+++ b/pkg/entry/configsync.go
@@ -48,18 +48,35 @@
 	return c
 }
 
-// applied puts a configuration in force in this process and passes it on. The
-// distributor calls it once for each version, in order.
+// applied puts a configuration in force in this process. An entry that watches
+// the store passes it on at once; if all entries did, each process would get
+// every change from each of them. Processes that the watchers do not reach are
+// levelled by the next heartbeat of any entry. The distributor calls applied once
+// for each version, in order.
 func (c *configSync) applied(cfg core.Config) {
 	c.n.owner.setRegions(cfg.Regions)
 	c.n.loop.post(core.ConfigApplied{At: now(), Config: cfg})
+	for _, addr := range c.pushTargets(cfg.Version) {
+		c.mu.Lock()
+		c.syncLocked(addr)
+		c.mu.Unlock()
+	}
+}
+
+// pushTargets returns the peers to which this entry passes a version on at once.
+func (c *configSync) pushTargets(version uint64) []string {
+	if !c.watches() {
+		return nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var out []string
 	for addr, v := range c.peers {
-		if v < cfg.Version {
-			c.syncLocked(addr)
+		if v < version {
+			out = append(out, addr)
 		}
 	}
+	return out
 }
 
 func (c *configSync) version() uint64 {
@@ -124,10 +141,19 @@
 		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		delete(c.asking, addr)
+		c.exchangedLocked(addr, err)
 	}()
 }
 
+// exchangedLocked ends an exchange with a peer. A change that came into force
+// meanwhile is passed on now and not after the next heartbeat.
+func (c *configSync) exchangedLocked(addr string, err error) {
+	delete(c.asking, addr)
+	if err == nil && c.peers[addr] < c.version() {
+		c.syncLocked(addr)
+	}
+}
+
 // exchange pushes the newer configuration or fetches it.
 func (c *configSync) exchange(addr string) error {
 	s := c.n.peers.byAddress(addr)
