Count the slots of all entries in one pass

The search for the entry that holds fewest slots went over all slots once per entry, in each tick of 100 ms.

BenchmarkTick at 137 entries and 4,096 slots, three runs each: 5.1 to 5.9 ms before, 0.38 to 0.45 ms after; 575 allocations before, 45 after. The tick's share of a core falls from 5% to 0.4%; the limit for all control is 1.4%.

--- a/pkg/core/ownership/ownership.go
+++ b/pkg/core/ownership/ownership.go
@@ -470,11 +470,17 @@
 }
 
 func (m *Manager) neediest() (target Peer, held int, ok bool) {
+	// One pass over the slots: a pass per peer took 5 ms of each 100 ms tick at
+	// 137 entries and 4,096 slots.
+	counts := make(map[core.Incarnation]int)
+	for _, o := range m.slots.Slots {
+		counts[o.Incarnation]++
+	}
 	for _, p := range m.liveIn(m.self.Region) {
 		if p.Instance == m.self.Instance {
 			continue
 		}
-		n := len(m.slotsOf(p.Incarnation))
+		n := counts[p.Incarnation]
 		if !ok || n < held {
 			target, held, ok = p, n, true
 		}
