--- a/pkg/quickstart/capacity_bench_test.go
+++ b/pkg/quickstart/capacity_bench_test.go
@@ -178,6 +178,8 @@
 	return &meteredConn{c, &f.sent, &f.received}, nil
 }
 
+func (f *fleet) storeCalls() int64 { return int64(f.store.Counts().Total()) }
+
 func (f *fleet) await(b *testing.B, what string, done func() bool) {
 	b.Helper()
 	for end := time.Now().Add(time.Minute); !done(); time.Sleep(time.Millisecond) {
@@ -196,7 +198,7 @@
 	for _, peers := range []int{1, 8, 32, 128} {
 		b.Run(fmt.Sprintf("peers=%d", peers), func(b *testing.B) {
 			var alone, exchange time.Duration
-			var memory, sent, received float64
+			var memory, sent, received, calls float64
 			for range b.N {
 				f := newFleet(b)
 				f.startSidecars(b, peers)
@@ -208,13 +210,14 @@
 				f.startEntries(b, 1)
 				time.Sleep(time.Second) // the first heartbeats
 				memory += inUse() - heap
-				s, r := f.sent.Load(), f.received.Load()
+				s, r, stored := f.sent.Load(), f.received.Load(), f.storeCalls()
 				before = cpuTime(b)
 				time.Sleep(interval)
 				exchange += cpuTime(b) - before - idle
 				alone += idle
 				sent += float64(f.sent.Load() - s)
 				received += float64(f.received.Load() - r)
+				calls += float64(f.storeCalls() - stored)
 			}
 			seconds := interval.Seconds() * float64(b.N)
 			b.ReportMetric(exchange.Seconds()*1e6/seconds, "cpu-us/s")
@@ -222,6 +225,7 @@
 			b.ReportMetric(sent/seconds/float64(peers), "sent-B/s/peer")
 			b.ReportMetric(received/seconds/float64(peers), "received-B/s/peer")
 			b.ReportMetric(memory/float64(b.N), "B")
+			b.ReportMetric(calls/seconds, "store-calls/s")
 		})
 	}
 }
