Measure refusals over sockets; show place and attempts of sidecars in status

Cause: the goal of a refusal within 10 ms was not measured over sockets, and the status table had empty columns for sidecars.

Change: BenchmarkRefusal; status fields of sidecars named as those of entries.

--- a/pkg/quickstart/bench_test.go
+++ b/pkg/quickstart/bench_test.go
@@ -108,3 +108,63 @@
 	slices.Sort(s)
 	return s[int(float64(len(s)-1)*q)]
 }
+
+// BenchmarkRefusal measures how soon a caller learns that a program is not
+// admitted, while the only engine is overloaded. The goal is 10 ms.
+func BenchmarkRefusal(b *testing.B) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	slow := model.Defaults()
+	slow.Models = []string{"m"}
+	slow.Slots = 2
+	slow.DecodeRate = 2
+	d, err := Start(ctx, Options{
+		Shared:  []byte(testShared),
+		Engines: []EngineSpec{{Name: "engine-1", Place: east, Model: slow}},
+		Entries: []EntrySpec{{Name: "entry-1", Place: east}, {Name: "entry-2", Place: east}},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	url := "http://" + d.Entry("entry-1").HTTPAddr()
+	for i := range 40 {
+		go func() {
+			req, _ := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions",
+				strings.NewReader(`{"model":"m","max_tokens":400,"standin_output_tokens":400,"messages":[{"role":"user","content":"q"}]}`))
+			req.Header.Set("Yucca-Caller", fmt.Sprintf("caller-%d", i%4))
+			if resp, err := http.DefaultClient.Do(req); err == nil {
+				_ = resp.Body.Close()
+			}
+		}()
+	}
+	time.Sleep(3 * time.Second)
+	var refused []time.Duration
+	admitted := 0
+	for b.Loop() {
+		start := time.Now()
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/programs", strings.NewReader(`{}`))
+		if err != nil {
+			b.Fatal(err)
+		}
+		req.Header.Set("Yucca-Caller", fmt.Sprintf("caller-%d", len(refused)%4))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			refused = append(refused, time.Since(start))
+		} else {
+			admitted++
+		}
+	}
+	b.ReportMetric(float64(admitted), "admitted")
+	if len(refused) == 0 {
+		b.Fatal("no program was refused")
+	}
+	b.ReportMetric(float64(quantile(refused, 0.5).Microseconds()), "refusal-p50-us")
+	b.ReportMetric(float64(quantile(refused, 0.99).Microseconds()), "refusal-p99-us")
+	for _, name := range sortedNames(d.Entries) {
+		d.KillEntry(name)
+	}
+}
--- a/pkg/sidecar/status.go
+++ b/pkg/sidecar/status.go
@@ -9,12 +9,15 @@
 type Status struct {
 	Instance            string `json:"instance"`
 	Incarnation         string `json:"incarnation"`
+	Role                string `json:"role"`
+	Region              string `json:"region"`
+	FailureDomain       string `json:"failure_domain"`
 	Upstream            string `json:"upstream"`
 	Kind                string `json:"kind"`
 	UpstreamIncarnation uint64 `json:"upstream_incarnation"`
 	Reachable           bool   `json:"reachable"`
 	Draining            bool   `json:"draining"`
-	Running             int    `json:"running"`
+	Running             int    `json:"attempts_running"`
 	Undelivered         int    `json:"undelivered"`
 	Pins                int    `json:"pins"`
 	Held                int    `json:"held_prefixes"`
@@ -29,7 +32,8 @@
 	defer s.mu.Unlock()
 	inc, _ := s.state.Upstream()
 	return Status{
-		Instance: s.cfg.Instance, Incarnation: s.cfg.Incarnation, Upstream: s.cfg.Upstream.ID,
+		Instance: s.cfg.Instance, Incarnation: s.cfg.Incarnation, Role: roleSidecar,
+		Region: s.cfg.Region, FailureDomain: s.cfg.FailureDomain, Upstream: s.cfg.Upstream.ID,
 		Kind: string(s.cfg.Upstream.Kind), UpstreamIncarnation: inc, Reachable: s.reachable,
 		Draining: s.state.Draining(), Running: s.state.Running(), Undelivered: s.state.Undelivered(),
 		Pins: s.state.Pins(), Held: len(s.cache.held), Peers: peers, ConfigVersion: s.configVersion,
