--- a/pkg/entry/effects.go
+++ b/pkg/entry/effects.go
@@ -10,6 +10,7 @@
 func (n *Entry) execute(eff core.Effect) {
 	switch e := eff.(type) {
 	case core.AppendJournal:
+		n.journaled.add(e.Records)
 		n.journal.Append(e.Records)
 	case core.Dispatch:
 		n.metrics.attempt()
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -48,10 +48,10 @@
 
 	outcomesFile *lumberjack.Logger
 
-	ctx      context.Context
-	stop     context.CancelFunc
-	draining atomic.Bool
-	commits  atomic.Uint64 // appends to the journal
+	ctx       context.Context
+	stop      context.CancelFunc
+	draining  atomic.Bool
+	journaled journalSize
 
 	drainStarted atomic.Int64 // Unix nanoseconds, 0 while not draining
 
@@ -124,7 +124,7 @@
 }
 
 func (n *Entry) onCommitted(s core.Seq) {
-	n.commits.Add(1)
+	n.journaled.appends.Add(1)
 	n.loop.post(core.JournalCommitted{At: now(), Seq: s})
 }
 
