Say not run only if no owner had the request; do not cut long forwarded calls

Cause: when an owner died with a forwarded booking under way and later attempts found no owner before the deadline, the receiving entry answered ran: no from the last attempt alone. A forwarded call without a deadline was cut after 60 s. Kill in tests let requests learn that the process ends, which hid the first fault.

Change: the entry remembers that any owner had the request; only the search for an owner is bounded, by the caller's deadline or 60 s; the deadline that is passed on shrinks with the time spent; Kill breaks the connections first.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -269,13 +269,14 @@
 	n.loop.post(core.DrainStarted{At: now()})
 }
 
-// Kill ends the process without draining, as a crash does. It serves tests.
+// Kill ends the process without draining, as a crash does: connections break
+// before any request learns that the process ends. It serves tests.
 func (n *Entry) Kill() {
-	n.stop()
-	_ = n.server.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	_ = n.transport.Close(ctx)
+	_ = n.server.Close()
+	n.stop()
 	n.running.Wait()
 	_ = n.closeRecords()
 }
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,9 +16,14 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
-// defaultForwardTime bounds the search for an owner when the caller names no
-// deadline. It covers a takeover of about 4 s with margin.
-const defaultForwardTime = 60 * time.Second
+const (
+	// searchTime bounds the search for an owner when the caller names no
+	// deadline. It covers a takeover of about 4 s with margin.
+	searchTime = 60 * time.Second
+	// deadlineGrace is the time that the owner gets beyond the caller's
+	// deadline to say itself that it has passed.
+	deadlineGrace = time.Second
+)
 
 // forwardedHeaders are the request headers that the owner reads.
 var forwardedHeaders = []string{
@@ -27,35 +33,53 @@
 
 // Forward implements frontend.Backend. While no byte of the answer has reached
 // the caller the request is sent again after a change of owner: the idempotency
-// key, given or assigned, makes the resend harmless.
+// key, given or assigned, makes the resend harmless. A call that an owner runs
+// is not bounded here but by its own deadline.
 func (n *Entry) Forward(ctx context.Context, t frontend.Target, r *http.Request, body []byte, w http.ResponseWriter) error {
-	ctx, cancel := context.WithTimeout(ctx, forwardTime(r))
-	defer cancel()
 	located := t.Program
 	if located == "" {
 		located = t.Parent
 	}
-	m := forwardMessage(n.cfg.Instance, t, r, body)
+	limit := time.Now().Add(searchTime)
+	deadline, hasDeadline := callerDeadline(r)
+	if hasDeadline {
+		limit = deadline
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(deadlineGrace))
+		defer cancel()
+	}
 	n.metrics.forwards.Inc()
+	reached := false
 	for {
-		sent, err := n.forwardOnce(ctx, located, m, r, body, w)
+		if hasDeadline {
+			r.Header.Set(frontend.HeaderDeadline, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
+		}
+		sent, err := n.forwardOnce(ctx, located, forwardMessage(n.cfg.Instance, t, r, body), r, body, w)
 		if err == nil {
 			return nil
 		}
 		if sent.written {
 			return errors.Wrap(err, "owner lost during the answer")
 		}
+		// An owner that had the request may have run it, whatever came after.
+		reached = reached || sent.reached
 		n.log.Info("forward repeated", "program", located, "peer", sent.peer, "error", err)
-		select {
-		case <-ctx.Done():
-			return noOwner(located, sent, err)
-		case <-n.ctx.Done():
-			return noOwner(located, sent, err)
-		case <-time.After(forwardRetry):
+		sleep(ctx, forwardRetry)
+		if ctx.Err() != nil || n.ctx.Err() != nil || time.Now().After(limit) {
+			return noOwner(located, sent.peer, reached, err)
 		}
 	}
 }
 
+// callerDeadline returns the deadline that the caller named.
+func callerDeadline(r *http.Request) (time.Time, bool) {
+	ms, err := strconv.ParseInt(r.Header.Get(frontend.HeaderDeadline), 10, 64)
+	if err != nil || ms <= 0 {
+		return time.Time{}, false
+	}
+	return time.Now().Add(time.Duration(ms) * time.Millisecond), true
+}
+
 // forwardState tells how far a forward came.
 type forwardState struct {
 	peer    string
@@ -63,23 +87,16 @@
 	written bool // bytes of the answer reached the caller
 }
 
-func noOwner(id core.ProgramID, s forwardState, err error) error {
+func noOwner(id core.ProgramID, peer string, reached bool, err error) error {
 	refusal := frontend.Refuse(core.CodeNotOwner, "find owner", "no owner of program %s answered: %v", id, err)
-	refusal.Peer = s.peer
+	refusal.Peer = peer
 	refusal.RetryAfter = time.Second
-	if s.reached {
+	if reached {
 		refusal.Ran = core.RanUnknown
 	}
 	return refusal
 }
 
-func forwardTime(r *http.Request) time.Duration {
-	if ms, err := time.ParseDuration(r.Header.Get(frontend.HeaderDeadline) + "ms"); err == nil && ms > 0 {
-		return ms
-	}
-	return defaultForwardTime
-}
-
 func forwardMessage(receiver string, t frontend.Target, r *http.Request, body []byte) *peerv1.Forward {
 	m := &peerv1.Forward{
 		Method:   r.Method,
@@ -137,6 +154,7 @@
 		switch b := env.GetBody().(type) {
 		case *peerv1.Envelope_Head:
 			if isNotOwner(b.Head) {
+				state.reached = false // declined without running it
 				return state, errors.New("the peer no longer owns the slot")
 			}
 			for _, h := range b.Head.GetHeaders() {
--- a/pkg/quickstart/failure_test.go
+++ b/pkg/quickstart/failure_test.go
@@ -275,6 +275,28 @@
 	mustRunOnce(t, d, 1)
 }
 
+// Guards invariant 6 (a refusal that says "not run" means it) against an owner
+// that dies with a booking under way while the caller's deadline ends before the
+// takeover: the receiving entry cannot know whether the booking ran.
+func TestOwnerLostWithBookingUnderWay(t *testing.T) {
+	d := startSmall(t, "entry-1", "entry-2")
+	program := open(t, d, "entry-1", "open-1")
+	owner := ownerOf(t, d, program)
+	other := otherThan(d, owner)
+	d.Services["bookings-1"].SetFaults(service.Faults{SlowMS: 1500})
+	var r response
+	var wg sync.WaitGroup
+	wg.Go(func() { r = book(t, d, other, program, "b-1", "Yucca-Deadline-Ms", "1200") })
+	time.Sleep(400 * time.Millisecond)
+	d.KillEntry(owner)
+	wg.Wait()
+	if r.status == http.StatusOK || strings.Contains(r.body, `"ran":"no"`) {
+		t.Errorf("the booking was under way when its owner died, the caller got %d %s", r.status, r.body)
+	}
+	mustOK(t, "resent booking", book(t, d, other, program, "b-1", "Yucca-Deadline-Ms", "20000"))
+	mustRunOnce(t, d, 1)
+}
+
 // Guards against a request that crashes one upstream after another, and against
 // condemning a request that was only on board.
 func TestCrashingRequestIsQuarantined(t *testing.T) {
