Share the cross-region link by class

Cause: nothing kept a burst of calls or a KV transfer from delaying heartbeats and history on the 30 Mbit/s between regions.

Change: a share per process from its settings; control and history are charged without waiting, calls wait while the share is used up, KV transfers get half of it.

Conclusion: precedence holds inside a process; between processes the shares are fixed by settings.

--- a/pkg/cli/daemoncmd/daemon.go
+++ b/pkg/cli/daemoncmd/daemon.go
@@ -103,6 +103,17 @@
 
 func logger(p *config.Process) *slog.Logger { return logging.New(os.Stderr, p.Level()) }
 
+// bytesPerMbit converts the settings' Mbit/s to bytes/s.
+const bytesPerMbit = 1e6 / 8
+
+// link returns the process's share of the link to other regions.
+func link(p *config.Process) *transport.Link {
+	if p.CrossRegion == 0 {
+		return nil
+	}
+	return transport.NewLink(p.CrossRegion * bytesPerMbit)
+}
+
 // advertise returns the address for peers. With port 0 the kernel chooses the
 // port, so only the daemon knows the address.
 func advertise(p *config.Process) string {
@@ -139,6 +150,7 @@
 		PeerListen:        p.PeerListen,
 		PeerAdvertise:     advertise(p),
 		Seeds:             p.Seeds,
+		Link:              link(p),
 		TLS:               tlsCfg,
 		DataFolder:        p.DataFolder,
 		RecordTrace:       p.RecordTrace,
@@ -173,6 +185,7 @@
 		HTTPListen:    p.HTTPListen,
 		TLS:           tlsCfg,
 		EntryNames:    p.EntryNames,
+		Link:          link(p),
 		Upstream: sidecar.Upstream{
 			ID: u.ID, Kind: u.Kind, Service: u.Service, URL: "http://" + u.Address,
 			OutcomeByKey: u.OutcomeByKey, OrderToken: token,
--- a/pkg/config/process.go
+++ b/pkg/config/process.go
@@ -37,6 +37,7 @@
 	PeerListen    string
 	PeerAdvertise string   // address under which peers reach this process
 	Seeds         []string // peers to ask before the instance list can be read
+	CrossRegion   float64  // this process's share of the link to other regions, Mbit/s; 0: not limited
 	EntryNames    []string // certificate names of the entries, for sidecars with TLS
 	TLSCert       string
 	TLSKey        string
@@ -142,6 +143,8 @@
 			value: hostPort(func(p *Process) *string { return &p.PeerAdvertise })},
 		{name: "seeds", example: "10.20.1.12:7070, 10.20.2.11:7070", help: "Entries to ask for the configuration while the instance list cannot be read.",
 			value: list("host:port", validHostPort, func(p *Process) *[]string { return &p.Seeds })},
+		{name: "cross_region_rate", def: "0", unit: "Mbit/s", example: "6", help: "Share of the link to other regions that this process may send. Control and history never wait for it, calls come next, KV cache gets at most half. 0: not limited.",
+			value: number(0, 100000, func(p *Process) *float64 { return &p.CrossRegion })},
 		{name: "entries", example: "dar-a-entry-1, dar-b-entry-1", help: "Certificate names of the entries from which a sidecar takes calls and orders. Needed for sidecars with TLS.",
 			value: list("names", plainName, func(p *Process) *[]string { return &p.EntryNames })},
 		{name: "tls_cert", example: "/etc/yuccaspindle/peer.crt", help: "Certificate file (PEM) for mutual TLS. Needed unless listen is a loopback address.",
--- a/pkg/entry/config.go
+++ b/pkg/entry/config.go
@@ -13,6 +13,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
 	"github.com/yuccaspindle/yuccaspindle/pkg/frontend"
 	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
+	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
 // Timings of the daemon.
@@ -33,12 +34,13 @@
 	FailureDomain string
 	HTTPListen    string // host:port, port 0 lets the kernel choose
 	PeerListen    string
-	PeerAdvertise string      // address under which peers reach this process, if it differs
-	Seeds         []string    // peers to dial while the instance list cannot be read
-	TLS           *tls.Config // nil allows loopback only
-	DataFolder    string      // empty if the instance keeps nothing
-	RecordTrace   int         // programs to record as a trace in the data folder; 0: none
-	Seed          uint64      // of the core; 0 takes a random one, which products must
+	PeerAdvertise string          // address under which peers reach this process, if it differs
+	Seeds         []string        // peers to dial while the instance list cannot be read
+	TLS           *tls.Config     // nil allows loopback only
+	Link          *transport.Link // share of the link to other regions; nil: not limited
+	DataFolder    string          // empty if the instance keeps nothing
+	RecordTrace   int             // programs to record as a trace in the data folder; 0: none
+	Seed          uint64          // of the core; 0 takes a random one, which products must
 
 	Callers           []frontend.Caller
 	Operators         []string // callers that may give operators' orders
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -99,7 +99,7 @@
 		return nil, errors.Wrap(err, "set up retention")
 	}
 	n.transport, err = transport.New(transport.Config{
-		Listen: cfg.PeerListen, TLS: cfg.TLS, Hello: n.hello, Logger: n.log, Dialer: cfg.Dialer,
+		Listen: cfg.PeerListen, TLS: cfg.TLS, Hello: n.hello, Logger: n.log, Dialer: cfg.Dialer, Link: cfg.Link,
 	}, n.serveStream)
 	if err != nil {
 		return nil, errors.Wrap(err, "set up peer transport")
--- a/pkg/sidecar/config.go
+++ b/pkg/sidecar/config.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
 // Config holds the settings of one sidecar. Zero durations and sizes get the
@@ -21,10 +22,11 @@
 	Incarnation   string // "<instance>.<start number>", new at each start
 	Region        string
 	FailureDomain string
-	Listen        string      // host:port for peers; port 0 lets the kernel choose
-	Advertise     string      // host:port that peers dial; default: the listening address
-	HTTPListen    string      // host:port of /metrics, /healthz and /readyz; empty: none
-	TLS           *tls.Config // nil: loopback only
+	Listen        string          // host:port for peers; port 0 lets the kernel choose
+	Advertise     string          // host:port that peers dial; default: the listening address
+	HTTPListen    string          // host:port of /metrics, /healthz and /readyz; empty: none
+	TLS           *tls.Config     // nil: loopback only
+	Link          *transport.Link // share of the link to other regions; nil: not limited
 	// EntryNames are the certificate names of peers that may dispatch and give
 	// orders. SidecarNames are those that may fetch KV cache. Without TLS the
 	// role in the Hello decides.
--- a/pkg/sidecar/sidecar.go
+++ b/pkg/sidecar/sidecar.go
@@ -85,7 +85,7 @@
 	s.met = newMeters(s)
 	s.up = newUpstream(cfg)
 	s.tr, err = transport.New(transport.Config{
-		Listen: cfg.Listen, TLS: cfg.TLS, Hello: s.hello, Logger: s.log,
+		Listen: cfg.Listen, TLS: cfg.TLS, Hello: s.hello, Logger: s.log, Link: cfg.Link,
 	}, s.serve)
 	return s, err
 }
--- a/pkg/transport/session.go
+++ b/pkg/transport/session.go
@@ -29,6 +29,7 @@
 	dialed   bool
 	peer     *peerv1.Hello
 	peerName string
+	remote   bool // the peer is in another region
 }
 
 // newSession runs TLS and the exchange of Hello on a fresh connection.
@@ -69,6 +70,7 @@
 	if err := s.exchangeHello(); err != nil {
 		return fail(err)
 	}
+	s.remote = s.crosses()
 	return s, nil
 }
 
@@ -170,6 +172,7 @@
 			if err != nil {
 				return
 			}
+			st.class = classOf(first)
 			s.t.handler(ctx, s, st, first)
 		}()
 	}
@@ -197,6 +200,11 @@
 		return fail(false, err)
 	}
 	st := newStream(s, ys)
+	st.class = classOf(first)
+	if err := st.pace(first); err != nil {
+		_ = st.Close()
+		return fail(false, err)
+	}
 	if d, ok := ctx.Deadline(); ok {
 		_ = ys.SetWriteDeadline(d)
 	}
--- a/pkg/transport/stream.go
+++ b/pkg/transport/stream.go
@@ -20,6 +20,7 @@
 	ys      *yamux.Stream
 	session *Session
 	r       *bufio.Reader
+	class   linkClass // by the first message
 	once    sync.Once
 }
 
@@ -29,6 +30,9 @@
 
 // Send writes one envelope.
 func (st *Stream) Send(m *peerv1.Envelope) error {
+	if err := st.pace(m); err != nil {
+		return &Error{Step: "wait for the link", Peer: st.session.addr, Err: err}
+	}
 	if sent, err := WriteEnvelope(st.ys, m); err != nil {
 		return &Error{Step: "send", Peer: st.session.addr, Sent: sent, Err: err}
 	}
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -20,6 +20,7 @@
 	Hello     func() *peerv1.Hello // called for each new session
 	KeepAlive time.Duration        // default DefaultKeepAlive
 	Logger    *slog.Logger         // default slog.Default
+	Link      *Link                // share of the link to other regions; nil: not limited
 	// Dialer makes the connections; nil: net.Dialer. Tests use it to separate
 	// processes.
 	Dialer func(ctx context.Context, address string) (net.Conn, error)
