Remove repeated server, ticker and completion code

Change: pkg/standin/httpserver, entry's every, replay's owner.complete. The test of the weight store calls the handler through its new accessor.

--- a/pkg/entry/checkpoint.go
+++ b/pkg/entry/checkpoint.go
@@ -68,18 +68,11 @@
 // checkpoints writes the state of all programs when the journal has grown or
 // time has passed, so that a recovery reads a bounded log.
 func (n *Entry) checkpoints(ctx context.Context) {
-	t := time.NewTicker(checkpointPoll)
-	defer t.Stop()
 	last := checkpointState{at: time.Now()}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	every(ctx, checkpointPoll, func() {
 		appends, bytes := n.journaled.appends.Load(), n.journaled.bytes.Load()
 		if !last.due(appends, bytes, time.Now()) {
-			continue
+			return
 		}
 		size, err := n.checkpoint(ctx)
 		if err != nil {
@@ -87,7 +80,7 @@
 		}
 		// The checkpoint itself is an append, which is not worth another one.
 		last = checkpointState{at: time.Now(), appends: n.journaled.appends.Load(), bytes: bytes, size: uint64(size)}
-	}
+	})
 }
 
 // checkpoint fixes the place in the log and takes the snapshot in one step of
--- a/pkg/entry/configsync.go
+++ b/pkg/entry/configsync.go
@@ -253,10 +253,3 @@
 	}
 	return c.accept(v.Version, v.Text, "store")
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/pkg/entry/records.go
+++ b/pkg/entry/records.go
@@ -64,18 +64,11 @@
 
 // flushOutcomes writes buffered outcomes out at intervals.
 func (n *Entry) flushOutcomes(ctx context.Context) {
-	t := time.NewTicker(outcomesFlush)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	every(ctx, outcomesFlush, func() {
 		if err := n.outcomes.Flush(); err != nil {
 			n.log.Warn("outcomes not written", "error", err)
 		}
-	}
+	})
 }
 
 func (n *Entry) closeRecords() error {
--- a/pkg/entry/removal.go
+++ b/pkg/entry/removal.go
@@ -29,34 +29,32 @@
 // process is known to be gone: an append that such a process repeats would
 // succeed if the object it wrote before had been deleted.
 func (o *ownerRuntime) removeLogs(ctx context.Context) {
-	t := time.NewTicker(removalInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	every(ctx, removalInterval, func() {
 		for _, lost := range o.due(o.fencedOwners) {
 			o.n.keeper.Forget(lost)
-			o.mu.Lock()
-			delete(o.fencedOwners, lost)
-			o.mu.Unlock()
+			o.drop(o.fencedOwners, lost)
 		}
 		for _, lost := range o.due(o.removable) {
-			removeCtx, cancel := context.WithTimeout(ctx, actionTimeout)
-			err := journal.Remove(removeCtx, o.n.cfg.Store, lost)
-			cancel()
-			if err != nil {
+			if err := o.removeLog(ctx, lost); err != nil {
 				o.n.log.Warn("journal of lost owner not removed", "lost", lost, "error", err)
 				continue
 			}
 			o.n.log.Info("journal of lost owner removed", "lost", lost)
-			o.mu.Lock()
-			delete(o.removable, lost)
-			o.mu.Unlock()
+			o.drop(o.removable, lost)
 		}
-	}
+	})
+}
+
+func (o *ownerRuntime) removeLog(ctx context.Context, lost core.Incarnation) error {
+	ctx, cancel := context.WithTimeout(ctx, actionTimeout)
+	defer cancel()
+	return journal.Remove(ctx, o.n.cfg.Store, lost)
+}
+
+func (o *ownerRuntime) drop(from map[core.Incarnation]bool, lost core.Incarnation) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(from, lost)
 }
 
 // due returns the incarnations that own no slot and whose process has ended.
--- a/pkg/entry/retain.go
+++ b/pkg/entry/retain.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"time"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -47,43 +47,23 @@
 // followRetention keeps the retention set filled with live entries, the first
 // from another failure domain if there is one.
 func (n *Entry) followRetention(ctx context.Context) {
-	t := time.NewTicker(listInterval)
-	defer t.Stop()
 	var current []core.Incarnation
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	every(ctx, listInterval, func() {
 		next := n.owner.retentionSet()
-		if sameSet(current, next) {
-			continue
+		if slices.Equal(current, next) {
+			return
 		}
 		// The set changes only by a durable journal record: a successor must
 		// find every entry that may hold a batch.
 		setCtx, cancel := context.WithTimeout(ctx, resolveTimeout)
-		err := n.journal.SetRetention(setCtx, next)
-		cancel()
-		if err != nil {
+		defer cancel()
+		if err := n.journal.SetRetention(setCtx, next); err != nil {
 			n.log.Debug("retention set not changed", "error", err)
-			continue
+			return
 		}
 		current = next
 		n.log.Info("retention set changed", "members", len(next))
-	}
-}
-
-func sameSet(a, b []core.Incarnation) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
+	})
 }
 
 // retentionSet chooses the members: live entries of the own region, one of
--- a/pkg/replay/owner.go
+++ b/pkg/replay/owner.go
@@ -270,20 +270,26 @@
 	answer(core.RanUnknown)
 }
 
-// reply completes a call and those that joined it.
-func (o *owner) reply(f core.Reply) {
-	p := o.calls[f.Call]
+// complete takes a call and those that joined it out of the table and passes
+// each on.
+func (o *owner) complete(id core.CallID, pass func(*pending)) {
+	p := o.calls[id]
 	if p == nil {
 		return
 	}
-	delete(o.calls, f.Call)
-	for _, id := range p.joined {
-		if j := o.calls[id]; j != nil {
-			delete(o.calls, id)
-			j.answered(f.Answer)
+	delete(o.calls, id)
+	for _, joined := range p.joined {
+		if j := o.calls[joined]; j != nil {
+			delete(o.calls, joined)
+			pass(j)
 		}
 	}
-	p.answered(f.Answer)
+	pass(p)
+}
+
+// reply completes a call and those that joined it.
+func (o *owner) reply(f core.Reply) {
+	o.complete(f.Call, func(p *pending) { p.answered(f.Answer) })
 }
 
 // refuse completes a call, an open or an end with an error.
@@ -293,16 +299,5 @@
 		done("", &f.Refusal)
 		return
 	}
-	p := o.calls[f.Call]
-	if p == nil {
-		return
-	}
-	delete(o.calls, f.Call)
-	for _, id := range p.joined {
-		if j := o.calls[id]; j != nil {
-			delete(o.calls, id)
-			j.refused(f.Refusal)
-		}
-	}
-	p.refused(f.Refusal)
+	o.complete(f.Call, func(p *pending) { p.refused(f.Refusal) })
 }
--- a/pkg/standin/objectapi/server.go
+++ b/pkg/standin/objectapi/server.go
@@ -3,11 +3,9 @@
 package objectapi
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"log/slog"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +14,7 @@
 	pkgerrors "github.com/pkg/errors"
 
 	store "github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
+	"github.com/yuccaspindle/yuccaspindle/pkg/standin/httpserver"
 )
 
 // maxWait bounds one long poll.
@@ -30,11 +29,9 @@
 
 // Server is a running store.
 type Server struct {
-	o    Options
-	mem  *store.Memory
-	ln   net.Listener
-	http *http.Server
-	done chan struct{}
+	*httpserver.Server
+	o   Options
+	mem *store.Memory
 }
 
 // New returns a server that is not started yet.
@@ -45,46 +42,14 @@
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
-	s := &Server{o: o, done: make(chan struct{}),
-		mem: store.NewMemory(store.MemoryOptions{InstanceLag: o.InstanceLag})}
-	s.http = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	s := &Server{o: o, mem: store.NewMemory(store.MemoryOptions{InstanceLag: o.InstanceLag})}
+	s.Server = httpserver.New("stand-in object store", o.Listen, s.Handler(), o.Logger)
 	return s
 }
 
 // Memory returns the store behind the server.
 func (s *Server) Memory() *store.Memory { return s.mem }
 
-// Start listens and serves until Close or until ctx is done.
-func (s *Server) Start(ctx context.Context) error {
-	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.o.Listen)
-	if err != nil {
-		return pkgerrors.Wrapf(err, "stand-in object store: listen on %s", s.o.Listen)
-	}
-	s.ln = ln
-	s.o.Logger.Info("stand-in object store listens", "addr", s.Addr())
-	context.AfterFunc(ctx, func() { _ = s.Close() })
-	go func() {
-		defer close(s.done)
-		if err := s.http.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			s.o.Logger.Error("stand-in object store stopped", "error", err)
-		}
-	}()
-	return nil
-}
-
-// Addr returns the address on which the server listens.
-func (s *Server) Addr() string { return s.ln.Addr().String() }
-
-// Close stops the server and drops its connections.
-func (s *Server) Close() error {
-	if s.ln == nil {
-		return nil
-	}
-	err := s.http.Close()
-	<-s.done
-	return err
-}
-
 // Handler returns the HTTP interface of the store.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/pkg/standin/weights/weights.go
+++ b/pkg/standin/weights/weights.go
@@ -4,16 +4,14 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strconv"
-	"time"
 
-	pkgerrors "github.com/pkg/errors"
 	"golang.org/x/time/rate"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/standin/httpserver"
 )
 
 // chunkBytes is the unit in which the rate is spent.
@@ -30,12 +28,10 @@
 
 // Server is a running weight store.
 type Server struct {
+	*httpserver.Server
 	o       Options
-	ln      net.Listener
-	http    *http.Server
 	limiter *rate.Limiter
 	readers chan struct{}
-	done    chan struct{}
 }
 
 // New returns a server that is not started yet.
@@ -53,45 +49,19 @@
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
 	s := &Server{
-		o: o, done: make(chan struct{}), readers: make(chan struct{}, o.MaxReaders),
+		o: o, readers: make(chan struct{}, o.MaxReaders),
 		limiter: rate.NewLimiter(rate.Limit(o.BytesPerSecond), chunkBytes),
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/weights/{model}", s.get)
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	s.Server = httpserver.New("stand-in weight store", o.Listen, s.Handler(), o.Logger)
 	return s
 }
 
-// Start listens and serves until Close or until ctx is done.
-func (s *Server) Start(ctx context.Context) error {
-	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.o.Listen)
-	if err != nil {
-		return pkgerrors.Wrapf(err, "stand-in weight store: listen on %s", s.o.Listen)
-	}
-	s.ln = ln
-	s.o.Logger.Info("stand-in weight store listens", "addr", s.Addr())
-	context.AfterFunc(ctx, func() { _ = s.Close() })
-	go func() {
-		defer close(s.done)
-		if err := s.http.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			s.o.Logger.Error("stand-in weight store stopped", "error", err)
-		}
-	}()
-	return nil
-}
-
-// Addr returns the address on which the server listens.
-func (s *Server) Addr() string { return s.ln.Addr().String() }
-
-// Close stops the server and drops its connections.
-func (s *Server) Close() error {
-	if s.ln == nil {
-		return nil
-	}
-	err := s.http.Close()
-	<-s.done
-	return err
+// Handler returns the HTTP interface of the weight store.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/weights/{model}", s.get)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	return mux
 }
 
 // get streams the weights of a model, which are zeros, at the shared rate.
--- a/pkg/standin/weights/weights_test.go
+++ b/pkg/standin/weights/weights_test.go
@@ -16,7 +16,7 @@
 		s := New(Options{Models: map[string]int64{"m": 1_000_000}, BytesPerSecond: 1_000_000, MaxReaders: 2})
 		get := func() *httptest.ResponseRecorder {
 			rec := httptest.NewRecorder()
-			s.http.Handler.ServeHTTP(rec, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/v1/weights/m", nil))
+			s.Handler().ServeHTTP(rec, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/v1/weights/m", nil))
 			return rec
 		}
 		start := time.Now()
