--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -48,10 +48,10 @@
 
 	outcomesFile *lumberjack.Logger
 
-	ctx      context.Context
-	stop     context.CancelFunc
-	draining atomic.Bool
-	commits  atomic.Uint64 // appends to the journal
+	ctx       context.Context
+	stop      context.CancelFunc
+	draining  atomic.Bool
+	journaled journalSize
 
 	drainStarted atomic.Int64 // Unix nanoseconds, 0 while not draining
 
@@ -99,7 +99,7 @@
 		return nil, errors.Wrap(err, "set up retention")
 	}
 	n.transport, err = transport.New(transport.Config{
-		Listen: cfg.PeerListen, TLS: cfg.TLS, Hello: n.hello, Logger: n.log, Dialer: cfg.Dialer,
+		Listen: cfg.PeerListen, TLS: cfg.TLS, Hello: n.hello, Logger: n.log, Dialer: cfg.Dialer, Link: cfg.Link,
 	}, n.serveStream)
 	if err != nil {
 		return nil, errors.Wrap(err, "set up peer transport")
@@ -124,7 +124,7 @@
 }
 
 func (n *Entry) onCommitted(s core.Seq) {
-	n.commits.Add(1)
+	n.journaled.appends.Add(1)
 	n.loop.post(core.JournalCommitted{At: now(), Seq: s})
 }
 
@@ -269,13 +269,14 @@
 	n.loop.post(core.DrainStarted{At: now()})
 }
 
-// Kill ends the process without draining, as a crash does. It serves tests.
+// Kill ends the process without draining, as a crash does: connections break
+// before any request learns that the process ends. It serves tests.
 func (n *Entry) Kill() {
-	n.stop()
-	_ = n.server.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	_ = n.transport.Close(ctx)
+	_ = n.server.Close()
+	n.stop()
 	n.running.Wait()
 	_ = n.closeRecords()
 }
--- a/pkg/quickstart/failure_test.go
+++ b/pkg/quickstart/failure_test.go
@@ -120,7 +120,8 @@
 }
 
 // Guards invariants 2 and 7 against an owner that was paused past its
-// succession and still believes that it owns its programs.
+// succession and still believes that it owns its programs, and against a
+// successor that ends between the seal and the change of the slot map.
 func TestSealedOwnerAnswersNothing(t *testing.T) {
 	d := startSmall(t, "entry-1", "entry-2")
 	program := open(t, d, "entry-1", "open-1")
@@ -145,6 +146,12 @@
 	if d.Entry(owner).Owns(core.ProgramID(program)) {
 		t.Error("the sealed owner still claims the program")
 	}
+	// The successor that made the seal is gone: another one must go on.
+	other := otherThan(d, owner)
+	mustOK(t, "turn at the next successor", ask(t, d, other, program, "still stuck", "Yucca-Deadline-Ms", "20000"))
+	if n := turnsOf(t, d, other, program); n != 2 {
+		t.Errorf("%d turns at the next successor, want 2", n)
+	}
 }
 
 // Guards invariant 9 (graceful stops cut off no request) against a rolling
@@ -268,6 +275,28 @@
 	mustRunOnce(t, d, 1)
 }
 
+// Guards invariant 6 (a refusal that says "not run" means it) against an owner
+// that dies with a booking under way while the caller's deadline ends before the
+// takeover: the receiving entry cannot know whether the booking ran.
+func TestOwnerLostWithBookingUnderWay(t *testing.T) {
+	d := startSmall(t, "entry-1", "entry-2")
+	program := open(t, d, "entry-1", "open-1")
+	owner := ownerOf(t, d, program)
+	other := otherThan(d, owner)
+	d.Services["bookings-1"].SetFaults(service.Faults{SlowMS: 1500})
+	var r response
+	var wg sync.WaitGroup
+	wg.Go(func() { r = book(t, d, other, program, "b-1", "Yucca-Deadline-Ms", "1200") })
+	time.Sleep(400 * time.Millisecond)
+	d.KillEntry(owner)
+	wg.Wait()
+	if r.status == http.StatusOK || strings.Contains(r.body, `"ran":"no"`) {
+		t.Errorf("the booking was under way when its owner died, the caller got %d %s", r.status, r.body)
+	}
+	mustOK(t, "resent booking", book(t, d, other, program, "b-1", "Yucca-Deadline-Ms", "20000"))
+	mustRunOnce(t, d, 1)
+}
+
 // Guards against a request that crashes one upstream after another, and against
 // condemning a request that was only on board.
 func TestCrashingRequestIsQuarantined(t *testing.T) {
