Lengthen waits instead of refusing in a passing loss of capacity

Expected waits of 1 to 5 s exceed the bounds of 0.7 and 1 s, which keep the queue of a lasting overload short, so batch and standard programs were refused: 80 of 82 refusals.

Change: admission compares the slots of a target with the usual number. While a part is missing, the bounds rise to 1, 7 and 15 s, in full from a quarter on. A lower capacity becomes the usual one with a time constant of 5 min; the bounds return with one of 2 min after the capacity is back.

Batch programs pay with longer waits.

--- a/pkg/core/policy/admission.go
+++ b/pkg/core/policy/admission.go
@@ -171,6 +171,7 @@
 		if len(t.lanes) == 0 {
 			continue
 		}
+		t.capacity.update(t.statedSlots(), past)
 		w := &t.waits
 		var waiting [classCount]int
 		for _, l := range t.lanes {
@@ -207,21 +208,22 @@
 	return n
 }
 
-// wait is the expected wait of a profile's calls.
-func (a *admission) wait(use *profileUse, rank int) float64 {
+// wait is the expected wait of a profile's calls, and the largest loss of
+// capacity among its targets.
+func (a *admission) wait(use *profileUse, rank int) (wait, loss float64) {
 	sum, total := 0.0, 0.0
 	for i, t := range use.targets {
 		sum += use.weights[i] * t.waits[rank]
 		total += use.weights[i]
+		loss = max(loss, t.capacity.loss)
 	}
 	if total > 0 {
-		return sum / total
+		return sum / total, loss
 	}
-	worst := 0.0
 	for _, t := range a.d.fleet.order {
-		worst = max(worst, t.waits[rank])
+		wait, loss = max(wait, t.waits[rank]), max(loss, t.capacity.loss)
 	}
-	return worst
+	return wait, loss
 }
 
 // share is the part of a profile's programs that is refused now.
@@ -241,9 +243,9 @@
 func (a *admission) admit(now time.Time, p core.ProgramView) core.Admission {
 	a.update(now)
 	class := rankOf(p.Profile.Class)
-	bound := waitBound[class]
 	use := a.profile(now, p.Profile.Name)
-	wait := a.wait(use, class)
+	wait, loss := a.wait(use, class)
+	bound := bound(class, loss)
 	share := use.share(now, wait, bound)
 	// It makes no sense to refuse a class and admit the ones that come after.
 	for c := range class {
