Tell a crash from a cut stream when two attempts look at the upstream at once

When two attempts broke in the same crash, the first look marked both as on board in the decision part, and the second attempt returned an ordinary failure before the first one's effects had broken it, so its owner did not count the crash.

Conclusion: every attempt on board of a crash is reported as such.

--- a/pkg/core/sidecar/state.go
+++ b/pkg/core/sidecar/state.go
@@ -114,6 +114,12 @@
 // Upstream returns the upstream's incarnation and whether it is up.
 func (s *State) Upstream() (uint64, bool) { return s.upstream, s.up }
 
+// CrashReported tells whether an attempt was reported as on board of a crash.
+func (s *State) CrashReported(id core.AttemptID) bool {
+	a := s.attempts[id]
+	return a != nil && a.crashed
+}
+
 // Epoch returns the highest epoch seen for a slot.
 func (s *State) Epoch(slot core.Slot) core.Epoch { return s.epochs[slot] }
 
--- a/pkg/sidecar/model.go
+++ b/pkg/sidecar/model.go
@@ -258,7 +258,7 @@
 	}
 	// A look at the engine tells a crash from a lost connection.
 	err := s.verdict(ctx)
-	if cause := context.Cause(ctx); cause != nil {
+	if cause := s.causeAfterVerdict(ctx, c); cause != nil {
 		return s.fail(c, m.ran(), stepOf(cause), cause), true
 	}
 	if err != nil || m.cutOnce || s.cfg.Upstream.NoResume {
--- a/pkg/sidecar/model_test.go
+++ b/pkg/sidecar/model_test.go
@@ -193,7 +193,7 @@
 	_ = hb.SetDeadline(time.Now().Add(500 * time.Millisecond))
 	for _, r := range []ended{culprit, receive(bystander)} {
 		if r.failed == nil || !r.failed.Crashed || r.failed.Ran == string(core.RanNo) {
-			t.Errorf("on board of a crash: %+v", r)
+			t.Errorf("on board of a crash: %+v, %v", r, r.failed)
 		}
 	}
 	var crash *peerv1.Crash
--- a/pkg/sidecar/monitor.go
+++ b/pkg/sidecar/monitor.go
@@ -146,6 +146,25 @@
 	}
 }
 
+// causeAfterVerdict returns why an attempt was broken, or nil if only its
+// connection was lost. Another goroutine may have seen the crash first and be
+// about to break the attempt, which is waited for.
+func (s *Sidecar) causeAfterVerdict(ctx context.Context, c *call) error {
+	s.mu.Lock()
+	reported := s.state.CrashReported(core.AttemptID(c.d.Attempt))
+	s.mu.Unlock()
+	if reported && ctx.Err() == nil {
+		timer := time.NewTimer(crashReportWait)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+			return errCrashed
+		}
+	}
+	return context.Cause(ctx)
+}
+
 func (s *Sidecar) setInfo(i *engineInfo) {
 	if s.cfg.Upstream.Kind != core.KindModel {
 		return
--- a/pkg/sidecar/service.go
+++ b/pkg/sidecar/service.go
@@ -108,7 +108,7 @@
 	if c.wasPassed() && ctx.Err() == nil {
 		_ = s.verdict(ctx)
 	}
-	if cause := context.Cause(ctx); cause != nil {
+	if cause := s.causeAfterVerdict(ctx, c); cause != nil {
 		return s.fail(c, core.RanUnknown, stepOf(cause), cause)
 	}
 	return s.fail(c, core.RanUnknown, "service", err)
