Take forwarded calls, hand-overs and configurations from entries only

Cause: an entry served these messages to any peer with a valid certificate, so a sidecar could have named any caller in a forwarded call.

Change: with TLS the peer's certificate must be one of the listed entries; the key entries is required for every process with TLS.

Figures: go test ./pkg/cli/daemoncmd: a forwarded call with the certificate of a sidecar gets no answer, one with that of a listed entry does.

Conclusion: the caller of a forwarded call is vouched for by an entry.

--- a/pkg/cli/daemoncmd/daemon.go
+++ b/pkg/cli/daemoncmd/daemon.go
@@ -151,6 +151,7 @@
 		PeerAdvertise:     advertise(p),
 		Seeds:             p.Seeds,
 		Link:              link(p),
+		EntryNames:        p.EntryNames,
 		TLS:               tlsCfg,
 		DataFolder:        p.DataFolder,
 		RecordTrace:       p.RecordTrace,
--- a/pkg/cli/daemoncmd/daemon_test.go
+++ b/pkg/cli/daemoncmd/daemon_test.go
@@ -10,6 +10,7 @@
 	"encoding/pem"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/big"
 	"net"
 	"net/http"
@@ -19,6 +20,7 @@
 	"testing"
 	"time"
 
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/config"
 	"github.com/yuccaspindle/yuccaspindle/pkg/entry"
 	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
@@ -26,6 +28,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/standin/engine"
 	model "github.com/yuccaspindle/yuccaspindle/pkg/standin/engine/model"
 	standinstore "github.com/yuccaspindle/yuccaspindle/pkg/standin/objectapi"
+	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
 // authority signs certificates for a test.
@@ -125,7 +128,7 @@
 	if role == config.RoleSidecar {
 		return "entries = entry-1"
 	}
-	return ""
+	return "entries = entry-1, entry-9"
 }
 
 // Guards against processes that take calls from a peer whose certificate is not
@@ -161,6 +164,12 @@
 	if status, body := chat(ctx, t, listed); status != http.StatusOK {
 		t.Errorf("entry-1, which the sidecar lists: %d %s", status, body)
 	}
+	if got := forwardAs(ctx, t, a, "side-1", listed.PeerAddr()); got != nil {
+		t.Errorf("a forwarded call of a peer that is not an entry is answered: %v", got)
+	}
+	if got := forwardAs(ctx, t, a, "entry-9", listed.PeerAddr()); got == nil {
+		t.Error("a forwarded call of an entry is not answered")
+	}
 	if err := listed.Stop(ctx); err != nil {
 		t.Errorf("stop entry-1: %v", err)
 	}
@@ -174,6 +183,39 @@
 	}
 }
 
+// forwardAs sends a forwarded call with the certificate of a process and returns
+// the first answer, or nil if the stream ends without one.
+func forwardAs(ctx context.Context, t *testing.T, a *authority, name, address string) *peerv1.Envelope {
+	t.Helper()
+	tlsCfg, err := transport.LoadTLS(filepath.Join(a.dir, name+".crt"), filepath.Join(a.dir, name+".key"), filepath.Join(a.dir, "ca.crt"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tr, err := transport.New(transport.Config{
+		TLS: tlsCfg, Hello: func() *peerv1.Hello { return &peerv1.Hello{Instance: name, Role: "entry"} }, Logger: slog.New(slog.DiscardHandler),
+	}, func(context.Context, *transport.Session, *transport.Stream, *peerv1.Envelope) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer tr.Close(ctx)
+	s, err := tr.Dial(ctx, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	st, err := s.Open(ctx, &peerv1.Envelope{Body: &peerv1.Envelope_Forward{Forward: &peerv1.Forward{
+		Method: http.MethodGet, Path: "/v1/programs/p000-x", Caller: "lango",
+	}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer st.Close()
+	m, err := st.Recv()
+	if err != nil {
+		return nil
+	}
+	return m
+}
+
 func applyShared(ctx context.Context, t *testing.T, store string) {
 	t.Helper()
 	client, err := objectapi.Dial(objectapi.ClientConfig{Address: store, Name: "operator"})
--- a/pkg/config/process.go
+++ b/pkg/config/process.go
@@ -38,7 +38,7 @@
 	PeerAdvertise string   // address under which peers reach this process
 	Seeds         []string // peers to ask before the instance list can be read
 	CrossRegion   float64  // this process's share of the link to other regions, Mbit/s; 0: not limited
-	EntryNames    []string // certificate names of the entries, for sidecars with TLS
+	EntryNames    []string // certificate names of the entries, with TLS
 	TLSCert       string
 	TLSKey        string
 	TLSCA         string
@@ -145,7 +145,7 @@
 			value: list("host:port", validHostPort, func(p *Process) *[]string { return &p.Seeds })},
 		{name: "cross_region_rate", def: "0", unit: "Mbit/s", example: "6", help: "Share of the link to other regions that this process may send. Control and history never wait for it, calls come next, KV cache gets at most half. 0: not limited.",
 			value: number(0, 100000, func(p *Process) *float64 { return &p.CrossRegion })},
-		{name: "entries", example: "dar-a-entry-1, dar-b-entry-1", help: "Certificate names of the entries from which a sidecar takes calls and orders. Needed for sidecars with TLS.",
+		{name: "entries", example: "dar-a-entry-1, dar-b-entry-1", help: "Certificate names of the entries. Only they may forward calls, hand over slots and push configurations, and only from them does a sidecar take calls and orders. Needed with TLS.",
 			value: list("names", plainName, func(p *Process) *[]string { return &p.EntryNames })},
 		{name: "tls_cert", example: "/etc/yuccaspindle/peer.crt", help: "Certificate file (PEM) for mutual TLS. Needed unless listen is a loopback address.",
 			value: nonEmpty("a file name", func(p *Process) *string { return &p.TLSCert })},
@@ -321,8 +321,8 @@
 	if set != 0 && set != 3 {
 		d.fault(d.line("peer", ""), "peer.tls_cert", "tls_cert, tls_key and tls_ca together", "")
 	}
-	if set == 3 && p.Role == RoleSidecar && len(p.EntryNames) == 0 {
-		d.fault(d.line("peer", "entries"), "peer.entries", "the certificate names of the entries, because the sidecar uses TLS", "nothing")
+	if set == 3 && len(p.EntryNames) == 0 {
+		d.fault(d.line("peer", "entries"), "peer.entries", "the certificate names of the entries, because the process uses TLS", "nothing")
 	}
 	if set == 0 && p.PeerListen != "" && !loopback(p.PeerListen) {
 		d.fault(d.line("peer", "listen"), "peer.tls_cert",
--- a/pkg/entry/config.go
+++ b/pkg/entry/config.go
@@ -38,6 +38,7 @@
 	Seeds         []string        // peers to dial while the instance list cannot be read
 	TLS           *tls.Config     // nil allows loopback only
 	Link          *transport.Link // share of the link to other regions; nil: not limited
+	EntryNames    []string        // certificate names of the entries, required with TLS
 	DataFolder    string          // empty if the instance keeps nothing
 	RecordTrace   int             // programs to record as a trace in the data folder; 0: none
 	Seed          uint64          // of the core; 0 takes a random one, which products must
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
@@ -9,8 +10,32 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
+// entryOnly reports whether only another entry may send a message. A forwarded
+// call names its caller, and the others change ownership or configuration.
+func entryOnly(m *peerv1.Envelope) bool {
+	switch m.GetBody().(type) {
+	case *peerv1.Envelope_Forward, *peerv1.Envelope_Retain, *peerv1.Envelope_Fence,
+		*peerv1.Envelope_Handover, *peerv1.Envelope_ConfigPush, *peerv1.Envelope_Quarantine:
+		return true
+	}
+	return false
+}
+
+// isEntry reports whether a peer is one of the entries: with TLS by the name in
+// its certificate, on loopback by the role it states.
+func (n *Entry) isEntry(s *transport.Session) bool {
+	if s.Peer().GetRole() != roleEntry {
+		return false
+	}
+	return n.cfg.TLS == nil || slices.Contains(n.cfg.EntryNames, s.PeerName())
+}
+
 // serveStream answers one request of a peer.
 func (n *Entry) serveStream(ctx context.Context, s *transport.Session, st *transport.Stream, first *peerv1.Envelope) {
+	if entryOnly(first) && !n.isEntry(s) {
+		n.log.Warn("message refused: the peer is not an entry", "peer", s.Peer().GetInstance(), "certificate", s.PeerName())
+		return
+	}
 	switch m := first.GetBody().(type) {
 	case *peerv1.Envelope_Forward:
 		n.work.Add(1)
