Keep one owner when a hand-over fails half way

Cause: after a failed hand-over the sender served the slot again by the slot map it knew, while the receiver could still change the map: both would have run the calls of the slot for up to a heartbeat, and a key could have been claimed twice. Found in the read-through; the conditional update checked the owner only.

Change: changes of the slot map expect the epoch as well; the sender raises its epoch in the store before it serves the slot again, and does not serve it until the store has answered; the hand-over names the epoch.

Conclusion: a hand-over that is given up cannot take effect later.

--- a/pkg/entry/slotstore.go
+++ b/pkg/entry/slotstore.go
@@ -37,18 +37,20 @@
 // errNothingToChange ends an update that would change no slot.
 var errNothingToChange = errors.New("no slot has the expected owner")
 
-// reassign gives those of the slots that belong to from to another owner. It
-// returns the new map and the epochs of the slots that changed.
-func (s slotStore) reassign(ctx context.Context, slotCount int, slots []core.Slot, from, to core.Incarnation) (ownership.Map, map[core.Slot]core.Epoch, error) {
+// reassign gives slots to an owner, if they still belong to from at the expected
+// epochs. It returns the new map and the epochs of the slots that changed. With
+// the owner itself as from it raises the epochs, which takes the slots out of
+// the reach of an assignment that expects the earlier ones.
+func (s slotStore) reassign(ctx context.Context, slotCount int, expected map[core.Slot]core.Epoch, from, to core.Incarnation) (ownership.Map, map[core.Slot]core.Epoch, error) {
 	var taken map[core.Slot]core.Epoch
 	m, err := journal.UpdateSlots(ctx, s.c, slotCount, func(m *journal.SlotMap) error {
 		taken = make(map[core.Slot]core.Epoch)
-		for _, slot := range slots {
-			if int(slot) >= len(m.Slots) || m.Slots[slot].Owner != from {
+		for slot, epoch := range expected {
+			if int(slot) >= len(m.Slots) || m.Slots[slot] != (journal.SlotOwner{Owner: from, Epoch: epoch}) {
 				continue
 			}
-			m.Assign(to, slot)
-			taken[slot] = m.Slots[slot].Epoch
+			m.Slots[slot] = journal.SlotOwner{Owner: to, Epoch: epoch + 1}
+			taken[slot] = epoch + 1
 		}
 		if len(taken) == 0 {
 			return errNothingToChange
--- a/pkg/entry/transfer.go
+++ b/pkg/entry/transfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,8 +27,8 @@
 // reassign changes the owner of slots from one incarnation to this one by a
 // conditional update, and returns the new epochs. Slots that have another owner
 // by now are left out.
-func (o *ownerRuntime) reassign(ctx context.Context, slots []core.Slot, from core.Incarnation) (map[core.Slot]core.Epoch, error) {
-	m, taken, err := o.store.reassign(ctx, o.n.config.slotCount(), slots, from, o.n.cfg.Incarnation)
+func (o *ownerRuntime) reassign(ctx context.Context, expected map[core.Slot]core.Epoch, from core.Incarnation) (map[core.Slot]core.Epoch, error) {
+	m, taken, err := o.store.reassign(ctx, o.n.config.slotCount(), expected, from, o.n.cfg.Incarnation)
 	if err != nil {
 		return nil, err
 	}
@@ -49,7 +50,7 @@
 }
 
 func (o *ownerRuntime) claimFree(ctx context.Context, slots []core.Slot) error {
-	taken, err := o.reassign(ctx, slots, "")
+	taken, err := o.reassign(ctx, o.epochsOf(slots, ""), "")
 	if err != nil || len(taken) == 0 {
 		return err
 	}
@@ -82,7 +83,7 @@
 	} else if err != nil {
 		return errors.Wrapf(err, "recover journal of %s", a.Lost)
 	}
-	if err := o.acquire(ctx, a.Slots, a.Lost, records, false); err != nil {
+	if err := o.acquire(ctx, o.epochsOf(a.Slots, a.Lost), a.Lost, records, false); err != nil {
 		return err
 	}
 	o.n.metrics.takeovers.Inc()
@@ -93,21 +94,21 @@
 
 // acquire loads the state of slots into the core, waits until it is in the own
 // journal, changes the slot map and starts to serve.
-func (o *ownerRuntime) acquire(ctx context.Context, slots []core.Slot, from core.Incarnation, records []core.Record, planned bool) error {
-	wanted := make(map[core.Slot]bool, len(slots))
-	for _, s := range slots {
-		wanted[s] = true
+func (o *ownerRuntime) acquire(ctx context.Context, current map[core.Slot]core.Epoch, from core.Incarnation, records []core.Record, planned bool) error {
+	if len(current) == 0 {
+		return nil
 	}
+	var slots []core.Slot
+	for s := range current {
+		slots = append(slots, s)
+	}
+	slices.Sort(slots)
 	var own []core.Record
 	for _, r := range records {
-		if wanted[r.Slot] {
+		if _, wanted := current[r.Slot]; wanted {
 			own = append(own, r)
 		}
 	}
-	current := o.epochsOf(slots, from)
-	if len(current) == 0 {
-		return nil
-	}
 	next := make(map[core.Slot]core.Epoch, len(current))
 	for s, e := range current {
 		next[s] = e + 1
@@ -118,7 +119,7 @@
 		o.forget(slots)
 		return errors.Wrap(err, "write recovered state")
 	}
-	taken, err := o.reassignForSure(ctx, slots, from)
+	taken, err := o.reassignForSure(ctx, current, from)
 	if err != nil {
 		o.forget(slots)
 		return err
@@ -140,8 +141,8 @@
 // reassignForSure changes the slot map and, when the outcome of the write is
 // not known, reads the map until it tells. State that was loaded must not be
 // dropped while the map may name this entry.
-func (o *ownerRuntime) reassignForSure(ctx context.Context, slots []core.Slot, from core.Incarnation) (map[core.Slot]core.Epoch, error) {
-	taken, err := o.reassign(ctx, slots, from)
+func (o *ownerRuntime) reassignForSure(ctx context.Context, expected map[core.Slot]core.Epoch, from core.Incarnation) (map[core.Slot]core.Epoch, error) {
+	taken, err := o.reassign(ctx, expected, from)
 	if err == nil {
 		return taken, nil
 	}
@@ -152,13 +153,27 @@
 		cancel()
 		if readErr == nil {
 			o.setMap(m)
-			return o.epochsOf(slots, o.n.cfg.Incarnation), nil
+			return o.raised(expected), nil
 		}
 		sleep(o.n.ctx, forwardRetry)
 	}
 	return nil, err
 }
 
+// raised returns the slots that the map gives to this entry at the epoch after
+// the expected one.
+func (o *ownerRuntime) raised(expected map[core.Slot]core.Epoch) map[core.Slot]core.Epoch {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make(map[core.Slot]core.Epoch)
+	for s, epoch := range o.mgr.Mine() {
+		if before, ok := expected[s]; ok && epoch == before+1 {
+			out[s] = epoch
+		}
+	}
+	return out
+}
+
 // forget drops state that was loaded for slots which went to another owner.
 func (o *ownerRuntime) forget(slots []core.Slot) {
 	o.n.loop.post(core.SlotsReleased{At: now(), Slots: slots, Done: true})
@@ -269,20 +284,31 @@
 	o.released[s] = true
 }
 
-// takeBack serves a slot again after a failed hand-over, unless the slot map
-// gives it to another owner.
+// takeBack serves a slot again after a failed hand-over. It raises the epoch
+// first: the peer may have the hand-over and change the slot map later, which
+// then no longer succeeds. Until the store has answered, the slot is not served,
+// since the peer may own it.
 func (o *ownerRuntime) takeBack(s core.Slot) {
-	o.readMap(o.n.ctx)
-	epochs := o.epochsOf([]core.Slot{s}, o.n.cfg.Incarnation)
-	if len(epochs) == 0 {
+	expected := o.epochsOf([]core.Slot{s}, o.n.cfg.Incarnation)
+	var taken map[core.Slot]core.Epoch
+	for o.n.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(o.n.ctx, slotMapInterval)
+		var err error
+		taken, err = o.reassignForSure(ctx, expected, o.n.cfg.Incarnation)
+		cancel()
+		if err == nil {
+			break
+		}
+	}
+	if len(taken) == 0 {
 		o.forget([]core.Slot{s})
 		return
 	}
 	var records []core.Record
 	o.n.loop.do(func(c *core.Core) { records = c.Snapshot([]core.Slot{s}) })
-	o.n.loop.post(core.SlotsAcquired{At: now(), Slots: epochs, Records: records, Planned: true})
+	o.n.loop.post(core.SlotsAcquired{At: now(), Slots: taken, Records: records, Planned: true})
 	o.n.loop.do(func(*core.Core) {})
-	o.serve(epochs)
+	o.serve(taken)
 }
 
 // sendSlot gives the state of a slot to its new owner and waits until that has
@@ -290,7 +316,8 @@
 func (o *ownerRuntime) sendSlot(ctx context.Context, session *transport.Session, s core.Slot) error {
 	var records []core.Record
 	o.n.loop.do(func(c *core.Core) { records = c.Snapshot([]core.Slot{s}) })
-	m := &peerv1.Handover{From: string(o.n.cfg.Incarnation), Slots: []uint32{uint32(s)}}
+	epoch := o.epochsOf([]core.Slot{s}, o.n.cfg.Incarnation)[s]
+	m := &peerv1.Handover{From: string(o.n.cfg.Incarnation), Slots: []uint32{uint32(s)}, Epochs: []uint64{uint64(epoch)}}
 	for i := range records {
 		m.Records = append(m.Records, journal.ToProto(&records[i]))
 	}
@@ -322,9 +349,12 @@
 	if o.isDraining() {
 		return errors.New("this entry is draining")
 	}
-	var slots []core.Slot
-	for _, s := range m.GetSlots() {
-		slots = append(slots, core.Slot(s))
+	if len(m.GetEpochs()) != len(m.GetSlots()) {
+		return errors.Errorf("hand-over names %d slots and %d epochs", len(m.GetSlots()), len(m.GetEpochs()))
+	}
+	current := make(map[core.Slot]core.Epoch)
+	for i, s := range m.GetSlots() {
+		current[core.Slot(s)] = core.Epoch(m.GetEpochs()[i])
 	}
 	var records []core.Record
 	for _, p := range m.GetRecords() {
@@ -334,14 +364,11 @@
 		}
 		records = append(records, r)
 	}
-	o.readMap(ctx)
-	if err := o.acquire(ctx, slots, core.Incarnation(m.GetFrom()), records, true); err != nil {
+	if err := o.acquire(ctx, current, core.Incarnation(m.GetFrom()), records, true); err != nil {
 		return err
 	}
-	for _, s := range slots {
-		if len(o.epochsOf([]core.Slot{s}, o.n.cfg.Incarnation)) == 0 {
-			return errors.Errorf("slot %d went to another owner", s)
-		}
+	if taken := o.raised(current); len(taken) < len(current) {
+		return errors.Errorf("%d of %d slots have another owner or epoch by now", len(current)-len(taken), len(current))
 	}
 	return nil
 }
--- a/pkg/journal/slots.go
+++ b/pkg/journal/slots.go
@@ -182,14 +182,15 @@
 	return false
 }
 
-// checkSlots enforces that an owner never changes without a higher epoch.
+// checkSlots enforces that an owner never changes without a higher epoch. An
+// owner may raise its own epoch to make a hand-over under way fail.
 func checkSlots(old, m *SlotMap) error {
 	if len(m.Slots) != len(old.Slots) {
 		return fmt.Errorf("journal: slot map of %d slots, want %d", len(m.Slots), len(old.Slots))
 	}
 	for i := range m.Slots {
 		a, b := old.Slots[i], m.Slots[i]
-		if a != b && (b.Epoch != a.Epoch+1 || a.Owner == b.Owner) {
+		if a != b && b.Epoch != a.Epoch+1 {
 			return fmt.Errorf("journal: slot %d goes from %s at epoch %d to %s at epoch %d", i, a.Owner, a.Epoch, b.Owner, b.Epoch)
 		}
 	}
