--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -46,6 +46,8 @@
 	histories *frontend.Histories
 	trace     *traceRecorder // nil unless the settings ask for a recording
 
+	quarantines *quarantineList
+
 	outcomesFile *lumberjack.Logger
 
 	ctx       context.Context
@@ -71,6 +73,8 @@
 		attempts:  newAttemptTable(),
 		fenced:    make(chan struct{}),
 		histories: frontend.NewHistories(),
+
+		quarantines: newQuarantineList(),
 	}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	c := core.New(core.Options{
--- a/pkg/entry/handler.go
+++ b/pkg/entry/handler.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
-	"github.com/yuccaspindle/yuccaspindle/pkg/core"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
@@ -58,12 +57,7 @@
 		version, text := n.config.inForce()
 		reply(st, &peerv1.Envelope{Body: &peerv1.Envelope_ConfigPush{ConfigPush: &peerv1.ConfigPush{Version: version, Text: text}}})
 	case *peerv1.Envelope_Quarantine:
-		q := m.Quarantine
-		n.loop.post(core.QuarantineChanged{
-			At: now(), Fingerprint: q.GetFingerprint(), Count: int(q.GetCount()),
-			Until: time.UnixMilli(q.GetUntilUnixMs()).UTC(), Released: q.GetReleased(),
-			Upstream: core.UpstreamID(q.GetUpstream()), Incarnation: q.GetIncarnation(),
-		})
+		n.takeQuarantine(m.Quarantine)
 		reply(st, &peerv1.Envelope{Body: &peerv1.Envelope_Ack{Ack: &peerv1.Ack{}}})
 	case *peerv1.Envelope_StatusRequest:
 		reply(st, &peerv1.Envelope{Body: &peerv1.Envelope_StatusReply{StatusReply: &peerv1.StatusReply{Json: n.statusJSON(ctx)}}})
@@ -116,18 +110,3 @@
 		}
 	}
 }
-
-// shareQuarantine tells every other entry about a crash suspect.
-func (n *Entry) shareQuarantine(e core.ShareQuarantine) {
-	m := &peerv1.Envelope{Body: &peerv1.Envelope_Quarantine{Quarantine: &peerv1.Quarantine{
-		Fingerprint: e.Fingerprint, Count: int64(e.Count), UntilUnixMs: e.Until.UnixMilli(), Released: e.Released,
-		Upstream: string(e.Upstream), Incarnation: e.Incarnation,
-	}}}
-	for name, s := range n.peers.entries() {
-		ctx, cancel := context.WithTimeout(n.ctx, resolveTimeout)
-		if _, err := roundTrip(ctx, s, m); err != nil {
-			n.log.Warn("quarantine not shared", "peer", name, "fingerprint", e.Fingerprint, "error", err)
-		}
-		cancel()
-	}
-}
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -212,6 +212,7 @@
 	}
 	if hello.GetRole() == roleEntry {
 		ps.addEntry(k, hello.GetInstance())
+		go ps.n.sendQuarantines(s)
 	}
 	k.set(s)
 	st, err := s.Open(ctx, ps.n.heartbeatFor(k))
--- a/pkg/quickstart/failure_test.go
+++ b/pkg/quickstart/failure_test.go
@@ -339,6 +339,18 @@
 	}
 	wg.Wait()
 	mustOK(t, "request that was on board", bystander)
+
+	// An entry that starts later must know of the quarantine.
+	if err := d.StartEntry(t.Context(), EntrySpec{Name: "entry-3", Place: east}); err != nil {
+		t.Fatal(err)
+	}
+	for d.Entry("entry-3").Summary().SlotsOwned == 0 {
+		time.Sleep(50 * time.Millisecond)
+	}
+	r = post(t, d, "entry-3", "/v1/chat/completions", poison, "Yucca-Deadline-Ms", "30000")
+	if !strings.Contains(r.body, `"quarantined"`) || crashes() != before {
+		t.Errorf("at a new entry: %d %s, %d crashes after %d", r.status, r.body, crashes(), before)
+	}
 }
 
 // Guards invariant 5 (the whole answer) against an engine that crashes in the
