--- /dev/null
+++ b/pkg/edge/edge.go
@@ -0,0 +1,134 @@
+// Package edge is the process that callers reach on the users' platform. It
+// chooses an upstream for each request, puts a program's earlier turns in front
+// of a new one, keeps programs within their budgets and passes answers on.
+//
+// The decisions are in packages without I/O: routing (what a request may do),
+// fleet (where it goes), attempt (what follows a failure) and ledger.State.
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
+	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
+	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
+	"github.com/yuccaspindle/yuccaspindle/pkg/upstream"
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+const (
+	// affinityPrograms bounds the lines of turns whose last upstream is known.
+	affinityPrograms = 4096
+	// cachedTurns bounds the turns kept in memory to put in front of later ones.
+	cachedTurns = 2048
+)
+
+// Edge is one entry process.
+type Edge struct {
+	settings  *platform.Settings
+	logger    *slog.Logger
+	store     atomic.Pointer[platform.Store]
+	view      *view
+	pool      *upstream.Pool
+	transport *transport.Transport
+	ledger    *ledger.Client
+	settler   *settler
+	metrics   *metrics
+
+	mu    sync.Mutex // guards fleet
+	fleet *fleet.Fleet
+
+	affinity *lru.Cache[string, string]             // line of turns to upstream
+	turns    *lru.Cache[string, *peerv1.TurnRecord] // by id
+
+	draining atomic.Bool
+}
+
+// New returns an entry with the settings. Run starts it.
+func New(settings *platform.Settings, logger *slog.Logger) (*Edge, error) {
+	e := &Edge{
+		settings: settings, logger: logger,
+		pool:    upstream.NewPool(),
+		fleet:   fleet.New(settings.FailureDomain, settings.RegionOf),
+		metrics: newMetrics(),
+	}
+	e.store.Store(platform.NewStore(settings.StoreAddress))
+	e.view = newView(e)
+	var err error
+	if e.affinity, err = lru.New[string, string](affinityPrograms); err != nil {
+		return nil, err
+	}
+	if e.turns, err = lru.New[string, *peerv1.TurnRecord](cachedTurns); err != nil {
+		return nil, err
+	}
+	e.transport, err = transport.New(transport.Config{
+		Listen: settings.PeerAddress(), Isolated: true, Logger: logger, Hello: e.hello,
+	}, e.servePeer)
+	if err != nil {
+		return nil, err
+	}
+	e.ledger = &ledger.Client{Transport: e.transport, Directory: e.view, Logger: logger}
+	e.settler = newSettler(e.ledger, logger)
+	return e, nil
+}
+
+func (e *Edge) hello() *peerv1.Hello {
+	return &peerv1.Hello{
+		Instance: e.settings.Node, Role: string(platform.RoleEdge), Region: e.settings.Region,
+		FailureDomain: e.settings.FailureDomain, Address: e.settings.PeerAddress(),
+	}
+}
+
+// SetStore changes the address of the platform's store.
+func (e *Edge) SetStore(address string) {
+	if old := e.store.Load(); old.Address() != address {
+		e.store.Store(platform.NewStore(address))
+		old.Close()
+	}
+}
+
+// Run serves until stop ends, then drains: it takes no new connections once the
+// platform has noticed and ends when all requests have their answers.
+func (e *Edge) Run(stop context.Context) error {
+	if err := e.transport.Start(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	background := func(f func(context.Context)) {
+		g.Go(func() error { f(ctx); return nil })
+	}
+	background(e.view.run)
+	background(e.pool.Run)
+	background(e.settler.run)
+	g.Go(func() error {
+		defer cancel()
+		return e.serveCallers(ctx, stop)
+	})
+	err := g.Wait()
+	closing, done := context.WithTimeout(context.Background(), transportCloseTimeout)
+	defer done()
+	if cerr := e.transport.Close(closing); cerr != nil {
+		e.logger.Warn("peer requests were cut at the stop", "err", cerr)
+	}
+	return err
+}
+
+// transportCloseTimeout bounds the wait for peers' requests at the stop.
+const transportCloseTimeout = 300 * time.Millisecond
+
+// withFleet runs f while it holds the fleet.
+func (e *Edge) withFleet(f func(*fleet.Fleet)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f(e.fleet)
+}
--- /dev/null
+++ b/pkg/edge/handler.go
@@ -0,0 +1,343 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/attempt"
+	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
+	"github.com/yuccaspindle/yuccaspindle/pkg/routing"
+	"github.com/yuccaspindle/yuccaspindle/pkg/upstream"
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+const (
+	// defaultBody applies while the configuration states no limit of a body.
+	defaultBody = 4 << 20
+	// defaultTimeout applies to requests without a deadline on routes without a
+	// timeout.
+	defaultTimeout = 30 * time.Second
+	// The pauses that refused callers are asked for. A caller honours up to a
+	// third of its remaining time.
+	retryUnready = 500 * time.Millisecond // no configuration, or no majority of the storage
+	retryFull    = 200 * time.Millisecond // no room at the upstreams
+	// retrySpread keeps callers that were refused together from returning
+	// together.
+	retrySpread = 200 * time.Millisecond
+)
+
+// call is one request of a caller on its way through the entry.
+type call struct {
+	e       *Edge
+	w       http.ResponseWriter
+	r       *http.Request
+	req     platform.Request
+	route   *routing.Route
+	table   *routing.Table
+	service string
+	body    []byte
+	began   time.Time
+	// deadline is the end of the caller's time or of the route's timeout.
+	deadline time.Time
+	tracker  *attempt.Tracker
+	tried    map[string]bool
+	answered bool // the head of an answer was sent
+}
+
+// serve handles one request of a caller.
+func (e *Edge) serve(w http.ResponseWriter, r *http.Request) {
+	c := &call{e: e, w: w, r: r, req: platform.DecodeRequest(r.Header), began: time.Now(), tried: make(map[string]bool)}
+	if e.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c.table = e.view.table.Load()
+	if c.table == nil {
+		c.refuse(http.StatusServiceUnavailable, retryUnready, "no configuration")
+		return
+	}
+	c.route = c.table.Match(r.Host, r.URL.EscapedPath())
+	if c.route == nil {
+		c.refuse(http.StatusNotFound, 0, "no route")
+		return
+	}
+	if !c.readBody() {
+		return
+	}
+	c.service = c.route.Pick(rand.Float64())
+	c.deadline = c.began.Add(c.timeAllowed())
+	c.tracker = attempt.New(attempt.Request{
+		Idempotent: c.route.Idempotent(), MaxAttempts: c.route.MaxAttempts, Deadline: c.deadline,
+	})
+	switch {
+	case c.route.Kind == routing.Stream:
+		c.serveStream()
+	default:
+		c.servePlain()
+	}
+}
+
+func (c *call) timeAllowed() time.Duration {
+	d := c.req.TimeLeft
+	if t := c.route.Timeout; t > 0 && (d == 0 || t < d) {
+		d = t
+	}
+	if d == 0 {
+		d = defaultTimeout
+	}
+	return d
+}
+
+// readBody reads the whole body, so that a caller that breaks off in it has
+// started nothing.
+func (c *call) readBody() bool {
+	limit := c.table.Limits().BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	if err == nil {
+		c.body = body
+		return true
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		c.refuse(http.StatusRequestEntityTooLarge, 0, "body too large")
+		return false
+	}
+	c.e.logger.Info("request body not received", "id", c.req.ID, "err", err)
+	panic(http.ErrAbortHandler)
+}
+
+// refuse answers a request that has not run.
+func (c *call) refuse(status int, retryAfter time.Duration, why string) {
+	if retryAfter > 0 {
+		retryAfter += rand.N(retrySpread)
+	}
+	c.own(status, retryAfter, why)
+}
+
+// own answers on behalf of the system.
+func (c *call) own(status int, retryAfter time.Duration, why string) {
+	platform.OwnAnswerHeader(c.w.Header(), c.req.ID, retryAfter)
+	c.w.Header().Set("Content-Length", "0")
+	c.w.WriteHeader(status)
+	c.answered = true
+	c.log("request ended by us", status, "why", why, "retry_after", retryAfter)
+	c.e.metrics.ended(c.kind(), why, time.Since(c.began))
+}
+
+func (c *call) kind() string {
+	if c.route == nil {
+		return "none"
+	}
+	return c.route.Kind.String()
+}
+
+func (c *call) log(msg string, status int, more ...any) {
+	args := []any{"id", c.req.ID, "status", status, "took_ms", time.Since(c.began).Milliseconds()}
+	if c.route != nil {
+		args = append(args, "route", c.route.Name, "config", c.table.Version())
+	}
+	if c.req.Program != "" {
+		args = append(args, "program", c.req.Program)
+	}
+	if c.tracker != nil {
+		args = append(args, "attempts", c.tracker.Attempts())
+	}
+	c.e.logger.Info(msg, append(args, more...)...)
+}
+
+// finish answers a request for which no answer of an upstream can be
+// delivered.
+func (c *call) finish(a attempt.Action, why string) {
+	if c.answered {
+		c.log("answer broken off", http.StatusOK, "why", why)
+		c.e.metrics.ended(c.kind(), "broken_off", time.Since(c.began))
+		panic(http.ErrAbortHandler)
+	}
+	switch a {
+	case attempt.Refuse:
+		c.refuse(http.StatusServiceUnavailable, retryFull, why)
+	case attempt.Expire:
+		c.own(http.StatusGatewayTimeout, 0, why)
+	default:
+		c.own(http.StatusBadGateway, 0, why)
+	}
+}
+
+// place chooses an upstream and counts the attempt. It returns nil if none is
+// left.
+func (c *call) place() *fleet.Member {
+	now := time.Now()
+	req := fleet.Request{
+		Service: c.service, Draw: rand.Float64(), Work: c.route.Objective,
+		Excluded: func(id string) bool { return c.tried[id] },
+	}
+	if key := c.affinityKey(); key != "" {
+		req.Affinity, _ = c.e.affinity.Get(key)
+	}
+	var m *fleet.Member
+	c.e.withFleet(func(f *fleet.Fleet) {
+		if m = f.Pick(req, now); m != nil {
+			f.Started(m)
+		}
+	})
+	if m != nil {
+		c.tried[m.ID] = true
+	}
+	return m
+}
+
+// affinityKey names the part of a prompt that only this line of turns has.
+func (c *call) affinityKey() string {
+	if c.route.Kind != routing.Stream {
+		return ""
+	}
+	if c.req.Program != "" {
+		return c.req.Program
+	}
+	if n := len(c.req.Prefix); n > 0 {
+		return c.req.Prefix[n-1].ID
+	}
+	return ""
+}
+
+// request returns the request for an upstream.
+func (c *call) request(m *fleet.Member, lastEvent string) *upstream.Request {
+	h := platform.ForwardHeader(c.r.Header, platform.Forwarded{
+		Upstream: m.ID, TimeLeft: time.Until(c.deadline), Urgency: c.urgency(), LastEvent: lastEvent,
+	})
+	return &upstream.Request{
+		Address: m.Address, Limit: c.connectionLimit(), ID: c.req.ID,
+		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
+	}
+}
+
+// connectionLimit shares an upstream's connections among the entries.
+func (c *call) connectionLimit() int {
+	limit := c.table.Service(c.service).MaxConnections
+	if limit <= 0 {
+		return 0
+	}
+	return max(limit/c.e.view.entries(), 1)
+}
+
+// urgency ranks requests at engines: by the route's priority, and a turn of a
+// program that has begun before a first turn.
+func (c *call) urgency() int {
+	if c.route.Kind != routing.Stream {
+		return -1
+	}
+	u := 2 + 2*c.route.Priority
+	if c.req.ParentTurn != "" {
+		u--
+	}
+	return min(u, 9)
+}
+
+// ended notes the end of an attempt in the fleet and returns what follows.
+func (c *call) ended(m *fleet.Member, o attempt.Outcome, resp *upstream.Response, err error) attempt.Action {
+	now := time.Now()
+	status := 0
+	c.e.withFleet(func(f *fleet.Fleet) {
+		if resp != nil {
+			status = resp.Status
+			if l := resp.Load; l != nil {
+				f.Reported(m, fleet.Load{Running: l.Running, Waiting: l.Waiting, Slots: l.Slots}, now)
+			}
+		}
+		f.Ended(m)
+		switch o {
+		case attempt.Answered:
+			f.Succeeded(m)
+		case attempt.Rejected:
+			if status == http.StatusMisdirectedRequest {
+				f.Failed(m, true, now)
+			} else {
+				f.Full(m, now)
+			}
+		case attempt.NotSent:
+			f.Failed(m, !errors.Is(err, upstream.ErrTooMany), now)
+		default:
+			f.Failed(m, false, now)
+		}
+	})
+	c.e.metrics.attempt(o.String())
+	action := c.tracker.Ended(o, status >= http.StatusInternalServerError, now)
+	if o != attempt.Answered {
+		c.e.logger.Info("attempt failed", "id", c.req.ID, "upstream", m.ID, "address", m.Address,
+			"outcome", o, "status", status, "next", action, "in_flight", m.InFlight(),
+			"took_ms", now.Sub(c.began).Milliseconds(), "err", err)
+	}
+	return action
+}
+
+// canceled notes an attempt that ended because the caller left.
+func (c *call) canceled(m *fleet.Member) {
+	c.e.withFleet(func(f *fleet.Fleet) { f.Ended(m) })
+	c.log("caller left", 0)
+	c.e.metrics.ended(c.kind(), "caller_left", time.Since(c.began))
+}
+
+// gone reports whether the caller has left.
+func (c *call) gone() bool { return c.r.Context().Err() != nil }
+
+// failure tells how an exchange without an answer ended.
+func failure(err error, stalled bool) attempt.Outcome {
+	var ue *upstream.Error
+	switch {
+	case errors.As(err, &ue) && !ue.Sent:
+		return attempt.NotSent
+	case stalled && (errors.Is(err, context.DeadlineExceeded) || ue != nil && ue.Timeout()):
+		return attempt.Stalled
+	}
+	return attempt.Broken
+}
+
+// rejected reports whether an answer leaves the request free for another
+// upstream. Other client errors are the upstream's answer.
+func rejected(resp *upstream.Response) bool {
+	if !resp.NotRun {
+		return false
+	}
+	switch resp.Status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest:
+		return true
+	}
+	return resp.Status >= http.StatusInternalServerError
+}
+
+// promisesNotRun reports whether callers take a status as the promise that the
+// request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// answer passes a complete answer of an upstream on.
+func (c *call) answer(resp *upstream.Response, body []byte) {
+	if promisesNotRun(resp.Status) && !resp.NotRun {
+		c.own(http.StatusBadGateway, 0, "upstream failed after it ran the request")
+		return
+	}
+	h := c.w.Header()
+	platform.CopyAnswerHeader(h, resp.Header)
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // the upstream's headers are passed on as they are
+	}
+	c.w.WriteHeader(resp.Status)
+	c.answered = true
+	if _, err := c.w.Write(body); err != nil {
+		c.e.logger.Debug("answer not received", "id", c.req.ID, "err", err)
+	}
+	c.log("request answered", resp.Status)
+	c.e.metrics.ended(c.kind(), "answered", time.Since(c.began))
+}
--- /dev/null
+++ b/pkg/edge/metrics.go
@@ -0,0 +1,41 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	vm "github.com/VictoriaMetrics/metrics"
+)
+
+// metrics are the counters and histograms of one entry.
+type metrics struct{ set *vm.Set }
+
+func newMetrics() *metrics { return &metrics{set: vm.NewSet()} }
+
+// ended counts a request by route kind and result, and its time.
+func (m *metrics) ended(kind, result string, took time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_requests_total{kind=%q,result=%q}`, kind, result)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`yucca_edge_request_seconds{kind=%q}`, kind)).Update(took.Seconds())
+}
+
+// attempt counts an attempt at an upstream by its outcome.
+func (m *metrics) attempt(outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_attempts_total{outcome=%q}`, outcome)).Inc()
+}
+
+// firstEvent records the time to the first event of a stream.
+func (m *metrics) firstEvent(took time.Duration) {
+	m.set.GetOrCreateHistogram(`yucca_edge_first_event_seconds`).Update(took.Seconds())
+}
+
+// ledger records the time of a call of the ledger by step and result.
+func (m *metrics) ledger(step string, err error, took time.Duration) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`yucca_edge_ledger_seconds{step=%q,result=%q}`, step, result)).Update(took.Seconds())
+}
+
+func (m *metrics) serve(w http.ResponseWriter, _ *http.Request) { m.set.WritePrometheus(w) }
--- /dev/null
+++ b/pkg/edge/server.go
@@ -0,0 +1,105 @@
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+const (
+	// MetricsPort and MetricsPath are named in deploy/system.toml.
+	MetricsPort = 9464
+	MetricsPath = "/metrics"
+
+	// headerTimeout bounds the sending of a request's headers; the platform's
+	// callers stay within 3 s.
+	headerTimeout = 5 * time.Second
+	// idleTimeout exceeds the longest time for which callers keep an idle
+	// connection, so that it is the caller who closes it.
+	idleTimeout    = 120 * time.Second
+	maxHeaderBytes = 64 << 10
+	// listenTime is how long a stopping entry takes new connections: the
+	// platform asks for readiness once a second and reacts to the second miss.
+	listenTime = 2500 * time.Millisecond
+	// stopMargin is kept between the end of the drain and the kill.
+	stopMargin = 400 * time.Millisecond
+)
+
+// serveCallers serves until stop ends and all requests have their answers.
+func (e *Edge) serveCallers(ctx, stop context.Context) error {
+	callers := &http.Server{
+		Handler:           http.HandlerFunc(e.serve),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(e.logger.Handler(), slog.LevelDebug),
+	}
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+platform.ReadinessPath, e.serveReadiness)
+	admin := http.NewServeMux()
+	admin.HandleFunc("GET "+MetricsPath, e.metrics.serve)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, s := range []struct {
+		address string
+		server  *http.Server
+	}{
+		{e.settings.CallerListen, callers},
+		{e.settings.ReadyListen, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}},
+		{net.JoinHostPort(e.settings.IP, strconv.Itoa(MetricsPort)), &http.Server{Handler: admin, ReadHeaderTimeout: headerTimeout}},
+	} {
+		ln, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", s.address)
+		}
+		wg.Go(func() {
+			if err := s.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+				e.logger.Error("server ended", "address", s.address, "err", err)
+			}
+		})
+		if s.server != callers {
+			defer s.server.Close()
+		}
+	}
+	e.logger.Info("started", "node", e.settings.Node, "callers", e.settings.CallerListen, "failure_domain", e.settings.FailureDomain)
+	select {
+	case <-stop.Done():
+	case <-ctx.Done():
+	}
+	return e.drain(callers)
+}
+
+// drain answers what was accepted. Answers close their connections from now
+// on, and the listener stays open until the platform sends no more callers.
+func (e *Edge) drain(callers *http.Server) error {
+	began := time.Now()
+	e.draining.Store(true)
+	e.logger.Info("draining", "grace", e.settings.StopGrace)
+	time.Sleep(min(listenTime, e.settings.StopGrace/2))
+	left := time.Until(began.Add(e.settings.StopGrace - stopMargin))
+	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	if err != nil {
+		e.logger.Warn("requests were cut at the stop", "err", err)
+		return errors.Wrap(callers.Close(), "close callers' connections")
+	}
+	e.logger.Info("drained", "took", time.Since(began))
+	return nil
+}
+
+func (e *Edge) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	if e.draining.Load() || !e.view.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/pkg/edge/turn.go
@@ -0,0 +1,193 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
+)
+
+const (
+	// ledgerTimeout bounds the wait of a turn for the ledger before it runs:
+	// longer than the storage processes need to come back from a kill at once.
+	ledgerTimeout = 1200 * time.Millisecond
+	// commitTimeout bounds the wait before the end of an answer until its turn
+	// is durable; after that the answer ends and the write goes on.
+	commitTimeout = 1500 * time.Millisecond
+	// commitRetryTimeout bounds the write that goes on after the answer.
+	commitRetryTimeout = 60 * time.Second
+)
+
+// turn is the part of a program that one request makes up.
+type turn struct {
+	c        *call
+	reserved bool // tokens are set aside in the ledger
+	settled  bool
+	input    []byte // without the earlier turns
+	output   []byte
+	tokens   int // delivered, as the budget counts them
+}
+
+// beginTurn sets the turn's tokens aside and puts the earlier turns in front
+// of its input. It answers the request itself and returns false if the turn
+// must not run.
+func (c *call) beginTurn() (*turn, bool) {
+	t := &turn{c: c, input: c.body}
+	ctx, cancel := context.WithDeadline(c.r.Context(), earlier(c.deadline, time.Now().Add(ledgerTimeout)))
+	defer cancel()
+	history := make(chan error, 1)
+	if c.route.KeepsHistory && c.req.ParentTurn != "" {
+		go func() { history <- t.loadHistory(ctx) }()
+	} else {
+		history <- nil
+	}
+	reserveErr := t.reserve(ctx)
+	historyErr := <-history
+	switch {
+	case c.gone():
+		c.log("caller left", 0)
+	case errors.Is(reserveErr, ledger.ErrOverBudget):
+		c.refuse(http.StatusPaymentRequired, 0, "budget spent")
+	case errors.Is(historyErr, ledger.ErrNotFound):
+		c.refuse(http.StatusNotFound, 0, "turn does not exist")
+	case reserveErr != nil:
+		c.e.logger.Warn("budget not known", "id", c.req.ID, "program", c.req.Program, "err", reserveErr)
+		c.refuse(http.StatusServiceUnavailable, retryUnready, "budget not known")
+	case historyErr != nil:
+		c.e.logger.Warn("history not known", "id", c.req.ID, "parent", c.req.ParentTurn, "err", historyErr)
+		c.refuse(http.StatusServiceUnavailable, retryUnready, "history not known")
+	default:
+		return t, true
+	}
+	t.settle()
+	return nil, false
+}
+
+func (c *call) usage(tokens int, settled bool) *peerv1.Usage {
+	return &peerv1.Usage{
+		Program: c.req.Program, Attempt: ledger.AttemptKey(c.req.ID), Tokens: uint32(tokens), Settled: settled,
+		RetentionMs: uint32(c.route.Retention.Milliseconds()),
+	}
+}
+
+func (t *turn) reserve(ctx context.Context) error {
+	c := t.c
+	if c.req.Program == "" || c.req.Budget <= 0 {
+		return nil
+	}
+	t.reserved = true
+	began := time.Now()
+	err := c.e.ledger.Reserve(ctx, c.usage(c.req.MaxTokens, false), c.req.Budget)
+	c.e.metrics.ledger("reserve", err, time.Since(began))
+	return err
+}
+
+// loadHistory puts the earlier turns of the chain in front of the body.
+func (t *turn) loadHistory(ctx context.Context) error {
+	began := time.Now()
+	chain, err := t.c.e.chain(ctx, t.c.req.ParentTurn)
+	t.c.e.metrics.ledger("history", err, time.Since(began))
+	if err != nil {
+		return err
+	}
+	size := len(t.input)
+	for _, r := range chain {
+		size += len(r.GetInput()) + len(r.GetOutput())
+	}
+	body := make([]byte, 0, size)
+	for _, r := range chain {
+		body = append(body, r.GetInput()...)
+		body = append(body, r.GetOutput()...)
+	}
+	t.c.body = append(body, t.input...)
+	return nil
+}
+
+// maxCachedChain bounds a walk through the cache, against a loop of parents.
+const maxCachedChain = 4096
+
+// chain returns a turn and all before it, oldest first, from memory or from
+// the ledger.
+func (e *Edge) chain(ctx context.Context, id string) ([]*peerv1.TurnRecord, error) {
+	var newest []*peerv1.TurnRecord
+	for range maxCachedChain {
+		r, ok := e.turns.Get(id)
+		if !ok {
+			break
+		}
+		newest = append(newest, r)
+		if id = r.GetParent(); id == "" {
+			break
+		}
+	}
+	var chain []*peerv1.TurnRecord
+	if id != "" {
+		var err error
+		if chain, err = e.ledger.Chain(ctx, id); err != nil {
+			return nil, err
+		}
+		for _, r := range chain {
+			e.turns.Add(r.GetId(), r)
+		}
+	}
+	for i := len(newest) - 1; i >= 0; i-- {
+		chain = append(chain, newest[i])
+	}
+	return chain, nil
+}
+
+// event counts an event that the caller was handed.
+func (t *turn) event(ev event) {
+	t.tokens += t.c.table.Service(t.c.service).TokensPerEvent
+	if t.c.route.KeepsHistory {
+		t.output = append(append(t.output, ev.data...), '\n')
+	}
+}
+
+// settle replaces the reserved tokens by those delivered, in the background.
+func (t *turn) settle() {
+	if !t.reserved || t.settled {
+		return
+	}
+	t.settled = true
+	t.c.e.settler.add(usageRecord(t.c.usage(t.tokens, true)))
+}
+
+// commit makes a complete turn durable before its answer ends.
+func (t *turn) commit() {
+	c := t.c
+	if !c.route.KeepsHistory || c.req.ID == "" {
+		return
+	}
+	rec := &peerv1.TurnRecord{
+		Id: c.req.ID, Parent: c.req.ParentTurn, Input: t.input, Output: t.output,
+		RetentionMs: uint32(c.route.Retention.Milliseconds()),
+	}
+	c.e.turns.Add(rec.GetId(), rec)
+	recs := []*peerv1.LedgerRecord{{Body: &peerv1.LedgerRecord_Turn{Turn: rec}}}
+	if t.reserved {
+		t.settled = true
+		recs = append(recs, usageRecord(c.usage(t.tokens, true)))
+	}
+	done := make(chan error, 1)
+	began := time.Now()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), commitRetryTimeout)
+		defer cancel()
+		err := c.e.ledger.Write(ctx, recs)
+		c.e.metrics.ledger("commit", err, time.Since(began))
+		done <- err
+	}()
+	select {
+	case err := <-done:
+		if err != nil {
+			c.e.logger.Error("turn not durable", "id", c.req.ID, "err", err)
+		}
+	case <-time.After(commitTimeout):
+		c.e.logger.Warn("answer ends before its turn is durable", "id", c.req.ID)
+	}
+}
--- /dev/null
+++ b/pkg/edge/view.go
@@ -0,0 +1,387 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
+	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
+	"github.com/yuccaspindle/yuccaspindle/pkg/peerstate"
+	"github.com/yuccaspindle/yuccaspindle/pkg/routing"
+	"github.com/yuccaspindle/yuccaspindle/pkg/storewatch"
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+const (
+	// registerPause is the wait before a failed registration is tried again.
+	registerPause = 500 * time.Millisecond
+	// expireInterval is how often missing upstreams are checked for the end of
+	// their grace.
+	expireInterval = 200 * time.Millisecond
+	// peerStateInterval is how often an entry without the store asks a peer for
+	// what that peer knows.
+	peerStateInterval = 500 * time.Millisecond
+	maxRelays         = 3
+)
+
+// view is what an entry believes of the deployment: the configuration in
+// force, the upstreams, and the processes of the system.
+type view struct {
+	e     *Edge
+	table atomic.Pointer[routing.Table]
+
+	mu        sync.Mutex
+	config    []byte // as the store has it
+	upstreams map[string][]byte
+	nodes     map[string]platform.Node
+	nodeSpecs map[string][]byte
+	lost      map[string]bool // kinds whose watch is down
+}
+
+func newView(e *Edge) *view {
+	return &view{
+		e: e, upstreams: make(map[string][]byte),
+		nodes: make(map[string]platform.Node), nodeSpecs: make(map[string][]byte),
+		lost: map[string]bool{platform.KindConfig: true, platform.KindUpstreams: true, platform.KindNodes: true},
+	}
+}
+
+// ready reports whether requests can be placed.
+func (v *view) ready() bool {
+	if v.table.Load() == nil {
+		return false
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.upstreams) > 0
+}
+
+func (v *view) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, w := range []struct {
+		kind string
+		h    storewatch.Handler
+	}{
+		{platform.KindConfig, configHandler{v}},
+		{platform.KindUpstreams, upstreamHandler{v}},
+		{platform.KindNodes, nodeHandler{v}},
+	} {
+		watcher := storewatch.Watcher{Store: v.e.store.Load, Kind: w.kind, Handler: w.h, Logger: v.e.logger}
+		wg.Go(func() { watcher.Run(ctx) })
+	}
+	wg.Go(func() { v.register(ctx) })
+	wg.Go(func() { v.expire(ctx) })
+	wg.Go(func() { v.askPeers(ctx) })
+	wg.Wait()
+}
+
+func (v *view) setLost(kind string, lost bool) {
+	v.mu.Lock()
+	v.lost[kind] = lost
+	v.mu.Unlock()
+}
+
+// live reports whether all watches of the store are up.
+func (v *view) live() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, lost := range v.lost {
+		if lost {
+			return false
+		}
+	}
+	return true
+}
+
+// register makes this process known to the others.
+func (v *view) register(ctx context.Context) {
+	s := v.e.settings
+	node := platform.Node{
+		Role: platform.RoleEdge, Address: s.PeerAddress(), FailureDomain: s.FailureDomain, Started: time.Now(),
+	}
+	for ctx.Err() == nil {
+		err := platform.Register(ctx, v.e.store.Load(), s.Node, node)
+		if err == nil {
+			v.e.logger.Info("registered", "node", s.Node, "address", node.Address)
+			return
+		}
+		v.e.logger.Debug("registration failed", "err", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(registerPause/2 + rand.N(registerPause)):
+		}
+	}
+}
+
+func (v *view) expire(ctx context.Context) {
+	t := time.NewTicker(expireInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			v.e.withFleet(func(f *fleet.Fleet) {
+				for _, id := range f.Expire(now) {
+					v.e.logger.Info("upstream gone", "upstream", id, "cause", "not registered again")
+				}
+			})
+		}
+	}
+}
+
+// applyConfig puts a configuration in force if it is newer.
+func (v *view) applyConfig(spec []byte, source string) {
+	cfg, err := platform.DecodeConfig(spec)
+	if err != nil {
+		v.e.logger.Error("configuration can not be read", "source", source, "err", err)
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if old := v.table.Load(); old != nil && cfg.Version <= old.Version() {
+		return
+	}
+	v.config = spec
+	v.table.Store(routing.NewTable(cfg))
+	v.e.logger.Info("configuration in force", "version", cfg.Version, "routes", len(cfg.Routes), "source", source)
+}
+
+type configHandler struct{ v *view }
+
+func (h configHandler) Listed(objects []platform.Object, _ bool) {
+	h.v.setLost(platform.KindConfig, false)
+	for _, o := range objects {
+		h.put(o)
+	}
+}
+
+func (h configHandler) put(o platform.Object) {
+	if o.Name == platform.ConfigName {
+		h.v.applyConfig(o.Spec, "store")
+	}
+}
+
+func (h configHandler) Changed(changes []platform.Change) {
+	for _, c := range changes {
+		if !c.Deleted {
+			h.put(c.Object)
+		}
+	}
+}
+
+func (h configHandler) Lost(error) { h.v.setLost(platform.KindConfig, true) }
+
+type upstreamHandler struct{ v *view }
+
+func (h upstreamHandler) Listed(objects []platform.Object, regained bool) {
+	h.v.setLost(platform.KindUpstreams, false)
+	h.v.replaceUpstreams(objects, regained)
+}
+
+func (v *view) replaceUpstreams(objects []platform.Object, regained bool) {
+	list := make([]fleet.Upstream, 0, len(objects))
+	specs := make(map[string][]byte, len(objects))
+	for _, o := range objects {
+		u, err := platform.DecodeUpstream(o)
+		if err != nil {
+			v.e.logger.Warn("upstream entry ignored", "upstream", o.Name, "err", err)
+			continue
+		}
+		list = append(list, u)
+		specs[o.Name] = o.Spec
+	}
+	v.mu.Lock()
+	v.upstreams = specs
+	v.mu.Unlock()
+	now := time.Now()
+	v.e.withFleet(func(f *fleet.Fleet) {
+		if regained {
+			f.ContactRegained(now)
+		}
+		f.Replace(list, now)
+	})
+}
+
+func (h upstreamHandler) Changed(changes []platform.Change) {
+	now := time.Now()
+	for _, c := range changes {
+		name := c.Object.Name
+		u, err := platform.DecodeUpstream(c.Object)
+		gone := c.Deleted || err != nil
+		h.v.mu.Lock()
+		if gone {
+			delete(h.v.upstreams, name)
+		} else {
+			h.v.upstreams[name] = c.Object.Spec
+		}
+		h.v.mu.Unlock()
+		h.v.e.withFleet(func(f *fleet.Fleet) {
+			if gone {
+				h.v.e.logger.Info("upstream gone", "upstream", name, "revision", c.Object.Revision, "err", err)
+				f.Remove(name, now)
+				return
+			}
+			if m := f.Member(name); m == nil || m.State != u.State {
+				h.v.e.logger.Info("upstream changed", "upstream", name, "service", u.Service, "state", int(u.State), "revision", c.Object.Revision)
+			}
+			f.Put(u)
+		})
+	}
+}
+
+func (h upstreamHandler) Lost(error) { h.v.setLost(platform.KindUpstreams, true) }
+
+type nodeHandler struct{ v *view }
+
+func (h nodeHandler) Listed(objects []platform.Object, _ bool) {
+	h.v.setLost(platform.KindNodes, false)
+	for _, o := range objects {
+		h.v.putNode(o)
+	}
+}
+
+func (v *view) putNode(o platform.Object) {
+	n, err := platform.DecodeNode(o)
+	if err != nil {
+		v.e.logger.Warn("registration ignored", "node", o.Name, "err", err)
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.nodes[o.Name] = n
+	v.nodeSpecs[o.Name] = o.Spec
+}
+
+func (h nodeHandler) Changed(changes []platform.Change) {
+	for _, c := range changes {
+		if c.Deleted {
+			h.v.mu.Lock()
+			delete(h.v.nodes, c.Object.Name)
+			delete(h.v.nodeSpecs, c.Object.Name)
+			h.v.mu.Unlock()
+			continue
+		}
+		h.v.putNode(c.Object)
+	}
+}
+
+func (h nodeHandler) Lost(error) { h.v.setLost(platform.KindNodes, true) }
+
+// Storage implements ledger.Directory.
+func (v *view) Storage() []ledger.Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var list []ledger.Member
+	for name, n := range v.nodes {
+		if n.Role == platform.RoleStorage && n.Active && !n.Removed {
+			local := v.e.settings.RegionOf[n.FailureDomain] == v.e.settings.Region
+			list = append(list, ledger.Member{Name: name, Address: n.Address, Local: local})
+		}
+	}
+	return list
+}
+
+// Relays implements ledger.Directory: the other entries, those of the same
+// region first.
+func (v *view) Relays() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var near, far []string
+	for name, n := range v.nodes {
+		if n.Role != platform.RoleEdge || name == v.e.settings.Node {
+			continue
+		}
+		if v.e.settings.RegionOf[n.FailureDomain] == v.e.settings.Region {
+			near = append(near, n.Address)
+			continue
+		}
+		far = append(far, n.Address)
+	}
+	all := append(near, far...)
+	return all[:min(len(all), maxRelays)]
+}
+
+// entries returns the number of known entries, at least 1.
+func (v *view) entries() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	n := 0
+	for _, node := range v.nodes {
+		if node.Role == platform.RoleEdge {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+// askPeers keeps the view fresh through other entries while the store does not
+// answer this one.
+func (v *view) askPeers(ctx context.Context) {
+	t := time.NewTicker(peerStateInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if v.live() {
+			continue
+		}
+		for _, address := range v.peers() {
+			if err := v.askPeer(ctx, address); err == nil {
+				break
+			} else if ctx.Err() == nil {
+				v.e.logger.Debug("peer state not received", "peer", address, "err", err)
+			}
+		}
+	}
+}
+
+// peers returns the addresses of entries: known ones, and those of the settings.
+func (v *view) peers() []string {
+	list := v.Relays()
+	for _, ip := range v.e.settings.Seeds {
+		list = append(list, v.e.settings.PeerAddressOf(ip))
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
+func (v *view) askPeer(ctx context.Context, address string) error {
+	reply, err := peerstate.Fetch(ctx, v.e.transport, address)
+	if err != nil {
+		return err
+	}
+	if len(reply.GetConfiguration()) == 0 || !reply.GetLive() && v.table.Load() != nil {
+		return errors.Errorf("peer %s knows nothing newer", address)
+	}
+	v.applyConfig(reply.GetConfiguration(), "peer "+address)
+	v.mu.Lock()
+	upstreamsLost := v.lost[platform.KindUpstreams]
+	v.mu.Unlock()
+	if upstreamsLost {
+		v.replaceUpstreams(peerstate.Objects(reply.GetUpstreams()), false)
+	}
+	for _, o := range peerstate.Objects(reply.GetNodes()) {
+		v.putNode(o)
+	}
+	return nil
+}
+
+// state returns what this entry knows, for a peer without the store.
+func (v *view) state() *peerv1.StateReply {
+	live := v.live()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return &peerv1.StateReply{
+		Configuration: v.config, Upstreams: peerstate.Stored(v.upstreams), Nodes: peerstate.Stored(v.nodeSpecs), Live: live,
+	}
+}
--- /dev/null
+++ b/pkg/fleet/fleet.go
@@ -0,0 +1,228 @@
+// Package fleet keeps what a process believes about the upstreams of a
+// deployment and chooses one for each attempt. It has no clock and no I/O; the
+// time is passed in.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// State is the stage of an upstream's life.
+type State int
+
+// Upstream states.
+const (
+	Ready State = iota
+	Draining
+)
+
+// Upstream is one registered upstream.
+type Upstream struct {
+	ID            string // of one incarnation; named in each request to it
+	Service       string
+	Address       string // host:port
+	FailureDomain string
+	Slots         int           // requests that run at once
+	State         State         //
+	Warm          time.Duration // remaining time during which it is slower after its start
+	Born          int64         // Unix ms of its start; tells incarnations with one id apart
+}
+
+// Load is the load that an upstream reported with an answer.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+const (
+	// goneGrace is how long an entry that is missing right after the store
+	// came back is still believed: the store gives upstreams two seconds to
+	// register again, and half a second covers the lag of the watch.
+	goneGrace = 2500 * time.Millisecond
+	// loadHalfLife is the age at which a reported load counts half: reports are
+	// some hundred ms old, and a request takes about as long.
+	loadHalfLife = 400 * time.Millisecond
+	// suspendBase and suspendMax bound the time without new attempts after
+	// consecutive failures; the time doubles with each.
+	suspendBase = 250 * time.Millisecond
+	suspendMax  = 4 * time.Second
+	// outcomeWeight is the weight of the newest outcome in the failure rate,
+	// which then follows about the last eight attempts.
+	outcomeWeight = 0.12
+)
+
+// Member is an upstream with what its use has shown.
+type Member struct {
+	Upstream
+
+	inFlight int
+
+	others     float64 // requests of other callers when load was reported last
+	waiting    float64
+	reportedAt time.Time
+
+	failures       int // consecutive
+	suspendedUntil time.Time
+	failureRate    float64 // moving average of outcomes, 0 to 1
+
+	missing   bool // the entry is gone from the store
+	goneAfter time.Time
+}
+
+// InFlight returns the number of attempts of this process.
+func (m *Member) InFlight() int { return m.inFlight }
+
+// Suspended reports whether the member takes no attempts because of failures.
+func (m *Member) Suspended(now time.Time) bool { return now.Before(m.suspendedUntil) }
+
+// Fleet holds the members by id.
+type Fleet struct {
+	domain    string
+	regionOf  map[string]string // failure domain to region
+	members   map[string]*Member
+	byService map[string][]*Member
+	// graceUntil ends the time after a regained contact with the store in which
+	// missing entries are still believed.
+	graceUntil time.Time
+}
+
+// New returns an empty fleet as seen from a failure domain.
+func New(domain string, regionOf map[string]string) *Fleet {
+	return &Fleet{
+		domain: domain, regionOf: regionOf,
+		members:   make(map[string]*Member),
+		byService: make(map[string][]*Member),
+	}
+}
+
+// ContactRegained starts the time in which missing entries are kept, because
+// upstreams may not have registered again since the store came back.
+func (f *Fleet) ContactRegained(now time.Time) { f.graceUntil = now.Add(goneGrace) }
+
+// Put adds or changes an upstream. An incarnation that started anew keeps no
+// experience of the one before.
+func (f *Fleet) Put(u Upstream) {
+	m := f.members[u.ID]
+	if m == nil || m.Born != u.Born || m.Address != u.Address {
+		m = &Member{}
+		f.members[u.ID] = m
+	}
+	m.Upstream = u
+	m.missing = false
+	f.index()
+}
+
+// Remove takes an entry as gone, at once or after the grace following a
+// regained contact.
+func (f *Fleet) Remove(id string, now time.Time) {
+	m := f.members[id]
+	if m == nil {
+		return
+	}
+	if now.Before(f.graceUntil) {
+		m.missing = true
+		m.goneAfter = f.graceUntil
+		return
+	}
+	delete(f.members, id)
+	f.index()
+}
+
+// Replace takes a complete listing: entries that it does not name are removed.
+func (f *Fleet) Replace(list []Upstream, now time.Time) {
+	named := make(map[string]bool, len(list))
+	for _, u := range list {
+		named[u.ID] = true
+		f.Put(u)
+	}
+	for id := range f.members {
+		if !named[id] {
+			f.Remove(id, now)
+		}
+	}
+}
+
+// Expire removes the missing entries whose grace has ended and returns their
+// ids.
+func (f *Fleet) Expire(now time.Time) []string {
+	var gone []string
+	for id, m := range f.members {
+		if m.missing && !now.Before(m.goneAfter) {
+			delete(f.members, id)
+			gone = append(gone, id)
+		}
+	}
+	if len(gone) > 0 {
+		slices.Sort(gone)
+		f.index()
+	}
+	return gone
+}
+
+func (f *Fleet) index() {
+	clear(f.byService)
+	for _, m := range f.members {
+		f.byService[m.Service] = append(f.byService[m.Service], m)
+	}
+	for _, list := range f.byService {
+		slices.SortFunc(list, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
+	}
+}
+
+// Member returns the member with an id, or nil.
+func (f *Fleet) Member(id string) *Member { return f.members[id] }
+
+// Members returns all members of a service in the order of their ids. The
+// caller must not change the slice.
+func (f *Fleet) Members(service string) []*Member { return f.byService[service] }
+
+// Len returns the number of members.
+func (f *Fleet) Len() int { return len(f.members) }
+
+// Started counts an attempt at a member.
+func (f *Fleet) Started(m *Member) { m.inFlight++ }
+
+// Ended counts the end of an attempt.
+func (f *Fleet) Ended(m *Member) { m.inFlight-- }
+
+// Reported takes the load that came with an answer, while that answer's
+// attempt is still counted.
+func (f *Fleet) Reported(m *Member, l Load, now time.Time) {
+	if l.Slots > 0 {
+		m.Slots = l.Slots
+	}
+	m.others = max(0, float64(l.Running+l.Waiting-m.inFlight))
+	m.waiting = float64(l.Waiting)
+	m.reportedAt = now
+}
+
+// Succeeded notes an attempt that brought a complete answer.
+func (f *Fleet) Succeeded(m *Member) {
+	m.failures = 0
+	m.suspendedUntil = time.Time{}
+	m.failureRate *= 1 - outcomeWeight
+}
+
+// Failed notes an attempt that broke off or could not be made. Only failures
+// that say something of the whole upstream suspend it: a refused or silent
+// connection, not a single lost answer.
+func (f *Fleet) Failed(m *Member, suspend bool, now time.Time) {
+	m.failureRate = m.failureRate*(1-outcomeWeight) + outcomeWeight
+	if !suspend {
+		return
+	}
+	m.failures++
+	pause := suspendMax
+	if shift := m.failures - 1; shift < 5 {
+		pause = min(suspendMax, suspendBase<<shift)
+	}
+	m.suspendedUntil = now.Add(pause)
+}
+
+// Full notes that a member rejected a request because it had no room.
+func (f *Fleet) Full(m *Member, now time.Time) {
+	m.others = max(m.others, float64(2*max(m.Slots, 1)-m.inFlight))
+	m.waiting = max(m.waiting, float64(m.Slots))
+	m.reportedAt = now
+}
--- /dev/null
+++ b/pkg/peerstate/peerstate.go
@@ -0,0 +1,64 @@
+// Package peerstate asks an entry for what it knows of the platform's store,
+// for processes that the store does not answer.
+package peerstate
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+// timeout bounds one question: some round trips between regions.
+const timeout = 400 * time.Millisecond
+
+// Fetch asks the entry at an address.
+func Fetch(ctx context.Context, t *transport.Transport, address string) (*peerv1.StateReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	s, err := t.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	st, err := s.Open(ctx, &peerv1.Envelope{Body: &peerv1.Envelope_StateRequest{StateRequest: &peerv1.StateRequest{}}})
+	if err != nil {
+		return nil, err
+	}
+	defer st.Close()
+	if d, ok := ctx.Deadline(); ok {
+		if err := st.SetDeadline(d); err != nil {
+			return nil, errors.Wrap(err, "set deadline")
+		}
+	}
+	m, err := st.Recv()
+	if err != nil {
+		return nil, err
+	}
+	reply := m.GetStateReply()
+	if reply == nil {
+		return nil, errors.Errorf("state request to %s: unexpected reply", address)
+	}
+	return reply, nil
+}
+
+// Objects returns the objects of a reply as the store would list them.
+func Objects(list []*peerv1.StoredObject) []platform.Object {
+	out := make([]platform.Object, 0, len(list))
+	for _, o := range list {
+		out = append(out, platform.Object{Name: o.GetName(), Spec: o.GetSpec()})
+	}
+	return out
+}
+
+// Stored is the reverse of Objects.
+func Stored(specs map[string][]byte) []*peerv1.StoredObject {
+	out := make([]*peerv1.StoredObject, 0, len(specs))
+	for name, spec := range specs {
+		out = append(out, &peerv1.StoredObject{Name: name, Spec: spec})
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/storage/join.go
@@ -0,0 +1,217 @@
+package storage
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+const (
+	// joinInterval is the pause between the steps of joining.
+	joinInterval = 200 * time.Millisecond
+	// replacedAfter is how long an older member of the same failure domain must
+	// be out of reach before a new process takes its place while joining.
+	replacedAfter = 2500 * time.Millisecond
+	// goneAfter is the same for a process that has joined: longer than a
+	// restart and most partitions last.
+	goneAfter   = 7 * time.Second
+	pullTimeout = 1500 * time.Millisecond
+	pingTimeout = 500 * time.Millisecond
+	// pingInterval is how often older members of the failure domain are tried.
+	pingInterval = time.Second
+)
+
+// join brings this process into the ledger and keeps it there.
+func (s *Storage) join(ctx context.Context) {
+	if s.settings.FirstStart && s.ledger.Status() == peerv1.LedgerReply_CATCHING_UP {
+		if err := s.ledger.MarkSynced(ctx); err != nil {
+			s.logger.Error("ledger not started", "err", err)
+		}
+	}
+	away := newAway()
+	pinged := time.Now()
+	for ctx.Err() == nil {
+		s.step(ctx, away)
+		if time.Since(pinged) >= pingInterval && s.ledger.Status() == peerv1.LedgerReply_OK {
+			pinged = time.Now()
+			s.dropGone(ctx, away)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(joinInterval):
+		}
+	}
+}
+
+// step does the next thing that is needed to be an active member.
+func (s *Storage) step(ctx context.Context, away *away) {
+	own, registered := s.members.own()
+	status := s.ledger.Status()
+	switch {
+	case status == peerv1.LedgerReply_LEAVING:
+	case status == peerv1.LedgerReply_OK && registered && own.Removed:
+		s.logger.Warn("taken out of the ledger, catching up", "node", s.settings.Node)
+		s.ledger.SetSynced(false)
+	case status == peerv1.LedgerReply_CATCHING_UP:
+		s.catchUp(ctx, own, registered, away)
+	case !registered || !own.Active || own.Address != s.settings.PeerAddress():
+		s.register(ctx, own)
+	}
+}
+
+func (s *Storage) register(ctx context.Context, own platform.Node) {
+	n := platform.Node{
+		Role: platform.RoleStorage, Address: s.settings.PeerAddress(), FailureDomain: s.settings.FailureDomain,
+		Active: true, Joined: own.Joined, Started: time.Now(),
+	}
+	if n.Joined == 0 || own.Removed {
+		n.Joined = time.Now().UnixNano()
+	}
+	if err := platform.Register(ctx, s.store.Load(), s.settings.Node, n); err != nil {
+		s.logger.Debug("registration failed", "err", err)
+		return
+	}
+	s.logger.Info("registered", "node", s.settings.Node, "address", n.Address)
+	n.Name = s.settings.Node
+	s.members.mu.Lock()
+	s.members.nodes[n.Name] = n
+	s.members.mu.Unlock()
+}
+
+// catchUp reads the records of all other members. A process that was never a
+// member, or is one no more, may do so without an older one of its failure
+// domain that it replaces.
+func (s *Storage) catchUp(ctx context.Context, own platform.Node, registered bool, away *away) {
+	others, known := s.members.others()
+	if !known {
+		return
+	}
+	replacing := !registered || !own.Active || own.Removed
+	var gone []platform.Node
+	for _, n := range others {
+		if err := s.pull(ctx, n.Address); err != nil {
+			out := away.failed(n.Name, time.Now())
+			s.logger.Info("records not received", "peer", n.Name, "address", n.Address, "out_of_reach", out, "err", err)
+			if !replacing || n.FailureDomain != s.settings.FailureDomain || out < replacedAfter {
+				return
+			}
+			gone = append(gone, n)
+			continue
+		}
+		away.reached(n.Name)
+	}
+	if err := s.ledger.MarkSynced(ctx); err != nil {
+		s.logger.Error("ledger not completed", "err", err)
+		return
+	}
+	s.logger.Info("caught up", "members", len(others), "records", len(s.ledger.Records()))
+	for _, n := range gone {
+		s.remove(ctx, n)
+	}
+	if replacing {
+		s.register(ctx, own)
+	}
+}
+
+// pull reads all records of a member.
+func (s *Storage) pull(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	sess, err := s.transport.Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	st, err := sess.Open(ctx, &peerv1.Envelope{Body: &peerv1.Envelope_LedgerRequest{LedgerRequest: &peerv1.LedgerRequest{
+		Op: &peerv1.LedgerRequest_Pull{Pull: &peerv1.Pull{}},
+	}}})
+	if err != nil {
+		return err
+	}
+	defer st.Close()
+	if d, ok := ctx.Deadline(); ok {
+		if err := st.SetDeadline(d); err != nil {
+			return errors.Wrap(err, "set deadline")
+		}
+	}
+	for {
+		m, err := st.Recv()
+		if err != nil {
+			return err
+		}
+		r := m.GetLedgerReply()
+		if len(r.GetRecords()) > 0 {
+			if err := s.ledger.Write(ctx, r.GetRecords()); err != nil {
+				return err
+			}
+		}
+		if !r.GetMore() {
+			return nil
+		}
+	}
+}
+
+// dropGone takes older members of the failure domain out that were out of
+// reach for long.
+func (s *Storage) dropGone(ctx context.Context, away *away) {
+	own, registered := s.members.own()
+	if !registered || !own.Active {
+		return
+	}
+	others, _ := s.members.others()
+	for _, n := range others {
+		if n.FailureDomain != s.settings.FailureDomain || n.Joined >= own.Joined {
+			continue
+		}
+		if err := s.ping(ctx, n.Address); err == nil {
+			away.reached(n.Name)
+			continue
+		}
+		if away.failed(n.Name, time.Now()) >= goneAfter {
+			s.remove(ctx, n)
+		}
+	}
+}
+
+func (s *Storage) ping(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	_, err := ledger.Call(ctx, s.transport, address, &peerv1.LedgerRequest{
+		Op: &peerv1.LedgerRequest_Fetch{Fetch: &peerv1.FetchChain{}},
+	})
+	return err
+}
+
+// remove takes a member out of the ledger.
+func (s *Storage) remove(ctx context.Context, n platform.Node) {
+	store := s.store.Load()
+	o, err := store.Get(ctx, platform.KindNodes, n.Name)
+	if err == nil {
+		n.Removed = true
+		err = store.Update(ctx, platform.KindNodes, n.Name, o.Revision, n)
+	}
+	if err != nil {
+		s.logger.Warn("member not taken out", "member", n.Name, "err", err)
+		return
+	}
+	s.logger.Info("member taken out", "member", n.Name, "address", n.Address, "replaced_by", s.settings.Node)
+}
+
+// away keeps since when members are out of reach.
+type away struct{ since map[string]time.Time }
+
+func newAway() *away { return &away{since: make(map[string]time.Time)} }
+
+// failed notes a failure and returns the time since the first in a row.
+func (a *away) failed(name string, now time.Time) time.Duration {
+	if a.since[name].IsZero() {
+		a.since[name] = now
+	}
+	return now.Sub(a.since[name])
+}
+
+func (a *away) reached(name string) { delete(a.since, name) }
--- /dev/null
+++ b/pkg/storage/members.go
@@ -0,0 +1,129 @@
+package storage
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/peerstate"
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+// members is what a storage process knows of the others.
+type members struct {
+	self   string
+	logger *slog.Logger
+
+	mu     sync.Mutex
+	nodes  map[string]platform.Node
+	listed bool // the registrations were read at least once
+	lost   bool // the watch is down
+}
+
+func newMembers(self string, logger *slog.Logger) *members {
+	return &members{self: self, logger: logger, nodes: make(map[string]platform.Node), lost: true}
+}
+
+func (m *members) put(o platform.Object) {
+	n, err := platform.DecodeNode(o)
+	if err != nil {
+		m.logger.Warn("registration ignored", "node", o.Name, "err", err)
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nodes[o.Name] = n
+}
+
+// others returns the active storage processes besides this one, by name, and
+// whether the registrations are known.
+func (m *members) others() ([]platform.Node, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []platform.Node
+	for name, n := range m.nodes {
+		if name != m.self && n.Role == platform.RoleStorage && n.Active && !n.Removed {
+			list = append(list, n)
+		}
+	}
+	slices.SortFunc(list, func(a, b platform.Node) int { return cmp.Compare(a.Name, b.Name) })
+	return list, m.listed
+}
+
+// own returns the registration of this process, if it has one.
+func (m *members) own() (platform.Node, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n, ok := m.nodes[m.self]
+	return n, ok
+}
+
+func (m *members) setLost(lost bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lost = lost
+	m.listed = m.listed || !lost
+}
+
+type nodeHandler struct{ m *members }
+
+func (h nodeHandler) Listed(objects []platform.Object, _ bool) {
+	for _, o := range objects {
+		h.m.put(o)
+	}
+	h.m.setLost(false)
+}
+
+func (h nodeHandler) Changed(changes []platform.Change) {
+	for _, c := range changes {
+		if !c.Deleted {
+			h.m.put(c.Object)
+			continue
+		}
+		h.m.mu.Lock()
+		delete(h.m.nodes, c.Object.Name)
+		h.m.mu.Unlock()
+	}
+}
+
+func (h nodeHandler) Lost(error) { h.m.setLost(true) }
+
+// peerStateInterval is how often a process without the store asks an entry.
+const peerStateInterval = 500 * time.Millisecond
+
+// askPeers learns the registrations from entries while the store does not
+// answer and they are not known yet.
+func (s *Storage) askPeers(ctx context.Context) {
+	t := time.NewTicker(peerStateInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if _, known := s.members.others(); known {
+			continue
+		}
+		for _, ip := range s.settings.Seeds {
+			reply, err := peerstate.Fetch(ctx, s.transport, s.settings.PeerAddressOf(ip))
+			if err != nil {
+				s.logger.Debug("peer state not received", "peer", ip, "err", err)
+				continue
+			}
+			if len(reply.GetNodes()) == 0 {
+				continue
+			}
+			for _, o := range peerstate.Objects(reply.GetNodes()) {
+				s.members.put(o)
+			}
+			s.members.mu.Lock()
+			s.members.listed = true
+			s.members.mu.Unlock()
+			break
+		}
+	}
+}
--- /dev/null
+++ b/pkg/storage/retire.go
@@ -0,0 +1,108 @@
+package storage
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+const (
+	retireInterval = 200 * time.Millisecond
+	pushTimeout    = 1500 * time.Millisecond
+)
+
+// retirementHandler starts the emptying of this instance when the operators
+// ask for it.
+type retirementHandler struct {
+	s    *Storage
+	once sync.Once
+}
+
+func (h *retirementHandler) Listed(objects []platform.Object, _ bool) {
+	for _, o := range objects {
+		h.put(o)
+	}
+}
+
+func (h *retirementHandler) Changed(changes []platform.Change) {
+	for _, c := range changes {
+		if !c.Deleted {
+			h.put(c.Object)
+		}
+	}
+}
+
+func (h *retirementHandler) Lost(error) {}
+
+func (h *retirementHandler) put(o platform.Object) {
+	if o.Name == h.s.settings.Node {
+		h.once.Do(func() { go h.s.retire() })
+	}
+}
+
+// retire refuses new records, hands all it has to the other members and leaves
+// the ledger.
+func (s *Storage) retire() {
+	ctx := context.Background()
+	s.logger.Info("retiring", "node", s.settings.Node)
+	s.ledger.SetLeaving(true)
+	if err := s.store.Load().SetRetirement(ctx, s.settings.Node, false); err != nil {
+		s.logger.Warn("retirement state not written", "err", err)
+	}
+	for {
+		if err := s.empty(ctx); err == nil {
+			s.logger.Info("retired", "node", s.settings.Node)
+			return
+		} else {
+			s.logger.Info("retirement goes on", "err", err)
+		}
+		time.Sleep(retireInterval)
+	}
+}
+
+func (s *Storage) empty(ctx context.Context) error {
+	others, known := s.members.others()
+	if !known || len(others) == 0 {
+		return errors.New("no other storage process is known")
+	}
+	recs := s.ledger.Records()
+	for _, n := range others {
+		if err := s.push(ctx, n.Address, recs); err != nil {
+			return errors.Wrapf(err, "hand records to %s", n.Name)
+		}
+	}
+	own, _ := s.members.own()
+	own.Active, own.Removed = false, true
+	if err := platform.Register(ctx, s.store.Load(), s.settings.Node, own); err != nil {
+		return err
+	}
+	return s.store.Load().SetRetirement(ctx, s.settings.Node, true)
+}
+
+// pushBatch is the number of records in one write to another member.
+const pushBatch = 200
+
+func (s *Storage) push(ctx context.Context, address string, recs []*peerv1.LedgerRecord) error {
+	for len(recs) > 0 {
+		n := min(len(recs), pushBatch)
+		cctx, cancel := context.WithTimeout(ctx, pushTimeout)
+		reply, err := ledger.Call(cctx, s.transport, address, &peerv1.LedgerRequest{
+			Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: recs[:n]}},
+		})
+		cancel()
+		if err != nil {
+			return err
+		}
+		if st := reply.GetStatus(); st != peerv1.LedgerReply_OK {
+			return errors.Errorf("member answers %s", st)
+		}
+		recs = recs[n:]
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/storage/storage.go
@@ -0,0 +1,110 @@
+// Package storage is the process on instances with a disk: one member of the
+// ledger. It joins the deployment, catches up after the loss of its disk, takes
+// the place of a member that is gone, and empties itself when it is retired.
+package storage
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
+	"github.com/yuccaspindle/yuccaspindle/pkg/storewatch"
+	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+// closeTimeout bounds the wait for peers' requests at the stop.
+const closeTimeout = 500 * time.Millisecond
+
+// Storage is one storage process.
+type Storage struct {
+	settings  *platform.Settings
+	logger    *slog.Logger
+	store     atomic.Pointer[platform.Store]
+	ledger    *ledger.Store
+	transport *transport.Transport
+	members   *members
+}
+
+// New opens the ledger in the data folder of the settings.
+func New(settings *platform.Settings, logger *slog.Logger) (*Storage, error) {
+	l, err := ledger.OpenStore(settings.DataDir, logger)
+	if err != nil {
+		return nil, err
+	}
+	s := &Storage{settings: settings, logger: logger, ledger: l}
+	s.store.Store(platform.NewStore(settings.StoreAddress))
+	s.members = newMembers(settings.Node, logger)
+	s.transport, err = transport.New(transport.Config{
+		Listen: settings.PeerAddress(), Isolated: true, Logger: logger, Hello: s.hello,
+	}, s.servePeer)
+	return s, err
+}
+
+func (s *Storage) hello() *peerv1.Hello {
+	return &peerv1.Hello{
+		Instance: s.settings.Node, Role: string(platform.RoleStorage), Region: s.settings.Region,
+		FailureDomain: s.settings.FailureDomain, Address: s.settings.PeerAddress(),
+	}
+}
+
+// SetStore changes the address of the platform's store.
+func (s *Storage) SetStore(address string) {
+	if old := s.store.Load(); old.Address() != address {
+		s.store.Store(platform.NewStore(address))
+		old.Close()
+	}
+}
+
+// Run serves until stop ends.
+func (s *Storage) Run(stop context.Context) error {
+	if err := s.transport.Start(); err != nil {
+		return err
+	}
+	s.logger.Info("started", "node", s.settings.Node, "records", len(s.ledger.Records()), "status", s.ledger.Status())
+	writing, stopWriting := context.WithCancel(context.Background())
+	defer stopWriting()
+	var disk errgroup.Group
+	disk.Go(func() error { return s.ledger.Run(writing) })
+
+	g, ctx := errgroup.WithContext(stop)
+	background := func(f func(context.Context)) {
+		g.Go(func() error { f(ctx); return nil })
+	}
+	background(s.watch(platform.KindNodes, nodeHandler{s.members}).Run)
+	background(s.watch(platform.KindRetirements, &retirementHandler{s: s}).Run)
+	background(s.askPeers)
+	background(s.join)
+	err := g.Wait()
+	s.logger.Info("stopping")
+	closing, done := context.WithTimeout(context.Background(), closeTimeout)
+	defer done()
+	if cerr := s.transport.Close(closing); cerr != nil {
+		s.logger.Warn("peer requests were cut at the stop", "err", cerr)
+	}
+	stopWriting()
+	if derr := disk.Wait(); derr != nil {
+		return derr
+	}
+	return err
+}
+
+func (s *Storage) watch(kind string, h storewatch.Handler) *storewatch.Watcher {
+	return &storewatch.Watcher{Store: s.store.Load, Kind: kind, Handler: h, Logger: s.logger}
+}
+
+func (s *Storage) servePeer(ctx context.Context, sess *transport.Session, st *transport.Stream, first *peerv1.Envelope) {
+	m, ok := first.GetBody().(*peerv1.Envelope_LedgerRequest)
+	if !ok {
+		s.logger.Warn("peer request is not known", "peer", sess.Addr())
+		return
+	}
+	if err := (ledger.Server{Store: s.ledger}).Serve(ctx, st, m.LedgerRequest); err != nil {
+		s.logger.Debug("peer request failed", "peer", sess.Addr(), "err", err)
+	}
+}
--- /dev/null
+++ b/pkg/storewatch/storewatch.go
@@ -0,0 +1,90 @@
+// Package storewatch follows the objects of one kind in the platform's store:
+// it lists them, watches for changes and lists again when the history is gone
+// or the store was out of reach.
+package storewatch
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+const (
+	// The pause after a failed call doubles from retryMin to retryMax; calls are
+	// billed also when they are refused.
+	retryMin = 150 * time.Millisecond
+	retryMax = 900 * time.Millisecond
+)
+
+// Handler takes what a Watcher learns. Its methods are called by one
+// goroutine.
+type Handler interface {
+	// Listed gives all objects. regained is set if the store was out of reach
+	// before.
+	Listed(objects []platform.Object, regained bool)
+	Changed(changes []platform.Change)
+	Lost(err error)
+}
+
+// Watcher follows one kind.
+type Watcher struct {
+	Store   func() *platform.Store // the client in use; it changes with the settings
+	Kind    string
+	Handler Handler
+	Logger  *slog.Logger
+}
+
+// Run follows the kind until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	lost := false
+	pause := retryMin
+	for ctx.Err() == nil {
+		objects, at, err := w.Store().List(ctx, w.Kind)
+		if err == nil {
+			if lost {
+				w.Logger.Info("store regained", "kind", w.Kind, "revision", at)
+			}
+			w.Handler.Listed(objects, lost)
+			lost, pause = false, retryMin
+			err = w.follow(ctx, at)
+		}
+		if errors.Is(err, platform.ErrHistoryGone) {
+			w.Logger.Info("store history gone, listing again", "kind", w.Kind)
+			continue
+		}
+		if err != nil && ctx.Err() == nil {
+			if !lost {
+				w.Logger.Warn("store lost", "kind", w.Kind, "err", err)
+				w.Handler.Lost(err)
+			}
+			lost = true
+			sleep(ctx, pause/2+rand.N(pause/2))
+			pause = min(2*pause, retryMax)
+		}
+	}
+}
+
+func (w *Watcher) follow(ctx context.Context, at uint64) error {
+	for {
+		changes, next, err := w.Store().Watch(ctx, w.Kind, at)
+		if err != nil {
+			return err
+		}
+		if len(changes) > 0 {
+			w.Handler.Changed(changes)
+		}
+		at = next
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/pkg/transport/session.go
+++ b/pkg/transport/session.go
@@ -52,7 +52,7 @@
 			return fail(err)
 		}
 		c = tc
-	} else if !isLoopback(conn.RemoteAddr().String()) || !isLoopback(conn.LocalAddr().String()) {
+	} else if !t.cfg.plainAllowed(conn.RemoteAddr().String()) || !t.cfg.plainAllowed(conn.LocalAddr().String()) {
 		return fail(ErrPlainText)
 	}
 	mux := yamux.Client
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -16,7 +16,8 @@
 // Config configures a Transport.
 type Config struct {
 	Listen    string               // host:port; port 0 lets the kernel choose; empty: does not listen
-	TLS       *tls.Config          // mutual TLS, see LoadTLS; nil: loopback only
+	TLS       *tls.Config          // mutual TLS, see LoadTLS; nil: loopback only, unless Isolated
+	Isolated  bool                 // the network carries only this system's traffic, so plain TCP is allowed
 	Hello     func() *peerv1.Hello // called for each new session
 	KeepAlive time.Duration        // default DefaultKeepAlive
 	Logger    *slog.Logger         // default slog.Default
@@ -67,7 +68,7 @@
 		if err := checkTLS(cfg.TLS); err != nil {
 			return nil, &Error{Step: "configure", Peer: cfg.Listen, Err: err}
 		}
-	} else if cfg.Listen != "" && !isLoopback(cfg.Listen) {
+	} else if cfg.Listen != "" && !cfg.plainAllowed(cfg.Listen) {
 		return nil, &Error{Step: "listen", Peer: cfg.Listen, Err: ErrPlainText}
 	}
 	if cfg.KeepAlive <= 0 {
@@ -98,6 +99,9 @@
 	return t, nil
 }
 
+// plainAllowed reports whether a connection at the address needs no TLS.
+func (c *Config) plainAllowed(addr string) bool { return c.Isolated || isLoopback(addr) }
+
 // Start listens and serves the sessions of peers.
 func (t *Transport) Start() error {
 	if t.cfg.Listen == "" {
@@ -195,7 +199,7 @@
 // Dial returns the session to the address and makes one if there is none.
 // Concurrent calls share one attempt.
 func (t *Transport) Dial(ctx context.Context, addr string) (*Session, error) {
-	if t.cfg.TLS == nil && !isLoopback(addr) {
+	if t.cfg.TLS == nil && !t.cfg.plainAllowed(addr) {
 		return nil, &Error{Step: "dial", Peer: addr, Err: ErrPlainText}
 	}
 	t.mu.Lock()
