Check the watches of the store against its revision

While the store drops its history, waiting watches get no event for seconds. Ruled out: lost contact (no call failed), decoding (version 9 came at once after the 410). Change: every change raises one revision; every 1.8 s an entry lists a small kind, and a revision that no watch has delivered makes all kinds listed again.

--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -28,6 +28,9 @@
 	// what that peer knows.
 	peerStateInterval = 500 * time.Millisecond
 	maxRelays         = 3
+	// checkInterval is how often the watches are checked for changes that they
+	// did not hear of; a configuration has to be in force within 3 s.
+	checkInterval = 1800 * time.Millisecond
 )
 
 // view is what an entry believes of the deployment: the configuration in
@@ -64,17 +67,13 @@
 
 func (v *view) run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, w := range []struct {
-		kind string
-		h    storewatch.Handler
-	}{
-		{platform.KindConfig, configHandler{v}},
-		{platform.KindUpstreams, upstreamHandler{v}},
-		{platform.KindNodes, nodeHandler{v}},
-	} {
-		watcher := storewatch.Watcher{Store: v.e.store.Load, Kind: w.kind, Handler: w.h, Logger: v.e.logger}
-		wg.Go(func() { watcher.Run(ctx) })
+	group := &storewatch.Group{
+		Store: v.e.store.Load, Logger: v.e.logger, Interval: checkInterval, CheckKind: platform.KindRetirements,
 	}
+	group.Add(platform.KindConfig, configHandler{v})
+	group.Add(platform.KindUpstreams, upstreamHandler{v})
+	group.Add(platform.KindNodes, nodeHandler{v})
+	wg.Go(func() { group.Run(ctx) })
 	wg.Go(func() { v.register(ctx) })
 	wg.Go(func() { v.expire(ctx) })
 	wg.Go(func() { v.askPeers(ctx) })
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -21,6 +21,10 @@
 // closeTimeout bounds the wait for peers' requests at the stop.
 const closeTimeout = 500 * time.Millisecond
 
+// checkInterval is how often the watches are checked for changes that they did
+// not hear of; a retirement has some seconds.
+const checkInterval = 4 * time.Second
+
 // Storage is one storage process.
 type Storage struct {
 	settings  *platform.Settings
@@ -76,8 +80,12 @@
 	background := func(f func(context.Context)) {
 		g.Go(func() error { f(ctx); return nil })
 	}
-	background(s.watch(platform.KindNodes, nodeHandler{s.members}).Run)
-	background(s.watch(platform.KindRetirements, &retirementHandler{s: s}).Run)
+	group := &storewatch.Group{
+		Store: s.store.Load, Logger: s.logger, Interval: checkInterval, CheckKind: platform.KindRetirements,
+	}
+	group.Add(platform.KindNodes, nodeHandler{s.members})
+	group.Add(platform.KindRetirements, &retirementHandler{s: s})
+	background(group.Run)
 	background(s.askPeers)
 	background(s.join)
 	err := g.Wait()
@@ -94,10 +102,6 @@
 	return err
 }
 
-func (s *Storage) watch(kind string, h storewatch.Handler) *storewatch.Watcher {
-	return &storewatch.Watcher{Store: s.store.Load, Kind: kind, Handler: h, Logger: s.logger}
-}
-
 func (s *Storage) servePeer(ctx context.Context, sess *transport.Session, st *transport.Stream, first *peerv1.Envelope) {
 	m, ok := first.GetBody().(*peerv1.Envelope_LedgerRequest)
 	if !ok {
--- /dev/null
+++ b/pkg/storewatch/group.go
@@ -0,0 +1,124 @@
+package storewatch
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+// eventLag is how long an event may take to arrive after the change that a
+// check has seen.
+const eventLag = 150 * time.Millisecond
+
+// Group runs the watchers of one process and checks that they hear of every
+// change: a store that drops its history may leave watches waiting without an
+// event. Every change raises the store's revision by one, so a revision that
+// no watcher has heard of means that the kinds have to be listed again.
+type Group struct {
+	Store    func() *platform.Store
+	Logger   *slog.Logger
+	Interval time.Duration // between two checks
+	// CheckKind is the kind that a check lists: one with few objects.
+	CheckKind string
+
+	tracker  tracker
+	watchers []*Watcher
+}
+
+// Add makes a watcher of the group. It must be called before Run.
+func (g *Group) Add(kind string, h Handler) {
+	g.watchers = append(g.watchers, &Watcher{
+		Store: g.Store, Kind: kind, Handler: h, Logger: g.Logger, tracker: &g.tracker, relist: make(chan struct{}, 1),
+	})
+}
+
+// Run runs the watchers until the context ends.
+func (g *Group) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, w := range g.watchers {
+		wg.Go(func() { w.Run(ctx) })
+	}
+	g.check(ctx)
+	wg.Wait()
+}
+
+func (g *Group) check(ctx context.Context) {
+	t := time.NewTicker(g.Interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		_, at, err := g.Store().List(ctx, g.CheckKind)
+		if err != nil {
+			// The watchers report a lost store; a check that fails changes nothing.
+			g.Logger.Debug("check of the watches failed", "err", err)
+			continue
+		}
+		if g.tracker.complete(at) {
+			continue
+		}
+		sleep(ctx, eventLag)
+		if g.tracker.complete(at) {
+			continue
+		}
+		g.Logger.Info("changes not heard of, listing again", "revision", at)
+		g.tracker.reset(at)
+		for _, w := range g.watchers {
+			select {
+			case w.relist <- struct{}{}:
+			default: // the watcher is about to list anyway
+			}
+		}
+	}
+}
+
+// tracker keeps which revisions the watchers have heard of.
+type tracker struct {
+	mu   sync.Mutex
+	base uint64 // all revisions up to this one are known
+	seen map[uint64]bool
+}
+
+// heard notes a revision.
+func (t *tracker) heard(revision uint64) {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.seen == nil {
+		t.seen = make(map[uint64]bool)
+	}
+	if revision > t.base {
+		t.seen[revision] = true
+	}
+}
+
+// complete reports whether every revision up to the given one is known.
+func (t *tracker) complete(upTo uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for t.base < upTo && t.seen[t.base+1] {
+		t.base++
+		delete(t.seen, t.base)
+	}
+	return t.base >= upTo
+}
+
+// reset takes all revisions up to the given one as known.
+func (t *tracker) reset(base uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.base = max(t.base, base)
+	for r := range t.seen {
+		if r <= t.base {
+			delete(t.seen, r)
+		}
+	}
+}
--- a/pkg/storewatch/storewatch.go
+++ b/pkg/storewatch/storewatch.go
@@ -37,6 +37,9 @@
 	Kind    string
 	Handler Handler
 	Logger  *slog.Logger
+
+	tracker *tracker      // nil outside a Group
+	relist  chan struct{} // asks to list again
 }
 
 // Run follows the kind until the context ends.
@@ -57,6 +60,9 @@
 			w.Logger.Info("store history gone, listing again", "kind", w.Kind)
 			continue
 		}
+		if errors.Is(err, errRelist) {
+			continue
+		}
 		if err != nil && ctx.Err() == nil {
 			if !lost {
 				w.Logger.Warn("store lost", "kind", w.Kind, "err", err)
@@ -69,12 +75,33 @@
 	}
 }
 
+// errRelist ends a watch whose kind is to be listed again.
+var errRelist = errors.New("changes were missed")
+
 func (w *Watcher) follow(ctx context.Context, at uint64) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if w.relist != nil {
+		go func() {
+			select {
+			case <-w.relist:
+				cancel(errRelist)
+			case <-ctx.Done():
+			}
+		}()
+	}
 	for {
 		changes, next, err := w.Store().Watch(ctx, w.Kind, at)
 		if err != nil {
+			if context.Cause(ctx) == errRelist {
+				return errRelist
+			}
 			return err
 		}
+		for _, c := range changes {
+			w.tracker.heard(c.Object.Revision)
+		}
+		w.tracker.heard(next)
 		if len(changes) > 0 {
 			w.Handler.Changed(changes)
 		}
