--- /dev/null
+++ b/pkg/attempt/attempt_test.go
@@ -0,0 +1,98 @@
+package attempt
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var now = time.Unix(1000, 0)
+
+func tracker(idempotent bool, most int) *Tracker {
+	return New(Request{Idempotent: idempotent, MaxAttempts: most, Deadline: now.Add(time.Second)})
+}
+
+// Guards against a second run of a request that must run once, and against
+// giving up on one that has not run.
+func TestEnded(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		idempotent  bool
+		most        int
+		outcomes    []Outcome
+		serverError bool
+		want        Action
+	}{
+		{"refused connection", false, 1, []Outcome{NotSent}, false, Retry},
+		{"full upstream", false, 1, []Outcome{Rejected}, false, Retry},
+		{"many full upstreams", false, 1, []Outcome{Rejected, Rejected, Rejected, Rejected, Rejected, Rejected}, false, Refuse},
+		{"unsafe broken", false, 3, []Outcome{Broken}, false, GiveUp},
+		{"unsafe stalled", false, 3, []Outcome{Stalled}, false, GiveUp},
+		{"safe broken", true, 2, []Outcome{Broken}, false, Retry},
+		{"safe broken twice", true, 2, []Outcome{Broken, Broken}, false, GiveUp},
+		{"safe, one run allowed", true, 1, []Outcome{Broken}, false, GiveUp},
+		{"server error, repeatable", true, 2, []Outcome{Answered}, true, Retry},
+		{"server error, last attempt", true, 2, []Outcome{Broken, Answered}, true, Deliver},
+		{"server error, unsafe", false, 2, []Outcome{Answered}, true, Deliver},
+		{"answer", false, 1, []Outcome{NotSent, Rejected, Answered}, false, Deliver},
+		{"full after a run", true, 3, []Outcome{Broken, Rejected}, false, Retry},
+	} {
+		tr := tracker(c.idempotent, c.most)
+		var got Action
+		for i, o := range c.outcomes {
+			got = tr.Ended(o, c.serverError && i == len(c.outcomes)-1, now)
+		}
+		if got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against another attempt after the deadline, and against the promise
+// "not run" for a request that may have run.
+func TestLate(t *testing.T) {
+	late := now.Add(time.Second)
+	if got := tracker(true, 3).Ended(Broken, false, late); got != Expire {
+		t.Errorf("broken at the deadline: %v", got)
+	}
+	if got := tracker(true, 3).Ended(NotSent, false, late); got != Refuse {
+		t.Errorf("not sent at the deadline: %v", got)
+	}
+	tr := tracker(true, 3)
+	tr.Ended(Stalled, false, now)
+	if got := tr.Unplaced(); got != GiveUp {
+		t.Errorf("no upstream left after a run: %v", got)
+	}
+}
+
+// Guards, over all orders of outcomes, against more runs than allowed and
+// against a refusal after a run.
+func TestPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		most := rapid.IntRange(1, 4).Draw(t, "most")
+		tr := tracker(idempotent, most)
+		runs := 0
+		for range 40 {
+			o := Outcome(rapid.IntRange(int(NotSent), int(Stalled)).Draw(t, "outcome"))
+			if o != NotSent && o != Rejected {
+				runs++
+			}
+			at := now.Add(time.Duration(rapid.IntRange(0, 1200).Draw(t, "ms")) * time.Millisecond)
+			switch a := tr.Ended(o, rapid.Bool().Draw(t, "error"), at); a {
+			case Retry:
+				if runs >= most || runs > 0 && !idempotent {
+					t.Fatalf("retry after %d runs of %d, idempotent %v", runs, most, idempotent)
+				}
+				continue
+			case Refuse:
+				if runs > 0 {
+					t.Fatalf("refusal after %d runs", runs)
+				}
+			}
+			return
+		}
+		t.Fatal("no end after 40 attempts")
+	})
+}
--- /dev/null
+++ b/pkg/edge/edge_test.go
@@ -0,0 +1,471 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+var (
+	safeRoute   = map[string]any{"Name": "safe", "PathPrefix": "/safe/", "Kind": "safe", "Service": "app"}
+	unsafeRoute = map[string]any{"Name": "unsafe", "PathPrefix": "/unsafe/", "Kind": "unsafe", "Service": "app"}
+	resumable   = map[string]any{"Name": "resumable", "PathPrefix": "/resumable/", "Kind": "streaming", "Service": "llm", "Resumable": true}
+	history     = map[string]any{
+		"Name": "history", "PathPrefix": "/history/", "Kind": "streaming", "Service": "llm",
+		"ServerHistory": true, "RetentionS": 60,
+	}
+)
+
+func clone(m map[string]any) map[string]any {
+	c := make(map[string]any, len(m))
+	for k, v := range m {
+		c[k] = v
+	}
+	return c
+}
+
+// Guards against a second run of an unsafe request, and against giving up on a
+// safe one, when an upstream loses the answer.
+func TestLostAnswer(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(safeRoute))
+	d.route(clone(unsafeRoute))
+	var r runs
+	h := func(w http.ResponseWriter, req *http.Request) {
+		if r.take(req)%2 == 1 {
+			reset(w)
+			return
+		}
+		sign(w, req)
+		_, _ = w.Write([]byte("done"))
+	}
+	d.upstream("u1", "app", h)
+	d.upstream("u2", "app", h)
+	p := d.edge("127.0.0.1")
+	p.ready(t, 2, 0)
+	if a := p.call(t, "GET", "/safe/1", "", map[string]string{"Attempt-Id": "1"}); a.status != 200 || a.body != "done" || r.count() != 2 {
+		t.Errorf("safe: %+v after %d runs", a, r.count())
+	}
+	if a := p.call(t, "POST", "/unsafe/1", "x", map[string]string{"Attempt-Id": "2"}); a.status != 502 || r.count() != 3 {
+		t.Errorf("unsafe: %+v after %d runs, want 502 after one more", a, r.count())
+	}
+}
+
+// Guards against a refusal that does not promise "not run", and against one
+// that is held back or gives no time to come back.
+func TestFullUpstreams(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	var r runs
+	for _, id := range []string{"u1", "u2"} {
+		d.upstream(id, "app", func(w http.ResponseWriter, req *http.Request) {
+			r.take(req)
+			w.Header().Set("Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+	}
+	p := d.edge("127.0.0.1")
+	p.ready(t, 2, 0)
+	began := time.Now()
+	a := p.call(t, "POST", "/unsafe/1", "x", map[string]string{"Attempt-Id": "1", "Deadline-Ms": "3000"})
+	if a.status != 503 || a.header.Get("Retry-After") == "" || r.count() != 2 {
+		t.Errorf("%+v after %d upstreams", a, r.count())
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("refused after %v", took)
+	}
+}
+
+// Guards against an upstream's 503 that is passed on as the promise "not run"
+// though the upstream does not say so.
+func TestFailureAfterRun(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) {
+		sign(w, req)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 0)
+	if a := p.call(t, "POST", "/unsafe/1", "x", map[string]string{"Attempt-Id": "1"}); a.status != 502 || a.header.Get("Response-Signature") != "" {
+		t.Errorf("%+v, want 502 of our own", a)
+	}
+}
+
+// Guards against a success without the upstream's signature, and against an
+// answer to another request.
+func TestForgedAnswers(t *testing.T) {
+	for name, h := range map[string]http.HandlerFunc{
+		"no signature": func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("forged")) },
+		"other id": func(w http.ResponseWriter, req *http.Request) {
+			sign(w, req)
+			w.Header().Set("Attempt-Id", "other")
+			_, _ = w.Write([]byte("forged"))
+		},
+	} {
+		d := newDeployment(t)
+		d.route(clone(unsafeRoute))
+		d.upstream("u1", "app", h)
+		p := d.edge("127.0.0.1")
+		p.ready(t, 1, 0)
+		if a := p.call(t, "POST", "/unsafe/1", "x", map[string]string{"Attempt-Id": "1"}); a.status != 502 || a.body != "" {
+			t.Errorf("%s: %+v", name, a)
+		}
+		p.stop()
+	}
+}
+
+// Guards against headers that callers must not set, and against a changed
+// path, body or time budget.
+func TestForwardedRequest(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	var r runs
+	var uri atomic.Value
+	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) {
+		uri.Store(req.RequestURI)
+		r.take(req)
+		sign(w, req)
+	})
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 0)
+	p.call(t, "POST", "/unsafe/a%2Fb//c?q=%20x", "body", map[string]string{
+		"Attempt-Id": "1", "Deadline-Ms": "2000", "Hold": "h", "Pin-Ms": "9", "Kv-Backup": "x", "Kv-From": "y",
+		"Target-Instance": "z", "X-Other": "kept",
+	})
+	body, head := r.last()
+	left, err := strconv.Atoi(head.Get("Deadline-Ms"))
+	if uri.Load() != "/unsafe/a%2Fb//c?q=%20x" || body != "body" || err != nil || left > 2000 || left < 1000 {
+		t.Errorf("upstream got %v, %q, deadline %q", uri.Load(), body, head.Get("Deadline-Ms"))
+	}
+	for _, name := range []string{"Hold", "Pin-Ms", "Kv-Backup", "Kv-From"} {
+		if head.Get(name) != "" {
+			t.Errorf("%s was passed on", name)
+		}
+	}
+	if head.Get("Target-Instance") != "u1" || head.Get("X-Other") != "kept" {
+		t.Errorf("headers are %v", head)
+	}
+}
+
+// Guards against a stream with a gap, a repeated event or a half event when
+// its upstream breaks off, and against a broken one that looks complete.
+func TestStreamResumes(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(resumable))
+	d.route(clone(history))
+	d.storages()
+	var r runs
+	h := func(w http.ResponseWriter, req *http.Request) {
+		r.take(req)
+		if from := req.Header.Get("Last-Event-Id"); from != "" {
+			n, _ := strconv.Atoi(from)
+			events(w, req, n, 5) // one that the caller has already
+			return
+		}
+		events(w, req, 1, 3)
+		fmt.Fprint(w, "id: 4\nda")
+		_ = http.NewResponseController(w).Flush()
+		cut(w)
+	}
+	d.upstream("u1", "llm", h)
+	d.upstream("u2", "llm", h)
+	p := d.edge("127.0.0.1")
+	p.ready(t, 2, 3)
+	a := p.call(t, "POST", "/resumable/1", "in", map[string]string{"Attempt-Id": "1"})
+	if a.status != 200 || a.err != nil || ids(a.body) != "1 2 3 4 5" || r.count() != 2 {
+		t.Errorf("resumable: %+v, ids %q, %d runs", a, ids(a.body), r.count())
+	}
+	if a = p.call(t, "POST", "/history/1", "in", map[string]string{"Attempt-Id": "2"}); a.err == nil || r.count() != 3 {
+		t.Errorf("not resumable: %+v after %d runs, want a broken answer after one more", a, r.count())
+	}
+}
+
+// Guards against a stream that waits for a silent upstream until the caller
+// leaves.
+func TestSilentStream(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(resumable))
+	var r runs
+	h := func(w http.ResponseWriter, req *http.Request) {
+		if r.take(req) == 1 {
+			events(w, req, 1, 1)
+			<-req.Context().Done()
+			return
+		}
+		events(w, req, 2, 3)
+	}
+	d.upstream("u1", "llm", h)
+	d.upstream("u2", "llm", h)
+	p := d.edge("127.0.0.1")
+	p.ready(t, 2, 0)
+	if a := p.call(t, "POST", "/resumable/1", "in", map[string]string{"Attempt-Id": "1"}); a.err != nil || ids(a.body) != "1 2 3" {
+		t.Errorf("%+v", a)
+	}
+}
+
+// sendTurn sends one turn of a program.
+func sendTurn(t *testing.T, p *process, id, parent, input string, budget int) answer {
+	t.Helper()
+	h := map[string]string{"Attempt-Id": id, "Program-Id": "p", "Token-Budget": strconv.Itoa(budget), "Token-Count": "10,70"}
+	if parent != "" {
+		h["Parent-Turn"] = parent
+	}
+	return p.call(t, "POST", "/history/1", input, h)
+}
+
+// Guards against a turn whose history is lost, mixed or out of order: through
+// another entry, and after a restart of everything.
+func TestHistory(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(history))
+	var r runs
+	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) {
+		r.take(req)
+		events(w, req, 1, 2)
+	})
+	dirs := []string{t.TempDir(), t.TempDir(), t.TempDir()}
+	var stores []*process
+	for i, dir := range dirs {
+		stores = append(stores, d.storage(fmt.Sprintf("127.0.0.%d", 11+i), dir))
+	}
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 3)
+	for _, s := range []struct{ id, parent, input string }{{"t1", "", "A"}, {"t2", "t1", "B"}, {"t3", "t1", "C"}} {
+		if a := sendTurn(t, p, s.id, s.parent, s.input, 10000); a.status != 200 || a.err != nil {
+			t.Fatalf("%s: %+v", s.id, a)
+		}
+	}
+	const answer = "word1\nword2\n"
+	if body, _ := r.last(); body != "A"+answer+"C" {
+		t.Errorf("t3 ran with %q", body)
+	}
+	other := d.edge("127.0.0.2")
+	other.ready(t, 1, 3)
+	sendTurn(t, other, "t4", "t2", "D", 10000)
+	if body, _ := r.last(); body != "A"+answer+"B"+answer+"D" {
+		t.Errorf("t4 ran with %q", body)
+	}
+	for _, s := range append(stores, p, other) {
+		s.stop()
+	}
+	for i, dir := range dirs {
+		d.storage(fmt.Sprintf("127.0.0.%d", 11+i), dir)
+	}
+	p = d.edge("127.0.0.1")
+	p.ready(t, 1, 3)
+	eventually(t, "t5 is not served", func() bool { return sendTurn(t, p, "t5", "t4", "E", 10000).status == 200 })
+	if body, _ := r.last(); body != "A"+answer+"B"+answer+"D"+answer+"E" {
+		t.Errorf("t5 ran with %q", body)
+	}
+	if a := sendTurn(t, p, "t6", "never", "F", 10000); a.status != 404 {
+		t.Errorf("a turn that does not exist: %+v", a)
+	}
+}
+
+// Guards against the loss of turns with a disk: a storage process that comes
+// back empty takes the records of the others before it counts again.
+func TestLostDisk(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(history))
+	var r runs
+	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) {
+		r.take(req)
+		events(w, req, 1, 1)
+	})
+	dirs := []string{t.TempDir(), t.TempDir(), t.TempDir()}
+	var stores []*process
+	for i, dir := range dirs {
+		stores = append(stores, d.storage(fmt.Sprintf("127.0.0.%d", 11+i), dir))
+	}
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 3)
+	if a := sendTurn(t, p, "t1", "", "A", 10000); a.status != 200 {
+		t.Fatalf("%+v", a)
+	}
+	for i, dir := range dirs { // each disk is lost in turn
+		stores[i].stop()
+		files, err := filepath.Glob(filepath.Join(dir, "*"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range files {
+			if err := os.Remove(f); err != nil {
+				t.Fatal(err)
+			}
+		}
+		s := d.settings(fmt.Sprintf("127.0.0.%d", 11+i))
+		s.DataDir, s.FirstStart = dir, false
+		stores[i] = d.storageWith(s)
+		eventually(t, "the storage process does not catch up", func() bool { return d.holds(s, "t1") })
+	}
+	p.stop()
+	p = d.edge("127.0.0.1")
+	p.ready(t, 1, 3)
+	eventually(t, "the turn is lost", func() bool { return sendTurn(t, p, "t2", "t1", "B", 10000).status == 200 })
+}
+
+// Guards against a budget that is passed, also by turns of other entries, and
+// against a 402 for a turn that ran.
+func TestBudget(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(history))
+	var r runs
+	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) {
+		r.take(req)
+		events(w, req, 1, 5) // 70 tokens
+	})
+	d.storages()
+	p, other := d.edge("127.0.0.1"), d.edge("127.0.0.2")
+	p.ready(t, 1, 3)
+	other.ready(t, 1, 3)
+	for i, e := range []*process{p, other} {
+		if a := sendTurn(t, e, fmt.Sprint("t", i), "", "A", 150); a.status != 200 {
+			t.Fatalf("turn %d: %+v", i, a)
+		}
+	}
+	if a := sendTurn(t, p, "t9", "", "A", 150); a.status != 402 || r.count() != 2 {
+		t.Errorf("third turn: %+v after %d runs", a, r.count())
+	}
+}
+
+// Guards against a configuration that is not followed, or followed back.
+func TestConfiguration(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(safeRoute))
+	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 0)
+	if a := p.call(t, "POST", "/unsafe/1", "", nil); a.status != 404 {
+		t.Errorf("no route: %+v", a)
+	}
+	d.route(clone(unsafeRoute))
+	eventually(t, "the new route is not served", func() bool { return p.call(t, "POST", "/unsafe/1", "", nil).status == 200 })
+	p.edge.view.applyConfig([]byte(`{"Version":1,"Routes":[]}`), "test")
+	if a := p.call(t, "POST", "/unsafe/1", "", nil); a.status != 200 {
+		t.Errorf("an older version came into force: %+v", a)
+	}
+}
+
+// Guards against new work for an upstream that leaves.
+func TestDrainingUpstream(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(safeRoute))
+	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 0)
+	d.register("u1", "app", "127.0.0.1:1", "draining")
+	eventually(t, "a leaving upstream is used", func() bool { return p.call(t, "GET", "/safe/1", "", nil).status == 503 })
+}
+
+// Guards against an entry that answers nothing after a restart while the store
+// is down, though other entries know the deployment.
+func TestRestartInOutage(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(safeRoute))
+	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
+	d.edge("127.0.0.1").ready(t, 1, 0)
+	d.store.SetDown(true)
+	p := d.edge("127.0.0.2", "127.0.0.1")
+	p.ready(t, 1, 0)
+	if a := p.call(t, "GET", "/safe/1", "", nil); a.status != 200 {
+		t.Errorf("%+v", a)
+	}
+}
+
+// Guards against an upstream that works for a caller who has left.
+func TestCallerLeaves(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(safeRoute))
+	canceled := make(chan struct{})
+	started := make(chan struct{})
+	d.upstream("u1", "app", func(_ http.ResponseWriter, req *http.Request) {
+		close(started)
+		<-req.Context().Done()
+		close(canceled)
+	})
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { <-started; cancel() }()
+	p.callContext(t, ctx, "GET", "/safe/1", "", nil)
+	select {
+	case <-canceled:
+	case <-time.After(10 * time.Second):
+		t.Error("the upstream still works")
+	}
+}
+
+// Guards against a planned stop that cuts a request, and against callers sent
+// to an entry that stops.
+func TestStop(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	started, release := make(chan struct{}), make(chan struct{})
+	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) {
+		close(started)
+		<-release
+		sign(w, req)
+		_, _ = w.Write([]byte("done"))
+	})
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 0)
+	got := make(chan answer, 1)
+	go func() { got <- p.call(t, "POST", "/unsafe/1", "x", map[string]string{"Attempt-Id": "1"}) }()
+	<-started
+	p.cancel()
+	eventually(t, "the stopping entry is ready", func() bool {
+		resp, err := http.Get("http://" + p.settings.ReadyListen + platform.ReadinessPath)
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusServiceUnavailable
+	})
+	close(release)
+	if a := <-got; a.status != 200 || a.body != "done" || !strings.EqualFold(a.header.Get("Connection"), "close") && a.err != nil {
+		t.Errorf("%+v", a)
+	}
+	if err := <-p.done; err != nil {
+		t.Errorf("stopped with %v", err)
+	}
+	close(p.done)
+}
+
+// Guards against an answer later than the route's timeout.
+func TestTimeout(t *testing.T) {
+	d := newDeployment(t)
+	r := clone(unsafeRoute)
+	r["TimeoutMs"] = 300
+	d.route(r)
+	d.upstream("u1", "app", func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() })
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 0)
+	if a := p.call(t, "POST", "/unsafe/1", "x", map[string]string{"Deadline-Ms": "20000"}); a.status != 504 {
+		t.Errorf("%+v", a)
+	}
+}
+
+// Guards against a stopped metrics page.
+func TestMetrics(t *testing.T) {
+	m := newMetrics()
+	m.ended("safe", "answered", time.Millisecond)
+	m.attempt("broken")
+	rec := httptest.NewRecorder()
+	m.serve(rec, nil)
+	for _, want := range []string{`yucca_edge_requests_total{kind="safe",result="answered"} 1`, `yucca_edge_attempts_total{outcome="broken"} 1`} {
+		if !strings.Contains(rec.Body.String(), want) {
+			t.Errorf("%q is missing", want)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/edge/harness_test.go
@@ -0,0 +1,306 @@
+package edge
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
+	"github.com/yuccaspindle/yuccaspindle/pkg/standin/platformstore"
+	"github.com/yuccaspindle/yuccaspindle/pkg/storage"
+	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+// deployment is entries and storage processes on loopback addresses of their
+// own, before a stand-in of the store and scripted upstreams.
+type deployment struct {
+	t        *testing.T
+	store    *platformstore.Store
+	storeURL string
+	port     int // of peers, the same on all instances
+	version  int
+	routes   []map[string]any
+}
+
+// process is one running process.
+type process struct {
+	settings *platform.Settings
+	cancel   context.CancelFunc
+	done     chan error
+	edge     *Edge
+}
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	store := platformstore.New()
+	srv := httptest.NewServer(store)
+	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
+	d := &deployment{t: t, store: store, storeURL: strings.TrimPrefix(srv.URL, "http://"), port: freePort(t)}
+	return d
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().(*net.TCPAddr).Port
+}
+
+func (d *deployment) settings(ip string) *platform.Settings {
+	return &platform.Settings{
+		Node: "node-" + ip, IP: ip, FailureDomain: "a1", Region: "a", RegionOf: map[string]string{"a1": "a"},
+		CallerListen: net.JoinHostPort(ip, strconv.Itoa(freePort(d.t))), ReadyListen: net.JoinHostPort(ip, strconv.Itoa(freePort(d.t))),
+		MetricsListen: ip + ":0", PeerPort: d.port, FirstStart: true, StopGrace: 4 * time.Second, StoreAddress: d.storeURL,
+	}
+}
+
+func (d *deployment) run(s *platform.Settings, e *Edge, f func(context.Context) error) *process {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &process{settings: s, cancel: cancel, done: make(chan error, 1), edge: e}
+	go func() { p.done <- f(ctx) }()
+	d.t.Cleanup(p.stop)
+	return p
+}
+
+// stop ends a process and waits for it.
+func (p *process) stop() {
+	p.cancel()
+	if err, ok := <-p.done; ok {
+		close(p.done)
+		_ = err
+	}
+}
+
+func (d *deployment) edge(ip string, seeds ...string) *process {
+	d.t.Helper()
+	s := d.settings(ip)
+	s.Seeds = seeds
+	e, err := New(s, slog.New(slog.DiscardHandler))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return d.run(s, e, e.Run)
+}
+
+func (d *deployment) storage(ip, dir string) *process {
+	d.t.Helper()
+	s := d.settings(ip)
+	s.DataDir = dir
+	return d.storageWith(s)
+}
+
+// storages starts three storage processes.
+func (d *deployment) storages() []*process {
+	var list []*process
+	for i := range 3 {
+		list = append(list, d.storage(fmt.Sprintf("127.0.0.%d", 11+i), d.t.TempDir()))
+	}
+	return list
+}
+
+// route adds a route and puts a new configuration in force.
+func (d *deployment) route(r map[string]any) {
+	for k, v := range map[string]any{"Host": "h.example", "TimeoutMs": 3000, "TargetLatencyMs": 300, "GapTargetMs": 150, "MaxAttempts": 2} {
+		if _, ok := r[k]; !ok {
+			r[k] = v
+		}
+	}
+	d.routes = append(d.routes, r)
+	d.version += 3
+	d.store.Put(platform.KindConfig, platform.ConfigName, map[string]any{
+		"Version": d.version, "Routes": d.routes,
+		"Services": []map[string]any{{"Name": "llm", "Engine": map[string]any{"ChunkTokens": 14}}, {"Name": "app"}},
+		"Limits":   map[string]any{"MaxBodyBytes": 4 << 20},
+	})
+}
+
+// upstream registers a scripted upstream.
+func (d *deployment) upstream(id, service string, h http.HandlerFunc) {
+	d.t.Helper()
+	srv := httptest.NewServer(h)
+	d.t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
+	d.register(id, service, strings.TrimPrefix(srv.URL, "http://"), "ready")
+}
+
+func (d *deployment) register(id, service, address, state string) {
+	d.store.Put(platform.KindUpstreams, id, map[string]any{
+		"Service": service, "Address": address, "Zone": "a1", "Slots": 8, "State": state, "born": 1,
+	})
+}
+
+// ready waits until an entry takes callers and knows the given numbers of
+// upstreams and storage processes.
+func (p *process) ready(t *testing.T, upstreams, storages int) {
+	t.Helper()
+	eventually(t, "the entry is not ready", func() bool {
+		return p.edge.view.ready() && p.edge.fleetLen() == upstreams && len(p.edge.view.Storage()) == storages
+	})
+}
+
+func (e *Edge) fleetLen() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.fleet.Len()
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for range 2000 {
+		if f() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal(what)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error // the body broke off
+}
+
+// call sends one request of a caller on a connection of its own.
+func (p *process) call(t *testing.T, method, path, body string, header map[string]string) answer {
+	t.Helper()
+	return p.callContext(t, context.Background(), method, path, body, header)
+}
+
+func (p *process) callContext(t *testing.T, ctx context.Context, method, path, body string, header map[string]string) answer {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.settings.CallerListen+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+// runs counts what upstreams were sent.
+type runs struct {
+	mu     sync.Mutex
+	bodies []string
+	heads  []http.Header
+}
+
+// take notes a request and returns its number, from 1.
+func (r *runs) take(req *http.Request) int {
+	body, _ := io.ReadAll(req.Body) // the entry sends whole bodies
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bodies = append(r.bodies, string(body))
+	r.heads = append(r.heads, req.Header.Clone())
+	return len(r.bodies)
+}
+
+func (r *runs) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.bodies)
+}
+
+func (r *runs) last() (string, http.Header) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.bodies[len(r.bodies)-1], r.heads[len(r.heads)-1]
+}
+
+// sign sets the headers of an upstream's own answer.
+func sign(w http.ResponseWriter, req *http.Request) {
+	w.Header().Set("Attempt-Id", req.Header.Get("Attempt-Id"))
+	w.Header().Set("Response-Signature", "s."+req.Header.Get("Target-Instance"))
+}
+
+// events writes the events from first to last.
+func events(w http.ResponseWriter, req *http.Request, first, last int) {
+	sign(w, req)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := first; i <= last; i++ {
+		fmt.Fprintf(w, "id: %d\ndata: word%d\n\n", i, i)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// cut ends the connection without the end of the answer.
+func cut(w http.ResponseWriter) {
+	panic(http.ErrAbortHandler)
+}
+
+// reset ends the connection before any byte of an answer.
+func reset(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = c.Close()
+	}
+}
+
+func ids(stream string) string {
+	var list []string
+	sc := bufio.NewScanner(bytes.NewReader([]byte(stream)))
+	for sc.Scan() {
+		if id, ok := strings.CutPrefix(sc.Text(), "id: "); ok {
+			list = append(list, id)
+		}
+	}
+	return strings.Join(list, " ")
+}
+
+func (d *deployment) storageWith(s *platform.Settings) *process {
+	d.t.Helper()
+	st, err := storage.New(s, slog.New(slog.DiscardHandler))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return d.run(s, nil, st.Run)
+}
+
+// holds reports whether a storage process is complete and has a turn.
+func (d *deployment) holds(s *platform.Settings, id string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	tr, err := transport.New(transport.Config{
+		Logger: slog.New(slog.DiscardHandler), Hello: func() *peerv1.Hello { return &peerv1.Hello{} },
+	}, func(context.Context, *transport.Session, *transport.Stream, *peerv1.Envelope) {})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer func() { _ = tr.Close(ctx) }()
+	ask := func(id string) peerv1.LedgerReply_Status {
+		r, err := ledger.Call(ctx, tr, s.PeerAddress(), &peerv1.LedgerRequest{
+			Op: &peerv1.LedgerRequest_Fetch{Fetch: &peerv1.FetchChain{Turn: id}},
+		})
+		if err != nil {
+			return peerv1.LedgerReply_UNREACHABLE
+		}
+		return r.GetStatus()
+	}
+	return ask("no such turn") == peerv1.LedgerReply_NOT_FOUND && ask(id) == peerv1.LedgerReply_OK
+}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -15,10 +14,6 @@
 )
 
 const (
-	// MetricsPort and MetricsPath are named in deploy/system.toml.
-	MetricsPort = 9464
-	MetricsPath = "/metrics"
-
 	// headerTimeout bounds the sending of a request's headers; the platform's
 	// callers stay within 3 s.
 	headerTimeout = 5 * time.Second
@@ -45,7 +40,7 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.ReadinessPath, e.serveReadiness)
 	admin := http.NewServeMux()
-	admin.HandleFunc("GET "+MetricsPath, e.metrics.serve)
+	admin.HandleFunc("GET "+platform.MetricsPath, e.metrics.serve)
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for _, s := range []struct {
@@ -54,7 +49,7 @@
 	}{
 		{e.settings.CallerListen, callers},
 		{e.settings.ReadyListen, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}},
-		{net.JoinHostPort(e.settings.IP, strconv.Itoa(MetricsPort)), &http.Server{Handler: admin, ReadHeaderTimeout: headerTimeout}},
+		{e.settings.MetricsListen, &http.Server{Handler: admin, ReadHeaderTimeout: headerTimeout}},
 	} {
 		ln, err := net.Listen("tcp", s.address)
 		if err != nil {
--- /dev/null
+++ b/pkg/ledger/client_test.go
@@ -0,0 +1,201 @@
+package ledger
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
+)
+
+// cluster is some storage processes on loopback and a client of them.
+type cluster struct {
+	t       *testing.T
+	mu      sync.Mutex
+	members []Member
+	relays  []string
+	stores  []*Store
+	peers   []*transport.Transport
+	client  *Client
+}
+
+func (c *cluster) Storage() []Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.members)
+}
+
+func (c *cluster) Relays() []string { return c.relays }
+
+func newTransport(t *testing.T, h transport.Handler) *transport.Transport {
+	t.Helper()
+	tr, err := transport.New(transport.Config{
+		Listen: "127.0.0.1:0", Logger: slog.New(slog.DiscardHandler), Hello: func() *peerv1.Hello { return &peerv1.Hello{} },
+	}, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := tr.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_ = tr.Close(ctx)
+	})
+	return tr
+}
+
+func newCluster(t *testing.T, n int) *cluster {
+	c := &cluster{t: t}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for i := range n {
+		s, err := OpenStore(t.TempDir(), slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = s.Run(ctx) }()
+		if err := s.MarkSynced(ctx); err != nil {
+			t.Fatal(err)
+		}
+		tr := newTransport(t, func(ctx context.Context, _ *transport.Session, st *transport.Stream, m *peerv1.Envelope) {
+			_ = Server{Store: s}.Serve(ctx, st, m.GetLedgerRequest())
+		})
+		c.stores, c.peers = append(c.stores, s), append(c.peers, tr)
+		c.members = append(c.members, Member{Name: string(rune('a' + i)), Address: tr.Addr(), Local: i == 0})
+	}
+	own := newTransport(t, func(context.Context, *transport.Session, *transport.Stream, *peerv1.Envelope) {})
+	c.client = &Client{Transport: own, Directory: c, Logger: slog.New(slog.DiscardHandler)}
+	return c
+}
+
+// stop ends a storage process for good.
+func (c *cluster) stop(i int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = c.peers[i].Close(ctx)
+}
+
+func short(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func long(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func reservation(attempt uint64, tokens uint32) *peerv1.Usage {
+	return &peerv1.Usage{Program: "p", Attempt: attempt, Tokens: tokens}
+}
+
+// Guards against a ledger that needs all storage processes, and against one
+// that goes on without a majority.
+func TestMajority(t *testing.T) {
+	c := newCluster(t, 3)
+	recs := []*peerv1.LedgerRecord{turnRecord("a", "")}
+	c.stop(2)
+	if err := c.client.Write(long(t), recs); err != nil {
+		t.Fatalf("with two of three: %v", err)
+	}
+	if err := c.client.Reserve(long(t), reservation(1, 50), 100); err != nil {
+		t.Fatalf("with two of three: %v", err)
+	}
+	c.stop(1)
+	if err := c.client.Write(short(t), recs); !errors.Is(err, ErrNoMajority) {
+		t.Errorf("with one of three: %v", err)
+	}
+	if err := c.client.Reserve(short(t), reservation(2, 10), 100); !errors.Is(err, ErrNoMajority) {
+		t.Errorf("with one of three: %v", err)
+	}
+	if chain, err := c.client.Chain(long(t), "a"); err != nil || len(chain) != 1 {
+		t.Errorf("a turn on the last storage process: %v, %v", chain, err)
+	}
+}
+
+// Guards against a budget that is passed, and against one that stays used up
+// by a turn that generated less.
+func TestReserve(t *testing.T) {
+	c := newCluster(t, 3)
+	if err := c.client.Reserve(long(t), reservation(1, 80), 100); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.client.Reserve(long(t), reservation(2, 80), 100); !errors.Is(err, ErrOverBudget) {
+		t.Fatalf("second reservation: %v", err)
+	}
+	settled := []*peerv1.LedgerRecord{usage(1, 10, true), usage(2, 0, true)}
+	if err := c.client.Write(long(t), settled); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.client.Reserve(long(t), reservation(3, 80), 100); err != nil {
+		t.Errorf("after the settlement: %v", err)
+	}
+}
+
+// Guards against "no such turn" from a process that lost its disk, and while a
+// storage process that may have the turn does not answer.
+func TestNotFoundNeedsAll(t *testing.T) {
+	c := newCluster(t, 3)
+	if _, err := c.client.Chain(long(t), "x"); !errors.Is(err, ErrNotFound) {
+		t.Errorf("all processes complete: %v", err)
+	}
+	c.stores[1].SetSynced(false)
+	if _, err := c.client.Chain(short(t), "x"); !errors.Is(err, ErrNoMajority) {
+		t.Errorf("one process catching up: %v", err)
+	}
+	c.stores[1].SetSynced(true)
+	c.stop(2)
+	if _, err := c.client.Chain(short(t), "x"); !errors.Is(err, ErrNoMajority) {
+		t.Errorf("one process away: %v", err)
+	}
+}
+
+// Guards against an acknowledgement from a process that lost its disk or is
+// being emptied, which does not count for a majority.
+func TestIncompleteMembersDoNotCount(t *testing.T) {
+	c := newCluster(t, 3)
+	c.stores[0].SetSynced(false)
+	c.stores[1].SetLeaving(true)
+	if err := c.client.Write(short(t), []*peerv1.LedgerRecord{turnRecord("a", "")}); !errors.Is(err, ErrNoMajority) {
+		t.Errorf("write: %v", err)
+	}
+}
+
+// Guards against an entry that refuses all programs because it alone is cut
+// off from the storage processes.
+func TestRelay(t *testing.T) {
+	c := newCluster(t, 3)
+	inner := c.client.Transport
+	relay := newTransport(t, func(ctx context.Context, _ *transport.Session, st *transport.Stream, m *peerv1.Envelope) {
+		req := m.GetLedgerRequest()
+		address := req.GetRelayTo()
+		for i := range c.stores {
+			if c.members[i].Address != address {
+				continue
+			}
+			req.RelayTo = ""
+			reply, err := Call(ctx, inner, c.peers[i].Addr(), req)
+			if err != nil {
+				reply = &peerv1.LedgerReply{Status: peerv1.LedgerReply_UNREACHABLE}
+			}
+			_ = st.Send(&peerv1.Envelope{Body: &peerv1.Envelope_LedgerReply{LedgerReply: reply}})
+		}
+	})
+	for i := range c.members { // addresses that only the relay knows how to reach
+		c.members[i].Address = []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}[i]
+	}
+	c.relays = []string{relay.Addr()}
+	if err := c.client.Reserve(long(t), reservation(1, 10), 100); err != nil {
+		t.Errorf("through the relay: %v", err)
+	}
+}
--- /dev/null
+++ b/pkg/storewatch/storewatch_test.go
@@ -0,0 +1,114 @@
+package storewatch
+
+import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/standin/platformstore"
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+// recorder notes the names that a watcher reports.
+type recorder struct{ ch chan string }
+
+func (r recorder) Listed(objects []platform.Object, regained bool) {
+	for _, o := range objects {
+		r.ch <- "listed " + o.Name
+	}
+	if regained {
+		r.ch <- "regained"
+	}
+}
+
+func (r recorder) Changed(changes []platform.Change) {
+	for _, c := range changes {
+		r.ch <- "changed " + c.Object.Name
+	}
+}
+
+func (r recorder) Lost(error) { r.ch <- "lost" }
+
+func (r recorder) want(t *testing.T, want string) {
+	t.Helper()
+	deadline := time.After(10 * time.Second)
+	for {
+		select {
+		case got := <-r.ch:
+			if got == want {
+				return
+			}
+		case <-deadline:
+			t.Fatalf("%q was not reported", want)
+		}
+	}
+}
+
+func start(t *testing.T, s *platformstore.Store, interval time.Duration) recorder {
+	t.Helper()
+	srv := httptest.NewServer(s)
+	store := platform.NewStore(strings.TrimPrefix(srv.URL, "http://"))
+	r := recorder{ch: make(chan string, 1000)}
+	g := &Group{
+		Store: func() *platform.Store { return store }, Logger: slog.New(slog.DiscardHandler),
+		Interval: interval, CheckKind: platform.KindRetirements,
+	}
+	g.Add(platform.KindConfig, r)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); g.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done; store.Close(); srv.CloseClientConnections(); srv.Close() })
+	return r
+}
+
+// Guards against a change that is never heard of because the store keeps a
+// watch waiting while it drops its history (found on scale-1 of the first
+// site: a configuration was not in force 5 s after its acknowledgement).
+func TestDeafWatch(t *testing.T) {
+	s := platformstore.New()
+	s.Put(platform.KindConfig, "a", 1)
+	r := start(t, s, 20*time.Millisecond)
+	r.want(t, "listed a")
+	s.SetDeaf(true)
+	s.Put(platform.KindConfig, "b", 1)
+	r.want(t, "listed b")
+}
+
+// Guards against a watcher that stops at a forgotten history or an outage.
+func TestHistoryGoneAndOutage(t *testing.T) {
+	s := platformstore.New()
+	s.Put(platform.KindConfig, "a", 1)
+	r := start(t, s, time.Hour)
+	r.want(t, "listed a")
+	s.Put(platform.KindConfig, "b", 1)
+	r.want(t, "changed b")
+	s.SetDeaf(true)
+	s.Put(platform.KindConfig, "c", 1)
+	s.Compact()
+	r.want(t, "listed c")
+	s.SetDeaf(false)
+	s.SetDown(true)
+	r.want(t, "lost")
+	s.SetDown(false)
+	r.want(t, "regained")
+}
+
+// Guards against listing all kinds again though every change was heard of.
+func TestTracker(t *testing.T) {
+	var tr tracker
+	tr.reset(4)
+	tr.heard(6)
+	if tr.complete(6) {
+		t.Error("complete without revision 5")
+	}
+	tr.heard(5)
+	if !tr.complete(6) {
+		t.Error("not complete with revisions 5 and 6")
+	}
+	if tr.complete(7) {
+		t.Error("complete without revision 7")
+	}
+}
