Let the scripted upstream of the timeout test read the body

Cause: TestTimeout hung: net/http's server notices the end of a connection only after the request's body was read, and the script did not read it.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -448,7 +448,11 @@
 	r := clone(unsafeRoute)
 	r["TimeoutMs"] = 300
 	d.route(r)
-	d.upstream("u1", "app", func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() })
+	var all runs
+	d.upstream("u1", "app", func(_ http.ResponseWriter, req *http.Request) {
+		all.take(req) // a server sees the end of a connection only after the body
+		<-req.Context().Done()
+	})
 	p := d.edge("127.0.0.1")
 	p.ready(t, 1, 0)
 	if a := p.call(t, "POST", "/unsafe/1", "x", map[string]string{"Deadline-Ms": "20000"}); a.status != 504 {
