Refuse turns of spent programs from memory, and let writes reach every member

A looping program sends hundreds of turns; each reserved tokens at all storage processes, was refused, and made every later reply longer. Besides, a write was cancelled at the third storage process once two had it. Change: an entry remembers what ended turns of a program have used, which only grows; records that used nothing are left out of replies; requests to the other members go on for 1.5 s.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -48,6 +48,9 @@
 
 	affinity *lru.Cache[string, string]             // line of turns to upstream
 	turns    *lru.Cache[string, *peerv1.TurnRecord] // by id
+	// spent has the tokens that ended turns of a program are known to have used.
+	// They only grow, so a turn that does not fit beside them never will.
+	spent *lru.Cache[string, int]
 
 	draining atomic.Bool
 }
@@ -69,6 +72,9 @@
 	if e.turns, err = lru.New[string, *peerv1.TurnRecord](cachedTurns); err != nil {
 		return nil, err
 	}
+	if e.spent, err = lru.New[string, int](affinityPrograms); err != nil {
+		return nil, err
+	}
 	e.transport, err = transport.New(transport.Config{
 		Listen: settings.PeerAddress(), Isolated: true, Logger: logger, Hello: e.hello,
 	}, e.servePeer)
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -79,10 +79,16 @@
 	if c.req.Program == "" || c.req.Budget <= 0 {
 		return nil
 	}
+	if spent, ok := c.e.spent.Get(c.req.Program); ok && spent+c.req.MaxTokens > c.req.Budget {
+		return ledger.ErrOverBudget
+	}
 	t.reserved = true
 	began := time.Now()
-	err := c.e.ledger.Reserve(ctx, c.usage(c.req.MaxTokens, false), c.req.Budget)
+	spent, err := c.e.ledger.Reserve(ctx, c.usage(c.req.MaxTokens, false), c.req.Budget)
 	c.e.metrics.ledger("reserve", err, time.Since(began))
+	if spent > 0 {
+		c.e.spent.Add(c.req.Program, spent)
+	}
 	return err
 }
 
--- a/pkg/ledger/client.go
+++ b/pkg/ledger/client.go
@@ -37,6 +37,8 @@
 	DirectTimeout = 250 * time.Millisecond
 	// relayTimeout bounds one request through a relay.
 	relayTimeout = 400 * time.Millisecond
+	// lingerTime is how long members are asked after the call has its result.
+	lingerTime = 1500 * time.Millisecond
 	// retryPause is the wait before a failed request is sent again.
 	retryPause = 60 * time.Millisecond
 )
@@ -59,12 +61,14 @@
 
 // ask sends a request to every member until the context ends or enough is
 // satisfied by the answers so far. Each member is asked again while it fails.
+// The requests to the others go on for lingerTime, so that records reach every
+// member that can be reached and not only a majority.
 func (c *Client) ask(ctx context.Context, members []Member, req func() *peerv1.LedgerRequest, enough func([]*peerv1.LedgerReply, int) bool) ([]*peerv1.LedgerReply, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	asking, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer time.AfterFunc(lingerTime, cancel)
 	answers := make(chan answer, len(members))
 	for _, m := range members {
-		go func() { answers <- c.persist(ctx, m, req) }()
+		go func() { answers <- c.persist(asking, m, req) }()
 	}
 	var replies []*peerv1.LedgerReply
 	for left := len(members); left > 0; left-- {
@@ -180,26 +184,28 @@
 	return err
 }
 
-// Reserve sets tokens of a program's budget aside for an attempt. It returns
-// ErrOverBudget if they do not fit, and ErrNoMajority if that is not known
-// before the context ends. In both cases the reservation may remain.
-func (c *Client) Reserve(ctx context.Context, u *peerv1.Usage, budget int) error {
+// Reserve sets tokens of a program's budget aside for an attempt and returns
+// the tokens that ended turns have used. The error is ErrOverBudget if the
+// tokens do not fit, and ErrNoMajority if that is not known before the context
+// ends. In both cases the reservation may remain.
+func (c *Client) Reserve(ctx context.Context, u *peerv1.Usage, budget int) (spent int, err error) {
 	members := c.Directory.Storage()
 	need := Majority(len(members))
 	replies, err := c.ask(ctx, members, func() *peerv1.LedgerRequest {
 		return &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Reserve{Reserve: &peerv1.Reserve{Usage: u}}}
 	}, func(r []*peerv1.LedgerReply, _ int) bool { return counts(r) >= need })
 	if err != nil {
-		return err
+		return 0, err
 	}
 	lists := make([][]*peerv1.Usage, 0, len(replies))
 	for _, r := range replies {
 		lists = append(lists, r.GetUsage())
 	}
-	if !Fits(Merge(lists...), u.GetAttempt(), int(u.GetTokens()), budget) {
-		return ErrOverBudget
+	all := Merge(lists...)
+	if !Fits(all, u.GetAttempt(), int(u.GetTokens()), budget) {
+		return Spent(all), ErrOverBudget
 	}
-	return nil
+	return Spent(all), nil
 }
 
 // Chain returns a turn and all turns before it, oldest first. ErrNotFound means
--- a/pkg/ledger/client_test.go
+++ b/pkg/ledger/client_test.go
@@ -108,14 +108,14 @@
 	if err := c.client.Write(long(t), recs); err != nil {
 		t.Fatalf("with two of three: %v", err)
 	}
-	if err := c.client.Reserve(long(t), reservation(1, 50), 100); err != nil {
+	if _, err := c.client.Reserve(long(t), reservation(1, 50), 100); err != nil {
 		t.Fatalf("with two of three: %v", err)
 	}
 	c.stop(1)
 	if err := c.client.Write(short(t), recs); !errors.Is(err, ErrNoMajority) {
 		t.Errorf("with one of three: %v", err)
 	}
-	if err := c.client.Reserve(short(t), reservation(2, 10), 100); !errors.Is(err, ErrNoMajority) {
+	if _, err := c.client.Reserve(short(t), reservation(2, 10), 100); !errors.Is(err, ErrNoMajority) {
 		t.Errorf("with one of three: %v", err)
 	}
 	if chain, err := c.client.Chain(long(t), "a"); err != nil || len(chain) != 1 {
@@ -127,17 +127,17 @@
 // by a turn that generated less.
 func TestReserve(t *testing.T) {
 	c := newCluster(t, 3)
-	if err := c.client.Reserve(long(t), reservation(1, 80), 100); err != nil {
+	if _, err := c.client.Reserve(long(t), reservation(1, 80), 100); err != nil {
 		t.Fatal(err)
 	}
-	if err := c.client.Reserve(long(t), reservation(2, 80), 100); !errors.Is(err, ErrOverBudget) {
+	if _, err := c.client.Reserve(long(t), reservation(2, 80), 100); !errors.Is(err, ErrOverBudget) {
 		t.Fatalf("second reservation: %v", err)
 	}
 	settled := []*peerv1.LedgerRecord{usage(1, 10, true), usage(2, 0, true)}
 	if err := c.client.Write(long(t), settled); err != nil {
 		t.Fatal(err)
 	}
-	if err := c.client.Reserve(long(t), reservation(3, 80), 100); err != nil {
+	if _, err := c.client.Reserve(long(t), reservation(3, 80), 100); err != nil {
 		t.Errorf("after the settlement: %v", err)
 	}
 }
@@ -195,7 +195,7 @@
 		c.members[i].Address = []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}[i]
 	}
 	c.relays = []string{relay.Addr()}
-	if err := c.client.Reserve(long(t), reservation(1, 10), 100); err != nil {
+	if _, err := c.client.Reserve(long(t), reservation(1, 10), 100); err != nil {
 		t.Errorf("through the relay: %v", err)
 	}
 }
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -107,7 +107,8 @@
 // acknowledged.
 func (s *State) Synced() bool { return s.synced }
 
-// Usage returns the usage records of a program.
+// Usage returns the usage records of a program, without those that used
+// nothing: a looping program leaves hundreds of them.
 func (s *State) Usage(name string) []*peerv1.Usage {
 	p := s.programs[name]
 	if p == nil {
@@ -115,6 +116,9 @@
 	}
 	list := make([]*peerv1.Usage, 0, len(p.usage))
 	for _, u := range p.usage {
+		if u.GetSettled() && u.GetTokens() == 0 {
+			continue
+		}
 		list = append(list, &peerv1.Usage{Attempt: u.GetAttempt(), Tokens: u.GetTokens(), Settled: u.GetSettled()})
 	}
 	return list
@@ -183,6 +187,18 @@
 	return all
 }
 
+// Spent returns the tokens that ended turns have used. They are never given
+// back.
+func Spent(records map[uint64]*peerv1.Usage) int {
+	spent := 0
+	for _, u := range records {
+		if u.GetSettled() {
+			spent += int(u.GetTokens())
+		}
+	}
+	return spent
+}
+
 // Fits reports whether the budget holds a turn of at most limit tokens beside
 // all other records of the program; open records count with their limit.
 func Fits(records map[uint64]*peerv1.Usage, attempt uint64, limit, budget int) bool {
