Read only missing records at a catch-up, once from each member

A storage process that lost its disk read all records of all members every 200 ms until one pass brought all of them, and a pass over the link between regions exceeded its 1.5 s, so the pass began again. Change: a member is read once; the request names the records that are there; the limit holds for each part of the reply; members of the own region first.

--- a/pkg/ledger/server.go
+++ b/pkg/ledger/server.go
@@ -3,20 +3,23 @@
 import (
 	"context"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
-// pullBatch is the number of records in one reply to a Pull.
-const pullBatch = 200
+// pullBytes is the size at which a reply to a Pull is sent: a fraction of a
+// second on a narrow link.
+const pullBytes = 64 << 10
 
 // Server answers the requests of peers from a Store.
 type Server struct{ Store *Store }
 
 // Serve answers one request on its stream.
 func (s Server) Serve(ctx context.Context, st *transport.Stream, req *peerv1.LedgerRequest) error {
-	if req.GetPull() != nil {
-		return s.pull(st)
+	if p := req.GetPull(); p != nil {
+		return s.pull(st, p)
 	}
 	return st.Send(reply(s.answer(ctx, req)))
 }
@@ -59,15 +62,28 @@
 	return &peerv1.LedgerReply{Status: status}
 }
 
-// pull sends all records, also while this process is catching up itself: two
-// processes that lost records at once could not go on otherwise.
-func (s Server) pull(st *transport.Stream) error {
-	recs := s.Store.Records()
-	for len(recs) > pullBatch {
-		if err := st.Send(reply(&peerv1.LedgerReply{Status: peerv1.LedgerReply_OK, Records: recs[:pullBatch], More: true})); err != nil {
+// pull sends all records that the asking process lacks, also while this
+// process is catching up itself: two processes that lost records at once could
+// not go on otherwise.
+func (s Server) pull(st *transport.Stream, p *peerv1.Pull) error {
+	have := make(map[uint64]bool, len(p.GetHave()))
+	for _, d := range p.GetHave() {
+		have[d] = true
+	}
+	var recs []*peerv1.LedgerRecord
+	size := 0
+	for _, rec := range s.Store.Records() {
+		if have[Digest(rec)] {
+			continue
+		}
+		recs = append(recs, rec)
+		if size += proto.Size(rec); size < pullBytes {
+			continue
+		}
+		if err := st.Send(reply(&peerv1.LedgerReply{Status: peerv1.LedgerReply_OK, Records: recs, More: true})); err != nil {
 			return err
 		}
-		recs = recs[pullBatch:]
+		recs, size = nil, 0
 	}
 	return st.Send(reply(&peerv1.LedgerReply{Status: s.Store.Status(), Records: recs}))
 }
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -148,6 +149,26 @@
 	}
 }
 
+// Digest tells records apart that are not forms of the same content.
+func Digest(rec *peerv1.LedgerRecord) uint64 {
+	h := xxhash.New()
+	switch b := rec.GetBody().(type) {
+	case *peerv1.LedgerRecord_Usage:
+		u := b.Usage
+		_, _ = h.WriteString(u.GetProgram())
+		var tail [13]byte
+		binary.LittleEndian.PutUint64(tail[:], u.GetAttempt())
+		binary.LittleEndian.PutUint32(tail[8:], u.GetTokens())
+		if u.GetSettled() {
+			tail[12] = 1
+		}
+		_, _ = h.Write(tail[:])
+	case *peerv1.LedgerRecord_Turn:
+		_, _ = h.WriteString(b.Turn.GetId())
+	}
+	return h.Sum64()
+}
+
 // Records returns all records but the marker of a complete log.
 func (s *State) Records() []*peerv1.LedgerRecord {
 	var list []*peerv1.LedgerRecord
--- a/pkg/storage/join.go
+++ b/pkg/storage/join.go
@@ -19,7 +19,8 @@
 	replacedAfter = 2500 * time.Millisecond
 	// goneAfter is the same for a process that has joined: longer than a
 	// restart and most partitions last.
-	goneAfter   = 7 * time.Second
+	goneAfter = 7 * time.Second
+	// pullTimeout bounds the wait for each part of a member's records.
 	pullTimeout = 1500 * time.Millisecond
 	pingTimeout = 500 * time.Millisecond
 	// pingInterval is how often older members of the failure domain are tried.
@@ -34,9 +35,10 @@
 		}
 	}
 	away := newAway()
+	pulled := make(map[string]bool)
 	pinged := time.Now()
 	for ctx.Err() == nil {
-		s.step(ctx, away)
+		s.step(ctx, away, pulled)
 		if time.Since(pinged) >= pingInterval && s.ledger.Status() == peerv1.LedgerReply_OK {
 			pinged = time.Now()
 			s.dropGone(ctx, away)
@@ -49,7 +51,7 @@
 }
 
 // step does the next thing that is needed to be an active member.
-func (s *Storage) step(ctx context.Context, away *away) {
+func (s *Storage) step(ctx context.Context, away *away, pulled map[string]bool) {
 	own, registered := s.members.own()
 	status := s.ledger.Status()
 	switch {
@@ -57,8 +59,9 @@
 	case status == peerv1.LedgerReply_OK && registered && own.Removed:
 		s.logger.Warn("taken out of the ledger, catching up", "node", s.settings.Node)
 		s.ledger.SetSynced(false)
+		clear(pulled)
 	case status == peerv1.LedgerReply_CATCHING_UP:
-		s.catchUp(ctx, own, registered, away)
+		s.catchUp(ctx, own, registered, away, pulled)
 	case !registered || !own.Active || own.Address != s.settings.PeerAddress():
 		s.register(ctx, own)
 	}
@@ -85,25 +88,35 @@
 
 // catchUp reads the records of all other members. A process that was never a
 // member, or is one no more, may do so without an older one of its failure
-// domain that it replaces.
-func (s *Storage) catchUp(ctx context.Context, own platform.Node, registered bool, away *away) {
+// domain that it replaces. Each member is read once, since what is written
+// later has a majority without this process.
+func (s *Storage) catchUp(ctx context.Context, own platform.Node, registered bool, away *away, pulled map[string]bool) {
 	others, known := s.members.others()
 	if !known {
 		return
 	}
 	replacing := !registered || !own.Active || own.Removed
 	var gone []platform.Node
+	missing := false
 	for _, n := range others {
+		if pulled[n.Name] {
+			continue
+		}
 		if err := s.pull(ctx, n.Address); err != nil {
 			out := away.failed(n.Name, time.Now())
 			s.logger.Info("records not received", "peer", n.Name, "address", n.Address, "out_of_reach", out, "err", err)
 			if !replacing || n.FailureDomain != s.settings.FailureDomain || out < replacedAfter {
-				return
+				missing = true
+				continue
 			}
 			gone = append(gone, n)
 			continue
 		}
 		away.reached(n.Name)
+		pulled[n.Name] = true
+	}
+	if missing {
+		return
 	}
 	if err := s.ledger.MarkSynced(ctx); err != nil {
 		s.logger.Error("ledger not completed", "err", err)
@@ -118,27 +131,30 @@
 	}
 }
 
-// pull reads all records of a member.
+// pull reads the records of a member that this process lacks.
 func (s *Storage) pull(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	dctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	sess, err := s.transport.Dial(ctx, address)
+	sess, err := s.transport.Dial(dctx, address)
 	if err != nil {
 		return err
 	}
-	st, err := sess.Open(ctx, &peerv1.Envelope{Body: &peerv1.Envelope_LedgerRequest{LedgerRequest: &peerv1.LedgerRequest{
-		Op: &peerv1.LedgerRequest_Pull{Pull: &peerv1.Pull{}},
+	own := s.ledger.Records()
+	have := make([]uint64, 0, len(own))
+	for _, rec := range own {
+		have = append(have, ledger.Digest(rec))
+	}
+	st, err := sess.Open(dctx, &peerv1.Envelope{Body: &peerv1.Envelope_LedgerRequest{LedgerRequest: &peerv1.LedgerRequest{
+		Op: &peerv1.LedgerRequest_Pull{Pull: &peerv1.Pull{Have: have}},
 	}}})
 	if err != nil {
 		return err
 	}
 	defer st.Close()
-	if d, ok := ctx.Deadline(); ok {
-		if err := st.SetDeadline(d); err != nil {
+	for {
+		if err := st.SetDeadline(time.Now().Add(pullTimeout)); err != nil {
 			return errors.Wrap(err, "set deadline")
 		}
-	}
-	for {
 		m, err := st.Recv()
 		if err != nil {
 			return err
--- a/pkg/storage/members.go
+++ b/pkg/storage/members.go
@@ -14,8 +14,10 @@
 
 // members is what a storage process knows of the others.
 type members struct {
-	self   string
-	logger *slog.Logger
+	self     string
+	region   string
+	regionOf map[string]string // failure domain to region
+	logger   *slog.Logger
 
 	mu     sync.Mutex
 	nodes  map[string]platform.Node
@@ -23,8 +25,11 @@
 	lost   bool // the watch is down
 }
 
-func newMembers(self string, logger *slog.Logger) *members {
-	return &members{self: self, logger: logger, nodes: make(map[string]platform.Node), lost: true}
+func newMembers(s *platform.Settings, logger *slog.Logger) *members {
+	return &members{
+		self: s.Node, region: s.Region, regionOf: s.RegionOf, logger: logger,
+		nodes: make(map[string]platform.Node), lost: true,
+	}
 }
 
 func (m *members) put(o platform.Object) {
@@ -38,8 +43,11 @@
 	m.nodes[o.Name] = n
 }
 
-// others returns the active storage processes besides this one, by name, and
-// whether the registrations are known.
+// local reports whether a node is in the region of this process.
+func (m *members) local(n platform.Node) bool { return m.regionOf[n.FailureDomain] == m.region }
+
+// others returns the active storage processes besides this one, those of its
+// region first, and whether the registrations are known.
 func (m *members) others() ([]platform.Node, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -49,7 +57,15 @@
 			list = append(list, n)
 		}
 	}
-	slices.SortFunc(list, func(a, b platform.Node) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(list, func(a, b platform.Node) int {
+		if la, lb := m.local(a), m.local(b); la != lb {
+			if la {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.Name, b.Name)
+	})
 	return list, m.listed
 }
 
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -43,7 +43,7 @@
 	}
 	s := &Storage{settings: settings, logger: logger, ledger: l}
 	s.store.Store(platform.NewStore(settings.StoreAddress))
-	s.members = newMembers(settings.Node, logger)
+	s.members = newMembers(settings, logger)
 	s.transport, err = transport.New(transport.Config{
 		Listen: settings.PeerAddress(), Isolated: true, Logger: logger, Hello: s.hello,
 	}, s.servePeer)
