Let requests wait for an entry that has just started

Ruled out: a slower start (it listens 2 ms after the others). Change: a request waits up to 0.5 s until configuration and upstreams are known.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -473,3 +473,26 @@
 		}
 	}
 }
+
+// Guards against refusing the requests that reach an entry while it learns the
+// deployment after a start (found on incident inc-0702: seven refusals in the
+// 150 ms after a loss of power).
+func TestRequestWaitsForStart(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(safeRoute))
+	p := d.edge("127.0.0.1")
+	eventually(t, "the entry does not listen", func() bool {
+		resp, err := http.Get("http://" + p.settings.ReadyListen + platform.ReadinessPath)
+		if err != nil {
+			return false
+		}
+		return resp.Body.Close() == nil
+	})
+	go func() {
+		time.Sleep(100 * time.Millisecond)
+		d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
+	}()
+	if a := p.call(t, "GET", "/safe/1", "", nil); a.status != 200 {
+		t.Errorf("%+v", a)
+	}
+}
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -55,6 +55,7 @@
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	e.view.waitUntilKnown(r.Context())
 	c.table = e.view.table.Load()
 	if c.table == nil {
 		c.refuse(http.StatusServiceUnavailable, retryUnready, "no configuration")
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -28,6 +28,9 @@
 	// what that peer knows.
 	peerStateInterval = 500 * time.Millisecond
 	maxRelays         = 3
+	// startWait is how long a request waits for a starting entry to learn the
+	// deployment: some round trips between regions.
+	startWait = 500 * time.Millisecond
 	// checkInterval is how often the watches are checked for changes that they
 	// did not hear of; a configuration has to be in force within 3 s.
 	checkInterval = 1800 * time.Millisecond
@@ -45,13 +48,17 @@
 	nodes     map[string]platform.Node
 	nodeSpecs map[string][]byte
 	lost      map[string]bool // kinds whose watch is down
+
+	known     chan struct{} // closed once configuration and upstreams are known
+	knownOnce sync.Once
 }
 
 func newView(e *Edge) *view {
 	return &view{
 		e: e, upstreams: make(map[string][]byte),
 		nodes: make(map[string]platform.Node), nodeSpecs: make(map[string][]byte),
-		lost: map[string]bool{platform.KindConfig: true, platform.KindUpstreams: true, platform.KindNodes: true},
+		known: make(chan struct{}),
+		lost:  map[string]bool{platform.KindConfig: true, platform.KindUpstreams: true, platform.KindNodes: true},
 	}
 }
 
@@ -65,6 +72,29 @@
 	return len(v.upstreams) > 0
 }
 
+// noteKnown ends the wait of requests once the entry can place them.
+func (v *view) noteKnown() {
+	if v.ready() {
+		v.knownOnce.Do(func() { close(v.known) })
+	}
+}
+
+// waitUntilKnown holds a request back while the entry has just started.
+func (v *view) waitUntilKnown(ctx context.Context) {
+	select {
+	case <-v.known:
+		return
+	default:
+	}
+	timer := time.NewTimer(startWait)
+	defer timer.Stop()
+	select {
+	case <-v.known:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 func (v *view) run(ctx context.Context) {
 	var wg sync.WaitGroup
 	group := &storewatch.Group{
@@ -142,6 +172,7 @@
 		v.e.logger.Error("configuration can not be read", "source", source, "err", err)
 		return
 	}
+	defer v.noteKnown()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if old := v.table.Load(); old != nil && cfg.Version <= old.Version() {
@@ -185,6 +216,7 @@
 }
 
 func (v *view) replaceUpstreams(objects []platform.Object, regained bool) {
+	defer v.noteKnown()
 	list := make([]fleet.Upstream, 0, len(objects))
 	specs := make(map[string][]byte, len(objects))
 	for _, o := range objects {
@@ -209,6 +241,7 @@
 }
 
 func (h upstreamHandler) Changed(changes []platform.Change) {
+	defer h.v.noteKnown()
 	now := time.Now()
 	for _, c := range changes {
 		name := c.Object.Name
