Hand over only missing records at a retirement; wait for the registrations

Besides, a process that was taken out registered as active after a restart, before it had read its registration. Ruled out: a member that does not answer (none was away). Change: the retiring process asks each member which records it lacks; joining waits for the registrations.

--- /dev/null
+++ b/pkg/edge/storage_test.go
@@ -0,0 +1,111 @@
+package edge
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+// node returns the registration of a process.
+func (d *deployment) node(s *platform.Settings) platform.Node {
+	var n platform.Node
+	if spec, _, ok := d.store.Get(platform.KindNodes, s.Node); ok {
+		if err := json.Unmarshal(spec, &n); err != nil {
+			d.t.Fatal(err)
+		}
+	}
+	return n
+}
+
+// Guards against a storage instance that is removed with turns that no other
+// one has, and against a retirement that is never completed.
+func TestRetirement(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(history))
+	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 1) })
+	stores := d.storages()
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 3)
+	for i := range 5 {
+		if a := sendTurn(t, p, fmt.Sprint("t", i), "", "A", 10000); a.status != 200 {
+			t.Fatalf("%+v", a)
+		}
+	}
+	leaving := stores[0].settings
+	d.store.Put(platform.KindRetirements, leaving.Node, map[string]any{"DeadlineS": 10})
+	eventually(t, "the retirement is not completed", func() bool {
+		_, status, _ := d.store.Get(platform.KindRetirements, leaving.Node)
+		return string(status) == `{"State":"completed"}`
+	})
+	for _, s := range stores[1:] {
+		for i := range 5 {
+			if !d.holds(s.settings, fmt.Sprint("t", i)) {
+				t.Errorf("%s has not got t%d", s.settings.Node, i)
+			}
+		}
+	}
+	if n := d.node(leaving); !n.Removed || n.Active {
+		t.Errorf("registration after the retirement: %+v", n)
+	}
+	stores[0].stop()
+	p.ready(t, 1, 2)
+	if a := sendTurn(t, p, "after", "t1", "A", 10000); a.status != 200 {
+		t.Errorf("with the two others: %+v", a)
+	}
+}
+
+// Guards against a process that was taken out and counts again after a restart
+// without the records written meanwhile (found on the day store-disks: it
+// registered before it had read its registration).
+func TestRemovedMemberCatchesUp(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(history))
+	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 1) })
+	dir := t.TempDir()
+	first := d.storage("127.0.0.11", dir)
+	d.storage("127.0.0.12", t.TempDir())
+	d.storage("127.0.0.13", t.TempDir())
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 3)
+	first.stop()
+	n := d.node(first.settings)
+	n.Removed = true
+	d.store.Put(platform.KindNodes, first.settings.Node, n)
+	p.ready(t, 1, 2)
+	if a := sendTurn(t, p, "t1", "", "A", 10000); a.status != 200 {
+		t.Fatalf("%+v", a)
+	}
+	s := first.settings
+	s.FirstStart = false
+	d.storageWith(s)
+	p.ready(t, 1, 3)
+	if !d.holds(s, "t1") {
+		t.Error("it counts without the turn written meanwhile")
+	}
+}
+
+// Guards against a ledger that keeps a process which is gone for good in its
+// majority after a new one has taken its place.
+func TestReplacedMember(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(history))
+	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 1) })
+	stores := d.storages()
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 3)
+	if a := sendTurn(t, p, "t1", "", "A", 10000); a.status != 200 {
+		t.Fatalf("%+v", a)
+	}
+	stores[0].stop()
+	s := d.settings("127.0.0.14")
+	s.DataDir, s.FirstStart = t.TempDir(), false
+	d.storageWith(s)
+	eventually(t, "the process that is gone still counts", func() bool { return d.node(stores[0].settings).Removed })
+	p.ready(t, 1, 3)
+	if !d.holds(s, "t1") {
+		t.Error("the new process has not got the turn")
+	}
+}
--- a/pkg/ledger/server.go
+++ b/pkg/ledger/server.go
@@ -50,6 +50,8 @@
 			break
 		}
 		return &peerv1.LedgerReply{Status: status, Usage: s.Store.Usage(op.Reserve.GetUsage().GetProgram())}
+	case *peerv1.LedgerRequest_Compare:
+		return &peerv1.LedgerReply{Status: status, Missing: s.missing(op.Compare.GetDigests())}
 	case *peerv1.LedgerRequest_Fetch:
 		// A turn that is there is right whatever else is missing.
 		if chain, ok := s.Store.Chain(op.Fetch.GetTurn()); ok {
@@ -62,6 +64,18 @@
 	return &peerv1.LedgerReply{Status: status}
 }
 
+// missing returns the digests for which the store has no record.
+func (s Server) missing(digests []uint64) []uint64 {
+	have := Digests(s.Store.Records())
+	var list []uint64
+	for _, d := range digests {
+		if _, ok := have[d]; !ok {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
 // pull sends all records that the asking process lacks, also while this
 // process is catching up itself: two processes that lost records at once could
 // not go on otherwise.
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -169,6 +169,15 @@
 	return h.Sum64()
 }
 
+// Digests returns records by their digests.
+func Digests(recs []*peerv1.LedgerRecord) map[uint64]*peerv1.LedgerRecord {
+	m := make(map[uint64]*peerv1.LedgerRecord, len(recs))
+	for _, rec := range recs {
+		m[Digest(rec)] = rec
+	}
+	return m
+}
+
 // Records returns all records but the marker of a complete log.
 func (s *State) Records() []*peerv1.LedgerRecord {
 	var list []*peerv1.LedgerRecord
--- a/pkg/storage/join.go
+++ b/pkg/storage/join.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -52,6 +54,9 @@
 
 // step does the next thing that is needed to be an active member.
 func (s *Storage) step(ctx context.Context, away *away, pulled map[string]bool) {
+	if _, known := s.members.others(); !known {
+		return
+	}
 	own, registered := s.members.own()
 	status := s.ledger.Status()
 	switch {
@@ -91,10 +96,7 @@
 // domain that it replaces. Each member is read once, since what is written
 // later has a majority without this process.
 func (s *Storage) catchUp(ctx context.Context, own platform.Node, registered bool, away *away, pulled map[string]bool) {
-	others, known := s.members.others()
-	if !known {
-		return
-	}
+	others, _ := s.members.others()
 	replacing := !registered || !own.Active || own.Removed
 	var gone []platform.Node
 	missing := false
@@ -139,11 +141,7 @@
 	if err != nil {
 		return err
 	}
-	own := s.ledger.Records()
-	have := make([]uint64, 0, len(own))
-	for _, rec := range own {
-		have = append(have, ledger.Digest(rec))
-	}
+	have := slices.Collect(maps.Keys(ledger.Digests(s.ledger.Records())))
 	st, err := sess.Open(dctx, &peerv1.Envelope{Body: &peerv1.Envelope_LedgerRequest{LedgerRequest: &peerv1.LedgerRequest{
 		Op: &peerv1.LedgerRequest_Pull{Pull: &peerv1.Pull{Have: have}},
 	}}})
--- a/pkg/storage/retire.go
+++ b/pkg/storage/retire.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -88,21 +90,40 @@
 // pushBatch is the number of records in one write to another member.
 const pushBatch = 200
 
+// push hands the records to another member that this member lacks.
 func (s *Storage) push(ctx context.Context, address string, recs []*peerv1.LedgerRecord) error {
-	for len(recs) > 0 {
-		n := min(len(recs), pushBatch)
-		cctx, cancel := context.WithTimeout(ctx, pushTimeout)
-		reply, err := ledger.Call(cctx, s.transport, address, &peerv1.LedgerRequest{
-			Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: recs[:n]}},
-		})
-		cancel()
-		if err != nil {
-			return err
+	byDigest := ledger.Digests(recs)
+	digests := slices.Collect(maps.Keys(byDigest))
+	reply, err := s.ask(ctx, address, &peerv1.LedgerRequest{
+		Op: &peerv1.LedgerRequest_Compare{Compare: &peerv1.Compare{Digests: digests}},
+	})
+	if err != nil {
+		return err
+	}
+	for missing := range slices.Chunk(reply.GetMissing(), pushBatch) {
+		batch := make([]*peerv1.LedgerRecord, 0, len(missing))
+		for _, d := range missing {
+			batch = append(batch, byDigest[d])
 		}
-		if st := reply.GetStatus(); st != peerv1.LedgerReply_OK {
-			return errors.Errorf("member answers %s", st)
+		if _, err := s.ask(ctx, address, &peerv1.LedgerRequest{
+			Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: batch}},
+		}); err != nil {
+			return err
 		}
-		recs = recs[n:]
 	}
 	return nil
 }
+
+// ask sends one request to a member that has all its records.
+func (s *Storage) ask(ctx context.Context, address string, req *peerv1.LedgerRequest) (*peerv1.LedgerReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	reply, err := ledger.Call(ctx, s.transport, address, req)
+	if err != nil {
+		return nil, err
+	}
+	if st := reply.GetStatus(); st != peerv1.LedgerReply_OK {
+		return nil, errors.Errorf("member answers %s", st)
+	}
+	return reply, nil
+}
