Carry ledger requests in batches on open streams, to a majority first

Ruled out: the links (30 Mbit/s, nearly idle), the store (turns do not use it). Change: one open stream for each storage process with requests in batches; a program's records lie with five members; the nearest majority is asked first and the others after a failure or 100 ms; chains come from near members first; watches pause 250 ms after a change, so that changes come together.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e.ledger = &ledger.Client{Transport: e.transport, Directory: e.view, Logger: logger}
+	e.ledger = ledger.NewClient(e.transport, e.view)
 	e.settler = newSettler(e.ledger, logger)
 	return e, nil
 }
--- a/pkg/edge/settle.go
+++ b/pkg/edge/settle.go
@@ -81,11 +81,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	if err := s.client.Write(ctx, recs); err != nil {
-		s.logger.Warn("usage records not written, trying again", "records", len(recs), "err", err)
-		for _, r := range recs {
-			s.add(r)
-		}
+	for _, r := range s.client.WriteAll(ctx, recs) {
+		s.logger.Warn("usage record not written, trying again", "program", r.GetUsage().GetProgram())
+		s.add(r)
 	}
 }
 
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -184,7 +184,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), commitRetryTimeout)
 		defer cancel()
-		err := c.e.ledger.Write(ctx, recs)
+		err := c.e.ledger.Write(ctx, c.req.Program, recs)
 		c.e.metrics.ledger("commit", err, time.Since(began))
 		done <- err
 	}()
--- a/pkg/ledger/client.go
+++ b/pkg/ledger/client.go
@@ -1,10 +1,12 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
-	"log/slog"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
@@ -37,17 +39,57 @@
 	DirectTimeout = 250 * time.Millisecond
 	// relayTimeout bounds one request through a relay.
 	relayTimeout = 400 * time.Millisecond
-	// lingerTime is how long members are asked after the call has its result.
-	lingerTime = 1500 * time.Millisecond
+	// hedgeTime is how long the first members may take before all are asked: a
+	// round trip between regions and a sync.
+	hedgeTime = 100 * time.Millisecond
+	// nearTimeout is how long the members of the own region may take to find a
+	// chain before the others are asked as well.
+	nearTimeout = 80 * time.Millisecond
 	// retryPause is the wait before a failed request is sent again.
 	retryPause = 60 * time.Millisecond
 )
 
 // Client reads and writes the ledger at a majority of the storage processes.
 type Client struct {
-	Transport *transport.Transport
-	Directory Directory
-	Logger    *slog.Logger
+	transport *transport.Transport
+	directory Directory
+	links     *links
+}
+
+// NewClient returns a client that reaches the members of a directory.
+func NewClient(t *transport.Transport, d Directory) *Client {
+	return &Client{transport: t, directory: d, links: newLinks(t)}
+}
+
+// groupSize is the number of storage processes that hold the records of one
+// program: with five, two may lose their disks and a majority is left.
+const groupSize = 5
+
+// Group returns the members that hold the records under a key, by rendezvous
+// hashing: a change of one member changes a group by one member at most.
+func Group(members []Member, key string) []Member {
+	if len(members) <= groupSize {
+		return members
+	}
+	ranked := slices.Clone(members)
+	rank := func(m Member) uint64 { return xxhash.Sum64String(m.Name + "\x00" + key) }
+	slices.SortFunc(ranked, func(a, b Member) int { return cmp.Compare(rank(b), rank(a)) })
+	return ranked[:groupSize]
+}
+
+// nearFirst orders members by their distance.
+func nearFirst(members []Member) []Member {
+	ordered := slices.Clone(members)
+	slices.SortStableFunc(ordered, func(a, b Member) int {
+		switch {
+		case a.Local == b.Local:
+			return 0
+		case a.Local:
+			return -1
+		}
+		return 1
+	})
+	return ordered
 }
 
 // Majority returns how many of n active storage processes must answer.
@@ -59,41 +101,59 @@
 	err    error
 }
 
-// ask sends a request to every member until the context ends or enough is
-// satisfied by the answers so far. Each member is asked again while it fails.
-// The requests to the others go on for lingerTime, so that records reach every
-// member that can be reached and not only a majority.
-func (c *Client) ask(ctx context.Context, members []Member, req func() *peerv1.LedgerRequest, enough func([]*peerv1.LedgerReply, int) bool) ([]*peerv1.LedgerReply, error) {
-	asking, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer time.AfterFunc(lingerTime, cancel)
+// ask sends a request to members until the context ends or enough is satisfied
+// by the answers so far. It begins with the first ones and goes on to the
+// others when one of these fails or hedgeTime has passed. Each member is asked
+// again while it fails.
+func (c *Client) ask(ctx context.Context, members []Member, first int, req *peerv1.LedgerRequest, enough func([]*peerv1.LedgerReply, int) bool) ([]*peerv1.LedgerReply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	answers := make(chan answer, len(members))
-	for _, m := range members {
-		go func() { answers <- c.persist(asking, m, req) }()
+	trouble := make(chan struct{}, 1)
+	started := 0
+	start := func(n int) {
+		for ; started < min(n, len(members)); started++ {
+			m := members[started]
+			go func() { answers <- c.persist(ctx, m, req, trouble) }()
+		}
 	}
+	start(first)
+	hedge := time.NewTimer(hedgeTime)
+	defer hedge.Stop()
 	var replies []*peerv1.LedgerReply
-	for left := len(members); left > 0; left-- {
+	for left := len(members); left > 0; {
 		select {
 		case a := <-answers:
+			left--
 			if a.err == nil {
 				replies = append(replies, a.reply)
 			}
+			if enough(replies, left) {
+				return replies, nil
+			}
+			if a.err != nil || a.reply.GetStatus() != peerv1.LedgerReply_OK {
+				start(len(members))
+			}
+		case <-trouble:
+			start(len(members))
+		case <-hedge.C:
+			start(len(members))
 		case <-ctx.Done():
 			return replies, errors.Wrap(ErrNoMajority, ctx.Err().Error())
 		}
-		if enough(replies, left-1) {
-			return replies, nil
-		}
 	}
 	return replies, ErrNoMajority
 }
 
 // persist asks one member until it gives a useful answer or the context ends.
-func (c *Client) persist(ctx context.Context, m Member, req func() *peerv1.LedgerRequest) answer {
+// It reports the first failure to trouble.
+func (c *Client) persist(ctx context.Context, m Member, req *peerv1.LedgerRequest, trouble chan<- struct{}) answer {
 	for {
-		reply, err := c.once(ctx, m, req())
+		reply, err := c.once(ctx, m, req, trouble)
 		if err == nil && final(reply.GetStatus()) {
 			return answer{member: m, reply: reply}
 		}
+		report(trouble)
 		select {
 		case <-ctx.Done():
 			if err == nil {
@@ -105,23 +165,30 @@
 	}
 }
 
+func report(trouble chan<- struct{}) {
+	select {
+	case trouble <- struct{}{}:
+	default: // it is known already
+	}
+}
+
 // final reports whether asking again soon can not bring another answer.
 func final(s peerv1.LedgerReply_Status) bool {
 	return s == peerv1.LedgerReply_OK || s == peerv1.LedgerReply_NOT_FOUND || s == peerv1.LedgerReply_LEAVING
 }
 
 // once asks directly and, if there is no answer in time, through a relay.
-func (c *Client) once(ctx context.Context, m Member, req *peerv1.LedgerRequest) (*peerv1.LedgerReply, error) {
+func (c *Client) once(ctx context.Context, m Member, req *peerv1.LedgerRequest, trouble chan<- struct{}) (*peerv1.LedgerReply, error) {
 	dctx, cancel := context.WithTimeout(ctx, DirectTimeout)
-	reply, err := Call(dctx, c.Transport, m.Address, req)
+	reply, err := c.links.call(dctx, m.Address, req)
 	cancel()
 	if err == nil || ctx.Err() != nil {
 		return reply, err
 	}
-	for _, relay := range c.Directory.Relays() {
-		req.RelayTo = m.Address
+	report(trouble)
+	for _, relay := range c.directory.Relays() {
 		rctx, cancel := context.WithTimeout(ctx, relayTimeout)
-		reply, rerr := Call(rctx, c.Transport, relay, req)
+		reply, rerr := Call(rctx, c.transport, relay, &peerv1.LedgerRequest{RelayTo: m.Address, Op: req.GetOp()})
 		cancel()
 		if rerr == nil && reply.GetStatus() != peerv1.LedgerReply_UNREACHABLE {
 			return reply, nil
@@ -174,26 +241,71 @@
 	return n
 }
 
-// Write stores records at a majority.
-func (c *Client) Write(ctx context.Context, recs []*peerv1.LedgerRecord) error {
-	members := c.Directory.Storage()
+// Write stores records of one program at a majority of its group.
+func (c *Client) Write(ctx context.Context, program string, recs []*peerv1.LedgerRecord) error {
+	members := nearFirst(Group(c.directory.Storage(), program))
 	need := Majority(len(members))
-	_, err := c.ask(ctx, members, func() *peerv1.LedgerRequest {
-		return &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: recs}}}
-	}, func(r []*peerv1.LedgerReply, _ int) bool { return counts(r) >= need })
+	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: recs}}}
+	_, err := c.ask(ctx, members, need, req, func(r []*peerv1.LedgerReply, _ int) bool { return counts(r) >= need })
 	return err
 }
 
+// WriteAll stores usage records of several programs, each at a majority of its
+// group, in one request to each member. It returns those that no majority has.
+func (c *Client) WriteAll(ctx context.Context, recs []*peerv1.LedgerRecord) []*peerv1.LedgerRecord {
+	all := c.directory.Storage()
+	perMember := make(map[Member][]int) // indexes of the records
+	for i, rec := range recs {
+		for _, m := range Group(all, rec.GetUsage().GetProgram()) {
+			perMember[m] = append(perMember[m], i)
+		}
+	}
+	type result struct {
+		records []int
+		ok      bool
+	}
+	results := make(chan result, len(perMember))
+	for m, indexes := range perMember {
+		batch := make([]*peerv1.LedgerRecord, 0, len(indexes))
+		for _, i := range indexes {
+			batch = append(batch, recs[i])
+		}
+		go func() {
+			a := c.persist(ctx, m, &peerv1.LedgerRequest{
+				Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: batch}},
+			}, nil)
+			results <- result{records: indexes, ok: a.err == nil && a.reply.GetStatus() == peerv1.LedgerReply_OK}
+		}()
+	}
+	stored := make([]int, len(recs))
+	for range perMember {
+		r := <-results
+		if !r.ok {
+			continue
+		}
+		for _, i := range r.records {
+			stored[i]++
+		}
+	}
+	need := Majority(min(len(all), groupSize))
+	var failed []*peerv1.LedgerRecord
+	for i, rec := range recs {
+		if stored[i] < need {
+			failed = append(failed, rec)
+		}
+	}
+	return failed
+}
+
 // Reserve sets tokens of a program's budget aside for an attempt and returns
 // the tokens that ended turns have used. The error is ErrOverBudget if the
 // tokens do not fit, and ErrNoMajority if that is not known before the context
 // ends. In both cases the reservation may remain.
 func (c *Client) Reserve(ctx context.Context, u *peerv1.Usage, budget int) (spent int, err error) {
-	members := c.Directory.Storage()
+	members := nearFirst(Group(c.directory.Storage(), u.GetProgram()))
 	need := Majority(len(members))
-	replies, err := c.ask(ctx, members, func() *peerv1.LedgerRequest {
-		return &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Reserve{Reserve: &peerv1.Reserve{Usage: u}}}
-	}, func(r []*peerv1.LedgerReply, _ int) bool { return counts(r) >= need })
+	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Reserve{Reserve: &peerv1.Reserve{Usage: u}}}
+	replies, err := c.ask(ctx, members, need, req, func(r []*peerv1.LedgerReply, _ int) bool { return counts(r) >= need })
 	if err != nil {
 		return 0, err
 	}
@@ -208,24 +320,35 @@
 	return Spent(all), nil
 }
 
-// Chain returns a turn and all turns before it, oldest first. ErrNotFound means
+// Chain returns a turn and all turns before it, oldest first. The members of
+// the own region are asked first, since a chain is large. ErrNotFound means
 // that every active storage process answered that it has none.
 func (c *Client) Chain(ctx context.Context, id string) ([]*peerv1.TurnRecord, error) {
-	members := c.Directory.Storage()
-	if len(members) == 0 {
-		return nil, ErrNoMajority
+	members := c.directory.Storage()
+	near := make([]Member, 0, len(members))
+	for _, m := range members {
+		if m.Local {
+			near = append(near, m)
+		}
 	}
-	found := func(r []*peerv1.LedgerReply) *peerv1.LedgerReply {
-		for _, x := range r {
-			if len(x.GetTurns()) > 0 {
-				return x
-			}
+	if len(near) > 0 && len(near) < len(members) {
+		nctx, cancel := context.WithTimeout(ctx, nearTimeout)
+		chain, err := c.chainAt(nctx, near, id)
+		cancel()
+		if err == nil {
+			return chain, nil
 		}
-		return nil
 	}
-	replies, err := c.ask(ctx, members, func() *peerv1.LedgerRequest {
-		return &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Fetch{Fetch: &peerv1.FetchChain{Turn: id}}}
-	}, func(r []*peerv1.LedgerReply, left int) bool { return found(r) != nil || left == 0 })
+	return c.chainAt(ctx, members, id)
+}
+
+// chainAt asks some members for a chain.
+func (c *Client) chainAt(ctx context.Context, members []Member, id string) ([]*peerv1.TurnRecord, error) {
+	if len(members) == 0 {
+		return nil, ErrNoMajority
+	}
+	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Fetch{Fetch: &peerv1.FetchChain{Turn: id}}}
+	replies, err := c.ask(ctx, members, 1, req, func(r []*peerv1.LedgerReply, left int) bool { return found(r) != nil || left == 0 })
 	if r := found(replies); r != nil {
 		return r.GetTurns(), nil
 	}
@@ -242,3 +365,13 @@
 	}
 	return nil, ErrNotFound
 }
+
+// found returns the reply with the turns, or nil.
+func found(replies []*peerv1.LedgerReply) *peerv1.LedgerReply {
+	for _, r := range replies {
+		if len(r.GetTurns()) > 0 {
+			return r
+		}
+	}
+	return nil
+}
--- a/pkg/ledger/client_test.go
+++ b/pkg/ledger/client_test.go
@@ -66,13 +66,17 @@
 			t.Fatal(err)
 		}
 		tr := newTransport(t, func(ctx context.Context, _ *transport.Session, st *transport.Stream, m *peerv1.Envelope) {
+			if b := m.GetLedgerBatch(); b != nil {
+				_ = Server{Store: s}.ServeBatches(ctx, st, b)
+				return
+			}
 			_ = Server{Store: s}.Serve(ctx, st, m.GetLedgerRequest())
 		})
 		c.stores, c.peers = append(c.stores, s), append(c.peers, tr)
 		c.members = append(c.members, Member{Name: string(rune('a' + i)), Address: tr.Addr(), Local: i == 0})
 	}
 	own := newTransport(t, func(context.Context, *transport.Session, *transport.Stream, *peerv1.Envelope) {})
-	c.client = &Client{Transport: own, Directory: c, Logger: slog.New(slog.DiscardHandler)}
+	c.client = NewClient(own, c)
 	return c
 }
 
@@ -105,14 +109,14 @@
 	c := newCluster(t, 3)
 	recs := []*peerv1.LedgerRecord{turnRecord("a", "")}
 	c.stop(2)
-	if err := c.client.Write(long(t), recs); err != nil {
+	if err := c.client.Write(long(t), "p", recs); err != nil {
 		t.Fatalf("with two of three: %v", err)
 	}
 	if _, err := c.client.Reserve(long(t), reservation(1, 50), 100); err != nil {
 		t.Fatalf("with two of three: %v", err)
 	}
 	c.stop(1)
-	if err := c.client.Write(short(t), recs); !errors.Is(err, ErrNoMajority) {
+	if err := c.client.Write(short(t), "p", recs); !errors.Is(err, ErrNoMajority) {
 		t.Errorf("with one of three: %v", err)
 	}
 	if _, err := c.client.Reserve(short(t), reservation(2, 10), 100); !errors.Is(err, ErrNoMajority) {
@@ -134,7 +138,7 @@
 		t.Fatalf("second reservation: %v", err)
 	}
 	settled := []*peerv1.LedgerRecord{usage(1, 10, true), usage(2, 0, true)}
-	if err := c.client.Write(long(t), settled); err != nil {
+	if err := c.client.Write(long(t), "p", settled); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := c.client.Reserve(long(t), reservation(3, 80), 100); err != nil {
@@ -166,7 +170,7 @@
 	c := newCluster(t, 3)
 	c.stores[0].SetSynced(false)
 	c.stores[1].SetLeaving(true)
-	if err := c.client.Write(short(t), []*peerv1.LedgerRecord{turnRecord("a", "")}); !errors.Is(err, ErrNoMajority) {
+	if err := c.client.Write(short(t), "p", []*peerv1.LedgerRecord{turnRecord("a", "")}); !errors.Is(err, ErrNoMajority) {
 		t.Errorf("write: %v", err)
 	}
 }
@@ -175,7 +179,7 @@
 // off from the storage processes.
 func TestRelay(t *testing.T) {
 	c := newCluster(t, 3)
-	inner := c.client.Transport
+	inner := c.client.transport
 	relay := newTransport(t, func(ctx context.Context, _ *transport.Session, st *transport.Stream, m *peerv1.Envelope) {
 		req := m.GetLedgerRequest()
 		address := req.GetRelayTo()
--- a/pkg/ledger/server.go
+++ b/pkg/ledger/server.go
@@ -21,34 +21,70 @@
 	if p := req.GetPull(); p != nil {
 		return s.pull(st, p)
 	}
-	return st.Send(reply(s.answer(ctx, req)))
+	return st.Send(reply(s.answerAll(ctx, []*peerv1.LedgerRequest{req})[0]))
 }
 
 func reply(r *peerv1.LedgerReply) *peerv1.Envelope {
 	return &peerv1.Envelope{Body: &peerv1.Envelope_LedgerReply{LedgerReply: r}}
 }
 
-func (s Server) answer(ctx context.Context, req *peerv1.LedgerRequest) *peerv1.LedgerReply {
+// ServeBatches answers batches of requests on a stream until it ends. first is
+// the batch that came with the stream.
+func (s Server) ServeBatches(ctx context.Context, st *transport.Stream, first *peerv1.LedgerBatch) error {
+	batch := first
+	for {
+		go func() {
+			m := &peerv1.LedgerReplies{Replies: s.answerAll(ctx, batch.GetRequests())}
+			// A reply that can not be sent ends the stream, which Recv reports.
+			_ = st.Send(&peerv1.Envelope{Body: &peerv1.Envelope_LedgerReplies{LedgerReplies: m}})
+		}()
+		m, err := st.Recv()
+		if err != nil {
+			return err
+		}
+		batch = m.GetLedgerBatch()
+	}
+}
+
+// answerAll stores the records of all requests with one write to the disk and
+// returns the replies.
+func (s Server) answerAll(ctx context.Context, reqs []*peerv1.LedgerRequest) []*peerv1.LedgerReply {
+	var recs []*peerv1.LedgerRecord
+	for _, req := range reqs {
+		recs = append(recs, records(req)...)
+	}
 	status := s.Store.Status()
-	switch op := req.GetOp().(type) {
-	case *peerv1.LedgerRequest_Write:
+	if len(recs) > 0 && status != peerv1.LedgerReply_LEAVING {
 		// A process that is catching up takes records: they are not lost with
 		// it, but its answer does not count for a majority.
-		if status == peerv1.LedgerReply_LEAVING {
-			break
-		}
-		if err := s.Store.Write(ctx, op.Write.GetRecords()); err != nil {
+		if err := s.Store.Write(ctx, recs); err != nil {
 			status = peerv1.LedgerReply_FAILED
 		}
+	}
+	replies := make([]*peerv1.LedgerReply, 0, len(reqs))
+	for _, req := range reqs {
+		r := s.read(req, status)
+		r.Id = req.GetId()
+		replies = append(replies, r)
+	}
+	return replies
+}
+
+// records returns what a request adds to the ledger.
+func records(req *peerv1.LedgerRequest) []*peerv1.LedgerRecord {
+	switch op := req.GetOp().(type) {
+	case *peerv1.LedgerRequest_Write:
+		return op.Write.GetRecords()
+	case *peerv1.LedgerRequest_Reserve:
+		return []*peerv1.LedgerRecord{{Body: &peerv1.LedgerRecord_Usage{Usage: op.Reserve.GetUsage()}}}
+	}
+	return nil
+}
+
+// read returns the reply to a request whose records are stored.
+func (s Server) read(req *peerv1.LedgerRequest, status peerv1.LedgerReply_Status) *peerv1.LedgerReply {
+	switch op := req.GetOp().(type) {
 	case *peerv1.LedgerRequest_Reserve:
-		if status == peerv1.LedgerReply_LEAVING {
-			break
-		}
-		rec := &peerv1.LedgerRecord{Body: &peerv1.LedgerRecord_Usage{Usage: op.Reserve.GetUsage()}}
-		if err := s.Store.Write(ctx, []*peerv1.LedgerRecord{rec}); err != nil {
-			status = peerv1.LedgerReply_FAILED
-			break
-		}
 		return &peerv1.LedgerReply{Status: status, Usage: s.Store.Usage(op.Reserve.GetUsage().GetProgram())}
 	case *peerv1.LedgerRequest_Compare:
 		return &peerv1.LedgerReply{Status: status, Missing: s.missing(op.Compare.GetDigests())}
--- a/pkg/ledger/server_test.go
+++ b/pkg/ledger/server_test.go
@@ -10,7 +10,7 @@
 // replies.
 func pull(t *testing.T, c *cluster, member int, have []uint64) (records, replies int) {
 	t.Helper()
-	s, err := c.client.Transport.Dial(long(t), c.members[member].Address)
+	s, err := c.client.transport.Dial(long(t), c.members[member].Address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,7 +42,7 @@
 	recs := []*peerv1.LedgerRecord{turnRecord("a", ""), usage(1, 10, false), usage(2, 0, true)}
 	large := turnRecord("large", "a")
 	large.GetTurn().Input = make([]byte, pullBytes)
-	if err := c.client.Write(long(t), append(recs, large)); err != nil {
+	if err := c.client.Write(long(t), "p", append(recs, large)); err != nil {
 		t.Fatal(err)
 	}
 	if n, replies := pull(t, c, 0, nil); n != 4 || replies < 2 {
@@ -53,7 +53,7 @@
 		t.Errorf("%d records, want the 2 that are missing", n)
 	}
 	// A settled form is not the open form that the asking process has.
-	if err := c.client.Write(long(t), []*peerv1.LedgerRecord{usage(1, 5, true)}); err != nil {
+	if err := c.client.Write(long(t), "p", []*peerv1.LedgerRecord{usage(1, 5, true)}); err != nil {
 		t.Fatal(err)
 	}
 	if n, _ := pull(t, c, 0, have); n != 3 {
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -103,12 +103,17 @@
 }
 
 func (s *Storage) servePeer(ctx context.Context, sess *transport.Session, st *transport.Stream, first *peerv1.Envelope) {
-	m, ok := first.GetBody().(*peerv1.Envelope_LedgerRequest)
-	if !ok {
+	server := ledger.Server{Store: s.ledger}
+	var err error
+	switch m := first.GetBody().(type) {
+	case *peerv1.Envelope_LedgerBatch:
+		err = server.ServeBatches(ctx, st, m.LedgerBatch)
+	case *peerv1.Envelope_LedgerRequest:
+		err = server.Serve(ctx, st, m.LedgerRequest)
+	default:
 		s.logger.Warn("peer request is not known", "peer", sess.Addr())
-		return
 	}
-	if err := (ledger.Server{Store: s.ledger}).Serve(ctx, st, m.LedgerRequest); err != nil {
+	if err != nil {
 		s.logger.Debug("peer request failed", "peer", sess.Addr(), "err", err)
 	}
 }
--- a/pkg/storewatch/group.go
+++ b/pkg/storewatch/group.go
@@ -10,8 +10,8 @@
 )
 
 // eventLag is how long an event may take to arrive after the change that a
-// check has seen.
-const eventLag = 150 * time.Millisecond
+// check has seen: the pause of a watcher and some round trips between regions.
+const eventLag = gatherTime + 200*time.Millisecond
 
 // Group runs the watchers of one process and checks that they hear of every
 // change: a store that drops its history may leave watches waiting without an
--- a/pkg/storewatch/storewatch.go
+++ b/pkg/storewatch/storewatch.go
@@ -19,6 +19,9 @@
 	// billed also when they are refused.
 	retryMin = 150 * time.Millisecond
 	retryMax = 900 * time.Millisecond
+	// gatherTime lets changes that come together, as at a start of many
+	// upstreams, be read by one call.
+	gatherTime = 250 * time.Millisecond
 )
 
 // Handler takes what a Watcher learns. Its methods are called by one
@@ -102,10 +105,11 @@
 			w.tracker.heard(c.Object.Revision)
 		}
 		w.tracker.heard(next)
+		at = next
 		if len(changes) > 0 {
 			w.Handler.Changed(changes)
+			sleep(ctx, gatherTime)
 		}
-		at = next
 	}
 }
 
