Put the parts of a chain together from several members

A member answered only with a whole chain; since records go to the nearest majority, the turns of one chain may lie with different members. Ruled out: a lost record (the commit was acknowledged by three members), a view without members (all eight were asked). Change: a member returns what it has of a chain, the client goes on from the oldest turn; a missing earlier turn is 'cannot be certain', not 'no such turn'.

--- a/pkg/ledger/client.go
+++ b/pkg/ledger/client.go
@@ -320,10 +320,31 @@
 	return Spent(all), nil
 }
 
-// Chain returns a turn and all turns before it, oldest first. The members of
-// the own region are asked first, since a chain is large. ErrNotFound means
-// that every active storage process answered that it has none.
+// Chain returns a turn and all turns before it, oldest first. ErrNotFound means
+// that every active storage process answered that it has no such turn. The
+// turns of one chain may lie with different members, so the parts are put
+// together here; a missing earlier turn is ErrNoMajority.
 func (c *Client) Chain(ctx context.Context, id string) ([]*peerv1.TurnRecord, error) {
+	var chain []*peerv1.TurnRecord
+	for len(chain) < maxChain {
+		part, err := c.part(ctx, id)
+		if errors.Is(err, ErrNotFound) && len(chain) > 0 {
+			return nil, errors.Wrapf(ErrNoMajority, "earlier turn %s is missing", id)
+		}
+		if err != nil {
+			return nil, err
+		}
+		chain = append(part, chain...)
+		if id = part[0].GetParent(); id == "" {
+			return chain, nil
+		}
+	}
+	return nil, errors.Wrapf(ErrNoMajority, "chain exceeds %d turns", maxChain)
+}
+
+// part returns the end of a chain. The members of the own region are asked
+// first, since a chain is large.
+func (c *Client) part(ctx context.Context, id string) ([]*peerv1.TurnRecord, error) {
 	members := c.directory.Storage()
 	near := make([]Member, 0, len(members))
 	for _, m := range members {
@@ -342,7 +363,7 @@
 	return c.chainAt(ctx, members, id)
 }
 
-// chainAt asks some members for a chain.
+// chainAt asks some members for the end of a chain.
 func (c *Client) chainAt(ctx context.Context, members []Member, id string) ([]*peerv1.TurnRecord, error) {
 	if len(members) == 0 {
 		return nil, ErrNoMajority
--- a/pkg/ledger/client_test.go
+++ b/pkg/ledger/client_test.go
@@ -203,3 +203,25 @@
 		t.Errorf("through the relay: %v", err)
 	}
 }
+
+// Guards against "no such turn" for a chain whose turns lie with different
+// majorities, so that no member has all of them (found on trouble-1 of the
+// first grown site: 404 for a turn answered 3 ms before).
+func TestChainOverMembers(t *testing.T) {
+	c := newCluster(t, 3)
+	for i, rec := range []*peerv1.LedgerRecord{turnRecord("a", ""), turnRecord("b", "a"), turnRecord("c", "b")} {
+		if err := c.stores[i].Write(long(t), []*peerv1.LedgerRecord{rec}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	chain, err := c.client.Chain(long(t), "c")
+	if err != nil || len(chain) != 3 || chain[0].GetId() != "a" || chain[2].GetId() != "c" {
+		t.Errorf("chain is %v, %v", chain, err)
+	}
+	if err := c.stores[0].Write(long(t), []*peerv1.LedgerRecord{turnRecord("y", "x")}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.client.Chain(short(t), "y"); !errors.Is(err, ErrNoMajority) {
+		t.Errorf("with a missing earlier turn: %v", err)
+	}
+}
--- a/pkg/ledger/server.go
+++ b/pkg/ledger/server.go
@@ -90,7 +90,7 @@
 		return &peerv1.LedgerReply{Status: status, Missing: s.missing(op.Compare.GetDigests())}
 	case *peerv1.LedgerRequest_Fetch:
 		// A turn that is there is right whatever else is missing.
-		if chain, ok := s.Store.Chain(op.Fetch.GetTurn()); ok {
+		if chain := s.Store.Chain(op.Fetch.GetTurn()); len(chain) > 0 {
 			return &peerv1.LedgerReply{Status: peerv1.LedgerReply_OK, Turns: chain}
 		}
 		if status == peerv1.LedgerReply_OK {
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -125,22 +125,23 @@
 	return list
 }
 
-// Chain returns a turn and all turns before it, oldest first, and false if one
-// of them is not there.
-func (s *State) Chain(id string) ([]*peerv1.TurnRecord, bool) {
+// Chain returns a turn and the turns before it as far as they are here, oldest
+// first. It is empty if the turn is not here. Other members may have the turns
+// that are missing: each has a majority of its own.
+func (s *State) Chain(id string) []*peerv1.TurnRecord {
 	var chain []*peerv1.TurnRecord
 	for range maxChain {
 		t := s.turns[id]
 		if t == nil {
-			return nil, false
+			break
 		}
 		chain = append(chain, t.record)
 		if id = t.record.GetParent(); id == "" {
-			reverse(chain)
-			return chain, true
+			break
 		}
 	}
-	return nil, false
+	reverse(chain)
+	return chain
 }
 
 func reverse(list []*peerv1.TurnRecord) {
--- a/pkg/ledger/store.go
+++ b/pkg/ledger/store.go
@@ -157,8 +157,8 @@
 	return s.state.Usage(program)
 }
 
-// Chain returns a turn with all turns before it.
-func (s *Store) Chain(id string) ([]*peerv1.TurnRecord, bool) {
+// Chain returns a turn and the turns before it as far as they are here.
+func (s *Store) Chain(id string) []*peerv1.TurnRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.state.Chain(id)
