Let first requests wait for the members of the ledger, and connect to them early

Ruled out: catching up (two of three members were complete at once). Change: requests at a start wait, within the same 0.5 s, for the registrations; an entry connects to the members as soon as it knows them. The answer's field Proof is called Signed.

--- a/pkg/edge/plain.go
+++ b/pkg/edge/plain.go
@@ -72,7 +72,7 @@
 	if rejected(resp) {
 		return resp, nil, attempt.Rejected, nil
 	}
-	if resp.Status < http.StatusMultipleChoices && !resp.Proof {
+	if resp.Status < http.StatusMultipleChoices && !resp.Signed {
 		return resp, nil, attempt.Broken, errUnsigned
 	}
 	return resp, body, attempt.Answered, nil
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -107,7 +107,7 @@
 		}
 		return resp, body, attempt.Answered, nil
 	}
-	if !resp.Proof {
+	if !resp.Signed {
 		return resp, nil, attempt.Broken, errUnsigned
 	}
 	if err := s.pass(resp, stalls); err != nil {
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -46,10 +46,13 @@
 	config    []byte // as the store has it
 	upstreams map[string][]byte
 	nodes     map[string]platform.Node
-	nodeSpecs map[string][]byte
-	lost      map[string]bool // kinds whose watch is down
+	// nodesKnown is set once the registrations were read from the store or a
+	// peer.
+	nodesKnown bool
+	nodeSpecs  map[string][]byte
+	lost       map[string]bool // kinds whose watch is down
 
-	known     chan struct{} // closed once configuration and upstreams are known
+	known     chan struct{} // closed once configuration, upstreams and nodes are known
 	knownOnce sync.Once
 }
 
@@ -72,13 +75,37 @@
 	return len(v.upstreams) > 0
 }
 
-// noteKnown ends the wait of requests once the entry can place them.
+// noteKnown ends the wait of requests once the entry can place them and knows
+// where the ledger is.
 func (v *view) noteKnown() {
-	if v.ready() {
+	v.mu.Lock()
+	nodes := v.nodesKnown
+	v.mu.Unlock()
+	if nodes && v.ready() {
 		v.knownOnce.Do(func() { close(v.known) })
 	}
 }
 
+// noteNodes notes that the registrations are known, and connects to the storage
+// processes before the first request needs them.
+func (v *view) noteNodes() {
+	v.mu.Lock()
+	first := !v.nodesKnown
+	v.nodesKnown = true
+	v.mu.Unlock()
+	v.noteKnown()
+	if !first {
+		return
+	}
+	for _, m := range v.Storage() {
+		go func() {
+			if _, err := v.e.transport.Dial(context.Background(), m.Address); err != nil {
+				v.e.logger.Debug("storage process not reached", "member", m.Name, "err", err)
+			}
+		}()
+	}
+}
+
 // waitUntilKnown holds a request back while the entry has just started.
 func (v *view) waitUntilKnown(ctx context.Context) {
 	select {
@@ -277,6 +304,7 @@
 	for _, o := range objects {
 		h.v.putNode(o)
 	}
+	h.v.noteNodes()
 }
 
 func (v *view) putNode(o platform.Object) {
@@ -405,6 +433,9 @@
 	for _, o := range peerstate.Objects(reply.GetNodes()) {
 		v.putNode(o)
 	}
+	if len(reply.GetNodes()) > 0 {
+		v.noteNodes()
+	}
 	return nil
 }
 
