Under the worst load: relay at once, begun programs first, no retry from a full queue

An entry cut off from the storage instances waited 250 ms on each call before it used a relay; in the burst, first turns went before turns of programs begun; streams were repeated elsewhere after 600 ms in an upstream's queue, which ran them twice. Ruled out: placement (busiest upstream 1.2 times the mean). Change: a member out of direct reach is asked through a relay first, tried directly once a second; urgency knows programs begun and programs past their time; an upstream without a free slot is not taken for silent.

--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -47,6 +47,7 @@
 	tracker  *attempt.Tracker
 	tried    map[string]bool
 	answered bool // the head of an answer was sent
+	begun    bool // an earlier turn of the program was served here, or is named
 }
 
 // serve handles one request of a caller.
@@ -194,6 +195,13 @@
 	return m
 }
 
+// busy reports whether a member has no free slot, so that silence may be the
+// time in its queue.
+func (c *call) busy(m *fleet.Member) (busy bool) {
+	c.e.withFleet(func(f *fleet.Fleet) { busy = f.Busy(m, time.Now()) })
+	return busy
+}
+
 // affinityKey names the part of a prompt that only this line of turns has.
 func (c *call) affinityKey() string {
 	if c.route.Kind != routing.Stream {
@@ -228,17 +236,15 @@
 	return max(limit/c.e.view.entries(), 1)
 }
 
-// urgency ranks requests at engines: by the route's priority, and a turn of a
-// program that has begun before a first turn.
+// urgency ranks a request at an engine; negative: not stated.
 func (c *call) urgency() int {
 	if c.route.Kind != routing.Stream {
 		return -1
 	}
-	u := 2 + 2*c.route.Priority
-	if c.req.ParentTurn != "" {
-		u--
-	}
-	return min(u, 9)
+	left := c.req.ProgramTime - time.Since(c.began)
+	return urgencyOf(turnState{
+		priority: c.route.Priority, begun: c.begun, timeLeft: left, timed: c.req.HasProgramTime,
+	})
 }
 
 // ended notes the end of an attempt in the fleet and returns what follows.
--- a/pkg/edge/plain.go
+++ b/pkg/edge/plain.go
@@ -51,7 +51,7 @@
 
 // exchange makes one attempt and reads the whole answer.
 func (c *call) exchange(m *fleet.Member) (*upstream.Response, []byte, attempt.Outcome, error) {
-	until, stalls := c.deadline, c.tracker.MayRunAgain()
+	until, stalls := c.deadline, c.tracker.MayRunAgain() && !c.busy(m)
 	if stalls {
 		until = earlier(until, time.Now().Add(c.stallTime()))
 	}
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -45,6 +45,7 @@
 	}
 	s := &stream{c: c, turn: t}
 	defer t.settle()
+	c.begun = c.req.ParentTurn != "" || c.req.Program != "" && c.e.affinity.Contains(c.req.Program)
 	for {
 		m := c.place()
 		if m == nil {
@@ -81,7 +82,7 @@
 // an answer that is no stream.
 func (s *stream) exchange(m *fleet.Member) (*upstream.Response, []byte, attempt.Outcome, error) {
 	c := s.c
-	stalls := c.tracker.MayRunAgain()
+	stalls := c.tracker.MayRunAgain() && !c.busy(m)
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	req := c.request(m, s.lastID)
--- a/pkg/fleet/pick.go
+++ b/pkg/fleet/pick.go
@@ -99,20 +99,8 @@
 	return load
 }
 
-// Occupancy returns the share of the slots of a service's usable members that
-// are taken, and the number of these members.
-func (f *Fleet) Occupancy(service string, now time.Time) (share float64, usable int) {
-	var taken, slots float64
-	for _, m := range f.byService[service] {
-		if m.State != Ready || m.Suspended(now) {
-			continue
-		}
-		usable++
-		slots += float64(max(m.Slots, 1))
-		taken += f.load(m, now)
-	}
-	if slots == 0 {
-		return 1, usable
-	}
-	return taken / slots, usable
+// Busy reports whether a member has no free slot, this process's attempts
+// included.
+func (f *Fleet) Busy(m *Member, now time.Time) bool {
+	return f.load(m, now) > float64(max(m.Slots, 1))
 }
--- a/pkg/ledger/client.go
+++ b/pkg/ledger/client.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -54,6 +55,7 @@
 	transport *transport.Transport
 	directory Directory
 	links     *links
+	cutOff    cutOff
 }
 
 // NewClient returns a client that reaches the members of a directory.
@@ -179,13 +181,32 @@
 
 // once asks directly and, if there is no answer in time, through a relay.
 func (c *Client) once(ctx context.Context, m Member, req *peerv1.LedgerRequest, trouble chan<- struct{}) (*peerv1.LedgerReply, error) {
+	if c.cutOff.is(m.Address, time.Now()) {
+		if reply, err := c.relayed(ctx, m, req); err == nil {
+			return reply, nil
+		}
+	}
 	dctx, cancel := context.WithTimeout(ctx, DirectTimeout)
 	reply, err := c.links.call(dctx, m.Address, req)
 	cancel()
-	if err == nil || ctx.Err() != nil {
-		return reply, err
+	if err == nil {
+		c.cutOff.reached(m.Address)
+		return reply, nil
+	}
+	if ctx.Err() != nil {
+		return nil, err
 	}
 	report(trouble)
+	c.cutOff.failed(m.Address, time.Now())
+	if reply, rerr := c.relayed(ctx, m, req); rerr == nil {
+		return reply, nil
+	}
+	return nil, err
+}
+
+// relayed sends a request through other entries, one after the other.
+func (c *Client) relayed(ctx context.Context, m Member, req *peerv1.LedgerRequest) (*peerv1.LedgerReply, error) {
+	err := errors.Errorf("no relay to %s", m.Address)
 	for _, relay := range c.directory.Relays() {
 		rctx, cancel := context.WithTimeout(ctx, relayTimeout)
 		reply, rerr := Call(rctx, c.transport, relay, &peerv1.LedgerRequest{RelayTo: m.Address, Op: req.GetOp()})
@@ -193,6 +214,9 @@
 		if rerr == nil && reply.GetStatus() != peerv1.LedgerReply_UNREACHABLE {
 			return reply, nil
 		}
+		if rerr != nil {
+			err = rerr
+		}
 		if ctx.Err() != nil {
 			break
 		}
@@ -200,6 +224,47 @@
 	return nil, err
 }
 
+// directRetry is how often a member that only a relay reaches is tried
+// directly.
+const directRetry = time.Second
+
+// cutOff keeps which members this process can not reach directly.
+type cutOff struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+// is reports whether a member should be asked through a relay. One caller in
+// each directRetry is told no, so that the way back is found.
+func (c *cutOff) is(address string, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until, ok := c.until[address]
+	if !ok {
+		return false
+	}
+	if now.Before(until) {
+		return true
+	}
+	c.until[address] = now.Add(directRetry)
+	return false
+}
+
+func (c *cutOff) failed(address string, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.until == nil {
+		c.until = make(map[string]time.Time)
+	}
+	c.until[address] = now.Add(directRetry)
+}
+
+func (c *cutOff) reached(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.until, address)
+}
+
 // Call sends one request to an address and returns the reply. A session that
 // does not answer in time is closed, since it may be silent for good.
 func Call(ctx context.Context, t *transport.Transport, address string, req *peerv1.LedgerRequest) (*peerv1.LedgerReply, error) {
