Let one watcher of a process try a store that is out of reach

Ruled out: fewer checks (a configuration has to be in force within 3 s). Change: the watchers of a process share a token; only its holder calls.

--- a/pkg/storewatch/group.go
+++ b/pkg/storewatch/group.go
@@ -25,13 +25,19 @@
 	CheckKind string
 
 	tracker  tracker
+	probe    chan struct{} // see Watcher
 	watchers []*Watcher
 }
 
 // Add makes a watcher of the group. It must be called before Run.
 func (g *Group) Add(kind string, h Handler) {
+	if g.probe == nil {
+		g.probe = make(chan struct{}, 1)
+		g.probe <- struct{}{}
+	}
 	g.watchers = append(g.watchers, &Watcher{
-		Store: g.Store, Kind: kind, Handler: h, Logger: g.Logger, tracker: &g.tracker, relist: make(chan struct{}, 1),
+		Store: g.Store, Kind: kind, Handler: h, Logger: g.Logger,
+		tracker: &g.tracker, relist: make(chan struct{}, 1), probe: g.probe,
 	})
 }
 
@@ -54,6 +60,9 @@
 			return
 		case <-t.C:
 		}
+		if len(g.probe) == 0 {
+			continue // the store is out of reach, a watcher tries it
+		}
 		_, at, err := g.Store().List(ctx, g.CheckKind)
 		if err != nil {
 			// The watchers report a lost store; a check that fails changes nothing.
--- a/pkg/storewatch/storewatch.go
+++ b/pkg/storewatch/storewatch.go
@@ -43,6 +43,9 @@
 
 	tracker *tracker      // nil outside a Group
 	relist  chan struct{} // asks to list again
+	// probe holds one token: while the store is out of reach, only the watcher
+	// that holds it calls, since refused calls are billed too.
+	probe chan struct{}
 }
 
 // Run follows the kind until the context ends.
@@ -53,6 +56,7 @@
 		objects, at, err := w.Store().List(ctx, w.Kind)
 		if err == nil {
 			if lost {
+				w.release()
 				w.Logger.Info("store regained", "kind", w.Kind, "revision", at)
 			}
 			w.Handler.Listed(objects, lost)
@@ -70,14 +74,41 @@
 			if !lost {
 				w.Logger.Warn("store lost", "kind", w.Kind, "err", err)
 				w.Handler.Lost(err)
+				lost = true
+				if w.acquire(ctx) {
+					continue // another watcher has just reached the store
+				}
 			}
-			lost = true
 			sleep(ctx, pause/2+rand.N(pause/2))
 			pause = min(2*pause, retryMax)
 		}
 	}
 }
 
+// acquire takes the token of the group and reports whether it had to wait for
+// it.
+func (w *Watcher) acquire(ctx context.Context) (waited bool) {
+	if w.probe == nil {
+		return false
+	}
+	select {
+	case <-w.probe:
+		return false
+	default:
+	}
+	select {
+	case <-w.probe:
+	case <-ctx.Done():
+	}
+	return true
+}
+
+func (w *Watcher) release() {
+	if w.probe != nil {
+		w.probe <- struct{}{}
+	}
+}
+
 // errRelist ends a watch whose kind is to be listed again.
 var errRelist = errors.New("changes were missed")
 
--- a/pkg/storewatch/storewatch_test.go
+++ b/pkg/storewatch/storewatch_test.go
@@ -112,3 +112,42 @@
 		t.Error("complete without revision 7")
 	}
 }
+
+// Guards against every watcher of a process calling a store that is down.
+func TestOneWatcherTriesALostStore(t *testing.T) {
+	s := platformstore.New()
+	srv := httptest.NewServer(s)
+	store := platform.NewStore(strings.TrimPrefix(srv.URL, "http://"))
+	g := &Group{
+		Store: func() *platform.Store { return store }, Logger: slog.New(slog.DiscardHandler),
+		Interval: 10 * time.Millisecond, CheckKind: platform.KindRetirements,
+	}
+	var all []recorder
+	for _, kind := range []string{platform.KindConfig, platform.KindNodes, platform.KindUpstreams} {
+		r := recorder{ch: make(chan string, 1000)}
+		s.Put(kind, "a", 1)
+		g.Add(kind, r)
+		all = append(all, r)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); g.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done; store.Close(); srv.CloseClientConnections(); srv.Close() })
+	for _, r := range all {
+		r.want(t, "listed a")
+	}
+	s.SetDown(true)
+	for _, r := range all {
+		r.want(t, "lost")
+	}
+	before := s.Calls()
+	time.Sleep(5 * retryMax)
+	// One watcher pauses at least half of retryMax between two calls.
+	if calls := s.Calls() - before; calls > 14 {
+		t.Errorf("%d calls in an outage of %v", calls, 5*retryMax)
+	}
+	s.SetDown(false)
+	for _, r := range all {
+		r.want(t, "regained")
+	}
+}
