Add a seeded fault soak of the real programs

Change: soak/ starts edges and storage processes as separate processes on loopback and injects, by seed: SIGKILL, SIGTERM, SIGSTOP, lost disks, outages and deafness of the store, silent, one-way, slow and reset connections, leaving of answers, changes of the configuration. It checks foreign or cut answers, second runs, runs after a promise not to run, histories, budgets, unknown turns and recovery.

--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,460 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/standin/platformstore"
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+const (
+	edges    = 3
+	storages = 3
+	callers  = 6
+	// defaultSeconds is the length of a run in CI.
+	defaultSeconds = 8
+	settleTime     = 4 * time.Second // quiet time before the last checks
+)
+
+// process is one of our programs under the soak.
+type process struct {
+	t        *testing.T
+	role, ip string
+	dir      string
+	settings string
+	caller   string
+	ready    string
+	log      bytes.Buffer
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+// soak is one run.
+type soak struct {
+	t        *testing.T
+	rng      *rand.Rand
+	bin      string
+	store    *platformstore.Store
+	storeURL *proxy
+	port     int
+	runs     *ledgerOfRuns
+	edges    []*process
+	storages []*process
+	ups      []*upstream
+	version  int
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().(*net.TCPAddr).Port
+}
+
+func newSoak(t *testing.T, bin string, seed uint64) *soak {
+	s := &soak{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), bin: bin, store: platformstore.New(),
+		port: freePort(t), runs: newLedgerOfRuns(), version: 1,
+	}
+	srv := httptest.NewServer(s.store)
+	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
+	s.storeURL = newProxy(t, strings.TrimPrefix(srv.URL, "http://"))
+	s.store.Put(platform.KindConfig, platform.ConfigName, config(s.version))
+	for i := range 5 {
+		u := newUpstream(t, s.runs, seed*10+uint64(i))
+		service := "llm"
+		if i >= 3 {
+			service = "app"
+		}
+		s.ups = append(s.ups, u)
+		s.store.Put(platform.KindUpstreams, fmt.Sprintf("u%d", i), map[string]any{
+			"Service": service, "Address": u.proxy.addr(), "Zone": "a1", "Slots": 8, "State": "ready", "born": 1,
+		})
+	}
+	for i := range storages {
+		s.storages = append(s.storages, s.newProcess("storage", fmt.Sprintf("127.0.1.%d", 11+i)))
+	}
+	for i := range edges {
+		s.edges = append(s.edges, s.newProcess("edge", fmt.Sprintf("127.0.1.%d", 1+i)))
+	}
+	for _, p := range append(s.storages, s.edges...) {
+		p.start(s.bin)
+	}
+	return s
+}
+
+func (s *soak) newProcess(role, ip string) *process {
+	p := &process{t: s.t, role: role, ip: ip, dir: filepath.Join(s.t.TempDir(), "data")}
+	p.caller = net.JoinHostPort(ip, strconv.Itoa(freePort(s.t)))
+	p.ready = net.JoinHostPort(ip, strconv.Itoa(freePort(s.t)))
+	p.settings = filepath.Join(s.t.TempDir(), "settings.json")
+	p.write(s, true)
+	s.t.Cleanup(func() { p.kill(syscall.SIGKILL) })
+	return p
+}
+
+// write writes the settings; first is set for the first start of the whole
+// deployment only.
+func (p *process) write(s *soak, first bool) {
+	m := map[string]any{
+		"NodeName": p.role + "-" + p.ip, "Ip": p.ip, "Zone": "a1", "Region": "a", "Zones": map[string]string{"a1": "a"},
+		"ListenAddresses":   map[string]string{"Frontend": p.caller, "Ready": p.ready},
+		"InternalPortRange": []int{s.port}, "Seeds": []string{"127.0.1.1:1", "127.0.1.2:1", "127.0.1.3:1"},
+		"IsFirstStart": first, "Limits": map[string]int{"MemoryMb": 134}, "Bounds": map[string]int{"GraceS": 5},
+		"Platform": map[string]string{"Address": s.storeURL.addr()},
+	}
+	if p.role == "storage" {
+		m["DataDir"] = p.dir
+	}
+	if err := os.WriteFile(p.settings, mustJSON(m), 0o644); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *process) start(bin string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cmd := exec.Command(bin, p.role)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings)
+	cmd.Stdout, cmd.Stderr = &p.log, &p.log
+	if err := cmd.Start(); err != nil {
+		p.t.Error(err)
+		return
+	}
+	ended := make(chan struct{})
+	go func() { _ = cmd.Wait(); close(ended) }()
+	p.cmd, p.ended = cmd, ended
+}
+
+// kill sends a signal that ends the process and waits for the end.
+func (p *process) kill(sig syscall.Signal) {
+	p.mu.Lock()
+	cmd, ended := p.cmd, p.ended
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	_ = cmd.Process.Signal(sig)
+	select {
+	case <-ended:
+	case <-time.After(15 * time.Second):
+		p.t.Errorf("%s did not end after %v", p.ip, sig)
+		_ = cmd.Process.Kill()
+		<-ended
+	}
+}
+
+// pause stops a process for a while.
+func (p *process) pause(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+}
+
+func (s *soak) restart(p *process, sig syscall.Signal, wipe bool) {
+	p.kill(sig)
+	if wipe {
+		if err := os.RemoveAll(p.dir); err != nil {
+			s.t.Error(err)
+		}
+	}
+	p.write(s, false)
+	p.start(s.bin)
+}
+
+// faults injects troubles in series and overlapping until the context ends.
+func (s *soak) faults(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	var disks sync.Mutex // one storage process is in trouble at a time
+	span := func(least, most int) time.Duration {
+		return time.Duration(least+s.rng.IntN(most-least)) * time.Millisecond
+	}
+	harm := func(p *proxy, d time.Duration, on, off func(*proxy)) {
+		p.set(on)
+		time.Sleep(d)
+		p.set(off)
+		p.reset() // bytes were lost, so the connections are of no use
+	}
+	for ctx.Err() == nil {
+		e, st, u := s.edges[s.rng.IntN(edges)], s.storages[s.rng.IntN(storages)], s.ups[s.rng.IntN(len(s.ups))]
+		d, share := span(200, 1500), s.rng.Float64()*0.3
+		var f func()
+		switch kind := s.rng.IntN(14); kind {
+		case 0:
+			f = func() { s.restart(e, syscall.SIGKILL, false) }
+		case 1:
+			f = func() { s.restart(e, syscall.SIGTERM, false) }
+		case 2:
+			f = func() { e.pause(d) }
+		case 3, 4:
+			f = func() { disks.Lock(); defer disks.Unlock(); s.restart(st, syscall.SIGKILL, false) }
+		case 5:
+			f = func() {
+				disks.Lock()
+				defer disks.Unlock()
+				s.restart(st, syscall.SIGKILL, true)
+				time.Sleep(2 * time.Second) // the time to catch up
+			}
+		case 6:
+			f = func() { disks.Lock(); defer disks.Unlock(); st.pause(d) }
+		case 7:
+			f = func() { s.store.SetDown(true); time.Sleep(d); s.store.SetDown(false) }
+		case 8:
+			f = func() { s.store.SetDeaf(true); time.Sleep(d); s.store.Compact(); s.store.SetDeaf(false) }
+		case 9:
+			f = func() { harm(u.proxy, d, func(p *proxy) { p.silent = true }, func(p *proxy) { p.silent = false }) }
+		case 10:
+			f = func() { harm(u.proxy, d, func(p *proxy) { p.oneWay = true }, func(p *proxy) { p.oneWay = false }) }
+		case 11:
+			f = func() {
+				harm(s.storeURL, d, func(p *proxy) { p.delay = 80 * time.Millisecond }, func(p *proxy) { p.delay = 0 })
+			}
+		case 12:
+			f = u.proxy.reset
+		case 13:
+			s.version += 1 + s.rng.IntN(3)
+			s.store.Put(platform.KindConfig, platform.ConfigName, config(s.version))
+			u.mu.Lock()
+			u.trouble = share
+			u.mu.Unlock()
+			f = func() {}
+		}
+		wg.Go(f)
+		time.Sleep(span(50, 700))
+	}
+}
+
+// caller runs programs until the context ends: turns with history, lookups and
+// bookings, through any entry.
+func (s *soak) caller(ctx context.Context, n int, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, uint64(100+n)))
+	for p := 0; ctx.Err() == nil; p++ {
+		program := fmt.Sprintf("p%d-%d", n, p)
+		budget := 40 + rng.IntN(400)
+		spent, parent, history := 0, "", ""
+		for turn := 0; turn < 8 && ctx.Err() == nil; turn++ {
+			id := fmt.Sprintf("turn-%s-%d", program, turn)
+			input := "in " + id + "\n"
+			s.runs.expect(id, history+input)
+			events, status, whole := s.turn(ctx, rng, id, parent, program, input, budget)
+			spent += events * tokensPerEvent
+			if spent > budget+eventsPerTurn*tokensPerEvent {
+				s.runs.broken("%s handed out %d tokens of a budget of %d", program, spent, budget)
+			}
+			if status == http.StatusNotFound || status == http.StatusGone {
+				s.runs.broken("%s is answered %d, its parent %s was answered whole", id, status, parent)
+			}
+			if whole {
+				parent, history = id, history+input+output(id)
+			}
+			s.simple(ctx, rng, "GET", "safe", fmt.Sprintf("safe-%s-%d", program, turn))
+			s.simple(ctx, rng, "POST", "unsafe", fmt.Sprintf("unsafe-%s-%d", program, turn))
+		}
+	}
+}
+
+// send makes one request at an entry drawn by lot. Status 0 means that no
+// answer came.
+func (s *soak) send(ctx context.Context, rng *rand.Rand, method, path, id, body string, h map[string]string) (int, string, error) {
+	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.edges[rng.IntN(edges)].caller+path, strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Host = "h.example"
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Deadline-Ms", "3000")
+	for k, v := range h {
+		req.Header.Set(k, v)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	switch resp.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusPaymentRequired:
+		s.runs.promiseNotRun(id, resp.Status)
+	}
+	return resp.StatusCode, string(data), err
+}
+
+// client opens a connection for each request: net/http would send one again
+// on a kept connection that was closed.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+
+func (s *soak) turn(ctx context.Context, rng *rand.Rand, id, parent, program, input string, budget int) (events, status int, whole bool) {
+	h := map[string]string{
+		"Program-Id": program, "Token-Budget": strconv.Itoa(budget), "Token-Count": "10," + strconv.Itoa(eventsPerTurn*tokensPerEvent),
+	}
+	if parent != "" {
+		h["Parent-Turn"] = parent
+	}
+	status, body, err := s.send(ctx, rng, "POST", "/turn/x", id, input, h)
+	if status != http.StatusOK {
+		return 0, status, false
+	}
+	for i, ev := range strings.Split(strings.TrimSuffix(body, "\n\n"), "\n\n") {
+		if want := fmt.Sprintf("id: %d\ndata: %s-%d", i+1, id, i+1); body != "" && ev == want {
+			events++
+		} else if err == nil {
+			s.runs.broken("%s: event %d is %q", id, i+1, ev)
+		}
+	}
+	if err == nil && events != eventsPerTurn {
+		s.runs.broken("%s ends as complete after %d events", id, events)
+	}
+	return events, status, err == nil
+}
+
+func (s *soak) simple(ctx context.Context, rng *rand.Rand, method, kind, id string) {
+	s.runs.expect(id, "")
+	status, body, err := s.send(ctx, rng, method, "/"+kind+"/x", id, "", nil)
+	if status == http.StatusOK && err == nil && body != "answer "+id {
+		s.runs.broken("%s got %q", id, body)
+	}
+	if status == http.StatusNotFound {
+		s.runs.broken("%s is answered 404 on a route of all configurations", id)
+	}
+}
+
+func (s *soak) waitReady() {
+	deadline := time.Now().Add(20 * time.Second)
+	for _, e := range s.edges {
+		for {
+			resp, err := client.Get("http://" + e.ready + platform.ReadinessPath)
+			if err == nil {
+				_ = resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Now().After(deadline) {
+				s.t.Fatalf("edge %s is not ready; its log:\n%s", e.ip, e.log.String())
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// recovered checks that turns and bookings are served again after all faults.
+func (s *soak) recovered(ctx context.Context) {
+	for _, u := range s.ups {
+		u.mu.Lock()
+		u.trouble = 0
+		u.mu.Unlock()
+	}
+	time.Sleep(settleTime)
+	rng := rand.New(rand.NewPCG(1, 1))
+	served := 0
+	const tries = 20
+	for i := range tries {
+		id := fmt.Sprintf("turn-last-%d", i)
+		s.runs.expect(id, "in")
+		if _, status, whole := s.turn(ctx, rng, id, "", "last"+strconv.Itoa(i), "in", 1000); status == http.StatusOK && whole {
+			served++
+		}
+	}
+	if served < tries*9/10 {
+		s.runs.broken("%d of %d turns are served after the faults", served, tries)
+	}
+}
+
+// seeds returns the seeds of this run: SOAK_SEEDS is "7" or "1-50".
+func seeds(t *testing.T) []uint64 {
+	v := os.Getenv("SOAK_SEEDS")
+	if v == "" {
+		v = "1-2"
+	}
+	from, to, ranged := strings.Cut(v, "-")
+	first, err := strconv.ParseUint(from, 10, 64)
+	last := first
+	if err == nil && ranged {
+		last, err = strconv.ParseUint(to, 10, 64)
+	}
+	if err != nil {
+		t.Fatal("SOAK_SEEDS: ", err)
+	}
+	var list []uint64
+	for i := first; i <= last; i++ {
+		list = append(list, i)
+	}
+	return list
+}
+
+func seconds(t *testing.T) time.Duration {
+	v := os.Getenv("SOAK_SECONDS")
+	if v == "" {
+		return defaultSeconds * time.Second
+	}
+	n, err := strconv.Atoi(v)
+	if err != nil {
+		t.Fatal("SOAK_SECONDS: ", err)
+	}
+	return time.Duration(n) * time.Second
+}
+
+// Guards the promises of the system against processes that die, stop and
+// return, lost disks, a store in trouble and connections that are harmed.
+func TestSoak(t *testing.T) {
+	bin := filepath.Join(t.TempDir(), "yuccaspindled")
+	if out, err := exec.Command("go", "build", "-o", bin, "../cmd/yuccaspindled").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	for _, seed := range seeds(t) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			s := newSoak(t, bin, seed)
+			s.waitReady()
+			ctx, cancel := context.WithTimeout(context.Background(), seconds(t))
+			defer cancel()
+			var wg sync.WaitGroup
+			for n := range callers {
+				wg.Go(func() { s.caller(ctx, n, seed) })
+			}
+			s.faults(ctx)
+			wg.Wait()
+			s.recovered(context.Background())
+			for _, fault := range s.runs.check() {
+				t.Error(fault)
+			}
+			if len(s.runs.runs) < 20 {
+				t.Errorf("only %d requests ran", len(s.runs.runs))
+			}
+			t.Logf("%d requests ran, %d were refused", len(s.runs.runs), len(s.runs.refused))
+			if t.Failed() {
+				for _, p := range append(s.edges, s.storages...) {
+					path := filepath.Join(os.TempDir(), fmt.Sprintf("soak-%d-%s.log", seed, p.ip))
+					if err := os.WriteFile(path, p.log.Bytes(), 0o644); err == nil {
+						t.Logf("log kept: %s", path)
+					}
+				}
+			}
+		})
+	}
+}
