End a process whose address is taken; one restart at a time in the soak

Ruled out: the store (the edge had a configuration). Change: a failed listen closes the servers started before; the soak serializes what stops a process.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -496,3 +498,30 @@
 		t.Errorf("%+v", a)
 	}
 }
+
+// Guards against a process that neither serves nor ends when one of its
+// addresses is taken (found by the soak, seed 7).
+func TestAddressInUse(t *testing.T) {
+	d := newDeployment(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	s := d.settings("127.0.0.1")
+	s.MetricsListen = ln.Addr().String()
+	e, err := New(s, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := d.run(s, e, e.Run)
+	select {
+	case err := <-p.done:
+		if err == nil {
+			t.Error("it ended without an error")
+		}
+		close(p.done)
+	case <-time.After(10 * time.Second):
+		t.Error("it does not end")
+	}
+}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -41,28 +41,28 @@
 	ready.HandleFunc("GET "+platform.ReadinessPath, e.serveReadiness)
 	admin := http.NewServeMux()
 	admin.HandleFunc("GET "+platform.MetricsPath, e.metrics.serve)
-	var wg sync.WaitGroup
-	defer wg.Wait()
-	for _, s := range []struct {
+	servers := []struct {
 		address string
 		server  *http.Server
 	}{
 		{e.settings.CallerListen, callers},
 		{e.settings.ReadyListen, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}},
 		{e.settings.MetricsListen, &http.Server{Handler: admin, ReadHeaderTimeout: headerTimeout}},
-	} {
+	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, s := range servers {
 		ln, err := net.Listen("tcp", s.address)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", s.address)
 		}
+		// Drained servers are closed already; after a failed start this ends them.
+		defer s.server.Close()
 		wg.Go(func() {
 			if err := s.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 				e.logger.Error("server ended", "address", s.address, "err", err)
 			}
 		})
-		if s.server != callers {
-			defer s.server.Close()
-		}
 	}
 	e.logger.Info("started", "node", e.settings.Node, "callers", e.settings.CallerListen, "failure_domain", e.settings.FailureDomain)
 	select {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -42,6 +42,10 @@
 	ready    string
 	log      bytes.Buffer
 
+	// op is held by a fault that stops or pauses the process, so that two do not
+	// start it twice.
+	op sync.Mutex
+
 	mu    sync.Mutex
 	cmd   *exec.Cmd
 	ended chan struct{}
@@ -167,14 +171,16 @@
 
 // pause stops a process for a while.
 func (p *process) pause(d time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.op.Lock()
+	defer p.op.Unlock()
 	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	_ = p.cmd.Process.Signal(syscall.SIGCONT)
 }
 
 func (s *soak) restart(p *process, sig syscall.Signal, wipe bool) {
+	p.op.Lock()
+	defer p.op.Unlock()
 	p.kill(sig)
 	if wipe {
 		if err := os.RemoveAll(p.dir); err != nil {
