Order the storage processes by their registration, not by the time of day

Change: the order is the revision at which the store created the registration; an unknown order takes nobody out.

--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -75,12 +75,11 @@
 	c.tracker = attempt.New(attempt.Request{
 		Idempotent: c.route.Idempotent(), MaxAttempts: c.route.MaxAttempts, Deadline: c.deadline,
 	})
-	switch {
-	case c.route.Kind == routing.Stream:
+	if c.route.Kind == routing.Stream {
 		c.serveStream()
-	default:
-		c.servePlain()
+		return
 	}
+	c.servePlain()
 }
 
 func (c *call) timeAllowed() time.Duration {
--- a/pkg/standin/platformstore/store.go
+++ b/pkg/standin/platformstore/store.go
@@ -29,6 +29,7 @@
 type metadata struct {
 	Name     string
 	Revision uint64
+	Created  uint64
 }
 
 type object struct {
@@ -123,7 +124,7 @@
 	s.revision++
 	o := s.kinds[kind][name]
 	if o == nil {
-		o = &object{Metadata: metadata{Name: name}}
+		o = &object{Metadata: metadata{Name: name, Created: s.revision}}
 		s.kinds[kind][name] = o
 	}
 	o.Spec, o.Metadata.Revision = spec, s.revision
--- a/pkg/storage/join.go
+++ b/pkg/storage/join.go
@@ -68,27 +68,21 @@
 	case status == peerv1.LedgerReply_CATCHING_UP:
 		s.catchUp(ctx, own, registered, away, pulled)
 	case !registered || !own.Active || own.Address != s.settings.PeerAddress():
-		s.register(ctx, own)
+		s.register(ctx)
 	}
 }
 
-func (s *Storage) register(ctx context.Context, own platform.Node) {
+func (s *Storage) register(ctx context.Context) {
 	n := platform.Node{
 		Role: platform.RoleStorage, Address: s.settings.PeerAddress(), FailureDomain: s.settings.FailureDomain,
-		Active: true, Joined: own.Joined, Started: time.Now(),
-	}
-	if n.Joined == 0 || own.Removed {
-		n.Joined = time.Now().UnixNano()
+		Active: true, Started: time.Now(),
 	}
 	if err := platform.Register(ctx, s.store.Load(), s.settings.Node, n); err != nil {
 		s.logger.Debug("registration failed", "err", err)
 		return
 	}
 	s.logger.Info("registered", "node", s.settings.Node, "address", n.Address)
-	n.Name = s.settings.Node
-	s.members.mu.Lock()
-	s.members.nodes[n.Name] = n
-	s.members.mu.Unlock()
+	s.members.noteOwn(n)
 }
 
 // catchUp reads the records of all other members. A process that was never a
@@ -129,7 +123,7 @@
 		s.remove(ctx, n)
 	}
 	if replacing {
-		s.register(ctx, own)
+		s.register(ctx)
 	}
 }
 
@@ -178,7 +172,7 @@
 	}
 	others, _ := s.members.others()
 	for _, n := range others {
-		if n.FailureDomain != s.settings.FailureDomain || n.Joined >= own.Joined {
+		if n.FailureDomain != s.settings.FailureDomain || n.Created == 0 || n.Created >= own.Created {
 			continue
 		}
 		if err := s.ping(ctx, n.Address); err == nil {
--- a/pkg/storage/members.go
+++ b/pkg/storage/members.go
@@ -77,6 +77,16 @@
 	return n, ok
 }
 
+// noteOwn takes over the registration that this process has just written; its
+// order comes with the store's event.
+func (m *members) noteOwn(n platform.Node) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n.Name = m.self
+	n.Created = m.nodes[m.self].Created
+	m.nodes[m.self] = n
+}
+
 func (m *members) setLost(lost bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
