--- /dev/null
+++ b/pkg/edge/watch.go
@@ -0,0 +1,134 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+// The handlers put what the watches of the store report into the view.
+
+type configHandler struct{ v *view }
+
+func (h configHandler) Listed(objects []platform.Object, _ bool) {
+	h.v.setLost(platform.KindConfig, false)
+	for _, o := range objects {
+		h.put(o)
+	}
+}
+
+func (h configHandler) put(o platform.Object) {
+	if o.Name == platform.ConfigName {
+		h.v.applyConfig(o.Spec, "store")
+	}
+}
+
+func (h configHandler) Changed(changes []platform.Change) {
+	for _, c := range changes {
+		if !c.Deleted {
+			h.put(c.Object)
+		}
+	}
+}
+
+func (h configHandler) Lost(error) { h.v.setLost(platform.KindConfig, true) }
+
+type upstreamHandler struct{ v *view }
+
+func (h upstreamHandler) Listed(objects []platform.Object, regained bool) {
+	h.v.setLost(platform.KindUpstreams, false)
+	h.v.replaceUpstreams(objects, regained)
+}
+
+func (v *view) replaceUpstreams(objects []platform.Object, regained bool) {
+	defer v.noteKnown()
+	list := make([]fleet.Upstream, 0, len(objects))
+	specs := make(map[string][]byte, len(objects))
+	for _, o := range objects {
+		u, err := platform.DecodeUpstream(o)
+		if err != nil {
+			v.e.logger.Warn("upstream entry ignored", "upstream", o.Name, "err", err)
+			continue
+		}
+		list = append(list, u)
+		specs[o.Name] = o.Spec
+	}
+	v.mu.Lock()
+	v.upstreams = specs
+	v.mu.Unlock()
+	now := time.Now()
+	v.e.withFleet(func(f *fleet.Fleet) {
+		if regained {
+			f.ContactRegained(now)
+		}
+		f.Replace(list, now)
+	})
+}
+
+func (h upstreamHandler) Changed(changes []platform.Change) {
+	defer h.v.noteKnown()
+	now := time.Now()
+	for _, c := range changes {
+		name := c.Object.Name
+		u, err := platform.DecodeUpstream(c.Object)
+		gone := c.Deleted || err != nil
+		h.v.mu.Lock()
+		if gone {
+			delete(h.v.upstreams, name)
+		} else {
+			h.v.upstreams[name] = c.Object.Spec
+		}
+		h.v.mu.Unlock()
+		h.v.e.withFleet(func(f *fleet.Fleet) {
+			if gone {
+				h.v.e.logger.Info("upstream gone", "upstream", name, "revision", c.Object.Revision, "err", err)
+				f.Remove(name, now)
+				return
+			}
+			if m := f.Member(name); m == nil || m.State != u.State {
+				h.v.e.logger.Info("upstream changed", "upstream", name, "service", u.Service, "state", int(u.State), "revision", c.Object.Revision)
+			}
+			f.Put(u)
+		})
+	}
+}
+
+func (h upstreamHandler) Lost(error) { h.v.setLost(platform.KindUpstreams, true) }
+
+type nodeHandler struct{ v *view }
+
+func (h nodeHandler) Listed(objects []platform.Object, _ bool) {
+	h.v.setLost(platform.KindNodes, false)
+	for _, o := range objects {
+		h.v.putNode(o)
+	}
+	h.v.noteNodes()
+}
+
+func (v *view) putNode(o platform.Object) {
+	n, err := platform.DecodeNode(o)
+	if err != nil {
+		v.e.logger.Warn("registration ignored", "node", o.Name, "err", err)
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.nodes[o.Name] = n
+	v.nodeSpecs[o.Name] = o.Spec
+}
+
+func (h nodeHandler) Changed(changes []platform.Change) {
+	for _, c := range changes {
+		if c.Deleted {
+			h.v.mu.Lock()
+			delete(h.v.nodes, c.Object.Name)
+			delete(h.v.nodeSpecs, c.Object.Name)
+			h.v.mu.Unlock()
+			continue
+		}
+		h.v.putNode(c.Object)
+	}
+}
+
+func (h nodeHandler) Lost(error) { h.v.setLost(platform.KindNodes, true) }
