Dial a refused storage process again after 50 ms

Ruled out: catching up (two of three members were complete at their start). Change: the pause before the next dial begins at 50 ms and doubles to 1 s.

--- a/pkg/ledger/client.go
+++ b/pkg/ledger/client.go
@@ -230,13 +230,18 @@
 	return c.relayed(ctx, m, req)
 }
 
-// directRetry is how often a member that only a relay reaches is dialed.
-const directRetry = time.Second
+// A member that only a relay reaches is dialed after a pause that doubles from
+// redialMin, since it may just be starting, to redialMax.
+const (
+	redialMin = 50 * time.Millisecond
+	redialMax = time.Second
+)
 
 // findBack dials a member that is cut off until it is reached, or no member
 // any more.
 func (c *Client) findBack(m Member) {
-	for slices.Contains(c.directory.Storage(), m) {
+	for pause := redialMin; slices.Contains(c.directory.Storage(), m); pause = min(2*pause, redialMax) {
+		time.Sleep(pause)
 		ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 		_, err := c.transport.Dial(ctx, m.Address)
 		cancel()
@@ -244,7 +249,6 @@
 			c.logger.Info("storage process reached again", "member", m.Name, "address", m.Address)
 			break
 		}
-		time.Sleep(directRetry)
 	}
 	c.cutOff.remove(m.Address)
 }
--- a/pkg/ledger/client_test.go
+++ b/pkg/ledger/client_test.go
@@ -321,3 +321,23 @@
 	}
 	return st
 }
+
+// Guards against a member that is asked through relays for a second after its
+// start, because it refused a connection just before (seen on incident inc-c455,
+// where all processes lose power and start together).
+func TestMemberThatIsStarting(t *testing.T) {
+	c := newCluster(t, 3)
+	for i := range c.members {
+		c.client.cutOff.add(c.members[i].Address)
+	}
+	began := time.Now()
+	for _, m := range c.members {
+		go c.client.findBack(m)
+	}
+	if _, err := c.client.Reserve(long(t), reservation(1, 10), 100); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(began); took > redialMax {
+		t.Errorf("reached again after %v", took)
+	}
+}
