Repeat a cancel that may overtake its request

Cause: the cancel of a run has a connection of its own, so an engine may read it before it has admitted the request. It ignores a cancel for a request that it does not know, and then generates for an owner that is gone until its own reader grace of 5 s ends. Traced by printing the order of submits and cancels in the stand-in engine: each of 11 failures of TestDeadlineAndCancel had a cancel 10 to 300 us (once 170 us) before its submit.

Ruled out: a lost session end in the sidecar (the cancel was sent in each failed run); the drain time of the reader.

Change: the cancel of a request that the engine has not begun to answer is repeated after 0.1, 0.5 and 2 s. The stand-in engine can delay the admission (admit_ms); TestCancelBeforeAdmission uses that and failed before the change (the engine went on for 5 s), passes after.

--- a/pkg/sidecar/model.go
+++ b/pkg/sidecar/model.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +25,11 @@
 // drainTime bounds the reading of the end of a response after its last chunk.
 const drainTime = time.Second
 
+// cancelPauses are the pauses between the cancels of a request that the engine
+// has not begun to answer. Together they cover controlTimeout, within which an
+// engine admits a request that it has received.
+var cancelPauses = []time.Duration{100 * time.Millisecond, 400 * time.Millisecond, 1500 * time.Millisecond}
+
 // item is what a reader reports: a chunk, or its end.
 type item struct {
 	r    *reader
@@ -48,8 +54,11 @@
 	last    *reader   // read the last chunk
 	asm     assembly
 	limit   int64 // most tokens; 0: none
-	cutOnce bool  // a cut stream was resumed
-	sent    bool  // the first chunk went to the owner
+	// answered is set when a response has begun: the engine has admitted the
+	// request.
+	answered atomic.Bool
+	cutOnce  bool // a cut stream was resumed
+	sent     bool // the first chunk went to the owner
 }
 
 // runModel passes one call to an engine. The engine always streams, so that
@@ -70,7 +79,7 @@
 	})
 	o := m.follow(ctx)
 	if o.failed != nil && c.wasPassed() && !o.failed.Crashed {
-		s.cancelUpstream(c.d.Attempt)
+		s.cancelUpstream(c.d.Attempt, m.answered.Load())
 	}
 	return o
 }
@@ -115,6 +124,7 @@
 			report(item{err: &statusError{status: res.StatusCode, body: b}})
 			return
 		}
+		m.answered.Store(true)
 		events := newEventReader(res.Body)
 		for {
 			data, err := events.next()
@@ -288,7 +298,7 @@
 	generated := it.c.generated() && it.pos == m.asm.tokens
 	if generated && m.limit > 0 && m.asm.tokens >= m.limit {
 		s.met.overLimit.Inc()
-		s.cancelUpstream(c.d.Attempt)
+		s.cancelUpstream(c.d.Attempt, true)
 		return m.finished("length"), true
 	}
 	if generated || it.c.Usage != nil {
@@ -367,13 +377,31 @@
 	return b
 }
 
-// cancelUpstream tells the engine to stop a request, without waiting.
-func (s *Sidecar) cancelUpstream(attempt string) {
+// cancelUpstream tells the engine to stop a request, without waiting. A request
+// that was not admitted yet may be overtaken by its cancel, which an engine that
+// does not know the request ignores; the cancel is then repeated.
+func (s *Sidecar) cancelUpstream(attempt string, admitted bool) {
+	pauses := cancelPauses
+	if admitted {
+		pauses = nil
+	}
 	s.background(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
-		defer cancel()
-		if err := s.up.doJSON(ctx, s.up.fresh, http.MethodPost, "/v1/cancel/"+escape(attempt), nil, nil); err != nil {
-			s.log.Warn("engine request was not canceled", "step", "cancel", "peer", s.cfg.Upstream.URL, "attempt", attempt, "err", err)
+		s.sendCancel(attempt)
+		for _, pause := range pauses {
+			select {
+			case <-time.After(pause):
+			case <-s.ctx.Done():
+				return
+			}
+			s.sendCancel(attempt)
 		}
 	})
 }
+
+func (s *Sidecar) sendCancel(attempt string) {
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	if err := s.up.doJSON(ctx, s.up.fresh, http.MethodPost, "/v1/cancel/"+escape(attempt), nil, nil); err != nil {
+		s.log.Warn("engine request was not canceled", "step", "cancel", "peer", s.cfg.Upstream.URL, "attempt", attempt, "err", err)
+	}
+}
--- a/pkg/sidecar/model_test.go
+++ b/pkg/sidecar/model_test.go
@@ -168,6 +168,27 @@
 	eventually(t, "the engine stops generating", func() bool { return e.Stats().Running == 0 })
 }
 
+// Guards against an engine that goes on generating because the cancel, which
+// has a connection of its own, arrived before the request was admitted.
+func TestCancelBeforeAdmission(t *testing.T) {
+	o := fastEngine
+	o.DecodeRate = 50
+	e := startEngine(t, o)
+	e.SetFaults(engine.Faults{AdmitMS: 300})
+	p := connect(t, startSidecar(t, engineUpstream(e), nil), roleEntry)
+	st := p.dispatch(chat("a1", "hello", 4000))
+	if m, err := st.Recv(); err != nil || m.GetStarted() == nil {
+		t.Fatalf("%v, %v", m, err)
+	}
+	p.drop()
+	eventually(t, "the engine admits the request", func() bool { return e.Stats().Runs["a1"] == 1 })
+	admitted := time.Now()
+	eventually(t, "the engine stops generating", func() bool { return e.Stats().Running == 0 })
+	if took := time.Since(admitted); took > controlTimeout {
+		t.Errorf("the engine went on for %v after the cancel, want at most %v", took, controlTimeout)
+	}
+}
+
 // Guards against a crash whose requests are not reported, or reported as
 // finished, and against a dispatch to an engine that has restarted since.
 func TestUpstreamCrash(t *testing.T) {
--- a/pkg/standin/engine/chat.go
+++ b/pkg/standin/engine/chat.go
@@ -143,6 +143,7 @@
 		<-r.Context().Done()
 		return
 	}
+	time.Sleep(time.Duration(f.AdmitMS) * time.Millisecond)
 	s.mu.Lock()
 	if f.CrashOn != "" {
 		s.eng.CrashOn(req.Fingerprint, true)
--- a/pkg/standin/engine/faults.go
+++ b/pkg/standin/engine/faults.go
@@ -20,6 +20,7 @@
 	Silent   int    `json:"silent,omitempty"`    // all connections go silent at CutAfter tokens
 	CutAfter int64  `json:"cut_after,omitempty"` // tokens
 	SlowMS   int    `json:"slow_ms,omitempty"`   // delay of each chunk
+	AdmitMS  int    `json:"admit_ms,omitempty"`  // delay between the reading of a request and its admission
 	NoResume bool   `json:"no_resume,omitempty"` // resume answers "not held"
 	CrashNow bool   `json:"crash_now,omitempty"`
 }
