Quarantine requests that crash upstreams at the entries

Cause: on the users' platform a request that crashes each upstream was sent to another one each time it came back. The product's own path quarantines it; the edge path did not.

Ruled out: counting every broken attempt (answers are lost for many reasons; TestLostAnswersAreNoCrash); an object in the store for each suspect, whose calls are billed; a probe after each broken attempt, since new connections are billed.

Change: pkg/poison holds the decision, with the product's quarantine list behind it. A broken attempt counts when its upstream then refuses connections, or its registration ended or began anew within 10 s. Entries tell each other what they found. The second crash quarantines for 30 s; the refusal is a 503 with the rest of that time.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -41,6 +41,7 @@
 	transport *transport.Transport
 	ledger    *ledger.Client
 	settler   *settler
+	suspects  *suspects
 	metrics   *metrics
 
 	mu    sync.Mutex // guards fleet
@@ -83,6 +84,7 @@
 	}
 	e.ledger = ledger.NewClient(e.transport, e.view, settings.DisksToLose, logger)
 	e.settler = newSettler(e.ledger, logger)
+	e.suspects = newSuspects(e)
 	return e, nil
 }
 
@@ -116,6 +118,7 @@
 	background(e.view.run)
 	background(e.pool.Run)
 	background(e.settler.run)
+	background(e.suspects.run)
 	g.Go(func() error {
 		defer cancel()
 		return e.serveCallers(ctx, stop)
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -273,6 +273,7 @@
 			f.Failed(m, false, now)
 		}
 	})
+	c.noteCrash(m, err, o == attempt.Answered)
 	c.e.metrics.attempt(o.String())
 	action := c.tracker.Ended(o, status >= http.StatusInternalServerError, now)
 	if o != attempt.Answered {
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -24,6 +24,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_attempts_total{outcome=%q}`, outcome)).Inc()
 }
 
+// suspect counts what was found about requests on board of a crash.
+func (m *metrics) suspect(finding string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_suspects_total{finding=%q}`, finding)).Inc()
+}
+
 // firstEvent records the time to the first event of a stream.
 func (m *metrics) firstEvent(took time.Duration) {
 	m.set.GetOrCreateHistogram(`yucca_edge_first_event_seconds`).Update(took.Seconds())
--- a/pkg/edge/plain.go
+++ b/pkg/edge/plain.go
@@ -27,6 +27,9 @@
 // on, so that a broken one is never seen by the caller.
 func (c *call) servePlain() {
 	for {
+		if c.quarantined() {
+			return
+		}
 		m := c.place()
 		if m == nil {
 			c.finish(c.tracker.Unplaced(), "no upstream left")
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -47,6 +47,9 @@
 	defer t.settle()
 	c.begun = c.req.ParentTurn != "" || c.req.Program != "" && c.e.affinity.Contains(c.req.Program)
 	for {
+		if c.quarantined() {
+			return
+		}
 		m := c.place()
 		if m == nil {
 			c.finish(c.tracker.Unplaced(), "no upstream left")
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
+	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
 
@@ -58,12 +59,27 @@
 	v.upstreams = specs
 	v.mu.Unlock()
 	now := time.Now()
+	var over []poison.Run
 	v.e.withFleet(func(f *fleet.Fleet) {
 		if regained {
 			f.ContactRegained(now)
 		}
+		for _, u := range list {
+			over = append(over, endedRuns(f, u.ID, u.Born)...)
+		}
 		f.Replace(list, now)
 	})
+	v.e.suspects.ended(over...)
+}
+
+// endedRuns returns the run of an upstream that another start has ended; a
+// start of 0 stands for none.
+func endedRuns(f *fleet.Fleet, id string, born int64) []poison.Run {
+	m := f.Member(id)
+	if m == nil || m.Born == born {
+		return nil
+	}
+	return []poison.Run{{ID: id, Born: m.Born}}
 }
 
 func (h upstreamHandler) Changed(changes []platform.Change) {
@@ -73,6 +89,10 @@
 		name := c.Object.Name
 		u, err := platform.DecodeUpstream(c.Object)
 		gone := c.Deleted || err != nil
+		born := u.Born
+		if gone {
+			born = 0
+		}
 		h.v.mu.Lock()
 		if gone {
 			delete(h.v.upstreams, name)
@@ -80,7 +100,9 @@
 			h.v.upstreams[name] = c.Object.Spec
 		}
 		h.v.mu.Unlock()
+		var over []poison.Run
 		h.v.e.withFleet(func(f *fleet.Fleet) {
+			over = endedRuns(f, name, born)
 			if gone {
 				h.v.e.logger.Info("upstream gone", "upstream", name, "revision", c.Object.Revision, "err", err)
 				f.Remove(name, now)
@@ -91,6 +113,7 @@
 			}
 			f.Put(u)
 		})
+		h.v.e.suspects.ended(over...)
 	}
 }
 
