Soak: planned work, reused addresses, planted faults, larger runs

Ruled out: planting faults by switches in the product; go build -overlay changes the source for one build and leaves the tree alone.

Change: after the faults each entry is stopped and started while callers keep their connections, the configuration moves a route and an upstream drains. A fault swaps the addresses of two upstreams while no watch hears. SOAK_EDGES and SOAK_STORAGES set the size, SOAK_PLANTS=1 runs the planted faults; runs have addresses of their own and may run beside each other.

--- /dev/null
+++ b/soak/plant_test.go
@@ -0,0 +1,113 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// plant is a fault put into the source of the daemon, and what the soak must
+// say of it.
+type plant struct {
+	name, file, old, new string
+	caught               string
+}
+
+var plants = []plant{
+	{
+		"send twice", "../pkg/attempt/attempt.go",
+		"case !t.req.Idempotent || t.ran >= t.req.MaxAttempts ||", "case t.ran >= t.req.MaxAttempts ||",
+		"ran 2 times",
+	},
+	{
+		"refuse after a run", "../pkg/attempt/attempt.go",
+		"return GiveUp\n\t}\n\treturn Retry", "return Refuse\n\t}\n\treturn Retry",
+		"and ran",
+	},
+	{
+		"acknowledge before durable", "../pkg/edge/turn.go",
+		"err := c.e.ledger.Write(ctx, c.req.Program, recs)", "done <- nil\n\t\ttime.Sleep(400 * time.Millisecond)\n\t\terr := c.e.ledger.Write(ctx, c.req.Program, recs)",
+		"was answered whole",
+	},
+	{
+		"use an upstream that drains", "../pkg/fleet/pick.go",
+		"if m.State != Ready || r.Excluded", "if r.Excluded",
+		"which drains",
+	},
+	{
+		"cut requests at a stop", "../pkg/edge/server.go",
+		"err := callers.Shutdown(ctx)", "err := callers.Close()\n\t_ = ctx",
+		"was cut in a planned stop",
+	},
+	{
+		"fence off", "../platform/request.go",
+		"h.Set(headerInstance, f.Upstream)", "",
+		"ran at service",
+	},
+}
+
+// plantSeeds is the number of seeds within which a planted fault must be seen.
+const plantSeeds = 3
+
+// overlay returns the build arguments that put the fault in.
+func (p plant) overlay(t *testing.T) []string {
+	t.Helper()
+	source, err := os.ReadFile(p.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if strings.Count(string(source), p.old) != 1 {
+		t.Fatalf("%s does not hold %q once", p.file, p.old)
+	}
+	dir := t.TempDir()
+	changed, list := filepath.Join(dir, "changed.go"), filepath.Join(dir, "overlay.json")
+	original, err := filepath.Abs(p.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	replace, err := json.Marshal(map[string]any{"Replace": map[string]string{original: changed}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for path, data := range map[string][]byte{
+		changed: []byte(strings.Replace(string(source), p.old, p.new, 1)), list: replace,
+	} {
+		if err := os.WriteFile(path, data, 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return []string{"-overlay", list}
+}
+
+// Guards the soak itself: faults put into the daemon must be seen.
+func TestPlantedFaults(t *testing.T) {
+	if os.Getenv("SOAK_PLANTS") == "" {
+		t.Skip("SOAK_PLANTS is not set")
+	}
+	for _, p := range plants {
+		t.Run(strings.ReplaceAll(p.name, " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			bin := build(t, p.overlay(t)...)
+			for seed := uint64(1); seed <= plantSeeds; seed++ {
+				if p.seen(t, bin, seed) {
+					return
+				}
+			}
+			t.Errorf("not seen in %d seeds", plantSeeds)
+		})
+	}
+}
+
+func (p plant) seen(t *testing.T, bin string, seed uint64) (seen bool) {
+	t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+		s := newSoak(t, bin, seed)
+		for _, fault := range s.play(seed, defaultSeconds*time.Second) {
+			seen = seen || strings.Contains(fault, p.caught)
+		}
+	})
+	return seen
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -24,14 +25,17 @@
 )
 
 const (
-	edges    = 3
-	storages = 3
-	callers  = 6
-	// defaultSeconds is the length of a run in CI.
+	defaultEdges    = 3
+	defaultStorages = 3
+	callersPerEdge  = 2
+	// defaultSeconds is the length of the time with faults in CI.
 	defaultSeconds = 8
 	settleTime     = 4 * time.Second // quiet time before the last checks
 )
 
+// runsStarted gives each run loopback addresses of its own.
+var runsStarted atomic.Uint32
+
 // process is one of our programs under the soak.
 type process struct {
 	t        *testing.T
@@ -64,6 +68,8 @@
 	storages []*process
 	ups      []*upstream
 	version  int
+	started  int    // upstream processes so far
+	subnet   uint32 // third byte of the processes' addresses
 }
 
 func freePort(t *testing.T) int {
@@ -79,28 +85,26 @@
 func newSoak(t *testing.T, bin string, seed uint64) *soak {
 	s := &soak{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), bin: bin, store: platformstore.New(),
-		port: freePort(t), runs: newLedgerOfRuns(), version: 1,
+		port: freePort(t), runs: newLedgerOfRuns(), version: 1, subnet: 1 + runsStarted.Add(1)%250,
 	}
 	srv := httptest.NewServer(s.store)
 	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
 	s.storeURL = newProxy(t, strings.TrimPrefix(srv.URL, "http://"))
 	s.store.Put(platform.KindConfig, platform.ConfigName, config(s.version))
 	for i := range 5 {
-		u := newUpstream(t, s.runs, seed*10+uint64(i))
 		service := "llm"
 		if i >= 3 {
 			service = "app"
 		}
-		s.ups = append(s.ups, u)
-		s.store.Put(platform.KindUpstreams, fmt.Sprintf("u%d", i), map[string]any{
-			"Service": service, "Address": u.proxy.addr(), "Zone": "a1", "Slots": 8, "State": "ready", "born": 1,
-		})
+		s.ups = append(s.ups, newUpstream(t, s.runs, fmt.Sprintf("u%d", i+1), service, seed*10+uint64(i)))
+		s.register(s.ups[i], "ready")
 	}
-	for i := range storages {
-		s.storages = append(s.storages, s.newProcess("storage", fmt.Sprintf("127.0.1.%d", 11+i)))
+	s.started = len(s.ups)
+	for i := range count(t, "SOAK_STORAGES", defaultStorages) {
+		s.storages = append(s.storages, s.newProcess("storage", s.address(101+i)))
 	}
-	for i := range edges {
-		s.edges = append(s.edges, s.newProcess("edge", fmt.Sprintf("127.0.1.%d", 1+i)))
+	for i := range count(t, "SOAK_EDGES", defaultEdges) {
+		s.edges = append(s.edges, s.newProcess("edge", s.address(1+i)))
 	}
 	for _, p := range append(s.storages, s.edges...) {
 		p.start(s.bin)
@@ -108,6 +112,17 @@
 	return s
 }
 
+// address returns the address of one process.
+func (s *soak) address(n int) string { return fmt.Sprintf("127.0.%d.%d", s.subnet, n) }
+
+// register writes an upstream's entry in the store.
+func (s *soak) register(u *upstream, state string) {
+	id, service := u.identity()
+	s.store.Put(platform.KindUpstreams, id, map[string]any{
+		"Service": service, "Address": u.proxy.addr(), "Zone": "a1", "Slots": 8, "State": state, "born": 1,
+	})
+}
+
 func (s *soak) newProcess(role, ip string) *process {
 	p := &process{t: s.t, role: role, ip: ip, dir: filepath.Join(s.t.TempDir(), "data")}
 	p.caller = net.JoinHostPort(ip, strconv.Itoa(freePort(s.t)))
@@ -124,7 +139,7 @@
 	m := map[string]any{
 		"NodeName": p.role + "-" + p.ip, "Ip": p.ip, "Zone": "a1", "Region": "a", "Zones": map[string]string{"a1": "a"},
 		"ListenAddresses":   map[string]string{"Frontend": p.caller, "Ready": p.ready},
-		"InternalPortRange": []int{s.port}, "Seeds": []string{"127.0.1.1:1", "127.0.1.2:1", "127.0.1.3:1"},
+		"InternalPortRange": []int{s.port}, "Seeds": []string{s.address(1) + ":1", s.address(2) + ":1", s.address(3) + ":1"},
 		"IsFirstStart": first, "Limits": map[string]int{"MemoryMb": 134}, "Bounds": map[string]int{"GraceS": 5},
 		"FaultTolerance": map[string]int{"MachineCount": 1},
 		"Platform":       map[string]string{"Address": s.storeURL.addr()},
@@ -192,6 +207,29 @@
 	p.start(s.bin)
 }
 
+// configure puts a newer version of the configuration in force.
+func (s *soak) configure(version int) {
+	s.version = version
+	s.store.Put(platform.KindConfig, platform.ConfigName, config(version))
+}
+
+// swap lets two processes of different services end at once and gives the
+// address of each to a new process of the other's service.
+func (s *soak) swap(a, b *upstream) {
+	idA, serviceA := a.identity()
+	idB, serviceB := b.identity()
+	if serviceA == serviceB {
+		return
+	}
+	s.store.Delete(platform.KindUpstreams, idA)
+	s.store.Delete(platform.KindUpstreams, idB)
+	s.started += 2
+	a.reuse(fmt.Sprintf("u%d", s.started-1), serviceB)
+	b.reuse(fmt.Sprintf("u%d", s.started), serviceA)
+	s.register(a, "ready")
+	s.register(b, "ready")
+}
+
 // faults injects troubles in series and overlapping until the context ends.
 func (s *soak) faults(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -207,10 +245,10 @@
 		p.reset() // bytes were lost, so the connections are of no use
 	}
 	for ctx.Err() == nil {
-		e, st, u := s.edges[s.rng.IntN(edges)], s.storages[s.rng.IntN(storages)], s.ups[s.rng.IntN(len(s.ups))]
+		e, st, u := s.edges[s.rng.IntN(len(s.edges))], s.storages[s.rng.IntN(len(s.storages))], s.ups[s.rng.IntN(len(s.ups))]
 		d, share := span(200, 1500), s.rng.Float64()*0.3
 		var f func()
-		switch kind := s.rng.IntN(14); kind {
+		switch kind := s.rng.IntN(15); kind {
 		case 0:
 			f = func() { s.restart(e, syscall.SIGKILL, false) }
 		case 1:
@@ -243,12 +281,13 @@
 		case 12:
 			f = u.proxy.reset
 		case 13:
-			s.version += 1 + s.rng.IntN(3)
-			s.store.Put(platform.KindConfig, platform.ConfigName, config(s.version))
-			u.mu.Lock()
-			u.trouble = share
-			u.mu.Unlock()
+			s.configure(s.version + 1 + s.rng.IntN(3))
+			u.setTrouble(share)
 			f = func() {}
+		case 14:
+			s.store.SetDeaf(true) // nobody hears of it at once
+			s.swap(s.ups[s.rng.IntN(len(s.ups))], u)
+			f = func() { time.Sleep(d); s.store.Compact(); s.store.SetDeaf(false) }
 		}
 		wg.Go(f)
 		time.Sleep(span(50, 700))
@@ -289,7 +328,7 @@
 func (s *soak) send(ctx context.Context, rng *rand.Rand, method, path, id, body string, h map[string]string) (int, string, error) {
 	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.edges[rng.IntN(edges)].caller+path, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.edges[rng.IntN(len(s.edges))].caller+path, strings.NewReader(body))
 	if err != nil {
 		return 0, "", err
 	}
@@ -373,9 +412,7 @@
 // recovered checks that turns and bookings are served again after all faults.
 func (s *soak) recovered(ctx context.Context) {
 	for _, u := range s.ups {
-		u.mu.Lock()
-		u.trouble = 0
-		u.mu.Unlock()
+		u.setTrouble(0)
 	}
 	time.Sleep(settleTime)
 	rng := rand.New(rand.NewPCG(1, 1))
@@ -393,6 +430,32 @@
 	}
 }
 
+// play runs a seed to its end and returns the broken promises.
+func (s *soak) play(seed uint64, faults time.Duration) []string {
+	s.waitReady()
+	ctx, cancel := context.WithTimeout(context.Background(), faults)
+	defer cancel()
+	var wg sync.WaitGroup
+	for n := range callersPerEdge * len(s.edges) {
+		wg.Go(func() { s.caller(ctx, n, seed) })
+	}
+	s.faults(ctx)
+	wg.Wait()
+	s.recovered(context.Background())
+	s.planned(seed)
+	return s.runs.check()
+}
+
+// keepLogs writes what the processes logged to files.
+func (s *soak) keepLogs(seed uint64) {
+	for _, p := range append(s.edges, s.storages...) {
+		path := filepath.Join(os.TempDir(), fmt.Sprintf("soak-%d-%s-%s.log", seed, p.role, p.ip))
+		if err := os.WriteFile(path, p.log.Bytes(), 0o644); err == nil {
+			s.t.Logf("log kept: %s", path)
+		}
+	}
+}
+
 // seeds returns the seeds of this run: SOAK_SEEDS is "7" or "1-50".
 func seeds(t *testing.T) []uint64 {
 	v := os.Getenv("SOAK_SEEDS")
@@ -415,39 +478,43 @@
 	return list
 }
 
-func seconds(t *testing.T) time.Duration {
-	v := os.Getenv("SOAK_SECONDS")
+// count returns a number from the environment.
+func count(t *testing.T, variable string, preset int) int {
+	v := os.Getenv(variable)
 	if v == "" {
-		return defaultSeconds * time.Second
+		return preset
 	}
 	n, err := strconv.Atoi(v)
-	if err != nil {
-		t.Fatal("SOAK_SECONDS: ", err)
+	if err != nil || n < 1 || n > 100 {
+		t.Fatalf("%s is %q, want 1 to 100", variable, v)
 	}
-	return time.Duration(n) * time.Second
+	return n
 }
 
-// Guards the promises of the system against processes that die, stop and
-// return, lost disks, a store in trouble and connections that are harmed.
-func TestSoak(t *testing.T) {
+func seconds(t *testing.T) time.Duration {
+	return time.Duration(count(t, "SOAK_SECONDS", defaultSeconds)) * time.Second
+}
+
+// build builds the daemon and returns its path.
+func build(t *testing.T, args ...string) string {
+	t.Helper()
 	bin := filepath.Join(t.TempDir(), "yuccaspindled")
-	if out, err := exec.Command("go", "build", "-o", bin, "../cmd/yuccaspindled").CombinedOutput(); err != nil {
+	args = append([]string{"build", "-o", bin}, append(args, "../cmd/yuccaspindled")...)
+	if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
+	return bin
+}
+
+// Guards the promises of the system against processes that die, stop and
+// return, lost disks, a store in trouble and connections that are harmed.
+func TestSoak(t *testing.T) {
+	bin := build(t)
 	for _, seed := range seeds(t) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
 			s := newSoak(t, bin, seed)
-			s.waitReady()
-			ctx, cancel := context.WithTimeout(context.Background(), seconds(t))
-			defer cancel()
-			var wg sync.WaitGroup
-			for n := range callers {
-				wg.Go(func() { s.caller(ctx, n, seed) })
-			}
-			s.faults(ctx)
-			wg.Wait()
-			s.recovered(context.Background())
-			for _, fault := range s.runs.check() {
+			for _, fault := range s.play(seed, seconds(t)) {
 				t.Error(fault)
 			}
 			if len(s.runs.runs) < 20 {
@@ -455,12 +522,7 @@
 			}
 			t.Logf("%d requests ran, %d were refused", len(s.runs.runs), len(s.runs.refused))
 			if t.Failed() {
-				for _, p := range append(s.edges, s.storages...) {
-					path := filepath.Join(os.TempDir(), fmt.Sprintf("soak-%d-%s.log", seed, p.ip))
-					if err := os.WriteFile(path, p.log.Bytes(), 0o644); err == nil {
-						t.Logf("log kept: %s", path)
-					}
-				}
+				s.keepLogs(seed)
 			}
 		})
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,8 +17,9 @@
 
 // run is one run of a request at an upstream.
 type run struct {
-	body string
-	at   time.Time
+	body     string
+	upstream string // its id at that time
+	service  string
 }
 
 // ledgerOfRuns is what the upstreams and the callers have seen.
@@ -52,10 +54,17 @@
 	l.refused[id] = answer
 }
 
-func (l *ledgerOfRuns) ran(id, body string) {
+func (l *ledgerOfRuns) ran(id string, r run) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.runs[id] = append(l.runs[id], run{body: body, at: time.Now()})
+	l.runs[id] = append(l.runs[id], r)
+}
+
+// runsOf returns where a request ran.
+func (l *ledgerOfRuns) runsOf(id string) []run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.runs[id])
 }
 
 // check returns all broken promises.
@@ -72,6 +81,9 @@
 			list = append(list, fmt.Sprintf("%s ran %d times", id, len(runs)))
 		}
 		for _, r := range runs {
+			if service := serviceOf(id); service != "" && r.service != service {
+				list = append(list, fmt.Sprintf("%s ran at service %s", id, r.service))
+			}
 			if known && r.body != want {
 				list = append(list, fmt.Sprintf("%s ran with %q, want %q", id, r.body, want))
 			}
@@ -83,6 +95,18 @@
 	return list
 }
 
+// serviceOf returns the service to which all configurations send a request;
+// empty: they differ.
+func serviceOf(id string) string {
+	switch {
+	case strings.HasPrefix(id, "kept"):
+		return ""
+	case strings.HasPrefix(id, "turn"):
+		return "llm"
+	}
+	return "app"
+}
+
 // tokensPerEvent and eventsPerTurn make a turn of 40 tokens at most.
 const (
 	tokensPerEvent = 10
@@ -94,19 +118,42 @@
 type upstream struct {
 	l       *ledgerOfRuns
 	mu      sync.Mutex
+	id      string
+	service string
 	rng     *rand.Rand
 	trouble float64 // share of requests in trouble
 	proxy   *proxy
 }
 
-func newUpstream(t *testing.T, l *ledgerOfRuns, seed uint64) *upstream {
-	u := &upstream{l: l, rng: rand.New(rand.NewPCG(seed, 9))}
+func newUpstream(t *testing.T, l *ledgerOfRuns, id, service string, seed uint64) *upstream {
+	u := &upstream{id: id, service: service, l: l, rng: rand.New(rand.NewPCG(seed, 9))}
 	srv := httptest.NewServer(u)
 	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
 	u.proxy = newProxy(t, strings.TrimPrefix(srv.URL, "http://"))
 	return u
 }
 
+// setTrouble changes the share of requests in trouble.
+func (u *upstream) setTrouble(share float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.trouble = share
+}
+
+// identity returns the id and the service of the process at this address.
+func (u *upstream) identity() (id, service string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.id, u.service
+}
+
+// reuse gives the address to a new process of a service.
+func (u *upstream) reuse(id, service string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.id, u.service = id, service
+}
+
 // draw returns whether a request is in trouble, and which.
 func (u *upstream) draw() int {
 	u.mu.Lock()
@@ -129,7 +176,13 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	u.l.ran(id, string(body))
+	self, service := u.identity()
+	if r.Header.Get("Target-Instance") != self && r.Header.Get("Target-Instance") != "" {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	u.l.ran(id, run{body: string(body), upstream: self, service: service})
 	if trouble == 1 { // the answer is lost
 		panic(http.ErrAbortHandler)
 	}
@@ -166,8 +219,11 @@
 	return b.String()
 }
 
+// movedTo returns the service of the route "moved" in a version.
+func movedTo(version int) string { return []string{"app", "llm"}[version%2] }
+
 // config returns the configuration of a version; version changes the timeout,
-// so that each is a change.
+// so that each is a change, and the service of one route.
 func config(version int) map[string]any {
 	route := func(name, prefix, kind, service string, more map[string]any) map[string]any {
 		r := map[string]any{
@@ -185,6 +241,7 @@
 			route("turn", "/turn/", "streaming", "llm", map[string]any{"ServerHistory": true, "RetentionS": 60}),
 			route("safe", "/safe/", "safe", "app", nil),
 			route("unsafe", "/unsafe/", "unsafe", "app", nil),
+			route("moved", "/moved/", "unsafe", movedTo(version), nil),
 		},
 		"Services": []any{
 			map[string]any{"Name": "llm", "Engine": map[string]any{"ChunkTokens": tokensPerEvent}}, map[string]any{"Name": "app"},
