Keep the members of a service in order without sorting all

Cause: each upstream put into the fleet sorted all members anew, so a listing of n upstreams cost n sorts of n.

Ruled out: sorting once for each listing only; single changes would still sort all.

Change: a member is inserted at and removed from its place.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -103,14 +103,19 @@
 // Put adds or changes an upstream. An incarnation that started anew keeps no
 // experience of the one before.
 func (f *Fleet) Put(u Upstream) {
-	m := f.members[u.ID]
+	old := f.members[u.ID]
+	m := old
 	if m == nil || m.Born != u.Born || m.Address != u.Address {
 		m = &Member{}
-		f.members[u.ID] = m
+	}
+	if old != nil && (m != old || old.Service != u.Service) {
+		f.drop(old)
 	}
 	m.Upstream = u
 	m.missing = false
-	f.index()
+	if f.members[u.ID] == nil {
+		f.add(m)
+	}
 }
 
 // Remove takes an entry as gone, at once or after the grace following a
@@ -125,8 +130,7 @@
 		m.goneAfter = f.graceUntil
 		return
 	}
-	delete(f.members, id)
-	f.index()
+	f.drop(m)
 }
 
 // Replace takes a complete listing: entries that it does not name are removed.
@@ -149,27 +153,32 @@
 	var gone []string
 	for id, m := range f.members {
 		if m.missing && !now.Before(m.goneAfter) {
-			delete(f.members, id)
+			f.drop(m)
 			gone = append(gone, id)
 		}
 	}
-	if len(gone) > 0 {
-		slices.Sort(gone)
-		f.index()
-	}
+	slices.Sort(gone)
 	return gone
 }
 
-func (f *Fleet) index() {
-	clear(f.byService)
-	for _, m := range f.members {
-		f.byService[m.Service] = append(f.byService[m.Service], m)
-	}
-	for _, list := range f.byService {
-		slices.SortFunc(list, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
+// add and drop keep the members and their order by service together.
+func (f *Fleet) add(m *Member) {
+	f.members[m.ID] = m
+	list := f.byService[m.Service]
+	i, _ := slices.BinarySearchFunc(list, m.ID, compareID)
+	f.byService[m.Service] = slices.Insert(list, i, m)
+}
+
+func (f *Fleet) drop(m *Member) {
+	delete(f.members, m.ID)
+	list := f.byService[m.Service]
+	if i, ok := slices.BinarySearchFunc(list, m.ID, compareID); ok {
+		f.byService[m.Service] = slices.Delete(list, i, i+1)
 	}
 }
 
+func compareID(m *Member, id string) int { return cmp.Compare(m.ID, id) }
+
 // Member returns the member with an id, or nil.
 func (f *Fleet) Member(id string) *Member { return f.members[id] }
 
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -142,3 +144,39 @@
 		t.Errorf("load %v after the half-life, want own 1 and half of 8", got)
 	}
 }
+
+// Guards against a choice among members that are gone, or listed under the
+// service of before.
+func TestMembersOfService(t *testing.T) {
+	f := New("a1", nil)
+	put := func(id, service string, born int64) {
+		f.Put(Upstream{ID: id, Service: service, Address: id + ":1", Born: born})
+	}
+	names := func(service string) string {
+		var ids []string
+		for _, m := range f.Members(service) {
+			ids = append(ids, m.ID)
+		}
+		return strings.Join(ids, " ")
+	}
+	for _, id := range []string{"c", "a", "b"} {
+		put(id, "llm", 1)
+	}
+	put("b", "app", 1) // another service
+	put("c", "llm", 2) // started anew
+	f.Remove("a", time.Time{})
+	if llm, app := names("llm"), names("app"); llm != "c" || app != "b" || f.Len() != 2 || f.Members("llm")[0].Born != 2 {
+		t.Errorf("llm %q, app %q, %d members", llm, app, f.Len())
+	}
+}
+
+// BenchmarkReplace lists all upstreams of the target size.
+func BenchmarkReplace(b *testing.B) {
+	var list []Upstream
+	for i := range 3000 {
+		list = append(list, Upstream{ID: fmt.Sprintf("u%04d", i), Service: fmt.Sprint("s", i%12), Address: fmt.Sprint(i)})
+	}
+	for b.Loop() {
+		New("a1", nil).Replace(list, time.Time{})
+	}
+}
