Start with what storage processes have kept when the store is away

Cause: entries have no disk.

Ruled out: a copy of the store's objects at the entries (no disk); the registrations of storage processes alone (no upstreams, no configuration).

Change: storage processes follow an entry's feed and keep what it tells in one file. After a start they offer it to seeds that know nothing; an entry takes it if the store failed it or said nothing for 250 ms, and the others ask the seeds every 200 ms until they know. The client of a feed moves to pkg/peerstate, for both.

TestRestartOfAllInOutage fails without the offer.

--- a/pkg/edge/feed.go
+++ b/pkg/edge/feed.go
@@ -5,9 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/klauspost/compress/s2"
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/peerstate"
@@ -15,16 +13,9 @@
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
 
-const (
-	// feedInterval is how often a feed shows that its sender lives.
-	feedInterval = 400 * time.Millisecond
-	// feedTimeout bounds the sending of one message: some round trips between
-	// regions and the transfer of a whole deployment.
-	feedTimeout = 3 * time.Second
-	// feedLog is the number of changes kept for feeds that are behind; a feed
-	// that is further behind starts anew.
-	feedLog = 8192
-)
+// feedLog is the number of changes kept for feeds that are behind; a feed that
+// is further behind starts anew.
+const feedLog = 8192
 
 // changedObject names an object that changed.
 type changedObject struct{ kind, name string }
@@ -65,7 +56,7 @@
 		if err != nil {
 			return err
 		}
-		if err := st.SetDeadline(time.Now().Add(feedTimeout)); err != nil {
+		if err := st.SetDeadline(time.Now().Add(peerstate.FeedTimeout)); err != nil {
 			return errors.Wrap(err, "set deadline")
 		}
 		if err := st.Send(&peerv1.Envelope{Body: &peerv1.Envelope_FeedUpdate{FeedUpdate: u}}); err != nil {
@@ -75,7 +66,7 @@
 			return nil
 		}
 		cursor, complete = next, false
-		timer := time.NewTimer(feedInterval)
+		timer := time.NewTimer(peerstate.FeedInterval)
 		select {
 		case <-ctx.Done():
 		case <-more:
@@ -112,12 +103,9 @@
 	} else {
 		v.addChanges(content, f.log[cursor-f.first:])
 	}
-	data, err := proto.Marshal(content)
-	if err != nil {
-		return nil, 0, nil, errors.Wrap(err, "encode feed")
-	}
-	u.Content = s2.Encode(nil, data)
-	return u, next, f.more, nil
+	var err error
+	u.Content, err = peerstate.Pack(content)
+	return u, next, f.more, err
 }
 
 // addChanges adds the present state of objects that changed.
@@ -147,47 +135,31 @@
 	}
 }
 
-// applyFeed takes over one message of a feed.
-func (v *view) applyFeed(u *peerv1.FeedUpdate, source string) error {
-	if len(u.GetContent()) == 0 {
-		return nil
-	}
-	data, err := s2.Decode(nil, u.GetContent())
-	if err != nil {
-		return errors.Wrap(err, "decompress feed")
-	}
-	content := &peerv1.FeedContent{}
-	if err := proto.Unmarshal(data, content); err != nil {
-		return errors.Wrap(err, "decode feed")
+// applyFeed takes over an update of a feed.
+func (v *view) applyFeed(u *peerstate.Update, source string) {
+	if u.Configuration != nil {
+		v.applyConfig(u.Configuration, source)
 	}
-	if len(content.GetConfiguration()) > 0 {
-		v.applyConfig(content.GetConfiguration(), source)
-	}
-	grace := time.Duration(u.GetGraceMs()) * time.Millisecond
-	if u.GetComplete() {
-		v.replaceUpstreams(peerstate.Objects(content.GetUpstreams()), grace)
+	if u.Complete {
+		v.replaceUpstreams(objects(u.Upstreams), u.Grace)
 	} else {
 		v.mu.Lock()
-		v.keepMissing(time.Now(), grace)
+		v.keepMissing(time.Now(), u.Grace)
 		v.mu.Unlock()
-		upstreamHandler{v}.Changed(feedChanges(content.GetUpstreams(), content.GetUpstreamsGone()))
+		upstreamHandler{v}.Changed(u.Upstreams)
 	}
-	nodeHandler{v}.Changed(feedChanges(content.GetNodes(), content.GetNodesGone()))
-	if u.GetComplete() {
+	nodeHandler{v}.Changed(u.Nodes)
+	if u.Complete {
 		v.noteNodes()
 	}
-	return nil
 }
 
-func feedChanges(put []*peerv1.StoredObject, gone []string) []platform.Change {
-	var list []platform.Change
-	for _, o := range peerstate.Objects(put) {
-		list = append(list, platform.Change{Object: o})
-	}
-	for _, name := range gone {
-		list = append(list, platform.Change{Object: platform.Object{Name: name}, Deleted: true})
+func objects(list []platform.Change) []platform.Object {
+	out := make([]platform.Object, 0, len(list))
+	for _, c := range list {
+		out = append(out, c.Object)
 	}
-	return list
+	return out
 }
 
 // checker is the part of storewatch.Group that a feed needs.
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -6,23 +6,12 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
-	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/peerstate"
 	"github.com/yuccaspindle/yuccaspindle/pkg/storewatch"
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
 
 const (
-	// feedMaxAge is how old a sender's last check may be. A change has to be in
-	// force within 3 s; this leaves time to go to another sender.
-	feedMaxAge = 1900 * time.Millisecond
-	// feedSilence is the silence after which a sender is given up: three
-	// messages.
-	feedSilence = 3 * feedInterval
-	// feedDialTimeout bounds the first message of a feed: some round trips
-	// between regions.
-	feedDialTimeout = 500 * time.Millisecond
 	// patience is the number of answers of the store, each after followPause,
 	// for which an entry waits for the others to watch it.
 	patience = 2
@@ -33,8 +22,6 @@
 	ownTime = 4 * time.Second
 )
 
-var errNotWatching = errors.New("the entry does not watch the store")
-
 // follows reports whether this entry follows others rather than the store.
 func (v *view) follows() bool { return !v.e.settings.IsSeed && len(v.e.settings.Seeds) > 0 }
 
@@ -128,7 +115,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if time.Since(began) > feedSilence {
+		if time.Since(began) > peerstate.FeedSilence {
 			followed = true
 			clear(failed) // the others may have come back meanwhile
 			v.e.logger.Info("feed lost", "peer", address, "err", err)
@@ -176,43 +163,12 @@
 
 // followOne follows an entry until it falls silent or knows nothing new.
 func (v *view) followOne(ctx context.Context, address string) error {
-	dialing, cancel := context.WithTimeout(ctx, feedDialTimeout)
-	defer cancel()
-	session, err := v.e.transport.Dial(dialing, address)
-	if err != nil {
-		return err
-	}
-	st, err := session.Open(dialing, &peerv1.Envelope{Body: &peerv1.Envelope_FeedRequest{FeedRequest: &peerv1.FeedRequest{}}})
-	if err != nil {
-		return err
-	}
-	defer st.Close()
-	defer context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Now()) })()
-	until := time.Now().Add(feedTimeout)
-	for {
-		if err := st.SetDeadline(until); err != nil {
-			return errors.Wrap(err, "set deadline")
-		}
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		m, err := st.Recv()
-		if err != nil {
-			return err
-		}
-		u := m.GetFeedUpdate()
-		age := time.Duration(u.GetAgeMs()) * time.Millisecond
-		if !u.GetWatching() || age > feedMaxAge {
-			return errors.Wrapf(errNotWatching, "last check %v ago", age)
-		}
-		if err := v.applyFeed(u, "peer "+address); err != nil {
-			return err
-		}
-		if u.GetComplete() {
+	return peerstate.Follow(ctx, v.e.transport, address, func(u *peerstate.Update) {
+		v.applyFeed(u, "peer "+address)
+		if u.Complete {
 			v.setFollowing(address)
 		}
-		until = time.Now().Add(min(feedSilence, feedMaxAge-age+feedInterval))
-	}
+	})
 }
 
 // setFollowing notes that a feed is received.
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -19,7 +19,9 @@
 	case *peerv1.Envelope_LedgerRequest:
 		err = st.Send(&peerv1.Envelope{Body: &peerv1.Envelope_LedgerReply{LedgerReply: e.answerPeer(ctx, m.LedgerRequest)}})
 	case *peerv1.Envelope_StateRequest:
-		err = st.Send(&peerv1.Envelope{Body: &peerv1.Envelope_StateReply{StateReply: e.view.state()}})
+		err = st.Send(&peerv1.Envelope{Body: &peerv1.Envelope_StateReply{StateReply: e.view.state(m.StateRequest.GetBrief())}})
+	case *peerv1.Envelope_StateReply:
+		e.view.offered(m.StateReply, "peer "+s.Addr())
 	case *peerv1.Envelope_FeedRequest:
 		err = e.view.serveFeed(ctx, st)
 	case *peerv1.Envelope_Quarantine:
--- a/pkg/edge/storage_test.go
+++ b/pkg/edge/storage_test.go
@@ -3,9 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net/http"
+	"path/filepath"
 	"testing"
+	"time"
 
+	"github.com/yuccaspindle/yuccaspindle/pkg/peerstate"
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
 
@@ -109,3 +113,60 @@
 		t.Error("the new process has not got the turn")
 	}
 }
+
+// Guards against a deployment that answers nothing after all its processes have
+// ended while the store is away.
+func TestRestartOfAllInOutage(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(history))
+	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 2) })
+	seeds := []string{"127.0.0.1", "127.0.0.2"}
+	var all, entries []*process
+	for i := range 3 {
+		s := d.settings(fmt.Sprintf("127.0.0.%d", 11+i))
+		s.DataDir, s.Seeds = t.TempDir(), seeds
+		all = append(all, d.storageWith(s))
+	}
+	start := func() {
+		entries = nil
+		for i, ip := range []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"} {
+			s := d.settings(ip)
+			s.IsSeed, s.FirstStart = i < 2, false
+			for _, seed := range seeds {
+				if seed != ip {
+					s.Seeds = append(s.Seeds, seed)
+				}
+			}
+			e, err := New(s, slog.New(slog.DiscardHandler))
+			if err != nil {
+				t.Fatal(err)
+			}
+			entries = append(entries, d.run(s, e, e.Run))
+		}
+	}
+	start()
+	for _, p := range entries {
+		p.ready(t, 1, 3)
+	}
+	for _, p := range all {
+		within(t, 5*time.Second, "the deployment is kept", func() bool {
+			kept, err := peerstate.LoadSnapshot(filepath.Join(p.settings.DataDir, "deployment"))
+			return err == nil && !kept.Empty() && len(kept.Nodes) == 6
+		})
+	}
+	d.store.SetDown(true)
+	for _, p := range append(entries, all...) {
+		p.stop()
+	}
+	for _, p := range all {
+		p.settings.FirstStart = false
+		d.storageWith(p.settings)
+	}
+	start()
+	for i, p := range entries {
+		within(t, 2*time.Second, "the entry is ready", p.edge.view.ready)
+		within(t, 2*time.Second, "a turn is served", func() bool {
+			return p.call(t, "POST", "/history/1", "hello", map[string]string{"Attempt-Id": fmt.Sprint("t", i)}).status == http.StatusOK
+		})
+	}
+}
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -26,6 +26,8 @@
 	// peerStateInterval is how often an entry without the store asks a peer for
 	// what that peer knows.
 	peerStateInterval = 500 * time.Millisecond
+	// peerStartInterval is the same while an entry knows nothing.
+	peerStartInterval = 200 * time.Millisecond
 	maxRelays         = 3
 	// startWait is how long a request waits for a starting entry to learn the
 	// deployment: some round trips between regions.
@@ -51,6 +53,9 @@
 	nodeSpecs  map[string][]byte
 	lost       map[string]bool // kinds of which nothing is heard
 	feed       feedState
+	started    time.Time
+	// storeFailed is set once a watch of the store was lost.
+	storeFailed bool
 
 	known     chan struct{} // closed once configuration, upstreams and nodes are known
 	knownOnce sync.Once
@@ -60,7 +65,7 @@
 	return &view{
 		e: e, upstreams: make(map[string][]byte),
 		nodes: make(map[string]platform.Node), nodeSpecs: make(map[string][]byte),
-		known: make(chan struct{}), feed: feedState{more: make(chan struct{})},
+		known: make(chan struct{}), started: time.Now(), feed: feedState{more: make(chan struct{})},
 		lost: map[string]bool{platform.KindConfig: true, platform.KindUpstreams: true, platform.KindNodes: true},
 	}
 }
@@ -141,6 +146,7 @@
 func (v *view) setLost(kind string, lost bool) {
 	v.mu.Lock()
 	v.lost[kind] = lost
+	v.storeFailed = v.storeFailed || lost
 	v.feed.ready = v.feed.ready || !v.lostAny()
 	v.mu.Unlock()
 }
@@ -274,13 +280,15 @@
 // askPeers keeps the view fresh through other entries while the store does not
 // answer this one.
 func (v *view) askPeers(ctx context.Context) {
-	t := time.NewTicker(peerStateInterval)
-	defer t.Stop()
 	for {
+		pause := peerStateInterval
+		if !v.isKnown() {
+			pause = peerStartInterval
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
+		case <-time.After(pause):
 		}
 		if v.live() || v.follows() && v.isKnown() {
 			continue
@@ -329,11 +337,32 @@
 	return nil
 }
 
+// offered takes over what a storage process has kept, if the store does not
+// tell this entry anything after its start.
+func (v *view) offered(reply *peerv1.StateReply, source string) {
+	v.mu.Lock()
+	early := !v.storeFailed && time.Since(v.started) < startWait/2
+	v.mu.Unlock()
+	if early || v.isKnown() || len(reply.GetConfiguration()) == 0 {
+		return
+	}
+	v.e.logger.Info("starting with what a storage process has kept", "source", source, "upstreams", len(reply.GetUpstreams()))
+	v.applyConfig(reply.GetConfiguration(), source)
+	v.replaceUpstreams(peerstate.Objects(reply.GetUpstreams()), 0)
+	for _, o := range peerstate.Objects(reply.GetNodes()) {
+		v.putNode(o)
+	}
+	v.noteNodes()
+}
+
 // state returns what this entry knows, for a peer without the store.
-func (v *view) state() *peerv1.StateReply {
+func (v *view) state(brief bool) *peerv1.StateReply {
 	live := v.live()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if brief {
+		return &peerv1.StateReply{Configuration: v.config, Live: live}
+	}
 	return &peerv1.StateReply{
 		Configuration: v.config, Upstreams: peerstate.Stored(v.upstreams), Nodes: peerstate.Stored(v.nodeSpecs), Live: live,
 	}
--- /dev/null
+++ b/pkg/peerstate/feed.go
@@ -0,0 +1,130 @@
+package peerstate
+
+import (
+	"context"
+	"time"
+
+	"github.com/klauspost/compress/s2"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+const (
+	// FeedInterval is how often a feed shows that its sender lives.
+	FeedInterval = 400 * time.Millisecond
+	// FeedTimeout bounds one message of a feed: some round trips between regions
+	// and the transfer of a whole deployment.
+	FeedTimeout = 3 * time.Second
+	// FeedSilence is the silence after which a sender is given up: three
+	// messages.
+	FeedSilence = 3 * FeedInterval
+	// feedMaxAge is how old a sender's last check may be. A change has to be in
+	// force within 3 s; this leaves time to go to another sender.
+	feedMaxAge = 1900 * time.Millisecond
+	// feedDialTimeout bounds the beginning of a feed: some round trips between
+	// regions.
+	feedDialTimeout = 500 * time.Millisecond
+)
+
+// ErrNotWatching ends the feed of an entry that does not watch the store, or
+// not well enough.
+var ErrNotWatching = errors.New("the entry does not watch the store")
+
+// Update is what a feed tells of the store.
+type Update struct {
+	Complete bool // the changes are all objects there are
+	// Grace is the time left, after the store was away, in which registrations
+	// may be missing that come back.
+	Grace         time.Duration
+	Configuration []byte // nil: unchanged
+	Upstreams     []platform.Change
+	Nodes         []platform.Change
+}
+
+// Pack compresses the content of a message.
+func Pack(content *peerv1.FeedContent) ([]byte, error) {
+	data, err := proto.Marshal(content)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode feed")
+	}
+	return s2.Encode(nil, data), nil
+}
+
+// unpack returns nil for a message without content.
+func unpack(u *peerv1.FeedUpdate) (*Update, error) {
+	if len(u.GetContent()) == 0 {
+		return nil, nil
+	}
+	data, err := s2.Decode(nil, u.GetContent())
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress feed")
+	}
+	content := &peerv1.FeedContent{}
+	if err := proto.Unmarshal(data, content); err != nil {
+		return nil, errors.Wrap(err, "decode feed")
+	}
+	return &Update{
+		Complete: u.GetComplete(), Grace: time.Duration(u.GetGraceMs()) * time.Millisecond,
+		Configuration: content.GetConfiguration(),
+		Upstreams:     changes(content.GetUpstreams(), content.GetUpstreamsGone()),
+		Nodes:         changes(content.GetNodes(), content.GetNodesGone()),
+	}, nil
+}
+
+func changes(put []*peerv1.StoredObject, gone []string) []platform.Change {
+	var list []platform.Change
+	for _, o := range Objects(put) {
+		list = append(list, platform.Change{Object: o})
+	}
+	for _, name := range gone {
+		list = append(list, platform.Change{Object: platform.Object{Name: name}, Deleted: true})
+	}
+	return list
+}
+
+// Follow receives the feed of the entry at an address and hands its updates on,
+// until the context ends, the entry falls silent or does not know what is new.
+func Follow(ctx context.Context, t *transport.Transport, address string, take func(*Update)) error {
+	dialing, cancel := context.WithTimeout(ctx, feedDialTimeout)
+	defer cancel()
+	session, err := t.Dial(dialing, address)
+	if err != nil {
+		return err
+	}
+	st, err := session.Open(dialing, &peerv1.Envelope{Body: &peerv1.Envelope_FeedRequest{FeedRequest: &peerv1.FeedRequest{}}})
+	if err != nil {
+		return err
+	}
+	defer st.Close()
+	defer context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Now()) })()
+	until := time.Now().Add(FeedTimeout)
+	for {
+		if err := st.SetDeadline(until); err != nil {
+			return errors.Wrap(err, "set deadline")
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		m, err := st.Recv()
+		if err != nil {
+			return err
+		}
+		u := m.GetFeedUpdate()
+		age := time.Duration(u.GetAgeMs()) * time.Millisecond
+		if !u.GetWatching() || age > feedMaxAge {
+			return errors.Wrapf(ErrNotWatching, "feed of %s, last check %v ago", address, age)
+		}
+		update, err := unpack(u)
+		if err != nil {
+			return err
+		}
+		if update != nil {
+			take(update)
+		}
+		until = time.Now().Add(min(FeedSilence, feedMaxAge-age+FeedInterval))
+	}
+}
--- a/pkg/peerstate/peerstate.go
+++ b/pkg/peerstate/peerstate.go
@@ -16,15 +16,40 @@
 // timeout bounds one question: some round trips between regions.
 const timeout = 400 * time.Millisecond
 
-// Fetch asks the entry at an address.
+// Fetch asks the entry at an address for all it knows.
 func Fetch(ctx context.Context, t *transport.Transport, address string) (*peerv1.StateReply, error) {
+	return fetch(ctx, t, address, &peerv1.StateRequest{})
+}
+
+// Knows asks the entry at an address whether it knows a configuration.
+func Knows(ctx context.Context, t *transport.Transport, address string) (bool, error) {
+	reply, err := fetch(ctx, t, address, &peerv1.StateRequest{Brief: true})
+	return len(reply.GetConfiguration()) > 0, err
+}
+
+// Offer sends what this process knows to the entry at an address.
+func Offer(ctx context.Context, t *transport.Transport, address string, s *Snapshot) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	session, err := t.Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	st, err := session.Open(ctx, &peerv1.Envelope{Body: &peerv1.Envelope_StateReply{StateReply: s.Reply()}})
+	if err != nil {
+		return err
+	}
+	return st.Close()
+}
+
+func fetch(ctx context.Context, t *transport.Transport, address string, req *peerv1.StateRequest) (*peerv1.StateReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	s, err := t.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	st, err := s.Open(ctx, &peerv1.Envelope{Body: &peerv1.Envelope_StateRequest{StateRequest: &peerv1.StateRequest{}}})
+	st, err := s.Open(ctx, &peerv1.Envelope{Body: &peerv1.Envelope_StateRequest{StateRequest: req}})
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/pkg/storage/keep.go
@@ -0,0 +1,118 @@
+package storage
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"path/filepath"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/peerstate"
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+const (
+	// keptFile holds what the platform's store held, in the data folder.
+	keptFile = "deployment"
+	// keepInterval is how often changes are written; each costs a sync.
+	keepInterval = time.Second
+	// followPause is the pause before another entry is followed.
+	followPause = time.Second
+	// offerInterval and offerTime say how often and how long after a start
+	// entries are offered what was kept. Later they have it from each other.
+	offerInterval = 150 * time.Millisecond
+	offerTime     = 10 * time.Second
+)
+
+func keptPath(s *platform.Settings) string { return filepath.Join(s.DataDir, keptFile) }
+
+// loadKept returns what was kept before the start. Without it entries wait for
+// the store, so an unreadable file is no reason to fail.
+func loadKept(settings *platform.Settings, logger *slog.Logger) *peerstate.Snapshot {
+	kept, err := peerstate.LoadSnapshot(keptPath(settings))
+	if err != nil {
+		logger.Warn("kept deployment not read", "err", err)
+		return peerstate.NewSnapshot()
+	}
+	return kept
+}
+
+// keep follows an entry and keeps on disk what the store holds: entries have no
+// disk, and the store may be away when all of them start.
+func (s *Storage) keep(ctx context.Context) {
+	updates := make(chan *peerstate.Update)
+	go s.followEntries(ctx, updates)
+	kept := peerstate.NewSnapshot()
+	t := time.NewTicker(keepInterval)
+	defer t.Stop()
+	changed := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case u := <-updates:
+			kept.Apply(u)
+			changed = true
+		case <-t.C:
+			if !changed || kept.Empty() {
+				continue
+			}
+			if err := kept.Save(keptPath(s.settings)); err != nil {
+				s.logger.Warn("deployment not kept", "err", err)
+				continue
+			}
+			changed = false
+		}
+	}
+}
+
+func (s *Storage) followEntries(ctx context.Context, updates chan<- *peerstate.Update) {
+	take := func(u *peerstate.Update) {
+		select {
+		case updates <- u:
+		case <-ctx.Done():
+		}
+	}
+	for i := rand.IntN(len(s.settings.Seeds) + 1); ctx.Err() == nil && len(s.settings.Seeds) > 0; i++ {
+		address := s.settings.PeerAddressOf(s.settings.Seeds[i%len(s.settings.Seeds)])
+		err := peerstate.Follow(ctx, s.transport, address, take)
+		if ctx.Err() == nil {
+			s.logger.Debug("feed ended", "peer", address, "err", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(followPause):
+		}
+	}
+}
+
+// offer gives entries that know nothing what was kept before the start.
+func (s *Storage) offer(ctx context.Context) {
+	s.logger.Info("kept deployment", "upstreams", len(s.kept.Upstreams), "nodes", len(s.kept.Nodes))
+	if s.kept.Empty() {
+		return
+	}
+	waiting := make(map[string]bool)
+	for _, ip := range s.settings.Seeds {
+		waiting[s.settings.PeerAddressOf(ip)] = true
+	}
+	for end := time.Now().Add(offerTime); len(waiting) > 0 && time.Now().Before(end); {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(offerInterval/2 + rand.N(offerInterval)):
+		}
+		for address := range waiting {
+			knows, err := peerstate.Knows(ctx, s.transport, address)
+			if err == nil && !knows {
+				err = peerstate.Offer(ctx, s.transport, address, s.kept)
+			}
+			if err != nil {
+				s.logger.Debug("kept deployment not offered", "peer", address, "err", err)
+			}
+			if knows {
+				delete(waiting, address)
+			}
+		}
+	}
+}
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -13,6 +13,7 @@
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
+	"github.com/yuccaspindle/yuccaspindle/pkg/peerstate"
 	"github.com/yuccaspindle/yuccaspindle/pkg/storewatch"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 	"github.com/yuccaspindle/yuccaspindle/platform"
@@ -33,6 +34,8 @@
 	ledger    *ledger.Store
 	transport *transport.Transport
 	members   *members
+	// kept is what the store held when this process was last told.
+	kept *peerstate.Snapshot
 }
 
 // New opens the ledger in the data folder of the settings.
@@ -41,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Storage{settings: settings, logger: logger, ledger: l}
+	s := &Storage{settings: settings, logger: logger, ledger: l, kept: loadKept(settings, logger)}
 	s.store.Store(platform.NewStore(settings.StoreAddress))
 	s.members = newMembers(settings, logger)
 	s.transport, err = transport.New(transport.Config{
@@ -87,6 +90,8 @@
 	group.Add(platform.KindRetirements, &retirementHandler{s: s})
 	background(group.Run)
 	background(s.askPeers)
+	background(s.keep)
+	background(s.offer)
 	background(s.join)
 	err := g.Wait()
 	s.logger.Info("stopping")
