Let a retiring member hand its records to members that have just joined

Cause: a member that retires gave its records to the members of which its watch had told it. One that had registered a moment before got none, so records that only these two held were on one disk less than promised once the retirement was completed.

Ruled out: the edge (it wrote to a majority each time).

Change: the retiring member lists the registrations before it hands over.

--- a/pkg/storage/retire.go
+++ b/pkg/storage/retire.go
@@ -68,7 +68,30 @@
 	}
 }
 
+// empty hands the records over, leaves the ledger and reports that.
 func (s *Storage) empty(ctx context.Context) error {
+	if err := s.handOver(ctx); err != nil {
+		return err
+	}
+	own, _ := s.members.own()
+	own.Active, own.Removed = false, true
+	if err := platform.Register(ctx, s.store.Load(), s.settings.Node, own); err != nil {
+		return err
+	}
+	return s.store.Load().SetRetirement(ctx, s.settings.Node, true)
+}
+
+// handOver gives all other members the records that they lack.
+func (s *Storage) handOver(ctx context.Context) error {
+	// The watch may be behind, and a member that has just joined needs the
+	// records too.
+	registered, _, err := s.store.Load().List(ctx, platform.KindNodes)
+	if err != nil {
+		return err
+	}
+	for _, o := range registered {
+		s.members.put(o)
+	}
 	others, known := s.members.others()
 	if !known || len(others) == 0 {
 		return errors.New("no other storage process is known")
@@ -79,12 +102,7 @@
 			return errors.Wrapf(err, "hand records to %s", n.Name)
 		}
 	}
-	own, _ := s.members.own()
-	own.Active, own.Removed = false, true
-	if err := platform.Register(ctx, s.store.Load(), s.settings.Node, own); err != nil {
-		return err
-	}
-	return s.store.Load().SetRetirement(ctx, s.settings.Node, true)
+	return nil
 }
 
 // pushBatch is the number of records in one write to another member.
