--- a/pkg/edge/harness_test.go
+++ b/pkg/edge/harness_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
+	"github.com/yuccaspindle/yuccaspindle/pkg/standin/loopback"
 	"github.com/yuccaspindle/yuccaspindle/pkg/standin/platformstore"
 	"github.com/yuccaspindle/yuccaspindle/pkg/storage"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
@@ -35,6 +36,9 @@
 	routes   []map[string]any
 }
 
+// instances is the number of addresses that tests use.
+const instances = 20
+
 // process is one running process.
 type process struct {
 	settings *platform.Settings
@@ -48,24 +52,23 @@
 	store := platformstore.New()
 	srv := httptest.NewServer(store)
 	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
-	d := &deployment{t: t, store: store, storeURL: strings.TrimPrefix(srv.URL, "http://"), port: freePort(t)}
+	d := &deployment{t: t, store: store, storeURL: strings.TrimPrefix(srv.URL, "http://"), port: freePort(t, loopback.Addresses("127.0.0.", 1, instances)...)}
 	return d
 }
 
-func freePort(t *testing.T) int {
+func freePort(t *testing.T, ips ...string) int {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := loopback.FreePort(ips...)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().(*net.TCPAddr).Port
+	return port
 }
 
 func (d *deployment) settings(ip string) *platform.Settings {
 	return &platform.Settings{
 		Node: "node-" + ip, IP: ip, FailureDomain: "a1", Region: "a", RegionOf: map[string]string{"a1": "a"},
-		CallerListen: net.JoinHostPort(ip, strconv.Itoa(freePort(d.t))), ReadyListen: net.JoinHostPort(ip, strconv.Itoa(freePort(d.t))),
+		CallerListen: net.JoinHostPort(ip, strconv.Itoa(freePort(d.t, ip))), ReadyListen: net.JoinHostPort(ip, strconv.Itoa(freePort(d.t, ip))),
 		MetricsListen: ip + ":0", PeerPort: d.port, FirstStart: true, StopGrace: time.Second, DisksToLose: 1, StoreAddress: d.storeURL,
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,6 +20,7 @@
 	"testing"
 	"time"
 
+	"github.com/yuccaspindle/yuccaspindle/pkg/standin/loopback"
 	"github.com/yuccaspindle/yuccaspindle/pkg/standin/platformstore"
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
@@ -30,6 +31,7 @@
 	callersPerEdge  = 2
 	// defaultSeconds is the length of the time with faults in CI.
 	defaultSeconds = 8
+	maxProcesses   = 200             // of one run
 	settleTime     = 4 * time.Second // quiet time before the last checks
 )
 
@@ -72,21 +74,21 @@
 	subnet   uint32 // third byte of the processes' addresses
 }
 
-func freePort(t *testing.T) int {
+func freePort(t *testing.T, ips ...string) int {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := loopback.FreePort(ips...)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().(*net.TCPAddr).Port
+	return port
 }
 
 func newSoak(t *testing.T, bin string, seed uint64) *soak {
 	s := &soak{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), bin: bin, store: platformstore.New(),
-		port: freePort(t), runs: newLedgerOfRuns(), version: 1, subnet: 1 + runsStarted.Add(1)%250,
+		runs: newLedgerOfRuns(), version: 1, subnet: 1 + runsStarted.Add(1)%250,
 	}
+	s.port = freePort(t, loopback.Addresses(s.network(), 1, maxProcesses)...)
 	srv := httptest.NewServer(s.store)
 	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
 	s.storeURL = newProxy(t, strings.TrimPrefix(srv.URL, "http://"))
@@ -113,7 +115,10 @@
 }
 
 // address returns the address of one process.
-func (s *soak) address(n int) string { return fmt.Sprintf("127.0.%d.%d", s.subnet, n) }
+func (s *soak) address(n int) string { return fmt.Sprintf("%s%d", s.network(), n) }
+
+// network returns the part that the addresses of this run share.
+func (s *soak) network() string { return fmt.Sprintf("127.0.%d.", s.subnet) }
 
 // register writes an upstream's entry in the store.
 func (s *soak) register(u *upstream, state string) {
@@ -125,8 +130,8 @@
 
 func (s *soak) newProcess(role, ip string) *process {
 	p := &process{t: s.t, role: role, ip: ip, dir: filepath.Join(s.t.TempDir(), "data")}
-	p.caller = net.JoinHostPort(ip, strconv.Itoa(freePort(s.t)))
-	p.ready = net.JoinHostPort(ip, strconv.Itoa(freePort(s.t)))
+	p.caller = net.JoinHostPort(ip, strconv.Itoa(freePort(s.t, ip)))
+	p.ready = net.JoinHostPort(ip, strconv.Itoa(freePort(s.t, ip)))
 	p.settings = filepath.Join(s.t.TempDir(), "settings.json")
 	p.write(s, true)
 	s.t.Cleanup(func() { p.kill(syscall.SIGKILL) })
