--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -114,21 +114,11 @@
 func (s *suspects) tellOne(ctx context.Context, address string, news []quarantine.Entry) error {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	session, err := s.e.transport.Dial(ctx, address)
-	if err != nil {
-		return err
+	list := make([]*peerv1.Envelope, 0, len(news))
+	for _, e := range news {
+		list = append(list, quarantineMessage(e))
 	}
-	st, err := session.Open(ctx, quarantineMessage(news[0]))
-	if err != nil {
-		return err
-	}
-	defer st.Close()
-	for _, e := range news[1:] {
-		if err := st.Send(quarantineMessage(e)); err != nil {
-			return err
-		}
-	}
-	return nil
+	return s.e.transport.Tell(ctx, address, list[0], list[1:]...)
 }
 
 // heard takes over what another entry found. It reads the stream to its end.
--- a/pkg/ledger/client.go
+++ b/pkg/ledger/client.go
@@ -232,27 +232,8 @@
 // Call sends one request to an address on a stream of its own and returns the
 // reply. A session on which none comes in time is probed.
 func Call(ctx context.Context, t *transport.Transport, address string, req *peerv1.LedgerRequest) (*peerv1.LedgerReply, error) {
-	s, err := t.Dial(ctx, address)
+	m, err := t.Ask(ctx, address, &peerv1.Envelope{Body: &peerv1.Envelope_LedgerRequest{LedgerRequest: req}})
 	if err != nil {
-		return nil, err
-	}
-	st, err := s.Open(ctx, &peerv1.Envelope{Body: &peerv1.Envelope_LedgerRequest{LedgerRequest: req}})
-	if err != nil {
-		return nil, err
-	}
-	defer st.Close()
-	if d, ok := ctx.Deadline(); ok {
-		if err := st.SetDeadline(d); err != nil {
-			return nil, errors.Wrap(err, "set deadline")
-		}
-	}
-	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	m, err := st.Recv()
-	if err != nil {
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			go s.Probe(probeTimeout)
-		}
 		return nil, errors.Wrapf(err, "ledger request to %s", address)
 	}
 	r := m.GetLedgerReply()
--- a/pkg/ledger/link.go
+++ b/pkg/ledger/link.go
@@ -118,9 +118,6 @@
 	// probeAfter is the time without a reply after which a session is probed:
 	// some round trips between regions and a sync of a slow disk.
 	probeAfter = 250 * time.Millisecond
-	// probeTimeout bounds the answer to a ping; a process that is short of
-	// processor time answers late.
-	probeTimeout = 400 * time.Millisecond
 	// openTimeout bounds the making of a connection: three round trips between
 	// regions and a lost packet.
 	openTimeout = 600 * time.Millisecond
@@ -135,7 +132,7 @@
 	}
 	k.probing = true
 	go func() {
-		k.session.Probe(probeTimeout)
+		k.session.Probe(transport.ProbeTimeout)
 		k.mu.Lock()
 		k.probing = false
 		k.mu.Unlock()
--- a/pkg/peerstate/peerstate.go
+++ b/pkg/peerstate/peerstate.go
@@ -31,35 +31,13 @@
 func Offer(ctx context.Context, t *transport.Transport, address string, s *Snapshot) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	session, err := t.Dial(ctx, address)
-	if err != nil {
-		return err
-	}
-	st, err := session.Open(ctx, &peerv1.Envelope{Body: &peerv1.Envelope_StateReply{StateReply: s.Reply()}})
-	if err != nil {
-		return err
-	}
-	return st.Close()
+	return t.Tell(ctx, address, &peerv1.Envelope{Body: &peerv1.Envelope_StateReply{StateReply: s.Reply()}})
 }
 
 func fetch(ctx context.Context, t *transport.Transport, address string, req *peerv1.StateRequest) (*peerv1.StateReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	s, err := t.Dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	st, err := s.Open(ctx, &peerv1.Envelope{Body: &peerv1.Envelope_StateRequest{StateRequest: req}})
-	if err != nil {
-		return nil, err
-	}
-	defer st.Close()
-	if d, ok := ctx.Deadline(); ok {
-		if err := st.SetDeadline(d); err != nil {
-			return nil, errors.Wrap(err, "set deadline")
-		}
-	}
-	m, err := st.Recv()
+	m, err := t.Ask(ctx, address, &peerv1.Envelope{Body: &peerv1.Envelope_StateRequest{StateRequest: req}})
 	if err != nil {
 		return nil, err
 	}
