Show what a running edge believes

Cause: operators saw the beliefs of an edge only through its log lines.

Ruled out: a port of its own; the metrics port is there already.

Change: /status beside the metrics, and `yuccaspindled status ADDRESS`: configuration, where changes are heard, storage processes, upstreams with load and why one is out, requests under suspicion.

Conclusion: explain and check are joined by status; programs and history lag are not shown yet.

--- a/cmd/yuccaspindled/main.go
+++ b/cmd/yuccaspindled/main.go
@@ -50,6 +50,12 @@
 				ArgsUsage: "REQUEST-ID FILE...",
 				Action:    explainRequest,
 			},
+			{
+				Name:      "status",
+				Usage:     "print what a running entry believes: configuration, upstreams and why one is out, suspects",
+				ArgsUsage: "METRICS-ADDRESS",
+				Action:    printStatus,
+			},
 			{
 				Name:      "check",
 				Usage:     "check a settings file and print what it says",
--- /dev/null
+++ b/cmd/yuccaspindled/status.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/edge"
+)
+
+// statusTimeout bounds the question to an entry.
+const statusTimeout = 5 * time.Second
+
+// printStatus prints what the entry with a metrics address believes.
+func printStatus(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() != 1 {
+		return cli.Exit("usage: yuccaspindled status METRICS-ADDRESS", 2)
+	}
+	s, err := fetchStatus(ctx, cmd.Args().First())
+	if err != nil {
+		return cli.Exit(err, 1)
+	}
+	return writeStatus(cmd.Root().Writer, s)
+}
+
+func fetchStatus(ctx context.Context, address string) (*edge.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+edge.StatusPath, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "status")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "status")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("status of %s: %s", address, resp.Status)
+	}
+	s := &edge.Status{}
+	return s, errors.Wrapf(json.NewDecoder(resp.Body).Decode(s), "status of %s", address)
+}
+
+func writeStatus(w io.Writer, s *edge.Status) error {
+	source := "follows another entry"
+	if s.WatchesStore {
+		source = fmt.Sprintf("watches the store, sure of %v ago", s.CheckedAgo.Round(time.Millisecond))
+	}
+	if !s.Live {
+		source = "hears of no changes"
+	}
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(tw, "node\t%s in %s, draining %v\n", s.Node, s.FailureDomain, s.Draining)
+	fmt.Fprintf(tw, "configuration\t%d, %s\n", s.Configuration, source)
+	fmt.Fprintf(tw, "entries\t%d\nstorage\t%v\n\n", s.Entries, s.Storage)
+	fmt.Fprintln(tw, "UPSTREAM\tSERVICE\tADDRESS\tDOMAIN\tIN FLIGHT\tLOAD\tSLOTS\tFAILURES\tOUT")
+	for _, u := range s.Upstreams {
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%d\t%.1f\t%d\t%.2f\t%s\n",
+			u.ID, u.Service, u.Address, u.FailureDomain, u.InFlight, u.Load, u.Slots, u.FailureRate, u.Out)
+	}
+	for _, q := range s.Suspects {
+		fmt.Fprintf(tw, "request %x\tcrashed with %s, %d times, until %s\n", q.Fingerprint, q.Upstream, q.Count, q.Until.Format(time.RFC3339))
+	}
+	return errors.Wrap(tw.Flush(), "write status")
+}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -41,6 +41,7 @@
 	ready.HandleFunc("GET "+platform.ReadinessPath, e.serveReadiness)
 	admin := http.NewServeMux()
 	admin.HandleFunc("GET "+platform.MetricsPath, e.metrics.serve)
+	admin.HandleFunc("GET "+StatusPath, e.serveStatus)
 	servers := []struct {
 		address string
 		server  *http.Server
--- /dev/null
+++ b/pkg/edge/status_test.go
@@ -0,0 +1,30 @@
+package edge
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+// Guards against a status that hides why an upstream is out.
+func TestStatus(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(safeRoute))
+	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
+	d.register("u2", "app", "127.0.0.1:1", "draining")
+	p := d.edge("127.0.0.1")
+	p.ready(t, 2, 0)
+	rec := httptest.NewRecorder()
+	p.edge.serveStatus(rec, nil)
+	var s Status
+	if err := json.Unmarshal(rec.Body.Bytes(), &s); err != nil {
+		t.Fatal(err)
+	}
+	if int(s.Configuration) != d.version || !s.Live || !s.WatchesStore || len(s.Upstreams) != 2 {
+		t.Fatalf("%+v", s)
+	}
+	if a, b := s.Upstreams[0], s.Upstreams[1]; a.ID != "u1" || a.Out != "" || b.ID != "u2" || b.Out != "draining" {
+		t.Errorf("upstreams %+v", s.Upstreams)
+	}
+}
--- /dev/null
+++ b/pkg/fleet/health.go
@@ -0,0 +1,48 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Health is what a process believes of one upstream.
+type Health struct {
+	ID            string        `json:"id"`
+	Service       string        `json:"service"`
+	Address       string        `json:"address"`
+	FailureDomain string        `json:"failure_domain"`
+	InFlight      int           `json:"in_flight"` // attempts of this process
+	Load          float64       `json:"load"`      // requests there, estimated
+	Slots         int           `json:"slots"`
+	FailureRate   float64       `json:"failure_rate"`
+	SuspendedFor  time.Duration `json:"suspended_for_ns"` // 0: not suspended
+	// Out says why the upstream takes no attempts; empty if it does.
+	Out string `json:"out,omitempty"`
+}
+
+// Health returns what is believed of all members, by service and id.
+func (f *Fleet) Health(now time.Time) []Health {
+	var list []Health
+	for _, service := range slices.Sorted(maps.Keys(f.byService)) {
+		for _, m := range f.byService[service] {
+			list = append(list, f.health(m, now))
+		}
+	}
+	return list
+}
+
+func (f *Fleet) health(m *Member, now time.Time) Health {
+	h := Health{
+		ID: m.ID, Service: m.Service, Address: m.Address, FailureDomain: m.FailureDomain,
+		InFlight: m.inFlight, Load: f.load(m, now), Slots: m.Slots, FailureRate: m.failureRate,
+	}
+	switch {
+	case m.State == Draining:
+		h.Out = "draining"
+	case m.Suspended(now):
+		h.SuspendedFor = m.suspendedUntil.Sub(now)
+		h.Out = "suspended after failures"
+	}
+	return h
+}
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -111,5 +111,8 @@
 	return t.list.Quarantined(fingerprint)
 }
 
+// Entries returns what is suspected, in order of fingerprint.
+func (t *Tracker) Entries() []quarantine.Entry { return t.list.Entries() }
+
 // Clean reports whether nothing is suspected.
 func (t *Tracker) Clean() bool { return t.list.NextExpiry().IsZero() }
