--- /dev/null
+++ b/cmd/yuccaspindled/status_test.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/core/quarantine"
+	"github.com/yuccaspindle/yuccaspindle/pkg/edge"
+	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
+)
+
+// Guards against a status that loses on its way to the operator why an upstream
+// is out, or where an entry hears of changes.
+func TestStatusCommand(t *testing.T) {
+	sent := edge.Status{
+		Node: "edge-1", Configuration: 22, Live: true, WatchesStore: true, CheckedAgo: 700 * time.Millisecond,
+		Upstreams: []fleet.Health{{ID: "u1", Service: "app", Load: 2.5, Slots: 6, Out: "suspended after failures"}},
+		Suspects:  []quarantine.Entry{{Fingerprint: 0xabc, Upstream: "u1", Count: 2}},
+	}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != edge.StatusPath {
+			http.NotFound(w, r)
+			return
+		}
+		if err := json.NewEncoder(w).Encode(sent); err != nil {
+			t.Error(err)
+		}
+	}))
+	defer srv.Close()
+	s, err := fetchStatus(t.Context(), strings.TrimPrefix(srv.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	if err := writeStatus(&out, s); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"edge-1", "22, watches the store, sure of 700ms ago", "suspended after failures", "2.5", "request abc", "2 times"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is missing in:\n%s", want, out.String())
+		}
+	}
+}
