Refuse a change of slot_count while a configuration is in force

Programs belong to slots by their hash, so they would get another slot and another owner.

Ruled out: moving programs to their new slots; a flag to force it, since deleting the object after a stop does that already and keeps versions growing.

Change: Apply returns a SlotCountError, the command exits as for an invalid configuration. TestSlotCountIsFixed fails without the change (version 2 is made) and passes with it.

--- a/pkg/cli/configcmd/configcmd.go
+++ b/pkg/cli/configcmd/configcmd.go
@@ -106,10 +106,11 @@
 	}
 	code := ExitFailed
 	var conflict *config.ConflictError
+	var slots *config.SlotCountError
 	switch {
 	case errors.As(err, &conflict):
 		code = ExitConflict
-	case len(config.Errors(err)) > 0:
+	case len(config.Errors(err)) > 0, errors.As(err, &slots):
 		code = ExitInvalid
 	case errors.Is(err, objectapi.ErrUnavailable), errors.Is(err, objectapi.ErrRateLimited),
 		errors.Is(err, context.DeadlineExceeded):
--- a/pkg/config/store.go
+++ b/pkg/config/store.go
@@ -63,6 +63,19 @@
 		e.Base, e.Other.Version, e.Other.Who, e.Other.At.Format(time.RFC3339), e.Other.Why)
 }
 
+// SlotCountError refuses a change of slot_count: programs belong to slots by
+// their hash, so a program in progress would get another slot, and with it
+// another owner.
+type SlotCountError struct {
+	InForce, Wanted int
+}
+
+// Error implements error.
+func (e *SlotCountError) Error() string {
+	return fmt.Sprintf("config: slot_count is %d and can not become %d while a configuration is in force; stop all entries, delete %s and apply anew",
+		e.InForce, e.Wanted, ObjectKey)
+}
+
 // Store keeps the versions of the shared configuration in the object store.
 type Store struct {
 	// Now returns the time recorded with a change.
@@ -145,7 +158,8 @@
 	if who == "" || why == "" {
 		return Versioned{}, errors.New("config: apply: who and why must be given")
 	}
-	if _, err := ParseShared("config", text); err != nil {
+	cfg, err := ParseShared("config", text)
+	if err != nil {
 		return Versioned{}, err
 	}
 	cur, object, err := s.current(ctx)
@@ -155,6 +169,9 @@
 	if cur.Version != base {
 		return conflict(base, cur, text, who, why)
 	}
+	if err := sameSlots(cur, cfg); err != nil {
+		return Versioned{}, err
+	}
 	if cur.Version > 0 {
 		// The writer of the version in force may have died before it wrote
 		// the history.
@@ -211,6 +228,19 @@
 	return next, nil
 }
 
+// sameSlots compares a new configuration with the version in force. A version
+// in force that can not be read must not keep an operator from repairing it.
+func sameSlots(cur Versioned, next core.Config) error {
+	if cur.Version == 0 {
+		return nil
+	}
+	old, err := ParseShared("config", cur.Text)
+	if err == nil && old.SlotCount != next.SlotCount {
+		return &SlotCountError{InForce: old.SlotCount, Wanted: next.SlotCount}
+	}
+	return nil
+}
+
 // conflict answers a change whose base is not in force, unless the change
 // itself made the version that is.
 func conflict(base uint64, cur Versioned, text []byte, who, why string) (Versioned, error) {
--- a/pkg/config/store_test.go
+++ b/pkg/config/store_test.go
@@ -191,3 +191,30 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/float64(len(ds)), "µs/process")
 }
+
+// Guards against a change of slot_count, after which programs in progress would
+// belong to other slots and their owners.
+func TestSlotCountIsFixed(t *testing.T) {
+	mem, s := newStore()
+	text := func(slots int) []byte {
+		return []byte(strings.Replace(sampleShared, "[cluster]", fmt.Sprintf("[cluster]\nslot_count = %d", slots), 1))
+	}
+	if _, err := s.Apply(t.Context(), 0, text(64), "asha", "first"); err != nil {
+		t.Fatal(err)
+	}
+	_, err := s.Apply(t.Context(), 1, text(128), "asha", "more slots")
+	var fixed *SlotCountError
+	if !errors.As(err, &fixed) || fixed.InForce != 64 || fixed.Wanted != 128 {
+		t.Errorf("changed under running programs: %v", err)
+	}
+	if v, err := s.Current(t.Context()); err != nil || v.Version != 1 {
+		t.Errorf("version %d, %v", v.Version, err)
+	}
+	// With everything stopped and the configuration deleted it may change.
+	if err := mem.Delete(t.Context(), ObjectKey); err != nil {
+		t.Fatal(err)
+	}
+	if v, err := NewStore(mem).Apply(t.Context(), 0, text(128), "asha", "more slots"); err != nil || v.Version != 2 {
+		t.Errorf("after a stop: version %d, %v", v.Version, err)
+	}
+}
