Wait in the test of the status until all kinds are listed

The test waited for these two kinds; the entry is live only once the registrations are listed too, which the printed status shows to be missing.

Ruled out: a status that is wrong; it told what was so at that moment.

Change: the test waits for the third kind. Its checks are the same.

--- a/pkg/edge/status_test.go
+++ b/pkg/edge/status_test.go
@@ -15,6 +15,7 @@
 	d.register("u2", "app", "127.0.0.1:1", "draining")
 	p := d.edge("127.0.0.1")
 	p.ready(t, 2, 0)
+	within(t, changeBound, "all kinds are listed", p.edge.view.live)
 	rec := httptest.NewRecorder()
 	p.edge.serveStatus(rec, nil)
 	var s Status
