Give each run of the soak addresses of its own across test processes

The port of the metrics is fixed, so the entries of the second one ended with "listen on 127.0.2.1:9464: address already in use" and the soak failed with "edge 127.0.2.1 is not ready".

Ruled out: the daemon; it ends with that error as it should.

Change: the second byte of the addresses comes from the process id.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -118,8 +118,10 @@
 // address returns the address of one process.
 func (s *soak) address(n int) string { return fmt.Sprintf("%s%d", s.network(), n) }
 
-// network returns the part that the addresses of this run share.
-func (s *soak) network() string { return fmt.Sprintf("127.0.%d.", s.subnet) }
+// network returns the part that the addresses of this run share. Its second byte
+// differs between test processes, which may run beside each other: the port of
+// the metrics is the same everywhere.
+func (s *soak) network() string { return fmt.Sprintf("127.%d.%d.", 1+os.Getpid()%250, s.subnet) }
 
 // register writes an upstream's entry in the store.
 func (s *soak) register(u *upstream, state string) {
