--- a/pkg/standin/loopback/loopback.go
+++ b/pkg/standin/loopback/loopback.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -20,10 +21,16 @@
 	tries = 200
 )
 
+// next counts up from a place drawn by lot, so that no port is given twice by
+// one process: it may be in use only later.
+var next atomic.Uint32
+
+func init() { next.Store(rand.Uint32N(lastPort - firstPort)) }
+
 // FreePort returns a port on which nothing listens at any of the addresses.
 func FreePort(ips ...string) (int, error) {
 	for range tries {
-		port := firstPort + rand.IntN(lastPort-firstPort)
+		port := firstPort + int(next.Add(1))%(lastPort-firstPort)
 		if free(port, ips) {
 			return port, nil
 		}
--- a/pkg/standin/loopback/loopback_test.go
+++ b/pkg/standin/loopback/loopback_test.go
@@ -22,3 +22,19 @@
 		t.Error("a port that is taken at the last address is taken for free")
 	}
 }
+
+// Guards against two ports of one process that are the same, of which the
+// second is not in use yet when the first is looked for.
+func TestPortsDiffer(t *testing.T) {
+	seen := make(map[int]bool)
+	for range 1000 {
+		port, err := FreePort("127.0.0.1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if seen[port] {
+			t.Fatalf("port %d is given twice", port)
+		}
+		seen[port] = true
+	}
+}
