Show what is known of crashes: fingerprints, lost attempts, judged crashes, untold entries

The logs could not tell the hypotheses apart: a failed attempt did not name its fingerprint, an attempt lost by silence left no trace, a crash that convicted nobody was silent, and a message that did not reach another entry was logged at debug level only. No decision changes.

--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -283,7 +283,7 @@
 	if o != attempt.Answered {
 		c.e.logger.Info("attempt failed", "id", c.req.ID, "upstream", m.ID, "address", m.Address,
 			"outcome", o, "status", status, "next", action, "in_flight", inFlight,
-			"took_ms", now.Sub(c.began).Milliseconds(), "err", err)
+			"took_ms", now.Sub(c.began).Milliseconds(), "fingerprint", c.fingerprint(), "err", err)
 	}
 	return action
 }
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -31,6 +31,19 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_suspects_total{finding=%q}`, finding)).Inc()
 }
 
+// untold counts findings about crashes that an entry was not told.
+func (m *metrics) untold() { m.set.GetOrCreateCounter(`yucca_edge_suspects_untold_total`).Inc() }
+
+// lostAttempt counts an attempt that may have run and ended without an answer, by
+// how its end was noticed.
+func (m *metrics) lostAttempt(silent bool) {
+	end := "broken"
+	if silent {
+		end = "silent"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_lost_attempts_total{end=%q}`, end)).Inc()
+}
+
 // firstEvent records the time to the first event of a stream.
 func (m *metrics) firstEvent(took time.Duration) {
 	m.set.GetOrCreateHistogram(`yucca_edge_first_event_seconds`).Update(took.Seconds())
--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -89,7 +89,7 @@
 			return
 		case <-time.After(settleCrashes):
 		}
-		s.update(func(t *poison.Tracker) []quarantine.Entry { return t.Settle(time.Now()) })
+		s.update(s.settle)
 		s.mu.Lock()
 		news := s.news
 		s.news = nil
@@ -100,12 +100,22 @@
 	}
 }
 
+// settle judges the crashes that were noted.
+func (s *suspects) settle(t *poison.Tracker) []quarantine.Entry {
+	found, judged := t.Settle(time.Now())
+	for _, j := range judged {
+		s.e.logger.Info("crash judged", "upstream", j.Run.ID, "born", j.Run.Born, "on_board", j.OnBoard, "changed", j.Changed)
+	}
+	return found
+}
+
 // tell sends what was found to all other entries.
 func (s *suspects) tell(ctx context.Context, news []quarantine.Entry) {
 	for _, address := range s.e.view.otherEdges() {
 		go func() {
 			if err := s.tellOne(ctx, address, news); err != nil {
-				s.e.logger.Debug("crash not told to an entry", "peer", address, "err", err)
+				s.e.logger.Info("crash not told to an entry", "peer", address, "findings", len(news), "err", err)
+				s.e.metrics.untold()
 			}
 		}()
 	}
@@ -189,6 +199,9 @@
 	s := c.e.suspects
 	run := poison.Run{ID: m.ID, Born: m.Born}
 	var ue *upstream.Error
+	if !complete && errors.As(err, &ue) && ue.Sent {
+		c.e.metrics.lostAttempt(ue.Timeout())
+	}
 	switch {
 	case complete && s.some.Load():
 		s.update(func(t *poison.Tracker) []quarantine.Entry {
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -65,10 +65,17 @@
 // Pending reports whether Settle has a crash to judge.
 func (t *Tracker) Pending() bool { return len(t.crashed) > 0 }
 
+// Judged is a crash that was judged: the requests on board, and how many of them
+// are under more suspicion since.
+type Judged struct {
+	Run              Run
+	OnBoard, Changed int
+}
+
 // Settle judges the crashes noted since the last call and returns the entries
 // that changed, for the other entries. The caller waits a little after a crash,
 // so that all attempts that broke in it are known.
-func (t *Tracker) Settle(now time.Time) []quarantine.Entry {
+func (t *Tracker) Settle(now time.Time) ([]quarantine.Entry, []Judged) {
 	onBoard := make(map[Run][]uint64)
 	var runs []Run // the keys of onBoard, in the order of the attempts
 	kept := t.broken[:0]
@@ -88,10 +95,13 @@
 	clear(t.crashed)
 	t.list.Expire(now)
 	var changed []quarantine.Entry
+	var judged []Judged
 	for _, r := range runs {
-		changed = append(changed, t.list.Crashed(r.ID, uint64(r.Born), onBoard[r], now, now.Add(quarantineTime))...)
+		found := t.list.Crashed(r.ID, uint64(r.Born), onBoard[r], now, now.Add(quarantineTime))
+		judged = append(judged, Judged{Run: r, OnBoard: len(onBoard[r]), Changed: len(found)})
+		changed = append(changed, found...)
 	}
-	return changed
+	return changed, judged
 }
 
 // Succeeded clears a suspect after a complete run. The entry is for the others.
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -54,11 +54,11 @@
 	for i := range 5 {
 		tr.Broke(Run{"u1", 1}, deadly, start.Add(time.Duration(i)*time.Second))
 	}
-	if changed := tr.Settle(start.Add(5 * time.Second)); len(changed) != 0 || !tr.Clean() {
+	if changed, _ := tr.Settle(start.Add(5 * time.Second)); len(changed) != 0 || !tr.Clean() {
 		t.Errorf("suspects without a crash: %+v", changed)
 	}
 	tr.Crashed(Run{"u1", 1})
-	if changed := tr.Settle(start.Add(time.Minute)); len(changed) != 0 {
+	if changed, _ := tr.Settle(start.Add(time.Minute)); len(changed) != 0 {
 		t.Errorf("suspects of a crash a minute later: %+v", changed)
 	}
 }
@@ -68,7 +68,8 @@
 	var a, b Tracker
 	a.Broke(Run{"u1", 1}, deadly, start)
 	a.Crashed(Run{"u1", 1})
-	for _, e := range a.Settle(start) {
+	found, _ := a.Settle(start)
+	for _, e := range found {
 		b.Merge(e, start)
 	}
 	// Both saw the first crash; it counts once.
@@ -78,7 +79,8 @@
 	}
 	b.Broke(Run{"u2", 1}, deadly, start.Add(3*time.Second))
 	b.Crashed(Run{"u2", 1})
-	for _, e := range b.Settle(start.Add(3 * time.Second)) {
+	found, _ = b.Settle(start.Add(3 * time.Second))
+	for _, e := range found {
 		a.Merge(e, start.Add(3*time.Second))
 	}
 	if _, refused := a.Refused(deadly, start.Add(4*time.Second)); !refused {
