--- /dev/null
+++ b/pkg/edge/crashing_test.go
@@ -0,0 +1,332 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/standin/faultnet"
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+// maxCrashes is the number of upstreams that one request may crash: the users
+// count the requests that reach an upstream after the third.
+const maxCrashes = 3
+
+// crasher is an upstream that ends when it is sent a body that contains "poison".
+type crasher struct {
+	f       *crashers
+	id      string
+	net     *faultnet.Server
+	healthy bool // guarded by f.mu
+}
+
+// crashers are upstreams of the service "app" and how they end.
+type crashers struct {
+	d *deployment
+	// boarding is how long a poisonous request runs before its upstream ends, so
+	// that others get on board.
+	boarding time.Duration
+	// silent upstreams answer nothing any more when they end, instead of closing
+	// their connections.
+	silent bool
+	// lapse is how long after the end the registration is gone; 0: it stays.
+	lapse time.Duration
+	// back is how long after its end an upstream listens again under its id and
+	// registration; 0: never.
+	back time.Duration
+	// replaced is set if another upstream is registered after each end.
+	replaced bool
+
+	mu      sync.Mutex
+	started int
+	crashes map[string]int // by body
+	ended   int
+}
+
+func newCrashers(d *deployment) *crashers {
+	return &crashers{d: d, crashes: make(map[string]int)}
+}
+
+// start registers n upstreams.
+func (f *crashers) start(n int) {
+	f.d.t.Helper()
+	for range n {
+		f.mu.Lock()
+		c := &crasher{f: f, id: fmt.Sprintf("c%d", f.started), healthy: true}
+		f.started++
+		f.mu.Unlock()
+		c.net = faultnet.New(c)
+		if err := c.net.Listen("127.0.0.1:0"); err != nil {
+			f.d.t.Error(err)
+			return
+		}
+		f.d.t.Cleanup(func() { _ = c.net.Close() })
+		f.d.register(c.id, "app", c.net.Addr(), "ready")
+	}
+}
+
+// by returns how many upstreams ended with a body on board that ends them.
+func (f *crashers) by(body string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashes[body]
+}
+
+// total returns how many upstreams have ended.
+func (f *crashers) total() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ended
+}
+
+func (c *crasher) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	data, _ := io.ReadAll(req.Body) // the entry sends whole bodies
+	body := string(data)
+	if strings.Contains(body, "poison") {
+		time.Sleep(c.f.boarding)
+		c.crash(body)
+		return
+	}
+	time.Sleep(2 * c.f.boarding)
+	sign(w, req)
+	_, _ = w.Write([]byte("done"))
+}
+
+func (c *crasher) crash(body string) {
+	f := c.f
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashes[body]++
+	if !c.healthy {
+		return // two such requests on board end it once
+	}
+	c.healthy = false
+	f.ended++
+	if f.silent {
+		c.net.Silence()
+	}
+	go c.end()
+}
+
+// end is what follows a crash.
+func (c *crasher) end() {
+	f := c.f
+	if !f.silent {
+		c.net.Drop()
+	}
+	if f.replaced {
+		f.start(1)
+	}
+	if f.lapse > 0 {
+		time.Sleep(f.lapse)
+		f.d.store.Delete(platform.KindUpstreams, c.id)
+		return
+	}
+	if f.back > 0 {
+		time.Sleep(f.back)
+		f.mu.Lock()
+		c.healthy = true
+		f.mu.Unlock()
+		if err := c.net.Listen(""); err != nil {
+			f.d.t.Error(err)
+		}
+	}
+}
+
+// send sends a body, as a caller that has not sent it before.
+func (p *process) send(t *testing.T, body string) answer {
+	t.Helper()
+	return p.call(t, "POST", "/unsafe/1", body, map[string]string{"Attempt-Id": fmt.Sprintf("%x", time.Now().UnixNano())})
+}
+
+// pause is the time after which a caller comes back.
+const pause = 300 * time.Millisecond
+
+// Guards against entries that start again and know nothing of what the others
+// have found (issue 19): the request crashed two more upstreams with each restart.
+func TestCrashingRequestAfterRestart(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	f := newCrashers(d)
+	f.lapse = 100 * time.Millisecond
+	f.start(16)
+	const ips = 3
+	entries := make([]*process, ips)
+	for i := range entries {
+		entries[i] = d.edge(fmt.Sprintf("127.0.0.%d", i+1))
+	}
+	for _, p := range entries {
+		p.ready(t, 16, 0)
+		eventually(t, "the entries do not know each other", func() bool { return len(p.edge.view.otherEdges()) == ips-1 })
+	}
+	for i := range 2 * ips {
+		entries[i%ips].send(t, "poison")
+		time.Sleep(pause)
+	}
+	for round := range 2 {
+		for i := range entries {
+			entries[i].stop()
+			entries[i] = d.edge(fmt.Sprintf("127.0.0.%d", i+1))
+			eventually(t, "the entry is not ready", func() bool { return entries[i].edge.view.ready() && entries[i].listens() })
+			time.Sleep(pause)
+			if a := entries[i].send(t, "poison"); a.status != http.StatusServiceUnavailable {
+				t.Errorf("round %d, entry %d after its restart: %d %v", round, i, a.status, a.err)
+			}
+		}
+	}
+	if n := f.by("poison"); n > maxCrashes {
+		t.Errorf("%d upstreams ended, want at most %d", n, maxCrashes)
+	}
+}
+
+// Guards against the quarantine that is forgotten when all entries start again at
+// the same time, though storage processes go on (issue 19).
+func TestCrashingRequestAfterRestartOfAll(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	f := newCrashers(d)
+	f.lapse = 100 * time.Millisecond
+	f.start(10)
+	d.storages()
+	p := d.edge("127.0.0.1")
+	p.ready(t, 10, 3)
+	for range 4 {
+		p.send(t, "poison")
+		time.Sleep(pause)
+	}
+	p.stop()
+	p = d.edge("127.0.0.1")
+	eventually(t, "the entry is not ready", func() bool { return p.edge.view.ready() && p.listens() })
+	for range 4 {
+		time.Sleep(pause)
+		p.send(t, "poison")
+	}
+	if n := f.by("poison"); n > maxCrashes {
+		t.Errorf("%d upstreams ended, want at most %d", n, maxCrashes)
+	}
+}
+
+// Guards against requests that crash upstreams together, so that none of them is
+// the only suspect on board (issue 19).
+func TestCrashingRequestsTogether(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	f := newCrashers(d)
+	f.boarding, f.lapse, f.replaced = 100*time.Millisecond, 50*time.Millisecond, true
+	f.start(1)
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 0)
+	bodies := []string{"poison 1", "poison 2", "poison 3"}
+	for range 8 {
+		var callers sync.WaitGroup
+		for _, b := range bodies {
+			callers.Go(func() { p.send(t, b) })
+		}
+		callers.Wait()
+		time.Sleep(pause)
+	}
+	for _, b := range bodies {
+		if n := f.by(b); n > maxCrashes {
+			t.Errorf("%q was on board of %d crashes, want at most %d", b, n, maxCrashes)
+		}
+	}
+}
+
+// Guards against a sound request that is repeated beside one that crashes
+// upstreams: it kept the other one from being the only suspect, or was refused
+// in its place (issue 19).
+func TestCrashingRequestBesideSoundOne(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	f := newCrashers(d)
+	f.boarding, f.lapse, f.replaced = 100*time.Millisecond, 50*time.Millisecond, true
+	f.start(1)
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 0)
+	served := false
+	for range 8 {
+		var callers sync.WaitGroup
+		callers.Go(func() { p.send(t, "poison") })
+		callers.Go(func() {
+			for range 3 {
+				if a := p.send(t, "sound"); a.status == http.StatusOK {
+					served = true
+				} else if a.status != http.StatusServiceUnavailable {
+					return
+				}
+				time.Sleep(pause / 3)
+			}
+		})
+		callers.Wait()
+		time.Sleep(pause)
+	}
+	if n := f.by("poison"); n > maxCrashes {
+		t.Errorf("%d upstreams ended, want at most %d", n, maxCrashes)
+	}
+	if !served {
+		t.Error("the sound request was never answered")
+	}
+	if a := p.send(t, "sound"); a.status != http.StatusOK {
+		t.Errorf("the sound request in the end: %+v", a)
+	}
+}
+
+// Guards against crashes that nobody counts because the connections of the
+// upstream only fall silent, or because the caller has left (issue 19).
+func TestSilentCrash(t *testing.T) {
+	for name, timeout := range map[string]time.Duration{"until the deadline": 0, "until the caller leaves": 300 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			route := clone(unsafeRoute)
+			route["TimeoutMs"] = 600
+			d.route(route)
+			f := newCrashers(d)
+			f.silent, f.lapse = true, 100*time.Millisecond
+			f.start(10)
+			p := d.edge("127.0.0.1")
+			p.ready(t, 10, 0)
+			for i := range 8 {
+				ctx, cancel := context.Background(), context.CancelFunc(func() {})
+				if timeout > 0 {
+					ctx, cancel = context.WithTimeout(ctx, timeout)
+				}
+				p.callContext(t, ctx, "POST", "/unsafe/1", "poison", map[string]string{"Attempt-Id": fmt.Sprint("s", i)})
+				cancel()
+				time.Sleep(pause)
+			}
+			if n := f.by("poison"); n > maxCrashes {
+				t.Errorf("%d upstreams ended, want at most %d", n, maxCrashes)
+			}
+		})
+	}
+}
+
+// Guards against crashes that nobody counts because the upstream is back under
+// its id before another connection is made and before the store tells of it
+// (issue 19).
+func TestCrashBehindAbsentStore(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	f := newCrashers(d)
+	f.back = 200 * time.Millisecond
+	f.start(2)
+	p := d.edge("127.0.0.1")
+	p.ready(t, 2, 0)
+	d.store.SetDown(true)
+	for range 8 {
+		p.send(t, "poison")
+		time.Sleep(2 * pause)
+	}
+	if n := f.by("poison"); n > maxCrashes {
+		t.Errorf("%d upstreams ended, want at most %d", n, maxCrashes)
+	}
+	if a := p.send(t, "sound"); a.status != http.StatusOK {
+		t.Errorf("another request: %+v", a)
+	}
+}
