Let the crashing upstreams of the tests break their connections, not answer

The stand-in returned from its handler before it closed its connections, so most crashes came as an empty answer with status 200. It closes the connection before any byte now.

--- a/pkg/edge/crashing_test.go
+++ b/pkg/edge/crashing_test.go
@@ -91,6 +91,9 @@
 	if strings.Contains(body, "poison") {
 		time.Sleep(c.f.boarding)
 		c.crash(body)
+		if !c.f.silent {
+			reset(w)
+		}
 		return
 	}
 	time.Sleep(2 * c.f.boarding)
