Judge requests on board of crashes by all evidence, not by the last crash alone

What callers saw: a request that crashes upstreams went on crashing them when it was not the only suspect on board, and a sound request beside it was refused in its place.

Cause: the list counted a crash only against the single suspect on board of it, convicted nobody otherwise, and forgot everything 30 s after the last crash. What entries told each other was the count, so the order of messages mattered.

Change: evidence is one fact, "this request was on board of the end of this run", with a grade that only rises; books that heard the same hold the same. A request that is on board of two crashes without standing out runs alone at this entry. A request that ran to its end is cleared, also before the end of the upstream is known.

Ruled out: convicting all on board of a second crash (a sound request that was repeated beside the other would be refused); isolation from the first crash on (every ordinary crash of an engine would serialize the requests on board).

--- a/cmd/yuccaspindled/status.go
+++ b/cmd/yuccaspindled/status.go
@@ -69,7 +69,11 @@
 			u.ID, u.Service, u.Address, u.FailureDomain, u.InFlight, u.Load, u.Slots, u.FailureRate, u.Out)
 	}
 	for _, q := range s.Suspects {
-		fmt.Fprintf(tw, "request %x\tcrashed with %s, %d times, until %s\n", q.Fingerprint, q.Upstream, q.Count, q.Until.Format(time.RFC3339))
+		verdict := "may run"
+		if !q.Until.IsZero() {
+			verdict = "refused until " + q.Until.Format(time.RFC3339)
+		}
+		fmt.Fprintf(tw, "request %016x\ton board of %d crashes %v, %s\n", q.Fingerprint, q.Crashes, q.Upstreams, verdict)
 	}
 	return errors.Wrap(tw.Flush(), "write status")
 }
--- a/cmd/yuccaspindled/status_test.go
+++ b/cmd/yuccaspindled/status_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
-	"github.com/yuccaspindle/yuccaspindle/pkg/core/quarantine"
 	"github.com/yuccaspindle/yuccaspindle/pkg/edge"
 	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
+	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 )
 
 // Guards against a status that loses on its way to the operator why an upstream
@@ -20,7 +20,7 @@
 	sent := edge.Status{
 		Node: "edge-1", Configuration: 22, Live: true, WatchesStore: true, CheckedAgo: 700 * time.Millisecond,
 		Upstreams: []fleet.Health{{ID: "u1", Service: "app", Load: 2.5, Slots: 6, Out: "suspended after failures"}},
-		Suspects:  []quarantine.Entry{{Fingerprint: 0xabc, Upstream: "u1", Count: 2}},
+		Suspects:  []poison.Suspect{{Fingerprint: 0xabc, Upstreams: []string{"u1", "u2"}, Crashes: 2, Until: time.Unix(1_800_000_000, 0).UTC()}},
 	}
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != edge.StatusPath {
@@ -47,7 +47,7 @@
 	if err := writeStatus(&out, s); err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"follows 10.0.0.1:7380, 1 entries from the store", "1 [10.0.0.9:7380]", "edge-1", "22, watches the store, sure of 700ms ago", "suspended after failures", "2.5", "request abc", "2 times"} {
+	for _, want := range []string{"follows 10.0.0.1:7380, 1 entries from the store", "1 [10.0.0.9:7380]", "edge-1", "22, watches the store, sure of 700ms ago", "suspended after failures", "2.5", "request 0000000000000abc", "2 crashes [u1 u2], refused until 2027-01-15T08:00:00Z"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%q is missing in:\n%s", want, out.String())
 		}
--- /dev/null
+++ b/pkg/crashreport/crashreport.go
@@ -0,0 +1,66 @@
+// Package crashreport puts evidence against requests that crash upstreams into
+// messages between processes and takes it from them.
+package crashreport
+
+import (
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
+)
+
+var gradeOf = map[peerv1.CrashEvidence_Grade]poison.Grade{
+	peerv1.CrashEvidence_PRESUMED:  poison.Presumed,
+	peerv1.CrashEvidence_CONFIRMED: poison.Confirmed,
+	peerv1.CrashEvidence_CLEARED:   poison.Cleared,
+}
+
+var wireGrade = map[poison.Grade]peerv1.CrashEvidence_Grade{
+	poison.Presumed:  peerv1.CrashEvidence_PRESUMED,
+	poison.Confirmed: peerv1.CrashEvidence_CONFIRMED,
+	poison.Cleared:   peerv1.CrashEvidence_CLEARED,
+}
+
+// Envelope returns a message with a report.
+func Envelope(r *peerv1.CrashReport) *peerv1.Envelope {
+	return &peerv1.Envelope{Body: &peerv1.Envelope_CrashReport{CrashReport: r}}
+}
+
+// New returns a report with evidence, of a process that knows what is in the book.
+func New(b *poison.Book, list []poison.Evidence, now time.Time) *peerv1.CrashReport {
+	r := &peerv1.CrashReport{Digest: b.Digest()}
+	for _, e := range list {
+		r.Evidence = append(r.Evidence, &peerv1.CrashEvidence{
+			Fingerprint: e.Fingerprint, Upstream: e.Run.ID, BornUnixMs: e.Run.Born, Life: e.Run.Life,
+			Grade: wireGrade[e.Grade], AgeMs: uint64(max(now.Sub(e.At), 0).Milliseconds()),
+		})
+	}
+	return r
+}
+
+// Take adds the evidence of a report to a book and returns what was new.
+func Take(b *poison.Book, r *peerv1.CrashReport, now time.Time) []poison.Evidence {
+	var added []poison.Evidence
+	for _, w := range r.GetEvidence() {
+		e := poison.Evidence{
+			Fingerprint: w.GetFingerprint(),
+			Run:         poison.Run{ID: w.GetUpstream(), Born: w.GetBornUnixMs(), Life: w.GetLife()},
+			Grade:       gradeOf[w.GetGrade()],
+			At:          now.Add(-age(w)),
+		}
+		if b.Add(e, now) {
+			added = append(added, e)
+		}
+	}
+	return added
+}
+
+// maxAge bounds the age that a peer may state, against an overflow.
+const maxAge = 1000 * time.Hour
+
+func age(w *peerv1.CrashEvidence) time.Duration {
+	if w.GetAgeMs() > uint64(maxAge.Milliseconds()) {
+		return maxAge
+	}
+	return time.Duration(w.GetAgeMs()) * time.Millisecond
+}
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -50,8 +50,11 @@
 	sleptBefore time.Duration
 	tracker     *attempt.Tracker
 	tried       map[string]bool
-	answered    bool // the head of an answer was sent
-	begun       bool // an earlier turn of the program was served here, or is named
+	answered    bool      // the head of an answer was sent
+	begun       bool      // an earlier turn of the program was served here, or is named
+	sent        time.Time // of the present attempt
+	hash        uint64    // fingerprint of the request; 0: not computed yet
+	alone       bool      // the present attempt must not share its upstream with a suspected request
 }
 
 // serve handles one request of a caller.
@@ -145,6 +148,9 @@
 	if c.tracker != nil {
 		args = append(args, "attempts", c.tracker.Attempts())
 	}
+	if c.hash != 0 {
+		args = append(args, "fingerprint", hex(c.hash))
+	}
 	c.e.logger.Info(msg, append(args, more...)...)
 }
 
@@ -171,7 +177,7 @@
 func (c *call) pick(now time.Time) *fleet.Member {
 	req := fleet.Request{
 		Service: c.service, Draw: rand.Float64(), Work: c.route.Objective,
-		Excluded: func(id string) bool { return c.tried[id] },
+		Excluded: func(id string) bool { return c.tried[id] || c.occupied(id) },
 	}
 	if key := c.affinityKey(); key != "" {
 		req.Affinity, _ = c.e.affinity.Get(key)
@@ -184,6 +190,8 @@
 	})
 	if m != nil {
 		c.tried[m.ID] = true
+		c.sent = now
+		c.enter(m)
 	}
 	return m
 }
@@ -277,13 +285,14 @@
 		}
 		inFlight = m.InFlight()
 	})
-	c.noteCrash(m, err, o == attempt.Answered)
+	c.leave(m)
+	c.noteCrash(m, o, resp, err)
 	c.e.metrics.attempt(o.String())
 	action := c.tracker.Ended(o, status >= http.StatusInternalServerError, now)
 	if o != attempt.Answered {
 		c.e.logger.Info("attempt failed", "id", c.req.ID, "upstream", m.ID, "address", m.Address,
 			"outcome", o, "status", status, "next", action, "in_flight", inFlight,
-			"took_ms", now.Sub(c.began).Milliseconds(), "fingerprint", c.fingerprint(), "err", err)
+			"took_ms", now.Sub(c.began).Milliseconds(), "fingerprint", hex(c.fingerprint()), "err", err)
 	}
 	return action
 }
@@ -291,6 +300,7 @@
 // canceled notes an attempt that ended because the caller left.
 func (c *call) canceled(m *fleet.Member) {
 	c.e.withFleet(func(f *fleet.Fleet) { f.Ended(m) })
+	c.leave(m)
 	c.log("caller left", 0)
 	c.e.metrics.ended(c.kind(), "caller_left", time.Since(c.began))
 }
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -24,8 +24,8 @@
 		e.view.offered(m.StateReply, "peer "+s.Addr())
 	case *peerv1.Envelope_FeedRequest:
 		err = e.view.serveFeed(ctx, s, st, m.FeedRequest.GetInsist())
-	case *peerv1.Envelope_Quarantine:
-		e.suspects.heard(st, s.Addr(), m.Quarantine)
+	case *peerv1.Envelope_CrashReport:
+		err = e.suspects.heard(st, s.Addr(), m.CrashReport)
 	default:
 		e.logger.Warn("peer request is not known", "peer", s.Addr())
 	}
--- a/pkg/edge/status.go
+++ b/pkg/edge/status.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"github.com/yuccaspindle/yuccaspindle/pkg/core/quarantine"
 	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
 	"github.com/yuccaspindle/yuccaspindle/pkg/membudget"
+	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 )
 
 // StatusPath is where an entry tells what it believes, at the address of its
@@ -17,21 +17,21 @@
 
 // Status is what an entry believes of the deployment.
 type Status struct {
-	Node          string             `json:"node"`
-	FailureDomain string             `json:"failure_domain"`
-	Draining      bool               `json:"draining"`
-	Configuration uint64             `json:"configuration"` // version in force; 0: none
-	Live          bool               `json:"live"`          // changes of the store are heard of
-	WatchesStore  bool               `json:"watches_store"` // else another entry is followed
-	CheckedAgo    time.Duration      `json:"checked_ago_ns"`
-	Follows       string             `json:"follows,omitempty"` // address of the entry that is followed
-	Hops          int                `json:"hops"`              // entries between this one and the store
-	Feeds         []string           `json:"feeds"`             // addresses of the processes that follow this one
-	Entries       int                `json:"entries"`
-	Storage       []string           `json:"storage"` // members of the ledger
-	Upstreams     []fleet.Health     `json:"upstreams"`
-	Suspects      []quarantine.Entry `json:"suspects"` // requests on board of a crash
-	Transit       membudget.Usage    `json:"transit"`  // memory of bodies on their way
+	Node          string           `json:"node"`
+	FailureDomain string           `json:"failure_domain"`
+	Draining      bool             `json:"draining"`
+	Configuration uint64           `json:"configuration"` // version in force; 0: none
+	Live          bool             `json:"live"`          // changes of the store are heard of
+	WatchesStore  bool             `json:"watches_store"` // else another entry is followed
+	CheckedAgo    time.Duration    `json:"checked_ago_ns"`
+	Follows       string           `json:"follows,omitempty"` // address of the entry that is followed
+	Hops          int              `json:"hops"`              // entries between this one and the store
+	Feeds         []string         `json:"feeds"`             // addresses of the processes that follow this one
+	Entries       int              `json:"entries"`
+	Storage       []string         `json:"storage"` // members of the ledger
+	Upstreams     []fleet.Health   `json:"upstreams"`
+	Suspects      []poison.Suspect `json:"suspects"` // requests on board of a crash
+	Transit       membudget.Usage  `json:"transit"`  // memory of bodies on their way
 }
 
 // Status returns what this entry believes now.
@@ -50,7 +50,7 @@
 	e.view.feedStatus(&s, now)
 	e.withFleet(func(f *fleet.Fleet) { s.Upstreams = f.Health(now) })
 	e.suspects.mu.Lock()
-	s.Suspects = e.suspects.tracker.Entries()
+	s.Suspects = e.suspects.tracker.Suspects(now)
 	e.suspects.mu.Unlock()
 	return s
 }
--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,7 +13,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
-	"github.com/yuccaspindle/yuccaspindle/pkg/core/quarantine"
+	"github.com/yuccaspindle/yuccaspindle/pkg/attempt"
+	"github.com/yuccaspindle/yuccaspindle/pkg/crashreport"
 	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
 	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
@@ -21,41 +22,42 @@
 )
 
 const (
-	// settleCrashes collects the attempts that broke in one crash, and what the
-	// other entries are told of it.
-	settleCrashes = 100 * time.Millisecond
 	// tellTimeout bounds the message to one entry: some round trips between
 	// regions.
 	tellTimeout = time.Second
+	// tellGather lets findings that come together go out in one message.
+	tellGather = 20 * time.Millisecond
 )
 
 // suspects keeps requests that crash upstreams from running again and again,
 // and agrees on them with the other entries.
 type suspects struct {
-	e    *Edge
-	wake chan struct{}
-	some atomic.Bool // the tracker suspects something
+	e        *Edge
+	wake     chan struct{}
+	some     atomic.Bool // something speaks against a request
+	watching atomic.Bool // answers of upstreams matter to the tracker
 
 	mu      sync.Mutex
 	tracker poison.Tracker
-	news    []quarantine.Entry // not told to the other entries yet
+	news    []poison.Evidence // not told to the other entries yet
+	alone   isolation
 }
 
-func newSuspects(e *Edge) *suspects { return &suspects{e: e, wake: make(chan struct{}, 1)} }
+func newSuspects(e *Edge) *suspects {
+	return &suspects{e: e, wake: make(chan struct{}, 1), alone: newIsolation()}
+}
 
 // update changes the tracker and returns what it found, which the other
 // entries will be told.
-func (s *suspects) update(f func(*poison.Tracker) []quarantine.Entry) {
+func (s *suspects) update(f func(t *poison.Tracker, now time.Time) []poison.Evidence) {
+	now := time.Now()
 	s.mu.Lock()
-	found := f(&s.tracker)
+	found := f(&s.tracker, now)
 	s.news = append(s.news, found...)
-	s.some.Store(!s.tracker.Clean())
-	work := len(s.news) > 0 || s.tracker.Pending()
+	s.noteLocked()
 	s.mu.Unlock()
-	for _, e := range found {
-		s.log(e, "this entry")
-	}
-	if !work {
+	s.log(found, "this entry")
+	if len(found) == 0 {
 		return
 	}
 	select {
@@ -64,19 +66,32 @@
 	}
 }
 
-func (s *suspects) log(e quarantine.Entry, source string) {
-	msg := "request suspected of a crash"
-	switch {
-	case e.Released:
-		msg = "request cleared of a crash"
-	case e.Count >= quarantine.CountQuarantined:
-		msg = "request quarantined"
+// noteLocked notes what the path of requests has to look at. The caller holds the
+// lock.
+func (s *suspects) noteLocked() {
+	s.some.Store(!s.tracker.Clean())
+	s.watching.Store(s.tracker.Watching())
+}
+
+func (s *suspects) log(found []poison.Evidence, source string) {
+	for _, e := range found {
+		s.mu.Lock()
+		v := s.tracker.Verdict(e.Fingerprint, time.Now())
+		s.mu.Unlock()
+		msg := "request suspected of a crash"
+		switch {
+		case e.Grade == poison.Cleared:
+			msg = "request cleared of a crash"
+		case !v.Until.IsZero():
+			msg = "request quarantined"
+		}
+		s.e.logger.Info(msg, "fingerprint", hex(e.Fingerprint), "upstream", e.Run.ID, "born", e.Run.Born, "life", e.Run.Life,
+			"grade", e.Grade, "crashes", v.Crashes, "until", v.Until, "alone", v.Alone, "source", source)
+		s.e.metrics.suspect(msg)
 	}
-	s.e.logger.Info(msg, "fingerprint", e.Fingerprint, "upstream", e.Upstream, "crashes", e.Count, "until", e.Until, "source", source)
-	s.e.metrics.suspect(msg)
 }
 
-// run judges crashes and tells the other entries.
+// run tells the other entries what was found.
 func (s *suspects) run(ctx context.Context) {
 	for {
 		select {
@@ -87,80 +102,55 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(settleCrashes):
+		case <-time.After(tellGather):
 		}
-		s.update(s.settle)
+		now := time.Now()
 		s.mu.Lock()
-		news := s.news
+		report := crashreport.New(&s.tracker.Book, s.news, now)
 		s.news = nil
+		s.tracker.Expire(now)
+		s.noteLocked()
 		s.mu.Unlock()
-		if len(news) > 0 {
-			s.tell(ctx, news)
-		}
-	}
-}
-
-// settle judges the crashes that were noted.
-func (s *suspects) settle(t *poison.Tracker) []quarantine.Entry {
-	found, judged := t.Settle(time.Now())
-	for _, j := range judged {
-		s.e.logger.Info("crash judged", "upstream", j.Run.ID, "born", j.Run.Born, "on_board", j.OnBoard, "changed", j.Changed)
+		s.tell(ctx, report)
 	}
-	return found
 }
 
 // tell sends what was found to all other entries.
-func (s *suspects) tell(ctx context.Context, news []quarantine.Entry) {
+func (s *suspects) tell(ctx context.Context, report *peerv1.CrashReport) {
 	for _, address := range s.e.view.otherEdges() {
 		go func() {
-			if err := s.tellOne(ctx, address, news); err != nil {
-				s.e.logger.Info("crash not told to an entry", "peer", address, "findings", len(news), "err", err)
+			ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+			defer cancel()
+			if _, err := s.e.transport.Ask(ctx, address, crashreport.Envelope(report)); err != nil {
+				s.e.logger.Info("crash not told to an entry", "peer", address, "findings", len(report.GetEvidence()), "err", err)
 				s.e.metrics.untold()
 			}
 		}()
 	}
 }
 
-func (s *suspects) tellOne(ctx context.Context, address string, news []quarantine.Entry) error {
-	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
-	defer cancel()
-	list := make([]*peerv1.Envelope, 0, len(news))
-	for _, e := range news {
-		list = append(list, quarantineMessage(e))
-	}
-	return s.e.transport.Tell(ctx, address, list[0], list[1:]...)
-}
-
-// heard takes over what another entry found. It reads the stream to its end.
-func (s *suspects) heard(st *transport.Stream, peer string, first *peerv1.Quarantine) {
-	for q := first; q != nil; {
-		e := quarantine.Entry{
-			Fingerprint: q.GetFingerprint(), Count: int(q.GetCount()), Until: time.UnixMilli(q.GetUntilUnixMs()),
-			Released: q.GetReleased(), Upstream: q.GetUpstream(), Incarnation: q.GetIncarnation(),
-		}
-		s.update(func(t *poison.Tracker) []quarantine.Entry { t.Merge(e, time.Now()); return nil })
-		s.log(e, peer)
-		m, err := st.Recv()
-		if err != nil {
-			if !errors.Is(err, io.EOF) {
-				s.e.logger.Debug("rest of a peer's suspects not received", "peer", peer, "err", err)
-			}
-			return
-		}
-		q = m.GetQuarantine()
-	}
+// heard takes over what another process found and answers it.
+func (s *suspects) heard(st *transport.Stream, peer string, report *peerv1.CrashReport) error {
+	now := time.Now()
+	s.mu.Lock()
+	added := crashreport.Take(&s.tracker.Book, report, now)
+	reply := crashreport.New(&s.tracker.Book, nil, now)
+	s.noteLocked()
+	s.mu.Unlock()
+	s.log(added, peer)
+	return st.Send(crashreport.Envelope(reply))
 }
 
-func quarantineMessage(e quarantine.Entry) *peerv1.Envelope {
-	return &peerv1.Envelope{Body: &peerv1.Envelope_Quarantine{Quarantine: &peerv1.Quarantine{
-		Fingerprint: e.Fingerprint, Count: int64(e.Count), UntilUnixMs: e.Until.UnixMilli(),
-		Released: e.Released, Upstream: e.Upstream, Incarnation: e.Incarnation,
-	}}}
-}
+// hex writes a fingerprint as logs and the status show it.
+func hex(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
 
 // fingerprint is the same for requests that make upstreams do the same. The
-// caller is part of it where there is no body.
+// caller is part of it where there is no body. It is computed once the body is
+// complete.
 func (c *call) fingerprint() uint64 {
+	if c.hash != 0 {
+		return c.hash
+	}
 	h := xxhash.New()
 	for _, part := range []string{c.r.Host, c.r.Method, c.r.RequestURI, c.req.ParentTurn} {
 		_, _ = h.WriteString(part)
@@ -170,66 +160,127 @@
 		_, _ = h.WriteString(c.req.Program)
 	}
 	_, _ = h.Write(c.body)
-	return h.Sum64()
+	c.hash = max(h.Sum64(), 1)
+	return c.hash
 }
 
-// quarantined refuses a request that has crashed upstreams before.
+// quarantined refuses a request that has crashed upstreams before, and one that
+// may be such a request while another copy of it runs.
 func (c *call) quarantined() bool {
+	c.alone = false
 	s := c.e.suspects
 	if !s.some.Load() {
 		return false
 	}
 	now := time.Now()
 	s.mu.Lock()
-	until, refused := s.tracker.Refused(c.fingerprint(), now)
+	v := s.tracker.Verdict(c.fingerprint(), now)
+	runs := v.Alone && s.alone.runs(c.fingerprint())
 	s.mu.Unlock()
-	if !refused {
+	c.alone = v.Alone
+	why, wait := "request crashes upstreams", v.Until.Sub(now)
+	switch {
+	case runs:
+		why, wait = "a suspected request runs alone", retryFull
+	case v.Until.IsZero():
 		return false
 	}
 	if c.tracker.Ran() || c.answered {
-		c.finish(c.tracker.Unplaced(), "request crashes upstreams")
+		c.finish(c.tracker.Unplaced(), why)
 		return true
 	}
-	c.refuse(http.StatusServiceUnavailable, until.Sub(now), "request crashes upstreams")
+	c.refuse(http.StatusServiceUnavailable, wait, why)
 	return true
 }
 
-// noteCrash tells the tracker how an attempt ended.
-func (c *call) noteCrash(m *fleet.Member, err error, complete bool) {
+// occupied reports whether a suspected request runs at an upstream, beside which
+// another one must not run.
+func (c *call) occupied(id string) bool {
+	if !c.alone {
+		return false
+	}
+	s := c.e.suspects
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.alone.occupied(id)
+}
+
+// enter notes that the request of a call goes to an upstream, leave that it has
+// ended there.
+func (c *call) enter(m *fleet.Member) {
+	if !c.alone {
+		return
+	}
 	s := c.e.suspects
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.alone.enter(m.ID, c.fingerprint())
+}
+
+func (c *call) leave(m *fleet.Member) {
+	if !c.alone {
+		return
+	}
+	s := c.e.suspects
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.alone.leave(m.ID, c.fingerprint())
+}
+
+// noteCrash tells the tracker how an attempt ended.
+func (c *call) noteCrash(m *fleet.Member, o attempt.Outcome, resp *upstream.Response, err error) {
 	run := poison.Run{ID: m.ID, Born: m.Born}
 	var ue *upstream.Error
-	if !complete && errors.As(err, &ue) && ue.Sent {
+	failed := errors.As(err, &ue)
+	switch {
+	case o == attempt.Answered || o == attempt.Rejected:
+		c.noteAnswer(run, o, resp)
+	case o == attempt.NotSent:
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.e.suspects.ended(run)
+		}
+	case failed && ue.Sent:
 		c.e.metrics.lostAttempt(ue.Timeout())
+		if !ue.Timeout() {
+			c.lost(run)
+		}
 	}
-	switch {
-	case complete && s.some.Load():
-		s.update(func(t *poison.Tracker) []quarantine.Entry {
-			if e, ok := t.Succeeded(c.fingerprint()); ok {
-				return []quarantine.Entry{e}
-			}
+}
+
+// noteAnswer notes that an upstream lives, and that the request did it no harm.
+func (c *call) noteAnswer(run poison.Run, o attempt.Outcome, resp *upstream.Response) {
+	s := c.e.suspects
+	if s.watching.Load() {
+		s.update(func(t *poison.Tracker, _ time.Time) []poison.Evidence {
+			t.Alive(run, c.sent)
 			return nil
 		})
-	case complete || !errors.As(err, &ue) || ue.Timeout():
-	case ue.Sent:
-		s.update(func(t *poison.Tracker) []quarantine.Entry {
-			t.Broke(run, c.fingerprint(), time.Now())
-			return nil
+	}
+	ran := o == attempt.Answered && !resp.NotRun && resp.Status < http.StatusInternalServerError
+	if ran && (s.some.Load() || s.watching.Load()) {
+		s.update(func(t *poison.Tracker, now time.Time) []poison.Evidence {
+			return t.Succeeded(c.fingerprint(), now)
 		})
-	case errors.Is(err, syscall.ECONNREFUSED):
-		s.ended(run)
 	}
 }
 
+// lost notes that the request may have run and got no answer.
+func (c *call) lost(run poison.Run) {
+	c.e.suspects.update(func(t *poison.Tracker, now time.Time) []poison.Evidence {
+		return t.Lost(run, c.fingerprint(), c.sent, now)
+	})
+}
+
 // ended notes that runs of upstreams are over.
 func (s *suspects) ended(runs ...poison.Run) {
 	if len(runs) == 0 {
 		return
 	}
-	s.update(func(t *poison.Tracker) []quarantine.Entry {
+	s.update(func(t *poison.Tracker, now time.Time) []poison.Evidence {
+		var found []poison.Evidence
 		for _, r := range runs {
-			t.Crashed(r)
+			found = append(found, t.Ended(r, now)...)
 		}
-		return nil
+		return found
 	})
 }
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -1,128 +1,148 @@
 // Package poison finds requests that crash each upstream that runs them, from
-// what one entry sees and what the others tell it. It has no clock and no I/O.
+// what one entry sees and what other processes tell it. It has no clock and no
+// I/O.
 //
-// A broken attempt alone says little: answers are lost for many reasons. It
-// counts once its upstream is known to have crashed, because it refuses
-// connections or because its registration ended or began anew.
+// A lost attempt alone says little: answers are lost for many reasons. It becomes
+// evidence once its upstream is known to have crashed. Evidence names the request
+// and the run of the upstream that ended, so it can be told any number of times
+// and in any order; what it means for a request is computed from all of it.
 package poison
 
-import (
-	"time"
-
-	"github.com/yuccaspindle/yuccaspindle/pkg/core/quarantine"
-)
+import "time"
 
 const (
-	// crashWindow is how long after a broken attempt the end of its upstream is
-	// taken for the cause: a registration lapses after three heartbeats, and
-	// an upstream is back some seconds after a crash.
-	crashWindow = 10 * time.Second
-	// quarantineTime is how long a request stays suspect or refused after the
-	// last crash that it was on board of.
-	quarantineTime = 30 * time.Second
-	// maxBroken bounds the broken attempts that are remembered.
-	maxBroken = 4096
+	// crashWindow is how long after a lost attempt the end of its upstream is taken
+	// for the cause, and after the end of an upstream a late loss is taken for its
+	// effect: an outage of the platform's store, in which registrations do not
+	// lapse, and the grace after it.
+	crashWindow = 30 * time.Second
+	// maxLost bounds the lost attempts that are remembered.
+	maxLost = 4096
 )
 
-// Run names one run of an upstream.
-type Run struct {
-	ID   string
-	Born int64 // Unix ms of its start
-}
-
-type broken struct {
+// lost is an attempt that may have run and got no answer.
+type lost struct {
 	run         Run
 	fingerprint uint64
 	at          time.Time
 }
 
-// Tracker holds what is suspected. The zero value is ready for use.
+// Tracker attributes lost attempts to crashes. The zero value is ready for use.
 type Tracker struct {
-	list    quarantine.List
-	broken  []broken // oldest first
-	crashed map[Run]bool
+	Book
+
+	lost  []lost            // oldest first
+	ended map[Run]time.Time // runs that crashed
+	lives map[Run]uint32    // ends seen of a run; keys have no Life
+}
+
+// life returns a run with the number of its present life.
+func (t *Tracker) life(r Run) Run {
+	r.Life = t.lives[r]
+	return r
 }
 
-// Broke notes an attempt that broke off while its upstream may have run it.
-func (t *Tracker) Broke(r Run, fingerprint uint64, now time.Time) {
+// Watching reports whether answers of upstreams matter now: whether Alive has an
+// effect.
+func (t *Tracker) Watching() bool { return len(t.lost) > 0 || len(t.ended) > 0 }
+
+// Lost notes an attempt, begun at a time, that may have run and got no answer.
+func (t *Tracker) Lost(r Run, fingerprint uint64, began, now time.Time) []Evidence {
 	if fingerprint == 0 {
-		return
+		return nil
+	}
+	t.prune(now)
+	r = t.life(r)
+	if ended, ok := t.ended[r]; ok && began.Before(ended) {
+		return t.add(Evidence{Fingerprint: fingerprint, Run: r, Grade: Confirmed, At: now}, now)
 	}
-	if len(t.broken) >= maxBroken {
-		t.broken = t.broken[1:]
+	if len(t.lost) >= maxLost {
+		t.lost = t.lost[1:]
 	}
-	t.broken = append(t.broken, broken{r, fingerprint, now})
+	t.lost = append(t.lost, lost{run: r, fingerprint: fingerprint, at: now})
+	return nil
 }
 
-// Crashed notes that a run of an upstream has ended without notice.
-func (t *Tracker) Crashed(r Run) {
-	if t.crashed == nil {
-		t.crashed = make(map[Run]bool)
+// Ended notes that a run of an upstream has ended without notice.
+func (t *Tracker) Ended(r Run, now time.Time) []Evidence {
+	t.prune(now)
+	r = t.life(r)
+	if t.ended == nil {
+		t.ended = make(map[Run]time.Time)
+	}
+	if _, ok := t.ended[r]; !ok {
+		t.ended[r] = now
+	}
+	var found []Evidence
+	kept := t.lost[:0]
+	for _, l := range t.lost {
+		if l.run != r {
+			kept = append(kept, l)
+			continue
+		}
+		found = append(found, t.add(Evidence{Fingerprint: l.fingerprint, Run: r, Grade: Confirmed, At: now}, now)...)
 	}
-	t.crashed[r] = true
+	t.lost = kept
+	return found
 }
 
-// Pending reports whether Settle has a crash to judge.
-func (t *Tracker) Pending() bool { return len(t.crashed) > 0 }
+// Alive notes that an upstream answered an attempt that began at a time. What was
+// lost there before was no crash.
+func (t *Tracker) Alive(r Run, began time.Time) {
+	key := r
+	r = t.life(r)
+	if ended, ok := t.ended[r]; ok && began.After(ended) {
+		delete(t.ended, r)
+		t.nextLife(key)
+		return
+	}
+	kept := t.lost[:0]
+	for _, l := range t.lost {
+		if l.run != r || !l.at.Before(began) {
+			kept = append(kept, l)
+		}
+	}
+	t.lost = kept
+}
 
-// Judged is a crash that was judged: the requests on board, and how many of them
-// are under more suspicion since.
-type Judged struct {
-	Run              Run
-	OnBoard, Changed int
+// nextLife notes that an upstream answers again after an end.
+func (t *Tracker) nextLife(key Run) {
+	if t.lives == nil || len(t.lives) >= maxLost {
+		t.lives = make(map[Run]uint32)
+	}
+	t.lives[key]++
 }
 
-// Settle judges the crashes noted since the last call and returns the entries
-// that changed, for the other entries. The caller waits a little after a crash,
-// so that all attempts that broke in it are known.
-func (t *Tracker) Settle(now time.Time) ([]quarantine.Entry, []Judged) {
-	onBoard := make(map[Run][]uint64)
-	var runs []Run // the keys of onBoard, in the order of the attempts
-	kept := t.broken[:0]
-	for _, b := range t.broken {
-		switch {
-		case now.Sub(b.at) > crashWindow:
-		case t.crashed[b.run]:
-			if onBoard[b.run] == nil {
-				runs = append(runs, b.run)
-			}
-			onBoard[b.run] = append(onBoard[b.run], b.fingerprint)
-		default:
-			kept = append(kept, b)
+// Succeeded clears a request that has run to its end. The evidence is for the
+// other processes.
+func (t *Tracker) Succeeded(fingerprint uint64, now time.Time) []Evidence {
+	kept := t.lost[:0]
+	for _, l := range t.lost {
+		if l.fingerprint != fingerprint {
+			kept = append(kept, l)
 		}
 	}
-	t.broken = kept
-	clear(t.crashed)
-	t.list.Expire(now)
-	var changed []quarantine.Entry
-	var judged []Judged
-	for _, r := range runs {
-		found := t.list.Crashed(r.ID, uint64(r.Born), onBoard[r], now, now.Add(quarantineTime))
-		judged = append(judged, Judged{Run: r, OnBoard: len(onBoard[r]), Changed: len(found)})
-		changed = append(changed, found...)
-	}
-	return changed, judged
+	t.lost = kept
+	return t.Clear(fingerprint, now)
 }
 
-// Succeeded clears a suspect after a complete run. The entry is for the others.
-func (t *Tracker) Succeeded(fingerprint uint64) (quarantine.Entry, bool) {
-	if !t.list.Clear(fingerprint) {
-		return quarantine.Entry{}, false
+func (t *Tracker) add(e Evidence, now time.Time) []Evidence {
+	if !t.Add(e, now) {
+		return nil
 	}
-	return quarantine.Entry{Fingerprint: fingerprint, Count: quarantine.CountSuspect, Released: true}, true
+	return []Evidence{e}
 }
 
-// Merge takes over what another entry has found.
-func (t *Tracker) Merge(e quarantine.Entry, now time.Time) { t.list.Merge(e, now) }
-
-// Refused returns until when a request must not run, if it must not.
-func (t *Tracker) Refused(fingerprint uint64, now time.Time) (time.Time, bool) {
-	t.list.Expire(now)
-	return t.list.Quarantined(fingerprint)
+// prune forgets what is too old to be attributed.
+func (t *Tracker) prune(now time.Time) {
+	old := 0
+	for old < len(t.lost) && now.Sub(t.lost[old].at) > crashWindow {
+		old++
+	}
+	t.lost = t.lost[old:]
+	for r, at := range t.ended {
+		if now.Sub(at) > crashWindow {
+			delete(t.ended, r)
+		}
+	}
 }
-
-// Entries returns what is suspected, in order of fingerprint.
-func (t *Tracker) Entries() []quarantine.Entry { return t.list.Entries() }
-
-// Clean reports whether nothing is suspected.
-func (t *Tracker) Clean() bool { return t.list.NextExpiry().IsZero() }
