Attribute crashes that end in silence, behind the store's back or at a caller who left

What callers saw: a request crashed one upstream after the other without being suspected at all.

Cause: an attempt counted only if its connection broke, its caller waited for that, and this entry then met a refused connection or a changed registration within 10 s. A dark upstream ends in a timeout; a caller may leave first; with the store away an upstream can be back under its id before anybody connects; and a crash whose upstream is replaced at its address answers 421.

Who loses an attempt makes a connection at once, which the next request uses, so that a refusal is noticed before the upstream is back; a silent upstream is tried once a second at most. One that can not be reached while another answers is presumed to have crashed; three such crashes convict, and an answer of the upstream takes them back. A 421 for a request to an upstream ends its run.

--- a/pkg/edge/crashing_test.go
+++ b/pkg/edge/crashing_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -360,3 +362,30 @@
 		t.Errorf("refused although the upstreams may live: %+v", a)
 	}
 }
+
+// Guards against a crash that nobody counts because another upstream has the
+// address when the next request comes (issue 19).
+func TestCrashBehindReusedAddress(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	var crashed atomic.Bool
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		switch {
+		case crashed.Load():
+			w.Header().Set("Attempt-Id", req.Header.Get("Attempt-Id"))
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		case crashed.CompareAndSwap(false, true):
+			reset(w) // and another one listens there at once
+		}
+	}))
+	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
+	d.register("u1", "app", strings.TrimPrefix(srv.URL, "http://"), "ready")
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 0)
+	d.store.SetDown(true)
+	p.send(t, "poison")
+	p.send(t, "sound")
+	if list := p.edge.Status().Suspects; len(list) != 1 || list[0].Crashes != 1 {
+		t.Errorf("suspects: %+v", list)
+	}
+}
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -11,6 +11,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/attempt"
 	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
 	"github.com/yuccaspindle/yuccaspindle/pkg/membudget"
+	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 	"github.com/yuccaspindle/yuccaspindle/pkg/routing"
 	"github.com/yuccaspindle/yuccaspindle/pkg/upstream"
 	"github.com/yuccaspindle/yuccaspindle/platform"
@@ -301,6 +302,7 @@
 func (c *call) canceled(m *fleet.Member) {
 	c.e.withFleet(func(f *fleet.Fleet) { f.Ended(m) })
 	c.leave(m)
+	c.lost(poison.Run{ID: m.ID, Born: m.Born})
 	c.log("caller left", 0)
 	c.e.metrics.ended(c.kind(), "caller_left", time.Since(c.began))
 }
--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -41,10 +41,11 @@
 	tracker poison.Tracker
 	news    []poison.Evidence // not told to the other entries yet
 	alone   isolation
+	probed  map[string]time.Time // when a silent upstream was probed, by address
 }
 
 func newSuspects(e *Edge) *suspects {
-	return &suspects{e: e, wake: make(chan struct{}, 1), alone: newIsolation()}
+	return &suspects{e: e, wake: make(chan struct{}, 1), alone: newIsolation(), probed: make(map[string]time.Time)}
 }
 
 // update changes the tracker and returns what it found, which the other
@@ -233,7 +234,9 @@
 	var ue *upstream.Error
 	failed := errors.As(err, &ue)
 	switch {
-	case o == attempt.Answered || o == attempt.Rejected:
+	case o == attempt.Rejected && resp.Status == http.StatusMisdirectedRequest:
+		c.e.suspects.ended(run) // another one has its address
+	case o == attempt.Answered || o == attempt.Rejected || outOfBounds(err):
 		c.noteAnswer(run, o, resp)
 	case o == attempt.NotSent:
 		if errors.Is(err, syscall.ECONNREFUSED) {
@@ -241,9 +244,8 @@
 		}
 	case failed && ue.Sent:
 		c.e.metrics.lostAttempt(ue.Timeout())
-		if !ue.Timeout() {
-			c.lost(run)
-		}
+		c.lost(run)
+		go c.e.suspects.probe(run, m.Address, c.connectionLimit(), ue.Timeout())
 	}
 }
 
@@ -251,9 +253,8 @@
 func (c *call) noteAnswer(run poison.Run, o attempt.Outcome, resp *upstream.Response) {
 	s := c.e.suspects
 	if s.watching.Load() {
-		s.update(func(t *poison.Tracker, _ time.Time) []poison.Evidence {
-			t.Alive(run, c.sent)
-			return nil
+		s.update(func(t *poison.Tracker, now time.Time) []poison.Evidence {
+			return t.Alive(run, c.sent, now)
 		})
 	}
 	ran := o == attempt.Answered && !resp.NotRun && resp.Status < http.StatusInternalServerError
@@ -284,3 +285,55 @@
 		return found
 	})
 }
+
+const (
+	// probePause is the time after which a connection is looked at again that was
+	// accepted while its upstream may have been ending.
+	probePause = 100 * time.Millisecond
+	// silentPause is the time between two probes of an upstream that is silent.
+	silentPause = time.Second
+)
+
+// probe finds out whether an upstream that lost an attempt has ended, which nobody
+// else may notice before it is back. The connection serves the next request.
+func (s *suspects) probe(run poison.Run, address string, limit int, silent bool) {
+	if silent && !s.mayProbe(address) {
+		return
+	}
+	for range 2 {
+		err := s.e.pool.Probe(context.Background(), address, limit, silent)
+		var ue *upstream.Error
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			s.ended(run)
+			return
+		case errors.As(err, &ue) && ue.Timeout():
+			s.update(func(t *poison.Tracker, _ time.Time) []poison.Evidence {
+				t.Unreachable(run)
+				return nil
+			})
+			return
+		case silent:
+			return
+		}
+		time.Sleep(probePause)
+	}
+}
+
+// mayProbe bounds the probes of an upstream that is silent for many requests.
+func (s *suspects) mayProbe(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if now.Before(s.probed[address].Add(silentPause)) {
+		return false
+	}
+	if len(s.probed) >= maxProbed {
+		clear(s.probed)
+	}
+	s.probed[address] = now
+	return true
+}
+
+// maxProbed bounds the addresses that are remembered.
+const maxProbed = 4096
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -8,7 +8,10 @@
 // and in any order; what it means for a request is computed from all of it.
 package poison
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// crashWindow is how long after a lost attempt the end of its upstream is taken
@@ -22,18 +25,22 @@
 
 // lost is an attempt that may have run and got no answer.
 type lost struct {
-	run         Run
 	fingerprint uint64
 	at          time.Time
+	// unreachable is set if the upstream could not be reached afterwards, presumed
+	// if that was taken for a crash.
+	unreachable, presumed bool
 }
 
 // Tracker attributes lost attempts to crashes. The zero value is ready for use.
 type Tracker struct {
 	Book
 
-	lost  []lost            // oldest first
-	ended map[Run]time.Time // runs that crashed
-	lives map[Run]uint32    // ends seen of a run; keys have no Life
+	lost        map[Run][]lost // by upstream, oldest first
+	size        int            // attempts in lost
+	unreachable map[Run]bool   // runs with attempts that are marked so and not presumed
+	ended       map[Run]time.Time
+	lives       map[Run]uint32 // ends seen of a run; keys have no Life
 }
 
 // life returns a run with the number of its present life.
@@ -44,22 +51,23 @@
 
 // Watching reports whether answers of upstreams matter now: whether Alive has an
 // effect.
-func (t *Tracker) Watching() bool { return len(t.lost) > 0 || len(t.ended) > 0 }
+func (t *Tracker) Watching() bool { return t.size > 0 || len(t.ended) > 0 }
 
 // Lost notes an attempt, begun at a time, that may have run and got no answer.
 func (t *Tracker) Lost(r Run, fingerprint uint64, began, now time.Time) []Evidence {
-	if fingerprint == 0 {
-		return nil
-	}
 	t.prune(now)
 	r = t.life(r)
 	if ended, ok := t.ended[r]; ok && began.Before(ended) {
-		return t.add(Evidence{Fingerprint: fingerprint, Run: r, Grade: Confirmed, At: now}, now)
+		return t.add(fingerprint, r, Confirmed, now)
+	}
+	if fingerprint == 0 || t.size >= maxLost {
+		return nil
 	}
-	if len(t.lost) >= maxLost {
-		t.lost = t.lost[1:]
+	if t.lost == nil {
+		t.lost = make(map[Run][]lost)
 	}
-	t.lost = append(t.lost, lost{run: r, fingerprint: fingerprint, at: now})
+	t.lost[r] = append(t.lost[r], lost{fingerprint: fingerprint, at: now})
+	t.size++
 	return nil
 }
 
@@ -74,35 +82,72 @@
 		t.ended[r] = now
 	}
 	var found []Evidence
-	kept := t.lost[:0]
-	for _, l := range t.lost {
-		if l.run != r {
-			kept = append(kept, l)
-			continue
-		}
-		found = append(found, t.add(Evidence{Fingerprint: l.fingerprint, Run: r, Grade: Confirmed, At: now}, now)...)
+	for _, l := range t.lost[r] {
+		found = append(found, t.add(l.fingerprint, r, Confirmed, now)...)
 	}
-	t.lost = kept
+	t.keep(r, func(lost) bool { return false })
 	return found
 }
 
+// Unreachable notes that no connection to an upstream could be made. That alone may
+// be the fault of this entry.
+func (t *Tracker) Unreachable(r Run) {
+	r = t.life(r)
+	for i := range t.lost[r] {
+		t.lost[r][i].unreachable = true
+	}
+	if len(t.lost[r]) == 0 {
+		return
+	}
+	if t.unreachable == nil {
+		t.unreachable = make(map[Run]bool)
+	}
+	t.unreachable[r] = true
+}
+
 // Alive notes that an upstream answered an attempt that began at a time. What was
-// lost there before was no crash.
-func (t *Tracker) Alive(r Run, began time.Time) {
+// lost there before was no crash, and this entry is not cut off.
+func (t *Tracker) Alive(r Run, began, now time.Time) []Evidence {
 	key := r
 	r = t.life(r)
 	if ended, ok := t.ended[r]; ok && began.After(ended) {
 		delete(t.ended, r)
 		t.nextLife(key)
-		return
+		return t.presume(r, began, now)
 	}
-	kept := t.lost[:0]
-	for _, l := range t.lost {
-		if l.run != r || !l.at.Before(began) {
-			kept = append(kept, l)
+	var found []Evidence
+	for _, l := range t.lost[r] {
+		if l.presumed && l.at.Before(began) {
+			found = append(found, t.add(l.fingerprint, r, Cleared, now)...)
 		}
 	}
-	t.lost = kept
+	t.keep(r, func(l lost) bool { return !l.at.Before(began) })
+	if len(found) > 0 {
+		t.nextLife(key)
+	}
+	return append(found, t.presume(r, began, now)...)
+}
+
+// presume takes the upstreams that could not be reached, while another one answers,
+// for crashed.
+func (t *Tracker) presume(answering Run, began, now time.Time) []Evidence {
+	var found []Evidence
+	for r := range t.unreachable {
+		if r == answering {
+			continue
+		}
+		for i := range t.lost[r] {
+			l := &t.lost[r][i]
+			if l.unreachable && !l.presumed && l.at.Before(began) {
+				l.presumed = true
+				found = append(found, t.add(l.fingerprint, r, Presumed, now)...)
+			}
+		}
+		if !slices.ContainsFunc(t.lost[r], func(l lost) bool { return l.unreachable && !l.presumed }) {
+			delete(t.unreachable, r)
+		}
+	}
+	return found
 }
 
 // nextLife notes that an upstream answers again after an end.
@@ -116,30 +161,40 @@
 // Succeeded clears a request that has run to its end. The evidence is for the
 // other processes.
 func (t *Tracker) Succeeded(fingerprint uint64, now time.Time) []Evidence {
-	kept := t.lost[:0]
-	for _, l := range t.lost {
-		if l.fingerprint != fingerprint {
-			kept = append(kept, l)
-		}
+	for r := range t.lost {
+		t.keep(r, func(l lost) bool { return l.fingerprint != fingerprint })
 	}
-	t.lost = kept
 	return t.Clear(fingerprint, now)
 }
 
-func (t *Tracker) add(e Evidence, now time.Time) []Evidence {
+func (t *Tracker) add(fingerprint uint64, r Run, g Grade, now time.Time) []Evidence {
+	e := Evidence{Fingerprint: fingerprint, Run: r, Grade: g, At: now}
 	if !t.Add(e, now) {
 		return nil
 	}
 	return []Evidence{e}
 }
 
+// keep forgets the lost attempts at a run for which f returns false.
+func (t *Tracker) keep(r Run, f func(lost) bool) {
+	before := len(t.lost[r])
+	kept := slices.DeleteFunc(t.lost[r], func(l lost) bool { return !f(l) })
+	t.size -= before - len(kept)
+	if len(kept) == 0 {
+		delete(t.lost, r)
+		delete(t.unreachable, r)
+		return
+	}
+	t.lost[r] = kept
+}
+
 // prune forgets what is too old to be attributed.
 func (t *Tracker) prune(now time.Time) {
-	old := 0
-	for old < len(t.lost) && now.Sub(t.lost[old].at) > crashWindow {
-		old++
+	for r := range t.lost {
+		if now.Sub(t.lost[r][0].at) > crashWindow {
+			t.keep(r, func(l lost) bool { return now.Sub(l.at) <= crashWindow })
+		}
 	}
-	t.lost = t.lost[old:]
 	for r, at := range t.ended {
 		if now.Sub(at) > crashWindow {
 			delete(t.ended, r)
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -130,7 +130,7 @@
 		now := start
 		for _, b := range born {
 			r := Run{ID: "u1", Born: b}
-			tr.Alive(r, now)
+			tr.Alive(r, now, now)
 			tr.crash(r, now.Add(time.Second), deadly)
 			now = now.Add(5 * time.Second)
 		}
@@ -167,7 +167,7 @@
 		t.Errorf("suspects of a crash a minute later: %+v", found)
 	}
 	tr.Lost(Run{ID: "u2"}, deadly, start, start.Add(time.Minute))
-	tr.Alive(Run{ID: "u2"}, start.Add(61*time.Second))
+	tr.Alive(Run{ID: "u2"}, start.Add(61*time.Second), start.Add(61*time.Second))
 	if found := tr.Ended(Run{ID: "u2"}, start.Add(62*time.Second)); len(found) != 0 {
 		t.Errorf("suspects of a crash after another answer: %+v", found)
 	}
@@ -226,3 +226,50 @@
 		t.Errorf("%d requests, %d crashes, digest %x left", len(tr.requests), len(tr.onBoard), tr.Digest())
 	}
 }
+
+// Guards against crashes that nobody counts because the machine is dark and the
+// store away (issue 19), and against sound requests that are refused because their
+// entry is cut off from their upstreams.
+func TestUnreachableUpstream(t *testing.T) {
+	const pause = time.Second
+	now := start
+	lose := func(tr *Tracker, id string) {
+		tr.Lost(Run{ID: id}, deadly, now, now)
+		tr.Unreachable(Run{ID: id})
+		now = now.Add(pause)
+	}
+	answer := func(tr *Tracker, id string) []Evidence {
+		now = now.Add(pause)
+		return tr.Alive(Run{ID: id}, now, now)
+	}
+	var cutOff, partly, dark Tracker
+	for i := range maxCrashes {
+		lose(&cutOff, fmt.Sprint("u", i))
+		lose(&dark, fmt.Sprint("u", i))
+		if found := answer(&dark, "other"); len(found) != 1 || found[0].Grade != Presumed {
+			t.Fatalf("while another upstream answers: %+v", found)
+		}
+		if refused := dark.refuses(deadly, now); refused != (i+1 == maxCrashes) {
+			t.Errorf("after %d presumed crashes: refused %v", i+1, refused)
+		}
+	}
+	if !cutOff.Clean() {
+		t.Errorf("an entry that no upstream answers suspects %+v", cutOff.Evidence())
+	}
+	for i := range 2 {
+		lose(&partly, fmt.Sprint("u", i))
+	}
+	answer(&partly, "other")
+	for i := range 2 {
+		if found := answer(&partly, fmt.Sprint("u", i)); len(found) != 1 || found[0].Grade != Cleared {
+			t.Errorf("when the upstream answers again: %+v", found)
+		}
+	}
+	if !partly.Clean() {
+		t.Errorf("suspected although the upstreams live: %+v", partly.Evidence())
+	}
+	lose(&partly, "u0")
+	if found := partly.Ended(Run{ID: "u0"}, now); len(found) != 1 || found[0].Grade != Confirmed {
+		t.Errorf("a crash after the false one: %+v", found)
+	}
+}
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -50,7 +50,7 @@
 	br       *bufio.Reader // reads from bound
 	lastUsed time.Time
 	idleTime time.Duration
-	reused   bool // an answer came on it before
+	reused   bool // it was kept; an answer may have come on it before
 }
 
 // Dialed returns the number of connections made so far.
@@ -103,8 +103,13 @@
 
 func (p *Pool) discardLocked(c *conn) {
 	_ = c.Close()
-	if p.open[c.address]--; p.open[c.address] <= 0 {
-		delete(p.open, c.address)
+	p.releaseLocked(c.address)
+}
+
+// releaseLocked counts a connection less.
+func (p *Pool) releaseLocked(address string) {
+	if p.open[address]--; p.open[address] <= 0 {
+		delete(p.open, address)
 	}
 }
 
@@ -152,6 +157,13 @@
 		}
 		p.discardLocked(c)
 	}
+	p.mu.Unlock()
+	return p.dial(ctx, address, limit)
+}
+
+// dial makes a connection.
+func (p *Pool) dial(ctx context.Context, address string, limit int) (*conn, error) {
+	p.mu.Lock()
 	if limit > 0 && p.open[address] >= limit {
 		p.mu.Unlock()
 		return nil, &Error{Step: "dial", Peer: address, Err: ErrTooMany}
@@ -165,7 +177,7 @@
 	nc, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.mu.Lock()
-		p.open[address]--
+		p.releaseLocked(address)
 		p.mu.Unlock()
 		return nil, &Error{Step: "dial", Peer: address, Err: err}
 	}
@@ -173,6 +185,21 @@
 	return &conn{Conn: nc, address: address, bound: bound, br: bufio.NewReaderSize(bound, readBuffer), idleTime: defaultIdleTime}, nil
 }
 
+// Probe makes sure that there is a connection to an address for a later request,
+// a new one if fresh is set. The error tells why there is none.
+func (p *Pool) Probe(ctx context.Context, address string, limit int, fresh bool) error {
+	get := p.get
+	if fresh {
+		get = p.dial
+	}
+	c, err := get(ctx, address, limit)
+	if err != nil {
+		return err
+	}
+	p.put(c)
+	return nil
+}
+
 func (p *Pool) put(c *conn) {
 	c.lastUsed = time.Now()
 	p.mu.Lock()
