Let processes make sure that they know the same of crashes, and keep it on disk

What callers saw: with each restart of an entry a request crashed more upstreams, though the other entries refused it; the same for an entry that was frozen or cut off when the others were told, and for all when they restarted together.

Cause: what one entry found was sent once, to the entries known at that moment, with a second and without an answer. Nobody asked, nobody repeated it, nothing was kept. This is the class of fault: state that others rely on, told by a message that may be lost.

Change: findings go to the storage processes and the nearest 16 entries at once, and every entry compares a digest with another process every 1.5 s, with storage processes of its region first; who differs exchanges all evidence. Storage processes keep the evidence on disk, so it survives a loss of power everywhere.

Ruled out: acknowledged messages to every entry (state for each pair, and a restarted peer looks acknowledged); evidence in the feeds (they end when the store is away, which is when upstreams crash unseen); an object in the store (billed, and away at the wrong time).

--- a/pkg/crashreport/crashreport.go
+++ b/pkg/crashreport/crashreport.go
@@ -3,12 +3,66 @@
 package crashreport
 
 import (
+	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
+	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
+// Holder is the evidence of one process. Its methods may be called from several
+// goroutines.
+type Holder interface {
+	// Report returns a report with all evidence, or with its digest only.
+	Report(complete bool) *peerv1.CrashReport
+	// Take takes over the evidence of a report.
+	Take(r *peerv1.CrashReport, peer string)
+}
+
+// Answer takes over a peer's report and returns the answer: all evidence, if the
+// peer does not know the same.
+func Answer(h Holder, r *peerv1.CrashReport, peer string) *peerv1.CrashReport {
+	h.Take(r, peer)
+	own := h.Report(false)
+	if own.GetDigest() == r.GetDigest() {
+		return own
+	}
+	return h.Report(true)
+}
+
+// Exchange sends a report to the process at an address and makes both know the
+// same. It returns whether they do.
+func Exchange(ctx context.Context, t *transport.Transport, address string, h Holder, first *peerv1.CrashReport) (same bool, err error) {
+	reply, err := ask(ctx, t, address, first)
+	if err != nil {
+		return false, err
+	}
+	h.Take(reply, address)
+	if h.Report(false).GetDigest() == reply.GetDigest() {
+		return true, nil
+	}
+	if reply, err = ask(ctx, t, address, h.Report(true)); err != nil {
+		return false, err
+	}
+	h.Take(reply, address)
+	return h.Report(false).GetDigest() == reply.GetDigest(), nil
+}
+
+func ask(ctx context.Context, t *transport.Transport, address string, r *peerv1.CrashReport) (*peerv1.CrashReport, error) {
+	m, err := t.Ask(ctx, address, Envelope(r))
+	if err != nil {
+		return nil, errors.Wrapf(err, "exchange evidence of crashes with %s", address)
+	}
+	reply := m.GetCrashReport()
+	if reply == nil {
+		return nil, errors.Errorf("exchange evidence of crashes with %s: %T instead of a report", address, m.GetBody())
+	}
+	return reply, nil
+}
+
 var gradeOf = map[peerv1.CrashEvidence_Grade]poison.Grade{
 	peerv1.CrashEvidence_PRESUMED:  poison.Presumed,
 	peerv1.CrashEvidence_CONFIRMED: poison.Confirmed,
--- a/pkg/edge/crashing_test.go
+++ b/pkg/edge/crashing_test.go
@@ -6,12 +6,14 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 	"github.com/yuccaspindle/yuccaspindle/pkg/standin/faultnet"
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
@@ -389,3 +391,100 @@
 		t.Errorf("suspects: %+v", list)
 	}
 }
+
+// Guards against an entry that was frozen or cut off when the others were told, and
+// never asks (issue 19).
+func TestMissedReportIsLearnt(t *testing.T) {
+	for name, storages := range map[string]int{"from an entry": 0, "from a storage process": 3} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			d.route(clone(unsafeRoute))
+			d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
+			if storages > 0 {
+				d.storages()
+			}
+			a, b := d.edge("127.0.0.1"), d.edge("127.0.0.2")
+			for _, p := range []*process{a, b} {
+				p.ready(t, 1, storages)
+				eventually(t, "the entries do not know each other", func() bool { return len(p.edge.view.otherEdges()) == 1 })
+			}
+			s := a.edge.suspects
+			s.mu.Lock()
+			for _, id := range []string{"x", "y"} { // nobody is told
+				s.tracker.Lost(poison.Run{ID: id}, 7, time.Now(), time.Now())
+				s.tracker.Ended(poison.Run{ID: id}, time.Now())
+			}
+			s.mu.Unlock()
+			within(t, 3*exchangeInterval, "the other entry knows", func() bool {
+				list := b.edge.Status().Suspects
+				return len(list) == 1 && list[0].Crashes == 2 && !list[0].Until.IsZero()
+			})
+		})
+	}
+}
+
+// Guards against the quarantine that is forgotten when everything loses power
+// (issue 19).
+func TestCrashingRequestAfterPowerLoss(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	f := newCrashers(d)
+	f.lapse = 100 * time.Millisecond
+	f.start(10)
+	storages := d.storages()
+	p := d.edge("127.0.0.1")
+	p.ready(t, 10, 3)
+	for range 4 {
+		p.send(t, "poison")
+		time.Sleep(pause)
+	}
+	time.Sleep(time.Second) // the storage processes write once a second
+	for _, s := range append(storages, p) {
+		s.stop()
+	}
+	for _, s := range storages {
+		again := *s.settings
+		again.FirstStart = false
+		d.storageWith(&again)
+	}
+	p = d.edge("127.0.0.1")
+	eventually(t, "the entry is not ready", func() bool { return p.edge.view.ready() && p.listens() })
+	time.Sleep(time.Second)
+	if a := p.send(t, "poison"); a.status != http.StatusServiceUnavailable {
+		t.Errorf("after the power loss: %+v", a)
+	}
+	if n := f.by("poison"); n > maxCrashes {
+		t.Errorf("%d upstreams ended, want at most %d", n, maxCrashes)
+	}
+}
+
+// Guards against entries that all ask the same process, ask themselves, or never
+// ask one in another region or another entry.
+func TestPartnersOfEntries(t *testing.T) {
+	all := []string{"a", "b", "c", "d"}
+	asked := make(map[string]int)
+	for i, own := range all {
+		others := slices.Delete(slices.Clone(all), i, i+1)
+		for _, p := range successors(own, others) {
+			if p == own {
+				t.Errorf("%s asks itself", own)
+			}
+			asked[p]++
+		}
+	}
+	for _, a := range all {
+		if asked[a] != 2 {
+			t.Errorf("%s is asked by %d entries", a, asked[a])
+		}
+	}
+	if list := successors("x", nil); len(list) != 0 {
+		t.Errorf("partners of a single entry: %v", list)
+	}
+	first := make(map[string]bool)
+	for round := range 3 {
+		first[rotate([]string{"t", "s", "u"}, round)[0]] = true
+	}
+	if len(first) != 3 {
+		t.Errorf("three rounds begin with %v", first)
+	}
+}
--- /dev/null
+++ b/pkg/edge/exchange.go
@@ -0,0 +1,160 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/crashreport"
+)
+
+const (
+	// tellGather lets findings that come together go out in one message.
+	tellGather = 20 * time.Millisecond
+	// maxTold bounds the entries that are told at once; the others ask.
+	maxTold = 16
+	// exchangeInterval is how often an entry makes sure that it knows what others
+	// found, so that one that was frozen or cut off knows it within two of them.
+	exchangeInterval = 1500 * time.Millisecond
+	// startExchangeInterval is the same at first. It doubles until a process answers.
+	startExchangeInterval = 100 * time.Millisecond
+	// exchangeTimeout bounds one exchange: some round trips between regions.
+	exchangeTimeout = 700 * time.Millisecond
+	// exchangeTries is the number of processes that are asked, one after the other,
+	// if the first one does not answer.
+	exchangeTries = 2
+	// partnerRounds is the number of exchanges of which one goes to another region
+	// and one to an entry, the others to storage processes of this region.
+	partnerRounds = 4
+	// differPause follows an exchange after which both still know different things,
+	// because one of them has forgotten what does not fit.
+	differPause = 30 * time.Second
+)
+
+// run tells others what was found and asks for what they have found, until the
+// context ends.
+func (s *suspects) run(ctx context.Context) {
+	interval := startExchangeInterval
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	round := rand.IntN(partnerRounds)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(tellGather):
+			}
+			s.tell(ctx)
+			continue
+		case <-s.ask:
+			interval = startExchangeInterval
+		case <-timer.C:
+		}
+		s.expire()
+		interval = s.exchange(ctx, round, interval)
+		round++
+		timer.Reset(interval*3/4 + rand.N(interval/2))
+	}
+}
+
+// expire forgets what is too old.
+func (s *suspects) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.Expire(time.Now())
+	s.noteLocked()
+}
+
+// tell sends what was found to the storage processes, which keep it, and to the
+// nearest entries.
+func (s *suspects) tell(ctx context.Context) {
+	s.mu.Lock()
+	report := crashreport.New(&s.tracker.Book, s.news, time.Now())
+	s.news = nil
+	s.mu.Unlock()
+	entries := s.e.view.otherEdges()
+	addresses := entries[:min(len(entries), maxTold)]
+	for _, m := range s.e.view.Storage() {
+		addresses = append(addresses, m.Address)
+	}
+	for _, address := range addresses {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+			defer cancel()
+			if _, err := crashreport.Exchange(ctx, s.e.transport, address, s, report); err != nil {
+				s.e.logger.Info("crash not told to a process", "peer", address, "findings", len(report.GetEvidence()), "err", err)
+				s.e.metrics.untold()
+			}
+		}()
+	}
+}
+
+// exchange asks one process for what it knows. It returns the time until the next
+// exchange, given that before this one.
+func (s *suspects) exchange(ctx context.Context, round int, interval time.Duration) time.Duration {
+	if !s.e.view.isKnown() {
+		return interval
+	}
+	partners := s.partners(round)
+	for _, address := range partners[:min(len(partners), exchangeTries)] {
+		limited, cancel := context.WithTimeout(ctx, exchangeTimeout)
+		same, err := crashreport.Exchange(limited, s.e.transport, address, s, s.Report(false))
+		cancel()
+		switch {
+		case err != nil:
+			s.e.logger.Debug("evidence of crashes not exchanged", "peer", address, "err", err)
+		case same:
+			return exchangeInterval
+		default:
+			return differPause
+		}
+	}
+	return min(2*interval, exchangeInterval)
+}
+
+// partners returns the addresses of the processes to ask in a round, best first.
+// Storage processes go first: they are told by all, and sessions to them are there.
+// Each round begins with another one.
+func (s *suspects) partners(round int) []string {
+	var near, far []string
+	for _, m := range s.e.view.Storage() {
+		if m.Local {
+			near = append(near, m.Address)
+			continue
+		}
+		far = append(far, m.Address)
+	}
+	entries := successors(s.e.settings.PeerAddress(), s.e.view.otherEdges())
+	near, far = rotate(near, round), rotate(far, round)
+	switch round % partnerRounds {
+	case partnerRounds - 1:
+		return slices.Concat(far, near, entries)
+	case partnerRounds - 2:
+		return slices.Concat(entries, near, far)
+	}
+	return slices.Concat(near, far, entries)
+}
+
+// successors returns the two entries that follow an address in the order of all,
+// so that each is asked by two and sessions stay few.
+func successors(own string, others []string) []string {
+	slices.Sort(others)
+	i, _ := slices.BinarySearch(others, own)
+	list := slices.Concat(others[i:], others[:i])
+	return list[:min(len(list), 2)]
+}
+
+// rotate returns a list in order that begins with another element in each round.
+func rotate(list []string, round int) []string {
+	if len(list) == 0 {
+		return nil
+	}
+	slices.Sort(list)
+	i := round % len(list)
+	return slices.Concat(list[i:], list[:i])
+}
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/crashreport"
 	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
@@ -25,7 +26,7 @@
 	case *peerv1.Envelope_FeedRequest:
 		err = e.view.serveFeed(ctx, s, st, m.FeedRequest.GetInsist())
 	case *peerv1.Envelope_CrashReport:
-		err = e.suspects.heard(st, s.Addr(), m.CrashReport)
+		err = st.Send(crashreport.Envelope(crashreport.Answer(e.suspects, m.CrashReport, s.Addr())))
 	default:
 		e.logger.Warn("peer request is not known", "peer", s.Addr())
 	}
--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -17,35 +17,27 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/crashreport"
 	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
 	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
-	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 	"github.com/yuccaspindle/yuccaspindle/pkg/upstream"
 )
 
-const (
-	// tellTimeout bounds the message to one entry: some round trips between
-	// regions.
-	tellTimeout = time.Second
-	// tellGather lets findings that come together go out in one message.
-	tellGather = 20 * time.Millisecond
-)
-
 // suspects keeps requests that crash upstreams from running again and again,
-// and agrees on them with the other entries.
+// and agrees on them with the other processes.
 type suspects struct {
 	e        *Edge
-	wake     chan struct{}
-	some     atomic.Bool // something speaks against a request
-	watching atomic.Bool // answers of upstreams matter to the tracker
+	wake     chan struct{} // something was found
+	ask      chan struct{} // this entry may have missed what others found
+	some     atomic.Bool   // something speaks against a request
+	watching atomic.Bool   // answers of upstreams matter to the tracker
 
 	mu      sync.Mutex
 	tracker poison.Tracker
-	news    []poison.Evidence // not told to the other entries yet
+	news    []poison.Evidence // not told to the other processes yet
 	alone   isolation
 	probed  map[string]time.Time // when a silent upstream was probed, by address
 }
 
 func newSuspects(e *Edge) *suspects {
-	return &suspects{e: e, wake: make(chan struct{}, 1), alone: newIsolation(), probed: make(map[string]time.Time)}
+	return &suspects{e: e, wake: make(chan struct{}, 1), ask: make(chan struct{}, 1), alone: newIsolation(), probed: make(map[string]time.Time)}
 }
 
 // update changes the tracker and returns what it found, which the other
@@ -58,11 +50,15 @@
 	s.noteLocked()
 	s.mu.Unlock()
 	s.log(found, "this entry")
-	if len(found) == 0 {
-		return
+	if len(found) > 0 {
+		notify(s.wake)
 	}
+}
+
+// notify wakes the goroutine that waits for a channel of one place.
+func notify(c chan struct{}) {
 	select {
-	case s.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -92,54 +88,26 @@
 	}
 }
 
-// run tells the other entries what was found.
-func (s *suspects) run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.wake:
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(tellGather):
-		}
-		now := time.Now()
-		s.mu.Lock()
-		report := crashreport.New(&s.tracker.Book, s.news, now)
-		s.news = nil
-		s.tracker.Expire(now)
-		s.noteLocked()
-		s.mu.Unlock()
-		s.tell(ctx, report)
-	}
-}
-
-// tell sends what was found to all other entries.
-func (s *suspects) tell(ctx context.Context, report *peerv1.CrashReport) {
-	for _, address := range s.e.view.otherEdges() {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, tellTimeout)
-			defer cancel()
-			if _, err := s.e.transport.Ask(ctx, address, crashreport.Envelope(report)); err != nil {
-				s.e.logger.Info("crash not told to an entry", "peer", address, "findings", len(report.GetEvidence()), "err", err)
-				s.e.metrics.untold()
-			}
-		}()
+// Report implements crashreport.Holder.
+func (s *suspects) Report(complete bool) *peerv1.CrashReport {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []poison.Evidence
+	if complete {
+		list = s.tracker.Evidence()
 	}
+	return crashreport.New(&s.tracker.Book, list, now)
 }
 
-// heard takes over what another process found and answers it.
-func (s *suspects) heard(st *transport.Stream, peer string, report *peerv1.CrashReport) error {
+// Take implements crashreport.Holder.
+func (s *suspects) Take(report *peerv1.CrashReport, peer string) {
 	now := time.Now()
 	s.mu.Lock()
 	added := crashreport.Take(&s.tracker.Book, report, now)
-	reply := crashreport.New(&s.tracker.Book, nil, now)
 	s.noteLocked()
 	s.mu.Unlock()
 	s.log(added, peer)
-	return st.Send(crashreport.Envelope(reply))
 }
 
 // hex writes a fingerprint as logs and the status show it.
--- a/pkg/peerstate/snapshot.go
+++ b/pkg/peerstate/snapshot.go
@@ -3,13 +3,12 @@
 import (
 	"io/fs"
 	"os"
-	"path/filepath"
 
-	"github.com/google/renameio/v2"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/durable"
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
 
@@ -63,17 +62,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode snapshot")
 	}
-	folder := filepath.Dir(path)
-	if err := renameio.WriteFile(path, data, 0o640, renameio.WithTempDir(folder)); err != nil {
-		return errors.Wrap(err, "write snapshot")
-	}
-	// The new name is durable once the folder is.
-	d, err := os.Open(folder)
-	if err != nil {
-		return errors.Wrap(err, "open folder of the snapshot")
-	}
-	defer d.Close()
-	return errors.Wrap(d.Sync(), "sync folder of the snapshot")
+	return errors.Wrap(durable.WriteFile(path, data), "write snapshot")
 }
 
 // LoadSnapshot reads a snapshot. A file that does not exist is an empty one.
--- a/pkg/poison/book.go
+++ b/pkg/poison/book.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// evidenceTime is how long a request is remembered after the last crash that
-	// it was on board of: longer than the longest quarantine, so that one more
-	// crash afterwards is not the first again.
-	evidenceTime = 25 * time.Hour
-	// clearedTime is the same for a request that is cleared: other processes must
-	// hear of it before it is forgotten.
+	// evidenceTime is how long a crash speaks against a request: longer than the
+	// longest quarantine and the crashes before it, so that one more afterwards is
+	// not the first again.
+	evidenceTime = 48 * time.Hour
+	// clearedTime is how long it is remembered that a request is cleared: other
+	// processes must hear of it.
 	clearedTime = 10 * time.Minute
 	// maxRequests bounds the requests that are remembered.
 	maxRequests = 4096
@@ -139,13 +139,6 @@
 	}
 }
 
-func (r *request) forgottenAt() time.Time {
-	if r.last.IsZero() {
-		return r.newest.Add(clearedTime)
-	}
-	return r.newest.Add(evidenceTime)
-}
-
 // Book holds all evidence. Books that have heard the same, in any order and any
 // number of times, hold the same. The zero value is ready for use.
 type Book struct {
@@ -245,25 +238,39 @@
 func (b *Book) forget(fp uint64) {
 	r := b.requests[fp]
 	b.recount(r.count(), 0)
-	for run, e := range r.crashes {
-		b.digest ^= e.digest()
-		delete(b.onBoard[run], fp)
-		if len(b.onBoard[run]) == 0 {
-			delete(b.onBoard, run)
-		}
+	for _, e := range r.crashes {
+		b.drop(e)
 	}
 	delete(b.requests, fp)
 }
 
-// Expire forgets requests whose last crash is long ago.
+// Expire forgets evidence that is too old.
 func (b *Book) Expire(now time.Time) {
 	for fp, r := range b.requests {
-		if !now.Before(r.forgottenAt()) {
-			b.forget(fp)
+		before := r.count()
+		for run, e := range r.crashes {
+			if now.Sub(e.At) >= e.keptFor() {
+				delete(r.crashes, run)
+				b.drop(e)
+			}
+		}
+		b.recount(before, r.count())
+		r.update()
+		if len(r.crashes) == 0 {
+			delete(b.requests, fp)
 		}
 	}
 }
 
+// drop takes evidence out of the indexes.
+func (b *Book) drop(e Evidence) {
+	b.digest ^= e.digest()
+	delete(b.onBoard[e.Run], e.Fingerprint)
+	if len(b.onBoard[e.Run]) == 0 {
+		delete(b.onBoard, e.Run)
+	}
+}
+
 // Clear clears a request that has run to its end and returns the evidence that
 // says so.
 func (b *Book) Clear(fp uint64, now time.Time) []Evidence {
--- a/pkg/storage/keep.go
+++ b/pkg/storage/keep.go
@@ -81,6 +81,9 @@
 		if err := s.keeper.save(keptPath(s.settings)); err != nil {
 			s.logger.Warn("deployment not kept", "err", err)
 		}
+		if err := s.suspects.save(time.Now()); err != nil {
+			s.logger.Warn("evidence of crashes not kept", "err", err)
+		}
 	}
 }
 
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/crashreport"
 	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
 	"github.com/yuccaspindle/yuccaspindle/pkg/peerstate"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
@@ -36,6 +37,7 @@
 	// retirement starts the emptying of this instance.
 	retirement *retirementHandler
 	keeper     *keeper
+	suspects   *suspects
 	// kept is what the store held when this process was last told.
 	kept *peerstate.Snapshot
 }
@@ -51,6 +53,7 @@
 	s.members = newMembers(settings, logger)
 	s.retirement = &retirementHandler{s: s}
 	s.keeper = &keeper{kept: peerstate.NewSnapshot()}
+	s.suspects = loadSuspects(settings, logger)
 	s.transport, err = transport.New(transport.Config{
 		Listen: settings.PeerAddress(), Isolated: true, Logger: logger, Hello: s.hello,
 	}, s.servePeer)
@@ -114,6 +117,8 @@
 		err = server.ServeBatches(ctx, st, m.LedgerBatch)
 	case *peerv1.Envelope_LedgerRequest:
 		err = server.Serve(ctx, st, m.LedgerRequest)
+	case *peerv1.Envelope_CrashReport:
+		err = st.Send(crashreport.Envelope(crashreport.Answer(s.suspects, m.CrashReport, sess.Addr())))
 	default:
 		s.logger.Warn("peer request is not known", "peer", sess.Addr())
 	}
