Let operators release a request, and show the logs of failed edge tests

The harness of the edge tests keeps the processes' logs and shows them if a test fails: the finding on TestHistory came without any.

--- a/cmd/yuccaspindled/main.go
+++ b/cmd/yuccaspindled/main.go
@@ -56,6 +56,12 @@
 				ArgsUsage: "METRICS-ADDRESS",
 				Action:    printStatus,
 			},
+			{
+				Name:      "release",
+				Usage:     "let a request run again that was refused because upstreams crashed with it on board",
+				ArgsUsage: "METRICS-ADDRESS FINGERPRINT",
+				Action:    releaseRequest,
+			},
 			{
 				Name:      "check",
 				Usage:     "check a settings file and print what it says",
--- a/pkg/edge/crashing_test.go
+++ b/pkg/edge/crashing_test.go
@@ -458,6 +458,42 @@
 	}
 }
 
+// Guards against a request that stays refused at some processes after an operator
+// has released it.
+func TestRelease(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	f := newCrashers(d)
+	f.lapse = 100 * time.Millisecond
+	f.start(6)
+	a, b := d.edge("127.0.0.1"), d.edge("127.0.0.2")
+	for _, p := range []*process{a, b} {
+		p.ready(t, 6, 0)
+		eventually(t, "the entries do not know each other", func() bool { return len(p.edge.view.otherEdges()) == 1 })
+	}
+	for range 3 {
+		a.send(t, "poison")
+		time.Sleep(pause)
+	}
+	list := b.edge.Status().Suspects
+	if len(list) != 1 || list[0].Until.IsZero() {
+		t.Fatalf("suspects of the other entry: %+v", list)
+	}
+	rec := httptest.NewRecorder()
+	a.edge.serveRelease(rec, httptest.NewRequest(http.MethodPost, ReleasePath+"?fingerprint="+hex(list[0].Fingerprint), nil))
+	if rec.Code != http.StatusNoContent {
+		t.Fatalf("release: %d %s", rec.Code, rec.Body)
+	}
+	for _, p := range []*process{a, b} {
+		within(t, 3*exchangeInterval, "the request is released", func() bool { return len(p.edge.Status().Suspects) == 0 })
+	}
+	again := httptest.NewRecorder()
+	a.edge.serveRelease(again, httptest.NewRequest(http.MethodPost, ReleasePath+"?fingerprint="+hex(list[0].Fingerprint), nil))
+	if again.Code != http.StatusNotFound {
+		t.Errorf("a second release: %d", again.Code)
+	}
+}
+
 // Guards against entries that all ask the same process, ask themselves, or never
 // ask one in another region or another entry.
 func TestPartnersOfEntries(t *testing.T) {
--- a/pkg/edge/harness_test.go
+++ b/pkg/edge/harness_test.go
@@ -36,6 +36,7 @@
 	routes   []map[string]any
 
 	processes []*process
+	log       *testLog
 }
 
 // instances is the number of addresses that tests use.
@@ -54,7 +55,9 @@
 	store := platformstore.New()
 	srv := httptest.NewServer(store)
 	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
-	d := &deployment{t: t, store: store, storeURL: strings.TrimPrefix(srv.URL, "http://"), port: freePort(t, loopback.Addresses("127.0.0.", 1, instances)...)}
+	l := &testLog{}
+	t.Cleanup(func() { l.showOnFailure(t) })
+	d := &deployment{t: t, log: l, store: store, storeURL: strings.TrimPrefix(srv.URL, "http://"), port: freePort(t, loopback.Addresses("127.0.0.", 1, instances)...)}
 	return d
 }
 
@@ -115,7 +118,37 @@
 	return d.run(s, e, e.Run)
 }
 
-func (d *deployment) logger() *slog.Logger { return slog.New(slog.DiscardHandler) }
+// logger returns a logger whose lines are shown if the test fails.
+func (d *deployment) logger() *slog.Logger { return slog.New(slog.NewTextHandler(d.log, nil)) }
+
+// testLog keeps the lines of all processes of a test.
+type testLog struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+// maxTestLog bounds the bytes that are kept.
+const maxTestLog = 4 << 20
+
+// Write implements io.Writer.
+func (l *testLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lines.Len() < maxTestLog {
+		l.lines.Write(p)
+	}
+	return len(p), nil
+}
+
+// showOnFailure logs the lines when a test has failed.
+func (l *testLog) showOnFailure(t *testing.T) {
+	if !t.Failed() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t.Logf("logs of the processes:\n%s", l.lines.String())
+}
 
 func (d *deployment) storage(ip, dir string) *process {
 	d.t.Helper()
@@ -311,7 +344,7 @@
 
 func (d *deployment) storageWith(s *platform.Settings) *process {
 	d.t.Helper()
-	st, err := storage.New(s, slog.New(slog.DiscardHandler))
+	st, err := storage.New(s, d.logger())
 	if err != nil {
 		d.t.Fatal(err)
 	}
@@ -323,7 +356,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	tr, err := transport.New(transport.Config{
-		Logger: slog.New(slog.DiscardHandler), Hello: func() *peerv1.Hello { return &peerv1.Hello{} },
+		Logger: d.logger(), Hello: func() *peerv1.Hello { return &peerv1.Hello{} },
 	}, func(context.Context, *transport.Session, *transport.Stream, *peerv1.Envelope) {})
 	if err != nil {
 		d.t.Fatal(err)
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -42,6 +42,7 @@
 	admin := http.NewServeMux()
 	admin.HandleFunc("GET "+platform.MetricsPath, e.metrics.serve)
 	admin.HandleFunc("GET "+StatusPath, e.serveStatus)
+	admin.HandleFunc("POST "+ReleasePath, e.serveRelease)
 	servers := []struct {
 		address string
 		server  *http.Server
--- a/pkg/edge/status.go
+++ b/pkg/edge/status.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
@@ -15,6 +16,10 @@
 // metrics.
 const StatusPath = "/status"
 
+// ReleasePath is where an operator clears a request of crashes, at the same address.
+// Its parameter "fingerprint" is hexadecimal, as logs show it.
+const ReleasePath = "/release"
+
 // Status is what an entry believes of the deployment.
 type Status struct {
 	Node          string           `json:"node"`
@@ -77,3 +82,17 @@
 		e.logger.Debug("status not received", "err", err)
 	}
 }
+
+func (e *Edge) serveRelease(w http.ResponseWriter, r *http.Request) {
+	fingerprint, err := strconv.ParseUint(r.FormValue("fingerprint"), 16, 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !e.Release(fingerprint) {
+		http.Error(w, "nothing speaks against the request", http.StatusNotFound)
+		return
+	}
+	e.logger.Info("request released by an operator", "fingerprint", hex(fingerprint), "operator", r.RemoteAddr)
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -240,6 +240,18 @@
 	})
 }
 
+// Release clears a request of all crashes, on every process, and reports whether
+// anything spoke against it.
+func (e *Edge) Release(fingerprint uint64) bool {
+	released := false
+	e.suspects.update(func(t *poison.Tracker, now time.Time) []poison.Evidence {
+		cleared := t.Clear(fingerprint, now)
+		released = len(cleared) > 0
+		return cleared
+	})
+	return released
+}
+
 // ended notes that runs of upstreams are over.
 func (s *suspects) ended(runs ...poison.Run) {
 	if len(runs) == 0 {
