Do not miss a crash that is found while an entry connects to another one

On the product's own path an entry sends what it knows of crashes before it enters the new session into its list of peers; what was found in between was told to nobody on that session. And it told its peers one after the other, so a silent one delayed the others by 5 s.

Not mended: a release is told once. Repeating it on new sessions was tried and reverted: without versions an old release would end a newer quarantine.

No test: the window is between two statements. The quarantine tests of pkg/quickstart pass as before.

--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -212,9 +212,12 @@
 	}
 	if hello.GetRole() == roleEntry {
 		ps.addEntry(k, hello.GetInstance())
-		go ps.n.sendQuarantines(s)
 	}
 	k.set(s)
+	if hello.GetRole() == roleEntry {
+		// After set: what is found from now on is sent by shareQuarantine.
+		go ps.n.sendQuarantines(s)
+	}
 	st, err := s.Open(ctx, ps.n.heartbeatFor(k))
 	if err != nil {
 		return err
--- a/pkg/entry/quarantine.go
+++ b/pkg/entry/quarantine.go
@@ -57,7 +57,7 @@
 func (n *Entry) shareQuarantine(e core.ShareQuarantine) {
 	n.quarantines.add(e)
 	for name, s := range n.peers.entries() {
-		n.sendQuarantine(name, s, e)
+		go n.sendQuarantine(name, s, e) // a silent peer must not delay the others
 	}
 }
 
