Give no new work to upstreams that say in an answer that they leave

Leaving is the state of one run of an upstream and outlives what the store, feeds and lists say of that run; only another run ends it. Such an upstream gets no first attempts, retries or resumed streams, its idle connections are closed, requests on board are finished, and its end is no crash. The last one of a service is used for half of the drain time, then callers are refused at once.

Ruled out: marking the registration as draining (the next event or list of the store would undo it); suspending the upstream (suspensions end, and are a fallback).

Not built: telling other entries; a random-order test with announcements in the soak.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -38,6 +38,10 @@
 	// defaultTransit applies without a limit of the process's memory, in bytes.
 	defaultTransit = 256 << 20
 	bytesPerMB     = 1 << 20
+	// leavingShare is the part of the time for which an upstream that leaves may
+	// still be reached that requests are sent to it, if a service has no other. The
+	// rest is for requests on their way.
+	leavingShare = 2
 )
 
 // transitLimit returns the bytes for data in transit in a process of a size.
@@ -92,6 +96,7 @@
 		slept:   suspend.New().Total,
 	}
 	e.metrics.transit(e.transit)
+	e.fleet.UseLeaving(settings.DrainTime / leavingShare)
 	e.store.Store(platform.NewStore(settings.StoreAddress))
 	e.view = newView(e)
 	var err error
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -236,6 +236,28 @@
 	}
 }
 
+// send sends the request to a member and reads the head of its answer.
+func (c *call) send(ctx context.Context, m *fleet.Member, req *upstream.Request) (*upstream.Response, error) {
+	resp, err := c.e.pool.Do(ctx, req)
+	if err == nil && resp.Leaving {
+		c.e.leaves(m, c.req.ID)
+	}
+	return resp, err
+}
+
+// leaves notes that an upstream says in an answer that it leaves: it gets no new
+// work.
+func (e *Edge) leaves(m *fleet.Member, id string) {
+	first := false
+	e.withFleet(func(f *fleet.Fleet) { first = f.Leaves(m, time.Now()) })
+	if !first {
+		return
+	}
+	e.pool.Forget(m.Address)
+	e.metrics.leaving()
+	e.logger.Info("upstream leaves", "upstream", m.ID, "born", m.Born, "address", m.Address, "source", "answer", "id", id)
+}
+
 // connectionLimit shares an upstream's connections among the entries.
 func (c *call) connectionLimit() int {
 	limit := c.table.Service(c.service).MaxConnections
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -31,6 +31,9 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_suspects_total{finding=%q}`, finding)).Inc()
 }
 
+// leaving counts an upstream whose answers say that it leaves.
+func (m *metrics) leaving() { m.set.GetOrCreateCounter(`yucca_edge_leaving_upstreams_total`).Inc() }
+
 // untold counts findings about crashes that an entry was not told.
 func (m *metrics) untold() { m.set.GetOrCreateCounter(`yucca_edge_suspects_untold_total`).Inc() }
 
--- a/pkg/edge/plain.go
+++ b/pkg/edge/plain.go
@@ -56,7 +56,7 @@
 		silence = c.stallTime()
 		req.HeadBy = earlier(c.deadline, time.Now().Add(silence))
 	}
-	resp, err := c.e.pool.Do(ctx, req)
+	resp, err := c.send(ctx, m, req)
 	if err != nil {
 		return nil, nil, failure(err, stalls), err
 	}
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -94,7 +94,7 @@
 	if stalls {
 		req.HeadBy = earlier(c.deadline, time.Now().Add(stallObjectives*c.route.Objective))
 	}
-	resp, err := c.e.pool.Do(ctx, req)
+	resp, err := c.send(ctx, m, req)
 	if err != nil {
 		return nil, nil, failure(err, stalls), err
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -74,6 +74,8 @@
 
 	missing   bool // the entry is gone from the store
 	goneAfter time.Time
+
+	leavingSince time.Time // of the first answer that says so; zero: it does not leave
 }
 
 // InFlight returns the number of attempts of this process.
@@ -91,6 +93,11 @@
 	// graceUntil ends the time after a regained contact with the store in which
 	// missing entries are still believed.
 	graceUntil time.Time
+	// leaving has the runs of upstreams whose answers say that they leave.
+	leaving leaving
+	// leavingUse is how long after its first such answer an upstream is used if
+	// there is no other.
+	leavingUse time.Duration
 }
 
 // New returns an empty fleet as seen from a failure domain.
@@ -99,6 +106,7 @@
 		domain: domain, regionOf: regionOf,
 		members:   make(map[string]*Member),
 		byService: make(map[string][]*Member),
+		leaving:   make(leaving),
 	}
 }
 
@@ -112,7 +120,7 @@
 	old := f.members[u.ID]
 	m := old
 	if m == nil || m.Born != u.Born || m.Address != u.Address {
-		m = &Member{}
+		m = &Member{leavingSince: f.leaving.since(u)}
 	}
 	if old != nil && (m != old || old.Service != u.Service) {
 		f.drop(old)
@@ -137,7 +145,7 @@
 		return Upstream{}, false
 	}
 	f.drop(m)
-	return m.Upstream, true
+	return m.ended(), true
 }
 
 // Replace takes a complete listing: entries that it does not name are removed. It
@@ -165,7 +173,7 @@
 	for _, id := range slices.Sorted(maps.Keys(f.members)) {
 		if m := f.members[id]; m.missing && !now.Before(m.goneAfter) {
 			f.drop(m)
-			gone = append(gone, m.Upstream)
+			gone = append(gone, m.ended())
 		}
 	}
 	return gone
--- a/pkg/fleet/health.go
+++ b/pkg/fleet/health.go
@@ -40,6 +40,8 @@
 	switch {
 	case m.State == Draining:
 		h.Out = "draining"
+	case m.Leaving():
+		h.Out = "leaving, by its answers"
 	case m.Suspended(now):
 		h.SuspendedFor = m.suspendedUntil.Sub(now)
 		h.Out = "suspended after failures"
--- a/pkg/fleet/pick.go
+++ b/pkg/fleet/pick.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -31,10 +32,10 @@
 )
 
 // Pick returns the member with the lowest expected cost, or nil if none may be
-// used. Suspended members are used only when no other is left, the one whose
-// suspension ends first.
+// used. Members that leave are used only when no other is left, and only for a
+// time; suspended ones after these, the one whose suspension ends first.
 func (f *Fleet) Pick(r Request, now time.Time) *Member {
-	var best, fallback *Member
+	var best, leaves, fallback *Member
 	bestCost := math.Inf(1)
 	i := 0
 	for _, m := range f.byService[r.Service] {
@@ -42,6 +43,12 @@
 			continue
 		}
 		i++
+		if m.Leaving() {
+			if f.usable(m, now) && !m.Suspended(now) && (leaves == nil || m.leavingSince.After(leaves.leavingSince)) {
+				leaves = m
+			}
+			continue
+		}
 		if m.Suspended(now) {
 			if fallback == nil || m.suspendedUntil.Before(fallback.suspendedUntil) {
 				fallback = m
@@ -53,17 +60,14 @@
 			best, bestCost = m, cost
 		}
 	}
-	if best == nil {
-		return fallback
-	}
-	return best
+	return cmp.Or(best, leaves, fallback)
 }
 
 // HasOther reports whether a service has a member that is not excluded and would
 // take an attempt now.
 func (f *Fleet) HasOther(service string, excluded func(id string) bool, now time.Time) bool {
 	for _, m := range f.byService[service] {
-		if m.State == Ready && !m.Suspended(now) && !excluded(m.ID) {
+		if m.State == Ready && !m.Leaving() && !m.Suspended(now) && !excluded(m.ID) {
 			return true
 		}
 	}
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -143,7 +143,7 @@
 // its end and nothing follows, otherwise it is closed.
 func (r *Response) Finish() {
 	stopped := r.stop()
-	if !r.whole || r.Close || !stopped || r.c.br.Buffered() > 0 || !r.requestWritten() {
+	if !r.whole || r.Close || r.Leaving || !stopped || r.c.br.Buffered() > 0 || !r.requestWritten() {
 		r.p.discard(r.c)
 		return
 	}
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -80,6 +80,16 @@
 // while this machine was suspended, without a trace here.
 func (p *Pool) DropIdle() { p.sweep(time.Now(), true) }
 
+// Forget closes the idle connections to an address.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		p.discardLocked(c)
+	}
+	delete(p.idle, address)
+}
+
 func (p *Pool) sweep(now time.Time, all bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
