--- a/pkg/edge/crashing_test.go
+++ b/pkg/edge/crashing_test.go
@@ -423,6 +423,38 @@
 	}
 }
 
+// Guards against the first requests of an entry that starts again: they were served
+// before it had asked anybody (seeds 1 and 3 of TestCrashingSoak, issue 19).
+func TestFirstRequestAfterRestart(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	f := newCrashers(d)
+	f.lapse = 100 * time.Millisecond
+	f.start(12)
+	d.storages()
+	p := d.edge("127.0.0.1")
+	p.ready(t, 12, 3)
+	for range 4 {
+		p.send(t, "poison")
+		time.Sleep(pause)
+	}
+	before := f.by("poison")
+	for round := range 5 {
+		p.stop()
+		again := *p.settings
+		again.FirstStart = false
+		p = d.edgeWith(&again)
+		var a answer
+		eventually(t, "nobody listens", func() bool { a = p.send(t, "poison"); return a.err == nil })
+		if a.status != http.StatusServiceUnavailable {
+			t.Errorf("round %d: the first request: %+v", round, a)
+		}
+	}
+	if n := f.by("poison") - before; n > 0 {
+		t.Errorf("%d more upstreams ended", n)
+	}
+}
+
 // Guards against the quarantine that is forgotten when everything loses power
 // (issue 19).
 func TestCrashingRequestAfterPowerLoss(t *testing.T) {
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -19,6 +19,11 @@
 	exchangeInterval = 1500 * time.Millisecond
 	// startExchangeInterval is the same at first. It doubles until a process answers.
 	startExchangeInterval = 100 * time.Millisecond
+	// startExchangeWait is how long requests wait for the first exchange of an entry
+	// that starts again: some round trips between regions.
+	startExchangeWait = 200 * time.Millisecond
+	// startPartners is the number of processes that such an entry asks at once.
+	startPartners = 3
 	// exchangeTimeout bounds one exchange: some round trips between regions.
 	exchangeTimeout = 700 * time.Millisecond
 	// exchangeTries is the number of processes that are asked, one after the other,
@@ -35,6 +40,7 @@
 // run tells others what was found and asks for what they have found, until the
 // context ends.
 func (s *suspects) run(ctx context.Context) {
+	s.start(ctx)
 	interval := startExchangeInterval
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
@@ -62,6 +68,53 @@
 	}
 }
 
+// start asks some processes at once when an entry has started again, since a request
+// that the others refuse may be the first to come.
+func (s *suspects) start(ctx context.Context) {
+	defer close(s.told)
+	if s.e.settings.FirstStart {
+		return
+	}
+	select {
+	case <-ctx.Done():
+		return
+	case <-s.e.view.known:
+	}
+	partners := s.partners(0)
+	partners = partners[:min(len(partners), startPartners)]
+	limited, cancel := context.WithTimeout(ctx, startExchangeWait)
+	defer cancel()
+	answered := make(chan error, len(partners))
+	for _, address := range partners {
+		go func() {
+			_, err := crashreport.Exchange(limited, s.e.transport, address, s, s.Report(false))
+			answered <- err
+		}()
+	}
+	for range partners {
+		if err := <-answered; err == nil {
+			return
+		}
+	}
+}
+
+// waitUntilTold holds a request back until the first exchange of an entry that
+// starts again.
+func (s *suspects) waitUntilTold(ctx context.Context) {
+	select {
+	case <-s.told:
+		return
+	default:
+	}
+	timer := time.NewTimer(startExchangeWait)
+	defer timer.Stop()
+	select {
+	case <-s.told:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // expire forgets what is too old.
 func (s *suspects) expire() {
 	s.mu.Lock()
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -72,6 +72,7 @@
 	c.sleptBefore = e.suspended(c.began)
 	e.view.waitUntilKnown(r.Context())
 	e.view.waitUntilSure(r.Context())
+	e.suspects.waitUntilTold(r.Context())
 	c.table = e.view.table.Load()
 	if c.table == nil {
 		c.refuse(http.StatusServiceUnavailable, retryUnready, "no configuration")
--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -26,6 +26,7 @@
 	e        *Edge
 	wake     chan struct{} // something was found
 	ask      chan struct{} // this entry may have missed what others found
+	told     chan struct{} // closed once this entry knows what others found before it started
 	some     atomic.Bool   // something speaks against a request
 	watching atomic.Bool   // answers of upstreams matter to the tracker
 
@@ -37,7 +38,7 @@
 }
 
 func newSuspects(e *Edge) *suspects {
-	return &suspects{e: e, wake: make(chan struct{}, 1), ask: make(chan struct{}, 1), alone: newIsolation(), probed: make(map[string]time.Time)}
+	return &suspects{e: e, wake: make(chan struct{}, 1), ask: make(chan struct{}, 1), told: make(chan struct{}), alone: newIsolation(), probed: make(map[string]time.Time)}
 }
 
 // update changes the tracker and returns what it found, which the other
--- /dev/null
+++ b/soak/crashing_test.go
@@ -0,0 +1,300 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/standin/faultnet"
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+const (
+	fragileUpstreams = 8
+	deadlyRequests   = 3
+	soundCallers     = 4
+	// crashingTime is the length of the time with faults: longer than it takes to
+	// crash three upstreams and contactTime.
+	crashingTime = 14 * time.Second
+	// contactTime is how long after its third crash a request may reach any number
+	// of upstreams, lateRuns how many later.
+	contactTime = 4 * time.Second
+	thirdCrash  = 3
+	lateRuns    = 3
+	// lapseTime is how long after a crash the registration is gone.
+	lapseTime = 600 * time.Millisecond
+)
+
+// fragile is an upstream that crashes when it runs a request with "deadly" in its
+// body.
+type fragile struct {
+	w   *fragileWorld
+	net *faultnet.Server
+
+	mu   sync.Mutex
+	id   string
+	born int64
+	down bool
+}
+
+// fragileWorld is the fragile upstreams and what they ran.
+type fragileWorld struct {
+	s *soak
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	started int
+	runs    map[string][]time.Time // of deadly requests, by body
+}
+
+func (w *fragileWorld) draw(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rng.IntN(n)
+}
+
+// between returns a time from least to most ms.
+func (w *fragileWorld) between(least, most int) time.Duration {
+	return time.Duration(least+w.draw(most-least)) * time.Millisecond
+}
+
+func (w *fragileWorld) newID() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.started++
+	return fmt.Sprint("f", w.started)
+}
+
+func newFragileWorld(s *soak, seed uint64) *fragileWorld {
+	w := &fragileWorld{s: s, rng: rand.New(rand.NewPCG(seed, 5)), runs: make(map[string][]time.Time)}
+	for _, u := range s.ups {
+		id, _ := u.identity()
+		s.store.Delete(platform.KindUpstreams, id)
+	}
+	for range fragileUpstreams {
+		f := &fragile{w: w, id: w.newID(), born: 1}
+		f.net = faultnet.New(f)
+		if err := f.net.Listen("127.0.0.1:0"); err != nil {
+			s.t.Fatal(err)
+		}
+		s.t.Cleanup(func() { _ = f.net.Close() })
+		f.register()
+	}
+	return w
+}
+
+func (f *fragile) register() {
+	f.w.s.store.Put(platform.KindUpstreams, f.id, map[string]any{
+		"Service": "app", "Address": f.net.Addr(), "Zone": "a1", "Slots": 8, "State": "ready", "born": f.born,
+	})
+}
+
+func (f *fragile) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	f.mu.Lock()
+	id, down := f.id, f.down
+	f.mu.Unlock()
+	if down { // it has crashed silently
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	if r.Header.Get("Target-Instance") != id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if strings.Contains(string(body), "deadly") {
+		f.crash(string(body))
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(f.w.between(2, 30))
+	w.Header().Set("Response-Signature", "s")
+	fmt.Fprint(w, "done")
+}
+
+// crash ends the upstream, with resets or silently, and lets it start again.
+func (f *fragile) crash(body string) {
+	f.w.mu.Lock()
+	f.w.runs[body] = append(f.w.runs[body], time.Now())
+	f.w.mu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return
+	}
+	f.down = true
+	if f.w.draw(3) == 0 {
+		f.net.Silence()
+	} else {
+		go f.net.Drop()
+	}
+	go f.restart()
+}
+
+func (f *fragile) restart() {
+	time.Sleep(lapseTime)
+	f.w.s.store.Delete(platform.KindUpstreams, f.id)
+	time.Sleep(f.w.between(50, 1500))
+	f.net.Drop()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.w.draw(2) == 0 {
+		f.id = f.w.newID()
+	}
+	f.born = time.Now().UnixMilli()
+	f.down = false
+	if err := f.net.Listen(""); err == nil { // else the run is over
+		f.register()
+	}
+}
+
+// deadlyCaller sends one such request again and again, to any entry, at times some
+// copies at once, and at times without waiting for the answer.
+func (w *fragileWorld) deadlyCaller(ctx context.Context, n int) {
+	rng := rand.New(rand.NewPCG(uint64(n), 17))
+	body := fmt.Sprintf("deadly %d", n)
+	for i := 0; ctx.Err() == nil; i++ {
+		var copies sync.WaitGroup
+		for c := range 1 + rng.IntN(2) {
+			impatient := rng.IntN(4) == 0
+			seed := rng.Uint64()
+			copies.Go(func() {
+				ctx, cancel := context.WithCancel(ctx)
+				defer cancel()
+				if impatient {
+					defer time.AfterFunc(150*time.Millisecond, cancel).Stop()
+				}
+				own := rand.New(rand.NewPCG(seed, 1))
+				_, _, _ = w.s.send(ctx, own, "POST", "/unsafe/x", fmt.Sprintf("deadly-%d-%d-%d", n, i, c), body, nil)
+			})
+		}
+		copies.Wait()
+		time.Sleep(w.between(100, 600))
+	}
+}
+
+// soundCaller sends requests of its own, each until it is served.
+func (w *fragileWorld) soundCaller(ctx context.Context, n int) (served, sent int) {
+	rng := rand.New(rand.NewPCG(uint64(n), 23))
+	for i := 0; ctx.Err() == nil; i++ {
+		sent++
+		body := fmt.Sprintf("sound %d %d", n, i)
+		for try := 0; ctx.Err() == nil; try++ {
+			status, _, err := w.s.send(ctx, rng, "POST", "/unsafe/x", fmt.Sprintf("sound-%d-%d-%d", n, i, try), body, nil)
+			if status == http.StatusOK && err == nil {
+				served++
+				break
+			}
+			time.Sleep(w.between(50, 300))
+		}
+		time.Sleep(w.between(5, 40))
+	}
+	return served, sent
+}
+
+// faults harms the processes of the system, one after the other and overlapping.
+func (w *fragileWorld) faults(ctx context.Context) {
+	s := w.s
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for ctx.Err() == nil {
+		e, d := s.edges[w.draw(len(s.edges))], w.between(200, 1500)
+		var f func()
+		switch w.draw(6) {
+		case 0:
+			f = func() { s.restart(e, syscall.SIGKILL, false) }
+		case 1:
+			f = func() { s.restart(e, syscall.SIGTERM, false) }
+		case 2:
+			f = func() { e.pause(d) }
+		case 3:
+			f = func() { s.store.SetDown(true); time.Sleep(d); s.store.SetDown(false) }
+		case 4:
+			st := s.storages[w.draw(len(s.storages))]
+			f = func() { s.restart(st, syscall.SIGKILL, w.draw(2) == 0) }
+		case 5: // all entries at once
+			f = func() {
+				var all sync.WaitGroup
+				for _, e := range s.edges {
+					all.Go(func() { s.restart(e, syscall.SIGKILL, false) })
+				}
+				all.Wait()
+			}
+		}
+		wg.Go(f)
+		time.Sleep(w.between(300, 1200))
+	}
+}
+
+// check returns the deadly requests that reached too many upstreams.
+func (w *fragileWorld) check() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var faults []string
+	for body, runs := range w.runs {
+		late := 0
+		for _, at := range runs {
+			if len(runs) >= thirdCrash && at.After(runs[thirdCrash-1].Add(contactTime)) {
+				late++
+			}
+		}
+		if late > lateRuns {
+			faults = append(faults, fmt.Sprintf("%q ran %d times, %d of them later than %v after its third crash", body, len(runs), late, contactTime))
+		}
+		w.s.t.Logf("%q ran %d times, %d of them late", body, len(runs), late)
+	}
+	return faults
+}
+
+// Guards against requests that crash upstreams again and again (issue 19), with the
+// real processes: several at once, beside sound ones that are repeated, with entries
+// that are killed, stopped and paused and a store that is away.
+func TestCrashingSoak(t *testing.T) {
+	bin := build(t)
+	for _, seed := range seeds(t) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSoak(t, bin, seed)
+			w := newFragileWorld(s, seed)
+			s.waitReady()
+			ctx, cancel := context.WithTimeout(context.Background(), crashingTime)
+			defer cancel()
+			var wg sync.WaitGroup
+			var mu sync.Mutex
+			served, sent := 0, 0
+			for n := range deadlyRequests {
+				wg.Go(func() { w.deadlyCaller(ctx, n) })
+			}
+			for n := range soundCallers {
+				wg.Go(func() {
+					a, b := w.soundCaller(ctx, n)
+					mu.Lock()
+					defer mu.Unlock()
+					served, sent = served+a, sent+b
+				})
+			}
+			w.faults(ctx)
+			wg.Wait()
+			for _, fault := range w.check() {
+				t.Error(fault)
+			}
+			t.Logf("%d of %d sound requests served", served, sent)
+			if served < sent-2*soundCallers || served < 20 { // the last ones may be under way
+				t.Errorf("%d of %d sound requests served", served, sent)
+			}
+			if t.Failed() {
+				s.keepLogs(seed)
+			}
+		})
+	}
+}
