Ask others before the first requests after a freeze, too

What callers saw: an entry that was frozen for some seconds served a request that the others had come to refuse meanwhile, until its next exchange, up to 1.5 s later: a process that acts on what it knew before a pause.

Change: an entry knows when its next round of exchange has to have ended; a request that comes later begins a round and waits for it, 200 ms at most. A suspended machine does the same. What requests wait for at a start uses the same mechanism.

--- a/pkg/edge/crashing_test.go
+++ b/pkg/edge/crashing_test.go
@@ -455,6 +455,33 @@
 	}
 }
 
+// Guards against an entry that was frozen and serves the request that the others
+// have found before it asks them (issue 19).
+func TestFirstRequestAfterFreeze(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	f := newCrashers(d)
+	f.start(4)
+	d.storages()
+	a, b := d.edge("127.0.0.1"), d.edge("127.0.0.2")
+	for _, p := range []*process{a, b} {
+		p.ready(t, 4, 3)
+	}
+	for range 2 {
+		a.send(t, "poison")
+		time.Sleep(pause)
+	}
+	s := b.edge.suspects
+	s.mu.Lock()
+	s.tracker = poison.Tracker{} // what it missed while it was frozen
+	s.noteLocked()
+	s.mu.Unlock()
+	s.exchange.due.Store(0) // the time of the freeze
+	if a := b.send(t, "poison"); a.status != http.StatusServiceUnavailable {
+		t.Errorf("the first request after the freeze: %+v", a)
+	}
+}
+
 // Guards against the quarantine that is forgotten when everything loses power
 // (issue 19).
 func TestCrashingRequestAfterPowerLoss(t *testing.T) {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -118,6 +118,9 @@
 	e.ledger = ledger.NewClient(e.transport, e.view, settings.DisksToLose, logger)
 	e.settler = newSettler(e.ledger, logger)
 	e.suspects = newSuspects(e)
+	if !settings.FirstStart {
+		e.suspects.exchange.open()
+	}
 	return e, nil
 }
 
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/crashreport"
@@ -19,9 +20,12 @@
 	exchangeInterval = 1500 * time.Millisecond
 	// startExchangeInterval is the same at first. It doubles until a process answers.
 	startExchangeInterval = 100 * time.Millisecond
-	// startExchangeWait is how long requests wait for the first exchange of an entry
-	// that starts again: some round trips between regions.
-	startExchangeWait = 200 * time.Millisecond
+	// exchangeWait is how long requests wait for an exchange of an entry that starts
+	// again or was frozen: some round trips between regions.
+	exchangeWait = 200 * time.Millisecond
+	// lateRound is how much later than planned a round may end before the entry is
+	// taken for one that was frozen.
+	lateRound = 500 * time.Millisecond
 	// startPartners is the number of processes that such an entry asks at once.
 	startPartners = 3
 	// exchangeTimeout bounds one exchange: some round trips between regions.
@@ -37,11 +41,67 @@
 	differPause = 30 * time.Second
 )
 
+// exchange is how far an entry knows what others found.
+type exchange struct {
+	ask chan struct{} // begins a round
+	// round is closed at the end of the present round.
+	round atomic.Pointer[chan struct{}]
+	// due is when the next round ends at the latest, by the time since began. An
+	// entry that finds it passed was frozen.
+	due   atomic.Int64
+	began time.Time
+}
+
+func newExchange() exchange {
+	return exchange{ask: make(chan struct{}, 1), began: time.Now()}
+}
+
+// open begins a round that requests wait for, unless one has begun.
+func (x *exchange) open() {
+	round := make(chan struct{})
+	if x.round.CompareAndSwap(nil, &round) {
+		notify(x.ask)
+	}
+}
+
+// done ends the present round; the next one begins after a time, give or take a
+// quarter.
+func (x *exchange) done(next time.Duration) {
+	x.due.Store(int64(time.Since(x.began) + next*5/4 + exchangeTries*exchangeTimeout + lateRound))
+	if round := x.round.Swap(nil); round != nil {
+		close(*round)
+	}
+}
+
+// late reports whether the next round should have ended.
+func (x *exchange) late() bool { return int64(time.Since(x.began)) > x.due.Load() }
+
+// waitUntilTold holds a request back while this entry may have missed what others
+// found: it has just started again, or was frozen.
+func (s *suspects) waitUntilTold(ctx context.Context) {
+	x := &s.exchange
+	if x.late() {
+		x.open()
+	}
+	round := x.round.Load()
+	if round == nil || !s.e.view.isKnown() {
+		return
+	}
+	timer := time.NewTimer(exchangeWait)
+	defer timer.Stop()
+	select {
+	case <-*round:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // run tells others what was found and asks for what they have found, until the
 // context ends.
 func (s *suspects) run(ctx context.Context) {
 	s.start(ctx)
 	interval := startExchangeInterval
+	s.exchange.done(interval)
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
 	round := rand.IntN(partnerRounds)
@@ -57,12 +117,13 @@
 			}
 			s.tell(ctx)
 			continue
-		case <-s.ask:
+		case <-s.exchange.ask:
 			interval = startExchangeInterval
 		case <-timer.C:
 		}
 		s.expire()
-		interval = s.exchange(ctx, round, interval)
+		interval = s.askOne(ctx, round, interval)
+		s.exchange.done(interval)
 		round++
 		timer.Reset(interval*3/4 + rand.N(interval/2))
 	}
@@ -71,7 +132,6 @@
 // start asks some processes at once when an entry has started again, since a request
 // that the others refuse may be the first to come.
 func (s *suspects) start(ctx context.Context) {
-	defer close(s.told)
 	if s.e.settings.FirstStart {
 		return
 	}
@@ -82,7 +142,7 @@
 	}
 	partners := s.partners(0)
 	partners = partners[:min(len(partners), startPartners)]
-	limited, cancel := context.WithTimeout(ctx, startExchangeWait)
+	limited, cancel := context.WithTimeout(ctx, exchangeWait)
 	defer cancel()
 	answered := make(chan error, len(partners))
 	for _, address := range partners {
@@ -98,23 +158,6 @@
 	}
 }
 
-// waitUntilTold holds a request back until the first exchange of an entry that
-// starts again.
-func (s *suspects) waitUntilTold(ctx context.Context) {
-	select {
-	case <-s.told:
-		return
-	default:
-	}
-	timer := time.NewTimer(startExchangeWait)
-	defer timer.Stop()
-	select {
-	case <-s.told:
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // expire forgets what is too old.
 func (s *suspects) expire() {
 	s.mu.Lock()
@@ -147,9 +190,9 @@
 	}
 }
 
-// exchange asks one process for what it knows. It returns the time until the next
+// askOne asks one process for what it knows. It returns the time until the next
 // exchange, given that before this one.
-func (s *suspects) exchange(ctx context.Context, round int, interval time.Duration) time.Duration {
+func (s *suspects) askOne(ctx context.Context, round int, interval time.Duration) time.Duration {
 	if !s.e.view.isKnown() {
 		return interval
 	}
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -282,7 +282,7 @@
 // ended notes the end of an attempt in the fleet and returns what follows.
 func (c *call) ended(m *fleet.Member, o attempt.Outcome, resp *upstream.Response, err error) attempt.Action {
 	now := time.Now()
-	status, inFlight := 0, 0
+	status, inFlight, planned := 0, 0, false
 	c.e.withFleet(func(f *fleet.Fleet) {
 		if resp != nil {
 			status = resp.Status
@@ -308,9 +308,10 @@
 			f.Failed(m, outOfBounds(err), now)
 		}
 		inFlight = m.InFlight()
+		planned = m.State == fleet.Draining || m.Leaving()
 	})
 	c.leave(m)
-	c.noteCrash(m, o, resp, err)
+	c.noteCrash(m, planned, o, resp, err)
 	c.e.metrics.attempt(o.String())
 	action := c.tracker.Ended(o, status >= http.StatusInternalServerError, now)
 	if o != attempt.Answered {
--- /dev/null
+++ b/pkg/edge/verdict.go
@@ -0,0 +1,97 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
+)
+
+// hex writes a fingerprint as logs and the status show it.
+func hex(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
+
+// fingerprint is the same for requests that make upstreams do the same. The
+// caller is part of it where there is no body. It is computed once the body is
+// complete.
+func (c *call) fingerprint() uint64 {
+	if c.hash != 0 {
+		return c.hash
+	}
+	h := xxhash.New()
+	for _, part := range []string{c.r.Host, c.r.Method, c.r.RequestURI, c.req.ParentTurn} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	if len(c.body) == 0 {
+		_, _ = h.WriteString(c.req.Program)
+	}
+	_, _ = h.Write(c.body)
+	c.hash = max(h.Sum64(), 1)
+	return c.hash
+}
+
+// quarantined refuses a request that has crashed upstreams before, and one that
+// may be such a request while another copy of it runs.
+func (c *call) quarantined() bool {
+	c.alone = false
+	s := c.e.suspects
+	if !s.some.Load() {
+		return false
+	}
+	now := time.Now()
+	s.mu.Lock()
+	v := s.tracker.Verdict(c.fingerprint(), now)
+	runs := v.Alone && s.alone.runs(c.fingerprint())
+	s.mu.Unlock()
+	c.alone = v.Alone
+	why, wait := "request crashes upstreams", v.Until.Sub(now)
+	switch {
+	case runs:
+		why, wait = "a suspected request runs alone", retryFull
+	case v.Until.IsZero():
+		return false
+	}
+	if c.tracker.Ran() || c.answered {
+		c.finish(c.tracker.Unplaced(), why)
+		return true
+	}
+	c.refuse(http.StatusServiceUnavailable, wait, why)
+	return true
+}
+
+// occupied reports whether a suspected request runs at an upstream, beside which
+// another one must not run.
+func (c *call) occupied(id string) bool {
+	if !c.alone {
+		return false
+	}
+	s := c.e.suspects
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.alone.occupied(id)
+}
+
+// enter notes that the request of a call goes to an upstream, leave that it has
+// ended there.
+func (c *call) enter(m *fleet.Member) {
+	if !c.alone {
+		return
+	}
+	s := c.e.suspects
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.alone.enter(m.ID, c.fingerprint())
+}
+
+func (c *call) leave(m *fleet.Member) {
+	if !c.alone {
+		return
+	}
+	s := c.e.suspects
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.alone.leave(m.ID, c.fingerprint())
+}
--- a/pkg/edge/wake.go
+++ b/pkg/edge/wake.go
@@ -18,7 +18,7 @@
 		e.logger.Warn("machine was suspended, reading the deployment anew", "for", total-time.Duration(seen))
 		e.pool.DropIdle()
 		e.view.doubt()
-		notify(e.suspects.ask)
+		e.suspects.exchange.open()
 	}
 	return total
 }
