Go on asking after an exchange that met something new; clear requests at leaving upstreams

An entry paused its exchanges for 30 s after one after which both processes still knew different things, meant for books that never agree; a finding that came in the middle looks the same, and it comes when upstreams crash. It pauses after five in a row now (TestDifferingExchanges). And a request that ran whole at an upstream that leaves was not cleared of suspicion.

With it: isolation has a lock of its own, and the unused parts of the crash stand-ins are gone.

--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -31,11 +31,11 @@
 	var ue *upstream.Error
 	misdirected := o == attempt.Rejected && resp.Status == http.StatusMisdirectedRequest
 	switch {
+	case o == attempt.Answered || o == attempt.Rejected && !misdirected || outOfBounds(err):
+		c.noteAnswer(run, o, resp)
 	case planned:
 	case misdirected || errors.Is(err, syscall.ECONNREFUSED):
 		c.e.suspects.ended(run)
-	case o == attempt.Answered || o == attempt.Rejected || outOfBounds(err):
-		c.noteAnswer(run, o, resp)
 	case errors.As(err, &ue) && ue.Sent:
 		c.e.metrics.lostAttempt(ue.Timeout())
 		c.lost(run)
--- a/pkg/edge/crashers_test.go
+++ b/pkg/edge/crashers_test.go
@@ -45,7 +45,6 @@
 	mu      sync.Mutex
 	started int
 	crashes map[string]int // by body
-	ended   int
 }
 
 func newCrashers(d *deployment) *crashers {
@@ -77,13 +76,6 @@
 	return f.crashes[body]
 }
 
-// total returns how many upstreams have ended.
-func (f *crashers) total() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.ended
-}
-
 func (c *crasher) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	data, _ := io.ReadAll(req.Body) // the entry sends whole bodies
 	body := string(data)
@@ -109,7 +101,6 @@
 		return // two such requests on board end it once
 	}
 	c.healthy = false
-	f.ended++
 	if f.silent {
 		c.net.Silence()
 	}
--- a/pkg/edge/crashing_test.go
+++ b/pkg/edge/crashing_test.go
@@ -447,3 +447,23 @@
 		t.Errorf("three rounds begin with %v", first)
 	}
 }
+
+// Guards against an entry that asks nobody for a long time because it has met
+// something new in one exchange, and against full exchanges without end.
+func TestDifferingExchanges(t *testing.T) {
+	x := newExchange()
+	for i := range maxDiffering - 1 {
+		if got := x.next(false); got != exchangeInterval {
+			t.Errorf("after %d exchanges that differ: %v", i+1, got)
+		}
+	}
+	if got := x.next(false); got != differPause {
+		t.Errorf("after %d exchanges that differ: %v", maxDiffering, got)
+	}
+	if got := x.next(true); got != exchangeInterval {
+		t.Errorf("after one that does not: %v", got)
+	}
+	if got := x.next(false); got != exchangeInterval {
+		t.Errorf("after one more that does: %v", got)
+	}
+}
--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -36,9 +36,11 @@
 	// partnerRounds is the number of exchanges of which one goes to another region
 	// and one to an entry, the others to storage processes of this region.
 	partnerRounds = 4
-	// differPause follows an exchange after which both still know different things,
-	// because one of them has forgotten what does not fit.
-	differPause = 30 * time.Second
+	// differPause follows maxDiffering exchanges in a row after which both still knew
+	// different things: one of them has forgotten what does not fit. A single one may
+	// have met something new.
+	differPause  = 30 * time.Second
+	maxDiffering = 5
 )
 
 // exchange is how far an entry knows what others found.
@@ -50,6 +52,8 @@
 	// entry that finds it passed was frozen.
 	due   atomic.Int64
 	began time.Time
+	// differing counts the exchanges in a row after which both knew different things.
+	differing int
 }
 
 func newExchange() exchange {
@@ -73,6 +77,19 @@
 	}
 }
 
+// next returns the time until the next exchange after one of which both know the
+// same, or do not.
+func (x *exchange) next(same bool) time.Duration {
+	if same {
+		x.differing = 0
+		return exchangeInterval
+	}
+	if x.differing++; x.differing < maxDiffering {
+		return exchangeInterval
+	}
+	return differPause
+}
+
 // late reports whether the next round should have ended.
 func (x *exchange) late() bool { return int64(time.Since(x.began)) > x.due.Load() }
 
@@ -201,14 +218,10 @@
 		limited, cancel := context.WithTimeout(ctx, exchangeTimeout)
 		same, err := crashreport.Exchange(limited, s.e.transport, address, s, s.Report(false))
 		cancel()
-		switch {
-		case err != nil:
-			s.e.logger.Debug("evidence of crashes not exchanged", "peer", address, "err", err)
-		case same:
-			return exchangeInterval
-		default:
-			return differPause
+		if err == nil {
+			return s.exchange.next(same)
 		}
+		s.e.logger.Debug("evidence of crashes not exchanged", "peer", address, "err", err)
 	}
 	return min(2*interval, exchangeInterval)
 }
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -193,7 +193,7 @@
 	if m != nil {
 		c.tried[m.ID] = true
 		c.sent = now
-		c.enter(m)
+		c.enter(m.ID)
 	}
 	return m
 }
@@ -310,7 +310,7 @@
 		inFlight = m.InFlight()
 		planned = m.State == fleet.Draining || m.Leaving()
 	})
-	c.leave(m)
+	c.leave(m.ID)
 	c.noteCrash(m, planned, o, resp, err)
 	c.e.metrics.attempt(o.String())
 	action := c.tracker.Ended(o, status >= http.StatusInternalServerError, now)
@@ -325,7 +325,7 @@
 // canceled notes an attempt that ended because the caller left.
 func (c *call) canceled(m *fleet.Member) {
 	c.e.withFleet(func(f *fleet.Fleet) { f.Ended(m) })
-	c.leave(m)
+	c.leave(m.ID)
 	c.lost(poison.Run{ID: m.ID, Born: m.Born})
 	c.log("caller left", 0)
 	c.e.metrics.ended(c.kind(), "caller_left", time.Since(c.began))
--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -13,23 +13,23 @@
 // suspects keeps requests that crash upstreams from running again and again,
 // and agrees on them with the other processes.
 type suspects struct {
-	e        *Edge
-	wake     chan struct{} // something was found
-	exchange exchange
-	some     atomic.Bool // something speaks against a request
-	watching atomic.Bool // answers of upstreams matter to the tracker
+	e         *Edge
+	wake      chan struct{} // something was found
+	exchange  exchange
+	isolation *isolation
+	some      atomic.Bool // something speaks against a request
+	watching  atomic.Bool // answers of upstreams matter to the tracker
 
 	mu      sync.Mutex
 	tracker poison.Tracker
-	news    []poison.Evidence // not told to the other processes yet
-	alone   isolation
+	news    []poison.Evidence    // not told to the other processes yet
 	probed  map[string]time.Time // when a silent upstream was probed, by address
 }
 
 func newSuspects(e *Edge) *suspects {
 	return &suspects{
 		e: e, wake: make(chan struct{}, 1), exchange: newExchange(),
-		alone: newIsolation(), probed: make(map[string]time.Time),
+		isolation: newIsolation(), probed: make(map[string]time.Time),
 	}
 }
 
--- a/pkg/edge/verdict.go
+++ b/pkg/edge/verdict.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
 )
 
 // hex writes a fingerprint as logs and the status show it.
@@ -44,9 +42,9 @@
 	now := time.Now()
 	s.mu.Lock()
 	v := s.tracker.Verdict(c.fingerprint(), now)
-	runs := v.Alone && s.alone.runs(c.fingerprint())
 	s.mu.Unlock()
 	c.alone = v.Alone
+	runs := v.Alone && s.isolation.runs(c.fingerprint())
 	why, wait := "request crashes upstreams", v.Until.Sub(now)
 	switch {
 	case runs:
@@ -61,37 +59,3 @@
 	c.refuse(http.StatusServiceUnavailable, wait, why)
 	return true
 }
-
-// occupied reports whether a suspected request runs at an upstream, beside which
-// another one must not run.
-func (c *call) occupied(id string) bool {
-	if !c.alone {
-		return false
-	}
-	s := c.e.suspects
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.alone.occupied(id)
-}
-
-// enter notes that the request of a call goes to an upstream, leave that it has
-// ended there.
-func (c *call) enter(m *fleet.Member) {
-	if !c.alone {
-		return
-	}
-	s := c.e.suspects
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.alone.enter(m.ID, c.fingerprint())
-}
-
-func (c *call) leave(m *fleet.Member) {
-	if !c.alone {
-		return
-	}
-	s := c.e.suspects
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.alone.leave(m.ID, c.fingerprint())
-}
