Soak: upstreams that say only in their answers that they leave

TestLeavingSoak, real processes: upstreams announce their end in answers while their registration says ready, the store is away, entries are killed, and another upstream gets the address. The check is the users' rule for each entry since its start.

--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -51,7 +51,7 @@
 		"NodeName": p.role + "-" + p.ip, "Ip": p.ip, "Zone": "a1", "Region": "a", "Zones": map[string]string{"a1": "a"},
 		"ListenAddresses":   map[string]string{"Frontend": p.caller, "Ready": p.ready},
 		"InternalPortRange": []int{s.port}, "Seeds": []string{s.address(1) + ":1", s.address(2) + ":1", s.address(3) + ":1"},
-		"IsFirstStart": first, "Limits": map[string]int{"MemoryMb": memoryMB}, "Bounds": map[string]int{"GraceS": 5},
+		"IsFirstStart": first, "Limits": map[string]int{"MemoryMb": memoryMB}, "Bounds": map[string]int{"GraceS": 5, "DrainMs": int(drainTime.Milliseconds())},
 		"FaultTolerance": map[string]int{"MachineCount": 1},
 		"Platform":       map[string]string{"Address": s.storeURL.addr()},
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -122,6 +122,7 @@
 	service string
 	rng     *rand.Rand
 	trouble float64 // share of requests in trouble
+	leaving bool    // all answers say that it leaves
 	proxy   *proxy
 }
 
@@ -140,6 +141,13 @@
 	u.trouble = share
 }
 
+// leave lets all answers say that the upstream leaves.
+func (u *upstream) leave() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.leaving = true
+}
+
 // identity returns the id and the service of the process at this address.
 func (u *upstream) identity() (id, service string) {
 	u.mu.Lock()
@@ -151,7 +159,7 @@
 func (u *upstream) reuse(id, service string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.id, u.service = id, service
+	u.id, u.service, u.leaving = id, service, false
 }
 
 // draw returns whether a request is in trouble, and which.
@@ -171,6 +179,11 @@
 		return
 	}
 	trouble := u.draw()
+	u.mu.Lock()
+	if u.leaving {
+		w.Header().Set(leavingHeader, "1")
+	}
+	u.mu.Unlock()
 	if trouble == 0 {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
