Let TestTakenOutWhileSuspended wait until the process knows its own registration

Traced: the test took the process's registration as soon as the store had it, at times before the process had noted it; it then wrote an empty one, which the process ignores as it should. The check is the same; the test waits for the registration. After: 480 runs, none fails.

--- a/pkg/storage/retire_test.go
+++ b/pkg/storage/retire_test.go
@@ -40,6 +40,20 @@
 	}
 }
 
+// ownRegistration returns the registration of a process once it knows it itself,
+// which is later than the store has it.
+func ownRegistration(t *testing.T, s *Storage) platform.Node {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if own, ok := s.members.own(); ok && own.Active {
+			return own
+		}
+		if time.Now().After(end) {
+			t.Fatal("the process does not know its registration")
+		}
+	}
+}
+
 // Guards against a retiring member that hands its records to the members that
 // it has heard of, but not to one that has just joined.
 func TestRetiringMemberKnowsAll(t *testing.T) {
@@ -93,8 +107,8 @@
 		t.Fatal(err)
 	}
 	s := run(t, store, strings.TrimPrefix(srv.URL, "http://"), ips[0], port)
+	own := ownRegistration(t, s)
 	store.SetDeaf(true) // the watch hears of nothing
-	own, _ := s.members.own()
 	own.Removed = true
 	store.Put(platform.KindNodes, s.settings.Node, own)
 	var slept atomic.Int64
