--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -35,6 +35,9 @@
 	case o == attempt.Answered || o == attempt.Rejected && !misdirected || violatesProtocol(err):
 		c.trackResponse(run, o, resp)
 	case planned:
+		if errors.As(err, &ue) && ue.Sent {
+			c.e.metrics.lostWhileLeaving()
+		}
 	case misdirected || errors.Is(err, syscall.ECONNREFUSED):
 		c.e.suspects.runsEnded(run)
 	case errors.As(err, &ue) && ue.Sent:
--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -98,7 +98,7 @@
 	action := c.tracker.RecordEnd(o, status >= http.StatusInternalServerError, now)
 	if o != attempt.Answered {
 		c.e.logger.Info("attempt failed", "id", c.req.ID, "upstream", m.ID, "address", m.Address,
-			"outcome", o, "status", status, "next", action, "in_flight", inFlight,
+			"outcome", o, "status", status, "next", action, "in_flight", inFlight, "leaving", planned,
 			"took_ms", now.Sub(c.began).Milliseconds(), "fingerprint", hex(c.fingerprint()), "err", err)
 	}
 	return action
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -66,6 +66,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_lost_attempts_total{end=%q}`, end)).Inc()
 }
 
+// lostWhileLeaving counts an attempt that may have run and got no response at an
+// upstream that had announced its shutdown.
+func (m *metrics) lostWhileLeaving() {
+	m.set.GetOrCreateCounter(`yucca_edge_lost_attempts_leaving_total`).Inc()
+}
+
 // firstEvent records the time to the first event of a stream.
 func (m *metrics) firstEvent(took time.Duration) {
 	m.set.GetOrCreateHistogram(`yucca_edge_first_event_seconds`).Update(took.Seconds())
