--- a/pkg/edge/crashers_test.go
+++ b/pkg/edge/crashers_test.go
@@ -23,6 +23,7 @@
 	id      string
 	net     *faultnet.Server
 	healthy bool // guarded by f.mu
+	born    int  // start of the current run, guarded by f.mu
 }
 
 // crashers is a set of upstreams of the service "app" that crash in the same way.
@@ -40,12 +41,24 @@
 	// restartAfter is how long after a crash an upstream listens again with the same
 	// ID and registration; 0: never.
 	restartAfter time.Duration
+	// announceAfter is how long after the arrival of a poisonous request its upstream
+	// announces its shutdown in its registration; 0: never.
+	announceAfter time.Duration
+	// announceInResponse is set if upstreams announce their shutdown in each response.
+	announceInResponse bool
+	// renewBorn is set if an upstream that listens again registers as a new run.
+	renewBorn bool
+	// storeAway is set if the store is unreachable from the announcement until after
+	// the crash.
+	storeAway bool
 	// replace is set if another upstream is registered after each crash.
 	replace bool
 
 	mu      sync.Mutex
 	started int
-	crashes map[string]int // by body
+	// harmless is set if no body causes a crash anymore.
+	harmless bool
+	crashes  map[string]int // by body
 }
 
 func newCrashers(d *deployment) *crashers {
@@ -57,7 +70,7 @@
 	f.d.t.Helper()
 	for range n {
 		f.mu.Lock()
-		c := &crasher{f: f, id: fmt.Sprintf("c%d", f.started), healthy: true}
+		c := &crasher{f: f, id: fmt.Sprintf("c%d", f.started), healthy: true, born: 1}
 		f.started++
 		f.mu.Unlock()
 		c.net = faultnet.New(c)
@@ -70,6 +83,13 @@
 	}
 }
 
+// isHarmless reports whether no body causes a crash anymore.
+func (f *crashers) isHarmless() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.harmless
+}
+
 // crashCount returns in how many crashes a body was in flight that causes them.
 func (f *crashers) crashCount(body string) int {
 	f.mu.Lock()
@@ -80,7 +100,8 @@
 func (c *crasher) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	data, _ := io.ReadAll(req.Body) // the edge sends complete bodies
 	body := string(data)
-	if strings.Contains(body, "poison") {
+	if strings.Contains(body, "poison") && !c.f.isHarmless() {
+		c.announce()
 		time.Sleep(c.f.crashDelay)
 		c.crash(body)
 		if !c.f.silent {
@@ -88,11 +109,32 @@
 		}
 		return
 	}
-	time.Sleep(2 * c.f.crashDelay)
+	if c.f.announceInResponse {
+		w.Header().Set("Server-Leaving", "1")
+	} else {
+		time.Sleep(2 * c.f.crashDelay)
+	}
 	sign(w, req)
 	_, _ = w.Write([]byte("done"))
 }
 
+// announce announces the upstream's shutdown in its registration.
+func (c *crasher) announce() {
+	f := c.f
+	if f.announceAfter <= 0 {
+		return
+	}
+	time.Sleep(f.announceAfter)
+	f.mu.Lock()
+	born := c.born
+	f.mu.Unlock()
+	f.d.registerRun(c.id, "app", c.net.Addr(), "draining", born)
+	if f.storeAway {
+		time.Sleep(f.crashDelay / 2) // the edges hear of the announcement
+		f.d.store.SetDown(true)
+	}
+}
+
 func (c *crasher) crash(body string) {
 	f := c.f
 	f.mu.Lock()
@@ -114,6 +156,9 @@
 	if !f.silent {
 		c.net.Drop()
 	}
+	if f.storeAway {
+		time.AfterFunc(f.crashDelay, func() { f.d.store.SetDown(false) })
+	}
 	if f.replace {
 		f.start(1)
 	}
@@ -126,10 +171,15 @@
 		time.Sleep(f.restartAfter)
 		f.mu.Lock()
 		c.healthy = true
+		c.born++
+		born := c.born
 		f.mu.Unlock()
 		if err := c.net.Listen(""); err != nil {
 			f.d.t.Error(err)
 		}
+		if f.renewBorn {
+			f.d.registerRun(c.id, "app", c.net.Addr(), "ready", born)
+		}
 	}
 }
 
--- /dev/null
+++ b/pkg/edge/crashleaving_test.go
@@ -0,0 +1,107 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// shutdownDelay is how long a poisonous request runs before its upstream announces its
+// shutdown, and again before the upstream crashes.
+const shutdownDelay = 100 * time.Millisecond
+
+// TestCrashingRequestDuringShutdown guards against crashes that are not counted because
+// the upstream had announced its shutdown in its registration while the request ran
+// (issue 29).
+func TestCrashingRequestDuringShutdown(t *testing.T) {
+	for name, configure := range map[string]func(*crashers){
+		"reset":         func(f *crashers) { f.deregisterAfter = shutdownDelay },
+		"still listed":  func(*crashers) {},
+		"silent":        func(f *crashers) { f.silent, f.deregisterAfter = true, shutdownDelay },
+		"back at once":  func(f *crashers) { f.restartAfter = time.Millisecond; f.renewBorn = true },
+		"store is away": func(f *crashers) { f.storeAway = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			route := clone(unsafeRoute)
+			route["TimeoutMs"] = 600
+			d.route(route)
+			f := newCrashers(d)
+			f.announceAfter, f.crashDelay = shutdownDelay, shutdownDelay
+			configure(f)
+			const upstreams, edges, retries = 14, 2, 12
+			f.start(upstreams)
+			list := make([]*process, edges)
+			for i := range list {
+				list[i] = d.edge(fmt.Sprintf("127.0.0.%d", i+1))
+			}
+			for _, p := range list {
+				p.ready(t, upstreams, 0)
+				eventually(t, "the edges do not know each other", func() bool { return len(p.edge.view.otherEdges()) == edges-1 })
+			}
+			for i := range retries {
+				list[i%edges].send(t, "poison")
+				time.Sleep(retryPause)
+			}
+			if n := f.crashCount("poison"); n > maxCrashes {
+				t.Errorf("%d upstreams ended, want at most %d", n, maxCrashes)
+			}
+		})
+	}
+}
+
+// TestCrashingRequestAtLeavingUpstream guards against crashes that are not counted
+// because the upstream had announced its shutdown in the response to another request
+// (issue 29).
+func TestCrashingRequestAtLeavingUpstream(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	f := newCrashers(d)
+	f.announceInResponse, f.replace = true, true
+	f.crashDelay, f.deregisterAfter = 2*shutdownDelay, shutdownDelay
+	f.start(1)
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 0)
+	for range 8 {
+		var callers sync.WaitGroup
+		callers.Go(func() { p.send(t, "poison") })
+		time.Sleep(shutdownDelay)
+		if a := p.send(t, "sound"); a.status != http.StatusOK {
+			t.Errorf("harmless request: %+v", a)
+		}
+		callers.Wait()
+		time.Sleep(retryPause)
+	}
+	if n := f.crashCount("poison"); n > maxCrashes {
+		t.Errorf("%d upstreams ended, want at most %d", n, maxCrashes)
+	}
+}
+
+// TestPlannedShutdownIsNoCrash guards against refusing a harmless request because two
+// upstreams that ran it ended as they had announced (issue 29).
+func TestPlannedShutdownIsNoCrash(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	f := newCrashers(d)
+	f.announceAfter, f.crashDelay, f.deregisterAfter = shutdownDelay, shutdownDelay, shutdownDelay
+	f.start(4)
+	p := d.edge("127.0.0.1")
+	p.ready(t, 4, 0)
+	for i := range 2 {
+		if a := p.send(t, "poison"); a.status != http.StatusBadGateway { // cut off by the shutdown
+			t.Errorf("request %d: %+v", i, a)
+		}
+		time.Sleep(retryPause)
+	}
+	f.mu.Lock()
+	f.harmless = true
+	f.mu.Unlock()
+	if a := p.send(t, "poison"); a.status != http.StatusOK {
+		t.Errorf("after two planned shutdowns: %+v", a)
+	}
+	if list := p.edge.Status().Suspects; len(list) != 0 {
+		t.Errorf("suspects after the request completed: %+v", list)
+	}
+}
--- a/pkg/edge/harness_test.go
+++ b/pkg/edge/harness_test.go
@@ -191,8 +191,13 @@
 }
 
 func (d *deployment) register(id, service, address, state string) {
+	d.registerRun(id, service, address, state, 1)
+}
+
+// registerRun registers the run of an upstream that started at born, in Unix ms.
+func (d *deployment) registerRun(id, service, address, state string, born int) {
 	d.store.Put(platform.KindUpstreams, id, map[string]any{
-		"Service": service, "Address": address, "Zone": "a1", "Slots": 8, "State": state, "born": 1,
+		"Service": service, "Address": address, "Zone": "a1", "Slots": 8, "State": state, "born": born,
 	})
 }
 
