--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -25,25 +25,36 @@
 	maxProbedAddresses = 4096
 )
 
-// trackAttempt reports the outcome of an attempt to the crash tracker. planned is set
-// if the upstream had announced its shutdown: its end is not a crash.
-func (c *call) trackAttempt(m *fleet.Member, planned bool, o attempt.Outcome, resp *upstream.Response, err error) {
+// endedRun is a run of an upstream that has ended.
+type endedRun struct {
+	run poison.Run
+	end poison.End
+}
+
+// endOf returns the end of a run, given whether the upstream had announced its shutdown.
+func endOf(run poison.Run, announced bool) endedRun {
+	if announced {
+		return endedRun{run, poison.Announced}
+	}
+	return endedRun{run, poison.Unannounced}
+}
+
+// trackAttempt reports the outcome of an attempt to the crash tracker. leaving is set if
+// the upstream had announced its shutdown.
+func (c *call) trackAttempt(m *fleet.Member, leaving bool, o attempt.Outcome, resp *upstream.Response, err error) {
 	run := poison.Run{ID: m.ID, StartedUnixMs: m.StartedUnixMs}
+	end := endOf(run, leaving)
 	var ue *upstream.Error
 	misdirected := o == attempt.Rejected && resp.Status == http.StatusMisdirectedRequest
 	switch {
 	case o == attempt.Answered || o == attempt.Rejected && !misdirected || violatesProtocol(err):
 		c.trackResponse(run, o, resp)
-	case planned:
-		if errors.As(err, &ue) && ue.Sent {
-			c.e.metrics.lostWhileLeaving()
-		}
 	case misdirected || errors.Is(err, syscall.ECONNREFUSED):
-		c.e.suspects.runsEnded(run)
+		c.e.suspects.runsEnded(end)
 	case errors.As(err, &ue) && ue.Sent:
-		c.e.metrics.lostAttempt(ue.Timeout())
+		c.e.metrics.lostAttempt(ue.Timeout(), leaving)
 		c.trackLost(run)
-		go c.e.suspects.probe(run, m.Address, c.connectionLimit(), ue.Timeout())
+		go c.e.suspects.probe(end, m.Address, c.connectionLimit(), ue.Timeout())
 	}
 }
 
@@ -72,23 +83,24 @@
 }
 
 // runsEnded records that runs of upstreams have ended.
-func (s *suspects) runsEnded(runs ...poison.Run) {
-	if len(runs) == 0 {
+func (s *suspects) runsEnded(ended ...endedRun) {
+	if len(ended) == 0 {
 		return
 	}
 	s.update(func(t *poison.Tracker, now time.Time) []poison.Evidence {
 		var found []poison.Evidence
-		for _, r := range runs {
-			found = append(found, t.RecordEnd(r, now)...)
+		for _, e := range ended {
+			found = append(found, t.RecordEnd(e.run, e.end, now)...)
 		}
 		return found
 	})
 }
 
-// probe checks whether an upstream that lost an attempt has ended; without it, an
+// probe checks whether an upstream that lost an attempt has ended, and records end if
+// so; without it, an
 // upstream that restarts quickly would go unnoticed. The connection is reused for the
 // next request.
-func (s *suspects) probe(run poison.Run, address string, limit int, silent bool) {
+func (s *suspects) probe(end endedRun, address string, limit int, silent bool) {
 	if silent && !s.allowProbe(address) {
 		return
 	}
@@ -97,11 +109,11 @@
 		var ue *upstream.Error
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
-			s.runsEnded(run)
+			s.runsEnded(end)
 			return
 		case errors.As(err, &ue) && ue.Timeout():
 			s.update(func(t *poison.Tracker, _ time.Time) []poison.Evidence {
-				t.RecordUnreachable(run)
+				t.RecordUnreachable(end.run)
 				return nil
 			})
 			return
--- a/pkg/edge/crashers_test.go
+++ b/pkg/edge/crashers_test.go
@@ -56,6 +56,7 @@
 
 	mu      sync.Mutex
 	started int
+	running int // poisonous requests
 	// harmless is set if no body causes a crash anymore.
 	harmless bool
 	crashes  map[string]int // by body
@@ -90,6 +91,19 @@
 	return f.harmless
 }
 
+// isRunning reports whether a poisonous request is running.
+func (f *crashers) isRunning() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.running > 0
+}
+
+func (f *crashers) addRunning(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running += n
+}
+
 // crashCount returns in how many crashes a body was in flight that causes them.
 func (f *crashers) crashCount(body string) int {
 	f.mu.Lock()
@@ -101,6 +115,8 @@
 	data, _ := io.ReadAll(req.Body) // the edge sends complete bodies
 	body := string(data)
 	if strings.Contains(body, "poison") && !c.f.isHarmless() {
+		c.f.addRunning(1)
+		defer c.f.addRunning(-1)
 		c.announce()
 		time.Sleep(c.f.crashDelay)
 		c.crash(body)
--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -64,7 +64,7 @@
 // recordEnd records the end of an attempt and returns the next action.
 func (c *call) recordEnd(m *fleet.Member, o attempt.Outcome, resp *upstream.Response, err error) attempt.Action {
 	now := time.Now()
-	status, inFlight, planned := 0, 0, false
+	status, inFlight, leaving := 0, 0, false
 	c.e.withFleet(func(f *fleet.Fleet) {
 		if resp != nil {
 			status = resp.Status
@@ -90,15 +90,15 @@
 			f.RecordFailure(m, violatesProtocol(err), now)
 		}
 		inFlight = m.InFlight()
-		planned = m.State == fleet.Draining || m.Leaving()
+		leaving = m.State == fleet.Draining || m.Leaving()
 	})
 	c.removeIsolated(m.ID)
-	c.trackAttempt(m, planned, o, resp, err)
+	c.trackAttempt(m, leaving, o, resp, err)
 	c.e.metrics.attempt(o.String())
 	action := c.tracker.RecordEnd(o, status >= http.StatusInternalServerError, now)
 	if o != attempt.Answered {
 		c.e.logger.Info("attempt failed", "id", c.req.ID, "upstream", m.ID, "address", m.Address,
-			"outcome", o, "status", status, "next", action, "in_flight", inFlight, "leaving", planned,
+			"outcome", o, "status", status, "next", action, "in_flight", inFlight, "leaving", leaving,
 			"took_ms", now.Sub(c.began).Milliseconds(), "fingerprint", hex(c.fingerprint()), "err", err)
 	}
 	return action
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -57,19 +57,16 @@
 func (m *metrics) undelivered() { m.set.GetOrCreateCounter(`yucca_edge_suspects_untold_total`).Inc() }
 
 // lostAttempt counts an attempt that may have run and got no response, by whether the
-// connection broke or timed out.
-func (m *metrics) lostAttempt(silent bool) {
+// connection broke or timed out, and by whether the upstream had announced its shutdown.
+func (m *metrics) lostAttempt(silent, leaving bool) {
 	end := "broken"
 	if silent {
 		end = "silent"
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_lost_attempts_total{end=%q}`, end)).Inc()
-}
-
-// lostWhileLeaving counts an attempt that may have run and got no response at an
-// upstream that had announced its shutdown.
-func (m *metrics) lostWhileLeaving() {
-	m.set.GetOrCreateCounter(`yucca_edge_lost_attempts_leaving_total`).Inc()
+	if leaving {
+		m.set.GetOrCreateCounter(`yucca_edge_lost_attempts_leaving_total`).Inc()
+	}
 }
 
 // firstEvent records the time to the first event of a stream.
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -216,7 +216,7 @@
 			for _, u := range gone {
 				v.e.logger.Info("upstream gone", "upstream", u.ID, "cause", "not registered again")
 			}
-			v.e.suspects.runsEnded(crashedRuns(gone)...)
+			v.e.suspects.runsEnded(endedRuns(gone)...)
 		}
 	}
 }
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -77,7 +77,7 @@
 		}
 		ended = append(ended, f.Replace(list, now)...)
 	})
-	v.e.suspects.runsEnded(crashedRuns(ended)...)
+	v.e.suspects.runsEnded(endedRuns(ended)...)
 }
 
 // keepMissing keeps registrations that go missing for the grace period, here and at
@@ -113,17 +113,15 @@
 	if m == nil || m.StartedUnixMs == u.StartedUnixMs {
 		return nil
 	}
-	return []fleet.Upstream{m.Upstream}
+	return []fleet.Upstream{m.EndedUpstream()}
 }
 
-// crashedRuns returns the ended runs of upstreams that had not announced their
-// shutdown.
-func crashedRuns(ended []fleet.Upstream) []poison.Run {
-	var runs []poison.Run
+// endedRuns returns the ends of the given runs of upstreams.
+func endedRuns(ended []fleet.Upstream) []endedRun {
+	runs := make([]endedRun, 0, len(ended))
 	for _, u := range ended {
-		if u.State == fleet.Ready {
-			runs = append(runs, poison.Run{ID: u.ID, StartedUnixMs: u.StartedUnixMs})
-		}
+		run := poison.Run{ID: u.ID, StartedUnixMs: u.StartedUnixMs}
+		runs = append(runs, endOf(run, u.State != fleet.Ready))
 	}
 	return runs
 }
@@ -179,7 +177,7 @@
 			}
 			f.Put(u)
 		})
-		h.v.e.suspects.runsEnded(crashedRuns(ended)...)
+		h.v.e.suspects.runsEnded(endedRuns(ended)...)
 	}
 }
 
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -160,7 +160,7 @@
 		return Upstream{}, false
 	}
 	f.drop(m)
-	return m.goneUpstream(), true
+	return m.EndedUpstream(), true
 }
 
 // Replace applies a complete listing: members that it does not contain are removed as
@@ -188,7 +188,7 @@
 	for _, id := range slices.Sorted(maps.Keys(f.members)) {
 		if m := f.members[id]; m.missing && !now.Before(m.removeAfter) {
 			f.drop(m)
-			gone = append(gone, m.goneUpstream())
+			gone = append(gone, m.EndedUpstream())
 		}
 	}
 	return gone
--- a/pkg/fleet/leaving.go
+++ b/pkg/fleet/leaving.go
@@ -60,9 +60,9 @@
 	return now.Before(m.leavingSince.Add(f.leavingGrace))
 }
 
-// goneUpstream returns the upstream of a removed member. A leaving one is returned as
-// draining, so that its end is not taken for a crash.
-func (m *Member) goneUpstream() Upstream {
+// EndedUpstream returns the upstream of a member whose run has ended. A leaving one is
+// returned as draining, so that its end may be a planned one.
+func (m *Member) EndedUpstream() Upstream {
 	u := m.Upstream
 	if m.Leaving() {
 		u.State = Draining
--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -52,7 +52,8 @@
 
 // Grades.
 const (
-	// Presumed: the upstream stopped responding and cannot be reached.
+	// Presumed: the upstream stopped responding and cannot be reached, or its run ended
+	// after it had announced its shutdown.
 	Presumed Grade = iota + 1
 	// Confirmed: the upstream has crashed.
 	Confirmed
@@ -118,13 +119,23 @@
 	return n
 }
 
-func (h *crashHistory) hasPresumed() bool {
+// provenCount returns the number of crashes that a quarantine of the prime suspect is
+// based on. Until enough of them are confirmed, one presumed crash does not count: it may
+// have been no crash.
+func (h *crashHistory) provenCount() int {
+	confirmed, presumed := 0, 0
 	for _, e := range h.crashes {
-		if e.Grade == Presumed {
-			return true
+		switch e.Grade {
+		case Confirmed:
+			confirmed++
+		case Presumed:
+			presumed++
 		}
 	}
-	return false
+	if presumed > 0 && confirmed < quarantineCrashes {
+		presumed--
+	}
+	return confirmed + presumed
 }
 
 // updateTimes recomputes lastCrash and lastChange.
@@ -339,7 +350,7 @@
 	if n < quarantineCrashes {
 		return v
 	}
-	if until := h.lastCrash.Add(quarantine(n, set.isPrimeSuspect(fp, h, n))); now.Before(until) {
+	if until := h.lastCrash.Add(set.quarantine(fp, h, n)); now.Before(until) {
 		v.Until = until
 		return v
 	}
@@ -347,13 +358,21 @@
 	return v
 }
 
+// quarantine returns the duration of the quarantine after the last crash of a request
+// with the given number of crashes.
+func (set *EvidenceSet) quarantine(fp uint64, h *crashHistory, count int) time.Duration {
+	if set.isPrimeSuspect(fp, h, count) {
+		return primeQuarantine(h.provenCount())
+	}
+	if count < maxCrashes {
+		return 0
+	}
+	return min(shortQuarantine<<min(count-maxCrashes, 16), longQuarantine)
+}
+
 // isPrimeSuspect reports whether, at one of its crashes, no other request in flight
-// has as many crashes as this one. If some of its evidence is only presumed, it needs
-// at least maxCrashes crashes.
+// has as many crashes as this one.
 func (set *EvidenceSet) isPrimeSuspect(fp uint64, h *crashHistory, count int) bool {
-	if count < maxCrashes && h.hasPresumed() {
-		return false
-	}
 	for run, e := range h.crashes {
 		if e.isCrash() && set.hasMostCrashes(run, fp, count) {
 			return true
@@ -373,18 +392,14 @@
 	return true
 }
 
-// quarantine returns the duration of the quarantine after a request's last crash.
-func quarantine(crashes int, primeSuspect bool) time.Duration {
+// primeQuarantine returns the duration of the quarantine of a prime suspect.
+func primeQuarantine(provenCrashes int) time.Duration {
 	switch {
-	case crashes < quarantineCrashes:
-		return 0
-	case !primeSuspect && crashes < maxCrashes:
+	case provenCrashes < quarantineCrashes:
 		return 0
-	case !primeSuspect:
-		return min(shortQuarantine<<min(crashes-maxCrashes, 16), longQuarantine)
-	case crashes == quarantineCrashes:
+	case provenCrashes == quarantineCrashes:
 		return shortQuarantine
-	case crashes == maxCrashes:
+	case provenCrashes == maxCrashes:
 		return longQuarantine
 	}
 	return maxQuarantine
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -33,6 +33,32 @@
 	unreachable, presumed bool
 }
 
+// End says whether an upstream had announced its shutdown before its run ended.
+type End int
+
+// Ends of runs.
+const (
+	// Unannounced: the upstream crashed.
+	Unannounced End = iota
+	// Announced: the upstream had announced its shutdown. Its run may have ended as
+	// planned, with requests still in flight, or in a crash before that.
+	Announced
+)
+
+// grade returns the grade of the evidence against the requests in flight at an end.
+func (e End) grade() Grade {
+	if e == Announced {
+		return Presumed
+	}
+	return Confirmed
+}
+
+// runEnd is the recorded end of a run.
+type runEnd struct {
+	at  time.Time // when it was recorded
+	end End
+}
+
 // Tracker attributes lost attempts to crashes. The zero value is ready for use.
 type Tracker struct {
 	EvidenceSet
@@ -41,8 +67,8 @@
 	lostCount         int                   // number of attempts in lostAttempt
 	lostByFingerprint map[uint64]int        // number of attempts in lostAttempt
 	unreachable       map[Run]bool          // runs that have attempts with unreachable set and presumed not set
-	endedAt           map[Run]time.Time     // when the end was recorded
-	lives             map[Run]uint32        // current Life of a run; Life of the keys is 0
+	ended             map[Run]runEnd
+	lives             map[Run]uint32 // current Life of a run; Life of the keys is 0
 }
 
 // withLife returns a run with its current Life set.
@@ -52,15 +78,15 @@
 }
 
 // NeedsResponses reports whether RecordResponse has an effect at present.
-func (t *Tracker) NeedsResponses() bool { return t.lostCount > 0 || len(t.endedAt) > 0 }
+func (t *Tracker) NeedsResponses() bool { return t.lostCount > 0 || len(t.ended) > 0 }
 
 // RecordLost records an attempt that may have run and got no response. It returns new
 // evidence if the end of its upstream is already known.
 func (t *Tracker) RecordLost(r Run, fingerprint uint64, sentAt, now time.Time) []Evidence {
 	t.pruneExpired(now)
 	r = t.withLife(r)
-	if endedAt, ok := t.endedAt[r]; ok && sentAt.Before(endedAt) {
-		return t.addEvidence(fingerprint, r, Confirmed, now)
+	if e, ok := t.ended[r]; ok && sentAt.Before(e.at) {
+		return t.addEvidence(fingerprint, r, e.end.grade(), now)
 	}
 	if fingerprint == 0 || t.lostCount >= maxLost {
 		return nil
@@ -75,20 +101,20 @@
 	return nil
 }
 
-// RecordEnd records that a run of an upstream ended without announcing it. It returns
-// new evidence against the requests whose attempts were lost there.
-func (t *Tracker) RecordEnd(r Run, now time.Time) []Evidence {
+// RecordEnd records that a run of an upstream ended. It returns new evidence against the
+// requests whose attempts were lost there.
+func (t *Tracker) RecordEnd(r Run, end End, now time.Time) []Evidence {
 	t.pruneExpired(now)
 	r = t.withLife(r)
-	if t.endedAt == nil {
-		t.endedAt = make(map[Run]time.Time)
+	if t.ended == nil {
+		t.ended = make(map[Run]runEnd)
 	}
-	if _, ok := t.endedAt[r]; !ok {
-		t.endedAt[r] = now
+	if _, ok := t.ended[r]; !ok {
+		t.ended[r] = runEnd{at: now, end: end}
 	}
 	var found []Evidence
 	for _, l := range t.lostAttempt[r] {
-		found = append(found, t.addEvidence(l.fingerprint, r, Confirmed, now)...)
+		found = append(found, t.addEvidence(l.fingerprint, r, end.grade(), now)...)
 	}
 	t.retainLost(r, func(lostAttempt) bool { return false })
 	return found
@@ -118,8 +144,8 @@
 func (t *Tracker) RecordResponse(r Run, sentAt, now time.Time) []Evidence {
 	key := r
 	r = t.withLife(r)
-	if endedAt, ok := t.endedAt[r]; ok && sentAt.After(endedAt) {
-		delete(t.endedAt, r)
+	if e, ok := t.ended[r]; ok && sentAt.After(e.at) {
+		delete(t.ended, r)
 		t.incrementLife(key)
 		return t.presumeCrashes(r, sentAt, now)
 	}
@@ -218,9 +244,9 @@
 			t.retainLost(r, func(l lostAttempt) bool { return now.Sub(l.at) <= attributionWindow })
 		}
 	}
-	for r, at := range t.endedAt {
-		if now.Sub(at) > attributionWindow {
-			delete(t.endedAt, r)
+	for r, e := range t.ended {
+		if now.Sub(e.at) > attributionWindow {
+			delete(t.ended, r)
 		}
 	}
 }
