--- a/cmd/yuccaspindled/status.go
+++ b/cmd/yuccaspindled/status.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -68,10 +69,10 @@
 	fmt.Fprintf(tw, "feeds\t%d %v\n", len(s.Followers), s.Followers)
 	fmt.Fprintf(tw, "entries\t%d\nstorage\t%v\n", s.Edges, s.Storage)
 	fmt.Fprintf(tw, "in transit\t%d of %d bytes, %d times refused\n\n", s.Transit.Used, s.Transit.Limit, s.Transit.Refused)
-	fmt.Fprintln(tw, "UPSTREAM\tSERVICE\tADDRESS\tDOMAIN\tIN FLIGHT\tLOAD\tSLOTS\tFAILURES\tLIMIT\tOUT")
+	fmt.Fprintln(tw, "UPSTREAM\tSERVICE\tVERSION\tADDRESS\tDOMAIN\tIN FLIGHT\tLOAD\tSLOTS\tFAILURES\tLIMIT\tOUT")
 	for _, u := range s.Upstreams {
-		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%d\t%.1f\t%d\t%.2f\t%s\t%s\n",
-			u.ID, u.Service, u.Address, u.FailureDomain, u.InFlight, u.Load, u.Slots, u.FailureRate, rateLimit(u), u.UnavailableReason)
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%d\t%.1f\t%d\t%.2f\t%s\t%s\n",
+			u.ID, u.Service, cmp.Or(u.Version, "-"), u.Address, u.FailureDomain, u.InFlight, u.Load, u.Slots, u.FailureRate, rateLimit(u), u.UnavailableReason)
 	}
 	writeLimits(tw, s.Limits)
 	for _, q := range s.Suspects {
--- a/cmd/yuccaspindled/status_test.go
+++ b/cmd/yuccaspindled/status_test.go
@@ -21,7 +21,7 @@
 	sent := edge.Status{
 		Node: "edge-1", Configuration: 22, Live: true, WatchesStore: true, CheckedAgo: 700 * time.Millisecond,
 		Limits:    edge.LimitStatus{Known: 1, Coordinator: "10.0.0.2:7380", Shares: map[string]float64{"coast": 0.25}},
-		Upstreams: []fleet.Health{{ID: "u1", RateLimit: &limit, RecentRequests: 7, Service: "app", Load: 2.5, Slots: 6, UnavailableReason: "suspended after failures"}},
+		Upstreams: []fleet.Health{{ID: "u1", Version: "v1.2", RateLimit: &limit, RecentRequests: 7, Service: "app", Load: 2.5, Slots: 6, UnavailableReason: "suspended after failures"}},
 		Suspects:  []poison.Suspect{{Fingerprint: 0xabc, Upstreams: []string{"u1", "u2"}, Crashes: 2, Until: time.Unix(1_800_000_000, 0).UTC()}},
 	}
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -49,7 +49,7 @@
 	if err := writeStatus(&out, s); err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"follows 10.0.0.1:7380, 1 entries from the store", "1 [10.0.0.9:7380]", "edge-1", "6.1/s, 7 sent", "1, divided by 10.0.0.2:7380", "25.0%", "22, watches the store, sure of 700ms ago", "suspended after failures", "2.5", "request 0000000000000abc", "2 crashes [u1 u2], refused until 2027-01-15T08:00:00Z"} {
+	for _, want := range []string{"follows 10.0.0.1:7380, 1 entries from the store", "1 [10.0.0.9:7380]", "edge-1", "v1.2", "6.1/s, 7 sent", "1, divided by 10.0.0.2:7380", "25.0%", "22, watches the store, sure of 700ms ago", "suspended after failures", "2.5", "request 0000000000000abc", "2 crashes [u1 u2], refused until 2027-01-15T08:00:00Z"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%q is missing in:\n%s", want, out.String())
 		}
--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -97,7 +97,7 @@
 	c.e.metrics.attempt(o.String())
 	action := c.tracker.RecordEnd(o, status >= http.StatusInternalServerError, now)
 	if o != attempt.Answered {
-		c.e.logger.Info("attempt failed", "id", c.req.ID, "upstream", m.ID, "address", m.Address,
+		c.e.logger.Info("attempt failed", "id", c.req.ID, "upstream", m.ID, "address", m.Address, "version", m.SoftwareVersion,
 			"outcome", o, "status", status, "next", action, "in_flight", inFlight, "leaving", leaving,
 			"took_ms", now.Sub(c.began).Milliseconds(), "fingerprint", hex(c.fingerprint()), "err", err)
 	}
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -147,6 +147,9 @@
 	if c.req.Program != "" {
 		args = append(args, "program", c.req.Program)
 	}
+	if c.req.LastEventID != "" {
+		args = append(args, "resumes", c.req.ResumedID, "after_event", c.req.LastEventID)
+	}
 	if c.tracker != nil {
 		args = append(args, "attempts", c.tracker.Attempts())
 	}
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -73,7 +73,7 @@
 				return
 			}
 			t.commit()
-			c.log("stream answered", http.StatusOK, "upstream", m.ID, "events", s.events,
+			c.log("stream answered", http.StatusOK, "upstream", m.ID, "version", m.SoftwareVersion, "events", s.events,
 				"begin_ms", t.beginDuration.Milliseconds(), "commit_ms", t.commitDuration.Milliseconds())
 			c.e.metrics.recordEnd(c.kind(), "answered", time.Since(c.began))
 			return
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -55,8 +55,8 @@
 
 const limitReason = "upstreams at their rate limit"
 
-// Request returns the lines that concern a request, in the order of their
-// time. It returns none if no log has a line of the request.
+// Request returns the lines that concern a request, and the other requests of
+// callers for the same stream, in the order of their time. It returns none if no log has a line of the request.
 func Request(id string, sources ...Source) ([]Line, error) {
 	var all []Line
 	for _, s := range sources {
@@ -69,8 +69,9 @@
 	var own []Line
 	sourceOf, upstreams := map[string]bool{}, map[string]bool{}
 	limited := false
+	related := sameStream(id, all)
 	for _, l := range all {
-		if l.fields["id"] != id {
+		if !related[l.fields["id"]] {
 			continue
 		}
 		own = append(own, l)
@@ -96,6 +97,24 @@
 	return own, nil
 }
 
+// sameStream returns the ids of the request, of the one whose stream it takes up, and of
+// all that take up the same stream.
+func sameStream(id string, lines []Line) map[string]bool {
+	origin := id
+	for _, l := range lines {
+		if l.fields["id"] == id && l.fields["resumes"] != "" {
+			origin = l.fields["resumes"]
+		}
+	}
+	ids := map[string]bool{id: true, origin: true}
+	for _, l := range lines {
+		if l.fields["resumes"] == origin {
+			ids[l.fields["id"]] = true
+		}
+	}
+	return ids
+}
+
 // read returns the lines of a log that are in its format; others, such as a
 // trace of a crash, concern no request.
 func read(s Source) ([]Line, error) {
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -59,3 +59,22 @@
 		}
 	}
 }
+
+const streamLog = `time=2026-10-18T07:31:01.000Z level=INFO msg="attempt failed" id=a1 upstream=u1 version=v1
+time=2026-10-18T07:31:02.000Z level=INFO msg="stream answered" id=a2 resumes=a1 after_event=3 upstream=u2 version=v2
+time=2026-10-18T07:31:03.000Z level=INFO msg="stream answered" id=a3 upstream=u2 version=v2
+`
+
+// Guards against a stream's story without the request that began it, or without those
+// that took it up (issue 29).
+func TestRequestsOfStream(t *testing.T) {
+	for _, id := range []string{"a1", "a2"} {
+		lines, err := Request(id, Source{"edge-1", strings.NewReader(streamLog)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(lines) != 2 || lines[0].fields["id"] != "a1" || lines[1].fields["id"] != "a2" {
+			t.Errorf("%s: %v", id, lines)
+		}
+	}
+}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -32,6 +32,9 @@
 	State           State
 	WarmupRemaining time.Duration // remaining time in which it is slower after its start
 	StartedUnixMs   int64         // distinguishes runs with the same ID
+	// SoftwareVersion is the version of the upstream's software; empty: not given.
+	// Upstreams of several versions may serve side by side.
+	SoftwareVersion string
 }
 
 // Load is the load that an upstream reported with a response.
@@ -129,14 +132,14 @@
 func (f *Fleet) Put(u Upstream) {
 	old := f.members[u.ID]
 	m := old
-	if m == nil || m.StartedUnixMs != u.StartedUnixMs || m.Address != u.Address {
+	if m == nil || m.StartedUnixMs != u.StartedUnixMs || m.Address != u.Address || m.SoftwareVersion != u.SoftwareVersion {
 		m = &Member{Upstream: u, leavingSince: f.leavingRuns.since(u)}
 	}
 	if old != nil && (m != old || old.Service != u.Service) {
 		f.drop(old)
 	}
-	// ID, Address and StartedUnixMs stay as they are: requests read them without the
-	// lock of the fleet.
+	// ID, Address, StartedUnixMs and SoftwareVersion stay as they are: requests read them
+	// without the lock of the fleet.
 	m.Service, m.FailureDomain, m.Slots = u.Service, u.FailureDomain, u.Slots
 	m.State, m.WarmupRemaining = u.State, u.WarmupRemaining
 	m.missing = false
--- a/pkg/fleet/health.go
+++ b/pkg/fleet/health.go
@@ -12,6 +12,7 @@
 	Service       string        `json:"service"`
 	Address       string        `json:"address"`
 	FailureDomain string        `json:"failure_domain"`
+	Version       string        `json:"version"`   // of its software; empty: not given
 	InFlight      int           `json:"in_flight"` // running attempts of this process
 	Load          float64       `json:"load"`      // estimated number of requests at the upstream
 	Slots         int           `json:"slots"`
@@ -39,7 +40,7 @@
 
 func (f *Fleet) health(m *Member, now time.Time) Health {
 	h := Health{
-		ID: m.ID, Service: m.Service, Address: m.Address, FailureDomain: m.FailureDomain,
+		ID: m.ID, Service: m.Service, Address: m.Address, FailureDomain: m.FailureDomain, Version: m.SoftwareVersion,
 		InFlight: m.inFlight, Load: f.load(m, now), Slots: m.Slots, FailureRate: m.currentFailureRate(now),
 	}
 	if m.limit.Limited() {
