--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -20,6 +20,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
 	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
 	"github.com/yuccaspindle/yuccaspindle/pkg/membudget"
+	"github.com/yuccaspindle/yuccaspindle/pkg/origin"
 	"github.com/yuccaspindle/yuccaspindle/pkg/suspend"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 	"github.com/yuccaspindle/yuccaspindle/pkg/upstream"
@@ -73,6 +74,9 @@
 
 	affinity *lru.Cache[string, string]             // conversation to upstream
 	turns    *lru.Cache[string, *peerv1.TurnRecord] // by turn ID
+	// origins holds the origins of streams without a token budget that began here, by
+	// the id of the request.
+	origins *lru.Cache[string, origin.Origin]
 	// spent holds the tokens that finished turns of a program have used, as far as
 	// known. The number only grows, so a turn that exceeds the budget now always
 	// will.
@@ -110,6 +114,9 @@
 	if e.turns, err = lru.New[string, *peerv1.TurnRecord](turnCacheSize); err != nil {
 		return nil, err
 	}
+	if e.origins, err = lru.New[string, origin.Origin](affinityCacheSize); err != nil {
+		return nil, err
+	}
 	if e.spent, err = lru.New[string, int](affinityCacheSize); err != nil {
 		return nil, err
 	}
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -7,6 +7,7 @@
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/attempt"
 	"github.com/yuccaspindle/yuccaspindle/pkg/membudget"
+	"github.com/yuccaspindle/yuccaspindle/pkg/origin"
 	"github.com/yuccaspindle/yuccaspindle/pkg/routing"
 	"github.com/yuccaspindle/yuccaspindle/pkg/upstream"
 	"github.com/yuccaspindle/yuccaspindle/platform"
@@ -46,11 +47,12 @@
 	suspendedBefore time.Duration
 	tracker         *attempt.Tracker
 	triedUpstreams  map[string]bool
-	headSent        bool      // the response header was sent
-	programStarted  bool      // an earlier turn of the program was served here, or the request names one
-	sentAt          time.Time // start of the current attempt
-	hash            uint64    // fingerprint of the request; 0: not computed yet
-	isolated        bool      // the current attempt must not share its upstream with a suspected request
+	binding         origin.Binding // of the stream to the version that began it
+	headSent        bool           // the response header was sent
+	programStarted  bool           // an earlier turn of the program was served here, or the request names one
+	sentAt          time.Time      // start of the current attempt
+	hash            uint64         // fingerprint of the request; 0: not computed yet
+	isolated        bool           // the current attempt must not share its upstream with a suspected request
 	// limited is set if the last placement failed because of rate limits; limitWait is
 	// the time after which the caller should retry.
 	limited   bool
--- a/pkg/edge/harness_test.go
+++ b/pkg/edge/harness_test.go
@@ -140,6 +140,13 @@
 	return len(p), nil
 }
 
+// text returns the collected lines.
+func (l *testLog) text() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lines.String()
+}
+
 // showOnFailure prints the collected lines if the test has failed.
 func (l *testLog) showOnFailure(t *testing.T) {
 	if !t.Failed() {
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -69,6 +69,21 @@
 	}
 }
 
+// streamTakenUp counts a request that takes up a stream, by the source of its origin.
+func (m *metrics) streamTakenUp(source string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_streams_taken_up_total{origin=%q}`, source)).Inc()
+}
+
+// originMoved counts a stream that moves to another version before its first event, by
+// whether that was recorded.
+func (m *metrics) originMoved(err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_origin_moves_total{result=%q}`, result)).Inc()
+}
+
 // firstEvent records the time to the first event of a stream.
 func (m *metrics) firstEvent(took time.Duration) {
 	m.set.GetOrCreateHistogram(`yucca_edge_first_event_seconds`).Update(took.Seconds())
--- /dev/null
+++ b/pkg/edge/origin.go
@@ -0,0 +1,204 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
+	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
+	"github.com/yuccaspindle/yuccaspindle/pkg/origin"
+)
+
+// Reasons for refusing a request that takes up a stream.
+const (
+	whyNoUpstream     = "no upstream left"
+	whyOriginUnknown  = "version of the stream not known"
+	whyVersionGone    = "no upstream of the stream's version"
+	whyServiceChanged = "the route no longer leads to the stream's service"
+)
+
+// streamKeyPrefix precedes the id of a stream in the ledger key of streams without a
+// token budget.
+const streamKeyPrefix = "stream/"
+
+// takesUp reports whether the request takes up a stream that began in an earlier request
+// of the caller.
+func (c *call) takesUp() bool { return c.req.ResumedID != "" || c.req.LastEventID != "" }
+
+// keepsOrigin reports whether the stream of this request may be continued, by this edge
+// or by its caller, and so needs an origin.
+func (c *call) keepsOrigin() bool { return c.route.Resumable && !c.takesUp() }
+
+// hasBudget reports whether the tokens of the request are reserved in the ledger.
+func (c *call) hasBudget() bool { return c.req.Program != "" && c.req.TokenBudget > 0 }
+
+// ledgerKey returns the key under which the request's usage and origin are recorded: that
+// of its program, or of its stream if it has no budget.
+func (c *call) ledgerKey() string {
+	switch {
+	case c.hasBudget():
+		return c.req.Program
+	case c.req.ResumedID != "":
+		return streamKeyPrefix + c.req.ResumedID
+	}
+	return streamKeyPrefix + c.req.ID
+}
+
+// fleetRequest returns the properties of the request that decide which members it may go
+// to.
+func (c *call) fleetRequest(excluded func(id string) bool) fleet.Request {
+	return fleet.Request{
+		Service: c.service, Excluded: excluded,
+		Bound: c.binding.Bound(), Version: c.binding.Origin().Version, Continues: c.binding.Begun(),
+	}
+}
+
+// bindFirst binds a new stream to the version of the upstream that suits it best. It
+// reports false if there is no upstream.
+func (c *call) bindFirst() bool {
+	return c.bind(func(f *fleet.Fleet, r fleet.Request, now time.Time) (string, bool) { return f.FirstVersion(r, now) })
+}
+
+// bindToOther binds a stream that has not begun to another version than before, of an
+// upstream that accepts attempts now. It reports false if there is none.
+func (c *call) bindToOther() bool {
+	return c.bind(func(f *fleet.Fleet, r fleet.Request, now time.Time) (string, bool) {
+		version, ok := f.PreferredVersion(r, now)
+		return version, ok && (!c.binding.Bound() || version != c.binding.Origin().Version)
+	})
+}
+
+// bind binds a stream that has not begun to the version that choose returns for it.
+func (c *call) bind(choose func(*fleet.Fleet, fleet.Request, time.Time) (string, bool)) bool {
+	req := fleet.Request{Service: c.service, Draw: rand.Float64(), Excluded: c.tried, ServiceTime: c.route.LatencyObjective}
+	if key := c.affinityKey(); key != "" {
+		req.Affinity, _ = c.e.affinity.Get(key)
+	}
+	version, ok := "", false
+	c.e.withFleet(func(f *fleet.Fleet) { version, ok = choose(f, req, time.Now()) })
+	return ok && c.binding.Bind(origin.Origin{Service: c.service, Version: version})
+}
+
+// tried reports whether an attempt was made at an upstream.
+func (c *call) tried(id string) bool { return c.triedUpstreams[id] }
+
+// recordedOrigin returns the origin to write to the ledger; nil: none is needed.
+func (c *call) recordedOrigin() *peerv1.Origin {
+	if !c.binding.Bound() || c.takesUp() || c.req.ID == "" || c.unversioned() {
+		return nil
+	}
+	o := c.binding.Origin()
+	return &peerv1.Origin{Service: o.Service, Version: o.Version, Revision: c.binding.Revision()}
+}
+
+// unversioned reports whether the upstreams of the service give no versions.
+func (c *call) unversioned() bool {
+	o, ok := c.soleOrigin()
+	return ok && o.Version == ""
+}
+
+// soleOrigin returns the only origin that a stream of the service can have.
+func (c *call) soleOrigin() (o origin.Origin, ok bool) {
+	o.Service = c.service
+	c.e.withFleet(func(f *fleet.Fleet) { o.Version, ok = f.SoleVersion(c.service, time.Now()) })
+	return o, ok
+}
+
+// beginOrigin binds a new stream. Without a budget its origin is recorded beside the
+// first attempt: a stream whose record is missing is not taken up.
+func (c *call) beginOrigin() {
+	if !c.keepsOrigin() || !c.bindFirst() || c.hasBudget() || c.recordedOrigin() == nil {
+		return
+	}
+	c.e.origins.Add(c.req.ID, c.binding.Origin())
+	if len(c.e.view.Storage()) == 0 {
+		return
+	}
+	rec := c.usage(0, true)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), commitRetryTimeout)
+		defer cancel()
+		if err := c.e.ledger.Write(ctx, rec.GetProgram(), []*peerv1.LedgerRecord{usageRecord(rec)}); err != nil {
+			c.e.logger.Warn("origin of a stream not recorded", "id", c.req.ID, "err", err)
+		}
+	}()
+}
+
+// moveOrigin binds a stream that has not begun to another version, because no upstream of
+// the current one is left, and records it before anything of it is delivered: a caller
+// would take the stream up at the version of an older record.
+func (c *call) moveOrigin() bool {
+	if !c.route.Resumable || c.binding.Begun() || c.takesUp() {
+		return false
+	}
+	from := c.binding.Origin().Version
+	if !c.bindToOther() {
+		return false
+	}
+	err := c.writeOrigin()
+	c.e.metrics.originMoved(err)
+	c.e.logger.Info("stream moves to another version before its first event", "id", c.req.ID, "from", from, "to", c.binding.Origin().Version, "err", err)
+	return err == nil
+}
+
+// writeOrigin records the current origin at a majority of the storage processes.
+func (c *call) writeOrigin() error {
+	if c.recordedOrigin() == nil {
+		return nil
+	}
+	if !c.hasBudget() {
+		c.e.origins.Add(c.req.ID, c.binding.Origin())
+		if len(c.e.view.Storage()) == 0 {
+			return nil // nothing was recorded
+		}
+	}
+	ctx, cancel := context.WithDeadline(c.r.Context(), earlier(c.deadline, time.Now().Add(ledgerTimeout)))
+	defer cancel()
+	rec := c.usage(c.req.MaxTokens, false)
+	if !c.hasBudget() {
+		rec = c.usage(0, true)
+	}
+	return c.e.ledger.Write(ctx, rec.GetProgram(), []*peerv1.LedgerRecord{usageRecord(rec)})
+}
+
+// continueOrigin binds a request that takes up a stream to the origin of the stream.
+// recorded is the origin that the ledger returned. It returns why the request must be
+// refused; empty: it is bound.
+func (c *call) continueOrigin(recorded *peerv1.Origin) (refusal string) {
+	k := origin.Knowledge{}
+	if recorded != nil {
+		k.Recorded = &origin.Origin{Service: recorded.GetService(), Version: recorded.GetVersion()}
+	}
+	if o, ok := c.e.origins.Get(c.req.ResumedID); ok {
+		k.Local = &o
+	}
+	if o, ok := c.soleOrigin(); ok {
+		k.Sole = &o
+	}
+	o, source := k.Resolve()
+	c.e.metrics.streamTakenUp(source.String())
+	if source == origin.Unknown {
+		return whyOriginUnknown
+	}
+	if !c.route.HasTarget(o.Service) {
+		return whyServiceChanged
+	}
+	c.service = o.Service
+	c.binding.Continue(o)
+	return ""
+}
+
+// lookUpOrigin asks the ledger for the origin of a stream without a budget, unless this
+// edge knows it.
+func (c *call) lookUpOrigin(ctx context.Context) (*peerv1.Origin, error) {
+	if c.e.origins.Contains(c.req.ResumedID) || c.req.ResumedID == "" {
+		return nil, nil
+	}
+	if _, ok := c.soleOrigin(); ok || len(c.e.view.Storage()) == 0 {
+		return nil, nil
+	}
+	res, err := c.e.ledger.Reserve(ctx, c.usage(0, true), 0, ledger.AttemptKey(c.req.ResumedID))
+	return res.Origin, err
+}
--- a/pkg/edge/placement.go
+++ b/pkg/edge/placement.go
@@ -22,7 +22,10 @@
 	if c.limited {
 		return nil, whyLimited
 	}
-	return nil, "no upstream left"
+	if c.binding.Begun() {
+		return nil, whyVersionGone
+	}
+	return nil, whyNoUpstream
 }
 
 // retryAfter returns when the caller of a request without an upstream should retry.
@@ -36,10 +39,8 @@
 // pick chooses an upstream and registers the attempt there. It returns nil if none is
 // left.
 func (c *call) pick(now time.Time) *fleet.Member {
-	req := fleet.Request{
-		Service: c.service, Draw: rand.Float64(), Rank: c.rank(), TimeLeft: c.deadline.Sub(now), ServiceTime: c.route.LatencyObjective,
-		Excluded: func(id string) bool { return c.triedUpstreams[id] || c.occupied(id) },
-	}
+	req := c.fleetRequest(func(id string) bool { return c.tried(id) || c.occupied(id) })
+	req.Draw, req.Rank, req.TimeLeft, req.ServiceTime = rand.Float64(), c.rank(), c.deadline.Sub(now), c.route.LatencyObjective
 	if key := c.affinityKey(); key != "" {
 		req.Affinity, _ = c.e.affinity.Get(key)
 	}
@@ -75,7 +76,7 @@
 	}
 	now := time.Now()
 	c.e.withFleet(func(f *fleet.Fleet) {
-		allowed = !f.Busy(m, now) && f.HasAlternative(c.service, func(id string) bool { return c.triedUpstreams[id] }, now)
+		allowed = !f.Busy(m, now) && f.HasAlternative(c.fleetRequest(c.tried), now)
 	})
 	return allowed
 }
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -53,7 +53,7 @@
 		if c.refuseQuarantined() {
 			return
 		}
-		m, why := c.place()
+		m, why := s.place()
 		if m == nil {
 			c.fail(c.tracker.NoUpstreamLeft(), why)
 			return
@@ -85,6 +85,20 @@
 	}
 }
 
+// place chooses an upstream of the version that the stream is bound to. While the stream
+// has not begun, it may move to another version if none of its own is left.
+func (s *stream) place() (*fleet.Member, string) {
+	c := s.c
+	if c.keepsOrigin() && !c.binding.Bound() && !c.moveOrigin() {
+		return nil, whyNoUpstream
+	}
+	m, why := c.place()
+	if m == nil && c.moveOrigin() {
+		return c.place()
+	}
+	return m, why
+}
+
 // runAttempt makes one attempt and relays its events. It returns a body if the
 // response is not an event stream.
 func (s *stream) runAttempt(m *fleet.Member) (*upstream.Response, [][]byte, attempt.Outcome, error) {
@@ -171,6 +185,7 @@
 	c.w.Header().Del("Content-Length")
 	c.w.WriteHeader(resp.Status)
 	c.headSent = true
+	c.binding.Begin()
 	c.e.metrics.firstEvent(time.Since(c.began))
 }
 
--- a/pkg/edge/streamversion_test.go
+++ b/pkg/edge/streamversion_test.go
@@ -8,6 +8,9 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/platform"
 )
 
 const (
@@ -27,6 +30,13 @@
 	// one event.
 	breaksContinued atomic.Bool
 	count           int
+	registrations   map[string][2]string // address and version by id
+}
+
+// announce announces the shutdown of an upstream in its registration.
+func (v *versionedUpstreams) announce(id string) {
+	r := v.registrations[id]
+	v.d.registerVersion(id, "llm", r[0], r[1], "draining")
 }
 
 // start registers n upstreams of a version.
@@ -35,7 +45,12 @@
 		v.count++
 		srv := httptest.NewServer(v.handler(version))
 		v.d.t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
-		v.d.registerVersion(fmt.Sprint("v", v.count), "llm", strings.TrimPrefix(srv.URL, "http://"), version)
+		id, address := fmt.Sprint("v", v.count), strings.TrimPrefix(srv.URL, "http://")
+		if v.registrations == nil {
+			v.registrations = make(map[string][2]string)
+		}
+		v.registrations[id] = [2]string{address, version}
+		v.d.registerVersion(id, "llm", address, version, "ready")
 	}
 }
 
@@ -65,9 +80,9 @@
 }
 
 // registerVersion registers an upstream with the version of its software.
-func (d *deployment) registerVersion(id, service, address, version string) {
-	d.store.Put("servers", id, map[string]any{
-		"Service": service, "Address": address, "Zone": "a1", "Slots": 8, "State": "ready", "born": 1, "Version": version,
+func (d *deployment) registerVersion(id, service, address, version, state string) {
+	d.store.Put(platform.KindUpstreams, id, map[string]any{
+		"Service": service, "Address": address, "Zone": "a1", "Slots": 8, "State": state, "born": 1, "Version": version,
 	})
 }
 
@@ -232,3 +247,119 @@
 	}
 	return body
 }
+
+// TestStreamOfGoneVersion guards against a stream that goes on at another version once no
+// upstream of its own is left, and against callers that wait for a refusal (issue 29).
+func TestStreamOfGoneVersion(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(resumable))
+	v := &versionedUpstreams{d: d}
+	v.breaks.Store(true)
+	v.start(1, "v1")
+	d.storages()
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 3)
+	begun := p.call(t, "POST", "/resumable/1", "in", streamHeader("s", true))
+	if begun.err == nil || eventIDs(begun.body) != "1 2 3" {
+		t.Fatalf("stream that is broken off: %+v", begun)
+	}
+	v.start(2, "v2")
+	d.store.Delete(platform.KindUpstreams, "v1")
+	p.ready(t, 2, 3)
+	p = d.restart(p)
+	p.ready(t, 2, 3)
+	h := streamHeader("s", true)
+	h["Attempt-Id"], h["Resumes"], h["Last-Event-Id"] = "s-again", "s", "3"
+	began := time.Now()
+	a := p.call(t, "POST", "/resumable/1", "in", h)
+	if a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" {
+		t.Errorf("stream whose version is gone: %+v", a)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("refused after %v", took)
+	}
+	v.breaks.Store(false)
+	if a := p.call(t, "POST", "/resumable/1", "in", streamHeader("n", true)); a.status != http.StatusOK || a.err != nil {
+		t.Errorf("new stream: %+v", a)
+	}
+}
+
+// TestStreamGoesOnAtDrainingUpstream guards against breaking off a stream, or refusing to
+// take it up, since the other upstreams of its version have just announced their shutdown
+// (issue 29).
+func TestStreamGoesOnAtDrainingUpstream(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(resumable))
+	v := &versionedUpstreams{d: d}
+	v.breaks.Store(true)
+	v.start(2, "v1")
+	d.storages()
+	s := d.settings("127.0.0.1")
+	s.DrainTime = 10 * time.Second
+	p := d.edgeWith(s)
+	p.ready(t, 2, 3)
+	begun := p.call(t, "POST", "/resumable/1", "in", streamHeader("s", true))
+	if begun.err != nil || eventIDs(begun.body) != "1 2 3 4 5 6" {
+		t.Fatalf("stream that goes on at the other upstream: %+v", begun)
+	}
+	v.start(2, "v2")
+	p.ready(t, 4, 3)
+	for _, id := range []string{"v1", "v2"} {
+		v.announce(id)
+	}
+	eventually(t, "the edge does not hear of the shutdown", func() bool {
+		draining := 0
+		for _, u := range p.edge.Status().Upstreams {
+			if u.UnavailableReason == "draining" {
+				draining++
+			}
+		}
+		return draining == 2
+	})
+	h := streamHeader("s", true)
+	h["Attempt-Id"], h["Resumes"], h["Last-Event-Id"] = "s-again", "s", "3"
+	if a := p.call(t, "POST", "/resumable/1", "in", h); a.status != http.StatusOK || a.err != nil || versionsOf(a.body)["v2"] {
+		t.Errorf("stream taken up: %+v", a)
+	}
+	if a := p.call(t, "POST", "/resumable/1", "in", streamHeader("n", true)); versionsOf(a.body)["v1"] {
+		t.Errorf("a new stream begins at an upstream that drains: %+v", a)
+	}
+}
+
+// TestStreamMovesBeforeFirstEvent guards against refusing a new stream since the version
+// that was chosen for it has no upstream left, and against taking it up at that version
+// afterwards (issue 29).
+func TestStreamMovesBeforeFirstEvent(t *testing.T) {
+	d := newDeployment(t)
+	route := clone(resumable)
+	route["MaxAttempts"] = 1
+	d.route(route)
+	v := &versionedUpstreams{d: d}
+	v.breaks.Store(true)
+	d.upstream("full", "llm", rejectWith(http.StatusServiceUnavailable, "Not-Executed"))
+	d.storages()
+	first, other := d.edge("127.0.0.1"), d.edge("127.0.0.2")
+	v.start(2, "v2")
+	for _, p := range []*process{first, other} {
+		p.ready(t, 3, 3)
+	}
+	moved := 0
+	for i := range versionedStreams {
+		id := fmt.Sprint("s", i)
+		a := first.call(t, "POST", "/resumable/1", "in", streamHeader(id, true))
+		if !versionsOf(a.body)["v2"] {
+			t.Fatalf("stream %d: %+v", i, a)
+		}
+		h := streamHeader(id, true)
+		h["Attempt-Id"], h["Resumes"], h["Last-Event-Id"] = id+"-again", id, "3"
+		if b := other.call(t, "POST", "/resumable/1", "in", h); versionsOf(b.body)["v2"] {
+			moved++
+		}
+	}
+	if moved != versionedStreams {
+		t.Errorf("%d of %d streams go on at the version that began them", moved, versionedStreams)
+	}
+	if n := strings.Count(d.log.text(), "moves to another version"); n == 0 {
+		t.Error("no stream moved: the case was not played")
+	}
+}
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -39,6 +39,8 @@
 	output   []byte
 	tokens   int // delivered, as the budget counts them
 	hold     *membudget.Reservation
+	// origin is the recorded origin of the stream that the request takes up; nil: none.
+	origin *peerv1.Origin
 
 	beginDuration  time.Duration // wait for budget and history
 	commitDuration time.Duration // wait until the turn was durable
@@ -47,6 +49,7 @@
 // beginTurn reserves the turn's tokens and prepends the earlier turns to its input.
 // If the turn must not run, it answers the request and returns false.
 func (c *call) beginTurn() (*turn, bool) {
+	c.beginOrigin()
 	t := &turn{c: c, input: c.body, hold: c.e.transit.Reservation("turn "+c.req.ID, membudget.CallerShare)}
 	ctx, cancel := context.WithDeadline(c.r.Context(), earlier(c.deadline, time.Now().Add(ledgerTimeout)))
 	defer cancel()
@@ -67,11 +70,17 @@
 	case errors.Is(historyErr, ledger.ErrNotFound):
 		c.refuse(http.StatusNotFound, 0, "turn does not exist")
 	case reserveErr != nil:
-		c.e.logger.Warn("budget not known", "id", c.req.ID, "program", c.req.Program, "err", reserveErr)
+		c.e.logger.Warn("budget or origin not known", "id", c.req.ID, "program", c.req.Program, "err", reserveErr)
 		c.refuse(http.StatusServiceUnavailable, retryAfterUnready, "budget not known")
 	case historyErr != nil:
 		c.e.logger.Warn("history not known", "id", c.req.ID, "parent", c.req.ParentTurnID, "err", historyErr)
 		c.refuse(http.StatusServiceUnavailable, retryAfterUnready, "history not known")
+	case c.takesUp():
+		refusal := c.continueOrigin(t.origin)
+		if refusal == "" {
+			return t, true
+		}
+		c.refuse(http.StatusServiceUnavailable, retryAfterBusy, refusal)
 	default:
 		return t, true
 	}
@@ -81,26 +90,36 @@
 
 func (c *call) usage(tokens int, settled bool) *peerv1.Usage {
 	return &peerv1.Usage{
-		Program: c.req.Program, Attempt: ledger.AttemptKey(c.req.ID), Tokens: uint32(tokens), Settled: settled,
-		RetentionMs: uint32(c.route.Retention.Milliseconds()),
+		Program: c.ledgerKey(), Attempt: ledger.AttemptKey(c.req.ID), Tokens: uint32(tokens), Settled: settled,
+		RetentionMs: uint32(c.route.Retention.Milliseconds()), Origin: c.recordedOrigin(),
 	}
 }
 
-func (t *turn) reserve(ctx context.Context) error {
+// reserve reserves the tokens of the turn and reads the origin of the stream that it takes
+// up.
+func (t *turn) reserve(ctx context.Context) (err error) {
 	c := t.c
-	if c.req.Program == "" || c.req.TokenBudget <= 0 {
-		return nil
+	if !c.hasBudget() {
+		if c.takesUp() {
+			t.origin, err = c.lookUpOrigin(ctx)
+		}
+		return err
 	}
 	if spent, ok := c.e.spent.Get(c.req.Program); ok && spent+c.req.MaxTokens > c.req.TokenBudget {
 		return ledger.ErrOverBudget
 	}
 	t.reserved = true
 	began := time.Now()
-	spent, err := c.e.ledger.Reserve(ctx, c.usage(c.req.MaxTokens, false), c.req.TokenBudget)
+	continues := uint64(0)
+	if c.req.ResumedID != "" {
+		continues = ledger.AttemptKey(c.req.ResumedID)
+	}
+	res, err := c.e.ledger.Reserve(ctx, c.usage(c.req.MaxTokens, false), c.req.TokenBudget, continues)
 	c.e.metrics.ledger("reserve", err, time.Since(began))
-	if spent > 0 {
-		c.e.spent.Add(c.req.Program, spent)
+	if res.Spent > 0 {
+		c.e.spent.Add(c.req.Program, res.Spent)
 	}
+	t.origin = res.Origin
 	return err
 }
 
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -175,7 +175,7 @@
 			if m := f.Member(name); m == nil || m.State != u.State {
 				h.v.e.logger.Info("upstream changed", "upstream", name, "service", u.Service, "state", int(u.State), "revision", c.Object.Revision)
 			}
-			f.Put(u)
+			f.Put(u, now)
 		})
 		h.v.e.suspects.runsEnded(endedRuns(ended)...)
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -81,7 +81,8 @@
 	missing     bool // the registration is gone from the store
 	removeAfter time.Time
 
-	leavingSince time.Time // first response that announced the shutdown; zero: not leaving
+	leavingSince  time.Time // first response that announced the shutdown; zero: not leaving
+	drainingSince time.Time // when the registration announced the shutdown; zero: not, or unknown
 
 	limit *ratelimit.Limit // nil: the run has named no rate limit
 }
@@ -107,7 +108,10 @@
 	// service has no other.
 	leavingGrace time.Duration
 	limits       *ratelimit.Book
-	gates        map[string]*ratelimit.Gate // by service
+	// versions holds the software versions that upstreams of a service ran of late.
+	versions map[string]versionHistory
+	start    time.Time
+	gates    map[string]*ratelimit.Gate // by service
 }
 
 // New returns an empty fleet for a process in the given failure domain that starts at
@@ -119,6 +123,8 @@
 		byService:   make(map[string][]*Member),
 		leavingRuns: make(leavingRuns),
 		limits:      ratelimit.NewBook(start),
+		versions:    make(map[string]versionHistory),
+		start:       start,
 		gates:       make(map[string]*ratelimit.Gate),
 	}
 }
@@ -129,7 +135,7 @@
 
 // Put adds or updates an upstream. A new run of an upstream does not inherit the load
 // and failures of the previous one.
-func (f *Fleet) Put(u Upstream) {
+func (f *Fleet) Put(u Upstream, now time.Time) {
 	old := f.members[u.ID]
 	m := old
 	if m == nil || m.StartedUnixMs != u.StartedUnixMs || m.Address != u.Address || m.SoftwareVersion != u.SoftwareVersion {
@@ -140,6 +146,9 @@
 	}
 	// ID, Address, StartedUnixMs and SoftwareVersion stay as they are: requests read them
 	// without the lock of the fleet.
+	if m == old && m.State == Ready && u.State == Draining {
+		m.drainingSince = now
+	}
 	m.Service, m.FailureDomain, m.Slots = u.Service, u.FailureDomain, u.Slots
 	m.State, m.WarmupRemaining = u.State, u.WarmupRemaining
 	m.missing = false
@@ -172,7 +181,7 @@
 	named := make(map[string]bool, len(list))
 	for _, u := range list {
 		named[u.ID] = true
-		f.Put(u)
+		f.Put(u, now)
 	}
 	for _, id := range slices.Sorted(maps.Keys(f.members)) {
 		if named[id] {
@@ -188,6 +197,7 @@
 // Expire removes the missing members whose grace period has ended and returns their
 // upstreams, sorted by id.
 func (f *Fleet) Expire(now time.Time) (gone []Upstream) {
+	f.expireVersions(now)
 	for _, id := range slices.Sorted(maps.Keys(f.members)) {
 		if m := f.members[id]; m.missing && !now.Before(m.removeAfter) {
 			f.drop(m)
@@ -203,6 +213,7 @@
 	list := f.byService[m.Service]
 	i, _ := slices.BinarySearchFunc(list, m.ID, compareID)
 	f.byService[m.Service] = slices.Insert(list, i, m)
+	f.recordVersion(m)
 }
 
 // drop removes a member from both indexes.
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -124,7 +124,7 @@
 	if f.Len() != 2 {
 		t.Fatalf("%d upstreams right after the outage, want 2", f.Len())
 	}
-	f.Put(upstream("back", "a1"))
+	f.Put(upstream("back", "a1"), start)
 	if gone := f.Expire(start.Add(ReregistrationGrace)); len(gone) != 1 || gone[0].ID != "dead" {
 		t.Errorf("removed after the grace period: %v, want dead", gone)
 	}
@@ -141,7 +141,7 @@
 	f.RecordFailure(f.Member("x"), true, start)
 	next := upstream("x", "a1")
 	next.StartedUnixMs = 5
-	f.Put(next)
+	f.Put(next, start)
 	if f.Member("x").Suspended(start) {
 		t.Error("the new run is suspended")
 	}
@@ -167,7 +167,7 @@
 func TestMembersOfService(t *testing.T) {
 	f := New("a1", nil, start)
 	put := func(id, service string, startedUnixMs int64) {
-		f.Put(Upstream{ID: id, Service: service, Address: id + ":1", StartedUnixMs: startedUnixMs})
+		f.Put(Upstream{ID: id, Service: service, Address: id + ":1", StartedUnixMs: startedUnixMs}, start)
 	}
 	names := func(service string) string {
 		var ids []string
--- a/pkg/fleet/leaving.go
+++ b/pkg/fleet/leaving.go
@@ -55,9 +55,22 @@
 // Leaving reports whether a response of the member announced its shutdown.
 func (m *Member) Leaving() bool { return !m.leavingSince.IsZero() }
 
-// leavingUsable reports whether a leaving member may still be used.
+// shuttingDown reports whether the member has announced its shutdown, in a response or in
+// its registration.
+func (m *Member) shuttingDown() bool { return m.Leaving() || m.State == Draining }
+
+// announcedAt returns when the member first announced its shutdown; zero: not, or before
+// this process knew it.
+func (m *Member) announcedAt() time.Time {
+	if m.State == Draining && (!m.Leaving() || m.drainingSince.Before(m.leavingSince)) {
+		return m.drainingSince
+	}
+	return m.leavingSince
+}
+
+// leavingUsable reports whether a member that is shutting down may still be used.
 func (f *Fleet) leavingUsable(m *Member, now time.Time) bool {
-	return now.Before(m.leavingSince.Add(f.leavingGrace))
+	return now.Before(m.announcedAt().Add(f.leavingGrace))
 }
 
 // EndedUpstream returns the upstream of a member whose run has ended. A leaving one is
--- a/pkg/fleet/leaving_test.go
+++ b/pkg/fleet/leaving_test.go
@@ -22,16 +22,20 @@
 // because the store, a feed or a new listing reports the same run as ready.
 func TestLeavingOutlivesTheRegistration(t *testing.T) {
 	updates := map[string]func(f *Fleet){
-		"stale event":      func(f *Fleet) { f.Put(llm("x", 1)) },
+		"stale event":      func(f *Fleet) { f.Put(llm("x", 1), start) },
 		"list":             func(f *Fleet) { f.Replace([]Upstream{llm("x", 1), llm("y", 1)}, start) },
-		"expired and back": func(f *Fleet) { f.Remove("x", start); f.Put(llm("x", 1)) },
-		"another address":  func(f *Fleet) { u := llm("x", 1); u.Address = "z:1"; f.Put(u) },
-		"missing and back": func(f *Fleet) { f.KeepMissingUntil(start.Add(time.Second)); f.Remove("x", start); f.Put(llm("x", 1)) },
+		"expired and back": func(f *Fleet) { f.Remove("x", start); f.Put(llm("x", 1), start) },
+		"another address":  func(f *Fleet) { u := llm("x", 1); u.Address = "z:1"; f.Put(u, start) },
+		"missing and back": func(f *Fleet) {
+			f.KeepMissingUntil(start.Add(time.Second))
+			f.Remove("x", start)
+			f.Put(llm("x", 1), start)
+		},
 	}
 	for name, apply := range updates {
 		f := New("a1", nil, start)
-		f.Put(llm("x", 1))
-		f.Put(llm("y", 1))
+		f.Put(llm("x", 1), start)
+		f.Put(llm("y", 1), start)
 		if !f.RecordLeaving(f.Member("x"), start) || f.RecordLeaving(f.Member("x"), start) {
 			t.Errorf("%s: want exactly the first announcement to be new", name)
 		}
@@ -48,10 +52,10 @@
 // earlier one with the same id or address was leaving.
 func TestLeavingEndsWithTheRun(t *testing.T) {
 	f := New("a1", nil, start)
-	f.Put(llm("x", 1))
+	f.Put(llm("x", 1), start)
 	old := f.Member("x")
 	f.RecordLeaving(old, start)
-	f.Put(llm("x", 2))
+	f.Put(llm("x", 2), start)
 	if got := pickID(f, start); got != "x" {
 		t.Errorf("picked %q, want the new run", got)
 	}
@@ -74,8 +78,8 @@
 func TestAllUpstreamsLeaving(t *testing.T) {
 	f := New("a1", nil, start)
 	f.SetLeavingGrace(time.Second)
-	f.Put(llm("x", 1))
-	f.Put(llm("y", 1))
+	f.Put(llm("x", 1), start)
+	f.Put(llm("y", 1), start)
 	f.RecordLeaving(f.Member("x"), start)
 	f.RecordLeaving(f.Member("y"), start.Add(500*time.Millisecond))
 	for at, want := range map[time.Duration]string{600: "y", 1400: "y", 1500: "", 5000: ""} {
@@ -83,7 +87,7 @@
 			t.Errorf("after %d ms: %q, want %q", at, got, want)
 		}
 	}
-	if f.HasAlternative("llm", func(string) bool { return false }, start) {
+	if f.HasAlternative(Request{Service: "llm"}, start) {
 		t.Error("a leaving upstream counts as an alternative")
 	}
 }
@@ -92,7 +96,7 @@
 // crash.
 func TestRemoveLeavingUpstream(t *testing.T) {
 	f := New("a1", nil, start)
-	f.Put(llm("x", 1))
+	f.Put(llm("x", 1), start)
 	f.RecordLeaving(f.Member("x"), start)
 	if gone, ok := f.Remove("x", start); !ok || gone.State != Draining {
 		t.Errorf("removed %+v, %v, want a draining upstream", gone, ok)
@@ -103,7 +107,7 @@
 func TestLeavingIsBounded(t *testing.T) {
 	f := New("a1", nil, start)
 	for i := range maxLeaving + 10 {
-		f.Put(llm(fmt.Sprint("u", i), 1))
+		f.Put(llm(fmt.Sprint("u", i), 1), start)
 		f.RecordLeaving(f.Member(fmt.Sprint("u", i)), start.Add(time.Duration(i)))
 	}
 	if len(f.leavingRuns) != maxLeaving || !f.leavingRuns.since(llm("u0", 1)).IsZero() {
--- a/pkg/fleet/limit.go
+++ b/pkg/fleet/limit.go
@@ -78,7 +78,7 @@
 
 // addUnlimited adds a member without a limit: its permits are the places in its queue.
 func (s *supply) addUnlimited(f *Fleet, m *Member, now time.Time) {
-	if m.Suspended(now) || m.Leaving() {
+	if m.Suspended(now) || m.shuttingDown() {
 		return
 	}
 	slots := float64(max(m.Slots, 1))
@@ -115,7 +115,7 @@
 	var s supply
 	next := time.Duration(math.MaxInt64)
 	for _, m := range f.byService[r.Service] {
-		if !f.candidate(m, r) {
+		if !f.candidate(m, r, now) {
 			continue
 		}
 		s.add(f, m, now)
--- a/pkg/fleet/limit_test.go
+++ b/pkg/fleet/limit_test.go
@@ -39,13 +39,13 @@
 	f := newFleet(upstream("u", "a1"))
 	f.RecordLimit(f.Member("u"), limitTo(1), start, start)
 	f.Remove("u", start)
-	f.Put(upstream("u", "a1"))
+	f.Put(upstream("u", "a1"), start)
 	if !f.Member("u").Limited() {
 		t.Error("not limited after the registration came back")
 	}
 	next := upstream("u", "a1")
 	next.StartedUnixMs = 7
-	f.Put(next)
+	f.Put(next, start)
 	if f.Member("u").Limited() || f.LimitedCount() != 1 {
 		t.Error("a new run is limited")
 	}
@@ -104,7 +104,7 @@
 			f := New("a1", regions, start)
 			for i := range 3000 {
 				id := fmt.Sprint("u", i)
-				f.Put(upstream(id, "a1"))
+				f.Put(upstream(id, "a1"), start)
 				if i < limited {
 					f.RecordLimit(f.Member(id), limitTo(6), start, start)
 				}
--- a/pkg/fleet/pick.go
+++ b/pkg/fleet/pick.go
@@ -17,6 +17,12 @@
 	Excluded func(id string) bool // reports members that must not be selected; may be nil
 	Draw     float64              // uniform in [0, 1), breaks ties
 	Rank     ratelimit.Rank       // order among others while upstreams are limited
+	// Bound is set if only members that run Version may be selected.
+	Bound   bool
+	Version string
+	// Continues is set for a stream that has begun: while no other member of its version
+	// is left, it may go to one whose shutdown was announced shortly before.
+	Continues bool
 	// TimeLeft is how long the caller waits for an answer at most.
 	TimeLeft time.Duration
 	// ServiceTime is the expected duration of the request at an idle member.
@@ -47,15 +53,15 @@
 	bestCost := math.Inf(1)
 	i := 0
 	for _, m := range f.byService[r.Service] {
-		if !f.candidate(m, r) {
+		if !f.candidate(m, r, now) {
 			continue
 		}
 		i++
 		if !offered.add(f, m, now) {
 			continue
 		}
-		if m.Leaving() {
-			if f.leavingUsable(m, now) && !m.Suspended(now) && (leaving == nil || m.leavingSince.After(leaving.leavingSince)) {
+		if m.shuttingDown() {
+			if f.leavingUsable(m, now) && !m.Suspended(now) && (leaving == nil || m.announcedAt().After(leaving.announcedAt())) {
 				leaving = m
 			}
 			continue
@@ -83,18 +89,23 @@
 
 // candidate reports whether a member may get a request, as far as its registration and
 // the request are concerned.
-func (f *Fleet) candidate(m *Member, r Request) bool {
-	return m.State == Ready && (r.Excluded == nil || !r.Excluded(m.ID))
+func (f *Fleet) candidate(m *Member, r Request, now time.Time) bool {
+	if r.Bound && m.SoftwareVersion != r.Version {
+		return false
+	}
+	if m.State != Ready && !(r.Continues && f.leavingUsable(m, now)) {
+		return false
+	}
+	return r.Excluded == nil || !r.Excluded(m.ID)
 }
 
-// HasAlternative reports whether a service has a member that is not excluded and
-// accepts attempts now. While some members are limited, it must also have a free slot:
+// HasAlternative reports whether a request has a candidate that accepts attempts now. While some members are limited, it must also have a free slot:
 // an attempt that is repeated in another queue only adds work.
-func (f *Fleet) HasAlternative(service string, excluded func(id string) bool, now time.Time) bool {
+func (f *Fleet) HasAlternative(r Request, now time.Time) bool {
 	limited, found, free := false, false, false
-	for _, m := range f.byService[service] {
+	for _, m := range f.byService[r.Service] {
 		limited = limited || m.State == Ready && m.Limited()
-		if m.State != Ready || m.Leaving() || m.Suspended(now) || excluded(m.ID) {
+		if m.shuttingDown() || m.Suspended(now) || !f.candidate(m, r, now) {
 			continue
 		}
 		if m.Limited() && f.limits.Permits(m.limit, now) == 0 {
--- a/pkg/ledger/client.go
+++ b/pkg/ledger/client.go
@@ -321,27 +321,37 @@
 	return failed
 }
 
-// Reserve reserves tokens of a program's budget for an attempt and returns the
-// tokens used by finished turns. It fails with ErrOverBudget if the tokens do not
-// fit, and with ErrNoMajority if no quorum replied before the context was done.
-// In both cases the reservation may remain stored.
-func (c *Client) Reserve(ctx context.Context, u *peerv1.Usage, budget int) (spent int, err error) {
+// Reservation is the result of Reserve.
+type Reservation struct {
+	Spent int // tokens used by finished turns
+	// Origin is the origin of the stream that the attempt continues; nil: none is
+	// recorded.
+	Origin *peerv1.Origin
+}
+
+// Reserve reserves tokens of a program's budget for an attempt. It fails with
+// ErrOverBudget if the tokens do not fit, and with ErrNoMajority if no quorum replied
+// before the context was done. In both cases the reservation may remain stored. budget
+// is in tokens; 0: no limit. continues is the key of the attempt that began the stream
+// which this one continues; 0: none.
+func (c *Client) Reserve(ctx context.Context, u *peerv1.Usage, budget int, continues uint64) (Reservation, error) {
 	members := c.sortByDistance(ReplicaGroup(c.directory.Storage(), u.GetProgram()))
 	need := c.quorum(len(members))
-	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Reserve{Reserve: &peerv1.Reserve{Usage: u}}}
+	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Reserve{Reserve: &peerv1.Reserve{Usage: u, Continues: continues}}}
 	replies, err := c.queryMembers(ctx, members, need, req, func(r []*peerv1.LedgerReply, _ int) bool { return countOK(r) >= need })
 	if err != nil {
-		return 0, err
+		return Reservation{}, err
 	}
 	lists := make([][]*peerv1.Usage, 0, len(replies))
 	for _, r := range replies {
 		lists = append(lists, r.GetUsage())
 	}
 	merged := MergeUsage(lists...)
-	if !FitsBudget(merged, u.GetAttempt(), int(u.GetTokens()), budget) {
-		return SpentTokens(merged), ErrOverBudget
+	res := Reservation{Spent: SpentTokens(merged), Origin: merged[continues].GetOrigin()}
+	if budget > 0 && !FitsBudget(merged, u.GetAttempt(), int(u.GetTokens()), budget) {
+		return res, ErrOverBudget
 	}
-	return SpentTokens(merged), nil
+	return res, nil
 }
 
 // Chain returns a turn and all its ancestors, oldest first. It fails with
--- a/pkg/ledger/server.go
+++ b/pkg/ledger/server.go
@@ -91,7 +91,7 @@
 	case *peerv1.LedgerRequest_Write:
 		return &peerv1.LedgerReply{Status: s.Store.WriteStatus()}
 	case *peerv1.LedgerRequest_Reserve:
-		return &peerv1.LedgerReply{Status: s.Store.UsageStatus(), Usage: s.Store.Usage(op.Reserve.GetUsage().GetProgram())}
+		return &peerv1.LedgerReply{Status: s.Store.UsageStatus(), Usage: s.Store.Usage(op.Reserve.GetUsage().GetProgram(), op.Reserve.GetContinues())}
 	case *peerv1.LedgerRequest_Compare:
 		return &peerv1.LedgerReply{Status: status, Missing: s.missing(op.Compare.GetDigests())}
 	case *peerv1.LedgerRequest_Fetch:
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 )
@@ -85,9 +86,25 @@
 	p.usage[u.GetAttempt()] = newerUsage(p.usage[u.GetAttempt()], u)
 }
 
-// newerUsage returns the version of a usage record that replaces the other. A
-// settled version replaces an open one; otherwise the one with more tokens wins.
+// newerUsage merges two versions of a usage record: the newer one, with the origin that
+// has the higher revision.
 func newerUsage(a, b *peerv1.Usage) *peerv1.Usage {
+	newer, older := b, a
+	if newerTokens(a, b) == a {
+		newer, older = a, b
+	}
+	if older.GetOrigin() == nil || newer.GetOrigin() != nil && newer.GetOrigin().GetRevision() >= older.GetOrigin().GetRevision() {
+		return newer
+	}
+	merged := proto.CloneOf(newer)
+	merged.Origin = older.GetOrigin()
+	return merged
+}
+
+// newerTokens returns the version of a usage record that replaces the other, as far as
+// its tokens are concerned. A settled version replaces an open one; otherwise the one
+// with more tokens wins.
+func newerTokens(a, b *peerv1.Usage) *peerv1.Usage {
 	switch {
 	case a == nil:
 		return b
@@ -118,14 +135,19 @@
 func (s *State) UsageComplete() bool { return s.complete || s.usageComplete }
 
 // Usage returns the usage records of a program. Settled records with zero tokens
-// are omitted, since a program that loops creates hundreds of them.
-func (s *State) Usage(name string) []*peerv1.Usage {
+// are omitted, since a program that loops creates hundreds of them. Only the record of
+// the attempt origin is complete, with its origin; 0: none is.
+func (s *State) Usage(name string, origin uint64) []*peerv1.Usage {
 	p := s.programs[name]
 	if p == nil {
 		return nil
 	}
 	list := make([]*peerv1.Usage, 0, len(p.usage))
 	for _, u := range p.usage {
+		if origin != 0 && u.GetAttempt() == origin {
+			list = append(list, u)
+			continue
+		}
 		if u.GetSettled() && u.GetTokens() == 0 {
 			continue
 		}
@@ -175,6 +197,10 @@
 			tail[12] = 1
 		}
 		_, _ = h.Write(tail[:])
+		if o := u.GetOrigin(); o != nil {
+			_, _ = h.Write(binary.LittleEndian.AppendUint32(nil, o.GetRevision()))
+			_, _ = h.WriteString(o.GetService() + "\x00" + o.GetVersion())
+		}
 	case *peerv1.LedgerRecord_Turn:
 		_, _ = h.WriteString(b.Turn.GetId())
 	}
--- a/pkg/ledger/store.go
+++ b/pkg/ledger/store.go
@@ -246,11 +246,11 @@
 	return peerv1.LedgerReply_OK
 }
 
-// Usage returns the usage records of a program.
-func (s *Store) Usage(program string) []*peerv1.Usage {
+// Usage returns the usage records of a program, as State.Usage does.
+func (s *Store) Usage(program string, origin uint64) []*peerv1.Usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state.Usage(program)
+	return s.state.Usage(program, origin)
 }
 
 // Chain returns a turn and its ancestors as far as this process has them, oldest
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -125,6 +126,11 @@
 	return nil
 }
 
+// HasTarget reports whether requests of the route may go to a service.
+func (r *Route) HasTarget(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 })
+}
+
 // Pick selects the service for a request by the weights of the targets; draw is
 // uniformly random in [0, 1). It returns an empty string if the route has no target
 // with a positive weight.
