--- a/pkg/standin/platformstore/store.go
+++ b/pkg/standin/platformstore/store.go
@@ -4,6 +4,7 @@
 package platformstore
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -24,6 +25,7 @@
 	down     bool
 	deaf     bool
 	calls    int
+	texts    map[string]string // specs written by PutText, by their placeholder
 }
 
 type metadata struct {
@@ -47,7 +49,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{kinds: make(map[string]map[string]*object), changed: make(chan struct{})}
+	return &Store{kinds: make(map[string]map[string]*object), changed: make(chan struct{}), texts: make(map[string]string)}
 }
 
 // SetDown makes every call fail with 503.
@@ -92,6 +94,19 @@
 	s.put(kind, name, data)
 }
 
+// PutText writes an object with a spec that encoding/json may refuse to encode, such as
+// one that is nested too deeply.
+func (s *Store) PutText(kind, name, spec string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	placeholder, err := json.Marshal("text of " + kind + "/" + name)
+	if err != nil {
+		panic(err)
+	}
+	s.texts[string(placeholder)] = spec
+	s.put(kind, name, placeholder)
+}
+
 // Delete removes an object.
 func (s *Store) Delete(kind, name string) {
 	s.mu.Lock()
@@ -163,10 +178,18 @@
 	}
 }
 
-func reply(w http.ResponseWriter, status int, body any) {
+// reply sends a response. The caller holds the lock of the store.
+func (s *Store) reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	for placeholder, text := range s.texts {
+		data = bytes.ReplaceAll(data, []byte(placeholder), []byte(text))
+	}
+	_, _ = w.Write(data)
 }
 
 func (s *Store) list(w http.ResponseWriter, kind string) {
@@ -177,7 +200,7 @@
 		items = append(items, *o)
 	}
 	slices.SortFunc(items, func(a, b object) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
-	reply(w, http.StatusOK, map[string]any{"items": items, "HasMore": false, "At": s.revision})
+	s.reply(w, http.StatusOK, map[string]any{"items": items, "HasMore": false, "At": s.revision})
 }
 
 func (s *Store) get(w http.ResponseWriter, kind, name string) {
@@ -188,7 +211,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	reply(w, http.StatusOK, o)
+	s.reply(w, http.StatusOK, o)
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -224,15 +247,18 @@
 		if s.deaf {
 			at = after
 		}
-		s.mu.Unlock()
 		if len(events) > 0 {
-			reply(w, http.StatusOK, map[string]any{"events": events, "At": at})
+			s.reply(w, http.StatusOK, map[string]any{"events": events, "At": at})
+			s.mu.Unlock()
 			return
 		}
+		s.mu.Unlock()
 		select {
 		case <-changed:
 		case <-timeout:
-			reply(w, http.StatusOK, map[string]any{"events": events, "At": at})
+			s.mu.Lock()
+			s.reply(w, http.StatusOK, map[string]any{"events": events, "At": at})
+			s.mu.Unlock()
 			return
 		case <-r.Context().Done():
 			return
@@ -261,15 +287,15 @@
 	o := s.kinds[kind][name]
 	switch {
 	case r.Method == http.MethodPost && o != nil:
-		reply(w, http.StatusConflict, o)
+		s.reply(w, http.StatusConflict, o)
 	case r.Method == http.MethodPut && o == nil:
 		w.WriteHeader(http.StatusNotFound)
 	case r.Method == http.MethodPut && body.Metadata.Revision != nil && *body.Metadata.Revision != o.Metadata.Revision:
-		reply(w, http.StatusConflict, o)
+		s.reply(w, http.StatusConflict, o)
 	case ofStatus:
 		o.Status = body.Status
-		reply(w, http.StatusOK, s.put(kind, name, o.Spec))
+		s.reply(w, http.StatusOK, s.put(kind, name, o.Spec))
 	default:
-		reply(w, http.StatusOK, s.put(kind, name, body.Spec))
+		s.reply(w, http.StatusOK, s.put(kind, name, body.Spec))
 	}
 }
