--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -68,10 +68,11 @@
 // Do sends a request and reads the response head. Canceling the context aborts
 // the exchange, also while the body is read.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.get(ctx, r.Address, r.MaxConnections)
+	c, err := p.get(ctx, r.Address, r.ID, r.MaxConnections)
 	if err != nil {
 		return nil, err
 	}
+	c.carried.add(r.ID)
 	if d, ok := ctx.Deadline(); ok {
 		_ = c.SetDeadline(d)
 	} else {
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -7,9 +7,12 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -54,6 +57,30 @@
 	lastUsed time.Time
 	idleTime time.Duration
 	reused   bool // taken from the idle list, so it may have carried a response before
+	carried  carriedIDs
+}
+
+// maxCarriedIDs is how many request ids a connection remembers. A response to an earlier
+// request may be written again after several others.
+const maxCarriedIDs = 16
+
+// carriedIDs holds the hashes of the ids of the last requests on a connection. A request
+// that is sent again must not use it: the response to the earlier one could be written
+// once more and be taken for its own.
+type carriedIDs struct {
+	hashes [maxCarriedIDs]uint64
+	count  int
+}
+
+func (l *carriedIDs) add(id string) {
+	l.hashes[l.count%maxCarriedIDs] = xxhash.Sum64String(id)
+	l.count++
+}
+
+// mayCarry reports whether a request with an id can be told from the earlier ones. One
+// without an id can't.
+func (l *carriedIDs) mayCarry(id string) bool {
+	return id != "" && !slices.Contains(l.hashes[:min(l.count, maxCarriedIDs)], xxhash.Sum64String(id))
 }
 
 // Dialed returns the number of connection attempts so far.
@@ -159,23 +186,35 @@
 	return err == nil && quiet
 }
 
-// get returns an idle connection or dials a new one. limit is the largest number
-// of connections to the address; 0 means no limit.
-func (p *Pool) get(ctx context.Context, address string, limit int) (*conn, error) {
-	now := time.Now()
+// get returns an idle connection for a request with an id, or dials a new one. limit is
+// the largest number of connections to the address; 0 means no limit.
+func (p *Pool) get(ctx context.Context, address, id string, limit int) (*conn, error) {
+	if c := p.takeIdle(address, time.Now(), func(c *conn) bool { return c.carried.mayCarry(id) }); c != nil {
+		return c, nil
+	}
+	return p.dial(ctx, address, limit)
+}
+
+// takeIdle takes the idle connection to an address that was used last, of those that
+// usable accepts. It returns nil if there is none.
+func (p *Pool) takeIdle(address string, now time.Time, usable func(*conn) bool) *conn {
 	p.mu.Lock()
-	for list := p.idle[address]; len(list) > 0; list = p.idle[address] {
-		c := list[len(list)-1]
-		p.idle[address] = list[:len(list)-1]
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if !usable(c) {
+			continue
+		}
+		list = slices.Delete(list, i, i+1)
+		p.idle[address] = list
 		if c.reusable(now) {
-			p.mu.Unlock()
 			c.reused = true
-			return c, nil
+			return c
 		}
 		p.discardLocked(c)
 	}
-	p.mu.Unlock()
-	return p.dial(ctx, address, limit)
+	return nil
 }
 
 // dial opens a new connection.
@@ -205,13 +244,15 @@
 // Probe checks that a connection to an address can be had, a new one if fresh is
 // set, and adds it to the idle connections.
 func (p *Pool) Probe(ctx context.Context, address string, limit int, fresh bool) error {
-	get := p.get
-	if fresh {
-		get = p.dial
+	var c *conn
+	if !fresh {
+		c = p.takeIdle(address, time.Now(), func(*conn) bool { return true })
 	}
-	c, err := get(ctx, address, limit)
-	if err != nil {
-		return err
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx, address, limit); err != nil {
+			return err
+		}
 	}
 	p.put(c)
 	return nil
