--- a/pkg/edge/streamversion_test.go
+++ b/pkg/edge/streamversion_test.go
@@ -150,6 +150,9 @@
 	// before changes the deployment between the break and the next attempts, which then
 	// go to the returned edge.
 	before func(d *deployment, v *versionedUpstreams, first, other *process) *process
+	// powerLoss is set if all edges and storage processes end at the same time and start
+	// again, with the disks of the storage processes.
+	powerLoss bool
 	// attempts is the number of attempts that take a stream up; 0: one.
 	attempts int
 }
@@ -180,6 +183,8 @@
 			d.store.SetDown(true)
 			return other
 		}},
+		"all processes restart":             {before: other, powerLoss: true},
+		"no program, all processes restart": {before: other, powerLoss: true, noBudget: true},
 		"all edges restart": {before: func(d *deployment, _ *versionedUpstreams, first, other *process) *process {
 			first.stop()
 			return d.restart(other)
@@ -198,7 +203,7 @@
 	v.breaks.Store(true)
 	v.start(2, "v1")
 	v.start(6, "v2")
-	d.storages()
+	storages := d.storages()
 	first, other := d.edge("127.0.0.1"), d.edge("127.0.0.2")
 	for _, p := range []*process{first, other} {
 		p.ready(t, 8, 3)
@@ -211,6 +216,9 @@
 		}
 		begun[i] = a.body
 	}
+	if c.powerLoss {
+		other = d.losePower(first, other, storages)
+	}
 	p := c.before(d, v, first, other)
 	eventually(t, "the edge does not listen", func() bool { return p.edge.view.ready() && p.listens() })
 	joined, wentOn := 0, 0
@@ -231,6 +239,19 @@
 	}
 }
 
+// losePower ends two edges and the storage processes, starts all but the first edge again
+// and returns the other one.
+func (d *deployment) losePower(first, other *process, storages []*process) *process {
+	first.stop()
+	for _, s := range storages {
+		s.stop()
+		again := *s.settings
+		again.FirstStart = false
+		d.storageWith(&again)
+	}
+	return d.restart(other)
+}
+
 // takeUp sends the attempts of a caller that take a stream up, and returns all events of
 // the stream.
 func (c takeUpCase) takeUp(t *testing.T, v *versionedUpstreams, p *process, id, body string) string {
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -88,11 +88,17 @@
 	return nil, false
 }
 
+// usage returns the usage record of the turn. The origin of its stream is in the open
+// record, which a majority has before the turn runs, or in the only one.
 func (c *call) usage(tokens int, settled bool) *peerv1.Usage {
-	return &peerv1.Usage{
+	u := &peerv1.Usage{
 		Program: c.ledgerKey(), Attempt: ledger.AttemptKey(c.req.ID), Tokens: uint32(tokens), Settled: settled,
-		RetentionMs: uint32(c.route.Retention.Milliseconds()), Origin: c.recordedOrigin(),
+		RetentionMs: uint32(c.route.Retention.Milliseconds()),
+	}
+	if !settled || !c.hasBudget() {
+		u.Origin = c.recordedOrigin()
 	}
+	return u
 }
 
 // reserve reserves the tokens of the turn and reads the origin of the stream that it takes
