--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -69,8 +69,11 @@
 		c.refuse(http.StatusPaymentRequired, 0, "budget spent")
 	case errors.Is(historyErr, ledger.ErrNotFound):
 		c.refuse(http.StatusNotFound, 0, "turn does not exist")
+	case reserveErr != nil && !c.hasBudget():
+		c.e.logger.Warn("origin of a stream not known", "id", c.req.ID, "resumes", c.req.ResumedID, "err", reserveErr)
+		c.refuse(http.StatusServiceUnavailable, retryAfterUnready, whyOriginUnknown)
 	case reserveErr != nil:
-		c.e.logger.Warn("budget or origin not known", "id", c.req.ID, "program", c.req.Program, "err", reserveErr)
+		c.e.logger.Warn("budget not known", "id", c.req.ID, "program", c.req.Program, "err", reserveErr)
 		c.refuse(http.StatusServiceUnavailable, retryAfterUnready, "budget not known")
 	case historyErr != nil:
 		c.e.logger.Warn("history not known", "id", c.req.ID, "parent", c.req.ParentTurnID, "err", historyErr)
