--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -259,10 +259,11 @@
 			route("turn", "/turn/", "streaming", "llm", map[string]any{"ServerHistory": true, "RetentionS": 60}),
 			route("safe", "/safe/", "safe", "app", nil),
 			route("unsafe", "/unsafe/", "unsafe", "app", nil),
+			route("stream", "/stream/", "streaming", versionedService, map[string]any{"Resumable": true, "RetentionS": 60}),
 			route("moved", "/moved/", "unsafe", movedService(version), nil),
 		},
 		"Services": []any{
-			map[string]any{"Name": "llm", "Engine": map[string]any{"ChunkTokens": tokensPerEvent}}, map[string]any{"Name": "app"},
+			map[string]any{"Name": "llm", "Engine": map[string]any{"ChunkTokens": tokensPerEvent}}, map[string]any{"Name": "app"}, map[string]any{"Name": versionedService},
 		},
 		"Limits": map[string]any{"MaxBodyBytes": 1 << 20},
 	}
