--- a/pkg/ratelimit/allot.go
+++ b/pkg/ratelimit/allot.go
@@ -11,13 +11,13 @@
 	// grantPool is the part of the entries' equal shares that a coordinator distributes
 	// by demand.
 	grantPool = 0.8
-	// reportLife and idleReportLife are how long a report counts, while its entry knows
+	// reportTTL and idleReportTTL are how long a report counts, while its entry knows
 	// of a limit and otherwise.
-	reportLife     = 3 * time.Second
-	idleReportLife = 12 * time.Second
-	// goneAfter is the silence after which an entry is taken for removed, although it is
+	reportTTL     = 3 * time.Second
+	idleReportTTL = 12 * time.Second
+	// removeAfter is the silence after which an entry counts as removed, although it is
 	// still registered.
-	goneAfter = time.Minute
+	removeAfter = time.Minute
 	// demandWeight is the weight of the newest report in an entry's demand.
 	demandWeight = 0.3
 	// evenWeight is the part of the grants that is distributed evenly, so that an entry
@@ -65,9 +65,9 @@
 // counts reports whether a report is recent.
 func (r *reported) counts(now time.Time) bool {
 	if r.Active {
-		return now.Sub(r.at) <= reportLife
+		return now.Sub(r.at) <= reportTTL
 	}
-	return now.Sub(r.at) <= idleReportLife
+	return now.Sub(r.at) <= idleReportTTL
 }
 
 // grant is the part of a region's grants that one entry has.
@@ -83,7 +83,7 @@
 
 // Record stores a report.
 func (a *Allotter) Record(r Report, now time.Time) {
-	if now.Sub(a.recordedAt) > reportLife {
+	if now.Sub(a.recordedAt) > reportTTL {
 		a.began = now
 	}
 	a.recordedAt = now
@@ -93,11 +93,11 @@
 	a.reports[r.Entry] = &reported{r, now}
 }
 
-// current forgets entries that are gone and returns the number of recent reports.
+// current removes entries that stopped reporting and returns the number of recent reports.
 func (a *Allotter) current(now time.Time) int {
 	n := 0
 	for name, r := range a.reports {
-		if now.Sub(r.at) > goneAfter {
+		if now.Sub(r.at) > removeAfter {
 			delete(a.reports, name)
 		} else if r.counts(now) {
 			n++
@@ -110,7 +110,7 @@
 // reported, and those that are registered and may not have had the time to report.
 func (a *Allotter) entries(registered []string, now time.Time) []string {
 	all := make(map[string]bool, len(registered))
-	if now.Sub(a.began) <= goneAfter {
+	if now.Sub(a.began) <= removeAfter {
 		for _, name := range registered {
 			all[name] = true
 		}
--- a/pkg/ratelimit/book.go
+++ b/pkg/ratelimit/book.go
@@ -143,7 +143,7 @@
 func (b *Book) set(r Run, reading Reading, at, now time.Time) Change {
 	l := b.limits[r]
 	if l == nil {
-		b.makeRoom()
+		b.evictOldest()
 		l = &Limit{run: r, phase: xxhash.Sum64String(r.ID)}
 		b.limits[r] = l
 	}
@@ -171,8 +171,8 @@
 	return change
 }
 
-// makeRoom removes the limit with the oldest reading if there are too many.
-func (b *Book) makeRoom() {
+// evictOldest removes the limit with the oldest reading if there are too many.
+func (b *Book) evictOldest() {
 	if len(b.limits) < maxRuns {
 		return
 	}
--- a/pkg/ratelimit/gate.go
+++ b/pkg/ratelimit/gate.go
@@ -12,14 +12,14 @@
 	// newReserveShare is the part that programs which have not begun leave to those in
 	// progress.
 	newReserveShare = 0.3
-	// promiseGrace is how long after the announced time a refused caller is still
+	// returnGrace is how long after the announced time a refused caller is still
 	// expected.
-	promiseGrace = 500 * time.Millisecond
-	// promiseLead is how long before the announced time a permit is kept for a refused
+	returnGrace = 500 * time.Millisecond
+	// returnLead is how long before the announced time a permit is kept for a refused
 	// caller.
-	promiseLead = 500 * time.Millisecond
-	// maxPromises limits the refused callers that are expected.
-	maxPromises = 1024
+	returnLead = 500 * time.Millisecond
+	// maxExpectedReturns limits the refused callers that are expected.
+	maxExpectedReturns = 1024
 	// minSupply is the lowest rate of permits, in permits a second, that a wait is
 	// computed from.
 	minSupply = 0.01
@@ -44,11 +44,11 @@
 
 // Gate decides which requests are sent to a service while some of its upstreams are
 // limited. Refused callers come back through any entry, so
-// each entry expects as many as it has sent away. The zero value expects none.
-type Gate struct{ promises []promise }
+// each entry expects as many as it refused. The zero value expects none.
+type Gate struct{ expectedReturns []expectedReturn }
 
-// promise is a time at which a refused caller was told to return.
-type promise struct {
+// expectedReturn is the time at which a refused caller was told to retry.
+type expectedReturn struct {
 	due  time.Time
 	rank Rank
 }
@@ -57,11 +57,11 @@
 // rank that return about now, and a reserve for requests of a better rank.
 func (g *Gate) Admit(rank Rank, s Supply, now time.Time) bool {
 	g.expire(now)
-	ahead := g.count(func(p promise) bool { return p.rank < rank && p.isDue(now) })
+	ahead := g.count(func(p expectedReturn) bool { return p.rank < rank && p.isDue(now) })
 	if s.Permits < 1+ahead+reserve(rank, s) {
 		return false
 	}
-	g.redeem(rank, now)
+	g.removeEarliest(rank, now)
 	return true
 }
 
@@ -71,11 +71,11 @@
 // return for it.
 func (g *Gate) Refuse(rank Rank, s Supply, timeLeft time.Duration, now time.Time) time.Duration {
 	g.expire(now)
-	ahead := g.count(func(p promise) bool { return p.rank <= rank })
+	ahead := g.count(func(p expectedReturn) bool { return p.rank <= rank })
 	missing := max(1+ahead+reserve(rank, s)-s.Permits, 1)
 	wait := max(s.Next, 0) + time.Duration(float64(missing-1)/max(s.PerSecond, minSupply)*float64(time.Second))
-	if wait <= timeLeft && len(g.promises) < maxPromises {
-		g.promises = append(g.promises, promise{now.Add(wait), rank})
+	if wait <= timeLeft && len(g.expectedReturns) < maxExpectedReturns {
+		g.expectedReturns = append(g.expectedReturns, expectedReturn{now.Add(wait), rank})
 	}
 	return wait
 }
@@ -92,11 +92,11 @@
 }
 
 // isDue reports whether the caller returns about now.
-func (p promise) isDue(now time.Time) bool { return !p.due.After(now.Add(promiseLead)) }
+func (p expectedReturn) isDue(now time.Time) bool { return !p.due.After(now.Add(returnLead)) }
 
-func (g *Gate) count(f func(promise) bool) int {
+func (g *Gate) count(f func(expectedReturn) bool) int {
 	n := 0
-	for _, p := range g.promises {
+	for _, p := range g.expectedReturns {
 		if f(p) {
 			n++
 		}
@@ -104,20 +104,20 @@
 	return n
 }
 
-// expire removes the promises of callers that did not return in time.
+// expire removes the expected returns of callers that did not retry in time.
 func (g *Gate) expire(now time.Time) {
-	g.promises = slices.DeleteFunc(g.promises, func(p promise) bool { return now.After(p.due.Add(promiseGrace)) })
+	g.expectedReturns = slices.DeleteFunc(g.expectedReturns, func(p expectedReturn) bool { return now.After(p.due.Add(returnGrace)) })
 }
 
-// redeem removes the earliest promise of a rank that is due.
-func (g *Gate) redeem(rank Rank, now time.Time) {
+// removeEarliest removes the earliest expected return of a rank that is due.
+func (g *Gate) removeEarliest(rank Rank, now time.Time) {
 	first := -1
-	for i, p := range g.promises {
-		if p.rank == rank && p.isDue(now) && (first < 0 || p.due.Before(g.promises[first].due)) {
+	for i, p := range g.expectedReturns {
+		if p.rank == rank && p.isDue(now) && (first < 0 || p.due.Before(g.expectedReturns[first].due)) {
 			first = i
 		}
 	}
 	if first >= 0 {
-		g.promises = slices.Delete(g.promises, first, first+1)
+		g.expectedReturns = slices.Delete(g.expectedReturns, first, first+1)
 	}
 }
--- a/pkg/ratelimit/gate_test.go
+++ b/pkg/ratelimit/gate_test.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// Guards against a Retry-After at which the permits are promised to others: the callers
+// Guards against a Retry-After at which the permits are reserved for others: the callers
 // that were refused first come first.
 func TestRetryAfterCountsEarlierRefusals(t *testing.T) {
 	var g Gate
@@ -67,14 +67,14 @@
 
 // Guards against refusing less urgent requests for ever because a more urgent caller did
 // not return.
-func TestPromiseExpires(t *testing.T) {
+func TestExpectedReturnExpires(t *testing.T) {
 	var g Gate
 	s := Supply{Permits: 1, PerSecond: 1, Capacity: 1}
 	wait := g.Refuse(0, Supply{PerSecond: 1, Next: time.Second}, patience, testStart)
 	if g.Admit(NewProgram, s, testStart.Add(wait)) {
 		t.Error("a new program gets the permit of a caller that returns now")
 	}
-	if !g.Admit(NewProgram, s, testStart.Add(wait+promiseGrace+time.Millisecond)) {
+	if !g.Admit(NewProgram, s, testStart.Add(wait+returnGrace+time.Millisecond)) {
 		t.Error("the permit is still kept")
 	}
 }
--- a/pkg/ratelimit/permit.go
+++ b/pkg/ratelimit/permit.go
@@ -14,9 +14,9 @@
 // accrue adds the permits of the slots since the last call and removes those that were
 // not used in time. Slot k of a limit is at time k/rate.
 func (b *Book) accrue(l *Limit, at float64) {
-	life := l.life()
+	ttl := l.ttl()
 	keep := 0
-	for keep < len(l.permits) && l.permits[keep] < at-life {
+	for keep < len(l.permits) && l.permits[keep] < at-ttl {
 		keep++
 	}
 	l.permits = l.permits[keep:]
@@ -24,7 +24,7 @@
 		return
 	}
 	rate := l.rate()
-	from := max(l.accrued, at-life)
+	from := max(l.accrued, at-ttl)
 	for slot := int64(math.Floor(from*rate)) + 1; slot <= int64(math.Floor(at*rate)); slot++ {
 		if len(l.permits) < maxPermits && b.shares.contains(l.region, slotPosition(slot, l.phase)) {
 			l.permits = append(l.permits, float64(slot)/rate)
--- a/pkg/ratelimit/share.go
+++ b/pkg/ratelimit/share.go
@@ -35,11 +35,11 @@
 }
 
 const (
-	// permitLife is how long a permit can be used at a high rate.
-	permitLife = time.Second
-	// maxPermitLife limits the life of a permit. It grows with the time between two
+	// permitTTL is how long a permit can be used at a high rate.
+	permitTTL = time.Second
+	// maxPermitTTL limits the time to live of a permit. It grows with the time between two
 	// permits, so that a low limit can be used by entries with few requests.
-	maxPermitLife = 4 * time.Second
+	maxPermitTTL = 4 * time.Second
 	// minRate is the rate in requests a second at which an upstream with a lower limit
 	// is still used: only a response tells that the limit has ended.
 	minRate = 0.05
@@ -64,7 +64,7 @@
 // rate returns the enforced rate in requests a second.
 func (l *Limit) rate() float64 { return min(max(l.reading.PerSecond, minRate), maxRate) }
 
-// life returns how long a permit can be used, in seconds.
-func (l *Limit) life() float64 {
-	return min(permitLife.Seconds()+1/l.rate(), maxPermitLife.Seconds())
+// ttl returns how long a permit can be used, in seconds.
+func (l *Limit) ttl() float64 {
+	return min(permitTTL.Seconds()+1/l.rate(), maxPermitTTL.Seconds())
 }
