--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -96,10 +96,9 @@
 	})
 }
 
-// probe checks whether an upstream that lost an attempt has ended, and records end if
-// so; without it, an
-// upstream that restarts quickly would go unnoticed. The connection is reused for the
-// next request.
+// probe checks whether an upstream that lost an attempt has ended, and records end if so.
+// Without it, an upstream that restarts quickly would go unnoticed. The connection is
+// reused for the next request.
 func (s *suspects) probe(end endedRun, address string, limit int, silent bool) {
 	if silent && !s.allowProbe(address) {
 		return
--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -90,7 +90,7 @@
 			f.RecordFailure(m, violatesProtocol(err), now)
 		}
 		inFlight = m.InFlight()
-		leaving = m.State == fleet.Draining || m.Leaving()
+		leaving = m.ShuttingDown()
 	})
 	c.removeIsolated(m.ID)
 	c.trackAttempt(m, leaving, o, resp, err)
--- a/pkg/edge/origin.go
+++ b/pkg/edge/origin.go
@@ -94,16 +94,9 @@
 }
 
 // unversioned reports whether the upstreams of the service give no versions.
-func (c *call) unversioned() bool {
-	o, ok := c.soleOrigin()
-	return ok && o.Version == ""
-}
-
-// soleOrigin returns the only origin that a stream of the service can have.
-func (c *call) soleOrigin() (o origin.Origin, ok bool) {
-	o.Service = c.service
-	c.e.withFleet(func(f *fleet.Fleet) { o.Version, ok = f.SoleVersion(c.service, time.Now()) })
-	return o, ok
+func (c *call) unversioned() (yes bool) {
+	c.e.withFleet(func(f *fleet.Fleet) { yes = f.Unversioned(c.service) })
+	return yes
 }
 
 // beginOrigin binds a new stream. Without a budget its origin is recorded beside the
@@ -174,8 +167,8 @@
 	if o, ok := c.e.origins.Get(c.req.ResumedID); ok {
 		k.Local = &o
 	}
-	if o, ok := c.soleOrigin(); ok {
-		k.Sole = &o
+	if c.unversioned() {
+		k.Unversioned = &origin.Origin{Service: c.service}
 	}
 	o, source := k.Resolve()
 	c.e.metrics.streamTakenUp(source.String())
@@ -191,14 +184,20 @@
 }
 
 // lookUpOrigin asks the ledger for the origin of a stream without a budget, unless this
-// edge knows it.
+// edge knows it. The ledger reads what a reservation returns, so this one is empty.
 func (c *call) lookUpOrigin(ctx context.Context) (*peerv1.Origin, error) {
-	if c.e.origins.Contains(c.req.ResumedID) || c.req.ResumedID == "" {
-		return nil, nil
-	}
-	if _, ok := c.soleOrigin(); ok || len(c.e.view.Storage()) == 0 {
+	if c.req.ResumedID == "" || c.e.origins.Contains(c.req.ResumedID) || c.unversioned() || len(c.e.view.Storage()) == 0 {
 		return nil, nil
 	}
-	res, err := c.e.ledger.Reserve(ctx, c.usage(0, true), 0, ledger.AttemptKey(c.req.ResumedID))
+	res, err := c.e.ledger.Reserve(ctx, c.usage(0, true), 0, c.resumedKey())
 	return res.Origin, err
 }
+
+// resumedKey returns the key of the attempt that began the stream which the request takes
+// up; 0: it names none.
+func (c *call) resumedKey() uint64 {
+	if c.req.ResumedID == "" {
+		return 0
+	}
+	return ledger.AttemptKey(c.req.ResumedID)
+}
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -119,11 +119,7 @@
 	}
 	t.reserved = true
 	began := time.Now()
-	continues := uint64(0)
-	if c.req.ResumedID != "" {
-		continues = ledger.AttemptKey(c.req.ResumedID)
-	}
-	res, err := c.e.ledger.Reserve(ctx, c.usage(c.req.MaxTokens, false), c.req.TokenBudget, continues)
+	res, err := c.e.ledger.Reserve(ctx, c.usage(c.req.MaxTokens, false), c.req.TokenBudget, c.resumedKey())
 	c.e.metrics.ledger("reserve", err, time.Since(began))
 	if res.Spent > 0 {
 		c.e.spent.Add(c.req.Program, res.Spent)
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -108,10 +108,7 @@
 	// service has no other.
 	leavingGrace time.Duration
 	limits       *ratelimit.Book
-	// versions holds the software versions that upstreams of a service ran of late.
-	versions map[string]versionHistory
-	start    time.Time
-	gates    map[string]*ratelimit.Gate // by service
+	gates        map[string]*ratelimit.Gate // by service
 }
 
 // New returns an empty fleet for a process in the given failure domain that starts at
@@ -123,8 +120,6 @@
 		byService:   make(map[string][]*Member),
 		leavingRuns: make(leavingRuns),
 		limits:      ratelimit.NewBook(start),
-		versions:    make(map[string]versionHistory),
-		start:       start,
 		gates:       make(map[string]*ratelimit.Gate),
 	}
 }
@@ -197,7 +192,6 @@
 // Expire removes the missing members whose grace period has ended and returns their
 // upstreams, sorted by id.
 func (f *Fleet) Expire(now time.Time) (gone []Upstream) {
-	f.expireVersions(now)
 	for _, id := range slices.Sorted(maps.Keys(f.members)) {
 		if m := f.members[id]; m.missing && !now.Before(m.removeAfter) {
 			f.drop(m)
@@ -213,7 +207,6 @@
 	list := f.byService[m.Service]
 	i, _ := slices.BinarySearchFunc(list, m.ID, compareID)
 	f.byService[m.Service] = slices.Insert(list, i, m)
-	f.recordVersion(m)
 }
 
 // drop removes a member from both indexes.
--- a/pkg/fleet/leaving.go
+++ b/pkg/fleet/leaving.go
@@ -55,9 +55,9 @@
 // Leaving reports whether a response of the member announced its shutdown.
 func (m *Member) Leaving() bool { return !m.leavingSince.IsZero() }
 
-// shuttingDown reports whether the member has announced its shutdown, in a response or in
+// ShuttingDown reports whether the member has announced its shutdown, in a response or in
 // its registration.
-func (m *Member) shuttingDown() bool { return m.Leaving() || m.State == Draining }
+func (m *Member) ShuttingDown() bool { return m.Leaving() || m.State == Draining }
 
 // announcedAt returns when the member first announced its shutdown; zero: not, or before
 // this process knew it.
--- a/pkg/fleet/limit.go
+++ b/pkg/fleet/limit.go
@@ -78,7 +78,7 @@
 
 // addUnlimited adds a member without a limit: its permits are the places in its queue.
 func (s *supply) addUnlimited(f *Fleet, m *Member, now time.Time) {
-	if m.Suspended(now) || m.shuttingDown() {
+	if m.Suspended(now) || m.ShuttingDown() {
 		return
 	}
 	slots := float64(max(m.Slots, 1))
--- a/pkg/fleet/pick.go
+++ b/pkg/fleet/pick.go
@@ -60,7 +60,7 @@
 		if !offered.add(f, m, now) {
 			continue
 		}
-		if m.shuttingDown() {
+		if m.ShuttingDown() {
 			if f.leavingUsable(m, now) && !m.Suspended(now) && (leaving == nil || m.announcedAt().After(leaving.announcedAt())) {
 				leaving = m
 			}
@@ -105,7 +105,7 @@
 	limited, found, free := false, false, false
 	for _, m := range f.byService[r.Service] {
 		limited = limited || m.State == Ready && m.Limited()
-		if m.shuttingDown() || m.Suspended(now) || !f.candidate(m, r, now) {
+		if m.ShuttingDown() || m.Suspended(now) || !f.candidate(m, r, now) {
 			continue
 		}
 		if m.Limited() && f.limits.Permits(m.limit, now) == 0 {
--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -16,17 +16,17 @@
 
 // Sources of an origin.
 const (
-	Unknown  Source = iota
-	Recorded        // the storage processes have it
-	Local           // the stream began at this process
-	Sole            // the service has had a single version for longer than a stream lasts
+	Unknown     Source = iota
+	Recorded           // the storage processes have it
+	Local              // the stream began at this process
+	Unversioned        // the upstreams of the service give no versions
 )
 
 // String implements fmt.Stringer.
-func (s Source) String() string { return [...]string{"unknown", "recorded", "local", "sole"}[s] }
+func (s Source) String() string { return [...]string{"unknown", "recorded", "local", "unversioned"}[s] }
 
 // Knowledge holds what a process knows of the origin of a stream; nil: nothing.
-type Knowledge struct{ Recorded, Local, Sole *Origin }
+type Knowledge struct{ Recorded, Local, Unversioned *Origin }
 
 // Resolve returns the origin of the stream and its source. A record is preferred: it is
 // the only source that shows that the stream moved before its first event.
@@ -36,8 +36,8 @@
 		return *k.Recorded, Recorded
 	case k.Local != nil:
 		return *k.Local, Local
-	case k.Sole != nil:
-		return *k.Sole, Sole
+	case k.Unversioned != nil:
+		return *k.Unversioned, Unversioned
 	}
 	return Origin{}, Unknown
 }
