--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -31,19 +31,11 @@
 	end poison.End
 }
 
-// endOf returns the end of a run, given whether the upstream had announced its shutdown.
-func endOf(run poison.Run, announced bool) endedRun {
-	if announced {
-		return endedRun{run, poison.Announced}
-	}
-	return endedRun{run, poison.Unannounced}
-}
-
 // trackAttempt reports the outcome of an attempt to the crash tracker. leaving is set if
 // the upstream had announced its shutdown.
 func (c *call) trackAttempt(m *fleet.Member, leaving bool, o attempt.Outcome, resp *upstream.Response, err error) {
 	run := poison.Run{ID: m.ID, StartedUnixMs: m.StartedUnixMs}
-	end := endOf(run, leaving)
+	end := endedRun{run, poison.End{Announced: leaving, Sign: poison.Refused}}
 	var ue *upstream.Error
 	misdirected := o == attempt.Rejected && resp.Status == http.StatusMisdirectedRequest
 	switch {
@@ -103,6 +95,7 @@
 	if silent && !s.allowProbe(address) {
 		return
 	}
+	accepted := true
 	for range 2 {
 		err := s.e.pool.Probe(context.Background(), address, limit, silent)
 		var ue *upstream.Error
@@ -117,10 +110,19 @@
 			})
 			return
 		case silent:
-			return
+			return // a process that does not run accepts connections, too
+		case err != nil:
+			accepted = false
 		}
 		time.Sleep(probeInterval)
 	}
+	if !accepted {
+		return
+	}
+	s.update(func(t *poison.Tracker, _ time.Time) []poison.Evidence {
+		t.RecordAlive(end.run)
+		return nil
+	})
 }
 
 // allowProbe limits the rate of probes of an upstream that is unresponsive to many
--- a/pkg/edge/crashing_test.go
+++ b/pkg/edge/crashing_test.go
@@ -287,7 +287,7 @@
 			s.mu.Lock()
 			for _, id := range []string{"x", "y"} { // the findings are not sent
 				s.tracker.RecordLost(poison.Run{ID: id}, 7, time.Now(), time.Now())
-				s.tracker.RecordEnd(poison.Run{ID: id}, poison.Unannounced, time.Now())
+				s.tracker.RecordEnd(poison.Run{ID: id}, poison.End{}, time.Now())
 			}
 			s.mu.Unlock()
 			within(t, 3*exchangeInterval, "the other edge has the evidence", func() bool {
--- a/pkg/edge/crashleaving_test.go
+++ b/pkg/edge/crashleaving_test.go
@@ -3,9 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/platform"
 )
 
 // shutdownDelay is how long a poisonous request runs before its upstream announces its
@@ -111,3 +115,52 @@
 		t.Errorf("suspects after the request completed: %+v", list)
 	}
 }
+
+// TestLostResponsesBeforeShutdownAreNoCrashes guards against refusing a harmless request
+// whose responses upstreams lost before they left as planned, with and without an
+// announcement (seeds 12, 25, 33 and 49 of TestVersionSoak, issue 29).
+func TestLostResponsesBeforeShutdownAreNoCrashes(t *testing.T) {
+	for name, announced := range map[string]bool{"announced": true, "not announced": false} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			d.route(clone(unsafeRoute))
+			p := d.edge("127.0.0.1")
+			const upstreams = 4
+			for i := range upstreams {
+				id := fmt.Sprint("u", i)
+				srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+					if i < upstreams-1 {
+						reset(w)
+						return
+					}
+					sign(w, req)
+				}))
+				t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
+				address := strings.TrimPrefix(srv.URL, "http://")
+				d.register(id, "app", address, "ready")
+				p.ready(t, 1, 0)
+				if i == upstreams-1 {
+					break
+				}
+				if a := p.send(t, "sound"); a.status != http.StatusBadGateway {
+					t.Fatalf("request at upstream %d: %+v", i, a)
+				}
+				time.Sleep(3 * probeInterval)
+				if announced {
+					d.register(id, "app", address, "draining")
+					time.Sleep(probeInterval)
+				}
+				d.store.Delete(platform.KindUpstreams, id)
+				eventually(t, "the upstream is still known", func() bool { return p.edge.fleetLen() == 0 })
+				srv.CloseClientConnections()
+				srv.Close()
+			}
+			if list := p.edge.Status().Suspects; len(list) != 0 {
+				t.Errorf("suspects: %+v", list)
+			}
+			if a := p.send(t, "sound"); a.status != http.StatusOK {
+				t.Errorf("harmless request: %+v", a)
+			}
+		})
+	}
+}
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -13,6 +13,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
 	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
 	"github.com/yuccaspindle/yuccaspindle/pkg/peerstate"
+	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 	"github.com/yuccaspindle/yuccaspindle/pkg/routing"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 	"github.com/yuccaspindle/yuccaspindle/platform"
@@ -216,7 +217,7 @@
 			for _, u := range gone {
 				v.e.logger.Info("upstream gone", "upstream", u.ID, "cause", "not registered again")
 			}
-			v.e.suspects.runsEnded(endedRuns(gone)...)
+			v.e.suspects.runsEnded(endedRuns(poison.Removed, gone...)...)
 		}
 	}
 }
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -70,14 +70,14 @@
 	v.upstreams = specs
 	v.keepMissing(now, grace)
 	v.mu.Unlock()
-	var ended []fleet.Upstream
+	var ended []endedRun
 	v.e.withFleet(func(f *fleet.Fleet) {
 		for _, u := range list {
 			ended = append(ended, previousRun(f, u)...)
 		}
-		ended = append(ended, f.Replace(list, now)...)
+		ended = append(ended, endedRuns(poison.Removed, f.Replace(list, now)...)...)
 	})
-	v.e.suspects.runsEnded(endedRuns(ended)...)
+	v.e.suspects.runsEnded(ended...)
 }
 
 // keepMissing keeps registrations that go missing for the grace period, here and at
@@ -106,22 +106,21 @@
 	}
 }
 
-// previousRun returns the run of an upstream that ended because the upstream has
-// restarted as u.
-func previousRun(f *fleet.Fleet, u fleet.Upstream) []fleet.Upstream {
+// previousRun returns the end of the run of an upstream that has restarted as u.
+func previousRun(f *fleet.Fleet, u fleet.Upstream) []endedRun {
 	m := f.Member(u.ID)
 	if m == nil || m.StartedUnixMs == u.StartedUnixMs {
 		return nil
 	}
-	return []fleet.Upstream{m.EndedUpstream()}
+	return endedRuns(poison.Restarted, m.EndedUpstream())
 }
 
-// endedRuns returns the ends of the given runs of upstreams.
-func endedRuns(ended []fleet.Upstream) []endedRun {
+// endedRuns returns the ends of the current runs of upstreams, all with the same sign.
+func endedRuns(sign poison.Sign, ended ...fleet.Upstream) []endedRun {
 	runs := make([]endedRun, 0, len(ended))
 	for _, u := range ended {
 		run := poison.Run{ID: u.ID, StartedUnixMs: u.StartedUnixMs}
-		runs = append(runs, endOf(run, u.State != fleet.Ready))
+		runs = append(runs, endedRun{run, poison.End{Announced: u.State != fleet.Ready, Sign: sign}})
 	}
 	return runs
 }
@@ -162,12 +161,12 @@
 		}
 		h.v.recordChange(platform.KindUpstreams, name)
 		h.v.mu.Unlock()
-		var ended []fleet.Upstream
+		var ended []endedRun
 		h.v.e.withFleet(func(f *fleet.Fleet) {
 			if gone {
 				h.v.e.logger.Info("upstream gone", "upstream", name, "revision", c.Object.Revision, "err", err)
 				if u, ok := f.Remove(name, now); ok {
-					ended = append(ended, u)
+					ended = endedRuns(poison.Removed, u)
 				}
 				return
 			}
@@ -177,7 +176,7 @@
 			}
 			f.Put(u, now)
 		})
-		h.v.e.suspects.runsEnded(endedRuns(ended)...)
+		h.v.e.suspects.runsEnded(ended...)
 	}
 }
 
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -31,28 +31,43 @@
 	// unreachable is set if no connection to the upstream could be made afterwards,
 	// presumed if that was then counted as a presumed crash.
 	unreachable, presumed bool
+	// alive is set if the upstream accepted connections for a while afterwards.
+	alive bool
 }
 
-// End says whether an upstream had announced its shutdown before its run ended.
-type End int
+// Sign is how the end of a run became known.
+type Sign int
 
-// Ends of runs.
+// Signs of ends.
 const (
-	// Unannounced: the upstream crashed.
-	Unannounced End = iota
-	// Announced: the upstream had announced its shutdown. Its run may have ended as
-	// planned, with requests still in flight, or in a crash before that.
-	Announced
+	// Refused: no process listens at the address, or that of another upstream does.
+	Refused Sign = iota
+	// Removed: the registration is gone. The process may have ended later.
+	Removed
+	// Restarted: the upstream registered a new run.
+	Restarted
 )
 
+// End is the end of a run.
+type End struct {
+	// Announced is set if the upstream had announced its shutdown. The run may have
+	// ended as planned, with requests still in flight, or in a crash before that.
+	Announced bool
+	Sign      Sign
+}
+
 // grade returns the grade of the evidence against the requests in flight at an end.
 func (e End) grade() Grade {
-	if e == Announced {
+	if e.Announced {
 		return Presumed
 	}
 	return Confirmed
 }
 
+// mayBeLater reports whether the process may have run on for long after it lost an
+// attempt, so that an attempt after which it was seen alive did not end it.
+func (e End) mayBeLater() bool { return e.Sign == Removed || e.Announced && e.Sign == Refused }
+
 // runEnd is the recorded end of a run.
 type runEnd struct {
 	at  time.Time // when it was recorded
@@ -114,12 +129,24 @@
 	}
 	var found []Evidence
 	for _, l := range t.lostAttempt[r] {
+		if l.alive && end.mayBeLater() {
+			continue
+		}
 		found = append(found, t.addEvidence(l.fingerprint, r, end.grade(), now)...)
 	}
 	t.retainLost(r, func(lostAttempt) bool { return false })
 	return found
 }
 
+// RecordAlive records that an upstream accepted connections for a while after the attempts
+// that were lost there until then. A new run may have accepted them.
+func (t *Tracker) RecordAlive(r Run) {
+	r = t.withLife(r)
+	for i := range t.lostAttempt[r] {
+		t.lostAttempt[r][i].alive = true
+	}
+}
+
 // RecordUnreachable records that no connection to an upstream could be made. That
 // alone is no evidence of a crash, since this entry may be cut off from the network.
 func (t *Tracker) RecordUnreachable(r Run) {
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -19,7 +19,7 @@
 	for _, fp := range fingerprints {
 		t.RecordLost(r, fp, at.Add(-time.Millisecond), at)
 	}
-	return t.RecordEnd(r, Unannounced, at)
+	return t.RecordEnd(r, End{}, at)
 }
 
 func (t *Tracker) refuses(fp uint64, now time.Time) bool {
@@ -81,7 +81,7 @@
 	for i, want := range wantQuarantine {
 		r := Run{ID: fmt.Sprint("u", i)}
 		tr.RecordLost(r, poisonRequest, now.Add(-time.Millisecond), now)
-		tr.RecordEnd(r, Announced, now)
+		tr.RecordEnd(r, End{Announced: true}, now)
 		var got time.Duration
 		if until := tr.Restriction(poisonRequest, now).Until; !until.IsZero() {
 			got = until.Sub(now)
@@ -96,13 +96,42 @@
 		t.Error("suspected after it completed")
 	}
 	r := Run{ID: "late"}
-	tr.RecordEnd(r, Announced, now.Add(time.Second))
+	tr.RecordEnd(r, End{Announced: true}, now.Add(time.Second))
 	found := tr.RecordLost(r, soundRequest, now, now.Add(2*time.Second))
 	if len(found) != 1 || found[0].Grade != Presumed {
 		t.Errorf("evidence of a loss that is noticed after an announced end: %+v", found)
 	}
 }
 
+// Guards against suspecting a request because upstreams that lost its response, and were
+// alive afterwards, ended as planned later; and against clearing it if the upstream had
+// restarted, or ended unannounced (issue 29).
+func TestAliveAfterLoss(t *testing.T) {
+	for _, c := range []struct {
+		end  End
+		want int // evidence
+	}{
+		{End{Announced: true, Sign: Removed}, 0},
+		{End{Announced: true, Sign: Refused}, 0},
+		{End{Announced: true, Sign: Restarted}, 1},
+		{End{Sign: Removed}, 0},
+		{End{Sign: Refused}, 1},
+		{End{Sign: Restarted}, 1},
+	} {
+		var tr Tracker
+		r := Run{ID: "u"}
+		tr.RecordLost(r, soundRequest, start, start)
+		tr.RecordAlive(r)
+		if found := tr.RecordEnd(r, c.end, start.Add(time.Second)); len(found) != c.want {
+			t.Errorf("%+v: evidence %+v, want %d", c.end, found, c.want)
+		}
+		tr.RecordLost(r, otherRequest, start, start.Add(2*time.Second))
+		if got := tr.Restriction(otherRequest, start.Add(2*time.Second)).Crashes; got != 1 {
+			t.Errorf("%+v: %d crashes of a request that was in flight at the end, want 1", c.end, got)
+		}
+	}
+}
+
 // Guards against several poison requests that are never quarantined because they are
 // always in flight together, so that none is the prime suspect (issue 19).
 func TestSeveralPoisonRequestsInFlight(t *testing.T) {
@@ -148,7 +177,7 @@
 func TestCrashCountsOnce(t *testing.T) {
 	var tr Tracker
 	tr.crash(Run{ID: "u1", StartedUnixMs: 5}, start, poisonRequest)
-	tr.RecordEnd(Run{ID: "u1", StartedUnixMs: 5}, Unannounced, start.Add(time.Second)) // the registration expires
+	tr.RecordEnd(Run{ID: "u1", StartedUnixMs: 5}, End{}, start.Add(time.Second)) // the registration expires
 	tr.RecordLost(Run{ID: "u1", StartedUnixMs: 5}, poisonRequest, start.Add(-time.Second), start.Add(2*time.Second))
 	if n := tr.Restriction(poisonRequest, start).Crashes; n != 1 {
 		t.Errorf("%d crashes", n)
@@ -178,7 +207,7 @@
 func TestLossRecordedAfterEnd(t *testing.T) {
 	var tr Tracker
 	r := Run{ID: "u1"}
-	tr.RecordEnd(r, Unannounced, start)
+	tr.RecordEnd(r, End{}, start)
 	if found := tr.RecordLost(r, poisonRequest, start.Add(-time.Second), start.Add(3*time.Second)); len(found) != 1 {
 		t.Errorf("an attempt sent before the end: %+v", found)
 	}
@@ -197,12 +226,12 @@
 	if !tr.NoSuspects() {
 		t.Errorf("suspects without a crash: %+v", tr.Evidence())
 	}
-	if found := tr.RecordEnd(Run{ID: "u1"}, Unannounced, start.Add(time.Minute)); len(found) != 0 {
+	if found := tr.RecordEnd(Run{ID: "u1"}, End{}, start.Add(time.Minute)); len(found) != 0 {
 		t.Errorf("suspects of a crash a minute later: %+v", found)
 	}
 	tr.RecordLost(Run{ID: "u2"}, poisonRequest, start, start.Add(time.Minute))
 	tr.RecordResponse(Run{ID: "u2"}, start.Add(61*time.Second), start.Add(61*time.Second))
-	if found := tr.RecordEnd(Run{ID: "u2"}, Unannounced, start.Add(62*time.Second)); len(found) != 0 {
+	if found := tr.RecordEnd(Run{ID: "u2"}, End{}, start.Add(62*time.Second)); len(found) != 0 {
 		t.Errorf("suspects of a crash after another response: %+v", found)
 	}
 }
@@ -213,7 +242,7 @@
 	var tr Tracker
 	tr.RecordLost(Run{ID: "u1"}, soundRequest, start, start)
 	tr.RecordSuccess(soundRequest, start.Add(time.Second))
-	if found := tr.RecordEnd(Run{ID: "u1"}, Unannounced, start.Add(3*time.Second)); len(found) != 0 {
+	if found := tr.RecordEnd(Run{ID: "u1"}, End{}, start.Add(3*time.Second)); len(found) != 0 {
 		t.Errorf("suspected: %+v", found)
 	}
 }
@@ -303,7 +332,7 @@
 		t.Errorf("suspects although the upstreams are running: %+v", partlyCutOff.Evidence())
 	}
 	lose(&partlyCutOff, "u0")
-	if found := partlyCutOff.RecordEnd(Run{ID: "u0"}, Unannounced, now); len(found) != 1 || found[0].Grade != Confirmed {
+	if found := partlyCutOff.RecordEnd(Run{ID: "u0"}, End{}, now); len(found) != 1 || found[0].Grade != Confirmed {
 		t.Errorf("evidence of a crash after a wrongly presumed one: %+v", found)
 	}
 }
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -23,7 +23,7 @@
 	settings string
 	caller   string
 	ready    string
-	log      bytes.Buffer
+	log      processLog
 
 	// opMu is held while a fault stops or pauses the process, so that concurrent faults
 	// don't start it twice.
@@ -34,6 +34,26 @@
 	ended chan struct{}
 }
 
+// processLog collects the output of a process, which may go on while it is read.
+type processLog struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *processLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+// String returns the output so far.
+func (l *processLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.String()
+}
+
 func (s *soak) newProcess(role, ip string) *process {
 	p := &process{t: s.t, role: role, ip: ip, dir: filepath.Join(s.t.TempDir(), "data")}
 	p.caller = net.JoinHostPort(ip, strconv.Itoa(freePort(s.t, ip)))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -360,7 +360,7 @@
 func (s *soak) keepLogs(seed uint64) {
 	for _, p := range append(s.edges, s.storages...) {
 		path := filepath.Join(os.TempDir(), fmt.Sprintf("soak-%d-%s-%s.log", seed, p.role, p.ip))
-		if err := os.WriteFile(path, p.log.Bytes(), 0o644); err == nil {
+		if err := os.WriteFile(path, []byte(p.log.String()), 0o644); err == nil {
 			s.t.Logf("log kept: %s", path)
 		}
 	}
