--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -52,8 +52,8 @@
 
 // Grades.
 const (
-	// Presumed: the upstream stopped responding and cannot be reached, or its run ended
-	// after it had announced its shutdown.
+	// Presumed: the upstream stopped responding and cannot be reached, its run ended
+	// after it had announced its shutdown, or its end was not detected promptly.
 	Presumed Grade = iota + 1
 	// Confirmed: the upstream has crashed.
 	Confirmed
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -20,6 +20,11 @@
 	// covers an outage of the platform's store, during which registrations do not
 	// expire, and the grace period after it.
 	attributionWindow = 30 * time.Second
+	// promptDetection is the longest time between a lost attempt and the detected end of
+	// its upstream, in either order, for which the two are taken for one event. This
+	// process may have been suspended in a longer time, and the upstream have left as
+	// planned without an announcement.
+	promptDetection = 1500 * time.Millisecond
 	// maxLost bounds the lost attempts that are kept.
 	maxLost = 4096
 )
@@ -56,9 +61,10 @@
 	Sign      Sign
 }
 
-// grade returns the grade of the evidence against the requests in flight at an end.
-func (e End) grade() Grade {
-	if e.Announced {
+// grade returns the grade of the evidence against a request in flight at an end. between
+// is the time from the loss of its attempt to the detection of the end, in either order.
+func (e End) grade(between time.Duration) Grade {
+	if e.Announced || between > promptDetection {
 		return Presumed
 	}
 	return Confirmed
@@ -101,7 +107,7 @@
 	t.pruneExpired(now)
 	r = t.withLife(r)
 	if e, ok := t.ended[r]; ok && sentAt.Before(e.at) {
-		return t.addEvidence(fingerprint, r, e.end.grade(), now)
+		return t.addEvidence(fingerprint, r, e.end.grade(now.Sub(e.at)), now)
 	}
 	if fingerprint == 0 || t.lostCount >= maxLost {
 		return nil
@@ -132,7 +138,7 @@
 		if l.alive && end.mayBeLater() {
 			continue
 		}
-		found = append(found, t.addEvidence(l.fingerprint, r, end.grade(), now)...)
+		found = append(found, t.addEvidence(l.fingerprint, r, end.grade(now.Sub(l.at)), now)...)
 	}
 	t.retainLost(r, func(lostAttempt) bool { return false })
 	return found
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -132,6 +132,33 @@
 	}
 }
 
+// Guards against quarantining a request after two lost responses because this process was
+// suspended until their upstreams had left without an announcement (seed 6 of
+// TestVersionSoak), and against never quarantining one whose crashes are detected late
+// (issue 29).
+func TestEndDetectedLate(t *testing.T) {
+	for _, late := range []time.Duration{promptDetection, promptDetection + time.Millisecond} {
+		var tr Tracker
+		quarantinedAfter := 0
+		for i := 1; quarantinedAfter == 0 && i <= 2*maxCrashes; i++ {
+			at := start.Add(time.Duration(i) * 3 * time.Second)
+			r := Run{ID: fmt.Sprint("u", i)}
+			tr.RecordLost(r, poisonRequest, at, at)
+			tr.RecordEnd(r, End{}, at.Add(late))
+			if tr.refuses(poisonRequest, at.Add(late)) {
+				quarantinedAfter = i
+			}
+		}
+		want := quarantineCrashes
+		if late > promptDetection {
+			want = maxCrashes
+		}
+		if quarantinedAfter != want {
+			t.Errorf("ends detected %v late: quarantined after %d, want %d", late, quarantinedAfter, want)
+		}
+	}
+}
+
 // Guards against several poison requests that are never quarantined because they are
 // always in flight together, so that none is the prime suspect (issue 19).
 func TestSeveralPoisonRequestsInFlight(t *testing.T) {
