--- a/pkg/fleet/pick.go
+++ b/pkg/fleet/pick.go
@@ -99,8 +99,9 @@
 	return r.Excluded == nil || !r.Excluded(m.ID)
 }
 
-// HasAlternative reports whether a request has a candidate that accepts attempts now. While some members are limited, it must also have a free slot:
-// an attempt that is repeated in another queue only adds work.
+// HasAlternative reports whether a request has a candidate that accepts attempts now.
+// While some members are limited, it must also have a free slot: an attempt that is
+// repeated in another queue only adds work.
 func (f *Fleet) HasAlternative(r Request, now time.Time) bool {
 	limited, found, free := false, false, false
 	for _, m := range f.byService[r.Service] {
--- a/pkg/fleet/version.go
+++ b/pkg/fleet/version.go
@@ -12,9 +12,8 @@
 	return !slices.ContainsFunc(f.byService[service], func(m *Member) bool { return m.SoftwareVersion != "" })
 }
 
-// PreferredVersion returns the version of the member that accepts attempts now and suits
-// a request best, regardless of its permits for the whole service. It returns false if
-// there is none.
+// PreferredVersion returns the version of the member with the lowest expected cost of those
+// that accept attempts now. It returns false if there is none.
 func (f *Fleet) PreferredVersion(r Request, now time.Time) (string, bool) {
 	var best *Member
 	bestCost := math.Inf(1)
