--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -41,7 +41,10 @@
 	switch {
 	case o == attempt.Answered || o == attempt.Rejected && !misdirected || violatesProtocol(err):
 		c.trackResponse(run, o, resp)
-	case misdirected || errors.Is(err, syscall.ECONNREFUSED):
+	case misdirected:
+		end.end.Sign = poison.Replaced
+		c.e.suspects.runsEnded(end)
+	case errors.Is(err, syscall.ECONNREFUSED):
 		c.e.suspects.runsEnded(end)
 	case errors.As(err, &ue) && ue.Sent:
 		c.e.metrics.lostAttempt(ue.Timeout(), leaving)
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -112,7 +112,7 @@
 	if m == nil || m.StartedUnixMs == u.StartedUnixMs {
 		return nil
 	}
-	return endedRuns(poison.Restarted, m.EndedUpstream())
+	return endedRuns(poison.Replaced, m.EndedUpstream())
 }
 
 // endedRuns returns the ends of the current runs of upstreams, all with the same sign.
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -45,12 +45,13 @@
 
 // Signs of ends.
 const (
-	// Refused: no process listens at the address, or that of another upstream does.
+	// Refused: no process listens at the address.
 	Refused Sign = iota
-	// Removed: the registration is gone. The process may have ended later.
+	// Removed: the registration is gone.
 	Removed
-	// Restarted: the upstream registered a new run.
-	Restarted
+	// Replaced: the upstream registered a new run, or another upstream answers at its
+	// address.
+	Replaced
 )
 
 // End is the end of a run.
@@ -70,9 +71,9 @@
 	return Confirmed
 }
 
-// mayBeLater reports whether the process may have run on for long after it lost an
-// attempt, so that an attempt after which it was seen alive did not end it.
-func (e End) mayBeLater() bool { return e.Sign == Removed || e.Announced && e.Sign == Refused }
+// sparesAlive reports whether a lost attempt after which the upstream was alive did not end
+// it. What accepted the connections was not the upstream itself if it was replaced.
+func (e End) sparesAlive() bool { return e.Sign != Replaced }
 
 // runEnd is the recorded end of a run.
 type runEnd struct {
@@ -135,7 +136,7 @@
 	}
 	var found []Evidence
 	for _, l := range t.lostAttempt[r] {
-		if l.alive && end.mayBeLater() {
+		if l.alive && end.sparesAlive() {
 			continue
 		}
 		found = append(found, t.addEvidence(l.fingerprint, r, end.grade(now.Sub(l.at)), now)...)
