--- a/pkg/edge/exchange.go
+++ b/pkg/edge/exchange.go
@@ -36,8 +36,8 @@
 	// exchangeTries is the number of processes that are tried one after the other in
 	// a round.
 	exchangeTries = 2
-	// partnerCycle is the number of rounds of which one asks another region first and
-	// one another edge; the others ask storage processes of this region.
+	// partnerCycle is the number of rounds of which one also asks another region, one
+	// another edge and one another storage process of this region.
 	partnerCycle = 4
 	// mismatchInterval replaces exchangeInterval after maxMismatches consecutive
 	// exchanges that left the two sides with different evidence: one of them drops
@@ -163,7 +163,7 @@
 		return
 	case <-s.e.view.loaded:
 	}
-	partners := s.partners(0)
+	partners := s.meetingPoints()
 	partners = partners[:min(len(partners), startPartners)]
 	limited, cancel := context.WithTimeout(ctx, exchangeWait)
 	defer cancel()
@@ -213,30 +213,67 @@
 	}
 }
 
-// exchangeOnce exchanges evidence with one process. It returns the time until the
-// next exchange; interval is the time before this one.
+// exchangeOnce exchanges evidence with the meeting point and, in some rounds, with
+// another process. It returns the time until the next exchange; interval is the time
+// before this one.
 func (s *suspects) exchangeOnce(ctx context.Context, round int, interval time.Duration) time.Duration {
 	if !s.e.view.isLoaded() {
 		return interval
 	}
-	partners := s.partners(round)
-	for _, address := range partners[:min(len(partners), exchangeTries)] {
-		limited, cancel := context.WithTimeout(ctx, exchangeTimeout)
-		same, err := crashreport.Exchange(limited, s.e.transport, address, s, s.Report(false))
-		cancel()
-		if err == nil {
+	points := s.meetingPoints()
+	if other := s.otherPartner(round); other != "" {
+		go func() { _, _ = s.exchangeWith(ctx, other) }()
+	}
+	for _, address := range points[:min(len(points), exchangeTries)] {
+		if same, err := s.exchangeWith(ctx, address); err == nil {
 			return s.exchanger.nextInterval(same)
 		}
-		s.e.logger.Debug("exchange of crash evidence failed", "peer", address, "err", err)
 	}
 	return min(2*interval, exchangeInterval)
 }
 
-// partners returns the addresses of the processes to ask in a round, in order of
-// preference. Storage processes come first: every edge sends them its findings, and
-// sessions to them exist already. The first one changes every round.
-func (s *suspects) partners(round int) []string {
-	var near, far []string
+// exchangeWith exchanges evidence with one process. It reports whether both sides had
+// the same.
+func (s *suspects) exchangeWith(ctx context.Context, address string) (same bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	same, err = crashreport.Exchange(ctx, s.e.transport, address, s, s.Report(false))
+	if err != nil {
+		s.e.logger.Debug("exchange of crash evidence failed", "peer", address, "err", err)
+	}
+	return same, err
+}
+
+// meetingPoints returns the addresses of the processes with which every round exchanges
+// evidence, in order of preference. All edges of a region prefer the same storage process:
+// what one of them tells it, the others have one round later.
+func (s *suspects) meetingPoints() []string {
+	near, far := s.storageAddresses()
+	return slices.Concat(near, far, successors(s.e.settings.PeerAddress(), s.e.view.otherEdges()))
+}
+
+// otherPartner returns the address of a process besides the meeting point that a round
+// exchanges evidence with; empty: none.
+func (s *suspects) otherPartner(round int) string {
+	near, far := s.storageAddresses()
+	var list []string
+	switch round % partnerCycle {
+	case 1:
+		list = rotate(near, round/partnerCycle)
+	case 2:
+		list = successors(s.e.settings.PeerAddress(), s.e.view.otherEdges())
+	case 3:
+		list = rotate(far, round/partnerCycle)
+	}
+	if len(list) == 0 {
+		return ""
+	}
+	return list[0]
+}
+
+// storageAddresses returns the sorted addresses of the storage processes of this region
+// and of the others.
+func (s *suspects) storageAddresses() (near, far []string) {
 	for _, m := range s.e.view.Storage() {
 		if m.Local {
 			near = append(near, m.Address)
@@ -244,15 +281,9 @@
 		}
 		far = append(far, m.Address)
 	}
-	edges := successors(s.e.settings.PeerAddress(), s.e.view.otherEdges())
-	near, far = rotate(near, round), rotate(far, round)
-	switch round % partnerCycle {
-	case partnerCycle - 1:
-		return slices.Concat(far, near, edges)
-	case partnerCycle - 2:
-		return slices.Concat(edges, near, far)
-	}
-	return slices.Concat(near, far, edges)
+	slices.Sort(near)
+	slices.Sort(far)
+	return near, far
 }
 
 // successors returns the two edges that follow an address in sorted order, so that
