--- /dev/null
+++ b/pkg/edge/membership_test.go
@@ -0,0 +1,69 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
+)
+
+// holdsUsage reports whether a storage process stores a usage record.
+func (p *process) holdsUsage(t *testing.T, address string, u *peerv1.Usage) bool {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	digest := ledger.Digest(usageRecord(u))
+	r, err := ledger.Call(ctx, p.edge.transport, address, &peerv1.LedgerRequest{
+		Op: &peerv1.LedgerRequest_Compare{Compare: &peerv1.Compare{Digests: []uint64{digest}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(r.GetMissing()) == 0
+}
+
+// TestBudgetAfterReplacement guards against a budget that is exceeded after a storage
+// process was replaced: another member takes its place in a program's replica group, and
+// a quorum of the new group could lack the records of the old one.
+func TestBudgetAfterReplacement(t *testing.T) {
+	const members, programs = 8, 40
+	d := newDeployment(t)
+	d.route(clone(history))
+	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 1) })
+	var stores []*process
+	for i := range members {
+		stores = append(stores, d.storage(fmt.Sprintf("127.0.0.%d", 11+i), t.TempDir()))
+	}
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, members)
+	var reserved []*peerv1.Usage
+	for i := range programs {
+		u := &peerv1.Usage{Program: fmt.Sprint("p", i), Attempt: 1, Tokens: 70}
+		if _, err := p.edge.ledger.Reserve(t.Context(), u, 100, 0); err != nil {
+			t.Fatal(err)
+		}
+		reserved = append(reserved, u)
+	}
+	stores[0].stop()
+	s := d.settings("127.0.0.19")
+	s.DataDir, s.FirstStart = t.TempDir(), false
+	d.storageWith(s)
+	eventually(t, "the lost process is still a member", func() bool { return d.node(stores[0].settings).Removed })
+	p.ready(t, 1, members)
+	for _, u := range reserved {
+		group := ledger.ReplicaGroup(p.edge.view.Storage(), u.GetProgram())
+		holders := 0
+		for _, m := range group {
+			if p.holdsUsage(t, m.Address, u) {
+				holders++
+			}
+		}
+		if without, need := len(group)-holders, ledger.Majority(len(group)); without >= need {
+			t.Errorf("%s: %d of %d members lack the reservation, a read needs %d", u.GetProgram(), without, len(group), need)
+		}
+	}
+}
