--- a/pkg/edge/membership_test.go
+++ b/pkg/edge/membership_test.go
@@ -11,12 +11,12 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
 )
 
-// holdsUsage reports whether a storage process stores a usage record.
-func (p *process) holdsUsage(t *testing.T, address string, u *peerv1.Usage) bool {
+// memberHolds reports whether a storage process stores a record.
+func (p *process) memberHolds(t *testing.T, address string, rec *peerv1.LedgerRecord) bool {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	digest := ledger.Digest(usageRecord(u))
+	digest := ledger.Digest(rec)
 	r, err := ledger.Call(ctx, p.edge.transport, address, &peerv1.LedgerRequest{
 		Op: &peerv1.LedgerRequest_Compare{Compare: &peerv1.Compare{Digests: []uint64{digest}}},
 	})
@@ -54,11 +54,17 @@
 	d.storageWith(s)
 	eventually(t, "the lost process is still a member", func() bool { return d.node(stores[0].settings).Removed })
 	p.ready(t, 1, members)
+	p.checkReplicas(t, reserved)
+}
+
+// checkReplicas checks that each quorum of a program's replica group has its reservation.
+func (p *process) checkReplicas(t *testing.T, reserved []*peerv1.Usage) {
+	t.Helper()
 	for _, u := range reserved {
 		group := ledger.ReplicaGroup(p.edge.view.Storage(), u.GetProgram())
 		holders := 0
 		for _, m := range group {
-			if p.holdsUsage(t, m.Address, u) {
+			if p.memberHolds(t, m.Address, usageRecord(u)) {
 				holders++
 			}
 		}
--- a/pkg/ledger/client.go
+++ b/pkg/ledger/client.go
@@ -76,21 +76,21 @@
 // quorum returns how many of n members must reply.
 func (c *Client) quorum(n int) int { return max(Majority(n), c.tolerated+1) }
 
-// replicationFactor is the number of storage processes that hold the records of
+// ReplicationFactor is the number of storage processes that hold the records of
 // one program. With five, a majority remains if two lose their disks.
-const replicationFactor = 5
+const ReplicationFactor = 5
 
 // ReplicaGroup returns the members that hold the records of a program. It uses
 // rendezvous hashing: adding or removing one member changes at most one member
 // of each group.
 func ReplicaGroup(members []Member, key string) []Member {
-	if len(members) <= replicationFactor {
+	if len(members) <= ReplicationFactor {
 		return members
 	}
 	ranked := slices.Clone(members)
 	rank := func(m Member) uint64 { return xxhash.Sum64String(m.Name + "\x00" + key) }
 	slices.SortFunc(ranked, func(a, b Member) int { return cmp.Compare(rank(b), rank(a)) })
-	return ranked[:replicationFactor]
+	return ranked[:ReplicationFactor]
 }
 
 // sortByDistance returns the members of the own region first, then those of other
@@ -311,7 +311,7 @@
 			stored[i]++
 		}
 	}
-	need := c.quorum(min(len(all), replicationFactor))
+	need := c.quorum(min(len(all), ReplicationFactor))
 	var failed []*peerv1.LedgerRecord
 	for i, rec := range recs {
 		if stored[i] < need {
--- a/pkg/storage/join.go
+++ b/pkg/storage/join.go
@@ -34,6 +34,14 @@
 	pingInterval = time.Second
 )
 
+// joiner makes this process a member of the ledger and keeps it one. It is used by one
+// goroutine.
+type joiner struct {
+	s        *Storage
+	outages  *outages
+	progress *pullProgress
+}
+
 // joinLedger makes this process a member of the ledger and keeps it one until the
 // context is done.
 func (s *Storage) joinLedger(ctx context.Context) {
@@ -42,14 +50,13 @@
 			s.logger.Error("failed to initialize the ledger", "err", err)
 		}
 	}
-	outages := newOutages()
-	pullProgress := newPullProgress()
+	j := &joiner{s: s, outages: newOutages(), progress: newPullProgress()}
 	lastPing := time.Now()
 	for ctx.Err() == nil {
-		s.joinStep(ctx, outages, pullProgress)
+		j.step(ctx)
 		if time.Since(lastPing) >= pingInterval && s.ledger.Status() == peerv1.LedgerReply_OK {
 			lastPing = time.Now()
-			s.removeUnreachable(ctx, outages)
+			j.removeUnreachable(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -58,9 +65,10 @@
 	}
 }
 
-// joinStep performs the next step that this process needs to become or remain an
-// active member.
-func (s *Storage) joinStep(ctx context.Context, outages *outages, pullProgress *pullProgress) {
+// step performs the next step that this process needs to become or remain an active
+// member.
+func (j *joiner) step(ctx context.Context) {
+	s := j.s
 	if _, known := s.members.others(); !known {
 		return
 	}
@@ -75,9 +83,9 @@
 	case status == peerv1.LedgerReply_OK && registered && own.Removed:
 		s.logger.Warn("taken out of the ledger, catching up", "node", s.settings.Node)
 		s.ledger.SetRemoved()
-		pullProgress.clear()
+		j.progress.clear()
 	case status == peerv1.LedgerReply_CATCHING_UP:
-		s.catchUp(ctx, own, registered, outages, pullProgress)
+		j.catchUp(ctx, own, registered)
 	case !registered || !own.Active || own.Address != s.settings.PeerAddress():
 		s.register(ctx)
 	}
@@ -104,19 +112,21 @@
 	s.logger.Warn("machine was suspended, members read anew", "suspended", total)
 }
 
-// register registers this process as an active member of the ledger.
-func (s *Storage) register(ctx context.Context) {
+// register registers this process as an active member of the ledger. It reports whether
+// that succeeded.
+func (s *Storage) register(ctx context.Context) bool {
 	n := platform.Node{
 		Role: platform.RoleStorage, Address: s.settings.PeerAddress(), FailureDomain: s.settings.FailureDomain,
 		Active: true, Started: time.Now().Round(0),
 	}
 	if err := platform.Register(ctx, s.store.Load(), s.settings.Node, n); err != nil {
 		s.logger.Debug("registration failed", "err", err)
-		return
+		return false
 	}
 	s.logger.Info("registered", "node", s.settings.Node, "address", n.Address)
 	s.members.setOwn(n)
 	s.ledger.SetMember()
+	return true
 }
 
 // pullProgress holds the names of the members whose usage records and turns have
@@ -137,36 +147,57 @@
 // may skip an unreachable older member of its failure domain, which it then
 // replaces. Each member is read only once, since later writes reach a majority
 // without this process.
-func (s *Storage) catchUp(ctx context.Context, own platform.Node, registered bool, outages *outages, pullProgress *pullProgress) {
+func (j *joiner) catchUp(ctx context.Context, own platform.Node, registered bool) {
+	s := j.s
 	replacing := !registered || !own.Active || own.Removed
 	if s.ledger.UsageStatus() != peerv1.LedgerReply_OK {
-		if _, complete := s.pullFromOthers(ctx, peerv1.Pull_USAGE, replacing, outages, pullProgress.usage); !complete {
+		if _, complete := j.pullFromOthers(ctx, peerv1.Pull_USAGE, replacing, j.progress.usage); !complete {
 			return
 		}
 		s.ledger.SetUsageComplete()
 		s.logger.Info("budgets caught up")
 	}
-	replaced, complete := s.pullFromOthers(ctx, peerv1.Pull_TURNS, replacing, outages, pullProgress.turns)
+	replaced, complete := j.pullFromOthers(ctx, peerv1.Pull_TURNS, replacing, j.progress.turns)
 	if !complete {
 		return
 	}
-	if err := s.ledger.MarkComplete(ctx); err != nil {
-		s.logger.Error("failed to mark the ledger as complete", "err", err)
+	if replacing && !j.takePlace(ctx, replaced) {
 		return
 	}
-	s.logger.Info("caught up", "records", len(s.ledger.Records(peerv1.Pull_ALL)))
+	s.markCaughtUp(ctx)
+}
+
+// takePlace registers this process, which has copied all records, as a member in place of
+// the unreachable ones. It reports whether that succeeded.
+func (j *joiner) takePlace(ctx context.Context, replaced []platform.Node) bool {
+	s := j.s
+	if err := s.replicateUsage(ctx, replaced); err != nil {
+		s.logger.Warn("failed to copy usage records to their new replicas", "err", err)
+		return false
+	}
+	if !s.register(ctx) {
+		return false
+	}
 	for _, n := range replaced {
 		s.removeMember(ctx, n)
 	}
-	if replacing {
-		s.register(ctx)
+	return true
+}
+
+// markCaughtUp marks the log as complete.
+func (s *Storage) markCaughtUp(ctx context.Context) {
+	if err := s.ledger.MarkComplete(ctx); err != nil {
+		s.logger.Error("failed to mark the ledger as complete", "err", err)
+		return
 	}
+	s.logger.Info("caught up", "records", len(s.ledger.Records(peerv1.Pull_ALL)))
 }
 
 // pullFromOthers copies a part of the records, usage or turns, from the members
 // that are not in done. It returns the unreachable members that this process
 // replaces, and whether the part was copied from all others.
-func (s *Storage) pullFromOthers(ctx context.Context, part peerv1.Pull_Part, replacing bool, outages *outages, done map[string]bool) (replaced []platform.Node, complete bool) {
+func (j *joiner) pullFromOthers(ctx context.Context, part peerv1.Pull_Part, replacing bool, done map[string]bool) (replaced []platform.Node, complete bool) {
+	s := j.s
 	others, _ := s.members.others()
 	complete = true
 	for _, n := range others {
@@ -174,7 +205,7 @@
 			continue
 		}
 		if err := s.pullFrom(ctx, n.Address, part); err != nil {
-			outage := outages.recordFailure(n.Name, time.Now())
+			outage := j.outages.recordFailure(n.Name, time.Now())
 			s.logger.Info("records not received", "peer", n.Name, "address", n.Address, "part", part, "out_of_reach", outage, "err", err)
 			if !replacing || n.FailureDomain != s.settings.FailureDomain || outage < joiningReplaceDelay {
 				complete = false
@@ -183,7 +214,7 @@
 			replaced = append(replaced, n)
 			continue
 		}
-		outages.recordSuccess(n.Name)
+		j.outages.recordSuccess(n.Name)
 		done[n.Name] = true
 	}
 	return replaced, complete
@@ -232,7 +263,8 @@
 
 // removeUnreachable removes older members of the same failure domain that have
 // been unreachable for memberReplaceDelay.
-func (s *Storage) removeUnreachable(ctx context.Context, outages *outages) {
+func (j *joiner) removeUnreachable(ctx context.Context) {
+	s := j.s
 	own, registered := s.members.own()
 	if !registered || !own.Active {
 		return
@@ -243,10 +275,10 @@
 			continue
 		}
 		if err := s.ping(ctx, n.Address); err == nil {
-			outages.recordSuccess(n.Name)
+			j.outages.recordSuccess(n.Name)
 			continue
 		}
-		if outages.recordFailure(n.Name, time.Now()) >= memberReplaceDelay {
+		if j.outages.recordFailure(n.Name, time.Now()) >= memberReplaceDelay {
 			s.removeMember(ctx, n)
 		}
 	}
--- /dev/null
+++ b/pkg/storage/replicate.go
@@ -0,0 +1,81 @@
+package storage
+
+import (
+	"context"
+	"slices"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
+	"github.com/yuccaspindle/yuccaspindle/platform"
+)
+
+// maxConcurrentPushes limits the members that records are sent to at the same time.
+const maxConcurrentPushes = 8
+
+// replicateUsage sends the usage records of this process to the members that take the
+// places of the removed ones in the replica groups of their programs. Each quorum of a new
+// group then has every acknowledged record that a quorum of the old one had. This process
+// must have copied the records of all other members.
+func (s *Storage) replicateUsage(ctx context.Context, removed []platform.Node) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(maxConcurrentPushes)
+	for m, recs := range s.newReplicas(removed) {
+		g.Go(func() error {
+			for batch := range slices.Chunk(recs, pushBatchSize) {
+				_, err := s.request(ctx, m.Address, &peerv1.LedgerRequest{
+					Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: batch}},
+				})
+				if err != nil {
+					return errors.Wrapf(err, "send usage records to %s", m.Name)
+				}
+			}
+			return nil
+		})
+	}
+	return g.Wait()
+}
+
+// newReplicas returns the usage records that each member has to get because it enters the
+// replica group of their program once the removed members have left.
+func (s *Storage) newReplicas(removed []platform.Node) map[ledger.Member][]*peerv1.LedgerRecord {
+	before, after := s.memberLists(removed)
+	entering := make(map[string][]ledger.Member) // by program
+	list := make(map[ledger.Member][]*peerv1.LedgerRecord)
+	for _, rec := range s.ledger.Records(peerv1.Pull_USAGE) {
+		program := rec.GetUsage().GetProgram()
+		members, ok := entering[program]
+		if !ok {
+			old := ledger.ReplicaGroup(before, program)
+			members = slices.DeleteFunc(slices.Clone(ledger.ReplicaGroup(after, program)), func(m ledger.Member) bool {
+				return m.Name == s.settings.Node || slices.Contains(old, m)
+			})
+			entering[program] = members
+		}
+		for _, m := range members {
+			list[m] = append(list[m], rec)
+		}
+	}
+	return list
+}
+
+// memberLists returns the members of the ledger before and after this process has taken
+// the places of the removed ones.
+func (s *Storage) memberLists(removed []platform.Node) (before, after []ledger.Member) {
+	self := ledger.Member{Name: s.settings.Node, Address: s.settings.PeerAddress()}
+	after = append(after, self)
+	if own, registered := s.members.own(); registered && own.Active && !own.Removed {
+		before = append(before, self)
+	}
+	others, _ := s.members.others()
+	for _, n := range others {
+		m := ledger.Member{Name: n.Name, Address: n.Address}
+		before = append(before, m)
+		if !slices.ContainsFunc(removed, func(r platform.Node) bool { return r.Name == n.Name }) {
+			after = append(after, m)
+		}
+	}
+	return before, after
+}
