--- a/pkg/edge/membership_test.go
+++ b/pkg/edge/membership_test.go
@@ -73,3 +73,40 @@
 		}
 	}
 }
+
+// TestTurnReplicasAfterRemoval guards against a turn that keeps one replica less for good:
+// a member that is not new takes an unreachable one out of the ledger.
+func TestTurnReplicasAfterRemoval(t *testing.T) {
+	const members, turns = 8, 20
+	d := newDeployment(t)
+	d.route(clone(history))
+	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 1) })
+	var stores []*process
+	p := d.edge("127.0.0.1")
+	for i := range members {
+		stores = append(stores, d.storage(fmt.Sprintf("127.0.0.%d", 11+i), t.TempDir()))
+		p.ready(t, 1, i+1)
+	}
+	var recs []*peerv1.LedgerRecord
+	for i := range turns {
+		rec := &peerv1.LedgerRecord{Body: &peerv1.LedgerRecord_Turn{Turn: &peerv1.TurnRecord{Id: fmt.Sprint("t", i)}}}
+		if err := p.edge.ledger.Write(t.Context(), fmt.Sprint("p", i), []*peerv1.LedgerRecord{rec}); err != nil {
+			t.Fatal(err)
+		}
+		recs = append(recs, rec)
+	}
+	stores[0].stop()
+	within(t, 20*time.Second, "the lost process is taken out", func() bool { return d.node(stores[0].settings).Removed })
+	p.ready(t, 1, members-1)
+	for _, rec := range recs {
+		replicas := 0
+		for _, m := range p.edge.view.Storage() {
+			if p.memberHolds(t, m.Address, rec) {
+				replicas++
+			}
+		}
+		if want := ledger.Majority(ledger.ReplicationFactor); replicas < want {
+			t.Errorf("%s has %d replicas, want %d or more", rec.GetTurn().GetId(), replicas, want)
+		}
+	}
+}
--- a/pkg/storage/join.go
+++ b/pkg/storage/join.go
@@ -40,6 +40,9 @@
 	s        *Storage
 	outages  *outages
 	progress *pullProgress
+	// copied names the members whose records were copied before an unreachable one is
+	// removed, by the name of the latter.
+	copied map[string]map[string]bool
 }
 
 // joinLedger makes this process a member of the ledger and keeps it one until the
@@ -50,7 +53,7 @@
 			s.logger.Error("failed to initialize the ledger", "err", err)
 		}
 	}
-	j := &joiner{s: s, outages: newOutages(), progress: newPullProgress()}
+	j := &joiner{s: s, outages: newOutages(), progress: newPullProgress(), copied: make(map[string]map[string]bool)}
 	lastPing := time.Now()
 	for ctx.Err() == nil {
 		j.step(ctx)
@@ -193,7 +196,7 @@
 	s.logger.Info("caught up", "records", len(s.ledger.Records(peerv1.Pull_ALL)))
 }
 
-// pullFromOthers copies a part of the records, usage or turns, from the members
+// pullFromOthers copies a part of the records, usage, turns or both, from the members
 // that are not in done. It returns the unreachable members that this process
 // replaces, and whether the part was copied from all others.
 func (j *joiner) pullFromOthers(ctx context.Context, part peerv1.Pull_Part, replacing bool, done map[string]bool) (replaced []platform.Node, complete bool) {
@@ -276,14 +279,63 @@
 		}
 		if err := s.ping(ctx, n.Address); err == nil {
 			j.outages.recordSuccess(n.Name)
+			delete(j.copied, n.Name)
 			continue
 		}
 		if j.outages.recordFailure(n.Name, time.Now()) >= memberReplaceDelay {
-			s.removeMember(ctx, n)
+			j.replace(ctx, n)
 		}
 	}
 }
 
+// replace removes an unreachable member after the records of which it had a copy have
+// been copied to others. Otherwise these would have one replica less for good.
+func (j *joiner) replace(ctx context.Context, n platform.Node) {
+	s := j.s
+	if !j.copyRecords(ctx, n) {
+		return
+	}
+	if err := s.replicateUsage(ctx, []platform.Node{n}); err != nil {
+		s.logger.Warn("failed to copy usage records to their new replicas", "err", err)
+		return
+	}
+	if err := s.replicateTurns(ctx, n); err != nil {
+		s.logger.Warn("failed to copy turns to new replicas", "err", err)
+		return
+	}
+	if s.removeMember(ctx, n) {
+		delete(j.copied, n.Name)
+	}
+}
+
+// copyRecords copies to this process the records of all members except the one to be
+// removed and unreachable ones of the same failure domain. It reports whether that is
+// done. Each member is read only once, as in catchUp.
+func (j *joiner) copyRecords(ctx context.Context, removed platform.Node) bool {
+	s := j.s
+	done := j.copied[removed.Name]
+	if done == nil {
+		done = make(map[string]bool)
+		j.copied[removed.Name] = done
+	}
+	others, _ := s.members.others()
+	for _, n := range others {
+		if n.Name == removed.Name || done[n.Name] {
+			continue
+		}
+		err := s.pullFrom(ctx, n.Address, peerv1.Pull_ALL)
+		if err == nil {
+			done[n.Name] = true
+			continue
+		}
+		s.logger.Info("records not received", "peer", n.Name, "address", n.Address, "part", peerv1.Pull_ALL, "err", err)
+		if n.FailureDomain != s.settings.FailureDomain || j.outages.recordFailure(n.Name, time.Now()) < joiningReplaceDelay {
+			return false
+		}
+	}
+	return true
+}
+
 // ping checks that a member replies, by fetching a turn with an empty id.
 func (s *Storage) ping(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
@@ -294,8 +346,9 @@
 	return err
 }
 
-// removeMember marks a member as removed from the ledger.
-func (s *Storage) removeMember(ctx context.Context, n platform.Node) {
+// removeMember marks a member as removed from the ledger. It reports whether that
+// succeeded.
+func (s *Storage) removeMember(ctx context.Context, n platform.Node) bool {
 	store := s.store.Load()
 	o, err := store.Get(ctx, platform.KindNodes, n.Name)
 	if err == nil {
@@ -304,9 +357,10 @@
 	}
 	if err != nil {
 		s.logger.Warn("failed to remove member from the ledger", "member", n.Name, "err", err)
-		return
+		return false
 	}
 	s.logger.Info("member taken out", "member", n.Name, "address", n.Address, "replaced_by", s.settings.Node)
+	return true
 }
 
 // outages records since when members have been unreachable.
--- a/pkg/storage/replicate.go
+++ b/pkg/storage/replicate.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"sync"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
@@ -20,16 +22,21 @@
 // group then has every acknowledged record that a quorum of the old one had. This process
 // must have copied the records of all other members.
 func (s *Storage) replicateUsage(ctx context.Context, removed []platform.Node) error {
+	return s.push(ctx, s.newReplicas(removed))
+}
+
+// push sends records to members.
+func (s *Storage) push(ctx context.Context, list map[ledger.Member][]*peerv1.LedgerRecord) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(maxConcurrentPushes)
-	for m, recs := range s.newReplicas(removed) {
+	for m, recs := range list {
 		g.Go(func() error {
 			for batch := range slices.Chunk(recs, pushBatchSize) {
 				_, err := s.request(ctx, m.Address, &peerv1.LedgerRequest{
 					Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: batch}},
 				})
 				if err != nil {
-					return errors.Wrapf(err, "send usage records to %s", m.Name)
+					return errors.Wrapf(err, "send records to %s", m.Name)
 				}
 			}
 			return nil
@@ -79,3 +86,57 @@
 	}
 	return before, after
 }
+
+// replicateTurns sends turns to further members until each has as many replicas without
+// the removed member as it had when it was acknowledged. This process must have copied the
+// records of all other members.
+func (s *Storage) replicateTurns(ctx context.Context, removed platform.Node) error {
+	_, after := s.memberLists([]platform.Node{removed})
+	turns := ledger.Digests(s.ledger.Records(peerv1.Pull_TURNS))
+	lacking, err := s.compare(ctx, after, turns)
+	if err != nil {
+		return err
+	}
+	list := make(map[ledger.Member][]*peerv1.LedgerRecord)
+	need := max(ledger.Majority(min(len(after), ledger.ReplicationFactor)), s.settings.DisksToLose+1)
+	for digest, without := range lacking {
+		replicas := len(after) - len(without)
+		for _, m := range ledger.ReplicaGroup(without, turns[digest].GetTurn().GetId()) {
+			if replicas >= need {
+				break
+			}
+			list[m] = append(list[m], turns[digest])
+			replicas++
+		}
+	}
+	return s.push(ctx, list)
+}
+
+// compare returns the members that lack a record, by the digest of the record.
+func (s *Storage) compare(ctx context.Context, members []ledger.Member, recs map[uint64]*peerv1.LedgerRecord) (map[uint64][]ledger.Member, error) {
+	digests := slices.Collect(maps.Keys(recs))
+	var mu sync.Mutex
+	lacking := make(map[uint64][]ledger.Member)
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(maxConcurrentPushes)
+	for _, m := range members {
+		if m.Name == s.settings.Node {
+			continue
+		}
+		g.Go(func() error {
+			reply, err := s.request(ctx, m.Address, &peerv1.LedgerRequest{
+				Op: &peerv1.LedgerRequest_Compare{Compare: &peerv1.Compare{Digests: digests}},
+			})
+			if err != nil {
+				return errors.Wrapf(err, "compare records with %s", m.Name)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for _, d := range reply.GetMissing() {
+				lacking[d] = append(lacking[d], m)
+			}
+			return nil
+		})
+	}
+	return lacking, g.Wait()
+}
