--- a/pkg/edge/membership_test.go
+++ b/pkg/edge/membership_test.go
@@ -74,6 +74,63 @@
 	}
 }
 
+// staleDirectory is a list of members that is not updated.
+type staleDirectory []ledger.Member
+
+func (d staleDirectory) Storage() []ledger.Member { return d }
+func (d staleDirectory) Relays() []string         { return nil }
+
+// TestBudgetWithStaleMembers guards against a budget that is exceeded while a storage
+// process joins: an entry that has not learnt of it writes to a quorum of the old replica
+// group, and a quorum of the new one could lack the record.
+func TestBudgetWithStaleMembers(t *testing.T) {
+	const members, programs = 8, 60
+	d := newDeployment(t)
+	d.route(clone(history))
+	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 1) })
+	for i := range members {
+		d.storage(fmt.Sprintf("127.0.0.%d", 11+i), t.TempDir())
+	}
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, members)
+	old := staleDirectory(p.edge.view.Storage())
+	for i := range 2 { // not reached, so that quorums have members of a low rank, which a new member displaces
+		old[i].Address = d.settings("127.0.0.20").PeerAddress()
+	}
+	stale := ledger.NewClient(p.edge.transport, old, 1, d.logger())
+	s := d.settings("127.0.0.19")
+	s.DataDir, s.FirstStart = t.TempDir(), false
+	d.storageWith(s)
+	p.ready(t, 1, members+1)
+	var reserved []*peerv1.Usage
+	for i := range programs {
+		u := &peerv1.Usage{Program: fmt.Sprint("p", i), Attempt: 1, Tokens: 70}
+		if _, err := stale.Reserve(t.Context(), u, 100, 0); err != nil {
+			t.Fatal(err)
+		}
+		reserved = append(reserved, u)
+	}
+	d.storedTurn(t, p)
+	eventually(t, "the new process does not catch up", func() bool { return d.holds(s, "t1") })
+	p.checkReplicas(t, reserved)
+}
+
+// storedTurn stores the turn t1 at all members.
+func (d *deployment) storedTurn(t *testing.T, p *process) {
+	t.Helper()
+	rec := &peerv1.LedgerRecord{Body: &peerv1.LedgerRecord_Turn{Turn: &peerv1.TurnRecord{Id: "t1"}}}
+	for _, m := range p.edge.view.Storage() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_, err := ledger.Call(ctx, p.edge.transport, m.Address, &peerv1.LedgerRequest{
+			Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: []*peerv1.LedgerRecord{rec}}},
+		})
+		cancel()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // TestTurnReplicasAfterRemoval guards against a turn that keeps one replica less for good:
 // a member that is not new takes an unreachable one out of the ledger.
 func TestTurnReplicasAfterRemoval(t *testing.T) {
--- a/pkg/storage/join.go
+++ b/pkg/storage/join.go
@@ -30,6 +30,10 @@
 	// pullTimeout limits the wait for each partial reply to a Pull.
 	pullTimeout = 1500 * time.Millisecond
 	pingTimeout = 500 * time.Millisecond
+	// settleDelay is the time between the registration of a new member and its second
+	// copy of the usage records. Entries learn of the registration within 2 s, or
+	// replace the feed that did not tell them.
+	settleDelay = 3 * time.Second
 	// pingInterval is how often older members of the failure domain are pinged.
 	pingInterval = time.Second
 )
@@ -43,6 +47,8 @@
 	// copied names the members whose records were copied before an unreachable one is
 	// removed, by the name of the latter.
 	copied map[string]map[string]bool
+	// settleAt is when a new member copies the usage records again; zero: it is not new.
+	settleAt time.Time
 }
 
 // joinLedger makes this process a member of the ledger and keeps it one until the
@@ -87,6 +93,8 @@
 		s.logger.Warn("taken out of the ledger, catching up", "node", s.settings.Node)
 		s.ledger.SetRemoved()
 		j.progress.clear()
+	case status == peerv1.LedgerReply_CATCHING_UP && !j.settleAt.IsZero():
+		j.settle(ctx)
 	case status == peerv1.LedgerReply_CATCHING_UP:
 		j.catchUp(ctx, own, registered)
 	case !registered || !own.Active || own.Address != s.settings.PeerAddress():
@@ -157,8 +165,10 @@
 		if _, complete := j.pullFromOthers(ctx, peerv1.Pull_USAGE, replacing, j.progress.usage); !complete {
 			return
 		}
-		s.ledger.SetUsageComplete()
-		s.logger.Info("budgets caught up")
+		if !replacing || !s.mustSettle() {
+			s.ledger.SetUsageComplete()
+			s.logger.Info("budgets caught up")
+		}
 	}
 	replaced, complete := j.pullFromOthers(ctx, peerv1.Pull_TURNS, replacing, j.progress.turns)
 	if !complete {
@@ -167,7 +177,9 @@
 	if replacing && !j.takePlace(ctx, replaced) {
 		return
 	}
-	s.markCaughtUp(ctx)
+	if j.settleAt.IsZero() {
+		s.markCaughtUp(ctx)
+	}
 }
 
 // takePlace registers this process, which has copied all records, as a member in place of
@@ -184,16 +196,49 @@
 	for _, n := range replaced {
 		s.removeMember(ctx, n)
 	}
+	if s.mustSettle() {
+		j.settleAt = time.Now().Add(settleDelay)
+	}
 	return true
 }
 
-// markCaughtUp marks the log as complete.
-func (s *Storage) markCaughtUp(ctx context.Context) {
+// mustSettle reports whether a quorum of a program's replica group may share no member
+// with one of the group before this process joined. With few members all of them are the
+// group, and any two quorums share one.
+func (s *Storage) mustSettle() bool {
+	others, _ := s.members.others()
+	return len(others) >= ledger.ReplicationFactor
+}
+
+// settle copies the usage records once more, after all entries have had the time to learn
+// of this member, and then marks the log as complete. Until then an entry with the list of
+// before may write to a quorum without this process, and reads must not count on it.
+// A record on such a quorum is on two of the other members of its group, so one that is
+// unreachable now is skipped.
+func (j *joiner) settle(ctx context.Context) {
+	if time.Now().Before(j.settleAt) {
+		return
+	}
+	s := j.s
+	others, _ := s.members.others()
+	for _, n := range others {
+		if err := s.pullFrom(ctx, n.Address, peerv1.Pull_USAGE); err != nil {
+			s.logger.Info("records not received", "peer", n.Name, "address", n.Address, "part", peerv1.Pull_USAGE, "err", err)
+		}
+	}
+	if s.markCaughtUp(ctx) {
+		j.settleAt = time.Time{}
+	}
+}
+
+// markCaughtUp marks the log as complete and reports whether that succeeded.
+func (s *Storage) markCaughtUp(ctx context.Context) bool {
 	if err := s.ledger.MarkComplete(ctx); err != nil {
 		s.logger.Error("failed to mark the ledger as complete", "err", err)
-		return
+		return false
 	}
 	s.logger.Info("caught up", "records", len(s.ledger.Records(peerv1.Pull_ALL)))
+	return true
 }
 
 // pullFromOthers copies a part of the records, usage, turns or both, from the members
