--- a/pkg/ledger/log.go
+++ b/pkg/ledger/log.go
@@ -62,9 +62,11 @@
 	sort.Strings(paths)
 	l := &Log{dir: dir, log: logger}
 	for _, path := range paths {
-		n, err := readSegment(path, apply)
+		n, size, err := readSegment(path, apply)
 		if err != nil {
-			logger.Warn("ledger file ends early", "file", path, "records", n, "err", err)
+			logger.Warn("ledger file ends early", "file", path, "records", n, "offset", size, "err", err)
+		} else {
+			logger.Info("ledger file read", "file", path, "records", n, "bytes", size)
 		}
 		l.closed = append(l.closed, segment{path: path, closedAt: now})
 		var number int
@@ -75,46 +77,49 @@
 	return l, l.rotate(now)
 }
 
-// readSegment passes the records of a file to apply. It returns their number, and
-// an error if it stopped before the end of the file.
-func readSegment(path string, apply func(*peerv1.LedgerRecord)) (int, error) {
+// readSegment passes the records of a file to apply. It returns their number and size,
+// and an error if it stopped before the end of the file.
+func readSegment(path string, apply func(*peerv1.LedgerRecord)) (n, size int, err error) {
 	f, err := os.Open(path)
 	if err != nil {
-		return 0, errors.Wrap(err, "open")
+		return 0, 0, errors.Wrap(err, "open")
 	}
 	defer f.Close()
 	r := bufio.NewReader(f)
-	for n := 0; ; n++ {
-		rec, err := readRecord(r)
+	for ; ; n++ {
+		rec, recordSize, err := readRecord(r)
 		if err == io.EOF {
-			return n, nil
+			return n, size, nil
 		}
 		if err != nil {
-			return n, err
+			return n, size, err
 		}
 		apply(rec)
+		size += recordSize
 	}
 }
 
-func readRecord(r io.Reader) (*peerv1.LedgerRecord, error) {
+// readRecord returns the next record and its size in the file. The error is io.EOF at
+// the end of the file.
+func readRecord(r io.Reader) (*peerv1.LedgerRecord, int, error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	size := binary.LittleEndian.Uint32(header[:4])
 	if size > maxRecordBytes {
-		return nil, errors.Errorf("record of %d bytes exceeds the limit", size)
+		return nil, 0, errors.Errorf("record of %d bytes exceeds the limit", size)
 	}
 	data := make([]byte, size)
 	if _, err := io.ReadFull(r, data); err != nil {
-		return nil, errors.Wrap(err, "incomplete record")
+		return nil, 0, errors.Wrap(err, "incomplete record")
 	}
 	// A range of zero bytes must not be decoded as an empty record.
 	if size == 0 || crc32.Checksum(data, crcTable) != binary.LittleEndian.Uint32(header[4:]) {
-		return nil, errors.New("checksum mismatch")
+		return nil, 0, errors.New("checksum mismatch")
 	}
 	rec := &peerv1.LedgerRecord{}
-	return rec, errors.Wrap(proto.Unmarshal(data, rec), "decode record")
+	return rec, frameHeaderBytes + len(data), errors.Wrap(proto.Unmarshal(data, rec), "decode record")
 }
 
 // Append writes records and returns after they are synced to disk.
@@ -134,11 +139,11 @@
 		buf = binary.LittleEndian.AppendUint32(buf, crc32.Checksum(data, crcTable))
 		buf = append(buf, data...)
 	}
-	if _, err := l.file.Write(buf); err != nil {
-		return errors.Wrap(err, "write ledger file")
+	if n, err := l.file.Write(buf); err != nil {
+		return errors.Wrapf(err, "write ledger file at offset %d, %d of %d bytes written", l.size, n, len(buf))
 	}
 	l.size += len(buf)
-	return errors.Wrap(l.file.Sync(), "sync ledger file")
+	return errors.Wrapf(l.file.Sync(), "sync ledger file of %d bytes", l.size)
 }
 
 // rotate starts a new file.
@@ -170,7 +175,9 @@
 		if err := os.Remove(s.path); err != nil {
 			l.log.Warn("failed to remove ledger file", "file", s.path, "err", err)
 			kept = append(kept, s)
+			continue
 		}
+		l.log.Info("ledger file removed", "file", s.path, "closed_at", s.closedAt)
 	}
 	l.closed = kept
 }
