--- a/pkg/ledger/log.go
+++ b/pkg/ledger/log.go
@@ -7,15 +7,14 @@
 	"hash/crc32"
 	"io"
 	"log/slog"
-	"os"
 	"path/filepath"
-	"sort"
 	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/durable"
 )
 
 const (
@@ -35,9 +34,11 @@
 // record at the end of the previous one. Synced records always precede such
 // damage.
 type Log struct {
+	fs         durable.FS
 	dir        string
 	log        *slog.Logger
-	file       *os.File
+	file       durable.File
+	path       string // of file
 	size       int
 	nextNumber int
 	closed     []segment
@@ -51,18 +52,21 @@
 
 // OpenLog passes the records of all files in a folder to apply and creates a new
 // file.
-func OpenLog(dir string, logger *slog.Logger, now time.Time, apply func(*peerv1.LedgerRecord)) (*Log, error) {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
+func OpenLog(fs durable.FS, dir string, logger *slog.Logger, now time.Time, apply func(*peerv1.LedgerRecord)) (*Log, error) {
+	if err := durable.MakeFolders(fs, dir); err != nil {
 		return nil, errors.Wrap(err, "create data folder")
 	}
-	paths, err := filepath.Glob(filepath.Join(dir, segmentPattern))
+	names, err := fs.List(dir)
 	if err != nil {
 		return nil, errors.Wrap(err, "list ledger files")
 	}
-	sort.Strings(paths)
-	l := &Log{dir: dir, log: logger}
-	for _, path := range paths {
-		n, size, err := readSegment(path, apply)
+	l := &Log{fs: fs, dir: dir, log: logger}
+	for _, name := range names {
+		if ok, err := filepath.Match(segmentPattern, name); err != nil || !ok {
+			continue
+		}
+		path := filepath.Join(dir, name)
+		n, size, err := readSegment(fs, path, apply)
 		if err != nil {
 			logger.Warn("ledger file ends early", "file", path, "records", n, "offset", size, "err", err)
 		} else {
@@ -70,7 +74,7 @@
 		}
 		l.closed = append(l.closed, segment{path: path, closedAt: now})
 		var number int
-		if _, err := fmt.Sscanf(filepath.Base(path), segmentFormat, &number); err == nil {
+		if _, err := fmt.Sscanf(name, segmentFormat, &number); err == nil {
 			l.nextNumber = max(l.nextNumber, number+1)
 		}
 	}
@@ -79,8 +83,8 @@
 
 // readSegment passes the records of a file to apply. It returns their number and size,
 // and an error if it stopped before the end of the file.
-func readSegment(path string, apply func(*peerv1.LedgerRecord)) (n, size int, err error) {
-	f, err := os.Open(path)
+func readSegment(fs durable.FS, path string, apply func(*peerv1.LedgerRecord)) (n, size int, err error) {
+	f, err := fs.Open(path)
 	if err != nil {
 		return 0, 0, errors.Wrap(err, "open")
 	}
@@ -149,17 +153,17 @@
 // rotate starts a new file.
 func (l *Log) rotate(now time.Time) error {
 	path := filepath.Join(l.dir, fmt.Sprintf(segmentFormat, l.nextNumber))
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o644)
+	f, err := l.fs.Create(path)
 	if err != nil {
 		return errors.Wrap(err, "create ledger file")
 	}
 	if l.file != nil {
-		l.closed = append(l.closed, segment{path: l.file.Name(), closedAt: now})
+		l.closed = append(l.closed, segment{path: l.path, closedAt: now})
 		if err := l.file.Close(); err != nil {
-			l.log.Warn("failed to close ledger file", "file", l.file.Name(), "err", err)
+			l.log.Warn("failed to close ledger file", "file", l.path, "err", err)
 		}
 	}
-	l.file, l.size = f, 0
+	l.file, l.path, l.size = f, path, 0
 	l.nextNumber++
 	return nil
 }
@@ -172,7 +176,7 @@
 			kept = append(kept, s)
 			continue
 		}
-		if err := os.Remove(s.path); err != nil {
+		if err := l.fs.Remove(s.path); err != nil {
 			l.log.Warn("failed to remove ledger file", "file", s.path, "err", err)
 			kept = append(kept, s)
 			continue
--- a/pkg/ledger/log_test.go
+++ b/pkg/ledger/log_test.go
@@ -7,13 +7,14 @@
 	"testing"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/durable"
 )
 
 // openLog opens the log in a folder and returns the records in it.
 func openLog(t *testing.T, dir string) (*Log, []*peerv1.LedgerRecord) {
 	t.Helper()
 	var recs []*peerv1.LedgerRecord
-	l, err := OpenLog(dir, slog.New(slog.DiscardHandler), startTime, func(r *peerv1.LedgerRecord) { recs = append(recs, r) })
+	l, err := OpenLog(durable.OS{}, dir, slog.New(slog.DiscardHandler), startTime, func(r *peerv1.LedgerRecord) { recs = append(recs, r) })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/ledger/store.go
+++ b/pkg/ledger/store.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/durable"
 	"github.com/yuccaspindle/yuccaspindle/pkg/suspend"
 )
 
@@ -46,12 +47,17 @@
 	done chan error
 }
 
-// OpenStore opens the log in a folder and loads its records. Run must be called
-// before Write.
+// OpenStore opens the log in a folder of the machine's disk, as OpenStoreOn does.
 func OpenStore(dir string, logger *slog.Logger) (*Store, error) {
+	return OpenStoreOn(durable.OS{}, dir, logger)
+}
+
+// OpenStoreOn opens the log in a folder and loads its records. Run must be called
+// before Write.
+func OpenStoreOn(fs durable.FS, dir string, logger *slog.Logger) (*Store, error) {
 	s := &Store{logger: logger, state: NewState(), pending: make(chan pendingWrite, writeQueueSize), suspendedTime: suspend.New().Total}
 	now := time.Now()
-	l, err := OpenLog(dir, logger, now, func(rec *peerv1.LedgerRecord) { s.state.Apply(rec, now) })
+	l, err := OpenLog(fs, dir, logger, now, func(rec *peerv1.LedgerRecord) { s.state.Apply(rec, now) })
 	s.log = l
 	return s, err
 }
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -14,6 +14,7 @@
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/crashreport"
+	"github.com/yuccaspindle/yuccaspindle/pkg/durable"
 	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
 	"github.com/yuccaspindle/yuccaspindle/pkg/peerstate"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
@@ -45,7 +46,13 @@
 // New returns a storage process that uses the ledger in the data folder of the
 // settings.
 func New(settings *platform.Settings, logger *slog.Logger) (*Storage, error) {
-	l, err := ledger.OpenStore(settings.DataDir, logger)
+	return NewOn(durable.OS{}, settings, logger)
+}
+
+// NewOn returns a storage process whose ledger is on another file system, at the same
+// path. Its other files are on the disk of the machine.
+func NewOn(fs durable.FS, settings *platform.Settings, logger *slog.Logger) (*Storage, error) {
+	l, err := ledger.OpenStoreOn(fs, settings.DataDir, logger)
 	if err != nil {
 		return nil, err
 	}
