--- a/pkg/durable/fs.go
+++ b/pkg/durable/fs.go
@@ -85,7 +85,8 @@
 	return d.Sync()
 }
 
-// MakeFolders creates a folder and its parents as far as they are missing.
+// MakeFolders creates a folder and its parents as far as they are missing. The names of
+// those that it creates are synced to disk.
 func MakeFolders(fs FS, path string) error {
 	err := fs.MakeFolder(path)
 	if errors.Is(err, os.ErrNotExist) && filepath.Dir(path) != path {
@@ -94,8 +95,11 @@
 		}
 		err = fs.MakeFolder(path)
 	}
-	if err == nil || errors.Is(err, os.ErrExist) {
+	if errors.Is(err, os.ErrExist) {
 		return nil
 	}
-	return errors.Wrapf(err, "create folder %s", path)
+	if err != nil {
+		return errors.Wrapf(err, "create folder %s", path)
+	}
+	return errors.Wrapf(fs.SyncFolder(filepath.Dir(path)), "sync folder %s", filepath.Dir(path))
 }
--- a/pkg/ledger/disk_test.go
+++ b/pkg/ledger/disk_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/durable"
 	"github.com/yuccaspindle/yuccaspindle/pkg/standin/faultdisk"
 )
 
@@ -403,3 +404,58 @@
 		expectTurns(t, s, "a", "b")
 	})
 }
+
+// BenchmarkAppend measures one synced batch on the machine's disk, with the start of a
+// new file each 16 MB, and the start of a new log.
+func BenchmarkAppend(b *testing.B) {
+	discard := func(*peerv1.LedgerRecord) {}
+	rec := turnRecord("a", "")
+	rec.GetTurn().Output = make([]byte, 8<<10)
+	recs := []*peerv1.LedgerRecord{rec, rec, rec, rec}
+	b.Run("batch", func(b *testing.B) {
+		l, err := OpenLog(durable.OS{}, b.TempDir(), slog.New(slog.DiscardHandler), startTime, discard)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer l.Close()
+		for b.Loop() {
+			if err := l.Append(recs, startTime); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("new file", func(b *testing.B) {
+		dir := b.TempDir()
+		for b.Loop() {
+			l, err := OpenLog(durable.OS{}, dir, slog.New(slog.DiscardHandler), startTime, discard)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if err := l.Append(recs[:1], startTime); err != nil {
+				b.Fatal(err)
+			}
+			l.Trim(startTime.Add(time.Second))
+			_ = l.Close()
+		}
+	})
+}
+
+// Guards against more than one sync for a batch of writes, which each turn waits for: a
+// new file costs one more, for its name.
+func TestOneSyncPerBatch(t *testing.T) {
+	onDisks(t, 1, func(t *testing.T, d *faultdisk.Disk) {
+		s, _ := startStore(t, d)
+		mustComplete(t, s)
+		files, folders := d.Count(faultdisk.OpSync), d.Count(faultdisk.OpSyncFolder)
+		const batches = 20
+		for i := range batches {
+			mustWrite(t, s, turnRecord(fmt.Sprint(i), ""), usage(uint64(i), 5, false))
+		}
+		if n := d.Count(faultdisk.OpSync) - files; n != batches {
+			t.Errorf("%d batches were synced %d times", batches, n)
+		}
+		if n := d.Count(faultdisk.OpSyncFolder) - folders; n != 0 {
+			t.Errorf("the folder was synced %d times without a new file", n)
+		}
+	})
+}
--- a/pkg/ledger/log.go
+++ b/pkg/ledger/log.go
@@ -39,6 +39,7 @@
 	log        *slog.Logger
 	file       durable.File
 	path       string // of file
+	nameSynced bool   // the name of file is on disk
 	size       int
 	nextNumber int
 	closed     []segment
@@ -147,7 +148,23 @@
 		return errors.Wrapf(err, "write ledger file at offset %d, %d of %d bytes written", l.size, n, len(buf))
 	}
 	l.size += len(buf)
-	return errors.Wrapf(l.file.Sync(), "sync ledger file of %d bytes", l.size)
+	if err := l.file.Sync(); err != nil {
+		return errors.Wrapf(err, "sync ledger file of %d bytes", l.size)
+	}
+	return l.syncName()
+}
+
+// syncName syncs the folder after the first sync of a new file. Until then a power loss
+// may remove the file with all its records.
+func (l *Log) syncName() error {
+	if l.nameSynced {
+		return nil
+	}
+	if err := l.fs.SyncFolder(l.dir); err != nil {
+		return errors.Wrapf(err, "sync the name of %s", l.path)
+	}
+	l.nameSynced = true
+	return nil
 }
 
 // rotate starts a new file.
@@ -163,7 +180,7 @@
 			l.log.Warn("failed to close ledger file", "file", l.path, "err", err)
 		}
 	}
-	l.file, l.path, l.size = f, path, 0
+	l.file, l.path, l.size, l.nameSynced = f, path, 0, false
 	l.nextNumber++
 	return nil
 }
