--- a/pkg/ledger/log.go
+++ b/pkg/ledger/log.go
@@ -30,16 +30,16 @@
 var crcTable = crc32.MakeTable(crc32.Castagnoli)
 
 // Log is the append-only log of a storage process, split into segment files.
-// Each start creates a new file, since a power loss may have left an incomplete
-// record at the end of the previous one. Synced records always precede such
-// damage.
+// After each start the first append creates a new file, since a power loss may have left
+// an incomplete record at the end of the previous one; so does an append that follows a
+// failed one. Synced records always precede such damage.
 type Log struct {
 	fs         durable.FS
 	dir        string
 	log        *slog.Logger
-	file       durable.File
-	path       string // of file
-	nameSynced bool   // the name of file is on disk
+	file       durable.File // nil until the next append
+	path       string       // of file
+	nameSynced bool         // the name of file is on disk
 	size       int
 	nextNumber int
 	closed     []segment
@@ -51,8 +51,7 @@
 	closedAt time.Time // the start of this process if the file is older
 }
 
-// OpenLog passes the records of all files in a folder to apply and creates a new
-// file.
+// OpenLog passes the records of all files in a folder to apply.
 func OpenLog(fs durable.FS, dir string, logger *slog.Logger, now time.Time, apply func(*peerv1.LedgerRecord)) (*Log, error) {
 	if err := durable.MakeFolders(fs, dir); err != nil {
 		return nil, errors.Wrap(err, "create data folder")
@@ -79,7 +78,7 @@
 			l.nextNumber = max(l.nextNumber, number+1)
 		}
 	}
-	return l, l.rotate(now)
+	return l, nil
 }
 
 // readSegment passes the records of a file to apply. It returns their number and size,
@@ -127,31 +126,46 @@
 	return rec, frameHeaderBytes + len(data), errors.Wrap(proto.Unmarshal(data, rec), "decode record")
 }
 
-// Append writes records and returns after they are synced to disk.
+// Append writes records and returns after they are synced to disk. After an error the
+// records may or may not be read at the next start.
 func (l *Log) Append(recs []*peerv1.LedgerRecord, now time.Time) error {
-	if l.size >= segmentBytes {
-		if err := l.rotate(now); err != nil {
+	data, err := encodeRecords(recs)
+	if err != nil {
+		return err
+	}
+	if l.file != nil && l.size >= segmentBytes {
+		l.closeFile(now)
+	}
+	if l.file == nil {
+		if err := l.createFile(); err != nil {
 			return err
 		}
 	}
+	n, err := l.file.Write(data)
+	if err != nil {
+		err = errors.Wrapf(err, "write ledger file at offset %d, %d of %d bytes written", l.size, n, len(data))
+		l.abandonFile(now)
+		return err
+	}
+	l.size += len(data)
+	if err := l.file.Sync(); err != nil {
+		return errors.Wrapf(err, "sync ledger file of %d bytes", l.size)
+	}
+	return l.syncName()
+}
+
+func encodeRecords(recs []*peerv1.LedgerRecord) ([]byte, error) {
 	var buf []byte
 	for _, rec := range recs {
 		data, err := proto.Marshal(rec)
 		if err != nil {
-			return errors.Wrap(err, "encode record")
+			return nil, errors.Wrap(err, "encode record")
 		}
 		buf = binary.LittleEndian.AppendUint32(buf, uint32(len(data)))
 		buf = binary.LittleEndian.AppendUint32(buf, crc32.Checksum(data, crcTable))
 		buf = append(buf, data...)
 	}
-	if n, err := l.file.Write(buf); err != nil {
-		return errors.Wrapf(err, "write ledger file at offset %d, %d of %d bytes written", l.size, n, len(buf))
-	}
-	l.size += len(buf)
-	if err := l.file.Sync(); err != nil {
-		return errors.Wrapf(err, "sync ledger file of %d bytes", l.size)
-	}
-	return l.syncName()
+	return buf, nil
 }
 
 // syncName syncs the folder after the first sync of a new file. Until then a power loss
@@ -167,24 +181,44 @@
 	return nil
 }
 
-// rotate starts a new file.
-func (l *Log) rotate(now time.Time) error {
+// createFile starts a new file.
+func (l *Log) createFile() error {
 	path := filepath.Join(l.dir, fmt.Sprintf(segmentFormat, l.nextNumber))
 	f, err := l.fs.Create(path)
 	if err != nil {
 		return errors.Wrap(err, "create ledger file")
 	}
-	if l.file != nil {
-		l.closed = append(l.closed, segment{path: l.path, closedAt: now})
-		if err := l.file.Close(); err != nil {
-			l.log.Warn("failed to close ledger file", "file", l.path, "err", err)
-		}
-	}
 	l.file, l.path, l.size, l.nameSynced = f, path, 0, false
 	l.nextNumber++
 	return nil
 }
 
+// abandonFile ends the current file after a failed append, since records behind an
+// incomplete one are not read. The next append starts a new file. A file without records
+// is removed; otherwise each append to a full disk would leave one.
+func (l *Log) abandonFile(now time.Time) {
+	path, empty := l.path, l.size == 0
+	l.closeFile(now)
+	if !empty {
+		l.log.Warn("ledger file abandoned", "file", path, "bytes", l.size)
+		return
+	}
+	if err := l.fs.Remove(path); err != nil {
+		l.log.Warn("failed to remove empty ledger file", "file", path, "err", err)
+		return
+	}
+	l.closed = l.closed[:len(l.closed)-1]
+}
+
+// closeFile closes the current file.
+func (l *Log) closeFile(now time.Time) {
+	l.closed = append(l.closed, segment{path: l.path, closedAt: now})
+	if err := l.file.Close(); err != nil {
+		l.log.Warn("failed to close ledger file", "file", l.path, "err", err)
+	}
+	l.file = nil
+}
+
 // Trim removes the files that were closed before a time.
 func (l *Log) Trim(before time.Time) {
 	kept := l.closed[:0]
@@ -204,4 +238,9 @@
 }
 
 // Close closes the current file.
-func (l *Log) Close() error { return errors.Wrap(l.file.Close(), "close ledger file") }
+func (l *Log) Close() error {
+	if l.file == nil {
+		return nil
+	}
+	return errors.Wrap(l.file.Close(), "close ledger file")
+}
