--- a/pkg/ledger/log.go
+++ b/pkg/ledger/log.go
@@ -40,7 +40,7 @@
 	file       durable.File // nil until the next append
 	path       string       // of file
 	nameSynced bool         // the name of file is on disk
-	size       int
+	size       int          // of the synced records in file
 	nextNumber int
 	closed     []segment
 }
@@ -141,15 +141,21 @@
 			return err
 		}
 	}
-	n, err := l.file.Write(data)
-	if err != nil {
-		err = errors.Wrapf(err, "write ledger file at offset %d, %d of %d bytes written", l.size, n, len(data))
+	if err := l.writeSynced(data); err != nil {
 		l.abandonFile(now)
 		return err
 	}
 	l.size += len(data)
+	return nil
+}
+
+// writeSynced writes data to the current file and syncs it.
+func (l *Log) writeSynced(data []byte) error {
+	if n, err := l.file.Write(data); err != nil {
+		return errors.Wrapf(err, "write ledger file at offset %d, %d of %d bytes written", l.size, n, len(data))
+	}
 	if err := l.file.Sync(); err != nil {
-		return errors.Wrapf(err, "sync ledger file of %d bytes", l.size)
+		return errors.Wrapf(err, "sync ledger file at offset %d, %d bytes", l.size, len(data))
 	}
 	return l.syncName()
 }
@@ -193,11 +199,17 @@
 	return nil
 }
 
-// abandonFile ends the current file after a failed append, since records behind an
-// incomplete one are not read. The next append starts a new file. A file without records
-// is removed; otherwise each append to a full disk would leave one.
+// abandonFile ends the current file after a failed append: records behind an incomplete
+// one are not read, and after a failed sync the file may have a gap that no later sync
+// reports. The next append starts a new file. What the failed append left is cut off, so
+// that no start reads records from the memory of the operating system which the disk
+// lacks. A file without records is removed; otherwise each append to a full disk would
+// leave one.
 func (l *Log) abandonFile(now time.Time) {
 	path, empty := l.path, l.size == 0
+	if err := l.file.Truncate(int64(l.size)); err != nil {
+		l.log.Warn("failed to cut off a failed write", "file", path, "bytes", l.size, "err", err)
+	}
 	l.closeFile(now)
 	if !empty {
 		l.log.Warn("ledger file abandoned", "file", path, "bytes", l.size)
