--- a/pkg/ledger/disk_test.go
+++ b/pkg/ledger/disk_test.go
@@ -244,6 +244,29 @@
 	})
 }
 
+// Guards against a process that catches up and misses a record for good, since the member
+// that it copies from had received the record but not synced it.
+func TestPullWaitsForUnsyncedRecords(t *testing.T) {
+	onDisks(t, 1, func(t *testing.T, d *faultdisk.Disk) {
+		s, _ := startStore(t, d)
+		mustComplete(t, s)
+		release := holdSync(d)
+		go func() { _ = s.Write(t.Context(), []*peerv1.LedgerRecord{turnRecord("a", "")}) }()
+		synctest.Wait()
+		flushed := make(chan error, 1)
+		go func() { flushed <- s.Flush(t.Context()) }()
+		synctest.Wait()
+		if len(flushed) > 0 {
+			t.Error("Flush did not wait for the disk")
+		}
+		release(nil)
+		if err := <-flushed; err != nil || len(s.Chain("a")) != 1 {
+			t.Errorf("after Flush the turn is not read, %v", err)
+		}
+		d.SetFault(nil)
+	})
+}
+
 // Guards against records that a process reads at its start from a write that its
 // predecessor did not sync, hands to readers, and loses at the next power loss.
 func TestRecordsReadAtStartAreOnDisk(t *testing.T) {
--- a/pkg/ledger/server.go
+++ b/pkg/ledger/server.go
@@ -19,7 +19,7 @@
 // Serve handles the single request of a stream.
 func (s Server) Serve(ctx context.Context, st *transport.Stream, req *peerv1.LedgerRequest) error {
 	if p := req.GetPull(); p != nil {
-		return s.pull(st, p)
+		return s.pull(ctx, st, p)
 	}
 	return st.Send(replyEnvelope(s.handleAll(ctx, []*peerv1.LedgerRequest{req})[0]))
 }
@@ -120,8 +120,12 @@
 
 // pull sends the records that the requesting process does not have. It does so
 // even while this process is catching up; otherwise two processes that lost
-// records at the same time would wait for each other.
-func (s Server) pull(st *transport.Stream, p *peerv1.Pull) error {
+// records at the same time would wait for each other. Records that were received before
+// are waited for, since the requesting process reads each member only once.
+func (s Server) pull(ctx context.Context, st *transport.Stream, p *peerv1.Pull) error {
+	if err := s.Store.Flush(ctx); err != nil {
+		return err
+	}
 	have := make(map[uint64]bool, len(p.GetHave()))
 	for _, d := range p.GetHave() {
 		have[d] = true
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -136,14 +138,18 @@
 
 // Usage returns the usage records of a program. Settled records with zero tokens
 // are omitted, since a program that loops creates hundreds of them. Only the record of
-// the attempt origin is complete, with its origin; 0: none is.
-func (s *State) Usage(name string, origin uint64) []*peerv1.Usage {
-	p := s.programs[name]
-	if p == nil {
-		return nil
+// the attempt origin is complete, with its origin; 0: none is. Records that are not part
+// of the state yet may be added.
+func (s *State) Usage(name string, origin uint64, added ...*peerv1.Usage) []*peerv1.Usage {
+	var usage map[uint64]*peerv1.Usage
+	if p := s.programs[name]; p != nil {
+		usage = p.usage
+	}
+	if len(added) > 0 {
+		usage = MergeUsage(slices.Collect(maps.Values(usage)), added)
 	}
-	list := make([]*peerv1.Usage, 0, len(p.usage))
-	for _, u := range p.usage {
+	list := make([]*peerv1.Usage, 0, len(usage))
+	for _, u := range usage {
 		if origin != 0 && u.GetAttempt() == origin {
 			list = append(list, u)
 			continue
--- a/pkg/ledger/store.go
+++ b/pkg/ledger/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,9 +30,11 @@
 	logger  *slog.Logger
 	pending chan pendingWrite
 
-	mu      sync.Mutex
-	state   *State
-	leaving bool
+	mu    sync.Mutex
+	state *State // of the records that are synced to disk
+	// unsynced are the usage records of writes that wait for the disk.
+	unsynced unsyncedUsage
+	leaving  bool
 	// removed is set once another process has removed this one from the ledger.
 	removed bool
 	// suspendedTime returns for how long the machine was suspended in total. If that
@@ -55,7 +58,10 @@
 // OpenStoreOn opens the log in a folder and loads its records. Run must be called
 // before Write.
 func OpenStoreOn(fs durable.FS, dir string, logger *slog.Logger) (*Store, error) {
-	s := &Store{logger: logger, state: NewState(), pending: make(chan pendingWrite, writeQueueSize), suspendedTime: suspend.New().Total}
+	s := &Store{
+		logger: logger, state: NewState(), unsynced: make(unsyncedUsage),
+		pending: make(chan pendingWrite, writeQueueSize), suspendedTime: suspend.New().Total,
+	}
 	now := time.Now()
 	l, err := OpenLog(fs, dir, logger, now, func(rec *peerv1.LedgerRecord) { s.state.Apply(rec, now) })
 	s.log = l
@@ -95,35 +101,52 @@
 	}
 }
 
-// commit appends the records of several writes to the log with one sync.
+// commit appends the records of several writes to the log with one sync and then applies
+// them to the state.
 func (s *Store) commit(list []pendingWrite) {
 	var recs []*peerv1.LedgerRecord
 	for _, b := range list {
 		recs = append(recs, b.recs...)
 	}
-	err := s.log.Append(recs, time.Now())
+	now := time.Now()
+	var err error
+	if len(recs) > 0 {
+		err = s.log.Append(recs, now)
+	}
 	if err != nil {
 		s.logger.Error("ledger write failed", "records", len(recs), "err", err)
 	}
+	s.mu.Lock()
+	for _, r := range recs {
+		if err == nil {
+			s.state.Apply(r, now)
+		}
+		s.unsynced.remove(r)
+	}
+	s.mu.Unlock()
 	for _, b := range list {
 		b.done <- err
 	}
 }
 
-// Write applies records to the state immediately and returns once they are synced
-// to disk. Reads see them before the sync, so that of two concurrent reservations
-// at least one sees the other.
+// Write returns once records are synced to disk. Reads return them only then, since a
+// power loss may remove them before. The exception is Usage, which returns them at once,
+// so that of two concurrent reservations at least one sees the other.
 func (s *Store) Write(ctx context.Context, recs []*peerv1.LedgerRecord) error {
-	now := time.Now()
 	s.mu.Lock()
 	for _, r := range recs {
-		s.state.Apply(r, now)
+		s.unsynced.add(r)
 	}
 	s.mu.Unlock()
 	b := pendingWrite{recs: recs, done: make(chan error, 1)}
 	select {
 	case s.pending <- b:
 	case <-ctx.Done():
+		s.mu.Lock()
+		for _, r := range recs {
+			s.unsynced.remove(r)
+		}
+		s.mu.Unlock()
 		return errors.Wrap(ctx.Err(), "wait for the disk")
 	}
 	select {
@@ -134,6 +157,33 @@
 	}
 }
 
+// Flush waits until the writes that were received before are synced to disk or have
+// failed.
+func (s *Store) Flush(ctx context.Context) error { return s.Write(ctx, nil) }
+
+// unsyncedUsage holds the usage records that wait for the disk, by program.
+type unsyncedUsage map[string][]*peerv1.Usage
+
+func (u unsyncedUsage) add(rec *peerv1.LedgerRecord) {
+	if r := rec.GetUsage(); r != nil {
+		u[r.GetProgram()] = append(u[r.GetProgram()], r)
+	}
+}
+
+// remove removes one copy of a record.
+func (u unsyncedUsage) remove(rec *peerv1.LedgerRecord) {
+	r := rec.GetUsage()
+	list := u[r.GetProgram()]
+	i := slices.Index(list, r)
+	switch {
+	case r == nil || i < 0:
+	case len(list) == 1:
+		delete(u, r.GetProgram())
+	default:
+		u[r.GetProgram()] = slices.Delete(list, i, i+1)
+	}
+}
+
 // MarkComplete marks the log as complete: this process has all records that it
 // ever acknowledged.
 func (s *Store) MarkComplete(ctx context.Context) error {
@@ -252,11 +302,12 @@
 	return peerv1.LedgerReply_OK
 }
 
-// Usage returns the usage records of a program, as State.Usage does.
+// Usage returns the usage records of a program, as State.Usage does, with those that wait
+// for the disk.
 func (s *Store) Usage(program string, origin uint64) []*peerv1.Usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state.Usage(program, origin)
+	return s.state.Usage(program, origin, s.unsynced[program]...)
 }
 
 // Chain returns a turn and its ancestors as far as this process has them, oldest
