--- a/pkg/ledger/log.go
+++ b/pkg/ledger/log.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -60,11 +61,15 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "list ledger files")
 	}
+	names = slices.DeleteFunc(names, func(name string) bool {
+		ok, err := filepath.Match(segmentPattern, name)
+		return err != nil || !ok
+	})
+	if err := syncLast(fs, dir, names); err != nil {
+		return nil, err
+	}
 	l := &Log{fs: fs, dir: dir, log: logger}
 	for _, name := range names {
-		if ok, err := filepath.Match(segmentPattern, name); err != nil || !ok {
-			continue
-		}
 		path := filepath.Join(dir, name)
 		n, size, err := readSegment(fs, path, apply)
 		if err != nil {
@@ -81,6 +86,25 @@
 	return l, nil
 }
 
+// syncLast syncs the last file and the names of all. A process that was killed may have
+// left records in them that are read at the start but that no disk has. The older files
+// have no such records: a file is synced before the next one is created.
+func syncLast(fs durable.FS, dir string, names []string) error {
+	if len(names) == 0 {
+		return nil
+	}
+	path := filepath.Join(dir, names[len(names)-1])
+	f, err := fs.Open(path)
+	if err != nil {
+		return errors.Wrap(err, "open the last ledger file")
+	}
+	defer f.Close()
+	if err := f.Sync(); err != nil {
+		return errors.Wrapf(err, "sync %s", path)
+	}
+	return errors.Wrapf(fs.SyncFolder(dir), "sync folder %s", dir)
+}
+
 // readSegment passes the records of a file to apply. It returns their number and size,
 // and an error if it stopped before the end of the file.
 func readSegment(fs durable.FS, path string, apply func(*peerv1.LedgerRecord)) (n, size int, err error) {
