--- a/pkg/ledger/log.go
+++ b/pkg/ledger/log.go
@@ -44,6 +44,8 @@
 	size       int          // of the synced records in file
 	nextNumber int
 	closed     []segment
+	// unreadable are files that the disk did not return. The log lacks their records.
+	unreadable []string
 }
 
 // segment is a file that is no longer written.
@@ -65,19 +67,14 @@
 		ok, err := filepath.Match(segmentPattern, name)
 		return err != nil || !ok
 	})
-	if err := syncLast(fs, dir, names); err != nil {
-		return nil, err
-	}
 	l := &Log{fs: fs, dir: dir, log: logger}
-	for _, name := range names {
+	for i, name := range names {
 		path := filepath.Join(dir, name)
-		n, size, err := readSegment(fs, path, apply)
-		if err != nil {
-			logger.Warn("ledger file ends early", "file", path, "records", n, "offset", size, "err", err)
+		if l.readFile(path, i == len(names)-1, apply) {
+			l.closed = append(l.closed, segment{path: path, closedAt: now})
 		} else {
-			logger.Info("ledger file read", "file", path, "records", n, "bytes", size)
+			l.unreadable = append(l.unreadable, path)
 		}
-		l.closed = append(l.closed, segment{path: path, closedAt: now})
 		var number int
 		if _, err := fmt.Sscanf(name, segmentFormat, &number); err == nil {
 			l.nextNumber = max(l.nextNumber, number+1)
@@ -86,41 +83,73 @@
 	return l, nil
 }
 
+// readFile passes the records of a file to apply. It returns false if the disk failed,
+// so that records may be missing; a torn record at the end is no failure.
+func (l *Log) readFile(path string, last bool, apply func(*peerv1.LedgerRecord)) bool {
+	if last {
+		if err := l.syncLast(path); err != nil {
+			l.log.Error("ledger file unreadable", "file", path, "err", err)
+			return false
+		}
+	}
+	n, size, readErr, err := readSegment(l.fs, path, apply)
+	switch {
+	case readErr != nil:
+		l.log.Error("ledger file unreadable", "file", path, "records", n, "offset", size, "err", readErr)
+	case err != nil:
+		l.log.Warn("ledger file ends early", "file", path, "records", n, "offset", size, "err", err)
+	default:
+		l.log.Info("ledger file read", "file", path, "records", n, "bytes", size)
+	}
+	return readErr == nil
+}
+
 // syncLast syncs the last file and the names of all. A process that was killed may have
 // left records in them that are read at the start but that no disk has. The older files
 // have no such records: a file is synced before the next one is created.
-func syncLast(fs durable.FS, dir string, names []string) error {
-	if len(names) == 0 {
-		return nil
-	}
-	path := filepath.Join(dir, names[len(names)-1])
-	f, err := fs.Open(path)
+func (l *Log) syncLast(path string) error {
+	f, err := l.fs.Open(path)
 	if err != nil {
-		return errors.Wrap(err, "open the last ledger file")
+		return errors.Wrap(err, "open")
 	}
 	defer f.Close()
 	if err := f.Sync(); err != nil {
-		return errors.Wrapf(err, "sync %s", path)
+		return errors.Wrap(err, "sync")
+	}
+	return errors.Wrap(l.fs.SyncFolder(l.dir), "sync folder")
+}
+
+// diskReader keeps the error of a failed read.
+type diskReader struct {
+	file durable.File
+	err  error
+}
+
+func (r *diskReader) Read(p []byte) (int, error) {
+	n, err := r.file.Read(p)
+	if err != nil && err != io.EOF {
+		r.err = err
 	}
-	return errors.Wrapf(fs.SyncFolder(dir), "sync folder %s", dir)
+	return n, err
 }
 
 // readSegment passes the records of a file to apply. It returns their number and size,
-// and an error if it stopped before the end of the file.
-func readSegment(fs durable.FS, path string, apply func(*peerv1.LedgerRecord)) (n, size int, err error) {
+// and err if it stopped before the end of the file. readErr is set if the disk failed.
+func readSegment(fs durable.FS, path string, apply func(*peerv1.LedgerRecord)) (n, size int, readErr, err error) {
 	f, err := fs.Open(path)
 	if err != nil {
-		return 0, 0, errors.Wrap(err, "open")
+		return 0, 0, err, err
 	}
 	defer f.Close()
-	r := bufio.NewReader(f)
+	file := &diskReader{file: f}
+	r := bufio.NewReader(file)
 	for ; ; n++ {
 		rec, recordSize, err := readRecord(r)
 		if err == io.EOF {
-			return n, size, nil
+			return n, size, file.err, nil
 		}
 		if err != nil {
-			return n, size, err
+			return n, size, file.err, err
 		}
 		apply(rec)
 		size += recordSize
@@ -255,8 +284,28 @@
 	l.file = nil
 }
 
-// Trim removes the files that were closed before a time.
+// Intact reports whether all files were read at the start.
+func (l *Log) Intact() bool { return len(l.unreadable) == 0 }
+
+// RemoveUnreadable removes the files that could not be read. It must be called only once
+// their records are in the log again.
+func (l *Log) RemoveUnreadable() {
+	l.unreadable = slices.DeleteFunc(l.unreadable, func(path string) bool {
+		if err := l.fs.Remove(path); err != nil {
+			l.log.Warn("failed to remove unreadable ledger file", "file", path, "err", err)
+			return false
+		}
+		l.log.Info("unreadable ledger file removed", "file", path)
+		return true
+	})
+}
+
+// Trim removes the files that were closed before a time. It removes none while a file is
+// unreadable: after another start the file may be readable, and all of them count.
 func (l *Log) Trim(before time.Time) {
+	if !l.Intact() {
+		return
+	}
 	kept := l.closed[:0]
 	for _, s := range l.closed {
 		if !s.closedAt.Before(before) {
--- a/pkg/ledger/store.go
+++ b/pkg/ledger/store.go
@@ -64,8 +64,14 @@
 	}
 	now := time.Now()
 	l, err := OpenLog(fs, dir, logger, now, func(rec *peerv1.LedgerRecord) { s.state.Apply(rec, now) })
+	if err != nil {
+		return nil, err
+	}
 	s.log = l
-	return s, err
+	if !l.Intact() {
+		s.state.complete = false
+	}
+	return s, nil
 }
 
 // Run writes pending records to disk until the context is done.
@@ -123,7 +129,11 @@
 		}
 		s.unsynced.remove(r)
 	}
+	complete := s.state.Complete()
 	s.mu.Unlock()
+	if complete && !s.log.Intact() {
+		s.log.RemoveUnreadable()
+	}
 	for _, b := range list {
 		b.done <- err
 	}
