--- a/pkg/ledger/disk_test.go
+++ b/pkg/ledger/disk_test.go
@@ -431,7 +431,7 @@
 // BenchmarkAppend measures one synced batch on the machine's disk, with the start of a
 // new file each 16 MB, and the start of a new log.
 func BenchmarkAppend(b *testing.B) {
-	discard := func(*peerv1.LedgerRecord) {}
+	discard := func(int, *peerv1.LedgerRecord) {}
 	rec := turnRecord("a", "")
 	rec.GetTurn().Output = make([]byte, 8<<10)
 	recs := []*peerv1.LedgerRecord{rec, rec, rec, rec}
@@ -457,7 +457,7 @@
 			if err := l.Append(recs[:1], startTime); err != nil {
 				b.Fatal(err)
 			}
-			l.Trim(startTime.Add(time.Second))
+			l.Trim(startTime.Add(time.Second), removeAll)
 			_ = l.Close()
 		}
 	})
@@ -482,3 +482,29 @@
 		}
 	})
 }
+
+// Guards against a full disk that stays full: the records of one file can not be written
+// again, but files with expired records only must go.
+func TestTrimOnFullDisk(t *testing.T) {
+	onDisks(t, 1, func(t *testing.T, d *faultdisk.Disk) {
+		s, stop := startStore(t, d)
+		mustComplete(t, s)
+		stop()
+		s, stop = startStore(t, d)
+		large := turnRecord("large", "")
+		large.GetTurn().Input = make([]byte, carryBytes)
+		mustWrite(t, s, large)
+		stop()
+		s, stop = startStore(t, d)
+		d.SetCapacity(d.Used())
+		if s.Write(t.Context(), []*peerv1.LedgerRecord{turnRecord("a", "")}) == nil {
+			t.Error("a write to a full disk was acknowledged")
+		}
+		time.Sleep(fileRetention + 3*trimInterval)
+		mustWrite(t, s, turnRecord("b", ""))
+		stop()
+		d.PowerLoss()
+		s, _ = startStore(t, d)
+		expectTurns(t, s, "b")
+	})
+}
--- a/pkg/ledger/log.go
+++ b/pkg/ledger/log.go
@@ -40,6 +40,7 @@
 	log        *slog.Logger
 	file       durable.File // nil until the next append
 	path       string       // of file
+	number     int          // of the last file that was created
 	nameSynced bool         // the name of file is on disk
 	size       int          // of the synced records in file
 	nextNumber int
@@ -51,11 +52,13 @@
 // segment is a file that is no longer written.
 type segment struct {
 	path     string
+	number   int
 	closedAt time.Time // the start of this process if the file is older
 }
 
-// OpenLog passes the records of all files in a folder to apply.
-func OpenLog(fs durable.FS, dir string, logger *slog.Logger, now time.Time, apply func(*peerv1.LedgerRecord)) (*Log, error) {
+// OpenLog passes the records of all files in a folder to apply, with the number of their
+// file.
+func OpenLog(fs durable.FS, dir string, logger *slog.Logger, now time.Time, apply func(file int, rec *peerv1.LedgerRecord)) (*Log, error) {
 	if err := durable.MakeFolders(fs, dir); err != nil {
 		return nil, errors.Wrap(err, "create data folder")
 	}
@@ -70,15 +73,15 @@
 	l := &Log{fs: fs, dir: dir, log: logger}
 	for i, name := range names {
 		path := filepath.Join(dir, name)
-		if l.readFile(path, i == len(names)-1, apply) {
-			l.closed = append(l.closed, segment{path: path, closedAt: now})
-		} else {
-			l.unreadable = append(l.unreadable, path)
-		}
 		var number int
 		if _, err := fmt.Sscanf(name, segmentFormat, &number); err == nil {
 			l.nextNumber = max(l.nextNumber, number+1)
 		}
+		if l.readFile(path, i == len(names)-1, func(rec *peerv1.LedgerRecord) { apply(number, rec) }) {
+			l.closed = append(l.closed, segment{path: path, number: number, closedAt: now})
+		} else {
+			l.unreadable = append(l.unreadable, path)
+		}
 	}
 	return l, nil
 }
@@ -247,7 +250,7 @@
 	if err != nil {
 		return errors.Wrap(err, "create ledger file")
 	}
-	l.file, l.path, l.size, l.nameSynced = f, path, 0, false
+	l.file, l.path, l.number, l.size, l.nameSynced = f, path, l.nextNumber, 0, false
 	l.nextNumber++
 	return nil
 }
@@ -277,7 +280,7 @@
 
 // closeFile closes the current file.
 func (l *Log) closeFile(now time.Time) {
-	l.closed = append(l.closed, segment{path: l.path, closedAt: now})
+	l.closed = append(l.closed, segment{path: l.path, number: l.number, closedAt: now})
 	if err := l.file.Close(); err != nil {
 		l.log.Warn("failed to close ledger file", "file", l.path, "err", err)
 	}
@@ -300,26 +303,25 @@
 	})
 }
 
-// Trim removes the files that were closed before a time. It removes none while a file is
-// unreadable: after another start the file may be readable, and all of them count.
-func (l *Log) Trim(before time.Time) {
+// Trim removes the files that were closed before a time. It calls carry with the number
+// of each one, which appends the records that are still needed and returns false if the
+// file must stay. No file is removed while one is unreadable: after another start that
+// one may be readable, and all of them count.
+func (l *Log) Trim(before time.Time, carry func(file int) bool) {
 	if !l.Intact() {
 		return
 	}
-	kept := l.closed[:0]
-	for _, s := range l.closed {
-		if !s.closedAt.Before(before) {
-			kept = append(kept, s)
+	for _, s := range slices.Clone(l.closed) {
+		if !s.closedAt.Before(before) || !carry(s.number) {
 			continue
 		}
 		if err := l.fs.Remove(s.path); err != nil {
 			l.log.Warn("failed to remove ledger file", "file", s.path, "err", err)
-			kept = append(kept, s)
 			continue
 		}
 		l.log.Info("ledger file removed", "file", s.path, "closed_at", s.closedAt)
+		l.closed = slices.DeleteFunc(l.closed, func(c segment) bool { return c.path == s.path })
 	}
-	l.closed = kept
 }
 
 // Close closes the current file.
--- a/pkg/ledger/log_test.go
+++ b/pkg/ledger/log_test.go
@@ -14,7 +14,7 @@
 func openLog(t *testing.T, dir string) (*Log, []*peerv1.LedgerRecord) {
 	t.Helper()
 	var recs []*peerv1.LedgerRecord
-	l, err := OpenLog(durable.OS{}, dir, slog.New(slog.DiscardHandler), startTime, func(r *peerv1.LedgerRecord) { recs = append(recs, r) })
+	l, err := OpenLog(durable.OS{}, dir, slog.New(slog.DiscardHandler), startTime, func(_ int, r *peerv1.LedgerRecord) { recs = append(recs, r) })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -70,6 +70,9 @@
 	}
 }
 
+// removeAll lets Trim remove files without a look at their records.
+func removeAll(int) bool { return true }
+
 // Guards against files that are never removed.
 func TestLogTrim(t *testing.T) {
 	dir := t.TempDir()
@@ -78,11 +81,11 @@
 		t.Fatal(err)
 	}
 	l, _ = openLog(t, dir)
-	l.Trim(startTime)
+	l.Trim(startTime, removeAll)
 	if _, recs := openLog(t, dir); len(recs) != 1 {
 		t.Error("a file within its retention time was removed")
 	}
-	l.Trim(startTime.Add(1))
+	l.Trim(startTime.Add(1), removeAll)
 	if _, recs := openLog(t, dir); len(recs) != 0 {
 		t.Error("an expired file was not removed")
 	}
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -29,6 +29,10 @@
 	programs map[string]*programUsage
 	turns    map[string]*turn
 	complete bool
+	// completeFile is the number of the file with the mark of a complete log.
+	completeFile int
+	// file is the number of the file with the records that are applied next.
+	file int
 	// usageComplete is set if the state has all usage records that the process ever
 	// acknowledged. Turns may still be missing.
 	usageComplete bool
@@ -38,12 +42,14 @@
 type programUsage struct {
 	usage   map[uint64]*peerv1.Usage
 	expires time.Time
+	file    int // the oldest one with records of the program
 }
 
 // turn is a turn record with its expiry time.
 type turn struct {
 	record  *peerv1.TurnRecord
 	expires time.Time
+	file    int // the newest one with the record
 }
 
 // NewState returns an empty state.
@@ -62,7 +68,7 @@
 		s.applyUsage(b.Usage, now)
 	case *peerv1.LedgerRecord_Turn:
 		expires := now.Add(retention(b.Turn.GetRetentionMs()))
-		s.turns[b.Turn.GetId()] = &turn{record: b.Turn, expires: expires}
+		s.turns[b.Turn.GetId()] = &turn{record: b.Turn, expires: expires, file: s.file}
 		// All turns of a chain are kept as long as its last one.
 		id := b.Turn.GetParent()
 		for range maxChainTurns {
@@ -74,14 +80,14 @@
 			id = t.record.GetParent()
 		}
 	case *peerv1.LedgerRecord_Synced:
-		s.complete = true
+		s.complete, s.completeFile = true, s.file
 	}
 }
 
 func (s *State) applyUsage(u *peerv1.Usage, now time.Time) {
 	p := s.programs[u.GetProgram()]
 	if p == nil {
-		p = &programUsage{usage: make(map[uint64]*peerv1.Usage)}
+		p = &programUsage{usage: make(map[uint64]*peerv1.Usage), file: s.file}
 		s.programs[u.GetProgram()] = p
 	}
 	p.expires = now.Add(retention(u.GetRetentionMs()))
--- a/pkg/ledger/store.go
+++ b/pkg/ledger/store.go
@@ -17,8 +17,8 @@
 const (
 	// trimInterval is how often expired records and files are removed.
 	trimInterval = 5 * time.Second
-	// fileRetention is how long a file is kept after it was closed. It exceeds the
-	// retention time of the records in it.
+	// fileRetention is how long a file is kept after it was closed. Most records in it
+	// are expired then; the others are written again.
 	fileRetention  = 10 * time.Minute
 	writeQueueSize = 1024 // writes that wait for the disk
 )
@@ -63,7 +63,10 @@
 		pending: make(chan pendingWrite, writeQueueSize), suspendedTime: suspend.New().Total,
 	}
 	now := time.Now()
-	l, err := OpenLog(fs, dir, logger, now, func(rec *peerv1.LedgerRecord) { s.state.Apply(rec, now) })
+	l, err := OpenLog(fs, dir, logger, now, func(file int, rec *peerv1.LedgerRecord) {
+		s.state.file = file
+		s.state.Apply(rec, now)
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -83,11 +86,7 @@
 		case <-ctx.Done():
 			return s.log.Close()
 		case <-trim.C:
-			now := time.Now()
-			s.mu.Lock()
-			s.state.Expire(now)
-			s.mu.Unlock()
-			s.log.Trim(now.Add(-fileRetention))
+			s.trim(time.Now())
 		case b := <-s.pending:
 			s.commit(s.takePending(b))
 		}
@@ -123,6 +122,7 @@
 		s.logger.Error("ledger write failed", "records", len(recs), "err", err)
 	}
 	s.mu.Lock()
+	s.state.file = s.log.number
 	for _, r := range recs {
 		if err == nil {
 			s.state.Apply(r, now)
