--- a/pkg/standin/faultdisk/faultdisk.go
+++ b/pkg/standin/faultdisk/faultdisk.go
@@ -52,6 +52,7 @@
 // Disk is a simulated disk. The root folder always exists. It is safe for concurrent
 // use.
 type Disk struct {
+	seed     uint64
 	mu       sync.Mutex
 	rand     *rand.Rand
 	names    map[string]*node // as a running process sees them
@@ -81,10 +82,13 @@
 // New returns an empty disk.
 func New(seed uint64) *Disk {
 	return &Disk{
-		rand: rand.New(rand.NewPCG(seed, 0)), names: make(map[string]*node), onDisk: make(map[string]*node), counts: make(map[Op]int),
+		seed: seed, rand: rand.New(rand.NewPCG(seed, 0)), names: make(map[string]*node), onDisk: make(map[string]*node), counts: make(map[Op]int),
 	}
 }
 
+// Seed returns the seed of the disk.
+func (d *Disk) Seed() uint64 { return d.seed }
+
 // SetCapacity limits the size of all files together: a write beyond it is short and
 // fails with ErrFull. 0 removes the limit.
 func (d *Disk) SetCapacity(bytes int) {
