--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -149,6 +149,9 @@
 	if c.req.Program != "" {
 		args = append(args, "program", c.req.Program)
 	}
+	if c.req.ParentTurnID != "" {
+		args = append(args, "parent", c.req.ParentTurnID)
+	}
 	if c.req.LastEventID != "" {
 		args = append(args, "resumes", c.req.ResumedID, "after_event", c.req.LastEventID)
 	}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -105,4 +105,13 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`yucca_edge_ledger_seconds{step=%q,result=%q}`, step, result)).Update(took.Seconds())
 }
 
+// turnEnded counts a complete stream by whether its turn was durable when its response
+// ended.
+func (m *metrics) turnEnded(d durability) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_turns_total{durable=%q}`, string(d))).Inc()
+}
+
+// turnNotFound counts a request whose parent turn was not found.
+func (m *metrics) turnNotFound() { m.set.GetOrCreateCounter(`yucca_edge_turns_not_found_total`).Inc() }
+
 func (m *metrics) serve(w http.ResponseWriter, _ *http.Request) { m.set.WritePrometheus(w) }
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -74,7 +75,8 @@
 			}
 			t.commit()
 			c.log("stream answered", http.StatusOK, "upstream", m.ID, "version", m.SoftwareVersion, "events", s.events,
-				"begin_ms", t.beginDuration.Milliseconds(), "commit_ms", t.commitDuration.Milliseconds())
+				"begin_ms", t.beginDuration.Milliseconds(), "commit_ms", t.commitDuration.Milliseconds(),
+				"durable", string(t.durability), "stored_by", strings.Join(t.storedBy, ","))
 			c.e.metrics.recordEnd(c.kind(), "answered", time.Since(c.began))
 			return
 		case attempt.Retry:
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -28,6 +28,15 @@
 	maxTurnOutput = 4 << 20
 )
 
+// durability says whether a turn was durable when its response ended.
+type durability string
+
+const (
+	durabilityUnneeded durability = "unneeded" // the route keeps no history
+	durabilityYes      durability = "yes"
+	durabilityNo       durability = "no"
+)
+
 var errTurnTooLarge = errors.New("the output of the turn exceeds the size limit")
 
 // turn is one turn of a program: its reserved tokens, input and output.
@@ -44,6 +53,8 @@
 
 	beginDuration  time.Duration // wait for budget and history
 	commitDuration time.Duration // wait until the turn was durable
+	durability     durability    // when the response ended
+	storedBy       []string      // members of the ledger that acknowledged the turn by then
 }
 
 // beginTurn reserves the turn's tokens and prepends the earlier turns to its input.
@@ -68,6 +79,10 @@
 	case errors.Is(reserveErr, ledger.ErrOverBudget):
 		c.refuse(http.StatusPaymentRequired, 0, "budget spent")
 	case errors.Is(historyErr, ledger.ErrNotFound):
+		source, age := c.e.view.source(time.Now())
+		c.e.logger.Warn("turn not found", "id", c.req.ID, "parent", c.req.ParentTurnID, "err", historyErr,
+			"members", len(c.e.view.Storage()), "list_from", source, "list_age_ms", age.Milliseconds())
+		c.e.metrics.turnNotFound()
 		c.refuse(http.StatusNotFound, 0, "turn does not exist")
 	case reserveErr != nil && !c.hasBudget():
 		c.e.logger.Warn("origin of a stream not known", "id", c.req.ID, "resumes", c.req.ResumedID, "err", reserveErr)
@@ -180,11 +195,7 @@
 	}
 	earlier, err := e.ledger.Chain(ctx, id)
 	if errors.Is(err, ledger.ErrNotFound) {
-		if earlier, err = e.fetchTurnFromPeers(ctx, id); err == nil && earlier[0].GetParent() != "" {
-			var first []*peerv1.TurnRecord
-			first, err = e.ledger.Chain(ctx, earlier[0].GetParent())
-			earlier = append(first, earlier...)
-		}
+		earlier, err = e.chainFromPeers(ctx, id, err)
 	}
 	if err != nil {
 		return nil, err
@@ -195,6 +206,28 @@
 	return append(earlier, chain...), nil
 }
 
+// chainFromPeers returns a turn that no storage process has and all turns before it.
+// notFound is what the ledger returned for the turn; it is returned if no other edge has
+// the turn either.
+func (e *Edge) chainFromPeers(ctx context.Context, id string, notFound error) ([]*peerv1.TurnRecord, error) {
+	chain, err := e.fetchTurnFromPeers(ctx, id)
+	switch {
+	case errors.Is(err, ledger.ErrNotFound):
+		return nil, notFound
+	case err != nil:
+		return nil, err
+	}
+	e.logger.Warn("turn only found in the memory of another edge", "turn", id, "err", notFound)
+	if parent := chain[0].GetParent(); parent != "" {
+		first, err := e.ledger.Chain(ctx, parent)
+		if err != nil {
+			return nil, err
+		}
+		chain = append(first, chain...)
+	}
+	return chain, nil
+}
+
 // event counts an event that was delivered. It returns an error if the output of the
 // turn cannot be kept.
 func (t *turn) event(ev event) error {
@@ -227,6 +260,7 @@
 func (t *turn) commit() {
 	c := t.c
 	if !c.route.KeepsHistory || c.req.ID == "" {
+		t.durability = durabilityUnneeded
 		return
 	}
 	rec := &peerv1.TurnRecord{
@@ -239,21 +273,32 @@
 		t.settled = true
 		recs = append(recs, usageRecord(c.usage(t.tokens, true)))
 	}
-	done := make(chan error, 1)
+	type result struct {
+		receipt ledger.Receipt
+		err     error
+	}
+	done := make(chan result, 1)
 	began := time.Now()
-	defer func() { t.commitDuration = time.Since(began) }()
+	t.durability = durabilityNo
+	defer func() {
+		t.commitDuration = time.Since(began)
+		c.e.metrics.turnEnded(t.durability)
+	}()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), commitRetryTimeout)
 		defer cancel()
-		err := c.e.ledger.Write(ctx, c.req.Program, recs)
+		receipt, err := c.e.ledger.WriteWithReceipt(ctx, c.req.Program, recs)
 		c.e.metrics.ledger("commit", err, time.Since(began))
-		done <- err
+		done <- result{receipt, err}
 	}()
 	select {
-	case err := <-done:
-		if err != nil {
-			c.e.logger.Error("turn not durable", "id", c.req.ID, "err", err)
+	case res := <-done:
+		t.storedBy = res.receipt.Acknowledged
+		if res.err != nil {
+			c.e.logger.Error("turn not durable", "id", c.req.ID, "err", res.err)
+			return
 		}
+		t.durability = durabilityYes
 	case <-time.After(time.Until(c.deadline) - commitMargin):
 		c.e.logger.Warn("answer ends before its turn is durable", "id", c.req.ID)
 	}
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -255,6 +255,20 @@
 	return list
 }
 
+// source returns where the view's changes come from, and the time since this source was
+// known to be up to date.
+func (v *view) source(now time.Time) (from string, age time.Duration) {
+	var s Status
+	v.feedStatus(&s, now)
+	switch {
+	case s.WatchesStore:
+		return "store", s.CheckedAgo
+	case s.Follows != "":
+		return "peer " + s.Follows, s.CheckedAgo
+	}
+	return "none", now.Sub(v.started)
+}
+
 // Relays implements ledger.Directory. It returns some of the other edges.
 func (v *view) Relays() []string {
 	all := v.otherEdges()
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -53,10 +53,17 @@
 	"no coordinator of rate limits, using an equal share": true,
 }
 
+// aboutLedger are the events of any process that tell what became of a stored turn. They
+// are shown for requests that continue a turn.
+var aboutLedger = map[string]bool{
+	"started": true, "ended": true, "caught up": true, "records not received": true, "ledger write failed": true,
+	"taken out of the ledger": true, "member taken out": true, "retired": true, "turn only found in the memory of another edge": true,
+}
+
 const limitReason = "upstreams at their rate limit"
 
-// Request returns the lines that concern a request, and the other requests of
-// callers for the same stream, in the order of their time. It returns none if no log has a line of the request.
+// Request returns the lines that concern a request, the turn that it continues, and the
+// other requests of callers for the same stream, in the order of their time. It returns none if no log has a line of the request.
 func Request(id string, sources ...Source) ([]Line, error) {
 	var all []Line
 	for _, s := range sources {
@@ -70,6 +77,10 @@
 	sourceOf, upstreams := map[string]bool{}, map[string]bool{}
 	limited := false
 	related := sameStream(id, all)
+	parent := parentOf(id, all)
+	if parent != "" {
+		related[parent] = true
+	}
 	for _, l := range all {
 		if !related[l.fields["id"]] {
 			continue
@@ -85,10 +96,17 @@
 	first := slices.MinFunc(own, func(a, b Line) int { return a.Time.Compare(b.Time) }).Time
 	last := slices.MaxFunc(own, func(a, b Line) int { return a.Time.Compare(b.Time) }).Time
 	for _, l := range all {
-		if !sourceOf[l.Source] || l.Time.Before(first.Add(-before)) || l.Time.After(last) {
+		if l.Time.Before(first.Add(-before)) || l.Time.After(last) || related[l.fields["id"]] {
 			continue
 		}
 		msg := l.fields["msg"]
+		if parent != "" && aboutLedger[msg] {
+			own = append(own, l)
+			continue
+		}
+		if !sourceOf[l.Source] {
+			continue
+		}
 		if beliefs[msg] || aboutUpstream[msg] && upstreams[l.fields["upstream"]] || limited && aboutLimits[msg] {
 			own = append(own, l)
 		}
@@ -97,6 +115,16 @@
 	return own, nil
 }
 
+// parentOf returns the turn that a request continues; empty: none.
+func parentOf(id string, lines []Line) string {
+	for _, l := range lines {
+		if l.fields["id"] == id && l.fields["parent"] != "" {
+			return l.fields["parent"]
+		}
+	}
+	return ""
+}
+
 // sameStream returns the ids of the request, of the one whose stream it takes up, and of
 // all that take up the same stream.
 func sameStream(id string, lines []Line) map[string]bool {
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -78,3 +78,30 @@
 		}
 	}
 }
+
+const turnLog = `time=2026-10-18T07:31:00.000Z level=INFO msg="stream answered" id=t1 status=200 durable=no
+time=2026-10-18T07:31:02.000Z level=WARN msg="turn not found" id=t2 parent=t1 err="replies [s1:NOT_FOUND]: turn not found on any storage process"
+time=2026-10-18T07:31:02.000Z level=INFO msg="request ended by us" id=t2 status=404 parent=t1 why="turn does not exist"
+time=2026-10-18T07:31:02.000Z level=INFO msg="request answered" id=other status=200
+`
+
+const storageLog = `time=2026-10-18T07:31:01.000Z level=INFO msg=started node=s1 records=0 status=OK
+time=2026-10-18T07:31:01.500Z level=INFO msg="following" peer=edge-1
+`
+
+// Guards against a lost turn (issue 32) whose explanation lacks the answer of the turn or
+// the restart of a storage process that lost it.
+func TestLostTurn(t *testing.T) {
+	lines, err := Request("t2", Source{"edge-1", strings.NewReader(turnLog)}, Source{"storage-1", strings.NewReader(storageLog)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, l := range lines {
+		got = append(got, l.Source+" "+l.fields["msg"])
+	}
+	want := "edge-1 stream answered, storage-1 started, edge-1 turn not found, edge-1 request ended by us"
+	if strings.Join(got, ", ") != want {
+		t.Errorf("got %s, want %s", strings.Join(got, ", "), want)
+	}
+}
--- a/pkg/ledger/client.go
+++ b/pkg/ledger/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -125,7 +126,7 @@
 // members without a result. The request first goes to the members given by
 // initialFanOut, and to all others once one of these fails or the hedge delay
 // passes. A failed request is retried at the same member.
-func (c *Client) queryMembers(ctx context.Context, members []Member, need int, req *peerv1.LedgerRequest, enough func([]*peerv1.LedgerReply, int) bool) ([]*peerv1.LedgerReply, error) {
+func (c *Client) queryMembers(ctx context.Context, members []Member, need int, req *peerv1.LedgerRequest, enough func(replies []memberReply, left int) bool) ([]memberReply, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan memberReply, len(members))
@@ -141,13 +142,13 @@
 	start(first)
 	hedge := time.NewTimer(wait)
 	defer hedge.Stop()
-	var replies []*peerv1.LedgerReply
+	var replies []memberReply
 	for left := len(members); left > 0; {
 		select {
 		case res := <-results:
 			left--
 			if res.err == nil {
-				replies = append(replies, res.reply)
+				replies = append(replies, res)
 			}
 			if enough(replies, left) {
 				return replies, nil
@@ -160,11 +161,11 @@
 		case <-hedge.C:
 			start(len(members))
 		case <-ctx.Done():
-			return replies, errors.Wrapf(ErrNoMajority, "%v after %d replies (%d with status OK) from %d members, %d needed",
-				ctx.Err(), len(replies), countOK(replies), len(members), need)
+			return replies, errors.Wrapf(ErrNoMajority, "%v after replies [%s] from %d members, %d needed",
+				ctx.Err(), describe(replies), len(members), need)
 		}
 	}
-	return replies, ErrNoMajority
+	return replies, errors.Wrapf(ErrNoMajority, "replies [%s] from %d members, %d needed", describe(replies), len(members), need)
 }
 
 // initialFanOut returns how many of the members, nearest first, are asked at
@@ -254,180 +255,25 @@
 
 // countOK returns the number of replies with status OK, which are the ones that
 // count towards a quorum.
-func countOK(replies []*peerv1.LedgerReply) int {
-	n := 0
-	for _, r := range replies {
-		if r.GetStatus() == peerv1.LedgerReply_OK {
-			n++
-		}
-	}
-	return n
-}
-
-// Write stores records of one program at a quorum of its replica group.
-func (c *Client) Write(ctx context.Context, program string, recs []*peerv1.LedgerRecord) error {
-	members := c.sortByDistance(ReplicaGroup(c.directory.Storage(), program))
-	need := c.quorum(len(members))
-	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: recs}}}
-	_, err := c.queryMembers(ctx, members, need, req, func(r []*peerv1.LedgerReply, _ int) bool { return countOK(r) >= need })
-	return err
-}
-
-// WriteAll stores usage records of several programs, each at a quorum of its
-// replica group, with one request to each member. It returns the records that
-// were not stored at a quorum.
-func (c *Client) WriteAll(ctx context.Context, recs []*peerv1.LedgerRecord) []*peerv1.LedgerRecord {
-	all := c.directory.Storage()
-	perMember := make(map[Member][]int) // indexes of the records
-	for i, rec := range recs {
-		for _, m := range ReplicaGroup(all, rec.GetUsage().GetProgram()) {
-			perMember[m] = append(perMember[m], i)
-		}
-	}
-	type result struct {
-		records []int
-		ok      bool
-	}
-	results := make(chan result, len(perMember))
-	for m, indexes := range perMember {
-		batch := make([]*peerv1.LedgerRecord, 0, len(indexes))
-		for _, i := range indexes {
-			batch = append(batch, recs[i])
-		}
-		go func() {
-			res := c.requestWithRetry(ctx, m, &peerv1.LedgerRequest{
-				Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: batch}},
-			}, nil)
-			results <- result{records: indexes, ok: res.err == nil && res.reply.GetStatus() == peerv1.LedgerReply_OK}
-		}()
-	}
-	stored := make([]int, len(recs))
-	for range perMember {
-		r := <-results
-		if !r.ok {
-			continue
-		}
-		for _, i := range r.records {
-			stored[i]++
-		}
-	}
-	need := c.quorum(min(len(all), replicationFactor))
-	var failed []*peerv1.LedgerRecord
-	for i, rec := range recs {
-		if stored[i] < need {
-			failed = append(failed, rec)
-		}
-	}
-	return failed
-}
-
-// Reservation is the result of Reserve.
-type Reservation struct {
-	Spent int // tokens used by finished turns
-	// Origin is the origin of the stream that the attempt continues; nil: none is
-	// recorded.
-	Origin *peerv1.Origin
-}
-
-// Reserve reserves tokens of a program's budget for an attempt. It fails with
-// ErrOverBudget if the tokens do not fit, and with ErrNoMajority if no quorum replied
-// before the context was done. In both cases the reservation may remain stored. budget
-// is in tokens; 0: no limit. continues is the key of the attempt that began the stream
-// which this one continues; 0: none.
-func (c *Client) Reserve(ctx context.Context, u *peerv1.Usage, budget int, continues uint64) (Reservation, error) {
-	members := c.sortByDistance(ReplicaGroup(c.directory.Storage(), u.GetProgram()))
-	need := c.quorum(len(members))
-	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Reserve{Reserve: &peerv1.Reserve{Usage: u, Continues: continues}}}
-	replies, err := c.queryMembers(ctx, members, need, req, func(r []*peerv1.LedgerReply, _ int) bool { return countOK(r) >= need })
-	if err != nil {
-		return Reservation{}, err
-	}
-	lists := make([][]*peerv1.Usage, 0, len(replies))
-	for _, r := range replies {
-		lists = append(lists, r.GetUsage())
-	}
-	merged := MergeUsage(lists...)
-	res := Reservation{Spent: SpentTokens(merged), Origin: merged[continues].GetOrigin()}
-	if budget > 0 && !FitsBudget(merged, u.GetAttempt(), int(u.GetTokens()), budget) {
-		return res, ErrOverBudget
-	}
-	return res, nil
-}
-
-// Chain returns a turn and all its ancestors, oldest first. It fails with
-// ErrNotFound only if every active storage process replied that it does not have
-// the turn. The turns of one chain may be stored on different members, so Chain
-// assembles it from several requests; if an ancestor is missing it fails with
-// ErrNoMajority.
-func (c *Client) Chain(ctx context.Context, id string) ([]*peerv1.TurnRecord, error) {
-	var chain []*peerv1.TurnRecord
-	for len(chain) < maxChainTurns {
-		tail, err := c.tail(ctx, id)
-		if errors.Is(err, ErrNotFound) && len(chain) > 0 {
-			return nil, errors.Wrapf(ErrNoMajority, "ancestor turn %s is missing", id)
-		}
-		if err != nil {
-			return nil, err
-		}
-		chain = append(tail, chain...)
-		if id = tail[0].GetParent(); id == "" {
-			return chain, nil
-		}
-	}
-	return nil, errors.Wrapf(ErrNoMajority, "chain exceeds %d turns", maxChainTurns)
-}
+func countOK(replies []memberReply) int { return len(acknowledged(replies)) }
 
-// tail returns a turn and as many of its ancestors as one member has. It asks the
-// members of the own region first, to avoid sending large chains between regions.
-func (c *Client) tail(ctx context.Context, id string) ([]*peerv1.TurnRecord, error) {
-	members := c.directory.Storage()
-	local := make([]Member, 0, len(members))
-	for _, m := range members {
-		if m.Local {
-			local = append(local, m)
-		}
-	}
-	if len(local) > 0 && len(local) < len(members) {
-		localCtx, cancel := context.WithTimeout(ctx, localFetchTimeout)
-		chain, err := c.tailFrom(localCtx, local, id)
-		cancel()
-		if err == nil {
-			return chain, nil
-		}
-	}
-	return c.tailFrom(ctx, members, id)
-}
-
-// tailFrom asks the given members for a turn and its ancestors.
-func (c *Client) tailFrom(ctx context.Context, members []Member, id string) ([]*peerv1.TurnRecord, error) {
-	if len(members) == 0 {
-		return nil, ErrNoMajority
-	}
-	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Fetch{Fetch: &peerv1.FetchChain{Turn: id}}}
-	replies, err := c.queryMembers(ctx, members, 1, req, func(r []*peerv1.LedgerReply, left int) bool { return replyWithTurns(r) != nil || left == 0 })
-	if r := replyWithTurns(replies); r != nil {
-		return r.GetTurns(), nil
-	}
-	if err != nil {
-		return nil, err
-	}
+// acknowledged returns the names of the members that replied with status OK.
+func acknowledged(replies []memberReply) []string {
+	var names []string
 	for _, r := range replies {
-		if r.GetStatus() != peerv1.LedgerReply_NOT_FOUND {
-			return nil, ErrNoMajority
+		if r.reply.GetStatus() == peerv1.LedgerReply_OK {
+			names = append(names, r.member.Name)
 		}
 	}
-	if len(replies) < len(members) || len(members) < 2*c.tolerated+1 {
-		return nil, ErrNoMajority
-	}
-	return nil, ErrNotFound
+	return names
 }
 
-// replyWithTurns returns the first reply that contains turns, or nil.
-func replyWithTurns(replies []*peerv1.LedgerReply) *peerv1.LedgerReply {
+// describe lists the members with the status that each replied, for logs and errors.
+func describe(replies []memberReply) string {
+	parts := make([]string, 0, len(replies))
 	for _, r := range replies {
-		if len(r.GetTurns()) > 0 {
-			return r
-		}
+		parts = append(parts, r.member.Name+":"+r.reply.GetStatus().String())
 	}
-	return nil
+	slices.Sort(parts)
+	return strings.Join(parts, ",")
 }
--- a/soak/plant_test.go
+++ b/soak/plant_test.go
@@ -30,7 +30,8 @@
 	},
 	{
 		"acknowledge before durable", "../pkg/edge/turn.go",
-		"err := c.e.ledger.Write(ctx, c.req.Program, recs)", "done <- nil\n\t\ttime.Sleep(400 * time.Millisecond)\n\t\terr := c.e.ledger.Write(ctx, c.req.Program, recs)",
+		"receipt, err := c.e.ledger.WriteWithReceipt(ctx, c.req.Program, recs)",
+		"done <- result{}\n\t\ttime.Sleep(400 * time.Millisecond)\n\t\treceipt, err := c.e.ledger.WriteWithReceipt(ctx, c.req.Program, recs)",
 		"was answered whole",
 	},
 	{
