--- a/pkg/ledger/write.go
+++ b/pkg/ledger/write.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 )
@@ -19,13 +23,76 @@
 }
 
 // WriteWithReceipt stores records as Write does and returns which members acknowledged
-// them, also if they are too few.
+// them, also if they are too few. If the list of members changes before a quorum has
+// acknowledged, it asks the replica group of the new list. Only the context limits it.
 func (c *Client) WriteWithReceipt(ctx context.Context, program string, recs []*peerv1.LedgerRecord) (Receipt, error) {
-	members := c.sortByDistance(ReplicaGroup(c.directory.Storage(), program))
-	need := c.quorum(len(members))
+	for {
+		receipt, err := c.writeToGroup(ctx, program, recs)
+		if err == nil || ctx.Err() != nil {
+			return receipt, err
+		}
+		select {
+		case <-ctx.Done():
+			return receipt, err
+		case <-time.After(retryDelay):
+		}
+	}
+}
+
+// writeToGroup stores records at a quorum of the program's current replica group. It
+// fails once that group has changed or cannot be a quorum.
+func (c *Client) writeToGroup(ctx context.Context, program string, recs []*peerv1.LedgerRecord) (Receipt, error) {
+	group := ReplicaGroup(c.directory.Storage(), program)
+	need := c.quorum(len(group))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go c.cancelOnChange(ctx, cancel, program, group)
 	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: recs}}}
-	replies, err := c.queryMembers(ctx, members, need, req, func(r []memberReply, _ int) bool { return countOK(r) >= need })
-	return Receipt{Acknowledged: acknowledged(replies), Asked: len(members)}, err
+	replies, err := c.queryMembers(ctx, c.sortByDistance(group), need, req, func(r []memberReply, _ int) bool { return countOK(r) >= need })
+	receipt := Receipt{Acknowledged: acknowledged(replies), Asked: len(group)}
+	if err == nil && c.countListed(receipt.Acknowledged) < need {
+		err = errors.Wrapf(ErrNoMajority, "members that acknowledged were taken out, replies [%s]", describe(replies))
+	}
+	return receipt, err
+}
+
+// groupCheckInterval is how often a write that waits for members checks whether its
+// replica group has changed.
+const groupCheckInterval = 100 * time.Millisecond
+
+// cancelOnChange calls cancel once the replica group of a program differs from group. It
+// returns when the context is done.
+func (c *Client) cancelOnChange(ctx context.Context, cancel func(), program string, group []Member) {
+	t := time.NewTicker(groupCheckInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if !sameMembers(ReplicaGroup(c.directory.Storage(), program), group) {
+			cancel()
+			return
+		}
+	}
+}
+
+// sameMembers reports whether two lists without duplicates have the same members.
+func sameMembers(a, b []Member) bool {
+	missing := func(m Member) bool { return !slices.Contains(b, m) }
+	return len(a) == len(b) && !slices.ContainsFunc(a, missing)
+}
+
+// countListed returns how many of the named members are in the current list.
+func (c *Client) countListed(names []string) int {
+	n := 0
+	for _, m := range c.directory.Storage() {
+		if slices.Contains(names, m.Name) {
+			n++
+		}
+	}
+	return n
 }
 
 // WriteAll stores usage records of several programs, each at a quorum of its
