--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -28,6 +28,9 @@
 	minGapStall    = 300 * time.Millisecond
 )
 
+// whyNotDurable is the reason for breaking off a stream whose turn is not stored.
+const whyNotDurable = "turn not durable"
+
 var (
 	errEventOrder = errors.New("events are missing or out of order")
 	errCallerLeft = errors.New("the caller closed its connection")
@@ -73,11 +76,7 @@
 				c.deliver(resp, body)
 				return
 			}
-			t.commit()
-			c.log("stream answered", http.StatusOK, "upstream", m.ID, "version", m.SoftwareVersion, "events", s.events,
-				"begin_ms", t.beginDuration.Milliseconds(), "commit_ms", t.commitDuration.Milliseconds(),
-				"durable", string(t.durability), "stored_by", strings.Join(t.storedBy, ","))
-			c.e.metrics.recordEnd(c.kind(), "answered", time.Since(c.began))
+			s.end(m)
 			return
 		case attempt.Retry:
 		default:
@@ -87,6 +86,24 @@
 	}
 }
 
+// end ends the response to a complete stream once its turn is durable, and breaks it off
+// if the turn cannot be made durable.
+func (s *stream) end(m *fleet.Member) {
+	c, t := s.c, s.turn
+	if !t.commit() {
+		if c.callerGone() {
+			c.log("caller left", 0, "commit_ms", t.commitDuration.Milliseconds(), "durable", string(t.durability))
+			c.e.metrics.recordEnd(c.kind(), "caller_left", time.Since(c.began))
+			return
+		}
+		c.fail(attempt.GiveUp, whyNotDurable)
+	}
+	c.log("stream answered", http.StatusOK, "upstream", m.ID, "version", m.SoftwareVersion, "events", s.events,
+		"begin_ms", t.beginDuration.Milliseconds(), "commit_ms", t.commitDuration.Milliseconds(),
+		"durable", string(t.durability), "stored_by", strings.Join(t.storedBy, ","))
+	c.e.metrics.recordEnd(c.kind(), "answered", time.Since(c.began))
+}
+
 // place chooses an upstream of the version that the stream is bound to. While the stream
 // has not begun, it may move to another version if none of its own is left.
 func (s *stream) place() (*fleet.Member, string) {
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,17 +19,18 @@
 	// longer than the storage processes need to restart after being killed at the
 	// same time.
 	ledgerTimeout = 1200 * time.Millisecond
-	// commitMargin is how long before the caller's deadline a response ends even if
-	// its turn is not durable yet; the write continues.
-	commitMargin = 200 * time.Millisecond
-	// commitRetryTimeout limits the write that continues after the response.
+	// lateCommit is how long after the request's deadline a response may still end whole
+	// because its turn has become durable. It is below the quarter of a second by which
+	// a route's timeout may be exceeded.
+	lateCommit = 200 * time.Millisecond
+	// commitRetryTimeout limits the write of a stream's origin beside its first attempt.
 	commitRetryTimeout = 60 * time.Second
 	// maxTurnOutput limits the output of one turn in bytes, so that its ledger record
 	// fits into one message.
 	maxTurnOutput = 4 << 20
 )
 
-// durability says whether a turn was durable when its response ended.
+// durability says whether a turn was durable at the end of its response.
 type durability string
 
 const (
@@ -53,7 +55,7 @@
 
 	beginDuration  time.Duration // wait for budget and history
 	commitDuration time.Duration // wait until the turn was durable
-	durability     durability    // when the response ended
+	durability     durability    // at the end of the response
 	storedBy       []string      // members of the ledger that acknowledged the turn by then
 }
 
@@ -256,21 +258,22 @@
 	t.c.e.settler.add(usageRecord(t.c.usage(t.tokens, true)))
 }
 
-// commit makes a complete turn durable before its response ends.
-func (t *turn) commit() {
+// commit makes a complete turn durable before its response ends. It returns false if a
+// quorum has not acknowledged the turn by the request's deadline, or if the caller left
+// before: the response must not end as a complete one then, since a later turn would not
+// find this one. Its tokens are settled like those of a turn that broke off.
+func (t *turn) commit() bool {
 	c := t.c
 	if !c.route.KeepsHistory || c.req.ID == "" {
 		t.durability = durabilityUnneeded
-		return
+		return true
 	}
 	rec := &peerv1.TurnRecord{
 		Id: c.req.ID, Parent: c.req.ParentTurnID, Input: t.input, Output: t.output,
 		RetentionMs: uint32(c.route.Retention.Milliseconds()),
 	}
-	c.e.turns.Add(rec.GetId(), rec)
 	recs := []*peerv1.LedgerRecord{{Body: &peerv1.LedgerRecord_Turn{Turn: rec}}}
 	if t.reserved {
-		t.settled = true
 		recs = append(recs, usageRecord(c.usage(t.tokens, true)))
 	}
 	type result struct {
@@ -279,27 +282,40 @@
 	}
 	done := make(chan result, 1)
 	began := time.Now()
-	t.durability = durabilityNo
-	defer func() {
-		t.commitDuration = time.Since(began)
-		c.e.metrics.turnEnded(t.durability)
-	}()
+	// The write goes on if the caller leaves, which may have read the last event and
+	// continue from this turn.
+	ctx, cancel := context.WithDeadline(context.Background(), later(c.deadline, began).Add(lateCommit))
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), commitRetryTimeout)
 		defer cancel()
 		receipt, err := c.e.ledger.WriteWithReceipt(ctx, c.req.Program, recs)
 		c.e.metrics.ledger("commit", err, time.Since(began))
+		if err == nil {
+			// Not earlier: a turn that continues this one would be stored without it.
+			c.e.turns.Add(rec.GetId(), rec)
+		}
 		done <- result{receipt, err}
 	}()
+	t.durability = durabilityNo
 	select {
 	case res := <-done:
 		t.storedBy = res.receipt.Acknowledged
 		if res.err != nil {
-			c.e.logger.Error("turn not durable", "id", c.req.ID, "err", res.err)
-			return
+			c.e.logger.Error("turn not durable", "id", c.req.ID, "stored_by", strings.Join(t.storedBy, ","), "err", res.err)
+			break
 		}
 		t.durability = durabilityYes
-	case <-time.After(time.Until(c.deadline) - commitMargin):
-		c.e.logger.Warn("answer ends before its turn is durable", "id", c.req.ID)
+		t.settled = true
+	case <-c.r.Context().Done():
+	}
+	t.commitDuration = time.Since(began)
+	c.e.metrics.turnEnded(t.durability)
+	return t.durability == durabilityYes
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
