--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,16 +19,26 @@
 	// longer than the storage processes need to restart after being killed at the
 	// same time.
 	ledgerTimeout = 1200 * time.Millisecond
-	// commitMargin is how long before the caller's deadline a response ends even if
-	// its turn is not durable yet; the write continues.
-	commitMargin = 200 * time.Millisecond
-	// commitRetryTimeout limits the write that continues after the response.
+	// lateCommit is how long after the request's deadline a response may still end whole
+	// because its turn has become durable. It is below the quarter of a second by which
+	// a route's timeout may be exceeded.
+	lateCommit = 200 * time.Millisecond
+	// commitRetryTimeout limits the write of a stream's origin beside its first attempt.
 	commitRetryTimeout = 60 * time.Second
 	// maxTurnOutput limits the output of one turn in bytes, so that its ledger record
 	// fits into one message.
 	maxTurnOutput = 4 << 20
 )
 
+// durability says whether a turn was durable at the end of its response.
+type durability string
+
+const (
+	durabilityUnneeded durability = "unneeded" // the route keeps no history
+	durabilityYes      durability = "yes"
+	durabilityNo       durability = "no"
+)
+
 var errTurnTooLarge = errors.New("the output of the turn exceeds the size limit")
 
 // turn is one turn of a program: its reserved tokens, input and output.
@@ -44,6 +55,8 @@
 
 	beginDuration  time.Duration // wait for budget and history
 	commitDuration time.Duration // wait until the turn was durable
+	durability     durability    // at the end of the response
+	storedBy       []string      // members of the ledger that acknowledged the turn by then
 }
 
 // beginTurn reserves the turn's tokens and prepends the earlier turns to its input.
@@ -68,6 +81,10 @@
 	case errors.Is(reserveErr, ledger.ErrOverBudget):
 		c.refuse(http.StatusPaymentRequired, 0, "budget spent")
 	case errors.Is(historyErr, ledger.ErrNotFound):
+		source, age := c.e.view.source(time.Now())
+		c.e.logger.Warn("turn not found", "id", c.req.ID, "parent", c.req.ParentTurnID, "err", historyErr,
+			"members", len(c.e.view.Storage()), "list_from", source, "list_age_ms", age.Milliseconds())
+		c.e.metrics.turnNotFound()
 		c.refuse(http.StatusNotFound, 0, "turn does not exist")
 	case reserveErr != nil && !c.hasBudget():
 		c.e.logger.Warn("origin of a stream not known", "id", c.req.ID, "resumes", c.req.ResumedID, "err", reserveErr)
@@ -180,11 +197,7 @@
 	}
 	earlier, err := e.ledger.Chain(ctx, id)
 	if errors.Is(err, ledger.ErrNotFound) {
-		if earlier, err = e.fetchTurnFromPeers(ctx, id); err == nil && earlier[0].GetParent() != "" {
-			var first []*peerv1.TurnRecord
-			first, err = e.ledger.Chain(ctx, earlier[0].GetParent())
-			earlier = append(first, earlier...)
-		}
+		earlier, err = e.chainFromPeers(ctx, id, err)
 	}
 	if err != nil {
 		return nil, err
@@ -195,6 +208,28 @@
 	return append(earlier, chain...), nil
 }
 
+// chainFromPeers returns a turn that no storage process has and all turns before it.
+// notFound is what the ledger returned for the turn; it is returned if no other edge has
+// the turn either.
+func (e *Edge) chainFromPeers(ctx context.Context, id string, notFound error) ([]*peerv1.TurnRecord, error) {
+	chain, err := e.fetchTurnFromPeers(ctx, id)
+	switch {
+	case errors.Is(err, ledger.ErrNotFound):
+		return nil, notFound
+	case err != nil:
+		return nil, err
+	}
+	e.logger.Warn("turn only found in the memory of another edge", "turn", id, "err", notFound)
+	if parent := chain[0].GetParent(); parent != "" {
+		first, err := e.ledger.Chain(ctx, parent)
+		if err != nil {
+			return nil, err
+		}
+		chain = append(first, chain...)
+	}
+	return chain, nil
+}
+
 // event counts an event that was delivered. It returns an error if the output of the
 // turn cannot be kept.
 func (t *turn) event(ev event) error {
@@ -223,38 +258,64 @@
 	t.c.e.settler.add(usageRecord(t.c.usage(t.tokens, true)))
 }
 
-// commit makes a complete turn durable before its response ends.
-func (t *turn) commit() {
+// commit makes a complete turn durable before its response ends. It returns false if a
+// quorum has not acknowledged the turn by the request's deadline, or if the caller left
+// before: the response must not end as a complete one then, since a later turn would not
+// find this one. Its tokens are settled like those of a turn that broke off.
+func (t *turn) commit() bool {
 	c := t.c
 	if !c.route.KeepsHistory || c.req.ID == "" {
-		return
+		t.durability = durabilityUnneeded
+		return true
 	}
 	rec := &peerv1.TurnRecord{
 		Id: c.req.ID, Parent: c.req.ParentTurnID, Input: t.input, Output: t.output,
 		RetentionMs: uint32(c.route.Retention.Milliseconds()),
 	}
-	c.e.turns.Add(rec.GetId(), rec)
 	recs := []*peerv1.LedgerRecord{{Body: &peerv1.LedgerRecord_Turn{Turn: rec}}}
 	if t.reserved {
-		t.settled = true
 		recs = append(recs, usageRecord(c.usage(t.tokens, true)))
 	}
-	done := make(chan error, 1)
+	type result struct {
+		receipt ledger.Receipt
+		err     error
+	}
+	done := make(chan result, 1)
 	began := time.Now()
-	defer func() { t.commitDuration = time.Since(began) }()
+	// The write goes on if the caller leaves, which may have read the last event and
+	// continue from this turn.
+	ctx, cancel := context.WithDeadline(context.Background(), later(c.deadline, began).Add(lateCommit))
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), commitRetryTimeout)
 		defer cancel()
-		err := c.e.ledger.Write(ctx, c.req.Program, recs)
+		receipt, err := c.e.ledger.WriteWithReceipt(ctx, c.req.Program, recs)
 		c.e.metrics.ledger("commit", err, time.Since(began))
-		done <- err
+		if err == nil {
+			// Not earlier: a turn that continues this one would be stored without it.
+			c.e.turns.Add(rec.GetId(), rec)
+		}
+		done <- result{receipt, err}
 	}()
+	t.durability = durabilityNo
 	select {
-	case err := <-done:
-		if err != nil {
-			c.e.logger.Error("turn not durable", "id", c.req.ID, "err", err)
+	case res := <-done:
+		t.storedBy = res.receipt.Acknowledged
+		if res.err != nil {
+			c.e.logger.Error("turn not durable", "id", c.req.ID, "stored_by", strings.Join(t.storedBy, ","), "err", res.err)
+			break
 		}
-	case <-time.After(time.Until(c.deadline) - commitMargin):
-		c.e.logger.Warn("answer ends before its turn is durable", "id", c.req.ID)
+		t.durability = durabilityYes
+		t.settled = true
+	case <-c.r.Context().Done():
+	}
+	t.commitDuration = time.Since(began)
+	c.e.metrics.turnEnded(t.durability)
+	return t.durability == durabilityYes
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
--- /dev/null
+++ b/pkg/ledger/write.go
@@ -0,0 +1,177 @@
+package ledger
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+)
+
+// Receipt names the members that acknowledged a write.
+type Receipt struct {
+	Acknowledged []string
+	Asked        int // members of the replica group
+}
+
+// Write stores records of one program at a quorum of its replica group.
+func (c *Client) Write(ctx context.Context, program string, recs []*peerv1.LedgerRecord) error {
+	_, err := c.WriteWithReceipt(ctx, program, recs)
+	return err
+}
+
+// WriteWithReceipt stores records as Write does and returns which members acknowledged
+// them, also if they are too few. If the list of members changes before a quorum has
+// acknowledged, it asks the replica group of the new list. Only the context limits it.
+func (c *Client) WriteWithReceipt(ctx context.Context, program string, recs []*peerv1.LedgerRecord) (Receipt, error) {
+	for {
+		receipt, err := c.writeToGroup(ctx, program, recs)
+		if err == nil || ctx.Err() != nil {
+			return receipt, err
+		}
+		select {
+		case <-ctx.Done():
+			return receipt, err
+		case <-time.After(retryDelay):
+		}
+	}
+}
+
+// writeToGroup stores records at a quorum of the program's current replica group. It
+// fails once that group has changed or cannot be a quorum.
+func (c *Client) writeToGroup(ctx context.Context, program string, recs []*peerv1.LedgerRecord) (Receipt, error) {
+	group := ReplicaGroup(c.directory.Storage(), program)
+	need := c.quorum(len(group))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go c.cancelOnChange(ctx, cancel, program, group)
+	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: recs}}}
+	replies, err := c.queryMembers(ctx, c.sortByDistance(group), need, req, func(r []memberReply, _ int) bool { return countOK(r) >= need })
+	receipt := Receipt{Acknowledged: acknowledged(replies), Asked: len(group)}
+	if err == nil && c.countListed(receipt.Acknowledged) < need {
+		err = errors.Wrapf(ErrNoMajority, "members that acknowledged were taken out, replies [%s]", describe(replies))
+	}
+	return receipt, err
+}
+
+// groupCheckInterval is how often a write that waits for members checks whether its
+// replica group has changed.
+const groupCheckInterval = 100 * time.Millisecond
+
+// cancelOnChange calls cancel once the replica group of a program differs from group. It
+// returns when the context is done.
+func (c *Client) cancelOnChange(ctx context.Context, cancel func(), program string, group []Member) {
+	t := time.NewTicker(groupCheckInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if !sameMembers(ReplicaGroup(c.directory.Storage(), program), group) {
+			cancel()
+			return
+		}
+	}
+}
+
+// sameMembers reports whether two lists without duplicates have the same members.
+func sameMembers(a, b []Member) bool {
+	missing := func(m Member) bool { return !slices.Contains(b, m) }
+	return len(a) == len(b) && !slices.ContainsFunc(a, missing)
+}
+
+// countListed returns how many of the named members are in the current list.
+func (c *Client) countListed(names []string) int {
+	n := 0
+	for _, m := range c.directory.Storage() {
+		if slices.Contains(names, m.Name) {
+			n++
+		}
+	}
+	return n
+}
+
+// WriteAll stores usage records of several programs, each at a quorum of its
+// replica group, with one request to each member. It returns the records that
+// were not stored at a quorum.
+func (c *Client) WriteAll(ctx context.Context, recs []*peerv1.LedgerRecord) []*peerv1.LedgerRecord {
+	all := c.directory.Storage()
+	perMember := make(map[Member][]int) // indexes of the records
+	for i, rec := range recs {
+		for _, m := range ReplicaGroup(all, rec.GetUsage().GetProgram()) {
+			perMember[m] = append(perMember[m], i)
+		}
+	}
+	type result struct {
+		records []int
+		ok      bool
+	}
+	results := make(chan result, len(perMember))
+	for m, indexes := range perMember {
+		batch := make([]*peerv1.LedgerRecord, 0, len(indexes))
+		for _, i := range indexes {
+			batch = append(batch, recs[i])
+		}
+		go func() {
+			res := c.requestWithRetry(ctx, m, &peerv1.LedgerRequest{
+				Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: batch}},
+			}, nil)
+			results <- result{records: indexes, ok: res.err == nil && res.reply.GetStatus() == peerv1.LedgerReply_OK}
+		}()
+	}
+	stored := make([]int, len(recs))
+	for range perMember {
+		r := <-results
+		if !r.ok {
+			continue
+		}
+		for _, i := range r.records {
+			stored[i]++
+		}
+	}
+	need := c.quorum(min(len(all), ReplicationFactor))
+	var failed []*peerv1.LedgerRecord
+	for i, rec := range recs {
+		if stored[i] < need {
+			failed = append(failed, rec)
+		}
+	}
+	return failed
+}
+
+// Reservation is the result of Reserve.
+type Reservation struct {
+	Spent int // tokens used by finished turns
+	// Origin is the origin of the stream that the attempt continues; nil: none is
+	// recorded.
+	Origin *peerv1.Origin
+}
+
+// Reserve reserves tokens of a program's budget for an attempt. It fails with
+// ErrOverBudget if the tokens do not fit, and with ErrNoMajority if no quorum replied
+// before the context was done. In both cases the reservation may remain stored. budget
+// is in tokens; 0: no limit. continues is the key of the attempt that began the stream
+// which this one continues; 0: none.
+func (c *Client) Reserve(ctx context.Context, u *peerv1.Usage, budget int, continues uint64) (Reservation, error) {
+	members := c.sortByDistance(ReplicaGroup(c.directory.Storage(), u.GetProgram()))
+	need := c.quorum(len(members))
+	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Reserve{Reserve: &peerv1.Reserve{Usage: u, Continues: continues}}}
+	replies, err := c.queryMembers(ctx, members, need, req, func(r []memberReply, _ int) bool { return countOK(r) >= need })
+	if err != nil {
+		return Reservation{}, err
+	}
+	lists := make([][]*peerv1.Usage, 0, len(replies))
+	for _, r := range replies {
+		lists = append(lists, r.reply.GetUsage())
+	}
+	merged := MergeUsage(lists...)
+	res := Reservation{Spent: SpentTokens(merged), Origin: merged[continues].GetOrigin()}
+	if budget > 0 && !FitsBudget(merged, u.GetAttempt(), int(u.GetTokens()), budget) {
+		return res, ErrOverBudget
+	}
+	return res, nil
+}
