--- a/pkg/config/distributor.go
+++ b/pkg/config/distributor.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/durable"
 	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
 )
 
@@ -205,32 +206,14 @@
 	return err
 }
 
-// Save keeps a version in a data folder. It takes the place of the one before
-// as a whole.
+// Save keeps a version in a data folder. It replaces the previous version as a whole and
+// returns after it is synced to disk.
 func Save(folder string, version uint64, text []byte) error {
 	data, err := json.Marshal(Versioned{Version: version, Text: text})
 	if err != nil {
 		return errors.Wrap(err, "config: keep")
 	}
-	name := filepath.Join(folder, savedFile)
-	f, err := os.CreateTemp(folder, savedFile+".tmp-*")
-	if err != nil {
-		return errors.Wrap(err, "config: keep")
-	}
-	_, err = f.Write(data)
-	if err == nil {
-		err = f.Sync()
-	}
-	if cerr := f.Close(); err == nil {
-		err = cerr
-	}
-	if err == nil {
-		err = os.Rename(f.Name(), name)
-	}
-	if err != nil {
-		_ = os.Remove(f.Name())
-	}
-	return errors.Wrapf(err, "config: keep %s", name)
+	return errors.Wrap(durable.WriteFile(filepath.Join(folder, savedFile), data), "config: keep")
 }
 
 // Load returns the version in a data folder, or version 0 if there is none.
--- a/pkg/durable/durable.go
+++ b/pkg/durable/durable.go
@@ -3,27 +3,50 @@
 package durable
 
 import (
-	"os"
 	"path/filepath"
 
-	"github.com/google/renameio/v2"
 	"github.com/pkg/errors"
 )
 
-const fileMode = 0o640
+const (
+	fileMode = 0o640
+	// temporaryPrefix begins the name of a file that is not complete yet.
+	temporaryPrefix = ".tmp-"
+)
+
+// WriteFile atomically replaces the content of a file on the machine's disk, as
+// WriteFileOn does.
+func WriteFile(path string, data []byte) error { return WriteFileOn(OS{}, path, data) }
 
-// WriteFile atomically replaces the content of a file. It returns after the new
-// content and the file name are synced to disk.
-func WriteFile(path string, data []byte) error {
+// WriteFileOn atomically replaces the content of a file. It returns after the new
+// content and the file name are synced to disk. Only one call for a file may run at a
+// time.
+func WriteFileOn(fs FS, path string, data []byte) error {
 	folder := filepath.Dir(path)
-	if err := renameio.WriteFile(path, data, fileMode, renameio.WithTempDir(folder)); err != nil {
+	temporary := filepath.Join(folder, temporaryPrefix+filepath.Base(path))
+	if err := writeSynced(fs, temporary, data); err != nil {
+		_ = fs.Remove(temporary) // the next call replaces what is left
+		return errors.Wrapf(err, "write %s", temporary)
+	}
+	if err := fs.Rename(temporary, path); err != nil {
+		_ = fs.Remove(temporary)
 		return errors.Wrapf(err, "write %s", path)
 	}
 	// The rename is durable only after the folder is synced.
-	d, err := os.Open(folder)
+	return errors.Wrapf(fs.SyncFolder(folder), "sync %s", folder)
+}
+
+func writeSynced(fs FS, path string, data []byte) error {
+	f, err := fs.Create(path)
 	if err != nil {
-		return errors.Wrapf(err, "open %s", folder)
+		return err
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
 	}
-	defer d.Close()
-	return errors.Wrapf(d.Sync(), "sync %s", folder)
+	return err
 }
--- a/pkg/journal/folder.go
+++ b/pkg/journal/folder.go
@@ -12,6 +12,7 @@
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/durable"
 )
 
 // folder keeps retained batches in plain files,
@@ -22,7 +23,7 @@
 
 func openFolder(data string) (*folder, error) {
 	f := &folder{filepath.Join(data, "retained")}
-	return f, errors.Wrap(os.MkdirAll(f.root, 0o750), "journal: data folder")
+	return f, errors.Wrap(durable.MakeFolders(durable.OS{}, f.root), "journal: data folder")
 }
 
 func (f *folder) dir(inc core.Incarnation) string { return filepath.Join(f.root, string(inc)) }
@@ -37,43 +38,15 @@
 
 // write makes a file durable before it becomes visible under its name.
 func (f *folder) write(name string, data []byte) error {
-	if err := os.MkdirAll(filepath.Dir(name), 0o750); err != nil {
+	if err := durable.MakeFolders(durable.OS{}, filepath.Dir(name)); err != nil {
 		return errors.Wrap(err, "journal: data folder")
 	}
-	tmp, err := os.CreateTemp(filepath.Dir(name), ".tmp-*")
-	if err != nil {
-		return errors.Wrap(err, "journal: data folder")
-	}
-	_, err = tmp.Write(data)
-	if err == nil {
-		err = tmp.Sync()
-	}
-	if cerr := tmp.Close(); err == nil {
-		err = cerr
-	}
-	if err == nil {
-		err = os.Rename(tmp.Name(), name)
-	}
-	if err != nil {
-		_ = os.Remove(tmp.Name())
-		return errors.Wrapf(err, "journal: write %s", name)
-	}
-	for _, dir := range []string{filepath.Dir(name), f.root} {
-		if err := syncDir(dir); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// syncDir makes the names in a folder durable.
-func syncDir(name string) error {
-	d, err := os.Open(name)
-	if err != nil {
+	if err := durable.WriteFile(name, data); err != nil {
 		return errors.Wrap(err, "journal: data folder")
 	}
-	defer d.Close()
-	return errors.Wrap(d.Sync(), "journal: data folder")
+	// An earlier process may have ended between the creation of the journal's folder and
+	// the sync of its name.
+	return errors.Wrap(durable.OS{}.SyncFolder(f.root), "journal: data folder")
 }
 
 func (f *folder) remove(inc core.Incarnation, object uint64) { _ = os.Remove(f.file(inc, object)) }
