--- a/pkg/ledger/carry.go
+++ b/pkg/ledger/carry.go
@@ -18,9 +18,24 @@
 	s.mu.Lock()
 	s.state.Expire(now)
 	s.mu.Unlock()
+	s.removeUnreadable()
 	s.log.Trim(now.Add(-fileRetention), s.carry)
 }
 
+// removeUnreadable removes the files that could not be read once the process has caught
+// up.
+func (s *Store) removeUnreadable() {
+	if s.log.Intact() {
+		return
+	}
+	s.mu.Lock()
+	complete := s.state.Complete()
+	s.mu.Unlock()
+	if complete {
+		s.log.RemoveUnreadable(s.carry)
+	}
+}
+
 // carry writes the records again that the state holds and that are lost with a file. It
 // returns false if that failed. Peers' writes go on meanwhile.
 func (s *Store) carry(file int) bool {
--- a/pkg/ledger/faults_test.go
+++ b/pkg/ledger/faults_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -132,7 +134,7 @@
 // send what it has.
 func (p *faultPlay) catchUp() {
 	p.disk.SetCapacity(0)
-	for id := range p.kept {
+	for _, id := range slices.Sorted(maps.Keys(p.kept)) {
 		if len(p.s.Chain(id)) > 0 {
 			continue
 		}
--- a/pkg/ledger/log.go
+++ b/pkg/ledger/log.go
@@ -46,7 +46,7 @@
 	nextNumber int
 	closed     []segment
 	// unreadable are files that the disk did not return. The log lacks their records.
-	unreadable []string
+	unreadable []segment
 }
 
 // segment is a file that is no longer written.
@@ -80,7 +80,7 @@
 		if l.readFile(path, i == len(names)-1, func(rec *peerv1.LedgerRecord) { apply(number, rec) }) {
 			l.closed = append(l.closed, segment{path: path, number: number, closedAt: now})
 		} else {
-			l.unreadable = append(l.unreadable, path)
+			l.unreadable = append(l.unreadable, segment{path: path, number: number})
 		}
 	}
 	return l, nil
@@ -291,16 +291,20 @@
 func (l *Log) Intact() bool { return len(l.unreadable) == 0 }
 
 // RemoveUnreadable removes the files that could not be read. It must be called only once
-// their records are in the log again.
-func (l *Log) RemoveUnreadable() {
-	l.unreadable = slices.DeleteFunc(l.unreadable, func(path string) bool {
-		if err := l.fs.Remove(path); err != nil {
-			l.log.Warn("failed to remove unreadable ledger file", "file", path, "err", err)
-			return false
+// the log is complete without the part that was not read. The records that were read are
+// passed on by carry, as for Trim.
+func (l *Log) RemoveUnreadable(carry func(file int) bool) {
+	for _, s := range slices.Clone(l.unreadable) {
+		if !carry(s.number) {
+			continue
 		}
-		l.log.Info("unreadable ledger file removed", "file", path)
-		return true
-	})
+		if err := l.fs.Remove(s.path); err != nil {
+			l.log.Warn("failed to remove unreadable ledger file", "file", s.path, "err", err)
+			continue
+		}
+		l.log.Info("unreadable ledger file removed", "file", s.path)
+		l.unreadable = slices.DeleteFunc(l.unreadable, func(u segment) bool { return u.path == s.path })
+	}
 }
 
 // Trim removes the files that were closed before a time. It calls carry with the number
--- a/pkg/ledger/store.go
+++ b/pkg/ledger/store.go
@@ -89,6 +89,7 @@
 			s.trim(time.Now())
 		case b := <-s.pending:
 			s.commit(s.takePending(b))
+			s.removeUnreadable()
 		}
 	}
 }
@@ -129,11 +130,7 @@
 		}
 		s.unsynced.remove(r)
 	}
-	complete := s.state.Complete()
 	s.mu.Unlock()
-	if complete && !s.log.Intact() {
-		s.log.RemoveUnreadable()
-	}
 	for _, b := range list {
 		b.done <- err
 	}
