--- a/pkg/durable/fs.go
+++ b/pkg/durable/fs.go
@@ -18,7 +18,6 @@
 	Create(path string) (File, error)
 	// Open opens an existing file. It is not changed, but may be synced.
 	Open(path string) (File, error)
-	Rename(from, to string) error
 	Remove(path string) error
 	// List returns the names in a folder, sorted.
 	List(folder string) ([]string, error)
@@ -56,9 +55,6 @@
 	return f, nil
 }
 
-// Rename implements FS.
-func (OS) Rename(from, to string) error { return os.Rename(from, to) }
-
 // Remove implements FS.
 func (OS) Remove(path string) error { return os.Remove(path) }
 
@@ -86,20 +82,18 @@
 }
 
 // MakeFolders creates a folder and its parents as far as they are missing. The names of
-// those that it creates are synced to disk.
+// those that it creates are synced to disk. A folder that exists is only listed, since
+// its parent may not be writable.
 func MakeFolders(fs FS, path string) error {
-	err := fs.MakeFolder(path)
-	if errors.Is(err, os.ErrNotExist) && filepath.Dir(path) != path {
-		if err := MakeFolders(fs, filepath.Dir(path)); err != nil {
-			return err
-		}
-		err = fs.MakeFolder(path)
+	parent := filepath.Dir(path)
+	if _, err := fs.List(path); err == nil || parent == path {
+		return err
 	}
-	if errors.Is(err, os.ErrExist) {
-		return nil
+	if err := MakeFolders(fs, parent); err != nil {
+		return err
 	}
-	if err != nil {
+	if err := fs.MakeFolder(path); err != nil {
 		return errors.Wrapf(err, "create folder %s", path)
 	}
-	return errors.Wrapf(fs.SyncFolder(filepath.Dir(path)), "sync folder %s", filepath.Dir(path))
+	return errors.Wrapf(fs.SyncFolder(parent), "sync folder %s", parent)
 }
--- a/pkg/standin/faultdisk/faultdisk.go
+++ b/pkg/standin/faultdisk/faultdisk.go
@@ -271,7 +271,7 @@
 	return &file{disk: d, path: path, node: n, start: d.starts}, nil
 }
 
-// Rename implements durable.FS.
+// Rename renames a file. It is not part of durable.FS.
 func (d *Disk) Rename(from, to string) error {
 	from, to = filepath.Clean(from), filepath.Clean(to)
 	if err := d.begin(OpRename, to); err != nil {
