--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"path/filepath"
 	"sync/atomic"
 	"time"
 
@@ -56,6 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
+	removeTemporary(settings, logger)
 	s := &Storage{settings: settings, logger: logger, ledger: l, snapshot: loadSnapshot(settings, logger)}
 	s.store.Store(platform.NewStore(settings.StoreAddress))
 	s.members = newMembers(settings, logger)
@@ -68,6 +70,20 @@
 	return s, err
 }
 
+// removeTemporary removes what killed processes have left in the data folder. It is not
+// essential, so an error is only logged.
+func removeTemporary(settings *platform.Settings, logger *slog.Logger) {
+	for _, name := range []string{snapshotFile, evidenceFile} {
+		n, err := durable.RemoveTemporary(filepath.Join(settings.DataDir, name))
+		if err != nil {
+			logger.Warn("failed to remove temporary files", "name", name, "err", err)
+		}
+		if n > 0 {
+			logger.Info("temporary files removed", "name", name, "files", n)
+		}
+	}
+}
+
 func (s *Storage) hello() *peerv1.Hello {
 	return &peerv1.Hello{
 		Instance: s.settings.Node, Role: string(platform.RoleStorage), Region: s.settings.Region,
