--- a/pkg/durable/durable.go
+++ b/pkg/durable/durable.go
@@ -3,7 +3,10 @@
 package durable
 
 import (
+	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -50,3 +53,26 @@
 	}
 	return err
 }
+
+// RemoveTemporary removes the temporary files that processes of earlier builds have left
+// which were killed in WriteFile of a path. It returns their number.
+func RemoveTemporary(path string) (int, error) {
+	folder := filepath.Dir(path)
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return 0, errors.Wrap(err, "list temporary files")
+	}
+	removed := 0
+	for _, e := range entries {
+		// They had a random number at the end of the name.
+		suffix, ok := strings.CutPrefix(e.Name(), "."+filepath.Base(path))
+		if _, err := strconv.ParseUint(suffix, 10, 64); !ok || err != nil {
+			continue
+		}
+		if err := os.Remove(filepath.Join(folder, e.Name())); err != nil {
+			return removed, errors.Wrap(err, "remove temporary file")
+		}
+		removed++
+	}
+	return removed, nil
+}
--- a/pkg/ledger/carry.go
+++ b/pkg/ledger/carry.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -18,9 +20,24 @@
 	s.mu.Lock()
 	s.state.Expire(now)
 	s.mu.Unlock()
+	s.removeUnreadable()
 	s.log.Trim(now.Add(-fileRetention), s.carry)
 }
 
+// removeUnreadable removes the files that could not be read once the process has caught
+// up.
+func (s *Store) removeUnreadable() {
+	if s.log.Intact() {
+		return
+	}
+	s.mu.Lock()
+	complete := s.state.Complete()
+	s.mu.Unlock()
+	if complete {
+		s.log.RemoveUnreadable(s.carry)
+	}
+}
+
 // carry writes the records again that the state holds and that are lost with a file. It
 // returns false if that failed. Peers' writes go on meanwhile.
 func (s *Store) carry(file int) bool {
@@ -30,6 +47,14 @@
 	if len(recs) == 0 {
 		return true
 	}
+	// A fixed order makes plays of failing disks reproducible.
+	slices.SortFunc(recs, func(a, b *peerv1.LedgerRecord) int {
+		return cmp.Or(
+			cmp.Compare(a.GetTurn().GetId(), b.GetTurn().GetId()),
+			cmp.Compare(a.GetUsage().GetProgram(), b.GetUsage().GetProgram()),
+			cmp.Compare(a.GetUsage().GetAttempt(), b.GetUsage().GetAttempt()),
+		)
+	})
 	first := -1 // file with the first batch
 	for batch, rest := splitRecords(recs); len(batch) > 0; batch, rest = splitRecords(rest) {
 		if err := s.log.Append(batch, time.Now()); err != nil {
