--- a/pkg/edge/caller.go
+++ b/pkg/edge/caller.go
@@ -65,3 +65,31 @@
 	}
 	return false
 }
+
+// beginOnConn counts the request on its connection.
+func (c *call) beginOnConn() {
+	c.conn = callerConnOf(c.r.Context())
+	if c.conn == nil {
+		return
+	}
+	c.onConn = c.conn.requests.Add(1)
+	c.writtenBefore = c.conn.written.Load()
+}
+
+// connAttrs returns the state of the caller's connection for a log line: how reading from
+// it ended, which request on it this is, and the bytes of this answer that were sent.
+func (c *call) connAttrs() []any {
+	if c.conn == nil {
+		return nil
+	}
+	return []any{"conn", c.conn.end().String(), "on_conn", c.onConn, "sent_bytes", c.conn.written.Load() - c.writtenBefore}
+}
+
+// logCallerLeft records a request whose caller has disconnected.
+func (c *call) logCallerLeft() {
+	c.log("caller left", 0, c.connAttrs()...)
+	c.e.metrics.recordEnd(c.kind(), "caller_left", time.Since(c.began))
+	if c.conn != nil {
+		c.e.metrics.callerLeft(c.conn.end().String())
+	}
+}
--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -109,8 +109,7 @@
 	c.e.withFleet(func(f *fleet.Fleet) { f.RecordEnd(m) })
 	c.removeIsolated(m.ID)
 	c.trackLost(poison.Run{ID: m.ID, StartedUnixMs: m.StartedUnixMs})
-	c.log("caller left", 0)
-	c.e.metrics.recordEnd(c.kind(), "caller_left", time.Since(c.began))
+	c.logCallerLeft()
 }
 
 // classifyError returns the outcome of an attempt without a response. detectStall is
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -68,6 +68,7 @@
 	limits    *limitExchanger
 	metrics   *metrics
 	transit   *membudget.Budget
+	inFlight  *inFlight
 
 	mu    sync.Mutex // guards fleet
 	fleet *fleet.Fleet
@@ -100,6 +101,7 @@
 		fleet:         fleet.New(settings.FailureDomain, settings.RegionOf, time.Now()),
 		metrics:       newMetrics(),
 		transit:       membudget.New(transitLimit(settings.MemoryMB)),
+		inFlight:      newInFlight(),
 		suspendedTime: suspend.New().Total,
 	}
 	e.metrics.transit(e.transit)
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -30,6 +30,7 @@
 	e       *Edge
 	w       http.ResponseWriter
 	r       *http.Request
+	conn    *callerConn // nil in tests that call the handler directly
 	req     platform.Request
 	route   *routing.Route
 	table   *routing.Table
@@ -39,6 +40,9 @@
 	// read and not yet delivered; nil: none.
 	responseHold *membudget.Reservation
 	began        time.Time
+	// onConn is the number of this request on its connection, from 1; writtenBefore is
+	// how many bytes were written there before it.
+	onConn, writtenBefore int64
 	// deadline is the earlier of the caller's deadline and the end of the route's
 	// timeout.
 	deadline time.Time
@@ -62,6 +66,9 @@
 // serve handles one request of a caller.
 func (e *Edge) serve(w http.ResponseWriter, r *http.Request) {
 	c := &call{e: e, w: w, r: r, req: platform.DecodeRequest(r.Header), began: time.Now(), triedUpstreams: make(map[string]bool)}
+	c.beginOnConn()
+	e.inFlight.add(c)
+	defer e.inFlight.remove(c)
 	if e.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -164,7 +171,7 @@
 // fail ends a request for which no upstream response can be delivered.
 func (c *call) fail(a attempt.Action, why string) {
 	if c.headSent {
-		c.log("answer broken off", http.StatusOK, "why", why)
+		c.log("answer broken off", http.StatusOK, append([]any{"why", why}, c.connAttrs()...)...)
 		c.e.metrics.recordEnd(c.kind(), "broken_off", time.Since(c.began))
 		panic(http.ErrAbortHandler)
 	}
@@ -196,7 +203,7 @@
 	c.headSent = true
 	for _, piece := range body {
 		if _, err := c.w.Write(piece); err != nil {
-			c.e.logger.Debug("response not delivered", "id", c.req.ID, "err", err)
+			c.log("response not delivered", resp.Status, append([]any{"err", err}, c.connAttrs()...)...)
 			break
 		}
 	}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -27,6 +27,17 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_attempts_total{outcome=%q}`, outcome)).Inc()
 }
 
+// callerLeft counts a caller that disconnected before its answer, by how reading from its
+// connection ended.
+func (m *metrics) callerLeft(end string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_callers_left_total{conn=%q}`, end)).Inc()
+}
+
+// cutAtStop counts requests that were still without an answer at the end of a stop.
+func (m *metrics) cutAtStop(n int) {
+	m.set.GetOrCreateCounter(`yucca_edge_cut_at_stop_total`).Add(n)
+}
+
 // suspectFinding counts findings about requests that were in flight during a crash.
 func (m *metrics) suspectFinding(finding string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_suspects_total{finding=%q}`, finding)).Inc()
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -35,7 +35,9 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(e.logger.Handler(), slog.LevelDebug),
+		// net/http reports panics of handlers and failed accepts here, nothing regular.
+		ErrorLog:    slog.NewLogLogger(e.logger.Handler(), slog.LevelWarn),
+		ConnContext: withCallerConn,
 	}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.ReadinessPath, e.serveReadiness)
@@ -61,6 +63,9 @@
 		// Servers that were drained are closed already. This closes them after a
 		// failed start.
 		defer s.server.Close()
+		if tcp, ok := ln.(*net.TCPListener); ok && s.server == callers {
+			ln = &callerListener{TCPListener: tcp}
+		}
 		wg.Go(func() {
 			if err := s.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 				e.logger.Error("server failed", "address", s.address, "err", err)
@@ -87,7 +92,9 @@
 	defer cancel()
 	err := callers.Shutdown(ctx)
 	if err != nil {
-		e.logger.Warn("shutdown interrupted requests", "err", err)
+		n, ids := e.inFlight.ids()
+		e.logger.Warn("shutdown interrupted requests", "err", err, "requests", n, "ids", ids)
+		e.metrics.cutAtStop(n)
 		return errors.Wrap(callers.Close(), "close callers' connections")
 	}
 	e.logger.Info("drained", "took", time.Since(began))
