--- a/pkg/edge/callerconn.go
+++ b/pkg/edge/callerconn.go
@@ -18,7 +18,7 @@
 	connOpen     connEnd = iota
 	connFinished         // the caller closed the connection, or its sending half: a server can't tell these apart
 	connReset
-	connTimedOut // our read deadline, or the keep-alive of the kernel
+	connTimedOut   // our read deadline, or the keep-alive of the kernel
 	connClosedHere // this edge closed it
 	connFailed
 )
