--- a/pkg/edge/caller.go
+++ b/pkg/edge/caller.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/membudget"
+	"github.com/yuccaspindle/yuccaspindle/platform"
 )
 
 const (
@@ -85,6 +86,20 @@
 	return []any{"conn", c.conn.end().String(), "on_conn", c.onConn, "sent_bytes", c.conn.written.Load() - c.writtenBefore}
 }
 
+// abandon ends a request whose caller has closed its connection, or only its sending half.
+// In the second case it still reads: if the handler returned without an answer, net/http
+// would write an empty success, or end a stream as if it were complete.
+func (c *call) abandon() {
+	c.logCallerLeft()
+	if c.headSent {
+		panic(http.ErrAbortHandler)
+	}
+	platform.SetLocalResponseHeader(c.w.Header(), c.req.ID, 0)
+	c.w.Header().Set("Content-Length", "0")
+	c.w.Header().Set("Connection", "close")
+	c.w.WriteHeader(http.StatusBadGateway)
+}
+
 // logCallerLeft records a request whose caller has disconnected.
 func (c *call) logCallerLeft() {
 	c.log("caller left", 0, c.connAttrs()...)
--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -104,12 +104,12 @@
 	return action
 }
 
-// recordCancel records an attempt that ended because the caller disconnected.
-func (c *call) recordCancel(m *fleet.Member) {
+// cancelAttempt ends a request and its attempt because the caller disconnected.
+func (c *call) cancelAttempt(m *fleet.Member) {
 	c.e.withFleet(func(f *fleet.Fleet) { f.RecordEnd(m) })
 	c.removeIsolated(m.ID)
 	c.trackLost(poison.Run{ID: m.ID, StartedUnixMs: m.StartedUnixMs})
-	c.logCallerLeft()
+	c.abandon()
 }
 
 // classifyError returns the outcome of an attempt without a response. detectStall is
--- a/pkg/edge/plain.go
+++ b/pkg/edge/plain.go
@@ -29,8 +29,8 @@
 			return
 		}
 		resp, body, o, err := c.runAttempt(m)
-		if c.callerGone() {
-			c.recordCancel(m)
+		if o != attempt.Answered && c.callerGone() {
+			c.cancelAttempt(m)
 			return
 		}
 		switch a := c.recordEnd(m, o, resp, err); a {
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -62,8 +62,8 @@
 			c.e.affinity.Add(key, m.ID)
 		}
 		resp, body, o, err := s.runAttempt(m)
-		if c.callerGone() || errors.Is(err, errCallerLeft) {
-			c.recordCancel(m)
+		if errors.Is(err, errCallerLeft) || o != attempt.Answered && c.callerGone() {
+			c.cancelAttempt(m)
 			return
 		}
 		switch a := c.recordEnd(m, o, resp, err); a {
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -64,7 +64,7 @@
 	t.beginDuration = time.Since(c.began)
 	switch {
 	case c.callerGone():
-		c.logCallerLeft()
+		c.abandon()
 	case errors.Is(reserveErr, ledger.ErrOverBudget):
 		c.refuse(http.StatusPaymentRequired, 0, "budget spent")
 	case errors.Is(historyErr, ledger.ErrNotFound):
