--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/attempt"
@@ -66,6 +67,7 @@
 // serve handles one request of a caller.
 func (e *Edge) serve(w http.ResponseWriter, r *http.Request) {
 	c := &call{e: e, w: w, r: r, req: platform.DecodeRequest(r.Header), began: time.Now(), triedUpstreams: make(map[string]bool)}
+	defer c.recoverPanic()
 	c.beginOnConn()
 	e.inFlight.add(c)
 	defer e.inFlight.remove(c)
@@ -185,6 +187,25 @@
 	}
 }
 
+// recoverPanic answers a request whose handling failed because of a fault of the edge:
+// net/http would close the connection without an answer. Streams that have begun break
+// off.
+func (c *call) recoverPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v == http.ErrAbortHandler {
+		panic(v)
+	}
+	c.e.logger.Error("request failed because of a fault of the edge", "id", c.req.ID, "panic", v, "stack", string(debug.Stack()))
+	c.e.metrics.handlerPanic()
+	if c.headSent {
+		panic(http.ErrAbortHandler)
+	}
+	c.respond(http.StatusBadGateway, 0, "fault of the edge")
+}
+
 // callerGone reports whether the caller has disconnected.
 func (c *call) callerGone() bool { return c.r.Context().Err() != nil }
 
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -33,6 +33,9 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_callers_left_total{conn=%q}`, end)).Inc()
 }
 
+// handlerPanic counts a request that failed because of a fault of the edge.
+func (m *metrics) handlerPanic() { m.set.GetOrCreateCounter(`yucca_edge_panics_total`).Inc() }
+
 // cutAtStop counts requests that were still without an answer at the end of a stop.
 func (m *metrics) cutAtStop(n int) {
 	m.set.GetOrCreateCounter(`yucca_edge_cut_at_stop_total`).Add(n)
