--- a/pkg/edge/caller.go
+++ b/pkg/edge/caller.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"net/http"
 	"os"
 	"time"
@@ -86,7 +87,16 @@
 	return []any{"conn", c.conn.end().String(), "on_conn", c.onConn, "sent_bytes", c.conn.written.Load() - c.writtenBefore}
 }
 
-// abandon ends a request whose caller has closed its connection, or only its sending half.
+// announceClose tells the caller of a stopping edge not to use the connection again. It
+// must be called before the head of the answer is written.
+func (c *call) announceClose() {
+	if c.e.draining.Load() {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
+// abandon ends a request whose caller has closed its connection, or only its sending half,
+// or that is still under way at the end of a stop.
 // In the second case it still reads: if the handler returned without an answer, net/http
 // would write an empty success, or end a stream as if it were complete.
 func (c *call) abandon() {
@@ -102,6 +112,11 @@
 
 // logCallerLeft records a request whose caller has disconnected.
 func (c *call) logCallerLeft() {
+	if context.Cause(c.r.Context()) == errStopped {
+		c.log("request cut at the end of a stop", 0, c.connAttrs()...)
+		c.e.metrics.recordEnd(c.kind(), "cut_at_stop", time.Since(c.began))
+		return
+	}
 	c.log("caller left", 0, c.connAttrs()...)
 	c.e.metrics.recordEnd(c.kind(), "caller_left", time.Since(c.began))
 	if c.conn != nil {
--- a/pkg/edge/callerconn.go
+++ b/pkg/edge/callerconn.go
@@ -4,13 +4,26 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 )
 
+const (
+	// firstRequestWait is how long a new connection of a stopping edge is kept for its
+	// first request: callers allow a second for a connection.
+	firstRequestWait = time.Second
+	// acceptQuietTime without a new connection ends the listening of a stopping edge, and
+	// maxAcceptTime in any case.
+	acceptQuietTime = 10 * time.Millisecond
+	maxAcceptTime   = 250 * time.Millisecond
+)
+
 // connEnd says why reading from a caller's connection ended.
 type connEnd int32
 
@@ -47,11 +60,26 @@
 	requests atomic.Int64 // requests begun
 	written  atomic.Int64 // bytes
 	lastRead atomic.Int32 // connEnd of the last read
+	owner    *callerConns
+	accepted time.Time
+	closed   atomic.Bool
+
+	mu      sync.Mutex
+	used    bool // something was received
+	busy    bool // a request is being received or answered
+	early   bool // a byte of the next request was received during this one
+	expired bool // no further request is waited for
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if !c.mayRead() {
+		return 0, io.EOF
+	}
 	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.received(len(p))
+	}
 	c.lastRead.Store(int32(classifyRead(err)))
 	return n, err
 }
@@ -63,6 +91,55 @@
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.owner.remove(c)
+	}
+	return c.TCPConn.Close()
+}
+
+// mayRead reports whether a read makes sense: a connection that expired while it was idle
+// takes no further request.
+func (c *callerConn) mayRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.expired || c.busy
+}
+
+// received records that a read into a buffer returned data. net/http reads a single byte to
+// detect a disconnect; it belongs to the next request.
+func (c *callerConn) received(buffer int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.early = c.busy && buffer == 1
+	c.used, c.busy = true, true
+}
+
+// setState follows the state that net/http gives a connection.
+func (c *callerConn) setState(s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch s {
+	case http.StateActive:
+		c.busy = true
+	case http.StateIdle:
+		c.busy, c.early = c.early, false
+	}
+}
+
+// expire ends the wait for a request, unless one is being received or answered, or the
+// connection is so new that its first one may be on its way.
+func (c *callerConn) expire(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy || !c.used && now.Sub(c.accepted) < firstRequestWait {
+		return
+	}
+	c.expired = true
+	_ = c.SetReadDeadline(now) // wakes a waiting read
+}
+
 func (c *callerConn) end() connEnd { return connEnd(c.lastRead.Load()) }
 
 func classifyRead(err error) connEnd {
@@ -82,15 +159,95 @@
 }
 
 // callerListener accepts the connections of callers.
-type callerListener struct{ *net.TCPListener }
+type callerListener struct {
+	*net.TCPListener
+	conns    *callerConns
+	stopping atomic.Bool
+	closing  sync.Once
+	accepted int // connections since the last deadline of a stopping listener
+	done     chan struct{}
+}
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. After stopAccepting it returns http.ErrServerClosed once
+// no connection waits to be accepted: the kernel resets those that wait when the listener
+// closes.
 func (l *callerListener) Accept() (net.Conn, error) {
-	c, err := l.AcceptTCP()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.AcceptTCP()
+		switch {
+		case err == nil:
+			l.accepted++
+			return l.conns.add(c), nil
+		case !l.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, err
+		case l.accepted == 0:
+			return nil, http.ErrServerClosed
+		}
+		l.accepted = 0
+		_ = l.SetDeadline(time.Now().Add(acceptQuietTime))
+	}
+}
+
+// Close implements net.Listener. net/http calls it when Accept has failed.
+func (l *callerListener) Close() error {
+	var err error
+	l.closing.Do(func() {
+		err = l.TCPListener.Close()
+		close(l.done)
+	})
+	return err
+}
+
+// stopAccepting closes the listener once no connection waits to be accepted, but within
+// maxAcceptTime.
+func (l *callerListener) stopAccepting() {
+	l.stopping.Store(true)
+	_ = l.SetDeadline(time.Now())
+	select {
+	case <-l.done:
+	case <-time.After(maxAcceptTime):
+		_ = l.Close()
+	}
+}
+
+// callerConns holds the open connections of callers.
+type callerConns struct {
+	mu   sync.Mutex
+	open map[*callerConn]struct{}
+}
+
+func newCallerConns() *callerConns { return &callerConns{open: make(map[*callerConn]struct{})} }
+
+func (l *callerConns) add(tcp *net.TCPConn) *callerConn {
+	c := &callerConn{TCPConn: tcp, owner: l, accepted: time.Now()}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[c] = struct{}{}
+	return c
+}
+
+func (l *callerConns) remove(c *callerConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
+
+// expireIdle ends the wait for further requests on idle connections and returns the number
+// of open ones.
+func (l *callerConns) expireIdle(now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		c.expire(now)
+	}
+	return len(l.open)
+}
+
+// trackState is a hook of http.Server.
+func trackState(nc net.Conn, s http.ConnState) {
+	if c, ok := nc.(*callerConn); ok {
+		c.setState(s)
 	}
-	return &callerConn{TCPConn: c}, nil
 }
 
 type callerConnKey struct{}
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -71,9 +71,6 @@
 	c.beginOnConn()
 	e.inFlight.add(c)
 	defer e.inFlight.remove(c)
-	if e.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	c.setDeliveryDeadline(c.began.Add(defaultTimeout))
 	if e.transit.UnderPressure() {
 		c.refuse(http.StatusServiceUnavailable, retryAfterBusy, "no memory for another request")
@@ -137,6 +134,7 @@
 func (c *call) respond(status int, retryAfter time.Duration, why string) {
 	platform.SetLocalResponseHeader(c.w.Header(), c.req.ID, retryAfter)
 	c.w.Header().Set("Content-Length", "0")
+	c.announceClose()
 	c.w.WriteHeader(status)
 	c.headSent = true
 	c.log("request ended by us", status, "why", why, "retry_after", retryAfter)
@@ -220,6 +218,7 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // keeps net/http from adding one: the upstream's headers are passed on unchanged
 	}
+	c.announceClose()
 	c.w.WriteHeader(resp.Status)
 	c.headSent = true
 	for _, piece := range body {
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -26,10 +26,22 @@
 	drainListenTime = 2500 * time.Millisecond
 	// stopMargin is the time reserved between the end of draining and the kill.
 	stopMargin = 400 * time.Millisecond
+	// cutAnswerTime is how long before the end of draining the requests that are still
+	// under way get an answer that says so, instead of a closed connection.
+	cutAnswerTime = 100 * time.Millisecond
+	// drainPollInterval is how often a draining edge looks for idle connections.
+	drainPollInterval = 5 * time.Millisecond
 )
 
+// errStopped ends requests that are under way at the end of a stop.
+var errStopped = errors.New("the edge has stopped")
+
 // serveCallers serves until stop is done and all requests are answered.
 func (e *Edge) serveCallers(ctx, stop context.Context) error {
+	requests, endRequests := context.WithCancelCause(context.Background())
+	defer endRequests(nil)
+	conns := newCallerConns()
+	listener := &callerListener{conns: conns, done: make(chan struct{})}
 	callers := &http.Server{
 		Handler:           http.HandlerFunc(e.serve),
 		ReadHeaderTimeout: headerTimeout,
@@ -38,6 +50,8 @@
 		// net/http reports panics of handlers and failed accepts here, nothing regular.
 		ErrorLog:    slog.NewLogLogger(e.logger.Handler(), slog.LevelWarn),
 		ConnContext: withCallerConn,
+		ConnState:   trackState,
+		BaseContext: func(net.Listener) context.Context { return requests },
 	}
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET "+platform.ReadinessPath, e.serveReadiness)
@@ -64,7 +78,8 @@
 		// failed start.
 		defer s.server.Close()
 		if tcp, ok := ln.(*net.TCPListener); ok && s.server == callers {
-			ln = &callerListener{TCPListener: tcp}
+			listener.TCPListener = tcp
+			ln = listener
 		}
 		wg.Go(func() {
 			if err := s.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -77,28 +92,41 @@
 	case <-stop.Done():
 	case <-ctx.Done():
 	}
-	return e.drain(callers)
+	return e.drain(callers, listener, endRequests)
 }
 
 // drain completes the accepted requests. Responses now close their connections, and
-// the listener stays open until the platform sends no more callers.
-func (e *Edge) drain(callers *http.Server) error {
+// the listener stays open until the platform sends no more callers. http.Server.Shutdown
+// is not used: it drops requests that it has read, if they were received after its call.
+func (e *Edge) drain(callers *http.Server, l *callerListener, endRequests context.CancelCauseFunc) error {
 	began := time.Now()
 	e.stopping.Store(&began)
 	e.draining.Store(true)
 	e.logger.Info("draining", "grace", e.settings.StopGrace)
 	time.Sleep(min(drainListenTime, e.settings.StopGrace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), e.stopDeadline())
-	defer cancel()
-	err := callers.Shutdown(ctx)
-	if err != nil {
+	l.stopAccepting()
+	end := e.stopDeadline()
+	if !drainConns(l.conns, end.Add(-cutAnswerTime)) {
 		n, ids := e.inFlight.ids()
-		e.logger.Warn("shutdown interrupted requests", "err", err, "requests", n, "ids", ids)
+		e.logger.Warn("shutdown interrupted requests", "requests", n, "ids", ids)
 		e.metrics.cutAtStop(n)
-		return errors.Wrap(callers.Close(), "close callers' connections")
+		endRequests(errStopped)
+		drainConns(l.conns, end)
 	}
 	e.logger.Info("drained", "took", time.Since(began))
-	return nil
+	return errors.Wrap(callers.Close(), "close callers' connections")
+}
+
+// drainConns closes idle connections until none is open, or until a time. It reports
+// whether none is open.
+func drainConns(conns *callerConns, until time.Time) bool {
+	for now := time.Now(); conns.expireIdle(now) > 0; now = time.Now() {
+		if now.After(until) {
+			return false
+		}
+		time.Sleep(drainPollInterval)
+	}
+	return true
 }
 
 func (e *Edge) serveReadiness(w http.ResponseWriter, _ *http.Request) {
