--- a/pkg/edge/callerconn.go
+++ b/pkg/edge/callerconn.go
@@ -22,6 +22,12 @@
 	// maxAcceptTime in any case.
 	acceptQuietTime = 10 * time.Millisecond
 	maxAcceptTime   = 250 * time.Millisecond
+	// lingerTime is how long a connection is read after its last answer. Callers need a
+	// part of it to send the rest of a body of the maximum size.
+	lingerTime = 2 * time.Second
+	// maxLingering limits the descriptors that such connections hold. Further ones are
+	// closed at once.
+	maxLingering = 256
 )
 
 // connEnd says why reading from a caller's connection ended.
@@ -91,12 +97,37 @@
 	return n, err
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A close with unread bytes resets the connection, and the reset
+// may overtake the answer. After an answer the connection therefore is closed for sending
+// only and read until the caller closes it, at most for lingerTime. An idle one is closed
+// at once: a request that crosses the close must be seen as not read, so that its caller
+// may repeat it. A second call closes the connection at once.
 func (c *callerConn) Close() error {
-	if c.closed.CompareAndSwap(false, true) {
-		c.owner.remove(c)
+	if !c.closed.CompareAndSwap(false, true) {
+		return c.TCPConn.Close()
 	}
-	return c.TCPConn.Close()
+	c.owner.remove(c)
+	if !c.lingers() || !c.owner.startLingering() {
+		return c.TCPConn.Close()
+	}
+	if err := c.CloseWrite(); err != nil {
+		c.owner.endLingering()
+		return c.TCPConn.Close()
+	}
+	go func() {
+		defer c.owner.endLingering()
+		defer c.TCPConn.Close()
+		_ = c.SetDeadline(time.Now().Add(lingerTime))
+		_, _ = io.Copy(io.Discard, c.TCPConn) // the caller's bytes belong to no request
+	}()
+	return nil
+}
+
+// lingers reports whether an answer was just sent that a reset could overtake.
+func (c *callerConn) lingers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy && c.end() != connFinished && c.end() != connReset
 }
 
 // mayRead reports whether a read makes sense: a connection that expired while it was idle
@@ -133,13 +164,28 @@
 func (c *callerConn) expire(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy || !c.used && now.Sub(c.accepted) < firstRequestWait {
+	if c.busy || !c.used && now.Sub(c.accepted) < firstRequestWait || c.hasUnread() {
 		return
 	}
 	c.expired = true
 	_ = c.SetReadDeadline(now) // wakes a waiting read
 }
 
+// hasUnread reports whether the caller has sent something that was not read yet.
+func (c *callerConn) hasUnread() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	var buf [1]byte
+	// Control, unlike Read, does not wait for the read that is under way.
+	err = raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
 func (c *callerConn) end() connEnd { return connEnd(c.lastRead.Load()) }
 
 func classifyRead(err error) connEnd {
@@ -212,8 +258,9 @@
 
 // callerConns holds the open connections of callers.
 type callerConns struct {
-	mu   sync.Mutex
-	open map[*callerConn]struct{}
+	mu        sync.Mutex
+	open      map[*callerConn]struct{}
+	lingering int // connections that are closed for sending only
 }
 
 func newCallerConns() *callerConns { return &callerConns{open: make(map[*callerConn]struct{})} }
@@ -232,6 +279,36 @@
 	delete(l.open, c)
 }
 
+// startLingering reports whether one more connection may stay open for reading.
+func (l *callerConns) startLingering() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lingering >= maxLingering {
+		return false
+	}
+	l.lingering++
+	return true
+}
+
+func (l *callerConns) endLingering() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lingering--
+}
+
+// waitLingering waits until no connection lingers, or until a time.
+func (l *callerConns) waitLingering(until time.Time) {
+	for time.Now().Before(until) {
+		l.mu.Lock()
+		n := l.lingering
+		l.mu.Unlock()
+		if n == 0 {
+			return
+		}
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // expireIdle ends the wait for further requests on idle connections and returns the number
 // of open ones.
 func (l *callerConns) expireIdle(now time.Time) int {
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -113,6 +113,7 @@
 		endRequests(errStopped)
 		drainConns(l.conns, end)
 	}
+	l.conns.waitLingering(end)
 	e.logger.Info("drained", "took", time.Since(began))
 	return errors.Wrap(callers.Close(), "close callers' connections")
 }
--- a/pkg/edge/stopping_test.go
+++ b/pkg/edge/stopping_test.go
@@ -211,3 +211,28 @@
 		}
 	}
 }
+
+// TestCrossingRequestIsReadAndDropped guards against reading a request that crosses the
+// close of an idle connection and ending it without an answer: its caller may repeat it
+// only if it was not read.
+func TestCrossingRequestIsReadAndDropped(t *testing.T) {
+	p := startUnsafe(t, 2*time.Second, serveAny)
+	caller := p.raw(t)
+	caller.send(rawRequest("POST", "/unsafe/1", "a", "in"))
+	if a := caller.receive("POST"); !a.signedSuccess() {
+		t.Fatalf("%+v", a)
+	}
+	p.stopAndAwaitClosedListener(t)
+	if _, err := caller.br.Peek(1); err != io.EOF {
+		t.Fatalf("the idle connection does not end: %v", err)
+	}
+	closed := time.Now()
+	caller.send(rawRequest("POST", "/unsafe/1", "b", "in"))
+	eventually(t, "a request after the close is read", func() bool {
+		_, err := caller.c.Write([]byte("x"))
+		return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
+	})
+	if took := time.Since(closed); took > lingerTime/2 {
+		t.Errorf("the connection was read for %v after its close", took)
+	}
+}
