--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -27,11 +27,17 @@
 	// the soft memory limit of the Go runtime.
 	goMemoryShare = 0.6
 	bytesPerMB    = 1 << 20
-	// startTimeout and stopTimeout bound the start and stop hooks of fx.
-	startTimeout = 30 * time.Second
-	stopTimeout  = 30 * time.Second
+	// startTimeout and minStopTimeout bound the start and stop hooks of fx.
+	startTimeout   = 30 * time.Second
+	minStopTimeout = 30 * time.Second
 )
 
+// stopTimeout returns the limit of the stop hook. It exceeds the platform's grace period:
+// when the hook times out, the process ends with requests under way.
+func stopTimeout(s *platform.Settings) time.Duration {
+	return max(minStopTimeout, 2*s.StopGrace)
+}
+
 // Process is the long-running service of a daemon.
 type Process interface {
 	// Run serves until stop is canceled.
@@ -43,6 +49,11 @@
 // Run builds a process with fx and runs it until SIGTERM or SIGINT arrives or
 // the process ends.
 func Run[P Process](build func(*platform.Settings, *slog.Logger) (P, error)) error {
+	// Without a channel these signals end the process at once, also while it starts and
+	// while it answers its last requests.
+	hup, term := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
 		return errors.Errorf("environment variable %s is not set: it must name the settings file", platform.SettingsVariable)
@@ -58,25 +69,21 @@
 	defer logOutput.Close()
 	logger := logging.New(logOutput, slog.LevelInfo)
 	var runErr error
+	done := make(chan struct{})
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.StartTimeout(startTimeout), fx.StopTimeout(stopTimeout),
 		fx.Supply(settings, logger),
 		fx.Provide(build),
-		fx.Invoke(func(lifecycle fx.Lifecycle, shutdowner fx.Shutdowner, p P) {
+		fx.Invoke(func(lifecycle fx.Lifecycle, p P) {
 			stop, cancel := context.WithCancel(context.Background())
-			done := make(chan struct{})
 			lifecycle.Append(fx.Hook{
 				OnStart: func(context.Context) error {
-					go watchSettings(stop, path, p, logger)
+					go watchSettings(stop, hup, path, p, logger)
 					go func() {
 						defer close(done)
 						if runErr = p.Run(stop); runErr != nil {
 							logger.Error("stopped", "err", runErr)
 						}
-						if err := shutdowner.Shutdown(); err != nil {
-							logger.Error("shutdown failed", "err", err)
-						}
 					}()
 					return nil
 				},
@@ -88,20 +95,32 @@
 			})
 		}),
 	)
-	app.Run()
-	if err := app.Err(); err != nil {
+	if err := startAndStop(app, settings, term, done); err != nil {
 		return err
 	}
 	logger.Info("ended", "log_lines_dropped", logOutput.Dropped())
 	return runErr
 }
 
+// startAndStop runs the hooks of a process around the wait for a signal or for its end.
+func startAndStop(app *fx.App, s *platform.Settings, term <-chan os.Signal, done <-chan struct{}) error {
+	start, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := app.Start(start); err != nil {
+		return err
+	}
+	select {
+	case <-term:
+	case <-done:
+	}
+	stop, cancel := context.WithTimeout(context.Background(), stopTimeout(s))
+	defer cancel()
+	return app.Stop(stop)
+}
+
 // watchSettings reloads the settings file when its modification time changes or
 // on SIGHUP, and passes the store address to the process.
-func watchSettings(ctx context.Context, path string, p Process, logger *slog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func watchSettings(ctx context.Context, hup <-chan os.Signal, path string, p Process, logger *slog.Logger) {
 	t := time.NewTicker(reloadInterval)
 	defer t.Stop()
 	var lastModified time.Time
--- a/pkg/daemon/signals_test.go
+++ b/pkg/daemon/signals_test.go
@@ -57,3 +57,13 @@
 		t.Errorf("%v\n%s", err, out)
 	}
 }
+
+// TestStopIsShorterThanGrace guards against a process that ends before a long grace period,
+// with requests under way.
+func TestStopIsShorterThanGrace(t *testing.T) {
+	for _, grace := range []time.Duration{0, 8 * time.Second, 90 * time.Second} {
+		if d := stopTimeout(&platform.Settings{StopGrace: grace}); d < minStopTimeout || d <= grace {
+			t.Errorf("grace of %v: the stop is given up after %v", grace, d)
+		}
+	}
+}
