--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -108,6 +108,9 @@
 		return fail("read head", true, err)
 	}
 	resp.Status, resp.Header, resp.body, resp.Length = hr.StatusCode, hr.Header, hr.Body, hr.ContentLength
+	if r.Method == http.MethodHead {
+		resp.Length = 0 // the length of the answer to a GET, no body follows
+	}
 	resp.ResponseMetadata = platform.DecodeResponse(hr.StatusCode, hr.Header)
 	resp.Close = resp.Close || hr.Close
 	if !resp.matches(r) {
