--- a/pkg/edge/caller.go
+++ b/pkg/edge/caller.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"net/http"
 	"os"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/membudget"
+	"github.com/yuccaspindle/yuccaspindle/platform"
 )
 
 const (
@@ -65,3 +67,59 @@
 	}
 	return false
 }
+
+// beginOnConn counts the request on its connection.
+func (c *call) beginOnConn() {
+	c.conn = callerConnOf(c.r.Context())
+	if c.conn == nil {
+		return
+	}
+	c.onConn = c.conn.requests.Add(1)
+	c.writtenBefore = c.conn.written.Load()
+}
+
+// connAttrs returns the state of the caller's connection for a log line: how reading from
+// it ended, which request on it this is, and the bytes of this answer that were sent.
+func (c *call) connAttrs() []any {
+	if c.conn == nil {
+		return nil
+	}
+	return []any{"conn", c.conn.end().String(), "on_conn", c.onConn, "sent_bytes", c.conn.written.Load() - c.writtenBefore}
+}
+
+// announceClose tells the caller of a stopping edge not to use the connection again. It
+// must be called before the head of the answer is written.
+func (c *call) announceClose() {
+	if c.e.draining.Load() {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
+// abandon ends a request whose caller has closed its connection, or only its sending half,
+// or that is still under way at the end of a stop.
+// In the second case it still reads: if the handler returned without an answer, net/http
+// would write an empty success, or end a stream as if it were complete.
+func (c *call) abandon() {
+	c.logCallerLeft()
+	if c.headSent {
+		panic(http.ErrAbortHandler)
+	}
+	platform.SetLocalResponseHeader(c.w.Header(), c.req.ID, 0)
+	c.w.Header().Set("Content-Length", "0")
+	c.w.Header().Set("Connection", "close")
+	c.w.WriteHeader(http.StatusBadGateway)
+}
+
+// logCallerLeft records a request whose caller has disconnected.
+func (c *call) logCallerLeft() {
+	if context.Cause(c.r.Context()) == errStopped {
+		c.log("request cut at the end of a stop", 0, c.connAttrs()...)
+		c.e.metrics.recordEnd(c.kind(), "cut_at_stop", time.Since(c.began))
+		return
+	}
+	c.log("caller left", 0, c.connAttrs()...)
+	c.e.metrics.recordEnd(c.kind(), "caller_left", time.Since(c.began))
+	if c.conn != nil {
+		c.e.metrics.callerLeft(c.conn.end().String())
+	}
+}
--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -104,13 +104,12 @@
 	return action
 }
 
-// recordCancel records an attempt that ended because the caller disconnected.
-func (c *call) recordCancel(m *fleet.Member) {
+// cancelAttempt ends a request and its attempt because the caller disconnected.
+func (c *call) cancelAttempt(m *fleet.Member) {
 	c.e.withFleet(func(f *fleet.Fleet) { f.RecordEnd(m) })
 	c.removeIsolated(m.ID)
 	c.trackLost(poison.Run{ID: m.ID, StartedUnixMs: m.StartedUnixMs})
-	c.log("caller left", 0)
-	c.e.metrics.recordEnd(c.kind(), "caller_left", time.Since(c.began))
+	c.abandon()
 }
 
 // classifyError returns the outcome of an attempt without a response. detectStall is
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -66,8 +66,8 @@
 			c.e.affinity.Add(key, m.ID)
 		}
 		resp, body, o, err := s.runAttempt(m)
-		if c.callerGone() || errors.Is(err, errCallerLeft) {
-			c.recordCancel(m)
+		if errors.Is(err, errCallerLeft) || o != attempt.Answered && c.callerGone() {
+			c.cancelAttempt(m)
 			return
 		}
 		switch a := c.recordEnd(m, o, resp, err); a {
@@ -202,6 +202,7 @@
 	c := s.c
 	platform.CopyResponseHeader(c.w.Header(), resp.Header)
 	c.w.Header().Del("Content-Length")
+	c.announceClose()
 	c.w.WriteHeader(resp.Status)
 	c.headSent = true
 	c.binding.Begin()
