--- a/pkg/edge/origin.go
+++ b/pkg/edge/origin.go
@@ -172,6 +172,8 @@
 	}
 	o, source := k.Resolve()
 	c.e.metrics.streamTakenUp(source.String())
+	c.e.logger.Info("stream taken up", "id", c.req.ID, "resumes", c.req.ResumedID, "after_event", c.req.LastEventID,
+		"origin", source, "service", o.Service, "version", o.Version, "view_live", c.e.view.live())
 	if source == origin.Unknown {
 		return whyOriginUnknown
 	}
