--- a/pkg/edge/streamversion_test.go
+++ b/pkg/edge/streamversion_test.go
@@ -43,15 +43,21 @@
 func (v *versionedUpstreams) start(n int, version string) {
 	for range n {
 		v.count++
-		srv := httptest.NewServer(v.handler(version))
-		v.d.t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
-		id, address := fmt.Sprint("v", v.count), strings.TrimPrefix(srv.URL, "http://")
-		if v.registrations == nil {
-			v.registrations = make(map[string][2]string)
-		}
-		v.registrations[id] = [2]string{address, version}
-		v.d.registerVersion(id, "llm", address, version, "ready")
+		v.startAs(fmt.Sprint("v", v.count), version, version)
+	}
+}
+
+// startAs starts an upstream of a version and registers it under an id with the version
+// that it names; empty: it names none. It replaces an earlier registration of the id.
+func (v *versionedUpstreams) startAs(id, version, named string) {
+	srv := httptest.NewServer(v.handler(version))
+	v.d.t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
+	address := strings.TrimPrefix(srv.URL, "http://")
+	if v.registrations == nil {
+		v.registrations = make(map[string][2]string)
 	}
+	v.registrations[id] = [2]string{address, named}
+	v.d.registerVersion(id, "llm", address, named, "ready")
 }
 
 func (v *versionedUpstreams) handler(version string) http.HandlerFunc {
