--- a/pkg/edge/origin.go
+++ b/pkg/edge/origin.go
@@ -84,19 +84,27 @@
 // tried reports whether an attempt was made at an upstream.
 func (c *call) tried(id string) bool { return c.triedUpstreams[id] }
 
-// recordedOrigin returns the origin to write to the ledger; nil: none is needed.
+// recordedOrigin returns the origin to write to the ledger; nil: none is needed. Also that
+// the upstream names no version is recorded: another edge may list other upstreams.
 func (c *call) recordedOrigin() *peerv1.Origin {
-	if !c.binding.Bound() || c.takesUp() || c.req.ID == "" || c.unversioned() {
+	if !c.binding.Bound() || c.takesUp() || c.req.ID == "" {
 		return nil
 	}
 	o := c.binding.Origin()
 	return &peerv1.Origin{Service: o.Service, Version: o.Version, Revision: c.binding.Revision()}
 }
 
-// unversioned reports whether the upstreams of the service give no versions.
-func (c *call) unversioned() (yes bool) {
-	c.e.withFleet(func(f *fleet.Fleet) { yes = f.Unversioned(c.service) })
-	return yes
+// mayAssumeUnversioned reports whether the upstreams of the service give no versions and
+// no record can tell more, because the caller names no stream or there is no storage
+// process. An edge that has lost the store and its peers may not have heard of a release,
+// so it assumes nothing.
+func (c *call) mayAssumeUnversioned() bool {
+	if c.req.ResumedID != "" && len(c.e.view.Storage()) > 0 || !c.e.view.live() {
+		return false
+	}
+	unversioned := false
+	c.e.withFleet(func(f *fleet.Fleet) { unversioned = f.Unversioned(c.service) })
+	return unversioned
 }
 
 // beginOrigin binds a new stream. Without a budget its origin is recorded beside the
@@ -167,7 +175,7 @@
 	if o, ok := c.e.origins.Get(c.req.ResumedID); ok {
 		k.Local = &o
 	}
-	if c.unversioned() {
+	if c.mayAssumeUnversioned() {
 		k.Unversioned = &origin.Origin{Service: c.service}
 	}
 	o, source := k.Resolve()
@@ -188,7 +196,7 @@
 // lookUpOrigin asks the ledger for the origin of a stream without a budget, unless this
 // edge knows it. The ledger reads what a reservation returns, so this one is empty.
 func (c *call) lookUpOrigin(ctx context.Context) (*peerv1.Origin, error) {
-	if c.req.ResumedID == "" || c.e.origins.Contains(c.req.ResumedID) || c.unversioned() || len(c.e.view.Storage()) == 0 {
+	if c.req.ResumedID == "" || c.e.origins.Contains(c.req.ResumedID) || len(c.e.view.Storage()) == 0 {
 		return nil, nil
 	}
 	res, err := c.e.ledger.Reserve(ctx, c.usage(0, true), 0, c.resumedKey())
--- a/pkg/edge/outofstep_test.go
+++ b/pkg/edge/outofstep_test.go
@@ -257,3 +257,29 @@
 		}
 	}
 }
+
+// TestTakeUpThatNamesNoStream guards against joining two versions where the caller does not
+// name the stream that it takes up and the edge has lost the store, and against refusing it
+// at an edge that is up to date and lists no versions (issue 32).
+func TestTakeUpThatNamesNoStream(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(resumable))
+	v := &versionedUpstreams{d: d}
+	v.startAs("u1", "v1", "")
+	v.startAs("u2", "v1", "")
+	d.storages()
+	p, gate := d.gatedEdge("127.0.0.2")
+	p.ready(t, 2, 3)
+	eventually(t, "the edge does not follow the store", p.edge.view.live)
+	h := map[string]string{"Attempt-Id": "a", "Last-Event-Id": "3"}
+	if a := p.call(t, "POST", "/resumable/1", "in", h); a.status != http.StatusOK || eventIDs(a.body) != "4 5 6" {
+		t.Errorf("edge that is up to date: %+v", a)
+	}
+	gate.refusing.Store(true)
+	v.startAs("n1", "v2", "v2") // ends the watch, which then fails
+	eventually(t, "the edge does not notice that the store refuses it", func() bool { return !p.edge.view.live() })
+	h["Attempt-Id"] = "b"
+	if a := p.call(t, "POST", "/resumable/1", "in", h); a.status != http.StatusServiceUnavailable {
+		t.Errorf("edge that has lost the store: %+v", a)
+	}
+}
