--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -30,6 +30,7 @@
 var (
 	errEventOrder = errors.New("events are missing or out of order")
 	errCallerLeft = errors.New("the caller closed its connection")
+	errNoEvents   = errors.New("the stream ends without an event")
 )
 
 // stream is the state of one event stream over all its attempts.
@@ -100,7 +101,7 @@
 }
 
 // runAttempt makes one attempt and relays its events. It returns a body if the
-// response is not an event stream.
+// response is not an event stream but can be delivered.
 func (s *stream) runAttempt(m *fleet.Member) (*upstream.Response, [][]byte, attempt.Outcome, error) {
 	c := s.c
 	detectStall := c.canFailOver(m)
@@ -119,15 +120,8 @@
 		discard(resp)
 		return resp, nil, attempt.Rejected, nil
 	}
-	if resp.Status != http.StatusOK {
-		body, err := c.readResponse(resp, m, 0)
-		if err != nil {
-			return resp, nil, classifyError(err, detectStall), err
-		}
-		if c.headSent { // a status after the start of the stream cannot be delivered
-			return resp, nil, attempt.Broken, errors.Errorf("status %d for the continuation of a stream", resp.Status)
-		}
-		return resp, body, attempt.Answered, nil
+	if resp.Status != http.StatusOK || !resp.Stream {
+		return s.plainResponse(resp, m, detectStall)
 	}
 	if !resp.Signed {
 		return resp, nil, attempt.Broken, errUnsigned
@@ -138,6 +132,26 @@
 	return resp, nil, attempt.Answered, nil
 }
 
+// plainResponse reads a response that is no event stream, such as an error. It can only be
+// delivered whole, as the first response to a request. Where a success would count as a
+// part of a stream or as a turn it is none.
+func (s *stream) plainResponse(resp *upstream.Response, m *fleet.Member, detectStall bool) (*upstream.Response, [][]byte, attempt.Outcome, error) {
+	c := s.c
+	success := resp.Status < http.StatusMultipleChoices
+	switch {
+	case c.headSent, success && (c.takesUp() || c.route.KeepsHistory):
+		discard(resp)
+		return resp, nil, attempt.Broken, errors.Errorf("status %d with type %q where an event stream is expected", resp.Status, resp.Header.Get("Content-Type"))
+	case success && !resp.Signed:
+		return resp, nil, attempt.Broken, errUnsigned
+	}
+	body, err := c.readResponse(resp, m, 0)
+	if err != nil {
+		return resp, nil, classifyError(err, detectStall), err
+	}
+	return resp, body, attempt.Answered, nil
+}
+
 // relay sends the events of a response to the caller as they arrive. Only data counts
 // as progress: comments and empty events do not keep a stalled stream alive.
 func (s *stream) relay(resp *upstream.Response, detectStall bool, hold *membudget.Reservation) error {
@@ -172,6 +186,10 @@
 	if len(rest.raw) > 0 {
 		return &upstream.Error{Step: "read body", Addr: "upstream", Sent: true, Err: io.ErrUnexpectedEOF}
 	}
+	// A continuation may have no event: its caller may lack only the end of the stream.
+	if s.events == 0 && !s.c.takesUp() {
+		return errNoEvents
+	}
 	if !s.c.headSent {
 		s.writeHead(resp)
 	}
