--- a/pkg/edge/sse.go
+++ b/pkg/edge/sse.go
@@ -14,7 +14,10 @@
 // maxEvent limits the size of one event of a stream in bytes.
 const maxEvent = 256 << 10
 
-var errEventTooLarge = errors.New("event exceeds the size limit")
+var (
+	errEventTooLarge  = errors.New("event exceeds the size limit")
+	errMalformedEvent = errors.New("a line of the stream is not part of an event")
+)
 
 // event is one server-sent event.
 type event struct {
@@ -22,6 +25,10 @@
 	id      string // empty if the event has no ID
 	data    []byte // data lines joined by line feeds
 	hasData bool
+
+	hasField  bool // has a field that the format defines
+	extended  bool // begins with fields that the format does not define
+	malformed bool // has a line that belongs to no event
 }
 
 // eventReader splits a stream into complete events.
@@ -62,6 +69,7 @@
 		}
 		content := bytes.TrimRight(ev.raw[line:], "\r\n")
 		if len(content) == 0 {
+			ev.malformed = ev.malformed || ev.extended && !ev.hasField
 			return ev, nil
 		}
 		ev.field(content)
@@ -85,9 +93,11 @@
 }
 
 func (ev *event) field(line []byte) {
-	name, value, _ := bytes.Cut(line, []byte{':'})
+	name, value, hasColon := bytes.Cut(line, []byte{':'})
 	value = bytes.TrimPrefix(value, []byte{' '})
 	switch string(name) {
+	case "": // a comment
+		return
 	case "id":
 		ev.id = string(value)
 	case "data":
@@ -96,5 +106,31 @@
 		}
 		ev.data = append(ev.data, value...)
 		ev.hasData = true
+	case "event", "retry":
+	default:
+		ev.otherField(name, hasColon)
+		return
+	}
+	ev.hasField = true
+}
+
+// otherField records a line whose name the format does not define. Upstreams put such
+// fields, with names in lowercase, first in their events. Anywhere else the line comes from
+// something that is no event: a response head or the text of an error.
+func (ev *event) otherField(name []byte, hasColon bool) {
+	if !hasColon || ev.hasField || !isFieldName(name) {
+		ev.malformed = true
+		return
+	}
+	ev.extended = true
+}
+
+// isFieldName reports whether a name consists of lowercase letters, digits and hyphens.
+func isFieldName(name []byte) bool {
+	for _, b := range name {
+		if (b < 'a' || b > 'z') && (b < '0' || b > '9') && b != '-' {
+			return false
+		}
 	}
+	return true
 }
--- a/pkg/edge/sse_test.go
+++ b/pkg/edge/sse_test.go
@@ -36,6 +36,35 @@
 	}
 }
 
+// TestMalformedEvent guards against taking the head or the text of an error for an event, and
+// against refusing events with fields that the format does not define (issue 32).
+func TestMalformedEvent(t *testing.T) {
+	for text, malformed := range map[string]bool{
+		"id: 1\ndata: a\n\n":                       false,
+		": comment\n\n":                            false,
+		"\n":                                       false,
+		"data\nid\n\n":                             false,
+		"event: e\nretry: 5\ndata:a\n\n":           false,
+		"weight-versions: 2\nid: 1\ndata: a\n\n":   false,
+		"id: 1\nweight-versions: 2\ndata: a\n\n":   true,
+		"error: failed\n\n":                        true,
+		"HTTP/1.1 200 OK\r\nServer: x\r\n\r\n":     true,
+		"Server: x\r\n\r\n":                        true,
+		"id: 4\ndata: aHTTP/1.1 500 E\nx: y\n\n":   true,
+		"id: 4\ndaHTTP/1.1 500 E\n\n":              true,
+		"{\"error\": \"no\"}\n\n":                  true,
+		"<html>\n\n":                               true,
+		"upstream failed\n\n":                      true,
+		"data: the line HTTP/1.1 500 of a log\n\n": false,
+	} {
+		b := membudget.New(16 << 20)
+		ev, err := newEventReader(strings.NewReader(text), b.Reservation("u", membudget.UpstreamShare)).next()
+		if err != nil || ev.malformed != malformed {
+			t.Errorf("%q: malformed %v, %v", text, ev.malformed, err)
+		}
+	}
+}
+
 // FuzzEvents guards against losing or inventing bytes between an upstream and a
 // caller, and against panics.
 func FuzzEvents(f *testing.F) {
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -211,6 +211,9 @@
 // upstream that resumed at an earlier one.
 func (s *stream) event(resp *upstream.Response, ev event) error {
 	c := s.c
+	if ev.malformed {
+		return errMalformedEvent
+	}
 	follows, err := isNextEvent(s.lastID, ev.id)
 	if err != nil || !follows {
 		return err
--- a/pkg/edge/streamerror_test.go
+++ b/pkg/edge/streamerror_test.go
@@ -61,6 +61,7 @@
 		"head inside an event":            text("id: 4\ndaHTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n"),
 		"head after a part of the data":   text("id: 4\ndata: woHTTP/1.1 500 Internal Server Error\r\ncontent-type: text/plain\r\n\r\n"),
 		"text inside the stream":          text("Internal Server Error\n\nid: 4\ndata: x\n\n"),
+		"field inside the stream":         text("error: upstream failed\n\nid: 4\ndata: x\n\n"),
 		"JSON inside the stream":          text("{\"error\": \"no\"}\n\nid: 4\ndata: x\n\n"),
 		"no ids":                          text("data: word1\n\ndata: word2\n\n"),
 		"first event without id":          text("data: word4\n\nid: 5\ndata: word5\n\n"),
