--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -37,8 +37,15 @@
 type stream struct {
 	c      *call
 	turn   *turn
-	lastID string
+	lastID string // of the last event that the caller has; empty: it has none
 	events int
+	// continues is set if the current attempt continues after a numbered event.
+	continues bool
+	// runLastID is the number of the last event of the current attempt; 0: none.
+	runLastID uint64
+	// unnumbered is set once an event without a number was delivered: no other upstream can
+	// continue the stream after it.
+	unnumbered bool
 }
 
 // serveStream serves a request whose response is an event stream.
@@ -48,6 +55,9 @@
 		return
 	}
 	s := &stream{c: c, turn: t}
+	if c.route.Resumable {
+		s.lastID = c.req.LastEventID
+	}
 	defer t.settle()
 	c.programStarted = c.req.ParentTurnID != "" || c.req.Program != "" && c.e.knowsProgram(c.req.Program)
 	for {
@@ -79,6 +89,10 @@
 			c.e.metrics.recordEnd(c.kind(), "answered", time.Since(c.began))
 			return
 		case attempt.Retry:
+			if s.unnumbered {
+				c.fail(attempt.GiveUp, "stream without ids can't be continued")
+				return
+			}
 		default:
 			c.fail(a, o.String())
 			return
@@ -156,12 +170,14 @@
 // as progress: comments and empty events do not keep a stalled stream alive.
 func (s *stream) relay(resp *upstream.Response, detectStall bool, hold *membudget.Reservation) error {
 	c := s.c
+	_, err := strconv.ParseUint(s.lastID, 10, 64)
+	s.continues, s.runLastID = err == nil, 0
 	progressBy := time.Now().Add(firstEventStallFactor * c.route.LatencyObjective)
 	events := newEventReader(resp, hold)
 	defer events.close()
 	for {
 		by := c.deadline
-		if detectStall {
+		if detectStall && !s.unnumbered {
 			by = earlier(by, progressBy)
 		}
 		resp.SetReadDeadline(by)
@@ -214,7 +230,7 @@
 	if ev.malformed {
 		return errMalformedEvent
 	}
-	follows, err := isNextEvent(s.lastID, ev.id)
+	follows, err := s.follows(ev)
 	if err != nil || !follows {
 		return err
 	}
@@ -233,22 +249,36 @@
 	if !ev.hasData {
 		return nil
 	}
+	_, err = strconv.ParseUint(ev.id, 10, 64)
+	s.unnumbered = s.unnumbered || err != nil
 	s.events++
 	return s.turn.event(ev)
 }
 
-// isNextEvent reports whether an event follows the last one. IDs increase by one;
-// events with other IDs are relayed in the order of arrival.
-func isNextEvent(last, id string) (bool, error) {
-	a, errA := strconv.ParseUint(last, 10, 64)
-	b, errB := strconv.ParseUint(id, 10, 64)
-	if errA != nil || errB != nil {
+// follows reports whether an event is to be delivered: it follows the last one that the
+// caller has. IDs increase by one. Events without a number are delivered in the order of
+// arrival, but not in a continuation: they may be any.
+func (s *stream) follows(ev event) (bool, error) {
+	id, err := strconv.ParseUint(ev.id, 10, 64)
+	if err != nil {
+		if ev.hasData && s.continues {
+			return false, errEventOrder
+		}
 		return true, nil
 	}
-	if b <= a {
-		return false, nil
+	if ev.hasData {
+		if s.runLastID > 0 && id <= s.runLastID {
+			return false, errEventOrder
+		}
+		s.runLastID = id
 	}
-	if b > a+1 {
+	last, err := strconv.ParseUint(s.lastID, 10, 64)
+	switch {
+	case err != nil:
+		return true, nil
+	case id <= last:
+		return false, nil
+	case id > last+1:
 		return false, errEventOrder
 	}
 	return true, nil
--- a/pkg/edge/streamerror_test.go
+++ b/pkg/edge/streamerror_test.go
@@ -126,6 +126,45 @@
 	}
 }
 
+// TestTakenUpStreamIsInOrder guards against events that come twice, are missing or belong to
+// no event where a caller takes a stream up after its third event (issue 32).
+func TestTakenUpStreamIsInOrder(t *testing.T) {
+	text := func(s string) http.HandlerFunc { return signedBody(http.StatusOK, "text/event-stream", s) }
+	const next = "id: 4\ndata: word4\n\n"
+	for name, c := range map[string]struct {
+		h    http.HandlerFunc
+		body string // expected with status 200; empty: an error is expected
+	}{
+		"in order":              {text(next), next},
+		"from the start":        {text("id: 1\ndata: word1\n\nid: 2\ndata: word2\n\nid: 3\ndata: word3\n\n" + next), next},
+		"only the end was lost": {text(": done\n\n"), ": done\n\n"},
+		"a gap":                 {text("id: 5\ndata: word5\n\n"), ""},
+		"no ids":                {text("data: word1\n\n"), ""},
+		"JSON":                  {signedBody(http.StatusOK, "application/json", "{}"), ""},
+		"head":                  {text("HTTP/1.1 500 E\r\n\r\n"), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t)
+			d.route(clone(resumable))
+			d.upstream("u1", "llm", c.h)
+			d.upstream("u2", "llm", c.h)
+			p := d.edge("127.0.0.1")
+			p.ready(t, 2, 0)
+			eventually(t, "the edge does not follow the store", p.edge.view.live)
+			a := p.call(t, "POST", "/resumable/1", "in", map[string]string{"Attempt-Id": "1", "Last-Event-Id": "3"})
+			if c.body == "" {
+				if a.err == nil && a.status < http.StatusInternalServerError {
+					t.Errorf("the caller got a complete answer: %+v", a)
+				}
+				return
+			}
+			if a.err != nil || a.status != http.StatusOK || a.body != c.body {
+				t.Errorf("%+v", a)
+			}
+		})
+	}
+}
+
 // TestStreamAfterFailedContinuation guards against giving a stream up, though a third
 // upstream can continue it, after one that answered with no continuation (issue 32).
 func TestStreamAfterFailedContinuation(t *testing.T) {
