--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -21,13 +21,16 @@
 	})
 	return &upstream.Request{
 		Address: m.Address, MaxConnections: c.connectionLimit(), ID: c.req.ID,
-		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
+		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body, Run: c.expectedRun(m),
 	}
 }
 
 // send sends the request to a member and reads the response header.
 func (c *call) send(ctx context.Context, m *fleet.Member, req *upstream.Request) (*upstream.Response, error) {
 	resp, err := c.e.pool.Do(ctx, req)
+	if other := (*upstream.OtherRunError)(nil); errors.As(err, &other) {
+		c.e.recordOtherRun(m, other.Got, c.req.ID)
+	}
 	if err != nil {
 		return resp, err
 	}
--- a/pkg/edge/harness_test.go
+++ b/pkg/edge/harness_test.go
@@ -189,14 +189,30 @@
 	})
 }
 
-// upstream registers a scripted upstream.
+// upstream registers a scripted upstream. It does not describe its state.
 func (d *deployment) upstream(id, service string, h http.HandlerFunc) {
 	d.t.Helper()
-	srv := httptest.NewServer(h)
+	srv := httptest.NewServer(withState(func() int64 { return 0 }, h))
 	d.t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
 	d.register(id, service, strings.TrimPrefix(srv.URL, "http://"), "ready")
 }
 
+// withState answers questions for an upstream's state with the start of its run, in Unix ms;
+// 0: it does not say. All other requests go to h.
+func withState(born func() int64, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		switch start := born(); {
+		case req.URL.Path != platform.UpstreamStatePath:
+			h(w, req)
+		case start == 0:
+			http.NotFound(w, req)
+		default:
+			w.Header().Set("Content-Type", "application/json")
+			fmt.Fprintf(w, `{"Stage":"dual","Busy":false,"born":%d}`, start)
+		}
+	}
+}
+
 func (d *deployment) register(id, service, address, state string) {
 	d.registerRun(id, service, address, state, 1)
 }
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -74,6 +74,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_streams_taken_up_total{origin=%q}`, source)).Inc()
 }
 
+// otherRun counts an upstream that was found to have started again without a new
+// registration.
+func (m *metrics) otherRun() {
+	m.set.GetOrCreateCounter(`yucca_edge_unregistered_runs_total`).Inc()
+}
+
 // originMoved counts a stream that moves to another version before its first event, by
 // whether that was recorded.
 func (m *metrics) originMoved(err error) {
--- a/pkg/edge/origin.go
+++ b/pkg/edge/origin.go
@@ -9,6 +9,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
 	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
 	"github.com/yuccaspindle/yuccaspindle/pkg/origin"
+	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 )
 
 // Reasons for refusing a request that takes up a stream.
@@ -84,6 +85,34 @@
 // tried reports whether an attempt was made at an upstream.
 func (c *call) tried(id string) bool { return c.triedUpstreams[id] }
 
+// expectedRun returns the start of the run that must get the request, in Unix ms; 0: any
+// may. A stream that has begun must not go on at an upstream that has started again, maybe
+// with another version, and whose new registration this edge has not seen.
+func (c *call) expectedRun(m *fleet.Member) int64 {
+	if !c.binding.Begun() || !c.table.Service(c.service).ReportsState {
+		return 0
+	}
+	return m.StartedUnixMs
+}
+
+// recordOtherRun records that the upstream of a member has started again without a new
+// registration.
+func (e *Edge) recordOtherRun(m *fleet.Member, startedUnixMs int64, id string) {
+	var ended []endedRun
+	e.withFleet(func(f *fleet.Fleet) {
+		if u, ok := f.RecordOtherRun(m, startedUnixMs); ok {
+			ended = endedRuns(poison.Replaced, u)
+		}
+	})
+	if len(ended) == 0 {
+		return
+	}
+	e.metrics.otherRun()
+	e.logger.Warn("upstream has started again without a new registration", "upstream", m.ID, "address", m.Address,
+		"born", startedUnixMs, "registered", m.StartedUnixMs, "version", m.SoftwareVersion, "id", id)
+	e.suspects.runsEnded(ended...)
+}
+
 // recordedOrigin returns the origin to write to the ledger; nil: none is needed. Also that
 // the upstream names no version is recorded: another edge may list other upstreams.
 func (c *call) recordedOrigin() *peerv1.Origin {
--- a/pkg/edge/streamversion_test.go
+++ b/pkg/edge/streamversion_test.go
@@ -50,7 +50,7 @@
 // startAs starts an upstream of a version and registers it under an id with the version
 // that it names; empty: it names none. It replaces an earlier registration of the id.
 func (v *versionedUpstreams) startAs(id, version, named string) {
-	srv := httptest.NewServer(v.handler(version))
+	srv := httptest.NewServer(withState(func() int64 { return 1 }, v.handler(version)))
 	v.d.t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
 	address := strings.TrimPrefix(srv.URL, "http://")
 	if v.registrations == nil {
--- a/pkg/edge/watch.go
+++ b/pkg/edge/watch.go
@@ -109,7 +109,7 @@
 // previousRun returns the end of the run of an upstream that has restarted as u.
 func previousRun(f *fleet.Fleet, u fleet.Upstream) []endedRun {
 	m := f.Member(u.ID)
-	if m == nil || m.StartedUnixMs == u.StartedUnixMs {
+	if m == nil || m.StartedUnixMs == u.StartedUnixMs || f.Outdated(u) {
 		return nil
 	}
 	return endedRuns(poison.Replaced, m.EndedUpstream())
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -85,6 +85,10 @@
 	drainingSince time.Time // when the registration announced the shutdown; zero: not, or unknown
 
 	limit *ratelimit.Limit // nil: the run has named no rate limit
+
+	// replacedUnixMs is the start of the run that the registration still names although
+	// this one has replaced it; 0: the registration names this run.
+	replacedUnixMs int64
 }
 
 // InFlight returns the number of running attempts of this process.
@@ -132,6 +136,10 @@
 // and failures of the previous one.
 func (f *Fleet) Put(u Upstream, now time.Time) {
 	old := f.members[u.ID]
+	if f.Outdated(u) {
+		old.missing = false
+		return
+	}
 	m := old
 	if m == nil || m.StartedUnixMs != u.StartedUnixMs || m.Address != u.Address || m.SoftwareVersion != u.SoftwareVersion {
 		m = &Member{Upstream: u, leavingSince: f.leavingRuns.since(u)}
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -66,6 +66,8 @@
 	Name           string
 	MaxConnections int // to one upstream from all callers; 0: unknown
 	TokensPerEvent int // tokens per event of a stream, for accounting; 0: not a model service
+	// ReportsState is set if the upstreams describe their state when asked.
+	ReportsState bool
 }
 
 // Limits bounds the requests of callers.
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -27,6 +27,9 @@
 	Header         http.Header
 	Body           []byte
 	HeadDeadline   time.Time // for the response head; zero: none
+	// Run is the start of the upstream's run, in Unix ms. If the upstream says that it is
+	// another run, the request is not sent; 0: any run.
+	Run int64
 }
 
 // head returns the encoded request line and headers.
@@ -68,7 +71,7 @@
 // Do sends a request and reads the response head. Canceling the context aborts
 // the exchange, also while the body is read.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.get(ctx, r.Address, r.ID, r.MaxConnections)
+	c, err := p.getRun(ctx, r)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -58,6 +58,7 @@
 	idleTime time.Duration
 	reused   bool // taken from the idle list, so it may have carried a response before
 	carried  carriedIDs
+	run      checkedRun
 }
 
 // maxCarriedIDs is how many request ids a connection remembers. A response to an earlier
