--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -45,6 +45,7 @@
 // aboutUpstream are the events that name one upstream.
 var aboutUpstream = map[string]bool{
 	"upstream changed": true, "upstream gone": true, "upstream rate limit": true, "use of a limited upstream": true,
+	"upstream has started again without a new registration": true,
 }
 
 // aboutLimits are the events that explain a refusal with the reason limitReason.
