--- a/pkg/sidecar/model.go
+++ b/pkg/sidecar/model.go
@@ -119,6 +119,10 @@
 			return
 		}
 		defer res.Body.Close()
+		if res.StatusCode < http.StatusOK {
+			report(item{err: errSwitch})
+			return
+		}
 		if res.StatusCode != http.StatusOK {
 			b, _ := io.ReadAll(io.LimitReader(res.Body, maxEvent))
 			report(item{err: &statusError{status: res.StatusCode, body: b}})
--- a/pkg/sidecar/service.go
+++ b/pkg/sidecar/service.go
@@ -86,6 +86,9 @@
 		s.met.foreign.Inc()
 		return s.fail(c, core.RanUnknown, "service", fmt.Errorf("the answer belongs to request %q", id))
 	}
+	if res.StatusCode < http.StatusOK {
+		return s.broken(ctx, c, errSwitch)
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer+1))
 	if err != nil {
 		return s.broken(ctx, c, err)
--- a/pkg/sidecar/upstream.go
+++ b/pkg/sidecar/upstream.go
@@ -61,6 +61,10 @@
 	u.fresh.CloseIdleConnections()
 }
 
+// errSwitch means that the upstream switches protocols, which no request asks for. The body
+// is then the open connection, and reading it does not end with the request.
+var errSwitch = errors.New("upstream switches protocols (status 101)")
+
 // statusError is an answer with an HTTP error status.
 type statusError struct {
 	status int
