--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -34,14 +34,22 @@
 var (
 	errEventOrder = errors.New("events are missing or out of order")
 	errCallerLeft = errors.New("the caller closed its connection")
+	errNoEvents   = errors.New("the stream ends without an event")
 )
 
 // stream is the state of one event stream over all its attempts.
 type stream struct {
 	c      *call
 	turn   *turn
-	lastID string
+	lastID string // of the last event that the caller has; empty: it has none
 	events int
+	// continues is set if the current attempt continues after a numbered event.
+	continues bool
+	// runLastID is the number of the last event of the current attempt; 0: none.
+	runLastID uint64
+	// unnumbered is set once an event without a number was delivered: no other upstream can
+	// continue the stream after it.
+	unnumbered bool
 }
 
 // serveStream serves a request whose response is an event stream.
@@ -51,6 +59,9 @@
 		return
 	}
 	s := &stream{c: c, turn: t}
+	if c.route.Resumable {
+		s.lastID = c.req.LastEventID
+	}
 	defer t.settle()
 	c.programStarted = c.req.ParentTurnID != "" || c.req.Program != "" && c.e.knowsProgram(c.req.Program)
 	for {
@@ -79,6 +90,10 @@
 			s.end(m)
 			return
 		case attempt.Retry:
+			if s.unnumbered {
+				c.fail(attempt.GiveUp, "stream without ids can't be continued")
+				return
+			}
 		default:
 			c.fail(a, o.String())
 			return
@@ -119,7 +134,7 @@
 }
 
 // runAttempt makes one attempt and relays its events. It returns a body if the
-// response is not an event stream.
+// response is not an event stream but can be delivered.
 func (s *stream) runAttempt(m *fleet.Member) (*upstream.Response, [][]byte, attempt.Outcome, error) {
 	c := s.c
 	detectStall := c.canFailOver(m)
@@ -138,15 +153,8 @@
 		discard(resp)
 		return resp, nil, attempt.Rejected, nil
 	}
-	if resp.Status != http.StatusOK {
-		body, err := c.readResponse(resp, m, 0)
-		if err != nil {
-			return resp, nil, classifyError(err, detectStall), err
-		}
-		if c.headSent { // a status after the start of the stream cannot be delivered
-			return resp, nil, attempt.Broken, errors.Errorf("status %d for the continuation of a stream", resp.Status)
-		}
-		return resp, body, attempt.Answered, nil
+	if resp.Status != http.StatusOK || !resp.Stream {
+		return s.plainResponse(resp, m, detectStall)
 	}
 	if !resp.Signed {
 		return resp, nil, attempt.Broken, errUnsigned
@@ -157,16 +165,38 @@
 	return resp, nil, attempt.Answered, nil
 }
 
+// plainResponse reads a response that is no event stream, such as an error. It can only be
+// delivered whole, as the first response to a request. Where a success would count as a
+// part of a stream or as a turn it is none.
+func (s *stream) plainResponse(resp *upstream.Response, m *fleet.Member, detectStall bool) (*upstream.Response, [][]byte, attempt.Outcome, error) {
+	c := s.c
+	success := resp.Status < http.StatusMultipleChoices
+	switch {
+	case c.headSent, success && (c.takesUp() || c.route.KeepsHistory):
+		discard(resp)
+		return resp, nil, attempt.Broken, errors.Errorf("status %d with type %q where an event stream is expected", resp.Status, resp.Header.Get("Content-Type"))
+	case success && !resp.Signed:
+		return resp, nil, attempt.Broken, errUnsigned
+	}
+	body, err := c.readResponse(resp, m, 0)
+	if err != nil {
+		return resp, nil, classifyError(err, detectStall), err
+	}
+	return resp, body, attempt.Answered, nil
+}
+
 // relay sends the events of a response to the caller as they arrive. Only data counts
 // as progress: comments and empty events do not keep a stalled stream alive.
 func (s *stream) relay(resp *upstream.Response, detectStall bool, hold *membudget.Reservation) error {
 	c := s.c
+	_, err := strconv.ParseUint(s.lastID, 10, 64)
+	s.continues, s.runLastID = err == nil, 0
 	progressBy := time.Now().Add(firstEventStallFactor * c.route.LatencyObjective)
 	events := newEventReader(resp, hold)
 	defer events.close()
 	for {
 		by := c.deadline
-		if detectStall {
+		if detectStall && !s.unnumbered {
 			by = earlier(by, progressBy)
 		}
 		resp.SetReadDeadline(by)
@@ -191,6 +221,10 @@
 	if len(rest.raw) > 0 {
 		return &upstream.Error{Step: "read body", Addr: "upstream", Sent: true, Err: io.ErrUnexpectedEOF}
 	}
+	// A continuation may have no event: its caller may lack only the end of the stream.
+	if s.events == 0 && !s.c.takesUp() {
+		return errNoEvents
+	}
 	if !s.c.headSent {
 		s.writeHead(resp)
 	}
@@ -213,7 +247,10 @@
 // upstream that resumed at an earlier one.
 func (s *stream) event(resp *upstream.Response, ev event) error {
 	c := s.c
-	follows, err := isNextEvent(s.lastID, ev.id)
+	if ev.malformed {
+		return errMalformedEvent
+	}
+	follows, err := s.follows(ev)
 	if err != nil || !follows {
 		return err
 	}
@@ -232,22 +269,36 @@
 	if !ev.hasData {
 		return nil
 	}
+	_, err = strconv.ParseUint(ev.id, 10, 64)
+	s.unnumbered = s.unnumbered || err != nil
 	s.events++
 	return s.turn.event(ev)
 }
 
-// isNextEvent reports whether an event follows the last one. IDs increase by one;
-// events with other IDs are relayed in the order of arrival.
-func isNextEvent(last, id string) (bool, error) {
-	a, errA := strconv.ParseUint(last, 10, 64)
-	b, errB := strconv.ParseUint(id, 10, 64)
-	if errA != nil || errB != nil {
+// follows reports whether an event is to be delivered: it follows the last one that the
+// caller has. IDs increase by one. Events without a number are delivered in the order of
+// arrival, but not in a continuation: they may be any.
+func (s *stream) follows(ev event) (bool, error) {
+	id, err := strconv.ParseUint(ev.id, 10, 64)
+	if err != nil {
+		if ev.hasData && s.continues {
+			return false, errEventOrder
+		}
 		return true, nil
 	}
-	if b <= a {
-		return false, nil
+	if ev.hasData {
+		if s.runLastID > 0 && id <= s.runLastID {
+			return false, errEventOrder
+		}
+		s.runLastID = id
 	}
-	if b > a+1 {
+	last, err := strconv.ParseUint(s.lastID, 10, 64)
+	switch {
+	case err != nil:
+		return true, nil
+	case id <= last:
+		return false, nil
+	case id > last+1:
 		return false, errEventOrder
 	}
 	return true, nil
