--- a/pkg/ledger/faults_test.go
+++ b/pkg/ledger/faults_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/standin/faultdisk"
 )
@@ -218,3 +220,24 @@
 		}
 	})
 }
+
+// Guards against a record that is acknowledged although no start can read it, and with it
+// nothing that follows in its file.
+func TestRecordThatCanNotBeRead(t *testing.T) {
+	onDisks(t, 1, func(t *testing.T, d *faultdisk.Disk) {
+		s, stop := startStore(t, d)
+		mustComplete(t, s)
+		large := turnRecord("large", "")
+		large.GetTurn().Input = make([]byte, maxRecordBytes)
+		for _, rec := range []*peerv1.LedgerRecord{large, {}} {
+			if s.Write(t.Context(), []*peerv1.LedgerRecord{rec}) == nil {
+				t.Errorf("a record of %d bytes was acknowledged", proto.Size(rec))
+			}
+		}
+		mustWrite(t, s, turnRecord("a", ""))
+		stop()
+		d.Kill()
+		s, _ = startStore(t, d)
+		expectTurns(t, s, "a")
+	})
+}
--- a/pkg/ledger/store.go
+++ b/pkg/ledger/store.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/durable"
@@ -140,6 +141,12 @@
 // power loss may remove them before. The exception is Usage, which returns them at once,
 // so that of two concurrent reservations at least one sees the other.
 func (s *Store) Write(ctx context.Context, recs []*peerv1.LedgerRecord) error {
+	for _, r := range recs {
+		// No start reads such a record, or what follows in its file.
+		if size := proto.Size(r); size == 0 || size > maxRecordBytes {
+			return errors.Errorf("record of %d bytes, expected 1 to %d", size, maxRecordBytes)
+		}
+	}
 	s.mu.Lock()
 	for _, r := range recs {
 		s.unsynced.add(r)
