--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -114,4 +114,13 @@
 // turnNotFound counts a request whose parent turn was not found.
 func (m *metrics) turnNotFound() { m.set.GetOrCreateCounter(`yucca_edge_turns_not_found_total`).Inc() }
 
+// membersRead counts a read of the list of storage processes from the platform's store.
+func (m *metrics) membersRead(err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_member_reads_total{result=%q}`, result)).Inc()
+}
+
 func (m *metrics) serve(w http.ResponseWriter, _ *http.Request) { m.set.WritePrometheus(w) }
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -45,6 +45,8 @@
 	e     *Edge
 	table atomic.Pointer[routing.Table]
 
+	memberReader *memberReader
+
 	mu        sync.Mutex
 	config    []byte // as stored
 	upstreams map[string][]byte
@@ -75,12 +77,14 @@
 }
 
 func newView(e *Edge) *view {
-	return &view{
+	v := &view{
 		e: e, upstreams: make(map[string][]byte),
 		nodes: make(map[string]platform.Node), nodeSpecs: make(map[string]platform.Object),
 		loaded: make(chan struct{}), started: time.Now(), feed: feedState{changed: make(chan struct{}), followers: make(map[*transport.Stream]follower)},
 		lost: map[string]bool{platform.KindConfig: true, platform.KindUpstreams: true, platform.KindNodes: true},
 	}
+	v.memberReader = newMemberReader(v.listStorage)
+	return v
 }
 
 // ready reports whether requests can be placed.
@@ -247,9 +251,8 @@
 	defer v.mu.Unlock()
 	var list []ledger.Member
 	for name, n := range v.nodes {
-		if n.Role == platform.RoleStorage && n.Active && !n.Removed {
-			local := v.e.settings.RegionOf[n.FailureDomain] == v.e.settings.Region
-			list = append(list, ledger.Member{Name: name, Address: n.Address, Local: local})
+		if isMember(n) {
+			list = append(list, v.e.member(name, n))
 		}
 	}
 	return list
--- a/pkg/ledger/client.go
+++ b/pkg/ledger/client.go
@@ -32,6 +32,9 @@
 type Directory interface {
 	Storage() []Member // active storage processes
 	Relays() []string  // addresses of entries that may reach members this process cannot reach
+	// ReadStorage reads the active storage processes from the platform's store, no
+	// earlier than it is called. Storage may return an older list.
+	ReadStorage(ctx context.Context) ([]Member, error)
 }
 
 const (
--- a/pkg/ledger/client_test.go
+++ b/pkg/ledger/client_test.go
@@ -34,6 +34,8 @@
 
 func (c *cluster) Relays() []string { return c.relays }
 
+func (c *cluster) ReadStorage(context.Context) ([]Member, error) { return c.Storage(), nil }
+
 func newTransport(t *testing.T, h transport.Handler) *transport.Transport {
 	t.Helper()
 	tr, err := transport.New(transport.Config{
--- a/pkg/ledger/read.go
+++ b/pkg/ledger/read.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -9,8 +11,8 @@
 )
 
 // Chain returns a turn and all its ancestors, oldest first. It fails with
-// ErrNotFound only if every active storage process replied that it does not have
-// the turn. The turns of one chain may be stored on different members, so Chain
+// ErrNotFound only if every active storage process, by a list that was read from the
+// platform's store after the call, replied that it does not have the turn. The turns of one chain may be stored on different members, so Chain
 // assembles it from several requests; if an ancestor is missing it fails with
 // ErrNoMajority.
 func (c *Client) Chain(ctx context.Context, id string) ([]*peerv1.TurnRecord, error) {
@@ -49,7 +51,37 @@
 			return chain, nil
 		}
 	}
-	return c.tailFrom(ctx, members, id)
+	chain, err := c.tailFrom(ctx, members, id)
+	if errors.Is(err, ErrNotFound) {
+		return c.confirmNotFound(ctx, members, id, err)
+	}
+	return chain, err
+}
+
+// confirmNotFound looks for a turn that none of the members asked has. The directory's
+// list may lack members that joined lately, and a turn may be stored on these only, so
+// the list is read anew. All members of a list that differs are asked, also those that
+// were asked before: they may have received the turn from one that left meanwhile.
+func (c *Client) confirmNotFound(ctx context.Context, asked []Member, id string, notFound error) ([]*peerv1.TurnRecord, error) {
+	current, err := c.directory.ReadStorage(ctx)
+	if err != nil {
+		return nil, errors.Wrapf(ErrNoMajority, "members not known for certain: %v; %v", err, notFound)
+	}
+	if sameMembers(current, asked) {
+		return nil, notFound
+	}
+	c.logger.Warn("list of storage processes was outdated", "turn", id, "asked", memberNames(asked), "current", memberNames(current))
+	return c.tailFrom(ctx, current, id)
+}
+
+// memberNames lists members for logs.
+func memberNames(members []Member) string {
+	names := make([]string, 0, len(members))
+	for _, m := range members {
+		names = append(names, m.Name)
+	}
+	slices.Sort(names)
+	return strings.Join(names, ",")
 }
 
 // tailFrom asks the given members for a turn and its ancestors.
