--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -38,6 +38,8 @@
 	turn   *turn
 	lastID string
 	events int
+	// stalled is the upstream that the stream left because of a silence; empty: none.
+	stalled string
 }
 
 // serveStream serves a request whose response is an event stream.
@@ -66,6 +68,9 @@
 			c.cancelAttempt(m)
 			return
 		}
+		if o == attempt.Stalled {
+			s.stalled = m.ID
+		}
 		switch a := c.recordEnd(m, o, resp, err); a {
 		case attempt.Deliver:
 			if !c.headSent {
@@ -96,6 +101,14 @@
 	if m == nil && c.moveOrigin() {
 		return c.place()
 	}
+	if m == nil && c.headSent && s.stalled != "" {
+		// All others refuse. The upstream was only silent: a stream that has begun waits
+		// for it rather than break off.
+		c.e.logger.Info("stream returns to a silent upstream", "id", c.req.ID, "upstream", s.stalled)
+		delete(c.triedUpstreams, s.stalled)
+		s.stalled = ""
+		return c.place()
+	}
 	return m, why
 }
 
