--- a/pkg/edge/caller.go
+++ b/pkg/edge/caller.go
@@ -24,7 +24,8 @@
 // setDeliveryDeadline closes the connection of a caller that does not read its
 // response.
 func (c *call) setDeliveryDeadline(deadline time.Time) {
-	if err := http.NewResponseController(c.w).SetWriteDeadline(deadline.Add(deliveryMargin)); err != nil {
+	c.deliverBy = deadline.Add(deliveryMargin)
+	if err := http.NewResponseController(c.w).SetWriteDeadline(c.deliverBy); err != nil {
 		c.e.logger.Debug("write deadline not set", "id", c.req.ID, "err", err)
 	}
 }
@@ -87,9 +88,13 @@
 	return []any{"conn", c.conn.end().String(), "on_conn", c.onConn, "sent_bytes", c.conn.written.Load() - c.writtenBefore}
 }
 
-// announceClose tells the caller of a stopping edge not to use the connection again. It
-// must be called before the head of the answer is written.
-func (c *call) announceClose() {
+// prepareAnswer must be called before the head of an answer is written. It tells the caller
+// of a stopping edge not to use the connection again. After a pause of the process it
+// extends the time to deliver, which has passed or is short.
+func (c *call) prepareAnswer() {
+	if now := time.Now(); c.deliverBy.Sub(now) < deliveryMargin/2 {
+		c.setDeliveryDeadline(now)
+	}
 	if c.e.draining.Load() {
 		c.w.Header().Set("Connection", "close")
 	}
@@ -104,6 +109,7 @@
 	if c.headSent {
 		panic(http.ErrAbortHandler)
 	}
+	c.prepareAnswer()
 	platform.SetLocalResponseHeader(c.w.Header(), c.req.ID, 0)
 	c.w.Header().Set("Content-Length", "0")
 	c.w.Header().Set("Connection", "close")
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -46,7 +46,8 @@
 	onConn, writtenBefore int64
 	// deadline is the earlier of the caller's deadline and the end of the route's
 	// timeout.
-	deadline time.Time
+	deadline  time.Time
+	deliverBy time.Time // write deadline of the caller's connection
 	// suspendedBefore is how long the machine had been suspended in total when
 	// deadline was last adjusted.
 	suspendedBefore time.Duration
@@ -134,7 +135,7 @@
 func (c *call) respond(status int, retryAfter time.Duration, why string) {
 	platform.SetLocalResponseHeader(c.w.Header(), c.req.ID, retryAfter)
 	c.w.Header().Set("Content-Length", "0")
-	c.announceClose()
+	c.prepareAnswer()
 	c.w.WriteHeader(status)
 	c.headSent = true
 	c.log("request ended by us", status, "why", why, "retry_after", retryAfter)
@@ -218,7 +219,7 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // keeps net/http from adding one: the upstream's headers are passed on unchanged
 	}
-	c.announceClose()
+	c.prepareAnswer()
 	c.w.WriteHeader(resp.Status)
 	c.headSent = true
 	for _, piece := range body {
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -196,7 +196,7 @@
 	c := s.c
 	platform.CopyResponseHeader(c.w.Header(), resp.Header)
 	c.w.Header().Del("Content-Length")
-	c.announceClose()
+	c.prepareAnswer()
 	c.w.WriteHeader(resp.Status)
 	c.headSent = true
 	c.binding.Begin()
