--- a/pkg/edge/callerconn.go
+++ b/pkg/edge/callerconn.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	// firstRequestWait is how long a new connection of a stopping edge is kept for its
-	// first request: callers allow a second for a connection.
-	firstRequestWait = time.Second
+	// requestWait is how long a stopping edge waits for the first request of a new
+	// connection, or for the rest of a request's head. The platform's callers need at most
+	// 3 s for a head.
+	requestWait = 3 * time.Second
 	// acceptQuietTime without a new connection ends the listening of a stopping edge, and
 	// maxAcceptTime in any case.
 	acceptQuietTime = 10 * time.Millisecond
@@ -67,14 +68,15 @@
 	written  atomic.Int64 // bytes
 	lastRead atomic.Int32 // connEnd of the last read
 	owner    *callerConns
-	accepted time.Time
 	closed   atomic.Bool
 
-	mu      sync.Mutex
-	used    bool // something was received
-	busy    bool // a request is being received or answered
-	early   bool // a byte of the next request was received during this one
-	expired bool // no further request is waited for
+	mu sync.Mutex
+	// expectedSince is when the connection was accepted, or the first byte of the next
+	// request came; zero: it is idle.
+	expectedSince time.Time
+	busy          bool // the head of a request was received and its answer is not complete
+	early         bool // a byte of the next request came before that
+	expired       bool // no further request is waited for
 }
 
 // Read implements net.Conn.
@@ -123,11 +125,12 @@
 	return nil
 }
 
-// lingers reports whether an answer was just sent that a reset could overtake.
+// lingers reports whether an answer was just sent that a reset could overtake. A request
+// whose head can't be read (400, 431) is answered by net/http.
 func (c *callerConn) lingers() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.busy && c.end() != connFinished && c.end() != connReset
+	return (c.busy || !c.expectedSince.IsZero() && !c.expired) && c.end() != connFinished && c.end() != connReset
 }
 
 // mayRead reports whether a read makes sense: a connection that expired while it was idle
@@ -143,8 +146,12 @@
 func (c *callerConn) received(buffer int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.early = c.busy && buffer == 1
-	c.used, c.busy = true, true
+	switch {
+	case c.busy:
+		c.early = c.early || buffer == 1
+	case c.expectedSince.IsZero():
+		c.expectedSince = time.Now()
+	}
 }
 
 // setState follows the state that net/http gives a connection.
@@ -153,18 +160,20 @@
 	defer c.mu.Unlock()
 	switch s {
 	case http.StateActive:
-		c.busy = true
+		c.busy, c.early, c.expectedSince = true, false, time.Time{}
 	case http.StateIdle:
-		c.busy, c.early = c.early, false
+		if c.early {
+			c.expectedSince = time.Now()
+		}
+		c.busy = false
 	}
 }
 
-// expire ends the wait for a request, unless one is being received or answered, or the
-// connection is so new that its first one may be on its way.
+// expire ends the wait for a request, unless one is being answered or may be on its way.
 func (c *callerConn) expire(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy || !c.used && now.Sub(c.accepted) < firstRequestWait || c.hasUnread() {
+	if c.busy || now.Sub(c.expectedSince) < requestWait || c.hasUnread() {
 		return
 	}
 	c.expired = true
@@ -266,7 +275,7 @@
 func newCallerConns() *callerConns { return &callerConns{open: make(map[*callerConn]struct{})} }
 
 func (l *callerConns) add(tcp *net.TCPConn) *callerConn {
-	c := &callerConn{TCPConn: tcp, owner: l, accepted: time.Now()}
+	c := &callerConn{TCPConn: tcp, owner: l, expectedSince: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[c] = struct{}{}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -107,9 +107,10 @@
 	l.stopAccepting()
 	end := e.stopDeadline()
 	if !drainConns(l.conns, end.Add(-cutAnswerTime)) {
-		n, ids := e.inFlight.ids()
-		e.logger.Warn("shutdown interrupted requests", "requests", n, "ids", ids)
-		e.metrics.cutAtStop(n)
+		if n, ids := e.inFlight.ids(); n > 0 {
+			e.logger.Warn("shutdown interrupted requests", "requests", n, "ids", ids)
+			e.metrics.cutAtStop(n)
+		}
 		endRequests(errStopped)
 		drainConns(l.conns, end)
 	}
--- a/pkg/edge/stopping_test.go
+++ b/pkg/edge/stopping_test.go
@@ -236,3 +236,26 @@
 		t.Errorf("the connection was read for %v after its close", took)
 	}
 }
+
+// TestLineEndAfterBodyDelaysStop guards against a stop that waits until the end of the grace
+// for a request of which only the line end after the body before has come.
+func TestLineEndAfterBodyDelaysStop(t *testing.T) {
+	started := make(chan struct{})
+	p := startUnsafe(t, 10*time.Second, func(w http.ResponseWriter, req *http.Request) {
+		close(started)
+		time.Sleep(200 * time.Millisecond) // the line end comes during the request
+		serveAny(w, req)
+	})
+	caller := p.raw(t)
+	caller.send(rawRequest("POST", "/unsafe/1", "a", "in"))
+	<-started
+	caller.send("\r\n")
+	if a := caller.receive("POST"); !a.signedSuccess() {
+		t.Fatalf("%+v", a)
+	}
+	began := time.Now()
+	p.stop()
+	if took := time.Since(began); took > drainListenTime+requestWait+time.Second {
+		t.Errorf("the stop took %v", took)
+	}
+}
