--- a/pkg/edge/membership_test.go
+++ b/pkg/edge/membership_test.go
@@ -79,6 +79,9 @@
 
 func (d staleDirectory) Storage() []ledger.Member { return d }
 func (d staleDirectory) Relays() []string         { return nil }
+func (d staleDirectory) ReadStorage(context.Context) ([]ledger.Member, error) {
+	return d, nil
+}
 
 // TestBudgetWithStaleMembers guards against a budget that is exceeded while a storage
 // process joins: an entry that has not learnt of it writes to a quorum of the old replica
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -50,6 +50,8 @@
 	// unnumbered is set once an event without a number was delivered: no other upstream can
 	// continue the stream after it.
 	unnumbered bool
+	// stalled is the upstream that the stream left because of a silence; empty: none.
+	stalled string
 }
 
 // serveStream serves a request whose response is an event stream.
@@ -81,6 +83,9 @@
 			c.cancelAttempt(m)
 			return
 		}
+		if o == attempt.Stalled {
+			s.stalled = m.ID
+		}
 		switch a := c.recordEnd(m, o, resp, err); a {
 		case attempt.Deliver:
 			if !c.headSent {
@@ -130,6 +135,14 @@
 	if m == nil && c.moveOrigin() {
 		return c.place()
 	}
+	if m == nil && c.headSent && s.stalled != "" {
+		// All others refuse. The upstream was only silent: a stream that has begun waits
+		// for it rather than break off.
+		c.e.logger.Info("stream returns to a silent upstream", "id", c.req.ID, "upstream", s.stalled)
+		delete(c.triedUpstreams, s.stalled)
+		s.stalled = ""
+		return c.place()
+	}
 	return m, why
 }
 
@@ -236,7 +249,7 @@
 	c := s.c
 	platform.CopyResponseHeader(c.w.Header(), resp.Header)
 	c.w.Header().Del("Content-Length")
-	c.announceClose()
+	c.prepareAnswer()
 	c.w.WriteHeader(resp.Status)
 	c.headSent = true
 	c.binding.Begin()
