--- a/pkg/edge/origin.go
+++ b/pkg/edge/origin.go
@@ -87,12 +87,16 @@
 
 // expectedRun returns the start of the run that must get the request, in Unix ms; 0: any
 // may. A stream that has begun must not go on at an upstream that has started again, maybe
-// with another version, and whose new registration this edge has not seen.
+// with another version, and whose new registration this edge has not seen. While the edge
+// receives no changes, neither may a new stream begin there: its record would be wrong.
 func (c *call) expectedRun(m *fleet.Member) int64 {
-	if !c.binding.Begun() || !c.table.Service(c.service).ReportsState {
+	if !c.table.Service(c.service).ReportsState {
 		return 0
 	}
-	return m.StartedUnixMs
+	if c.binding.Begun() || c.binding.Bound() && !c.e.view.live() {
+		return m.StartedUnixMs
+	}
+	return 0
 }
 
 // recordOtherRun records that the upstream of a member has started again without a new
