--- a/pkg/edge/halfclose_test.go
+++ b/pkg/edge/halfclose_test.go
@@ -85,3 +85,24 @@
 		t.Errorf("status %d", resp.StatusCode)
 	}
 }
+
+// TestHalfClosedCallerOfTurnNotDurable guards against a turn that ends as complete before it
+// is durable, because its caller closes the sending half of its connection meanwhile.
+func TestHalfClosedCallerOfTurnNotDurable(t *testing.T) {
+	d := newTurnDeployment(t)
+	stopped := make(chan struct{})
+	d.failNext(func() {
+		d.stopStores(len(d.stores))
+		close(stopped)
+	})
+	caller := d.p.raw(t)
+	caller.send(rawRequest("POST", "/history/1", "t1", "in"))
+	<-stopped
+	time.Sleep(100 * time.Millisecond) // until the edge has the end of the stream
+	if err := caller.c.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if a := caller.receive("POST"); a.err == nil {
+		t.Errorf("a turn that is not durable ends as complete: %+v", a)
+	}
+}
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -110,12 +110,11 @@
 // if the turn cannot be made durable.
 func (s *stream) end(m *fleet.Member) {
 	c, t := s.c, s.turn
-	if !t.commit() {
-		if c.callerGone() {
-			c.log("caller left", 0, "commit_ms", t.commitDuration.Milliseconds(), "durable", string(t.durability))
-			c.e.metrics.recordEnd(c.kind(), "caller_left", time.Since(c.began))
-			return
-		}
+	switch {
+	case t.commit():
+	case c.callerGone():
+		c.abandon()
+	default:
 		c.fail(attempt.GiveUp, whyNotDurable)
 	}
 	c.log("stream answered", http.StatusOK, "upstream", m.ID, "version", m.SoftwareVersion, "events", s.events,
