--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -64,9 +64,9 @@
 // between regions.
 const peerTurnTimeout = 300 * time.Millisecond
 
-// fetchTurnFromPeers asks the other edges for a turn that no storage process has: a
-// response may have ended before its turn was durable. ErrNotFound means that all of
-// them answered that they do not have it.
+// fetchTurnFromPeers asks the other edges for a turn that no storage process has: an edge
+// that served it may have it in memory after its records were lost. ErrNotFound means that
+// all of them answered that they do not have it.
 func (e *Edge) fetchTurnFromPeers(ctx context.Context, id string) ([]*peerv1.TurnRecord, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTurnTimeout)
 	defer cancel()
