--- a/pkg/frontend/frontend_test.go
+++ b/pkg/frontend/frontend_test.go
@@ -95,6 +95,20 @@
 	}
 }
 
+// Guards against a stream that looks durable although only its owner has the turn: its head
+// was sent before that was known.
+func TestPendingStreamIsMarked(t *testing.T) {
+	b := &fakeBackend{owns: true, chunks: []string{"ok "}, result: Result{Pending: true}}
+	_, _, out := serve(t, b, http.MethodPost, "/v1/chat/completions", question)
+	if !strings.HasSuffix(out, ": Yucca-Durable: pending\n\ndata: [DONE]\n\n") {
+		t.Errorf("stream ends with:\n%s", out)
+	}
+	b.result.Pending = false
+	if _, _, out = serve(t, b, http.MethodPost, "/v1/chat/completions", question); strings.Contains(out, "pending") {
+		t.Errorf("a durable stream ends with:\n%s", out)
+	}
+}
+
 // Guards against a refusal that hides whether the request ran or when to retry.
 func TestRefusalIsTyped(t *testing.T) {
 	b := &fakeBackend{owns: true, err: &RefusalError{core.Refusal{
--- a/pkg/frontend/request.go
+++ b/pkg/frontend/request.go
@@ -37,8 +37,9 @@
 	headerImplicit = "Yucca-Implicit"
 	headerSingle   = "Yucca-Single"
 
-	historyAppend = "append"
-	historyFull   = "full"
+	historyAppend  = "append"
+	durablePending = "pending" // the store does not have the turn yet
+	historyFull    = "full"
 )
 
 const (
--- a/pkg/frontend/server.go
+++ b/pkg/frontend/server.go
@@ -259,7 +259,7 @@
 		h.Set(HeaderStored, "true")
 	}
 	if res.Pending {
-		h.Set(HeaderDurable, "pending")
+		h.Set(HeaderDurable, durablePending)
 	}
 }
 
--- a/pkg/frontend/stream.go
+++ b/pkg/frontend/stream.go
@@ -15,6 +15,8 @@
 	ssePrefix = []byte("data: ")
 	sseEnd    = []byte("\n\n")
 	sseDone   = []byte("data: [DONE]\n\n")
+	// ssePending is a comment with the header that a whole answer would have.
+	ssePending = []byte(": " + HeaderDurable + ": " + durablePending + "\n\n")
 )
 
 // sseSink writes chunks as server-sent events. Headers are sent with the first
@@ -58,8 +60,8 @@
 }
 
 // runStream answers as server-sent events. The last chunk and the end marker
-// follow only when the whole turn is durable, so that a cut stream never looks
-// whole.
+// follow only when the whole turn is durable, or after a comment that says that
+// it is not yet, so that a cut stream never looks whole.
 func (s *Server) runStream(c *gin.Context, t Target, req *CallRequest, body []byte) {
 	sink := &sseSink{w: c.Writer, program: req.Target}
 	res, err := s.opt.Backend.Call(c.Request.Context(), req, sink)
@@ -85,6 +87,9 @@
 	if err := sink.Chunk(finalChunk(res.Answer)); err != nil {
 		return
 	}
+	if res.Pending {
+		_, _ = c.Writer.Write(ssePending)
+	}
 	_, _ = c.Writer.Write(sseDone)
 	flush(c.Writer)
 }
