--- a/pkg/storage/join.go
+++ b/pkg/storage/join.go
@@ -47,6 +47,10 @@
 	// copied names the members whose records were copied before an unreachable one is
 	// removed, by the name of the latter.
 	copied map[string]map[string]bool
+	// replacing is set from the moment at which this process is found not to be a member
+	// until it has caught up. Its registration may be stored meanwhile, also if the answer
+	// to it was lost, and the members that it replaces are then still to be removed.
+	replacing bool
 	// settleAt is when a new member copies the usage records again; zero: it is not new.
 	settleAt time.Time
 }
@@ -160,7 +164,8 @@
 // without this process.
 func (j *joiner) catchUp(ctx context.Context, own platform.Node, registered bool) {
 	s := j.s
-	replacing := !registered || !own.Active || own.Removed
+	j.replacing = j.replacing || !registered || !own.Active || own.Removed
+	replacing := j.replacing
 	if s.ledger.UsageStatus() != peerv1.LedgerReply_OK {
 		if _, complete := j.pullFromOthers(ctx, peerv1.Pull_USAGE, replacing, j.progress.usage); !complete {
 			return
@@ -177,8 +182,8 @@
 	if replacing && !j.takePlace(ctx, replaced) {
 		return
 	}
-	if j.settleAt.IsZero() {
-		s.markCaughtUp(ctx)
+	if j.settleAt.IsZero() && s.markCaughtUp(ctx) {
+		j.replacing = false
 	}
 }
 
@@ -227,7 +232,7 @@
 		}
 	}
 	if s.markCaughtUp(ctx) {
-		j.settleAt = time.Time{}
+		j.settleAt, j.replacing = time.Time{}, false
 	}
 }
 
@@ -337,15 +342,19 @@
 // been copied to others. Otherwise these would have one replica less for good.
 func (j *joiner) replace(ctx context.Context, n platform.Node) {
 	s := j.s
-	if !j.copyRecords(ctx, n) {
+	skipped, ok := j.copyRecords(ctx, n)
+	if !ok {
 		return
 	}
-	if err := s.replicateUsage(ctx, []platform.Node{n}); err != nil {
+	without := append(skipped, n)
+	if err := s.replicateUsage(ctx, without); err != nil {
 		s.logger.Warn("failed to copy usage records to their new replicas", "err", err)
+		delete(j.copied, n.Name) // one that has not replied may have to be skipped
 		return
 	}
-	if err := s.replicateTurns(ctx, n); err != nil {
+	if err := s.replicateTurns(ctx, without); err != nil {
 		s.logger.Warn("failed to copy turns to new replicas", "err", err)
+		delete(j.copied, n.Name)
 		return
 	}
 	if s.removeMember(ctx, n) {
@@ -354,9 +363,11 @@
 }
 
 // copyRecords copies to this process the records of all members except the one to be
-// removed and unreachable ones of the same failure domain. It reports whether that is
-// done. Each member is read only once, as in catchUp.
-func (j *joiner) copyRecords(ctx context.Context, removed platform.Node) bool {
+// removed. It reports whether that is done, and returns the unreachable members that it
+// skipped: those of the same failure domain, and of others as long as each record was
+// acknowledged by more members than are unreachable. Two processes would otherwise wait for
+// the member that the other one is to remove. Each member is read only once, as in catchUp.
+func (j *joiner) copyRecords(ctx context.Context, removed platform.Node) (skipped []platform.Node, ok bool) {
 	s := j.s
 	done := j.copied[removed.Name]
 	if done == nil {
@@ -364,21 +375,38 @@
 		j.copied[removed.Name] = done
 	}
 	others, _ := s.members.others()
+	elsewhere := 0 // skipped members of other failure domains
+	ok = true
 	for _, n := range others {
 		if n.Name == removed.Name || done[n.Name] {
 			continue
 		}
 		err := s.pullFrom(ctx, n.Address, peerv1.Pull_ALL)
 		if err == nil {
+			j.outages.recordSuccess(n.Name)
 			done[n.Name] = true
 			continue
 		}
-		s.logger.Info("records not received", "peer", n.Name, "address", n.Address, "part", peerv1.Pull_ALL, "err", err)
-		if n.FailureDomain != s.settings.FailureDomain || j.outages.recordFailure(n.Name, time.Now()) < joiningReplaceDelay {
-			return false
+		outage := j.outages.recordFailure(n.Name, time.Now())
+		s.logger.Info("records not received", "peer", n.Name, "address", n.Address, "part", peerv1.Pull_ALL, "out_of_reach", outage, "err", err)
+		switch {
+		case n.FailureDomain == s.settings.FailureDomain && outage >= joiningReplaceDelay:
+		case n.FailureDomain != s.settings.FailureDomain && outage >= memberReplaceDelay:
+			elsewhere++
+		default:
+			ok = false
 		}
+		skipped = append(skipped, n)
 	}
-	return true
+	if elsewhere > 0 && len(skipped)+1 >= s.replicas(len(others)+1) {
+		ok = false
+	}
+	return skipped, ok
+}
+
+// replicas returns by how many members a record is acknowledged if the ledger has n.
+func (s *Storage) replicas(n int) int {
+	return max(ledger.Majority(min(n, ledger.ReplicationFactor)), s.settings.DisksToLose+1)
 }
 
 // ping checks that a member replies, by fetching a turn with an empty id.
--- a/pkg/storage/replicate.go
+++ b/pkg/storage/replicate.go
@@ -88,17 +88,17 @@
 }
 
 // replicateTurns sends turns to further members until each has as many replicas without
-// the removed member as it had when it was acknowledged. This process must have copied the
+// the removed members as it had when it was acknowledged. This process must have copied the
 // records of all other members.
-func (s *Storage) replicateTurns(ctx context.Context, removed platform.Node) error {
-	_, after := s.memberLists([]platform.Node{removed})
+func (s *Storage) replicateTurns(ctx context.Context, removed []platform.Node) error {
+	_, after := s.memberLists(removed)
 	turns := ledger.Digests(s.ledger.Records(peerv1.Pull_TURNS))
 	lacking, err := s.compare(ctx, after, turns)
 	if err != nil {
 		return err
 	}
 	list := make(map[ledger.Member][]*peerv1.LedgerRecord)
-	need := max(ledger.Majority(min(len(after), ledger.ReplicationFactor)), s.settings.DisksToLose+1)
+	need := s.replicas(len(after))
 	for digest, without := range lacking {
 		replicas := len(after) - len(without)
 		for _, m := range ledger.ReplicaGroup(without, turns[digest].GetTurn().GetId()) {
