--- a/pkg/edge/replacement_test.go
+++ b/pkg/edge/replacement_test.go
@@ -123,3 +123,40 @@
 	}
 	p.checkReplicas(t, reserved)
 }
+
+// TestKilledWhileSettling guards against a budget that is exceeded because a storage process
+// ends and starts again right after its registration: it must not count for reads before it
+// has copied the usage records again (issue 32).
+func TestKilledWhileSettling(t *testing.T) {
+	const members, programs = 8, 60
+	d := newDeployment(t)
+	d.route(clone(history))
+	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 1) })
+	for i := range members {
+		d.storage(fmt.Sprintf("127.0.0.%d", 11+i), t.TempDir())
+	}
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, members)
+	old := staleDirectory(p.edge.view.Storage())
+	for i := range 2 { // not reached, so that quorums have members of a low rank
+		old[i].Address = d.settings("127.0.0.20").PeerAddress()
+	}
+	stale := ledger.NewClient(p.edge.transport, old, 1, d.logger())
+	s := d.settings("127.0.0.19")
+	s.DataDir, s.FirstStart = t.TempDir(), false
+	joining := d.storageWith(s)
+	p.ready(t, 1, members+1)
+	joining.stop()
+	d.storageWith(s)
+	d.storedTurn(t, p)
+	eventually(t, "the new process does not count for reads", func() bool { return d.holds(s, "t1") })
+	var reserved []*peerv1.Usage
+	for i := range programs {
+		u := &peerv1.Usage{Program: fmt.Sprint("p", i), Attempt: 1, Tokens: 70}
+		if _, err := stale.Reserve(t.Context(), u, 100, 0); err != nil {
+			t.Fatal(err)
+		}
+		reserved = append(reserved, u)
+	}
+	p.checkReplicas(t, reserved)
+}
