--- a/pkg/edge/replacement_test.go
+++ b/pkg/edge/replacement_test.go
@@ -148,8 +148,7 @@
 	p.ready(t, 1, members+1)
 	joining.stop()
 	d.storageWith(s)
-	d.storedTurn(t, p)
-	eventually(t, "the new process does not count for reads", func() bool { return d.holds(s, "t1") })
+	time.Sleep(1500 * time.Millisecond) // less than an entry may need to learn of a member
 	var reserved []*peerv1.Usage
 	for i := range programs {
 		u := &peerv1.Usage{Program: fmt.Sprint("p", i), Attempt: 1, Tokens: 70}
@@ -158,5 +157,7 @@
 		}
 		reserved = append(reserved, u)
 	}
+	d.storedTurn(t, p)
+	eventually(t, "the new process does not count for reads", func() bool { return d.holds(s, "t1") })
 	p.checkReplicas(t, reserved)
 }
--- a/pkg/storage/join.go
+++ b/pkg/storage/join.go
@@ -34,6 +34,10 @@
 	// copy of the usage records. Entries learn of the registration within 2 s, or
 	// replace the feed that did not tell them.
 	settleDelay = 3 * time.Second
+	// unfinishedJoin is the age of its registration below which a process that starts
+	// without a complete log may have ended while it joined. It exceeds settleDelay by the
+	// time of a restart.
+	unfinishedJoin = 2 * settleDelay
 	// pingInterval is how often older members of the failure domain are pinged.
 	pingInterval = time.Second
 )
@@ -51,6 +55,8 @@
 	// until it has caught up. Its registration may be stored meanwhile, also if the answer
 	// to it was lost, and the members that it replaces are then still to be removed.
 	replacing bool
+	// begun is set once catchUp was called.
+	begun bool
 	// settleAt is when a new member copies the usage records again; zero: it is not new.
 	settleAt time.Time
 }
@@ -164,6 +170,11 @@
 // without this process.
 func (j *joiner) catchUp(ctx context.Context, own platform.Node, registered bool) {
 	s := j.s
+	if !j.begun {
+		j.begun = true
+		age := time.Since(own.Started)
+		j.replacing = registered && age >= 0 && age < unfinishedJoin
+	}
 	j.replacing = j.replacing || !registered || !own.Active || own.Removed
 	replacing := j.replacing
 	if s.ledger.UsageStatus() != peerv1.LedgerReply_OK {
