--- a/soak/doc.go
+++ b/soak/doc.go
@@ -8,4 +8,10 @@
 //	SOAK_EDGES=100 SOAK_STORAGES=40 go test ./soak  a large one
 //	SOAK_PLANTS=1 go test ./soak                    faults planted in the daemon,
 //	                                                which must be detected
+//	SOAK_FAULTS=power,full go test -run TestLostSoak ./soak
+//	                                                only some classes of faults
+//
+// TestLostSoak gives the storage processes simulated disks: the daemon is built with
+// package testdata/tracedisk in place of package os, and the soak rewrites the data
+// folders of processes that lose power.
 package soak
--- a/soak/plant_test.go
+++ b/soak/plant_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -53,32 +52,50 @@
 // plantSeeds is the number of seeds within which a planted fault must be detected.
 const plantSeeds = 3
 
-// overlay returns the build arguments that insert the fault.
-func (p plantedFault) overlay(t *testing.T) []string {
+// apply inserts the fault into the changed sources, which are given by file.
+func (p plantedFault) apply(t *testing.T, changed map[string]string) {
 	t.Helper()
-	source, err := os.ReadFile(p.file)
-	if err != nil {
-		t.Fatal(err)
+	source, ok := changed[p.file]
+	if !ok {
+		data, err := os.ReadFile(p.file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		source = string(data)
 	}
-	if strings.Count(string(source), p.old) != 1 {
+	if strings.Count(source, p.old) != 1 {
 		t.Fatalf("%s does not contain %q exactly once", p.file, p.old)
 	}
+	changed[p.file] = strings.Replace(source, p.old, p.new, 1)
+}
+
+// overlay returns the build arguments that insert the fault.
+func (p plantedFault) overlay(t *testing.T) []string {
+	t.Helper()
+	changed := make(map[string]string)
+	p.apply(t, changed)
+	return overlayOf(t, changed)
+}
+
+// overlayOf returns the build arguments that replace source files.
+func overlayOf(t *testing.T, changed map[string]string) []string {
+	t.Helper()
 	dir := t.TempDir()
-	changed, list := filepath.Join(dir, "changed.go"), filepath.Join(dir, "overlay.json")
-	original, err := filepath.Abs(p.file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	replace, err := json.Marshal(map[string]any{"Replace": map[string]string{original: changed}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for path, data := range map[string][]byte{
-		changed: []byte(strings.Replace(string(source), p.old, p.new, 1)), list: replace,
-	} {
-		if err := os.WriteFile(path, data, 0o644); err != nil {
+	replace := make(map[string]string)
+	for file, source := range changed {
+		original, err := filepath.Abs(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		replacement := filepath.Join(dir, fmt.Sprintf("changed%d.go", len(replace)))
+		if err := os.WriteFile(replacement, []byte(source), 0o644); err != nil {
 			t.Fatal(err)
 		}
+		replace[original] = replacement
+	}
+	list := filepath.Join(dir, "overlay.json")
+	if err := os.WriteFile(list, mustJSON(map[string]any{"Replace": replace}), 0o644); err != nil {
+		t.Fatal(err)
 	}
 	return []string{"-overlay", list}
 }
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/platform"
+	"github.com/yuccaspindle/yuccaspindle/soak/testdata/tracedisk"
 )
 
 // process is an edge or storage process under test.
@@ -24,10 +25,14 @@
 	caller   string
 	ready    string
 	log      processLog
+	storeURL *proxy         // to the store; the deployment's own unless ownStores is set
+	disk     *simulatedDisk // nil: a folder of the real disk
+	env      []string
 
 	// opMu is held while a fault stops or pauses the process, so that concurrent faults
 	// don't start it twice.
-	opMu sync.Mutex
+	opMu    sync.Mutex
+	retired bool // ended for good; guarded by opMu
 
 	mu    sync.Mutex
 	cmd   *exec.Cmd
@@ -59,6 +64,17 @@
 	p.caller = net.JoinHostPort(ip, strconv.Itoa(freePort(s.t, ip)))
 	p.ready = net.JoinHostPort(ip, strconv.Itoa(freePort(s.t, ip)))
 	p.settings = filepath.Join(s.t.TempDir(), "settings.json")
+	p.storeURL = s.storeURL
+	if s.size.ownStores {
+		p.storeURL = newProxy(s.t, s.storeURL.target)
+	}
+	if s.size.tracedDisks && role == "storage" {
+		p.disk = &simulatedDisk{dir: p.dir, side: filepath.Join(s.t.TempDir(), "side")}
+		p.env = append(p.env, tracedisk.FolderVariable+"="+p.disk.side)
+		if err := p.disk.wipe(); err != nil {
+			s.t.Fatal(err)
+		}
+	}
 	p.writeSettings(s, true)
 	s.t.Cleanup(func() { p.kill(syscall.SIGKILL) })
 	return p
@@ -72,8 +88,8 @@
 		"ListenAddresses":   map[string]string{"Frontend": p.caller, "Ready": p.ready},
 		"InternalPortRange": []int{s.port}, "Seeds": []string{s.address(1) + ":1", s.address(2) + ":1", s.address(3) + ":1"},
 		"IsFirstStart": first, "Limits": map[string]int{"MemoryMb": memoryMB}, "Bounds": map[string]int{"GraceS": 5, "DrainMs": int(drainTime.Milliseconds())},
-		"FaultTolerance": map[string]int{"MachineCount": 1},
-		"Platform":       map[string]string{"Address": s.storeURL.addr()},
+		"FaultTolerance": map[string]int{"MachineCount": s.size.tolerated},
+		"Platform":       map[string]string{"Address": p.storeURL.addr()},
 	}
 	if p.role == "storage" {
 		m["DataDir"] = p.dir
@@ -87,7 +103,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cmd := exec.Command(bin, p.role)
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings)
+	cmd.Env = append(append(os.Environ(), platform.SettingsVariable+"="+p.settings), p.env...)
 	cmd.Stdout, cmd.Stderr = &p.log, &p.log
 	if err := cmd.Start(); err != nil {
 		p.t.Error(err)
@@ -116,6 +132,30 @@
 	}
 }
 
+// signal sends a signal without waiting for its effect.
+func (p *process) signal(sig syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(sig)
+	}
+}
+
+// hasEnded reports whether the process was started and has ended.
+func (p *process) hasEnded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended == nil {
+		return false
+	}
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // pause suspends the process for a duration.
 func (p *process) pause(d time.Duration) {
 	p.opMu.Lock()
@@ -130,9 +170,18 @@
 func (s *soak) restart(p *process, sig syscall.Signal, wipe bool) {
 	p.opMu.Lock()
 	defer p.opMu.Unlock()
+	if p.retired {
+		return
+	}
 	p.kill(sig)
 	if wipe {
-		if err := os.RemoveAll(p.dir); err != nil {
+		var err error
+		if p.disk != nil {
+			err = p.disk.wipe()
+		} else {
+			err = os.RemoveAll(p.dir)
+		}
+		if err != nil {
 			s.t.Error(err)
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -53,6 +53,20 @@
 	version   int
 	started   int    // upstream processes so far
 	subnet    uint32 // third byte of the processes' addresses
+	size      deployment
+}
+
+// deployment is the size of a deployment and how its processes are set up.
+type deployment struct {
+	edges, storages int
+	tolerated       int // lost disks that the settings allow
+	// tracedDisks gives each storage process a simulated disk. The daemon must be built
+	// with diskOverlay.
+	tracedDisks bool
+	// ownStores gives each process a proxy of its own to the store, so that the views
+	// of the processes can differ.
+	ownStores bool
+	config    func(version int) map[string]any
 }
 
 func freePort(t *testing.T, ips ...string) int {
@@ -70,15 +84,19 @@
 }
 
 func newSoakOf(t *testing.T, bin string, seed uint64, edges, storages int) *soak {
+	return newDeployment(t, bin, seed, deployment{edges: edges, storages: storages, tolerated: 1, config: config})
+}
+
+func newDeployment(t *testing.T, bin string, seed uint64, size deployment) *soak {
 	s := &soak{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), bin: bin, store: platformstore.New(),
-		runs: newRunRecorder(), version: 1, subnet: 1 + runsStarted.Add(1)%250,
+		runs: newRunRecorder(), version: 1, subnet: 1 + runsStarted.Add(1)%250, size: size,
 	}
 	s.port = freePort(t, loopback.Addresses(s.network(), 1, maxProcesses)...)
 	srv := httptest.NewServer(s.store)
 	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
 	s.storeURL = newProxy(t, strings.TrimPrefix(srv.URL, "http://"))
-	s.store.Put(platform.KindConfig, platform.ConfigName, config(s.version))
+	s.store.Put(platform.KindConfig, platform.ConfigName, size.config(s.version))
 	for i := range 5 {
 		service := "llm"
 		if i >= 3 {
@@ -88,10 +106,10 @@
 		s.register(s.upstreams[i], "ready")
 	}
 	s.started = len(s.upstreams)
-	for i := range storages {
+	for i := range size.storages {
 		s.storages = append(s.storages, s.newProcess("storage", s.address(101+i)))
 	}
-	for i := range edges {
+	for i := range size.edges {
 		s.edges = append(s.edges, s.newProcess("edge", s.address(1+i)))
 	}
 	for _, p := range append(s.storages, s.edges...) {
@@ -119,7 +137,7 @@
 // configure writes a new version of the configuration to the store.
 func (s *soak) configure(version int) {
 	s.version = version
-	s.store.Put(platform.KindConfig, platform.ConfigName, config(version))
+	s.store.Put(platform.KindConfig, platform.ConfigName, s.size.config(version))
 }
 
 // swapServices ends two upstreams of different services at the same time and gives the
