--- a/pkg/durable/fs.go
+++ b/pkg/durable/fs.go
@@ -85,17 +85,19 @@
 	return d.Sync()
 }
 
-// MakeFolders creates a folder and its parents as far as they are missing.
+// MakeFolders creates a folder and its parents as far as they are missing. The names of
+// those that it creates are synced to disk. A folder that exists is only listed, since
+// its parent may not be writable.
 func MakeFolders(fs FS, path string) error {
-	err := fs.MakeFolder(path)
-	if errors.Is(err, os.ErrNotExist) && filepath.Dir(path) != path {
-		if err := MakeFolders(fs, filepath.Dir(path)); err != nil {
-			return err
-		}
-		err = fs.MakeFolder(path)
+	parent := filepath.Dir(path)
+	if _, err := fs.List(path); err == nil || parent == path {
+		return err
+	}
+	if err := MakeFolders(fs, parent); err != nil {
+		return err
 	}
-	if err == nil || errors.Is(err, os.ErrExist) {
-		return nil
+	if err := fs.MakeFolder(path); err != nil {
+		return errors.Wrapf(err, "create folder %s", path)
 	}
-	return errors.Wrapf(err, "create folder %s", path)
+	return errors.Wrapf(fs.SyncFolder(parent), "sync folder %s", parent)
 }
--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -21,13 +21,16 @@
 	})
 	return &upstream.Request{
 		Address: m.Address, MaxConnections: c.connectionLimit(), ID: c.req.ID,
-		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
+		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body, Run: c.expectedRun(m),
 	}
 }
 
 // send sends the request to a member and reads the response header.
 func (c *call) send(ctx context.Context, m *fleet.Member, req *upstream.Request) (*upstream.Response, error) {
 	resp, err := c.e.pool.Do(ctx, req)
+	if other := (*upstream.OtherRunError)(nil); errors.As(err, &other) {
+		c.e.recordOtherRun(m, other.Got, c.req.ID)
+	}
 	if err != nil {
 		return resp, err
 	}
@@ -104,13 +107,12 @@
 	return action
 }
 
-// recordCancel records an attempt that ended because the caller disconnected.
-func (c *call) recordCancel(m *fleet.Member) {
+// cancelAttempt ends a request and its attempt because the caller disconnected.
+func (c *call) cancelAttempt(m *fleet.Member) {
 	c.e.withFleet(func(f *fleet.Fleet) { f.RecordEnd(m) })
 	c.removeIsolated(m.ID)
 	c.trackLost(poison.Run{ID: m.ID, StartedUnixMs: m.StartedUnixMs})
-	c.log("caller left", 0)
-	c.e.metrics.recordEnd(c.kind(), "caller_left", time.Since(c.began))
+	c.abandon()
 }
 
 // classifyError returns the outcome of an attempt without a response. detectStall is
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -45,6 +45,8 @@
 	e     *Edge
 	table atomic.Pointer[routing.Table]
 
+	memberReader *memberReader
+
 	mu        sync.Mutex
 	config    []byte // as stored
 	upstreams map[string][]byte
@@ -75,12 +77,14 @@
 }
 
 func newView(e *Edge) *view {
-	return &view{
+	v := &view{
 		e: e, upstreams: make(map[string][]byte),
 		nodes: make(map[string]platform.Node), nodeSpecs: make(map[string]platform.Object),
 		loaded: make(chan struct{}), started: time.Now(), feed: feedState{changed: make(chan struct{}), followers: make(map[*transport.Stream]follower)},
 		lost: map[string]bool{platform.KindConfig: true, platform.KindUpstreams: true, platform.KindNodes: true},
 	}
+	v.memberReader = newMemberReader(v.listStorage)
+	return v
 }
 
 // ready reports whether requests can be placed.
@@ -247,14 +251,27 @@
 	defer v.mu.Unlock()
 	var list []ledger.Member
 	for name, n := range v.nodes {
-		if n.Role == platform.RoleStorage && n.Active && !n.Removed {
-			local := v.e.settings.RegionOf[n.FailureDomain] == v.e.settings.Region
-			list = append(list, ledger.Member{Name: name, Address: n.Address, Local: local})
+		if isMember(n) {
+			list = append(list, v.e.member(name, n))
 		}
 	}
 	return list
 }
 
+// source returns where the view's changes come from, and the time since this source was
+// known to be up to date.
+func (v *view) source(now time.Time) (from string, age time.Duration) {
+	var s Status
+	v.feedStatus(&s, now)
+	switch {
+	case s.WatchesStore:
+		return "store", s.CheckedAgo
+	case s.Follows != "":
+		return "peer " + s.Follows, s.CheckedAgo
+	}
+	return "none", now.Sub(v.started)
+}
+
 // Relays implements ledger.Directory. It returns some of the other edges.
 func (v *view) Relays() []string {
 	all := v.otherEdges()
