Draw the soak's faults by class, and make it detect planted faults of the disk

Change: a seed draws about half of the classes of faults. A power loss may keep nothing unsynced on all its disks, may follow another one at once, and may last longer than callers wait. Full disks may concern all storage processes. After the recovery the edges are stopped in turn while nothing else is at fault, and an answer that is broken off then counts. Some turns run beside each other on one budget.

--- a/soak/disk_test.go
+++ b/soak/disk_test.go
@@ -199,8 +199,7 @@
 	return content
 }
 
-// afterPowerLoss returns a content that the file may have. In a third of the cases all
-// changes after the last sync are gone.
+// afterPowerLoss returns a content that the file may have.
 func (f *inode) afterPowerLoss(rng *rand.Rand, allGone bool) []byte {
 	content := slices.Clone(f.synced)
 	for _, c := range f.pending {
@@ -220,7 +219,7 @@
 	return content
 }
 
-// faultFile is the simulated disk of one storage process.
+// simulatedDisk is the simulated disk of one storage process.
 type simulatedDisk struct{ dir, side string }
 
 // loadModel reads the trace.
@@ -246,9 +245,10 @@
 	return m, lines.Err()
 }
 
-// powerLoss replaces the data folder by one that a power loss may leave. It returns the
-// changes that were lost, for the log.
-func (d simulatedDisk) powerLoss(rng *rand.Rand) ([]string, error) {
+// powerLoss replaces the data folder by one that a power loss may leave. If allGone is
+// set, it keeps nothing that was not synced. It returns the names that were lost, for the
+// log.
+func (d simulatedDisk) powerLoss(rng *rand.Rand, allGone bool) ([]string, error) {
 	m, err := d.loadModel()
 	if err != nil {
 		return nil, err
@@ -256,7 +256,6 @@
 	if err := os.RemoveAll(d.dir); err != nil {
 		return nil, err
 	}
-	allGone := rng.IntN(3) == 0
 	paths := make([]string, 0, len(m.names))
 	for path := range m.names {
 		paths = append(paths, path)
@@ -359,7 +358,7 @@
 		if err := os.WriteFile(filepath.Join(d.side, "trace"), lines.Bytes(), 0o644); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := d.powerLoss(rand.New(rand.NewPCG(seed, 1))); err != nil {
+		if _, err := d.powerLoss(rand.New(rand.NewPCG(seed, 1)), seed%3 == 0); err != nil {
 			t.Fatal(err)
 		}
 		for _, name := range []string{"a", "b", "c"} {
--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -37,12 +37,14 @@
 	*soak
 	seed  uint64
 	began time.Time
-	disks chan struct{} // a token for each disk that may be lost at a time
+	// classes are the classes of faults of this run.
+	classes []string
+	disks   chan struct{} // a token for each disk that may be lost at a time
 
 	mu       sync.Mutex
 	events   strings.Builder // faults and what callers observed, with times
 	faults   map[*process]*faultState
-	core     faultState // of the store and the storage processes
+	core     faultState // of the store, the storage processes and the upstreams
 	gone     []*process // replaced storage processes
 	answered []answeredTurn
 	cut      []cutRequest
@@ -60,6 +62,9 @@
 	started int         // starts of the process
 }
 
+// calm reports whether there was no fault for contactTime.
+func (s *faultState) calm() bool { return s.active == 0 && time.Since(s.ended) > contactTime }
+
 // answeredTurn is a turn whose answer ended whole.
 type answeredTurn struct {
 	id, program, history string // history includes the turn itself
@@ -73,6 +78,7 @@
 	edge       *process
 	sent, lost time.Time
 	head       bool // an answer had begun
+	calm       bool // no fault concerned anything but edges for contactTime
 	err        error
 }
 
@@ -175,8 +181,7 @@
 func (l *lostSoak) inTouch(e *process) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	calm := func(s *faultState) bool { return s.active == 0 && time.Since(s.ended) > contactTime }
-	return calm(&l.core) && calm(l.faults[e])
+	return l.core.calm() && l.faults[e].calm()
 }
 
 // killedBetween reports whether an edge was killed without notice in a span.
@@ -273,28 +278,41 @@
 }
 
 // checkCut reports the requests on persistent connections that an edge passed on, or had
-// time to read, and that ended without an answer.
+// time to read, and that ended without a whole answer. An answer that had begun may be
+// broken off by the fault of another process.
 func (l *lostSoak) checkCut() {
 	for _, c := range l.cut {
-		if l.killedBetween(c.edge, c.sent, c.lost) || c.head {
+		if l.killedBetween(c.edge, c.sent, c.lost) || l.runs.brokeOff(c.id) || c.head && !c.calm {
 			continue
 		}
 		took := c.lost.Sub(c.sent)
 		ran := len(l.runs.runsOf(c.id))
 		if ran > 0 || took > lossSlack {
-			l.violate("%s, sent at %s to %s on a persistent connection, ran %d times and ended without an answer after %v: %v",
-				c.id, c.sent.UTC().Format("15:04:05.000"), c.edge.ip, ran, took, c.err)
+			l.violate("%s, sent at %s to %s on a persistent connection, ran %d times and ended without a whole answer after %v (begun: %t): %v",
+				c.id, c.sent.UTC().Format("15:04:05.000"), c.edge.ip, ran, took, c.head, c.err)
 		}
 	}
 }
 
+// stopInTurn restarts edges one after the other while callers use them and no other
+// process has a fault.
+func (l *lostSoak) stopInTurn() {
+	time.Sleep(contactTime)
+	for _, e := range l.edges[:min(len(l.edges), plannedStops)] {
+		l.stop(e, syscall.SIGTERM)
+		time.Sleep(plannedPause)
+	}
+}
+
 // finalFault is the last fault, right after a configuration was acknowledged.
 func (l *lostSoak) finalFault(rng *rand.Rand) {
 	l.nextVersion()
 	storages := l.storageList()
 	all := append(slices.Clone(l.edges), storages...)
 	kind := rng.IntN(4)
-	if kind != 1 && !faultClass("power") || kind == 2 && !faultClass("disks") {
+	// What a failed sync leaves shows only after a power loss.
+	power := slices.Contains(l.classes, "power") || slices.Contains(l.classes, "failsync")
+	if kind != 1 && !power || kind == 2 && !slices.Contains(l.classes, "disks") {
 		kind = 1
 	}
 	switch kind {
@@ -325,6 +343,10 @@
 		wg.Go(func() { l.runCaller(running, n) })
 	}
 	rng := rand.New(rand.NewPCG(l.seed, 3))
+	if l.classes == nil {
+		l.classes = drawClasses(l.t, rng)
+	}
+	l.note("classes of faults: %v", l.classes)
 	faulty, cancel := context.WithTimeout(context.Background(), faults)
 	l.injectFaults(faulty, rng)
 	cancel()
@@ -335,6 +357,7 @@
 	time.Sleep(recoveryTime)
 	l.checkServed()
 	l.checkVersions()
+	l.stopInTurn()
 	stop()
 	wg.Wait()
 	l.checkCut()
@@ -372,8 +395,8 @@
 			if len(l.answered) < 20 {
 				t.Errorf("only %d turns were answered whole", len(l.answered))
 			}
-			t.Logf("%d requests ran, %d turns were answered whole, %d requests were cut, statuses %v",
-				len(l.runs.runs), len(l.answered), len(l.cut), l.statuses)
+			t.Logf("faults %v: %d requests ran, %d turns were answered whole, %d requests were cut, statuses %v",
+				l.classes, len(l.runs.runs), len(l.answered), len(l.cut), l.statuses)
 			if t.Failed() {
 				l.keepLostLogs()
 			}
--- a/soak/lostcaller_test.go
+++ b/soak/lostcaller_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -124,6 +125,7 @@
 func (l *lostSoak) recordCut(r cutRequest) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	r.calm = l.core.calm()
 	l.cut = append(l.cut, r)
 }
 
@@ -192,33 +194,46 @@
 // runCaller runs programs until the context ends: conversations with and without a
 // budget, turns that follow older ones, and single requests.
 func (l *lostSoak) runCaller(ctx context.Context, n int) {
-	c := l.newCaller(n)
+	c, second := l.newCaller(n), l.newCaller(n+300)
 	defer c.close()
+	defer second.close()
 	for p := 0; ctx.Err() == nil; p++ {
-		program := fmt.Sprintf("p%d-%d", n, p)
-		last, spent, budget := answeredTurn{program: program}, 0, 0
-		if c.rng.IntN(2) == 0 {
-			budget = 40 + c.rng.IntN(400)
+		c.runProgram(ctx, second, fmt.Sprintf("p%d-%d", n, p))
+	}
+}
+
+// runProgram runs one program. Some turns follow the same turn at the same time, so that
+// several edges reserve tokens of one budget.
+func (c *lostCaller) runProgram(ctx context.Context, second *lostCaller, program string) {
+	last, spent, budget := answeredTurn{program: program}, 0, 0
+	if c.rng.IntN(2) == 0 {
+		budget = 40 + c.rng.IntN(400)
+	}
+	for turn := 0; turn < 8 && ctx.Err() == nil; turn++ {
+		id := fmt.Sprintf("turn-%s-%d", program, turn)
+		var wg sync.WaitGroup
+		var other turnResult
+		if c.rng.IntN(4) == 0 {
+			parent := last
+			wg.Go(func() { other = second.turn(id+"-b", parent, "in "+id+"-b\n", budget) })
+		}
+		r := c.turn(id, last, "in "+id+"\n", budget)
+		wg.Wait()
+		spent += (r.events + other.events) * tokensPerEvent
+		if budget > 0 && spent > budget+eventsPerTurn*tokensPerEvent {
+			c.l.violate("%s handed out %d tokens of a budget of %d", program, spent, budget)
+		}
+		if r.whole {
+			last = r.turn
+		}
+		if a, ok := c.l.anyAnswered(c.rng); ok && c.rng.IntN(4) == 0 {
+			old := fmt.Sprintf("turn-%s-%d-old", program, turn)
+			c.turn(old, a, "more "+old+"\n", 0)
 		}
-		for turn := 0; turn < 8 && ctx.Err() == nil; turn++ {
-			id := fmt.Sprintf("turn-%s-%d", program, turn)
-			r := c.turn(id, last, "in "+id+"\n", budget)
-			spent += r.events * tokensPerEvent
-			if budget > 0 && spent > budget+eventsPerTurn*tokensPerEvent {
-				l.violate("%s handed out %d tokens of a budget of %d", program, spent, budget)
-			}
-			if r.whole {
-				last = r.turn
-			}
-			if a, ok := l.anyAnswered(c.rng); ok && c.rng.IntN(4) == 0 {
-				id := fmt.Sprintf("turn-%s-%d-old", program, turn)
-				c.turn(id, a, "more "+id+"\n", 0)
-			}
-			c.single("safe", fmt.Sprintf("safe-%s-%d", program, turn), "")
-			c.single("unsafe", fmt.Sprintf("unsafe-%s-%d", program, turn), "x")
-			if c.rng.IntN(10) == 0 {
-				c.single("unsafe", fmt.Sprintf("unsafe-large-%s-%d", program, turn), strings.Repeat("x", largeBody))
-			}
+		c.single("safe", fmt.Sprintf("safe-%s-%d", program, turn), "")
+		c.single("unsafe", fmt.Sprintf("unsafe-%s-%d", program, turn), "x")
+		if c.rng.IntN(10) == 0 {
+			c.single("unsafe", fmt.Sprintf("unsafe-large-%s-%d", program, turn), strings.Repeat("x", largeBody))
 		}
 	}
 }
--- a/soak/lostfault_test.go
+++ b/soak/lostfault_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/platform"
@@ -19,6 +20,7 @@
 // their disks may have kept, those in wiped with an empty disk.
 func (l *lostSoak) powerLoss(seed uint64, wiped []*process, ps ...*process) {
 	rng := rand.New(rand.NewPCG(seed, l.seed))
+	down, allGone := outage(rng), rng.IntN(2) == 0
 	ps = slices.Clone(ps)
 	// A fixed order of the locks excludes a deadlock of two power losses.
 	slices.SortFunc(ps, func(a, b *process) int { return cmp.Compare(a.ip, b.ip) })
@@ -27,7 +29,7 @@
 			p.opMu.Lock()
 			defer p.opMu.Unlock()
 		}
-		ps = slices.DeleteFunc(ps, func(p *process) bool { return p.retired })
+		ps := slices.DeleteFunc(slices.Clone(ps), func(p *process) bool { return p.retired })
 		for _, p := range ps {
 			l.countStart(p, false)
 			p.signal(syscall.SIGKILL)
@@ -35,18 +37,31 @@
 		for _, p := range ps {
 			p.kill(syscall.SIGKILL)
 			if p.disk != nil {
-				l.loseDisk(p, rng, slices.Contains(wiped, p))
+				l.loseDisk(p, rng, allGone, slices.Contains(wiped, p))
 			}
 			p.writeSettings(l.soak, false)
 		}
+		time.Sleep(down)
 		for _, p := range ps {
 			p.start(l.bin)
 		}
 	})
 }
 
+// outage draws how long processes stay down after a power loss: mostly not at all, so
+// that it meets what is in progress, sometimes longer than callers wait.
+func outage(rng *rand.Rand) time.Duration {
+	switch rng.IntN(8) {
+	case 0:
+		return lostDeadline + time.Duration(rng.IntN(1000))*time.Millisecond
+	case 1, 2:
+		return time.Duration(rng.IntN(1000)) * time.Millisecond
+	}
+	return 0
+}
+
 // loseDisk leaves on a disk what is there after a power loss.
-func (l *lostSoak) loseDisk(p *process, rng *rand.Rand, wiped bool) {
+func (l *lostSoak) loseDisk(p *process, rng *rand.Rand, allGone, wiped bool) {
 	if wiped {
 		l.note("disk of %s is empty", p.ip)
 		if err := p.disk.wipe(); err != nil {
@@ -54,7 +69,7 @@
 		}
 		return
 	}
-	lost, err := p.disk.powerLoss(rng)
+	lost, err := p.disk.powerLoss(rng, allGone)
 	if err != nil {
 		l.t.Error(err)
 	}
@@ -243,6 +258,12 @@
 		l.note("all storage processes lose power")
 		l.powerLoss(d.seed, nil, d.storages...)
 	}},
+	{"power", 1, func(l *lostSoak, d drawnFault) {
+		l.note("all storage processes lose power twice")
+		l.powerLoss(d.seed, nil, d.storages...)
+		time.Sleep(d.length / 3) // they have created new files
+		l.powerLoss(d.seed+1, nil, d.storages...)
+	}},
 	{"power", 1, func(l *lostSoak, d drawnFault) {
 		l.note("all processes lose power")
 		l.powerLoss(d.seed, nil, append(slices.Clone(l.edges), d.storages...)...)
@@ -260,6 +281,13 @@
 		l.loseOneDisk(func() { l.replace(d.storage, d.seed%2 == 0) })
 	}},
 	{"full", 1, func(l *lostSoak, d drawnFault) { l.harmDisk(d.storage, "full", "", d.length) }},
+	{"full", 1, func(l *lostSoak, d drawnFault) {
+		var wg sync.WaitGroup
+		for _, p := range d.storages {
+			wg.Go(func() { l.harmDisk(p, "full", "", d.length) })
+		}
+		wg.Wait()
+	}},
 	{"failsync", 1, func(l *lostSoak, d drawnFault) {
 		l.loseOneDisk(func() { l.harmDisk(d.storage, "failsync", "", d.length) })
 	}},
@@ -279,7 +307,7 @@
 	{"upstreams", 1, func(l *lostSoak, d drawnFault) {
 		d.upstream.setFaultRate(d.share)
 		if d.seed%2 == 0 {
-			d.upstream.proxy.reset()
+			l.concerning(true, nil, d.upstream.proxy.reset)
 		}
 	}},
 }
@@ -294,11 +322,35 @@
 	})
 }
 
-// faultClass reports whether SOAK_FAULTS, a list such as "power,full", selects a class of
-// faults. All are selected if it is not set.
-func faultClass(class string) bool {
-	v := os.Getenv("SOAK_FAULTS")
-	return v == "" || slices.Contains(strings.Split(v, ","), class)
+// drawClasses returns the classes of faults of a run: those that SOAK_FAULTS lists, or
+// about half of them, drawn by lot. Some faults show only if the same kind of fault
+// concerns most storage processes before another one repairs their state.
+func drawClasses(t *testing.T, rng *rand.Rand) []string {
+	var all []string
+	for _, f := range lostFaults {
+		if !slices.Contains(all, f.class) {
+			all = append(all, f.class)
+		}
+	}
+	if v := os.Getenv("SOAK_FAULTS"); v != "" {
+		list := strings.Split(v, ",")
+		for _, class := range list {
+			if !slices.Contains(all, class) {
+				t.Fatalf("SOAK_FAULTS: unknown class %q, want some of %v", class, all)
+			}
+		}
+		return list
+	}
+	var drawn []string
+	for _, class := range all {
+		if rng.IntN(2) == 0 {
+			drawn = append(drawn, class)
+		}
+	}
+	if len(drawn) == 0 {
+		return all
+	}
+	return drawn
 }
 
 // drawFault draws the next fault. All random numbers are drawn here, so that a seed
@@ -315,14 +367,11 @@
 	var weighted []lostFault
 	for _, f := range lostFaults {
 		for range f.weight {
-			if faultClass(f.class) {
+			if slices.Contains(l.classes, f.class) {
 				weighted = append(weighted, f)
 			}
 		}
 	}
-	if len(weighted) == 0 {
-		l.t.Fatalf("SOAK_FAULTS is %q, which selects no class of faults", os.Getenv("SOAK_FAULTS"))
-	}
 	f := weighted[rng.IntN(len(weighted))]
 	return func() { f.begin(l, d) }
 }
--- a/soak/plant_test.go
+++ b/soak/plant_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -14,39 +15,69 @@
 type plantedFault struct {
 	name, file, old, new string
 	caught               string
+	// lost are the classes of faults with which TestLostSoak must detect it; nil:
+	// TestSoak must.
+	lost []string
 }
 
+const logFile = "../pkg/ledger/log.go"
+
 var plantedFaults = []plantedFault{
 	{
 		"send twice", "../pkg/attempt/attempt.go",
 		"case !t.request.Idempotent || t.ran >= t.request.MaxAttempts ||", "case t.ran >= t.request.MaxAttempts ||",
-		"ran 2 times",
+		"ran 2 times", nil,
 	},
 	{
 		"refuse after a run", "../pkg/attempt/attempt.go",
 		"return GiveUp\n\t}\n\treturn Retry", "return Refuse\n\t}\n\treturn Retry",
-		"and ran",
+		"and ran", nil,
 	},
 	{
 		"acknowledge before durable", "../pkg/edge/turn.go",
 		"receipt, err := c.e.ledger.WriteWithReceipt(ctx, c.req.Program, recs)",
 		"done <- result{}\n\t\ttime.Sleep(400 * time.Millisecond)\n\t\treceipt, err := c.e.ledger.WriteWithReceipt(ctx, c.req.Program, recs)",
-		"was answered whole",
+		"was answered whole", nil,
 	},
 	{
 		"use an upstream that drains", "../pkg/fleet/pick.go",
 		"if m.State != Ready || r.Excluded", "if r.Excluded",
-		"which drains",
+		"which drains", nil,
 	},
 	{
 		"cut requests at a stop", "../pkg/edge/server.go",
 		"err := callers.Shutdown(ctx)", "err := callers.Close()\n\t_ = ctx",
-		"was cut in a planned stop",
+		"was cut in a planned stop", nil,
 	},
 	{
 		"fence off", "../platform/request.go",
 		"h.Set(headerTargetInstance, f.UpstreamID)", "",
-		"ran at service",
+		"ran at service", nil,
+	},
+	{
+		"leave the name of a file unsynced", logFile,
+		"if err := l.fs.SyncFolder(l.dir); err != nil {\n\t\treturn errors.Wrapf(err, \"sync the name of %s\", l.path)\n\t}\n", "",
+		"answered whole", []string{"power"},
+	},
+	{
+		"acknowledge before the sync", logFile,
+		"if err := l.file.Sync(); err != nil {", "if err := error(nil); err != nil {",
+		"answered whole", []string{"power"},
+	},
+	{
+		"write behind an incomplete record", logFile,
+		"l.abandonFile(now)\n\t\treturn err", "if err.Error()[:4] != \"writ\" {\n\t\t\tl.abandonFile(now)\n\t\t}\n\t\treturn err",
+		"answered whole", []string{"full"},
+	},
+	{
+		"go on after a failed sync", logFile,
+		"l.abandonFile(now)\n\t\treturn err", "if err.Error()[:4] != \"sync\" {\n\t\t\tl.abandonFile(now)\n\t\t}\n\t\treturn err",
+		"answered whole", []string{"failsync"},
+	},
+	{
+		"end an answer whose turn is not durable", "../pkg/edge/turn.go",
+		"return t.durability == durabilityYes", "return true",
+		"answered whole", []string{"power"},
 	},
 }
 
@@ -74,6 +105,9 @@
 func (p plantedFault) overlay(t *testing.T) []string {
 	t.Helper()
 	changed := make(map[string]string)
+	if p.lost != nil {
+		return diskOverlay(t, &p)
+	}
 	p.apply(t, changed)
 	return overlayOf(t, changed)
 }
@@ -122,10 +156,15 @@
 
 func (p plantedFault) seen(t *testing.T, bin string, seed uint64) (seen bool) {
 	t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-		s := newSoak(t, bin, seed)
-		for _, fault := range s.play(seed, defaultSeconds*time.Second) {
-			seen = seen || strings.Contains(fault, p.caught)
+		var faults []string
+		if p.lost != nil {
+			l := newLostSoak(t, bin, seed)
+			l.classes = p.lost
+			faults = l.playLost(defaultSeconds * time.Second)
+		} else {
+			faults = newSoak(t, bin, seed).play(seed, defaultSeconds*time.Second)
 		}
+		seen = slices.ContainsFunc(faults, func(fault string) bool { return strings.Contains(fault, p.caught) })
 	})
 	return seen
 }
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -28,11 +28,12 @@
 	runs       map[string][]run  // by request id
 	wanted     map[string]string // expected body, by request id
 	refused    map[string]string // status of requests that were refused as not run, by request id
+	broken     map[string]bool   // requests whose response an upstream broke off, by request id
 	violations []string
 }
 
 func newRunRecorder() *runRecorder {
-	return &runRecorder{runs: make(map[string][]run), wanted: make(map[string]string), refused: make(map[string]string)}
+	return &runRecorder{runs: make(map[string][]run), wanted: make(map[string]string), refused: make(map[string]string), broken: make(map[string]bool)}
 }
 
 // addViolation records the violation of a guarantee.
@@ -60,6 +61,20 @@
 	l.runs[id] = append(l.runs[id], r)
 }
 
+// breakOff records that an upstream broke off a response, and does it.
+func (l *runRecorder) breakOff(id string) {
+	l.mu.Lock()
+	l.broken[id] = true
+	l.mu.Unlock()
+	panic(http.ErrAbortHandler)
+}
+
+func (l *runRecorder) brokeOff(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.broken[id]
+}
+
 // runsOf returns the runs of a request.
 func (l *runRecorder) runsOf(id string) []run {
 	l.mu.Lock()
@@ -202,7 +217,7 @@
 	}
 	u.l.recordRun(id, run{body: string(body), upstream: self, service: service})
 	if trouble == 1 { // the response is lost
-		panic(http.ErrAbortHandler)
+		u.l.breakOff(id)
 	}
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Response-Signature", "s."+id)
@@ -215,7 +230,7 @@
 	for i := 1; i <= eventsPerTurn; i++ {
 		if trouble == 2 && i == 3 { // cut in the middle of an event
 			fmt.Fprintf(w, "id: %d\nda", i)
-			panic(http.ErrAbortHandler)
+			u.l.breakOff(id)
 		}
 		if trouble == 3 && i == 2 {
 			time.Sleep(700 * time.Millisecond)
