--- a/pkg/storage/join.go
+++ b/pkg/storage/join.go
@@ -181,7 +181,7 @@
 		if _, complete := j.pullFromOthers(ctx, peerv1.Pull_USAGE, replacing, j.progress.usage); !complete {
 			return
 		}
-		if !replacing || !s.mustSettle() {
+		if !replacing {
 			s.ledger.SetUsageComplete()
 			s.logger.Info("budgets caught up")
 		}
@@ -212,18 +212,23 @@
 	for _, n := range replaced {
 		s.removeMember(ctx, n)
 	}
-	if s.mustSettle() {
+	if s.mustSettle(len(replaced)) {
 		j.settleAt = time.Now().Add(settleDelay)
 	}
 	return true
 }
 
+// minSettleMembers is the number of other members from which on two processes that join at
+// once can form a quorum with one of them. With fewer, any two quorums share a member.
+const minSettleMembers = 3
+
 // mustSettle reports whether a quorum of a program's replica group may share no member
-// with one of the group before this process joined. With few members all of them are the
-// group, and any two quorums share one.
-func (s *Storage) mustSettle() bool {
+// with one of the group before this process joined in place of some members. Others may
+// join at the same time. In a small ledger a process that takes the place of a lost one
+// changes no quorum of the remaining members.
+func (s *Storage) mustSettle(replaced int) bool {
 	others, _ := s.members.others()
-	return len(others) >= ledger.ReplicationFactor
+	return len(others) >= ledger.ReplicationFactor || replaced == 0 && len(others) >= minSettleMembers
 }
 
 // settle copies the usage records once more, after all entries have had the time to learn
