--- a/pkg/ledger/read.go
+++ b/pkg/ledger/read.go
@@ -10,11 +10,11 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 )
 
-// Chain returns a turn and all its ancestors, oldest first. It fails with
-// ErrNotFound only if every active storage process, by a list that was read from the
-// platform's store after the call, replied that it does not have the turn. The turns of one chain may be stored on different members, so Chain
-// assembles it from several requests; if an ancestor is missing it fails with
-// ErrNoMajority.
+// Chain returns a turn and all its ancestors, oldest first. It fails with ErrNotFound
+// only if every active storage process, by a list that was read from the platform's
+// store after the call, replied that it does not have the turn. The turns of one chain
+// may be stored on different members, so Chain assembles it from several requests; if an
+// ancestor is missing it fails with ErrNoMajority.
 func (c *Client) Chain(ctx context.Context, id string) ([]*peerv1.TurnRecord, error) {
 	var chain []*peerv1.TurnRecord
 	for len(chain) < maxChainTurns {
