--- a/soak/disk_test.go
+++ b/soak/disk_test.go
@@ -23,8 +23,7 @@
 
 // diskImports are the imports that are replaced in these packages.
 var diskImports = map[string]string{
-	"\t\"os\"\n":                            "\tos \"" + tracedDisk + "\"\n",
-	"\t\"github.com/google/renameio/v2\"\n": "\trenameio \"" + tracedDisk + "/renameio\"\n",
+	"\t\"os\"\n": "\tos \"" + tracedDisk + "\"\n",
 }
 
 // diskOverlay returns the build arguments that pass the daemon's file calls to package
