--- a/pkg/journal/append.go
+++ b/pkg/journal/append.go
@@ -10,24 +10,27 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
 )
 
-// startAppend sends the oldest batch to the store if none is on its way.
+// startAppend starts the append of the oldest batch unless one is in flight or
+// the backoff has not ended.
 func (w *Writer) startAppend(ctx context.Context, now time.Time) {
 	if w.inflight != nil || len(w.queue) == 0 || now.Before(w.retryAt) {
 		return
 	}
 	b := w.queue[0]
-	w.inflight = &flight{b: b, started: now}
+	w.inflight = &inflightAppend{b: b, started: now}
 	w.lastStart = now
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, w.o.AppendTimeout)
 		defer cancel()
-		// With one append in flight the buffer of one is empty.
+		// Only one append is in flight, so the channel's buffer of one is
+		// empty and the send does not block.
 		w.appendc <- appendResult{b, appendObject(ctx, w.c, w.self, b.object, b.payload)}
 	}()
 }
 
-// appended takes the result of an append.
-func (w *Writer) appended(r appendResult) error {
+// handleAppendResult commits the appended batch or schedules a retry. It returns
+// an error only if the journal is sealed.
+func (w *Writer) handleAppendResult(r appendResult) error {
 	now := time.Now()
 	age := now.Sub(w.inflight.started)
 	w.inflight = nil
@@ -54,7 +57,8 @@
 	return nil
 }
 
-// commitTo records that every object up to n is in the store.
+// commitTo marks every object up to n as committed and reports the highest
+// sequence number among them.
 func (w *Writer) commitTo(n uint64) {
 	if n <= w.committed {
 		return
@@ -64,8 +68,8 @@
 	for len(w.queue) > 0 && w.queue[0].object <= n {
 		b := w.queue[0]
 		seq = max(seq, b.seq)
-		if b.set != nil {
-			w.set = setOf(b.set)
+		if b.retention != nil {
+			w.retention = setFromNames(b.retention)
 		}
 		w.queue[0] = nil
 		w.queue = w.queue[1:]
@@ -74,24 +78,25 @@
 		w.seq = seq
 		w.o.Committed(seq)
 	}
-	w.notify()
+	w.notifyWaiters()
 }
 
-// notify answers the waiters whose objects are committed.
-func (w *Writer) notify() {
-	rest := w.waiters[:0]
+// notifyWaiters completes the waiters whose objects are committed.
+func (w *Writer) notifyWaiters() {
+	remaining := w.waiters[:0]
 	for _, wt := range w.waiters {
 		if wt.object <= w.committed {
-			wt.done <- waitResult{object: wt.object}
+			wt.result <- waitResult{object: wt.object}
 			continue
 		}
-		rest = append(rest, wt)
+		remaining = append(remaining, wt)
 	}
-	w.waiters = rest
+	w.waiters = remaining
 }
 
-// appendObject creates a journal object. A conflict with the same content is
-// the own write, whose answer was lost or which a member relayed.
+// appendObject creates a journal object. If the object exists with the same
+// payload, the append succeeded before: its response was lost, or a member of
+// the retention set relayed it. Any other content gives a SealedError.
 func appendObject(ctx context.Context, c objectapi.Client, self core.Incarnation, object uint64, payload []byte) error {
 	key := ObjectKey(self, object)
 	_, err := c.Create(ctx, key, payload)
--- a/pkg/journal/bench_test.go
+++ b/pkg/journal/bench_test.go
@@ -46,7 +46,7 @@
 	recs := prose(batch)
 	raw := 0
 	for i := range recs {
-		raw += estimate(&recs[i])
+		raw += estimateSize(&recs[i])
 	}
 	b.ReportAllocs()
 	size := 0
--- a/pkg/journal/checkpoint.go
+++ b/pkg/journal/checkpoint.go
@@ -14,8 +14,8 @@
 // PendingCheckpoint is a place in the log up to which a checkpoint will cover
 // it.
 type PendingCheckpoint struct {
-	w    *Writer
-	done chan waitResult
+	w      *Writer
+	result chan waitResult
 }
 
 // BeginCheckpoint fixes the place in the log that a checkpoint covers: all
@@ -23,8 +23,8 @@
 // the snapshot holds them; a later record that the snapshot holds as well is
 // applied twice, which has no effect.
 func (w *Writer) BeginCheckpoint() *PendingCheckpoint {
-	p := &PendingCheckpoint{w: w, done: make(chan waitResult, 1)}
-	w.put(entry{mark: true, done: p.done})
+	p := &PendingCheckpoint{w: w, result: make(chan waitResult, 1)}
+	w.submit(entry{barrier: true, result: p.result})
 	return p
 }
 
@@ -47,7 +47,7 @@
 	}
 	var covered uint64
 	select {
-	case r := <-p.done:
+	case r := <-p.result:
 		if r.err != nil {
 			return r.err
 		}
@@ -60,7 +60,7 @@
 	}
 	w.generation++
 	gen := w.generation
-	parts, err := w.checkpointParts(recs, gen, covered)
+	parts, err := w.encodeCheckpoint(recs, gen, covered)
 	if err != nil {
 		return err
 	}
@@ -74,7 +74,7 @@
 		}
 	}
 	control := &peerv1.JournalObject{Checkpoint: gen, CheckpointParts: uint64(len(parts))}
-	if _, err := w.wait(ctx, entry{control: control}); err != nil {
+	if _, err := w.submitAndWait(ctx, entry{control: control}); err != nil {
 		// The record may still reach the log, so the parts stay until a later
 		// checkpoint takes its place.
 		w.parts = append(w.parts, keys...)
@@ -93,33 +93,33 @@
 	return nil
 }
 
-func (w *Writer) checkpointParts(recs []core.Record, gen, covered uint64) ([]packed, error) {
+func (w *Writer) encodeCheckpoint(recs []core.Record, gen, covered uint64) ([]packedObject, error) {
 	part := uint64(0)
-	build := func() *peerv1.JournalObject {
+	newObject := func() *peerv1.JournalObject {
 		part++
 		return &peerv1.JournalObject{Incarnation: string(w.self), Object: covered, Checkpoint: gen, CheckpointParts: part}
 	}
 	if len(recs) > 0 {
-		return pack(recs, MaxObjectBytes, build)
+		return pack(recs, MaxObjectBytes, newObject)
 	}
-	o := build()
+	o := newObject()
 	payload, err := Encode(o)
-	return []packed{{o, payload}}, err
+	return []packedObject{{o, payload}}, err
 }
 
 // deleteAll deletes objects and returns those that are left.
-func (w *Writer) deleteAll(ctx context.Context, keys []string) (left []string) {
+func (w *Writer) deleteAll(ctx context.Context, keys []string) (remaining []string) {
 	for i, k := range keys {
-		if w.isHeld(k) {
-			left = append(left, k)
+		if w.inHandover(k) {
+			remaining = append(remaining, k)
 			continue
 		}
 		if err := w.c.Delete(ctx, k); err != nil {
 			w.o.Logger.Warn("journal object not deleted", "journal", w.self, "key", k, "error", err)
-			return append(left, keys[i:]...)
+			return append(remaining, keys[i:]...)
 		}
 	}
-	return left
+	return remaining
 }
 
 // readCheckpoint adds the records of the checkpoint that a log object names. It
--- a/pkg/journal/codec.go
+++ b/pkg/journal/codec.go
@@ -141,16 +141,16 @@
 // assembler turns stored records into records and joins fragments. A record
 // whose last fragment is missing was never acknowledged and is dropped.
 type assembler struct {
-	out  []core.Record
-	open []byte
-	next int64 // position of the next fragment; 0 outside of a record
-	of   *peerv1.Record
+	out     []core.Record
+	partial []byte
+	next    int64 // position of the next fragment; 0 outside of a record
+	first   *peerv1.Record
 }
 
 func (a *assembler) add(recs []*peerv1.Record) error {
 	for _, p := range recs {
 		if p.Kind != kindFragment {
-			a.open, a.next, a.of = nil, 0, nil
+			a.partial, a.next, a.first = nil, 0, nil
 			r, err := FromProto(p)
 			if err != nil {
 				return err
@@ -159,25 +159,25 @@
 			continue
 		}
 		if p.Turn == 1 {
-			a.open, a.next, a.of = nil, 1, p
+			a.partial, a.next, a.first = nil, 1, p
 		}
-		if a.of == nil || p.Turn != a.next || p.Program != a.of.Program || p.Seq != a.of.Seq || p.Reserved != a.of.Reserved {
+		if a.first == nil || p.Turn != a.next || p.Program != a.first.Program || p.Seq != a.first.Seq || p.Reserved != a.first.Reserved {
 			return fmt.Errorf("journal: fragment %d of %d of program %q is out of order", p.Turn, p.Reserved, p.Program)
 		}
-		a.open = append(a.open, p.State...)
+		a.partial = append(a.partial, p.State...)
 		a.next++
 		if p.Turn < p.Reserved {
 			continue
 		}
-		whole := new(peerv1.Record)
-		if err := proto.Unmarshal(a.open, whole); err != nil {
+		joined := new(peerv1.Record)
+		if err := proto.Unmarshal(a.partial, joined); err != nil {
 			return errors.Wrapf(err, "journal: joined record of program %q", p.Program)
 		}
-		a.open, a.next, a.of = nil, 0, nil
-		if whole.Kind == kindFragment {
+		a.partial, a.next, a.first = nil, 0, nil
+		if joined.Kind == kindFragment {
 			return fmt.Errorf("journal: joined record of program %q is a fragment", p.Program)
 		}
-		r, err := FromProto(whole)
+		r, err := FromProto(joined)
 		if err != nil {
 			return err
 		}
--- a/pkg/journal/folder.go
+++ b/pkg/journal/folder.go
@@ -55,22 +55,22 @@
 	return f.write(filepath.Join(f.dir(inc), fenceFile), nil)
 }
 
-func (f *folder) forget(inc core.Incarnation) { _ = os.RemoveAll(f.dir(inc)) }
+func (f *folder) removeLog(inc core.Incarnation) { _ = os.RemoveAll(f.dir(inc)) }
 
 // load reads what earlier starts kept. A file that is damaged ends the batches
 // of its log, and what follows is left out with a warning.
-func (f *folder) load(logger *slog.Logger) (map[core.Incarnation]*kept, error) {
+func (f *folder) load(logger *slog.Logger) (map[core.Incarnation]*retainedLog, error) {
 	dirs, err := os.ReadDir(f.root)
 	if err != nil {
 		return nil, errors.Wrap(err, "journal: data folder")
 	}
-	logs := map[core.Incarnation]*kept{}
+	logs := map[core.Incarnation]*retainedLog{}
 	for _, d := range dirs {
 		files, err := os.ReadDir(filepath.Join(f.root, d.Name()))
 		if err != nil {
 			return nil, errors.Wrap(err, "journal: data folder")
 		}
-		l := &kept{}
+		l := &retainedLog{}
 		inc := core.Incarnation(d.Name())
 		sort.Slice(files, func(i, j int) bool { return files[i].Name() < files[j].Name() })
 		for _, file := range files {
@@ -90,7 +90,7 @@
 				l.committed = n - 1
 			}
 			o, err := Decode(payload)
-			if err != nil || n != l.last()+1 || o.Object != n || o.Incarnation != string(inc) {
+			if err != nil || n != l.lastObject()+1 || o.Object != n || o.Incarnation != string(inc) {
 				logger.Warn("retained batch not loaded", "journal", inc, "object", n, "error", err)
 				continue
 			}
--- a/pkg/journal/handover.go
+++ b/pkg/journal/handover.go
@@ -19,7 +19,7 @@
 	for _, s := range slots {
 		control.HandedOver = append(control.HandedOver, uint32(s))
 	}
-	return w.wait(ctx, entry{control: control, recs: recs})
+	return w.submitAndWait(ctx, entry{control: control, recs: recs})
 }
 
 // ReleaseHandover lets the next checkpoint delete the objects of a hand-over.
@@ -27,14 +27,14 @@
 func (w *Writer) ReleaseHandover(object uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	delete(w.held, object)
+	delete(w.handovers, object)
 }
 
 // isHeld reports whether a key belongs to a hand-over that is not released.
-func (w *Writer) isHeld(key string) bool {
+func (w *Writer) inHandover(key string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for last, first := range w.held {
+	for last, first := range w.handovers {
 		for n := first; n <= last; n++ {
 			if key == ObjectKey(w.self, n) {
 				return true
@@ -62,7 +62,7 @@
 		if n == object && d.HandedTo == "" {
 			return nil, errors.Errorf("journal: object %d of %s is not a hand-over", n, from)
 		}
-		if d.HandedTo != objs0(objs, d).HandedTo || !slices.Equal(d.HandedOver, objs0(objs, d).HandedOver) {
+		if d.HandedTo != firstObject(objs, d).HandedTo || !slices.Equal(d.HandedOver, firstObject(objs, d).HandedOver) {
 			break
 		}
 		objs = append(objs, d)
@@ -77,7 +77,7 @@
 }
 
 // objs0 returns the first object, or d if there is none yet.
-func objs0(objs []*peerv1.JournalObject, d *peerv1.JournalObject) *peerv1.JournalObject {
+func firstObject(objs []*peerv1.JournalObject, d *peerv1.JournalObject) *peerv1.JournalObject {
 	if len(objs) > 0 {
 		return objs[0]
 	}
--- a/pkg/journal/keeper.go
+++ b/pkg/journal/keeper.go
@@ -15,39 +15,40 @@
 // KeeperOptions configures a Keeper. Zero fields take the defaults in
 // parentheses.
 type KeeperOptions struct {
-	Folder       string        // data folder; empty: batches are kept in memory only
-	MaxBytes     int           // payloads held for all owners (64 MB)
-	RelayTimeout time.Duration // of one append on an owner's behalf (250 ms)
-	RelayPause   time.Duration // time without relay after one failed (1 s)
+	Folder       string        // data folder; if empty, batches are held in memory only
+	MaxBytes     int           // limit of the payloads held for all owners (64 MiB)
+	RelayTimeout time.Duration // time limit of one append on an owner's behalf (250 ms)
+	RelayPause   time.Duration // pause of all relays after a failed one (1 s)
 	Logger       *slog.Logger
 }
 
-// Keeper is the receiving side of retention: it appends batches of other owners
-// on their behalf or keeps them while it cannot reach the store either.
+// Keeper is the receiving side of retention. It holds batches of other owners
+// and relays them: it appends them to the store on the owners' behalf as soon as
+// it can reach the store.
 type Keeper struct {
 	c    objectapi.Client
 	o    KeeperOptions
 	disk *folder // nil without a data folder
 
-	mu      sync.Mutex
-	logs    map[core.Incarnation]*kept
-	bytes   int
-	relayAt time.Time // no relay before, because the store did not answer
+	mu        sync.Mutex
+	logs      map[core.Incarnation]*retainedLog
+	bytes     int
+	nextRelay time.Time // earliest time of the next relay, after one failed
 }
 
-// kept is the state of one owner's log.
-type kept struct {
+// retainedLog is the retention state of one owner's journal.
+type retainedLog struct {
 	fenced    bool
-	sealed    bool   // the seal was seen in the store
+	sealed    bool   // a relay found the seal in the store
 	committed uint64 // every object up to this one is in the store
 	held      []*peerv1.Retain
 	relaying  bool
 }
 
-func (l *kept) last() uint64 { return l.committed + uint64(len(l.held)) }
+func (l *retainedLog) lastObject() uint64 { return l.committed + uint64(len(l.held)) }
 
-// NewKeeper returns a keeper. With a data folder it loads the batches and
-// fences of earlier starts.
+// NewKeeper returns a keeper. With a data folder, it loads the batches and
+// fences that earlier processes saved there.
 func NewKeeper(c objectapi.Client, o KeeperOptions) (*Keeper, error) {
 	if o.MaxBytes <= 0 {
 		o.MaxBytes = 64 << 20
@@ -61,7 +62,7 @@
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
-	k := &Keeper{c: c, o: o, logs: map[core.Incarnation]*kept{}}
+	k := &Keeper{c: c, o: o, logs: map[core.Incarnation]*retainedLog{}}
 	if o.Folder != "" {
 		var err error
 		if k.disk, err = openFolder(o.Folder); err != nil {
@@ -84,17 +85,18 @@
 	return n
 }
 
-func refused(format string, args ...any) *peerv1.RetainResult {
+func refuse(format string, args ...any) *peerv1.RetainResult {
 	return &peerv1.RetainResult{Error: fmt.Sprintf(format, args...)}
 }
 
-// Retain takes a batch of another owner. It accepts the batches of a log in
-// order only, so that holding one means holding every earlier one that is not
-// in the store. A message without an object tells what is committed.
+// Retain accepts a batch of another owner and tries to relay it. Batches of a
+// journal are accepted only in order, so a keeper that holds one also holds every
+// earlier one that is not in the store. A message without an object only reports
+// the highest committed object.
 func (k *Keeper) Retain(ctx context.Context, m *peerv1.Retain) (*peerv1.RetainResult, error) {
 	inc := core.Incarnation(m.Incarnation)
 	if err := objectapi.CheckKey(ObjectKey(inc, 1)); err != nil {
-		return refused("incarnation: %v", err), nil
+		return refuse("incarnation: %v", err), nil
 	}
 	k.mu.Lock()
 	l := k.logs[inc]
@@ -103,7 +105,7 @@
 			k.mu.Unlock()
 			return &peerv1.RetainResult{}, nil
 		}
-		l = &kept{}
+		l = &retainedLog{}
 		k.logs[inc] = l
 	}
 	res := k.accept(inc, l, m)
@@ -124,9 +126,9 @@
 	return &peerv1.RetainResult{Retained: true}, nil
 }
 
-// accept stores the batch. It returns the answer if there is nothing to relay.
-// The caller holds the lock.
-func (k *Keeper) accept(inc core.Incarnation, l *kept, m *peerv1.Retain) *peerv1.RetainResult {
+// accept validates a batch and adds it to the held ones. It returns the response
+// if there is nothing to relay, and nil otherwise. The caller holds the lock.
+func (k *Keeper) accept(inc core.Incarnation, l *retainedLog, m *peerv1.Retain) *peerv1.RetainResult {
 	if l.fenced || l.sealed {
 		return &peerv1.RetainResult{Sealed: true}
 	}
@@ -139,24 +141,24 @@
 		return &peerv1.RetainResult{}
 	case m.Object <= l.committed:
 		return &peerv1.RetainResult{Appended: true}
-	case m.Object <= l.last():
+	case m.Object <= l.lastObject():
 		if string(l.held[m.Object-l.committed-1].Payload) != string(m.Payload) {
-			return refused("object %d differs from the batch that is held", m.Object)
+			return refuse("object %d differs from the batch that is held", m.Object)
 		}
 		return nil
-	case m.Object > l.last()+1:
-		return refused("holds objects up to %d, object %d leaves a gap", l.last(), m.Object)
+	case m.Object > l.lastObject()+1:
+		return refuse("holds objects up to %d, object %d leaves a gap", l.lastObject(), m.Object)
 	case len(m.Payload) > MaxObjectBytes:
-		return refused("payload of %d bytes", len(m.Payload))
+		return refuse("payload of %d bytes", len(m.Payload))
 	case k.bytes+len(m.Payload) > k.o.MaxBytes:
-		return refused("holds %d bytes, the limit is %d", k.bytes, k.o.MaxBytes)
+		return refuse("holds %d bytes, the limit is %d", k.bytes, k.o.MaxBytes)
 	}
 	if o, err := Decode(m.Payload); err != nil || o.Object != m.Object || o.Incarnation != m.Incarnation {
-		return refused("payload is not object %d of %s", m.Object, m.Incarnation)
+		return refuse("payload is not object %d of %s", m.Object, m.Incarnation)
 	}
 	if k.disk != nil {
 		if err := k.disk.save(m); err != nil {
-			return refused("%v", err)
+			return refuse("%v", err)
 		}
 	}
 	l.held = append(l.held, &peerv1.Retain{Incarnation: m.Incarnation, Object: m.Object, Payload: m.Payload})
@@ -164,29 +166,30 @@
 	return nil
 }
 
-// commitTo drops the batches that are in the store. The caller holds the lock.
-func (k *Keeper) commitTo(inc core.Incarnation, l *kept, n uint64) {
+// commitTo marks every object up to n as committed and releases their batches.
+// The caller holds the lock.
+func (k *Keeper) commitTo(inc core.Incarnation, l *retainedLog, n uint64) {
 	if n <= l.committed {
 		return
 	}
-	drop := int(min(n-l.committed, uint64(len(l.held))))
-	for _, m := range l.held[:drop] {
+	dropped := int(min(n-l.committed, uint64(len(l.held))))
+	for _, m := range l.held[:dropped] {
 		k.bytes -= len(m.Payload)
 		if k.disk != nil {
 			k.disk.remove(inc, m.Object)
 		}
 	}
-	l.held = append([]*peerv1.Retain(nil), l.held[drop:]...)
+	l.held = append([]*peerv1.Retain(nil), l.held[dropped:]...)
 	l.committed = n
 }
 
-// relay appends the batches that are held, in order, until one append fails.
-// A later object is never sent before the earlier ones are known to be in the
-// log, so that a seal cannot land between them.
-func (k *Keeper) relay(ctx context.Context, inc core.Incarnation, l *kept) {
+// relay appends the held batches to the store in order, until one append fails.
+// It sends an object only after all earlier ones are known to be in the journal,
+// so that no seal can be written between them.
+func (k *Keeper) relay(ctx context.Context, inc core.Incarnation, l *retainedLog) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if l.relaying || time.Now().Before(k.relayAt) {
+	if l.relaying || time.Now().Before(k.nextRelay) {
 		return
 	}
 	l.relaying = true
@@ -203,16 +206,16 @@
 			return
 		}
 		if err != nil {
-			k.relayAt = time.Now().Add(k.o.RelayPause)
+			k.nextRelay = time.Now().Add(k.o.RelayPause)
 			return
 		}
 		k.commitTo(inc, l, m.Object)
 	}
 }
 
-// Fence returns the batches held for a lost incarnation. From then on its
-// batches are refused, also after a restart of this process with its data
-// folder. A repeated fence returns the same batches.
+// Fence returns the batches held for a lost incarnation and refuses all further
+// ones. With a data folder, the fence also holds after a restart of this
+// process. A repeated fence returns the same batches.
 func (k *Keeper) Fence(lost core.Incarnation) (*peerv1.FenceResult, error) {
 	if err := objectapi.CheckKey(ObjectKey(lost, 1)); err != nil {
 		return nil, err
@@ -221,7 +224,7 @@
 	defer k.mu.Unlock()
 	l := k.logs[lost]
 	if l == nil {
-		l = &kept{}
+		l = &retainedLog{}
 		k.logs[lost] = l
 	}
 	if k.disk != nil && !l.fenced {
@@ -234,8 +237,8 @@
 	return &peerv1.FenceResult{Retained: append([]*peerv1.Retain(nil), l.held...)}, nil
 }
 
-// Forget drops what is kept for an incarnation. Call it when no slot is owned
-// by the incarnation any more and its process is gone.
+// Forget removes the batches and the fence of an incarnation. Call it only when
+// the incarnation owns no slot and its process has ended.
 func (k *Keeper) Forget(lost core.Incarnation) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -245,11 +248,11 @@
 		delete(k.logs, lost)
 	}
 	if k.disk != nil {
-		k.disk.forget(lost)
+		k.disk.removeLog(lost)
 	}
 }
 
-// Held returns the number of batches and payload bytes that are held.
+// Held returns the number of held batches and the sum of their payload bytes.
 func (k *Keeper) Held() (batches, bytes int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/pkg/journal/keys.go
+++ b/pkg/journal/keys.go
@@ -29,7 +29,7 @@
 func checkpointPrefix(inc core.Incarnation) string { return "checkpoint/" + string(inc) + "/" }
 
 // numberOf returns the number at the end of a key.
-func numberOf(key string) (uint64, error) {
+func objectNumber(key string) (uint64, error) {
 	n, err := strconv.ParseUint(key[strings.LastIndexByte(key, '/')+1:], 10, 64)
 	if err != nil || n == 0 {
 		return 0, fmt.Errorf("journal: key %q does not end in an object number", key)
--- a/pkg/journal/options.go
+++ b/pkg/journal/options.go
@@ -20,13 +20,13 @@
 // defaults in parentheses.
 type WriterOptions struct {
 	// Committed tells that every record up to seq is in the store.
-	Committed func(seq core.Seq)
+	Committed func(defaultCallback core.Seq)
 	// Retained tells that every record up to seq is in the store or held by
 	// every reachable member of the retention set, and by at least one.
-	Retained func(seq core.Seq)
+	Retained func(defaultCallback core.Seq)
 	// Undurable tells that neither the store nor a member can be reached for
 	// the records up to seq.
-	Undurable func(seq core.Seq)
+	Undurable func(defaultCallback core.Seq)
 	// Sealed tells that another incarnation has sealed the journal. Run
 	// returns a SealedError afterwards.
 	Sealed func(by core.Incarnation)
@@ -46,27 +46,27 @@
 }
 
 func (o *WriterOptions) setDefaults() {
-	def := func(d *time.Duration, v time.Duration) {
+	defaultDuration := func(d *time.Duration, v time.Duration) {
 		if *d <= 0 {
 			*d = v
 		}
 	}
-	def(&o.AppendTimeout, 5*time.Second)
-	def(&o.RetainAfter, 300*time.Millisecond)
-	def(&o.RetainTimeout, time.Second)
-	def(&o.MinCollect, 5*time.Millisecond)
-	def(&o.MaxCollect, 50*time.Millisecond)
+	defaultDuration(&o.AppendTimeout, 5*time.Second)
+	defaultDuration(&o.RetainAfter, 300*time.Millisecond)
+	defaultDuration(&o.RetainTimeout, time.Second)
+	defaultDuration(&o.MinCollect, 5*time.Millisecond)
+	defaultDuration(&o.MaxCollect, 50*time.Millisecond)
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
-	seq := func(f *func(core.Seq)) {
+	defaultCallback := func(f *func(core.Seq)) {
 		if *f == nil {
 			*f = func(core.Seq) {}
 		}
 	}
-	seq(&o.Committed)
-	seq(&o.Retained)
-	seq(&o.Undurable)
+	defaultCallback(&o.Committed)
+	defaultCallback(&o.Retained)
+	defaultCallback(&o.Undurable)
 	if o.Sealed == nil {
 		o.Sealed = func(core.Incarnation) {}
 	}
--- a/pkg/journal/pack.go
+++ b/pkg/journal/pack.go
@@ -10,15 +10,15 @@
 // batch is one journal object that is not known to be in the store. Its number
 // and payload never change, because members of the retention set may hold it.
 type batch struct {
-	object  uint64
-	payload []byte
-	seq     core.Seq // highest sequence number that is complete with this object
-	set     []string // new retention set, if the object names one
+	object    uint64
+	payload   []byte
+	seq       core.Seq // highest sequence number that is complete with this object
+	retention []string // new retention set, if the object names one
 }
 
 // stored returns the stored forms of records, with large ones in fragments, and
 // their sizes.
-func stored(recs []core.Record) (out []*peerv1.Record, sizes []int, err error) {
+func toStored(recs []core.Record) (out []*peerv1.Record, sizes []int, err error) {
 	for i := range recs {
 		p := ToProto(&recs[i])
 		size := proto.Size(p)
@@ -39,22 +39,22 @@
 
 // pack encodes records into as few objects as their sizes allow. build returns
 // the object without its records, in the order of the log.
-func pack(recs []core.Record, limit int, build func() *peerv1.JournalObject) ([]packed, error) {
-	ps, sizes, err := stored(recs)
+func pack(recs []core.Record, limit int, newObject func() *peerv1.JournalObject) ([]packedObject, error) {
+	unpacked, sizes, err := toStored(recs)
 	if err != nil {
 		return nil, err
 	}
-	var out []packed
-	for len(ps) > 0 {
-		n, raw := 0, 0
-		for n < len(ps) && (n == 0 || raw+sizes[n] <= maxRawBytes) {
-			raw += sizes[n]
+	var out []packedObject
+	for len(unpacked) > 0 {
+		n, rawBytes := 0, 0
+		for n < len(unpacked) && (n == 0 || rawBytes+sizes[n] <= maxRawBytes) {
+			rawBytes += sizes[n]
 			n++
 		}
-		o := build()
+		o := newObject()
 		var payload []byte
 		for {
-			o.Records = ps[:n]
+			o.Records = unpacked[:n]
 			if payload, err = Encode(o); err != nil {
 				return nil, err
 			}
@@ -63,13 +63,13 @@
 			}
 			n = (n + 1) / 2
 		}
-		out = append(out, packed{o, payload})
-		ps, sizes = ps[n:], sizes[n:]
+		out = append(out, packedObject{o, payload})
+		unpacked, sizes = unpacked[n:], sizes[n:]
 	}
 	return out, nil
 }
 
-type packed struct {
+type packedObject struct {
 	object  *peerv1.JournalObject
 	payload []byte
 }
--- a/pkg/journal/recover.go
+++ b/pkg/journal/recover.go
@@ -27,20 +27,20 @@
 }
 
 // log is the part of a journal that is in the store.
-type log struct {
+type storedLog struct {
 	objects    []*peerv1.JournalObject // in order, without the seal
 	seal       *peerv1.JournalObject   // nil if the log is open
 	checkpoint int                     // index of the last checkpoint record, or -1
 }
 
-func readLog(ctx context.Context, c objectapi.Client, inc core.Incarnation) (*log, error) {
+func readLog(ctx context.Context, c objectapi.Client, inc core.Incarnation) (*storedLog, error) {
 	objs, err := c.List(ctx, objectPrefix(inc))
 	if err != nil {
 		return nil, errors.Wrapf(err, "journal: read %s: list", inc)
 	}
-	l := &log{checkpoint: -1}
+	l := &storedLog{checkpoint: -1}
 	for _, o := range objs {
-		n, err := numberOf(o.Key)
+		n, err := objectNumber(o.Key)
 		if err != nil {
 			return nil, err
 		}
@@ -67,7 +67,7 @@
 type SealedLog struct {
 	lost core.Incarnation
 	c    objectapi.Client
-	l    *log
+	l    *storedLog
 }
 
 // OpenSealed reads a sealed log.
@@ -116,23 +116,23 @@
 			return nil, err
 		}
 	}
-	want := covered + 1
+	expected := covered + 1
 	for _, o := range s.l.objects {
 		if o.Object <= covered {
 			continue
 		}
-		if o.Object != want {
-			return nil, fmt.Errorf("journal: recover %s: object %d is missing", s.lost, want)
+		if o.Object != expected {
+			return nil, fmt.Errorf("journal: recover %s: object %d is missing", s.lost, expected)
 		}
 		if err := a.add(o.Records); err != nil {
 			return nil, err
 		}
-		want++
+		expected++
 	}
-	if s.l.seal.Object != want {
-		return nil, fmt.Errorf("journal: recover %s: object %d is missing before the seal at %d", s.lost, want, s.l.seal.Object)
+	if s.l.seal.Object != expected {
+		return nil, fmt.Errorf("journal: recover %s: object %d is missing before the seal at %d", s.lost, expected, s.l.seal.Object)
 	}
-	err = addRetained(s.lost, want, retained, &a)
+	err = addRetained(s.lost, expected, retained, &a)
 	return a.out, err
 }
 
@@ -141,22 +141,22 @@
 // batches that were acknowledged under the set before may still be on their way
 // to the new one, so the members of both are returned until the next checkpoint.
 func (s *SealedLog) Members() []core.Incarnation {
-	var before, last []string
+	var previous, current []string
 	for _, o := range s.l.objects {
-		if o.Retention != nil && !slices.Equal(o.Retention, last) {
-			before, last = last, o.Retention
+		if o.Retention != nil && !slices.Equal(o.Retention, current) {
+			previous, current = current, o.Retention
 		}
 		if o.Checkpoint > 0 {
-			before = nil
+			previous = nil
 		}
 	}
-	set := setOf(last)
-	for _, m := range setOf(before) {
-		if !slices.Contains(set, m) {
-			set = append(set, m)
+	members := setFromNames(current)
+	for _, m := range setFromNames(previous) {
+		if !slices.Contains(members, m) {
+			members = append(members, m)
 		}
 	}
-	return set
+	return members
 }
 
 // addRetained adds the retained batches from object next on.
@@ -179,12 +179,12 @@
 			return fmt.Errorf("journal: retained object %d of %s says it is object %d of %s",
 				m.Object, lost, o.Object, o.Incarnation)
 		}
-		known := len(a.out)
+		firstRetained := len(a.out)
 		if err := a.add(o.Records); err != nil {
 			return err
 		}
-		for i := range a.out[known:] {
-			a.out[known+i].Retained = true
+		for i := range a.out[firstRetained:] {
+			a.out[firstRetained+i].Retained = true
 		}
 		next = m.Object + 1
 	}
--- a/pkg/journal/retain.go
+++ b/pkg/journal/retain.go
@@ -11,46 +11,46 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
 )
 
-// memberPause is the time for which a member that did not answer counts as
-// unreachable. It bounds how often a silent member delays an acknowledgement.
+// memberPause is the time before the next message to a member after a failed
+// one. It bounds how often an unresponsive member delays an acknowledgement.
 const memberPause = 2 * time.Second
 
-// member is what the writer knows about a member of the retention set. A member
-// holds every object from the committed ones up to have.
+// member is the writer's view of a member of the retention set. The member holds
+// every uncommitted object up to lastHeld.
 type member struct {
 	id       core.Incarnation
-	have     uint64 // highest object it accepted; 0 if it holds nothing
-	failed   bool   // the last message got no answer
+	lastHeld uint64 // highest object that the member accepted; 0 if it holds none
+	failed   bool   // the last message failed or was refused
 	retryAt  time.Time
-	reported uint64 // highest committed object it was told about
+	reported uint64 // highest committed object reported to the member
 }
 
 type memberResult struct {
 	m        *member
-	have     uint64
-	appended uint64 // highest object it appended on the owner's behalf
+	lastHeld uint64
+	appended uint64 // highest object that the member appended on the owner's behalf
 	reported uint64
-	err      error // nil, *SealedError or no answer
+	err      error // nil, *SealedError or a failure after which the message is retried
 }
 
 type retainRound []memberResult
 
-// emptySet marks a retention set without members, which differs from a set that
-// did not change.
+// emptySet is the stored name for a retention set without members. An object
+// without any name leaves the retention set unchanged.
 const emptySet = ""
 
-func setNames(set []core.Incarnation) []string {
-	if len(set) == 0 {
+func setToNames(retention []core.Incarnation) []string {
+	if len(retention) == 0 {
 		return []string{emptySet}
 	}
-	out := make([]string, len(set))
-	for i, m := range set {
+	out := make([]string, len(retention))
+	for i, m := range retention {
 		out[i] = string(m)
 	}
 	return out
 }
 
-func setOf(names []string) []core.Incarnation {
+func setFromNames(names []string) []core.Incarnation {
 	var out []core.Incarnation
 	for _, n := range names {
 		if n != emptySet {
@@ -69,8 +69,9 @@
 	return m
 }
 
-// checkSlow starts retention when the append in flight takes too long.
-func (w *Writer) checkSlow(now time.Time) {
+// checkSlowAppend sets degraded, and so starts retention, when the append in
+// flight takes longer than RetainAfter.
+func (w *Writer) checkSlowAppend(now time.Time) {
 	if w.degraded || w.inflight == nil || now.Before(w.inflight.started.Add(w.o.RetainAfter)) {
 		return
 	}
@@ -79,25 +80,25 @@
 		"age", now.Sub(w.inflight.started))
 }
 
-// retainWork returns the members to which a message is due, and the earliest
-// time at which another one will be.
-func (w *Writer) retainWork(now time.Time) (due []*member, next time.Time) {
-	want := func(m *member) bool {
-		if w.degraded && len(w.queue) > 0 && m.have < w.queue[len(w.queue)-1].object {
-			for _, id := range w.set {
+// dueMembers returns the members to which a message is due, and the earliest
+// time at which a message to another member becomes due, or the zero time.
+func (w *Writer) dueMembers(now time.Time) (due []*member, next time.Time) {
+	needsMessage := func(m *member) bool {
+		if w.degraded && len(w.queue) > 0 && m.lastHeld < w.queue[len(w.queue)-1].object {
+			for _, id := range w.retention {
 				if id == m.id {
 					return true
 				}
 			}
 		}
-		return m.have > 0 && m.have <= w.committed && m.reported < w.committed && len(w.queue) == 0
+		return m.lastHeld > 0 && m.lastHeld <= w.committed && m.reported < w.committed && len(w.queue) == 0
 	}
-	for _, id := range w.set {
+	for _, id := range w.retention {
 		w.member(id)
 	}
 	for _, m := range w.members {
 		switch {
-		case !want(m):
+		case !needsMessage(m):
 		case now.Before(m.retryAt):
 			if next.IsZero() || m.retryAt.Before(next) {
 				next = m.retryAt
@@ -109,26 +110,28 @@
 	return due, next
 }
 
-// nextRetain returns the time of the next message to a member, if one is known.
-func (w *Writer) nextRetain() (time.Time, bool) {
+// nextRetainTime returns the time of the next message to a member. The second
+// result is false if none is planned or a round is in flight.
+func (w *Writer) nextRetainTime() (time.Time, bool) {
 	if w.retaining {
 		return time.Time{}, false
 	}
-	due, next := w.retainWork(time.Now())
+	due, next := w.dueMembers(time.Now())
 	if len(due) > 0 {
 		return time.Now(), true
 	}
 	return next, !next.IsZero()
 }
 
-// startRetain sends the batches that members lack, one round at a time.
+// startRetain starts a round of messages that sends the members the batches they
+// lack. One round is in flight at a time.
 func (w *Writer) startRetain(ctx context.Context, now time.Time) {
 	if w.retaining {
 		return
 	}
-	due, _ := w.retainWork(now)
+	due, _ := w.dueMembers(now)
 	if len(due) == 0 {
-		w.settleRetained()
+		w.reportRetained()
 		return
 	}
 	w.retaining = true
@@ -136,20 +139,21 @@
 	committed := w.committed
 	round := make(retainRound, len(due))
 	for i, m := range due {
-		round[i] = memberResult{m: m, have: m.have}
+		round[i] = memberResult{m: m, lastHeld: m.lastHeld}
 	}
 	go func() {
 		var wg sync.WaitGroup
 		for i := range round {
-			wg.Go(func() { w.sendTo(ctx, &round[i], batches, committed) })
+			wg.Go(func() { w.sendBatches(ctx, &round[i], batches, committed) })
 		}
 		wg.Wait()
 		w.retainc <- round
 	}()
 }
 
-// sendTo gives a member the batches that it lacks, in order.
-func (w *Writer) sendTo(ctx context.Context, r *memberResult, batches []*batch, committed uint64) {
+// sendBatches sends a member the batches that it lacks, in order. Without
+// batches, it reports the highest committed object.
+func (w *Writer) sendBatches(ctx context.Context, r *memberResult, batches []*batch, committed uint64) {
 	rt := w.o.Retainer(r.m.id)
 	if rt == nil {
 		r.err = errors.Errorf("journal %s: member %s is not connected", w.self, r.m.id)
@@ -165,7 +169,7 @@
 		case res.Sealed:
 			r.err = &SealedError{Journal: w.self, By: "unknown", Object: m.Object}
 		case res.Error != "":
-			r.have = 0 // it may have lost what it held; send everything again
+			r.lastHeld = 0 // the member may have lost its batches; send all of them again
 			r.err = errors.Errorf("journal %s: retain object %d at %s: %s", w.self, m.Object, r.m.id, res.Error)
 		}
 		return res
@@ -177,7 +181,7 @@
 		return
 	}
 	for _, b := range batches {
-		if b.object <= r.have {
+		if b.object <= r.lastHeld {
 			continue
 		}
 		res := send(&peerv1.Retain{
@@ -190,15 +194,16 @@
 			r.err = errors.Errorf("journal %s: retain object %d at %s: neither appended nor retained", w.self, b.object, r.m.id)
 			return
 		}
-		r.have = b.object
+		r.lastHeld = b.object
 		if res.Appended {
 			r.appended = b.object
 		}
 	}
 }
 
-// retainedRound takes the results of a round.
-func (w *Writer) retainedRound(round retainRound) error {
+// handleRetainRound updates the members from the results of a round. It returns
+// an error only if the journal is sealed or fenced.
+func (w *Writer) handleRetainRound(round retainRound) error {
 	w.retaining = false
 	now := time.Now()
 	var appended uint64
@@ -207,38 +212,38 @@
 		if errors.As(r.err, &s) {
 			return s
 		}
-		r.m.have = r.have
+		r.m.lastHeld = r.lastHeld
 		r.m.reported = max(r.m.reported, r.reported)
 		r.m.failed = r.err != nil
 		if r.err != nil {
 			r.m.retryAt = now.Add(memberPause)
 			w.o.Logger.Warn("member does not retain", "journal", w.self, "peer", r.m.id, "error", r.err)
-		} else if r.reported > 0 && r.m.have <= w.committed {
-			r.m.have = 0
+		} else if r.reported > 0 && r.m.lastHeld <= w.committed {
+			r.m.lastHeld = 0
 		}
 		appended = max(appended, r.appended)
 	}
-	// A member appends in order, so that its last append commits all before.
+	// A member appends in order, so its last append implies all earlier ones.
 	w.commitTo(appended)
-	w.settleRetained()
+	w.reportRetained()
 	return nil
 }
 
-// settleRetained reports the batches that every reachable member holds, or that
-// none can be reached for the rest.
-func (w *Writer) settleRetained() {
+// reportRetained reports the queued batches as retained if every reachable
+// member holds them, and as undurable if no member can be reached.
+func (w *Writer) reportRetained() {
 	if !w.degraded || len(w.queue) == 0 {
 		return
 	}
 	var upTo uint64
 	reachable := 0
-	for _, id := range w.set {
+	for _, id := range w.retention {
 		m := w.member(id)
 		if m.failed {
 			continue
 		}
-		if reachable == 0 || m.have < upTo {
-			upTo = m.have
+		if reachable == 0 || m.lastHeld < upTo {
+			upTo = m.lastHeld
 		}
 		reachable++
 	}
--- a/pkg/journal/seal.go
+++ b/pkg/journal/seal.go
@@ -19,7 +19,7 @@
 		return 0, errors.Wrapf(err, "journal: seal %s: list", lost)
 	}
 	if len(objs) > 0 {
-		if tail, err = numberOf(objs[len(objs)-1].Key); err != nil {
+		if tail, err = objectNumber(objs[len(objs)-1].Key); err != nil {
 			return 0, err
 		}
 		last, err := Decode(objs[len(objs)-1].Value)
@@ -27,7 +27,7 @@
 			return 0, errors.Wrapf(err, "journal: seal %s: object %d", lost, tail)
 		}
 		if last.SealedBy != "" {
-			return sealedAt(lost, by, last, tail)
+			return existingSeal(lost, by, last, tail)
 		}
 	}
 	for {
@@ -52,13 +52,13 @@
 			return 0, errors.Wrapf(err, "journal: seal %s: object %d", lost, n)
 		}
 		if d.SealedBy != "" {
-			return sealedAt(lost, by, d, n)
+			return existingSeal(lost, by, d, n)
 		}
 		tail = n // the owner appended once more
 	}
 }
 
-func sealedAt(lost, by core.Incarnation, o *peerv1.JournalObject, object uint64) (uint64, error) {
+func existingSeal(lost, by core.Incarnation, o *peerv1.JournalObject, object uint64) (uint64, error) {
 	if o.SealedBy == string(by) {
 		return object - 1, nil
 	}
--- a/pkg/journal/slots.go
+++ b/pkg/journal/slots.go
@@ -159,12 +159,12 @@
 			return nil, errors.Wrap(err, "journal: write slot map")
 		}
 		if objectapi.IsUnknown(err) {
-			now, err := LoadSlots(ctx, c, count)
+			current, err := LoadSlots(ctx, c, count)
 			if err != nil {
 				return nil, err
 			}
-			if tookEffect(old, m, now) {
-				return now, nil
+			if containsChange(old, m, current) {
+				return current, nil
 			}
 		}
 	}
@@ -173,9 +173,9 @@
 // tookEffect reports whether the change from old to m is part of a later map.
 // The update is atomic and no other writes the same owner and epoch, so that
 // one slot tells.
-func tookEffect(old, m, now *SlotMap) bool {
+func containsChange(old, m, current *SlotMap) bool {
 	for i := range m.Slots {
-		if m.Slots[i] != old.Slots[i] && i < len(now.Slots) && now.Slots[i] == m.Slots[i] {
+		if m.Slots[i] != old.Slots[i] && i < len(current.Slots) && current.Slots[i] == m.Slots[i] {
 			return true
 		}
 	}
@@ -189,9 +189,9 @@
 		return fmt.Errorf("journal: slot map of %d slots, want %d", len(m.Slots), len(old.Slots))
 	}
 	for i := range m.Slots {
-		a, b := old.Slots[i], m.Slots[i]
-		if a != b && b.Epoch != a.Epoch+1 {
-			return fmt.Errorf("journal: slot %d goes from %s at epoch %d to %s at epoch %d", i, a.Owner, a.Epoch, b.Owner, b.Epoch)
+		before, after := old.Slots[i], m.Slots[i]
+		if before != after && after.Epoch != before.Epoch+1 {
+			return fmt.Errorf("journal: slot %d goes from %s at epoch %d to %s at epoch %d", i, before.Owner, before.Epoch, after.Owner, after.Epoch)
 		}
 	}
 	return nil
--- a/pkg/journal/writer.go
+++ b/pkg/journal/writer.go
@@ -12,16 +12,17 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
 )
 
-// Pauses between attempts while the store cannot be reached.
+// Bounds of the exponential backoff between append attempts while the store
+// cannot be reached.
 const (
 	minRetry = 100 * time.Millisecond
 	maxRetry = 2 * time.Second
 )
 
-// Writer appends the records of one incarnation to its log. One append is in
-// flight at a time; records that arrive meanwhile form the next batch. While
-// the store cannot be reached, batches are kept by the retention set and
-// appended later in order.
+// Writer appends the records of one incarnation to its journal by group commit.
+// One append is in flight at a time; records that arrive meanwhile form the next
+// batch. While the store cannot be reached, the members of the retention set
+// hold the batches, and the writer appends them in order once it is reachable.
 type Writer struct {
 	c    objectapi.Client
 	self core.Incarnation
@@ -30,117 +31,120 @@
 
 	mu      sync.Mutex
 	pending []entry
-	bytes   int   // estimated size of the pending records
-	stopped error // set when Run has ended
+	bytes   int   // estimated size of the pending records in bytes
+	runErr  error // result of Run; nil until Run returns
 
-	held map[uint64]uint64 // last object of a hand-over to its first; guarded by mu
+	handovers map[uint64]uint64 // last object of each unreleased hand-over to its first object; guarded by mu
 
-	// checkpointing holds a value while a checkpoint is written. It guards the
-	// fields up to the next empty line.
+	// checkpointing is a semaphore with one permit, held while a checkpoint is
+	// written. It guards generation, covered, parts and garbage.
 	checkpointing chan struct{}
 	generation    uint64
-	covered       uint64   // last object that the last checkpoint covers
-	parts         []string // keys of the last checkpoint
-	garbage       []string // keys that are still to be deleted
+	covered       uint64   // last object that the latest checkpoint covers
+	parts         []string // keys of the latest checkpoint
+	garbage       []string // keys whose deletion was postponed or failed
 
-	// The fields below belong to Run.
+	// Only the goroutine of Run accesses the fields below.
 	next      uint64   // number of the next object
 	committed uint64   // highest object known to be in the store
-	seq       core.Seq // reported as committed
-	retained  core.Seq // reported as retained
-	undurable core.Seq // reported as undurable
-	queue     []*batch // batches that are not committed, in order
+	seq       core.Seq // highest sequence number passed to Committed
+	retained  core.Seq // highest sequence number passed to Retained
+	undurable core.Seq // highest sequence number passed to Undurable
+	queue     []*batch // uncommitted batches in the order of the log
 	waiters   []waiter
-	set       []core.Incarnation // retention set in force
-	named     []string           // retention set that the log names last
-	change    uint64             // object of the last change of the set
+	retention []core.Incarnation // latest committed retention set
+	loggedSet []string           // latest retention set written or queued, possibly not committed
+	setChange uint64             // object with the latest change of the retention set
 	members   map[core.Incarnation]*member
-	degraded  bool // appends fail or are slow
+	degraded  bool // appends fail or exceed RetainAfter; batches go to the retention set
 	lastStart time.Time
 	latency   time.Duration // moving average of successful appends
 	retryAt   time.Time
 	retry     time.Duration
-	inflight  *flight
+	inflight  *inflightAppend
 	retaining bool
 	appendc   chan appendResult
 	retainc   chan retainRound
 }
 
-// entry is one element of the input of Run.
+// entry is one element of the queue from the writer's callers to Run.
 type entry struct {
 	recs    []core.Record
-	control *peerv1.JournalObject // object of its own; recs, if any, are part of it
-	mark    bool                  // waits for everything before it
-	done    chan waitResult       // for control and mark
+	control *peerv1.JournalObject // written as a separate object, which includes recs
+	barrier bool                  // completes when all earlier entries are committed
+	result  chan waitResult       // receives the result of a control entry or barrier; may be nil
 }
 
 type waiter struct {
 	object uint64
-	done   chan waitResult
+	result chan waitResult
 }
 
-// waitResult carries the object up to which the log was committed.
+// waitResult is the result of an entry: the last object for which the entry
+// waited, or the error that prevented its commit.
 type waitResult struct {
 	object uint64
 	err    error
 }
 
-type flight struct {
+type inflightAppend struct {
 	b       *batch
 	started time.Time
 }
 
 type appendResult struct {
 	b   *batch
-	err error // nil, *SealedError or a failure after which the append is repeated
+	err error // nil, *SealedError or a failure after which the append is retried
 }
 
-// NewWriter returns a writer of the log of self. The log must be new.
+// NewWriter returns a writer of the journal of self, which must not have any
+// objects yet. Run does the writing.
 func NewWriter(c objectapi.Client, self core.Incarnation, o WriterOptions) *Writer {
 	o.setDefaults()
 	w := &Writer{
 		c: c, self: self, o: o, wake: make(chan struct{}, 1), next: 1,
-		members: map[core.Incarnation]*member{}, held: map[uint64]uint64{},
+		members: map[core.Incarnation]*member{}, handovers: map[uint64]uint64{},
 		checkpointing: make(chan struct{}, 1),
 		appendc:       make(chan appendResult, 1), retainc: make(chan retainRound, 1),
 	}
 	if len(o.Retention) > 0 {
-		w.put(entry{control: &peerv1.JournalObject{Retention: setNames(o.Retention)}})
+		w.submit(entry{control: &peerv1.JournalObject{Retention: setToNames(o.Retention)}})
 	}
 	return w
 }
 
-// Append adds records to the log in order. It returns at once.
+// Append queues records for the journal in order. It does not wait for the store.
 func (w *Writer) Append(recs []core.Record) {
 	if len(recs) > 0 {
-		w.put(entry{recs: recs})
+		w.submit(entry{recs: recs})
 	}
 }
 
 // Flush waits until every record appended so far is in the store.
 func (w *Writer) Flush(ctx context.Context) error {
-	_, err := w.wait(ctx, entry{mark: true})
+	_, err := w.submitAndWait(ctx, entry{barrier: true})
 	return err
 }
 
-// SetRetention names a new retention set. It returns when the set is in force.
+// SetRetention changes the retention set. It returns when the change is
+// committed, or an error if an earlier change is uncommitted or appends fail.
 func (w *Writer) SetRetention(ctx context.Context, members []core.Incarnation) error {
-	_, err := w.wait(ctx, entry{control: &peerv1.JournalObject{Retention: setNames(members)}})
+	_, err := w.submitAndWait(ctx, entry{control: &peerv1.JournalObject{Retention: setToNames(members)}})
 	return err
 }
 
-func (w *Writer) put(e entry) {
+func (w *Writer) submit(e entry) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped != nil {
-		if e.done != nil {
-			e.done <- waitResult{err: w.stopped}
+	if w.runErr != nil {
+		if e.result != nil {
+			e.result <- waitResult{err: w.runErr}
 		}
 		return
 	}
 	w.pending = append(w.pending, e)
 	for i := range e.recs {
-		w.bytes += estimate(&e.recs[i])
+		w.bytes += estimateSize(&e.recs[i])
 	}
 	select {
 	case w.wake <- struct{}{}:
@@ -148,7 +152,7 @@
 	}
 }
 
-func estimate(r *core.Record) int {
+func estimateSize(r *core.Record) int {
 	n := 128 + len(r.Request) + len(r.State)
 	if r.Answer != nil {
 		n += len(r.Answer.Body)
@@ -156,34 +160,35 @@
 	return n
 }
 
-func (w *Writer) wait(ctx context.Context, e entry) (uint64, error) {
-	e.done = make(chan waitResult, 1)
-	w.put(e)
+func (w *Writer) submitAndWait(ctx context.Context, e entry) (uint64, error) {
+	e.result = make(chan waitResult, 1)
+	w.submit(e)
 	select {
-	case r := <-e.done:
+	case r := <-e.result:
 		return r.object, r.err
 	case <-ctx.Done():
 		return 0, errors.Wrapf(ctx.Err(), "journal %s: wait for the store", w.self)
 	}
 }
 
-// Run writes the log until ctx is done or the journal is sealed.
+// Run writes the journal until ctx ends or another incarnation seals the
+// journal. It always returns an error; after a seal it is a SealedError.
 func (w *Writer) Run(ctx context.Context) error {
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	err := w.loop(runCtx)
 	w.mu.Lock()
-	w.stopped = err
+	w.runErr = err
 	pending := w.pending
 	w.pending = nil
 	w.mu.Unlock()
 	for _, e := range pending {
-		if e.done != nil {
-			e.done <- waitResult{err: err}
+		if e.result != nil {
+			e.result <- waitResult{err: err}
 		}
 	}
 	for _, wt := range w.waiters {
-		wt.done <- waitResult{err: err}
+		wt.result <- waitResult{err: err}
 	}
 	return err
 }
@@ -193,31 +198,31 @@
 	defer timer.Stop()
 	for {
 		now := time.Now()
-		w.checkSlow(now)
-		if err := w.form(now); err != nil {
+		w.checkSlowAppend(now)
+		if err := w.formBatches(now); err != nil {
 			return err
 		}
 		w.startAppend(ctx, now)
 		w.startRetain(ctx, now)
-		timer.Reset(w.untilNext(now))
+		timer.Reset(w.nextTimeout(now))
 		select {
 		case <-ctx.Done():
 			return errors.Wrapf(ctx.Err(), "journal %s: run", w.self)
 		case <-w.wake:
 		case <-timer.C:
 		case r := <-w.appendc:
-			if err := w.appended(r); err != nil {
-				return w.sealed(err)
+			if err := w.handleAppendResult(r); err != nil {
+				return w.reportSeal(err)
 			}
 		case r := <-w.retainc:
-			if err := w.retainedRound(r); err != nil {
-				return w.sealed(err)
+			if err := w.handleRetainRound(r); err != nil {
+				return w.reportSeal(err)
 			}
 		}
 	}
 }
 
-func (w *Writer) sealed(err error) error {
+func (w *Writer) reportSeal(err error) error {
 	var s *SealedError
 	if errors.As(err, &s) {
 		w.o.Logger.Warn("journal sealed", "journal", w.self, "by", s.By, "object", s.Object)
@@ -226,12 +231,13 @@
 	return err
 }
 
-// collect returns the time between the starts of two appends. It follows the
-// latency of the store, so that a loaded store receives fewer, larger objects.
+// collectInterval returns the minimum time between the starts of two appends. It
+// grows with the latency of the store, so that a loaded store receives fewer,
+// larger objects.
 //
-// In an outage it grows with the number of batches that wait, so that a long
+// In an outage it grows with the number of queued batches, so that a long
 // outage leaves hundreds of objects to append and not many thousands.
-func (w *Writer) collect() time.Duration {
+func (w *Writer) collectInterval() time.Duration {
 	d := min(max(2*w.latency, w.o.MinCollect), w.o.MaxCollect)
 	if w.degraded {
 		d = w.o.MaxCollect * time.Duration(1+min(len(w.queue)/50, 9))
@@ -239,22 +245,23 @@
 	return d
 }
 
-// mayForm reports whether a new batch may follow those in the queue. In normal
-// operation records collect while a batch is on its way to the store, in an
-// outage while one is on its way to the members.
-func (w *Writer) mayForm() bool {
+// canFormBatch reports whether a new batch may be added to the queue. Records
+// accumulate while a batch is being appended to the store or, in an outage,
+// while a round of messages to the members is in flight.
+func (w *Writer) canFormBatch() bool {
 	return len(w.queue) == 0 || w.degraded && !w.retaining
 }
 
-// due reports whether the pending records may form a batch now.
-func (w *Writer) due(now time.Time, bytes int) bool {
-	return w.mayForm() && (bytes >= maxRawBytes || !now.Before(w.lastStart.Add(w.collect())))
+// batchDue reports whether the pending records form a batch now: they fill an
+// object, or the collect interval has passed. bytes is their estimated size.
+func (w *Writer) batchDue(now time.Time, bytes int) bool {
+	return w.canFormBatch() && (bytes >= maxRawBytes || !now.Before(w.lastStart.Add(w.collectInterval())))
 }
 
-// form turns pending entries into batches.
-func (w *Writer) form(now time.Time) error {
+// formBatches moves the pending entries into the queue as batches if they are due.
+func (w *Writer) formBatches(now time.Time) error {
 	w.mu.Lock()
-	if len(w.pending) == 0 || !w.due(now, w.bytes) {
+	if len(w.pending) == 0 || !w.batchDue(now, w.bytes) {
 		w.mu.Unlock()
 		return nil
 	}
@@ -273,7 +280,7 @@
 		return err
 	}
 	for i, e := range pending {
-		if e.control == nil && !e.mark {
+		if e.control == nil && !e.barrier {
 			if recs == nil && i+1 < len(pending) {
 				recs = make([]core.Record, 0, len(pending))
 			}
@@ -284,8 +291,8 @@
 			return err
 		}
 		if e.control != nil {
-			if err := w.admitControl(e); err != nil {
-				e.done <- waitResult{err: err}
+			if err := w.checkControl(e); err != nil {
+				e.result <- waitResult{err: err}
 				continue
 			}
 			first := w.next
@@ -294,48 +301,50 @@
 			}
 			if e.control.HandedTo != "" {
 				w.mu.Lock()
-				w.held[w.next-1] = first
+				w.handovers[w.next-1] = first
 				w.mu.Unlock()
 			}
 		}
-		if e.done != nil {
-			w.waiters = append(w.waiters, waiter{w.next - 1, e.done})
+		if e.result != nil {
+			w.waiters = append(w.waiters, waiter{w.next - 1, e.result})
 		}
 	}
 	if err := flush(); err != nil {
 		return err
 	}
-	w.notify()
+	w.notifyWaiters()
 	return nil
 }
 
-// admitControl refuses a change of the retention set or a checkpoint while an
-// earlier change is not known to be committed, and a change in an outage. A
-// successor reads at most two sets from the log, see Members: batches that were
-// acknowledged under a third one would be lost.
-func (w *Writer) admitControl(e entry) error {
-	open := w.change > w.committed
+// checkControl returns an error for a change of the retention set or a
+// checkpoint while an earlier change is not known to be committed, and for a
+// change in an outage. A successor reads at most two sets from the log (see
+// SealedLog.Members); batches acknowledged under a third one would be lost.
+func (w *Writer) checkControl(e entry) error {
+	changePending := w.setChange > w.committed
 	switch {
-	case e.done == nil: // the first set
+	case e.result == nil: // the initial retention set of NewWriter
 		return nil
-	case e.control.Retention != nil && (open || w.degraded):
+	case e.control.Retention != nil && (changePending || w.degraded):
 		return errors.Errorf("journal %s: the retention set cannot change now: object %d is not committed", w.self, w.committed+1)
-	case e.control.Checkpoint > 0 && open:
-		return errors.Errorf("journal %s: no checkpoint while the retention set changes in object %d", w.self, w.change)
+	case e.control.Checkpoint > 0 && changePending:
+		return errors.Errorf("journal %s: no checkpoint while the retention set changes in object %d", w.self, w.setChange)
 	}
 	return nil
 }
 
-// enqueue encodes records into batches whose other fields are those of base.
+// enqueue encodes records into one or more batches and queues them. All other
+// fields of the objects are copied from base.
 func (w *Writer) enqueue(recs []core.Record, base *peerv1.JournalObject) error {
 	switch {
 	case base.Retention != nil:
-		w.named, w.change = base.Retention, w.next
+		w.loggedSet, w.setChange = base.Retention, w.next
 	case base.Checkpoint > 0:
-		// The object that named the set may be covered and deleted.
-		base.Retention = w.named
+		// The checkpoint may cover the object that contains the retention set,
+		// and that object is then deleted.
+		base.Retention = w.loggedSet
 	}
-	build := func() *peerv1.JournalObject {
+	newObject := func() *peerv1.JournalObject {
 		o := &peerv1.JournalObject{
 			Incarnation: string(w.self), Object: w.next, Retention: base.Retention,
 			Checkpoint: base.Checkpoint, CheckpointParts: base.CheckpointParts,
@@ -344,49 +353,50 @@
 		w.next++
 		return o
 	}
-	var objs []packed
+	var objs []packedObject
 	var err error
 	if len(recs) > 0 {
-		objs, err = pack(recs, MaxObjectBytes, build)
+		objs, err = pack(recs, MaxObjectBytes, newObject)
 	} else {
-		o := build()
+		o := newObject()
 		var payload []byte
 		payload, err = Encode(o)
-		objs = []packed{{o, payload}}
+		objs = []packedObject{{o, payload}}
 	}
 	if err != nil {
 		return err
 	}
 	for _, p := range objs {
 		w.queue = append(w.queue, &batch{
-			object: p.object.Object, payload: p.payload, seq: completeSeq(p.object), set: p.object.Retention,
+			object: p.object.Object, payload: p.payload, seq: completeSeq(p.object), retention: p.object.Retention,
 		})
 	}
 	return nil
 }
 
-// untilNext returns the time after which Run has work without a new event.
-func (w *Writer) untilNext(now time.Time) time.Duration {
+// nextTimeout returns the time after which Run must act even if no event
+// arrives: for a retry, a slow append, a batch or a message to a member.
+func (w *Writer) nextTimeout(now time.Time) time.Duration {
 	d := time.Hour
-	at := func(t time.Time) {
+	wakeBy := func(t time.Time) {
 		if u := t.Sub(now); u < d {
 			d = max(u, 0)
 		}
 	}
 	if w.inflight == nil && len(w.queue) > 0 {
-		at(w.retryAt)
+		wakeBy(w.retryAt)
 	}
 	if w.inflight != nil && !w.degraded {
-		at(w.inflight.started.Add(w.o.RetainAfter))
+		wakeBy(w.inflight.started.Add(w.o.RetainAfter))
 	}
 	w.mu.Lock()
 	waiting := len(w.pending) > 0
 	w.mu.Unlock()
-	if waiting && w.mayForm() {
-		at(w.lastStart.Add(w.collect()))
+	if waiting && w.canFormBatch() {
+		wakeBy(w.lastStart.Add(w.collectInterval()))
 	}
-	if t, ok := w.nextRetain(); ok {
-		at(t)
+	if t, ok := w.nextRetainTime(); ok {
+		wakeBy(t)
 	}
 	return d
 }
