--- a/pkg/journal/checkpoint.go
+++ b/pkg/journal/checkpoint.go
@@ -11,17 +11,17 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
 )
 
-// PendingCheckpoint is a place in the log up to which a checkpoint will cover
-// it.
+// PendingCheckpoint is a checkpoint that is not written yet. It will cover the
+// log up to a fixed position.
 type PendingCheckpoint struct {
 	w      *Writer
 	result chan waitResult
 }
 
-// BeginCheckpoint fixes the place in the log that a checkpoint covers: all
-// records appended so far. The caller takes the snapshot afterwards, so that
-// the snapshot holds them; a later record that the snapshot holds as well is
-// applied twice, which has no effect.
+// BeginCheckpoint fixes the position in the log up to which a checkpoint covers
+// it: all records appended so far. The caller takes its snapshot afterwards, so
+// that the snapshot contains them. A later record that the snapshot also
+// contains is applied twice on recovery, which has no effect.
 func (w *Writer) BeginCheckpoint() *PendingCheckpoint {
 	p := &PendingCheckpoint{w: w, result: make(chan waitResult, 1)}
 	w.submit(entry{barrier: true, result: p.result})
@@ -29,14 +29,14 @@
 }
 
 // Checkpoint writes a checkpoint of the records and deletes the objects that it
-// covers. No record that recs lacks may be appended before the call.
+// covers. recs must contain every record appended before the call.
 func (w *Writer) Checkpoint(ctx context.Context, recs []core.Record) error {
 	return w.BeginCheckpoint().Write(ctx, recs)
 }
 
-// Write writes the parts of the checkpoint, then its record in the log, and
-// then deletes the covered objects and the checkpoint before. If it fails, the
-// log and the checkpoint before are unchanged.
+// Write writes the parts of the checkpoint, then the log object that refers to
+// them, and then deletes the covered objects and the previous checkpoint. If it
+// fails, the objects and the previous checkpoint remain.
 func (p *PendingCheckpoint) Write(ctx context.Context, recs []core.Record) error {
 	w := p.w
 	select {
@@ -75,8 +75,8 @@
 	}
 	control := &peerv1.JournalObject{Checkpoint: gen, CheckpointParts: uint64(len(parts))}
 	if _, err := w.submitAndWait(ctx, entry{control: control}); err != nil {
-		// The record may still reach the log, so the parts stay until a later
-		// checkpoint takes its place.
+		// The log object may still be committed, so the parts stay until a
+		// later checkpoint replaces this one.
 		w.parts = append(w.parts, keys...)
 		return errors.Wrapf(err, "journal %s: checkpoint %d: record", w.self, gen)
 	}
@@ -107,7 +107,8 @@
 	return []packedObject{{o, payload}}, err
 }
 
-// deleteAll deletes objects and returns those that are left.
+// deleteAll deletes objects up to the first failure and returns the keys of those
+// that remain. Objects of unreleased hand-overs are not deleted.
 func (w *Writer) deleteAll(ctx context.Context, keys []string) (remaining []string) {
 	for i, k := range keys {
 		if w.inHandover(k) {
@@ -122,8 +123,8 @@
 	return remaining
 }
 
-// readCheckpoint adds the records of the checkpoint that a log object names. It
-// returns the last object that the checkpoint covers.
+// readCheckpoint adds the records of the checkpoint to which a log object refers.
+// It returns the last object that the checkpoint covers.
 func readCheckpoint(ctx context.Context, c objectapi.Client, inc core.Incarnation, o *peerv1.JournalObject, a *assembler) (uint64, error) {
 	var covered uint64
 	for part := uint64(1); part <= o.CheckpointParts; part++ {
@@ -149,9 +150,10 @@
 }
 
 // Remove deletes the journal and the checkpoints of a lost incarnation, except
-// for the seal, which must go on stopping its appends. Call it when the own log
-// holds the recovered records and the instance list reports the incarnation
-// gone: a retry of an append whose object was deleted would succeed.
+// for the seal, which still blocks its appends. Call it only when the caller's
+// own journal contains the recovered records and the instance list no longer
+// contains the incarnation: a retry of an append whose object was deleted would
+// succeed.
 func Remove(ctx context.Context, c objectapi.Client, lost core.Incarnation) error {
 	for _, prefix := range []string{checkpointPrefix(lost), objectPrefix(lost)} {
 		objs, err := c.List(ctx, prefix)
--- a/pkg/journal/codec.go
+++ b/pkg/journal/codec.go
@@ -1,7 +1,7 @@
-// Package journal keeps the log of an entry incarnation in the object store:
-// record encoding, group commit, seal, checkpoint and recovery. The objects
-// journal/<incarnation>/<number> are created with the condition that they do
-// not exist, so that a successor's seal stops the appends of a paused owner.
+// Package journal stores the log of an entry incarnation in the object store. It
+// implements record encoding, group commit, seal, checkpoint and recovery. Each
+// object journal/<incarnation>/<number> is created on the condition that it does
+// not exist, so that a successor's seal makes the appends of a paused owner fail.
 package journal
 
 import (
@@ -17,17 +17,18 @@
 )
 
 const (
-	// MaxObjectBytes bounds a compressed object. The store takes 1 MB; the
-	// rest leaves room for the writer token and for other stores' overhead.
+	// MaxObjectBytes limits a compressed object. The store accepts 1 MB; the
+	// difference is reserved for the writer token and the overhead of other
+	// stores.
 	MaxObjectBytes = 900_000
-	// maxRawBytes bounds the records of one object before compression, and so
-	// the memory that decoding takes.
+	// maxRawBytes limits the records of one object before compression, and
+	// thereby the memory that decoding needs.
 	maxRawBytes = 4 << 20
-	// fragmentBytes is the size of the pieces of a record that is too large
-	// for one object. A piece fits an object even if it cannot be compressed.
+	// fragmentBytes is the size of a fragment of a record that is too large for
+	// one object. A fragment fits into an object even if it is incompressible.
 	fragmentBytes = 850_000
-	// maxDecodedBytes guards the decoder against objects that expand without
-	// bound.
+	// maxDecodedBytes limits the decompressed size of an object, so that a
+	// corrupt object cannot exhaust the memory.
 	maxDecodedBytes = 2 * maxRawBytes
 )
 
@@ -36,8 +37,8 @@
 	decoder = must(zstd.NewReader(nil, zstd.WithDecoderMaxMemory(maxDecodedBytes), zstd.WithDecoderConcurrency(2)))
 )
 
-// The first call creates the encoder's pool. A pool that is created inside a
-// synctest bubble cannot be used outside of it.
+// The first encoder call creates its pool. It happens here because a pool that is
+// created inside a synctest bubble cannot be used outside of it.
 func init() { must(decoder.DecodeAll(encoder.EncodeAll([]byte("x"), nil), nil)) }
 
 func must[T any](v T, err error) T {
@@ -47,7 +48,7 @@
 	return v
 }
 
-// Encode returns the compressed form of an object.
+// Encode serializes and compresses an object.
 func Encode(o *peerv1.JournalObject) ([]byte, error) {
 	raw, err := proto.MarshalOptions{Deterministic: true}.Marshal(o)
 	if err != nil {
@@ -56,7 +57,7 @@
 	return encoder.EncodeAll(raw, make([]byte, 0, len(raw)/3+64)), nil
 }
 
-// Decode reads the compressed form of an object.
+// Decode decompresses and parses an object.
 func Decode(data []byte) (*peerv1.JournalObject, error) {
 	raw, err := decoder.DecodeAll(data, nil)
 	if err != nil {
@@ -69,11 +70,12 @@
 	return o, nil
 }
 
-// kindFragment marks a piece of a large record: Turn is the position from 1,
-// Reserved the number of pieces and State the piece of the encoded record.
+// kindFragment is the kind of a stored record that holds a fragment of a large
+// one. Turn is the position of the fragment from 1, Reserved the number of
+// fragments and State the fragment of the encoded record.
 const kindFragment = "fragment"
 
-// ToProto returns the stored form of a record.
+// ToProto converts a record to its stored form.
 func ToProto(r *core.Record) *peerv1.Record {
 	p := &peerv1.Record{
 		Kind: string(r.Kind), Slot: uint32(r.Slot), Epoch: uint64(r.Epoch), Seq: uint64(r.Seq),
@@ -95,7 +97,7 @@
 	return p
 }
 
-// FromProto returns the record of a stored form.
+// FromProto converts a record from its stored form.
 func FromProto(p *peerv1.Record) (core.Record, error) {
 	if p.Slot > 0xffff {
 		return core.Record{}, fmt.Errorf("journal: record of program %q has slot %d", p.Program, p.Slot)
@@ -120,7 +122,7 @@
 	return r, nil
 }
 
-// fragments divides a record that is larger than maxRawBytes can carry safely.
+// fragments splits a record that is larger than fragmentBytes.
 func fragments(p *peerv1.Record) ([]*peerv1.Record, error) {
 	raw, err := proto.Marshal(p)
 	if err != nil {
@@ -138,12 +140,12 @@
 	return out, nil
 }
 
-// assembler turns stored records into records and joins fragments. A record
-// whose last fragment is missing was never acknowledged and is dropped.
+// assembler converts stored records and joins fragments. A record whose last
+// fragment is missing was never acknowledged, so the assembler drops it.
 type assembler struct {
 	out     []core.Record
 	partial []byte
-	next    int64 // position of the next fragment; 0 outside of a record
+	next    int64 // expected position of the next fragment; 0 if no record is incomplete
 	first   *peerv1.Record
 }
 
--- a/pkg/journal/folder.go
+++ b/pkg/journal/folder.go
@@ -15,8 +15,8 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/durable"
 )
 
-// folder keeps retained batches in plain files,
-// retained/<incarnation>/<object>, and fences as retained/<incarnation>/fenced.
+// folder stores each retained batch in a file retained/<incarnation>/<object>,
+// and each fence as an empty file retained/<incarnation>/fenced.
 type folder struct{ root string }
 
 const fenceFile = "fenced"
@@ -44,8 +44,8 @@
 	if err := durable.WriteFile(name, data); err != nil {
 		return errors.Wrap(err, "journal: data folder")
 	}
-	// An earlier process may have ended between the creation of the journal's folder and
-	// the sync of its name.
+	// An earlier process may have ended after it created the journal's folder
+	// and before it synced the parent folder.
 	return errors.Wrap(durable.OS{}.SyncFolder(f.root), "journal: data folder")
 }
 
@@ -57,8 +57,9 @@
 
 func (f *folder) removeLog(inc core.Incarnation) { _ = os.RemoveAll(f.dir(inc)) }
 
-// load reads what earlier starts kept. A file that is damaged ends the batches
-// of its log, and what follows is left out with a warning.
+// load reads the batches and fences that earlier processes saved. It skips
+// a damaged batch with a warning, and with it the later batches of the journal,
+// except if the damaged batch is the first.
 func (f *folder) load(logger *slog.Logger) (map[core.Incarnation]*retainedLog, error) {
 	dirs, err := os.ReadDir(f.root)
 	if err != nil {
@@ -80,7 +81,7 @@
 			}
 			n, err := strconv.ParseUint(file.Name(), 10, 64)
 			if err != nil || n == 0 {
-				continue // a temporary file of a write that did not finish
+				continue // temporary file of an interrupted write
 			}
 			payload, err := os.ReadFile(f.file(inc, n))
 			if err != nil {
--- a/pkg/journal/handover.go
+++ b/pkg/journal/handover.go
@@ -11,9 +11,9 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
 )
 
-// Handover appends the state of slots that go to another incarnation and
-// returns the last object that holds it. The objects are kept beyond
-// checkpoints until ReleaseHandover.
+// Handover appends the records of slots that another incarnation will own and
+// returns the last object that contains them. Checkpoints do not delete these
+// objects until ReleaseHandover is called.
 func (w *Writer) Handover(ctx context.Context, slots []core.Slot, to core.Incarnation, recs []core.Record) (object uint64, err error) {
 	control := &peerv1.JournalObject{HandedTo: string(to)}
 	for _, s := range slots {
@@ -22,15 +22,15 @@
 	return w.submitAndWait(ctx, entry{control: control, recs: recs})
 }
 
-// ReleaseHandover lets the next checkpoint delete the objects of a hand-over.
-// Call it when the new owner has the records in its own log.
+// ReleaseHandover allows the next checkpoint to delete the objects of a
+// hand-over. Call it when the new owner's journal contains the records.
 func (w *Writer) ReleaseHandover(object uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.handovers, object)
 }
 
-// isHeld reports whether a key belongs to a hand-over that is not released.
+// inHandover reports whether a key belongs to an unreleased hand-over.
 func (w *Writer) inHandover(key string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -44,13 +44,13 @@
 	return false
 }
 
-// ReadHandover returns the records of the hand-over that ends with the object.
+// ReadHandover returns the records of the hand-over whose last object is given.
 func ReadHandover(ctx context.Context, c objectapi.Client, from core.Incarnation, object uint64) ([]core.Record, error) {
 	var objs []*peerv1.JournalObject
 	for n := object; n > 0; n-- {
 		got, err := c.Get(ctx, ObjectKey(from, n))
 		if n < object && errors.Is(err, objectapi.ErrNotFound) {
-			break // deleted after a checkpoint: not part of the hand-over
+			break // deleted after a checkpoint, so not part of the hand-over
 		}
 		if err != nil {
 			return nil, errors.Wrapf(err, "journal: read hand-over of %s: object %d", from, n)
@@ -76,7 +76,7 @@
 	return a.out, nil
 }
 
-// objs0 returns the first object, or d if there is none yet.
+// firstObject returns the first element of objs, or d if objs is empty.
 func firstObject(objs []*peerv1.JournalObject, d *peerv1.JournalObject) *peerv1.JournalObject {
 	if len(objs) > 0 {
 		return objs[0]
--- a/pkg/journal/keys.go
+++ b/pkg/journal/keys.go
@@ -8,10 +8,11 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
 )
 
-// Numbers in keys have a fixed width so that keys sort by number.
+// numberWidth is the number of digits of object and generation numbers in keys. A
+// fixed width makes keys sort by number.
 const numberWidth = 12
 
-// ObjectKey returns the key of a journal object.
+// ObjectKey returns the store key of the journal object with the given number.
 func ObjectKey(inc core.Incarnation, object uint64) string {
 	return fmt.Sprintf("%s%0*d", objectPrefix(inc), numberWidth, object)
 }
@@ -28,7 +29,7 @@
 
 func checkpointPrefix(inc core.Incarnation) string { return "checkpoint/" + string(inc) + "/" }
 
-// numberOf returns the number at the end of a key.
+// objectNumber returns the object number at the end of a key.
 func objectNumber(key string) (uint64, error) {
 	n, err := strconv.ParseUint(key[strings.LastIndexByte(key, '/')+1:], 10, 64)
 	if err != nil || n == 0 {
--- a/pkg/journal/options.go
+++ b/pkg/journal/options.go
@@ -16,32 +16,32 @@
 }
 
 // WriterOptions configures a Writer. The callbacks are called from Run, in
-// order and without a lock; nil callbacks are left out. Zero durations take the
-// defaults in parentheses.
+// order and without a lock; nil callbacks are not called. Zero durations take
+// the defaults in parentheses.
 type WriterOptions struct {
-	// Committed tells that every record up to seq is in the store.
+	// Committed reports that every record up to seq is in the store.
 	Committed func(defaultCallback core.Seq)
-	// Retained tells that every record up to seq is in the store or held by
+	// Retained reports that every record up to seq is in the store or held by
 	// every reachable member of the retention set, and by at least one.
 	Retained func(defaultCallback core.Seq)
-	// Undurable tells that neither the store nor a member can be reached for
-	// the records up to seq.
+	// Undurable reports that records up to seq are not known to be in the store
+	// and not retained, because no member is reachable either.
 	Undurable func(defaultCallback core.Seq)
-	// Sealed tells that another incarnation has sealed the journal. Run
+	// Sealed reports that another incarnation has sealed the journal. Run
 	// returns a SealedError afterwards.
 	Sealed func(by core.Incarnation)
 
-	// Retention is the first retention set: incarnations of other entries.
+	// Retention is the initial retention set: incarnations of other entries.
 	Retention []core.Incarnation
 	// Retainer returns the connection to a member, or nil if that
 	// incarnation cannot be reached.
 	Retainer func(member core.Incarnation) Retainer
 
-	AppendTimeout time.Duration // of one attempt to append (5 s)
-	RetainAfter   time.Duration // age of an append at which its batch is retained (300 ms)
-	RetainTimeout time.Duration // of one message to a member (1 s)
-	MinCollect    time.Duration // shortest time between the starts of two appends (5 ms)
-	MaxCollect    time.Duration // longest such time (50 ms)
+	AppendTimeout time.Duration // time limit of one append attempt (5 s)
+	RetainAfter   time.Duration // age of an append at which retention of its batch starts (300 ms)
+	RetainTimeout time.Duration // time limit of one message to a member (1 s)
+	MinCollect    time.Duration // lower bound of the time between the starts of two appends (5 ms)
+	MaxCollect    time.Duration // upper bound of that time (50 ms); up to ten times as long in an outage
 	Logger        *slog.Logger
 }
 
@@ -75,7 +75,7 @@
 	}
 }
 
-// SealedError tells that a journal was ended by another incarnation.
+// SealedError reports that another incarnation has sealed or fenced a journal.
 type SealedError struct {
 	Journal core.Incarnation
 	By      core.Incarnation
--- a/pkg/journal/pack.go
+++ b/pkg/journal/pack.go
@@ -7,17 +7,17 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
 )
 
-// batch is one journal object that is not known to be in the store. Its number
-// and payload never change, because members of the retention set may hold it.
+// batch is a journal object that is not known to be committed. Its number and
+// payload never change, because members of the retention set may hold a copy.
 type batch struct {
 	object    uint64
 	payload   []byte
 	seq       core.Seq // highest sequence number that is complete with this object
-	retention []string // new retention set, if the object names one
+	retention []string // retention set that the object contains, if any
 }
 
-// stored returns the stored forms of records, with large ones in fragments, and
-// their sizes.
+// toStored converts records to their stored forms, splits large ones into
+// fragments and returns the encoded sizes in bytes.
 func toStored(recs []core.Record) (out []*peerv1.Record, sizes []int, err error) {
 	for i := range recs {
 		p := ToProto(&recs[i])
@@ -37,8 +37,8 @@
 	return out, sizes, nil
 }
 
-// pack encodes records into as few objects as their sizes allow. build returns
-// the object without its records, in the order of the log.
+// pack encodes records into consecutive objects of at most limit compressed
+// bytes. newObject returns the next object of the log without its records.
 func pack(recs []core.Record, limit int, newObject func() *peerv1.JournalObject) ([]packedObject, error) {
 	unpacked, sizes, err := toStored(recs)
 	if err != nil {
@@ -74,7 +74,8 @@
 	payload []byte
 }
 
-// completeSeq returns the highest sequence number that ends in the object.
+// completeSeq returns the highest sequence number of the records that the object
+// completes: whole records and last fragments.
 func completeSeq(o *peerv1.JournalObject) core.Seq {
 	var seq core.Seq
 	for _, p := range o.Records {
--- a/pkg/journal/recover.go
+++ b/pkg/journal/recover.go
@@ -13,9 +13,10 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
 )
 
-// GapError tells that the retained batches skip an object. Recover returns the
-// records that it has all the same. Members accept batches only in order, so a
-// gap shows the loss of more members than the retention set tolerates.
+// GapError reports that an object is missing from the retained batches. Recover
+// returns it together with the records that it found. Members accept batches only
+// in order, so a gap means that more members were lost than the retention set
+// tolerates.
 type GapError struct {
 	Journal core.Incarnation
 	Missing uint64
@@ -26,11 +27,11 @@
 	return fmt.Sprintf("journal: retained batches of %s lack object %d", e.Journal, e.Missing)
 }
 
-// log is the part of a journal that is in the store.
+// storedLog is the part of a journal that is in the store.
 type storedLog struct {
 	objects    []*peerv1.JournalObject // in order, without the seal
-	seal       *peerv1.JournalObject   // nil if the log is open
-	checkpoint int                     // index of the last checkpoint record, or -1
+	seal       *peerv1.JournalObject   // nil if the log is not sealed
+	checkpoint int                     // index in objects of the last one that refers to a checkpoint, or -1
 }
 
 func readLog(ctx context.Context, c objectapi.Client, inc core.Incarnation) (*storedLog, error) {
@@ -63,14 +64,14 @@
 	return l, nil
 }
 
-// SealedLog is a log that has been read after its seal.
+// SealedLog is the content of a journal that was read after its seal.
 type SealedLog struct {
 	lost core.Incarnation
 	c    objectapi.Client
 	l    *storedLog
 }
 
-// OpenSealed reads a sealed log.
+// OpenSealed reads a sealed log from the store. A log without a seal is an error.
 func OpenSealed(ctx context.Context, c objectapi.Client, lost core.Incarnation) (*SealedLog, error) {
 	l, err := readLog(ctx, c, lost)
 	if err != nil {
@@ -85,7 +86,7 @@
 // SealedBy returns the incarnation that sealed the log.
 func (s *SealedLog) SealedBy() core.Incarnation { return core.Incarnation(s.l.seal.SealedBy) }
 
-// Recover opens a sealed log and returns its records, see SealedLog.Recover.
+// Recover opens a sealed log and returns its records. See SealedLog.Recover.
 func Recover(ctx context.Context, c objectapi.Client, lost core.Incarnation, retained []*peerv1.Retain) ([]core.Record, error) {
 	s, err := OpenSealed(ctx, c, lost)
 	if err != nil {
@@ -94,7 +95,7 @@
 	return s.Recover(ctx, retained)
 }
 
-// Members opens a sealed log and returns the members of its retention set, see
+// Members opens a sealed log and returns the members of its retention set. See
 // SealedLog.Members.
 func Members(ctx context.Context, c objectapi.Client, lost core.Incarnation) ([]core.Incarnation, error) {
 	s, err := OpenSealed(ctx, c, lost)
@@ -104,9 +105,9 @@
 	return s.Members(), nil
 }
 
-// Recover returns the records of the log, each once: those of the last
-// checkpoint, of the objects after it and of the retained batches after the end
-// of the log.
+// Recover returns each record of the journal once: those of the last
+// checkpoint, of the objects that it does not cover, and of the retained batches
+// after the end of the log.
 func (s *SealedLog) Recover(ctx context.Context, retained []*peerv1.Retain) ([]core.Record, error) {
 	var a assembler
 	var covered uint64
@@ -138,8 +139,8 @@
 
 // Members returns the incarnations that may hold retained batches of the log. A
 // successor fences all of them before Recover. After a change of the set,
-// batches that were acknowledged under the set before may still be on their way
-// to the new one, so the members of both are returned until the next checkpoint.
+// members of the previous set may hold acknowledged batches that the new members
+// do not have yet, so the members of both are returned until the next checkpoint.
 func (s *SealedLog) Members() []core.Incarnation {
 	var previous, current []string
 	for _, o := range s.l.objects {
@@ -159,7 +160,8 @@
 	return members
 }
 
-// addRetained adds the retained batches from object next on.
+// addRetained adds the records of the retained batches from object next on. After
+// a gap it adds the remaining batches and returns a GapError.
 func addRetained(lost core.Incarnation, next uint64, retained []*peerv1.Retain, a *assembler) error {
 	sorted := append([]*peerv1.Retain(nil), retained...)
 	sort.SliceStable(sorted, func(i, j int) bool { return sorted[i].Object < sorted[j].Object })
--- a/pkg/journal/seal.go
+++ b/pkg/journal/seal.go
@@ -10,9 +10,9 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
 )
 
-// Seal ends the log of a lost incarnation and returns the number of its last
+// Seal seals the log of a lost incarnation and returns the number of its last
 // object before the seal. Sealing again by the same incarnation succeeds. If
-// another incarnation sealed the log, the tail comes with a SealedError.
+// another incarnation sealed the log, Seal returns the tail and a SealedError.
 func Seal(ctx context.Context, c objectapi.Client, lost, by core.Incarnation) (tail uint64, err error) {
 	objs, err := c.List(ctx, objectPrefix(lost))
 	if err != nil {
@@ -54,7 +54,7 @@
 		if d.SealedBy != "" {
 			return existingSeal(lost, by, d, n)
 		}
-		tail = n // the owner appended once more
+		tail = n // the owner appended another object meanwhile
 	}
 }
 
@@ -65,10 +65,10 @@
 	return object - 1, &SealedError{Journal: lost, By: core.Incarnation(o.SealedBy), Object: object}
 }
 
-// SealAndOpen seals the log of a lost incarnation, or finds it sealed, and reads
-// it. A seal by another successor is no error: that successor may have died
-// since, and the conditional update of the slot map decides between successors
-// that are both alive. SealedBy tells who made the seal.
+// SealAndOpen seals the log of a lost incarnation unless it is sealed already, and
+// reads it. A seal by another successor is not an error: that successor may have
+// stopped since, and the conditional update of the slot map decides between
+// successors that both run. SealedBy returns the incarnation that made the seal.
 func SealAndOpen(ctx context.Context, c objectapi.Client, lost, by core.Incarnation) (*SealedLog, error) {
 	var s *SealedError
 	if _, err := Seal(ctx, c, lost, by); err != nil && !errors.As(err, &s) {
--- a/pkg/journal/slots.go
+++ b/pkg/journal/slots.go
@@ -23,11 +23,11 @@
 
 // SlotMap is the object that assigns the slots to their owners.
 type SlotMap struct {
-	Version uint64 // of the object; 0 if it does not exist
+	Version uint64 // version of the stored object; 0 if it does not exist
 	Slots   []SlotOwner
 }
 
-// Clone returns a copy of the map.
+// Clone returns a deep copy of the map.
 func (m *SlotMap) Clone() *SlotMap {
 	return &SlotMap{Version: m.Version, Slots: append([]SlotOwner(nil), m.Slots...)}
 }
@@ -43,8 +43,8 @@
 	return out
 }
 
-// Assign gives slots to an owner and raises their epochs. Slots that it owns
-// already do not change.
+// Assign makes owner the owner of the slots and raises their epochs by one. Slots
+// that it already owns do not change.
 func (m *SlotMap) Assign(owner core.Incarnation, slots ...core.Slot) {
 	for _, s := range slots {
 		if m.Slots[s].Owner != owner {
@@ -53,7 +53,7 @@
 	}
 }
 
-// slotRange is the stored form of neighbouring slots with one owner and epoch.
+// slotRange is the stored form of consecutive slots with the same owner and epoch.
 type slotRange struct {
 	First int              `json:"first"`
 	Last  int              `json:"last"`
@@ -114,7 +114,8 @@
 	return DecodeSlots(o)
 }
 
-// DecodeSlots reads the slot map from its object, as a watch returns it.
+// DecodeSlots decodes the slot map from its stored object, for example one that a
+// watch returned.
 func DecodeSlots(o objectapi.Object) (*SlotMap, error) {
 	slots, err := decodeSlots(o.Value)
 	if err != nil {
@@ -124,10 +125,10 @@
 }
 
 // UpdateSlots changes the slot map by a conditional update. It reads the map,
-// calls change and writes the result; when another process wrote meanwhile, it
-// starts again. An error of change ends the update and is returned. If the
-// answer was lost and another process changed the map since, the map returned
-// holds both changes.
+// calls change and writes the result. If another process wrote the map meanwhile,
+// it starts again, so change may be called several times. An error of change
+// ends the update and is returned. If the response of the store was lost and
+// another process changed the map since, the returned map contains both changes.
 func UpdateSlots(ctx context.Context, c objectapi.Client, count int, change func(*SlotMap) error) (*SlotMap, error) {
 	for {
 		old, err := LoadSlots(ctx, c, count)
@@ -170,9 +171,9 @@
 	}
 }
 
-// tookEffect reports whether the change from old to m is part of a later map.
-// The update is atomic and no other writes the same owner and epoch, so that
-// one slot tells.
+// containsChange reports whether the current map contains the change from old to
+// m. The update is atomic and no other update writes the same owner and epoch to a
+// slot, so one matching slot is sufficient.
 func containsChange(old, m, current *SlotMap) bool {
 	for i := range m.Slots {
 		if m.Slots[i] != old.Slots[i] && i < len(current.Slots) && current.Slots[i] == m.Slots[i] {
@@ -182,8 +183,8 @@
 	return false
 }
 
-// checkSlots enforces that an owner never changes without a higher epoch. An
-// owner may raise its own epoch to make a hand-over under way fail.
+// checkSlots returns an error unless each changed slot has the next epoch. An
+// owner may raise the epoch of its own slot to make a hand-over in progress fail.
 func checkSlots(old, m *SlotMap) error {
 	if len(m.Slots) != len(old.Slots) {
 		return fmt.Errorf("journal: slot map of %d slots, want %d", len(m.Slots), len(old.Slots))
