--- a/pkg/journal/bench_test.go
+++ b/pkg/journal/bench_test.go
@@ -19,8 +19,8 @@
  remote battery reads volts technician can come on Tuesday morning please confirm deposit of
  shillings before noon saw band kerf hook angle set tooth regrind pitch spruce frozen log feed rate`)
 
-// prose returns turn records of about the size that the page assumes: 10 KB of
-// history per request, half of it the question and half the answer.
+// prose returns turn records of about 10 KB of text each, half of it the request and
+// half the answer.
 func prose(n int) []core.Record {
 	rnd := rand.New(rand.NewPCG(7, 7))
 	text := func(size int) []byte {
--- a/pkg/journal/capacity_bench_test.go
+++ b/pkg/journal/capacity_bench_test.go
@@ -10,8 +10,8 @@
 )
 
 // BenchmarkCheckpoint measures a checkpoint of turns of 10 KB against a store
-// that answers at once. It grows with the whole history held, not with what
-// changed since the checkpoint before.
+// without latency. The cost grows with the whole history, not with the changes
+// since the previous checkpoint.
 func BenchmarkCheckpoint(b *testing.B) {
 	for _, n := range []int{100, 1000, 4000} {
 		b.Run(fmt.Sprintf("turns=%d", n), func(b *testing.B) {
--- a/pkg/journal/journal_test.go
+++ b/pkg/journal/journal_test.go
@@ -13,7 +13,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
 )
 
-// rig is a writer with what it reported.
+// rig is a writer with the sequence numbers that it reported.
 type rig struct {
 	*Writer
 	mem       *objectapi.Memory
@@ -83,7 +83,7 @@
 }
 
 // Guards against a paused owner that appends after its successor has sealed its
-// log: it must learn of the seal and report nothing as durable.
+// log: its Run must return the seal's error, and it must report nothing as durable.
 func TestAppendAfterSealFails(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mem := objectapi.NewMemory(objectapi.MemoryOptions{})
@@ -114,7 +114,7 @@
 	})
 }
 
-// Guards against two successors that both believe they sealed the log.
+// Guards against a seal that succeeds for two different successors.
 func TestSecondSealNamesTheFirst(t *testing.T) {
 	mem := objectapi.NewMemory(objectapi.MemoryOptions{})
 	if _, err := Seal(t.Context(), mem, "a.1", "b.1"); err != nil {
@@ -129,8 +129,8 @@
 	}
 }
 
-// Guards against slots that nobody can take over because the first successor
-// died after its seal.
+// Guards against slots that no entry can take over because the first successor
+// stopped after its seal.
 func TestSecondSuccessor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mem := objectapi.NewMemory(objectapi.MemoryOptions{})
@@ -156,7 +156,7 @@
 }
 
 // Guards against an append that is written twice, or reported as failed, when
-// only its answer was lost.
+// only its response was lost.
 func TestLostAnswerIsNotWrittenTwice(t *testing.T) {
 	for _, outage := range []bool{false, true} {
 		t.Run(fmt.Sprintf("outage=%v", outage), func(t *testing.T) {
@@ -166,7 +166,7 @@
 				mem.SetFaults("a", objectapi.Faults{LoseAnswers: 1, Delay: time.Millisecond})
 				r.Append([]core.Record{turn("p", 1)})
 				if outage {
-					// The read-back after the lost answer fails as well.
+					// The read-back after the lost response fails as well.
 					time.Sleep(1500 * time.Microsecond)
 					mem.SetFaults("a", objectapi.Faults{Outage: true})
 					time.Sleep(3 * time.Second)
--- a/pkg/journal/property_test.go
+++ b/pkg/journal/property_test.go
@@ -27,7 +27,7 @@
 }
 
 // Guards against a record that counts as durable before its last fragment is,
-// and against a gap in the retained batches that goes unnoticed.
+// and against a gap in the retained batches that is not reported.
 func TestFragmentsAndGaps(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mem := objectapi.NewMemory(objectapi.MemoryOptions{})
@@ -120,8 +120,8 @@
 
 // Guards against an owner that acknowledges a record which its successor does
 // not recover: the takeover happens at a random moment, with random faults,
-// changes of the retention set and checkpoints, and the owner goes on without
-// knowing of it.
+// changes of the retention set and checkpoints, and the owner keeps running and
+// appending.
 func TestNothingAcknowledgedIsLost(t *testing.T) {
 	fenced, changed, covered := 0, 0, 0
 	for seed := range uint64(300) {
@@ -169,7 +169,7 @@
 				}
 			}
 			busy(rnd.IntN(40))
-			// The members that the log names answer; any other is lost.
+			// Only the members in the log's retention set respond; all others are lost.
 			l, err := SealAndOpen(t.Context(), mem, "a.1", "e.1")
 			if err != nil {
 				t.Fatal(err)
--- a/pkg/journal/retain_test.go
+++ b/pkg/journal/retain_test.go
@@ -22,7 +22,7 @@
 
 func (l *link) Retain(ctx context.Context, m *peerv1.Retain) (*peerv1.RetainResult, error) {
 	if l.down.Load() {
-		<-ctx.Done() // a silent connection
+		<-ctx.Done() // the connection never responds
 		return nil, ctx.Err()
 	}
 	return l.Keeper.Retain(ctx, m)
@@ -57,7 +57,7 @@
 
 var outage = objectapi.Faults{Outage: true}
 
-// takeOver acts as the successor d.1: seal, fence, recover.
+// takeOver seals, fences and recovers the log as the successor d.1.
 func takeOver(t *testing.T, mem *objectapi.Memory, links map[core.Incarnation]*link) []core.Record {
 	t.Helper()
 	ctx := t.Context()
@@ -71,7 +71,7 @@
 	var retained []*peerv1.Retain
 	for _, id := range members {
 		if links[id].down.Load() {
-			continue // reported gone
+			continue // the member is reported as lost
 		}
 		res, err := links[id].Fence("a.1")
 		if err != nil {
@@ -87,8 +87,8 @@
 }
 
 // Guards against the loss of turns that were acknowledged in an outage whose
-// owner dies, alone or with one member, and against an owner that goes on after
-// its members were fenced.
+// owner stops, alone or with one member, and against an owner that continues to
+// acknowledge turns after its members were fenced.
 func TestSuccessorGetsRetainedBatches(t *testing.T) {
 	for _, lost := range []core.Incarnation{"", "b.1", "c.1"} {
 		t.Run("without "+string(lost), func(t *testing.T) {
@@ -107,7 +107,7 @@
 					links[lost].down.Store(true)
 				}
 				mem.SetFaults("", objectapi.Faults{})
-				mem.SetFaults("a", outage) // the owner stays cut off
+				mem.SetFaults("a", outage) // the owner still cannot reach the store
 				mem.SetFaults("b", outage)
 				mem.SetFaults("c", outage)
 				wantSeqs(t, takeOver(t, mem, links), 1, 3)
@@ -131,8 +131,8 @@
 	}
 }
 
-// Guards against batches that stay with the members, or reach the log twice or
-// out of order, when the store returns.
+// Guards against batches that remain at the members, or are appended twice or out
+// of order, when the store is reachable again.
 func TestOutageEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mem := objectapi.NewMemory(objectapi.MemoryOptions{})
@@ -166,7 +166,7 @@
 	})
 }
 
-// Guards against an owner that waits although a member reaches the store.
+// Guards against an owner that waits although a member can reach the store.
 func TestMemberRelays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mem := objectapi.NewMemory(objectapi.MemoryOptions{})
@@ -197,8 +197,8 @@
 	})
 }
 
-// Guards against a batch that counts as retained although nobody holds it, and
-// against a silent member that blocks the others.
+// Guards against a batch that counts as retained although no member holds
+// it, and against an unresponsive member that blocks the others.
 func TestUnreachableMembers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mem := objectapi.NewMemory(objectapi.MemoryOptions{})
@@ -227,7 +227,7 @@
 	})
 }
 
-// Guards against a slow store that holds back acknowledgements.
+// Guards against a slow store that delays acknowledgements.
 func TestSlowStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mem := objectapi.NewMemory(objectapi.MemoryOptions{})
@@ -241,8 +241,8 @@
 	})
 }
 
-// Guards against a keeper that accepts a gap, another content under a number it
-// holds, or a batch after a fence, also after a restart.
+// Guards against a keeper that accepts a gap, different content for an object that
+// it holds, or a batch after a fence, also after a restart.
 func TestKeeperRefuses(t *testing.T) {
 	mem := objectapi.NewMemory(objectapi.MemoryOptions{})
 	mem.SetFaults("", outage)
@@ -279,7 +279,7 @@
 			t.Errorf("message %d: %v, %v", i, res, err)
 		}
 	}
-	// A write that was cut short by the end of the process.
+	// The temporary file of a write that the end of the process interrupted.
 	if err := os.WriteFile(k.disk.file("a.1", 7), msg(7, turn("p", 7)).Payload[:9], 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -303,7 +303,7 @@
 		first := make(chan error, 1)
 		go func() { first <- r.SetRetention(t.Context(), []core.Incarnation{"c.1", "d.1"}) }()
 		time.Sleep(100 * time.Millisecond)
-		mem.SetFaults("", outage) // the change stays on its way
+		mem.SetFaults("", outage) // the change remains uncommitted
 		r.Append([]core.Record{turn("p", 2)})
 		time.Sleep(time.Second)
 		if r.retained.Load() != 2 {
@@ -332,27 +332,27 @@
 	})
 }
 
-// cut is a client whose calls fail from some call on.
-type cut struct {
+// failingClient is a client whose calls all fail after a given number of calls.
+type failingClient struct {
 	objectapi.Client
-	left atomic.Int64
+	callsLeft atomic.Int64
 }
 
-func (c *cut) call() error {
-	if c.left.Add(-1) < 0 {
+func (c *failingClient) call() error {
+	if c.callsLeft.Add(-1) < 0 {
 		return objectapi.ErrUnavailable
 	}
 	return nil
 }
 
-func (c *cut) Create(ctx context.Context, key string, v []byte) (objectapi.Object, error) {
+func (c *failingClient) Create(ctx context.Context, key string, v []byte) (objectapi.Object, error) {
 	if err := c.call(); err != nil {
 		return objectapi.Object{}, err
 	}
 	return c.Client.Create(ctx, key, v)
 }
 
-func (c *cut) Delete(ctx context.Context, key string) error {
+func (c *failingClient) Delete(ctx context.Context, key string) error {
 	if err := c.call(); err != nil {
 		return err
 	}
@@ -364,8 +364,8 @@
 	for fault := range 14 {
 		synctest.Test(t, func(t *testing.T) {
 			mem := objectapi.NewMemory(objectapi.MemoryOptions{})
-			c := &cut{Client: mem}
-			c.left.Store(1000)
+			c := &failingClient{Client: mem}
+			c.callsLeft.Store(1000)
 			w := NewWriter(c, "a.1", WriterOptions{Retention: []core.Incarnation{"b.1"}})
 			ctx, stop := context.WithCancel(t.Context())
 			done := make(chan error, 1)
@@ -379,7 +379,7 @@
 				}
 			}
 			first := w.Checkpoint(ctx, all[:4])
-			c.left.Store(int64(fault))
+			c.callsLeft.Store(int64(fault))
 			p := w.BeginCheckpoint()
 			w.Append([]core.Record{turn("p", 5)}) // after the snapshot
 			cctx, cancel := context.WithTimeout(ctx, time.Minute)
@@ -388,7 +388,7 @@
 			if first != nil || fault > 3 && second != nil {
 				t.Fatalf("fault %d: checkpoints %v, %v", fault, first, second)
 			}
-			c.left.Store(1000)
+			c.callsLeft.Store(1000)
 			if err := w.Flush(ctx); err != nil {
 				t.Fatal(err)
 			}
--- a/pkg/journal/slots_test.go
+++ b/pkg/journal/slots_test.go
@@ -12,7 +12,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
 )
 
-// Guards against two successors that both take a slot, and against an owner
+// Guards against two successors that both become owner of a slot, and against an owner
 // that changes without a higher epoch.
 func TestSlotsRace(t *testing.T) {
 	mem := objectapi.NewMemory(objectapi.MemoryOptions{})
@@ -56,24 +56,25 @@
 	}
 }
 
-// replaced is a client whose answer is lost, with another update of the map
-// before the client reads it back.
-type replaced struct {
+// lostResponseClient is a client that loses the response of its update, after which another
+// process updates the map before the client reads it back.
+type lostResponseClient struct {
 	objectapi.Client
-	other func()
+	otherUpdate func()
 }
 
-func (r *replaced) Update(ctx context.Context, key string, version uint64, v []byte) (objectapi.Object, error) {
-	if _, err := r.Client.Update(ctx, key, version, v); err != nil || r.other == nil {
+func (r *lostResponseClient) Update(ctx context.Context, key string, version uint64, v []byte) (objectapi.Object, error) {
+	if _, err := r.Client.Update(ctx, key, version, v); err != nil || r.otherUpdate == nil {
 		return objectapi.Object{}, err
 	}
-	r.other()
-	r.other = nil
+	r.otherUpdate()
+	r.otherUpdate = nil
 	return objectapi.Object{}, &objectapi.Error{Step: "update", Key: key, Unknown: true, Err: objectapi.ErrConflict}
 }
 
-// Guards against a successor that gives up slots which the map says it owns,
-// because the answer of its update was lost and the map has changed since.
+// Guards against a successor that does not treat slots as its own although the map
+// assigns them to it, because the response of its update was lost and the map has
+// changed since.
 func TestSlotsLostAnswer(t *testing.T) {
 	mem := objectapi.NewMemory(objectapi.MemoryOptions{})
 	ctx := t.Context()
@@ -89,7 +90,7 @@
 	if _, err := assign(mem, "x.1", 0); err != nil {
 		t.Fatal(err)
 	}
-	c := &replaced{mem, func() {
+	c := &lostResponseClient{mem, func() {
 		if _, err := assign(mem, "b.1", 2); err != nil {
 			t.Error(err)
 		}
@@ -101,7 +102,7 @@
 }
 
 // Guards against a hand-over that a checkpoint deletes before the new owner has
-// read it, or that loses a part.
+// read it, or that loses some of its records.
 func TestHandoverOutlivesCheckpoint(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mem := objectapi.NewMemory(objectapi.MemoryOptions{})
@@ -139,8 +140,8 @@
 	})
 }
 
-// Guards against a stored object that makes a reader fail in another way than
-// with an error.
+// Guards against a stored object that makes a reader panic or hang instead of
+// returning an error.
 func FuzzDecode(f *testing.F) {
 	rec := turn("p", 1)
 	ps, err := fragments(ToProto(&rec))
