--- a/pkg/journal/seal.go
+++ b/pkg/journal/seal.go
@@ -10,16 +10,16 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/objectapi"
 )
 
-// Seal ends the log of a lost incarnation and returns the number of its last
+// Seal seals the log of a lost incarnation and returns the number of its last
 // object before the seal. Sealing again by the same incarnation succeeds. If
-// another incarnation sealed the log, the tail comes with a SealedError.
+// another incarnation sealed the log, Seal returns the tail and a SealedError.
 func Seal(ctx context.Context, c objectapi.Client, lost, by core.Incarnation) (tail uint64, err error) {
 	objs, err := c.List(ctx, objectPrefix(lost))
 	if err != nil {
 		return 0, errors.Wrapf(err, "journal: seal %s: list", lost)
 	}
 	if len(objs) > 0 {
-		if tail, err = numberOf(objs[len(objs)-1].Key); err != nil {
+		if tail, err = objectNumber(objs[len(objs)-1].Key); err != nil {
 			return 0, err
 		}
 		last, err := Decode(objs[len(objs)-1].Value)
@@ -27,7 +27,7 @@
 			return 0, errors.Wrapf(err, "journal: seal %s: object %d", lost, tail)
 		}
 		if last.SealedBy != "" {
-			return sealedAt(lost, by, last, tail)
+			return existingSeal(lost, by, last, tail)
 		}
 	}
 	for {
@@ -52,23 +52,23 @@
 			return 0, errors.Wrapf(err, "journal: seal %s: object %d", lost, n)
 		}
 		if d.SealedBy != "" {
-			return sealedAt(lost, by, d, n)
+			return existingSeal(lost, by, d, n)
 		}
-		tail = n // the owner appended once more
+		tail = n // the owner appended another object meanwhile
 	}
 }
 
-func sealedAt(lost, by core.Incarnation, o *peerv1.JournalObject, object uint64) (uint64, error) {
+func existingSeal(lost, by core.Incarnation, o *peerv1.JournalObject, object uint64) (uint64, error) {
 	if o.SealedBy == string(by) {
 		return object - 1, nil
 	}
 	return object - 1, &SealedError{Journal: lost, By: core.Incarnation(o.SealedBy), Object: object}
 }
 
-// SealAndOpen seals the log of a lost incarnation, or finds it sealed, and reads
-// it. A seal by another successor is no error: that successor may have died
-// since, and the conditional update of the slot map decides between successors
-// that are both alive. SealedBy tells who made the seal.
+// SealAndOpen seals the log of a lost incarnation unless it is sealed already, and
+// reads it. A seal by another successor is not an error: that successor may have
+// stopped since, and the conditional update of the slot map decides between
+// successors that both run. SealedBy returns the incarnation that made the seal.
 func SealAndOpen(ctx context.Context, c objectapi.Client, lost, by core.Incarnation) (*SealedLog, error) {
 	var s *SealedError
 	if _, err := Seal(ctx, c, lost, by); err != nil && !errors.As(err, &s) {
