--- a/pkg/journal/folder.go
+++ b/pkg/journal/folder.go
@@ -58,8 +58,7 @@
 func (f *folder) removeLog(inc core.Incarnation) { _ = os.RemoveAll(f.dir(inc)) }
 
 // load reads the batches and fences that earlier processes saved. It skips
-// a damaged batch with a warning, and with it the later batches of the journal,
-// except if the damaged batch is the first.
+// a damaged batch with a warning, and with it the later batches of the journal.
 func (f *folder) load(logger *slog.Logger) (map[core.Incarnation]*retainedLog, error) {
 	dirs, err := os.ReadDir(f.root)
 	if err != nil {
@@ -72,6 +71,7 @@
 			return nil, errors.Wrap(err, "journal: data folder")
 		}
 		l := &retainedLog{}
+		begun := false
 		inc := core.Incarnation(d.Name())
 		sort.Slice(files, func(i, j int) bool { return files[i].Name() < files[j].Name() })
 		for _, file := range files {
@@ -87,8 +87,9 @@
 			if err != nil {
 				return nil, errors.Wrap(err, "journal: data folder")
 			}
-			if len(l.held) == 0 {
-				l.committed = n - 1
+			if !begun {
+				// Only what precedes the first file was appended to the store.
+				l.committed, begun = n-1, true
 			}
 			o, err := Decode(payload)
 			if err != nil || n != l.lastObject()+1 || o.Object != n || o.Incarnation != string(inc) {
