--- a/pkg/edge/replacement_test.go
+++ b/pkg/edge/replacement_test.go
@@ -161,3 +161,48 @@
 	eventually(t, "the new process does not count for reads", func() bool { return d.holds(s, "t1") })
 	p.checkReplicas(t, reserved)
 }
+
+// TestReturnedAndKilledWhileSettling guards against a budget that is exceeded because a
+// removed member returns, and ends and starts again right after its registration: the mark
+// of a complete log that is left on its disk must not make it count for reads before it has
+// copied the usage records again (issue 32).
+func TestReturnedAndKilledWhileSettling(t *testing.T) {
+	const members, programs = 8, 60
+	d := newDeployment(t)
+	d.route(clone(history))
+	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 1) })
+	for i := range members {
+		d.storage(fmt.Sprintf("127.0.0.%d", 11+i), t.TempDir())
+	}
+	returning := d.storage("127.0.0.19", t.TempDir())
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, members+1)
+	returning.stop()
+	n := d.node(returning.settings)
+	n.Removed = true
+	d.store.Put(platform.KindNodes, returning.settings.Node, n)
+	p.ready(t, 1, members)
+	old := staleDirectory(p.edge.view.Storage())
+	for i := range 2 { // not reached, so that quorums have members of a low rank
+		old[i].Address = d.settings("127.0.0.20").PeerAddress()
+	}
+	stale := ledger.NewClient(p.edge.transport, old, 1, d.logger())
+	s := returning.settings
+	s.FirstStart = false
+	returned := d.storageWith(s)
+	p.ready(t, 1, members+1)
+	returned.stop()
+	d.storageWith(s)
+	time.Sleep(1500 * time.Millisecond) // less than an entry may need to learn of a member
+	var reserved []*peerv1.Usage
+	for i := range programs {
+		u := &peerv1.Usage{Program: fmt.Sprint("p", i), Attempt: 1, Tokens: 70}
+		if _, err := stale.Reserve(t.Context(), u, 100, 0); err != nil {
+			t.Fatal(err)
+		}
+		reserved = append(reserved, u)
+	}
+	d.storedTurn(t, p)
+	eventually(t, "the returned process does not count for reads", func() bool { return d.holds(s, "t1") })
+	p.checkReplicas(t, reserved)
+}
