--- a/pkg/ledger/store.go
+++ b/pkg/ledger/store.go
@@ -31,6 +31,9 @@
 	logger  *slog.Logger
 	pending chan pendingWrite
 
+	markMu      sync.Mutex // held while removalMark is changed
+	removalMark *removalMark
+
 	mu    sync.Mutex
 	state *State // of the records that are synced to disk
 	// unsynced are the usage records of writes that wait for the disk.
@@ -72,7 +75,10 @@
 		return nil, err
 	}
 	s.log = l
-	if !l.Intact() {
+	if s.removalMark, err = openRemovalMark(fs, dir); err != nil {
+		return nil, err
+	}
+	if !l.Intact() || s.removalMark.set {
 		s.state.complete = false
 	}
 	return s, nil
@@ -199,9 +205,18 @@
 }
 
 // MarkComplete marks the log as complete: this process has all records that it
-// ever acknowledged.
+// ever acknowledged. It takes back the note of a removal. If that fails, the process
+// catches up once more after its next start.
 func (s *Store) MarkComplete(ctx context.Context) error {
-	return s.Write(ctx, []*peerv1.LedgerRecord{{Body: &peerv1.LedgerRecord_Synced{Synced: &peerv1.Synced{}}}})
+	s.markMu.Lock()
+	defer s.markMu.Unlock()
+	if err := s.Write(ctx, []*peerv1.LedgerRecord{{Body: &peerv1.LedgerRecord_Synced{Synced: &peerv1.Synced{}}}}); err != nil {
+		return err
+	}
+	if err := s.removalMark.clear(); err != nil {
+		s.logger.Warn("the next start catches up again", "err", err)
+	}
+	return nil
 }
 
 // SetLeaving makes the store refuse requests while this process leaves the
@@ -214,12 +229,18 @@
 
 // SetRemoved records that this process was removed from the ledger. It must catch
 // up even though its disk is intact, and its replies do not count towards a
-// quorum until SetMember is called.
+// quorum until SetMember is called. A note on disk makes it catch up after a restart,
+// too, until MarkComplete is called. If the disk fails, only this process knows.
 func (s *Store) SetRemoved() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.removed = true
 	s.state.complete, s.state.usageComplete = false, false
+	s.mu.Unlock()
+	s.markMu.Lock()
+	defer s.markMu.Unlock()
+	if err := s.removalMark.write(); err != nil {
+		s.logger.Error("a restart may not know of the removal from the ledger", "err", err)
+	}
 }
 
 // SetMember records that this process is a member of the ledger.
