--- a/pkg/edge/replacement_test.go
+++ b/pkg/edge/replacement_test.go
@@ -206,3 +206,40 @@
 	eventually(t, "the returned process does not count for reads", func() bool { return d.holds(s, "t1") })
 	p.checkReplicas(t, reserved)
 }
+
+// TestReplacementWaitsForMemberThatIsDown guards against a turn that is lost because a new
+// process takes the places of two members at once, one lost for good and one only down:
+// the two may be all that have a record (issue 32; seed 136 of TestLostSoak).
+func TestReplacementWaitsForMemberThatIsDown(t *testing.T) {
+	d := newDeployment(t)
+	d.route(clone(history))
+	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 1) })
+	dirs := []string{t.TempDir(), t.TempDir(), t.TempDir()}
+	var stores []*process
+	for i, dir := range dirs {
+		stores = append(stores, d.storage(fmt.Sprintf("127.0.0.%d", 11+i), dir))
+	}
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 3)
+	restart := func(i int) {
+		s := *stores[i].settings
+		s.FirstStart = false
+		d.storageWith(&s)
+	}
+	stores[2].stop()
+	if a := sendTurn(t, p, "t1", "", "A", 10000); a.status != http.StatusOK {
+		t.Fatalf("%+v", a)
+	}
+	restart(2)
+	stores[0].stop() // for good
+	stores[1].stop()
+	s := d.settings("127.0.0.14")
+	s.DataDir, s.FirstStart = t.TempDir(), false
+	d.storageWith(s)
+	time.Sleep(5 * time.Second) // twice the time after which a new process replaces a lost one
+	if d.node(stores[1].settings).Removed {
+		t.Error("a member that is only down was taken out together with a lost one")
+	}
+	restart(1)
+	eventually(t, "the new process does not get the turn", func() bool { return d.holds(s, "t1") })
+}
--- a/pkg/storage/join.go
+++ b/pkg/storage/join.go
@@ -286,6 +286,11 @@
 		j.outages.recordSuccess(n.Name)
 		done[n.Name] = true
 	}
+	if len(replaced) >= s.replicas(len(others)) {
+		// They may be all that have some record, and all but one may only be down.
+		s.logger.Warn("too many members out of reach to take their places", "members", len(others), "out_of_reach", len(replaced))
+		complete = false
+	}
 	return replaced, complete
 }
 
@@ -380,9 +385,9 @@
 
 // copyRecords copies to this process the records of all members except the one to be
 // removed. It reports whether that is done, and returns the unreachable members that it
-// skipped: those of the same failure domain, and of others as long as each record was
-// acknowledged by more members than are unreachable. Two processes would otherwise wait for
-// the member that the other one is to remove. Each member is read only once, as in catchUp.
+// skipped, as long as each record was acknowledged by more members than are unreachable. Two
+// processes would otherwise wait for the member that the other one is to remove. Each member
+// is read only once, as in catchUp.
 func (j *joiner) copyRecords(ctx context.Context, removed platform.Node) (skipped []platform.Node, ok bool) {
 	s := j.s
 	done := j.copied[removed.Name]
@@ -391,7 +396,6 @@
 		j.copied[removed.Name] = done
 	}
 	others, _ := s.members.others()
-	elsewhere := 0 // skipped members of other failure domains
 	ok = true
 	for _, n := range others {
 		if n.Name == removed.Name || done[n.Name] {
@@ -405,16 +409,16 @@
 		}
 		outage := j.outages.recordFailure(n.Name, time.Now())
 		s.logger.Info("records not received", "peer", n.Name, "address", n.Address, "part", peerv1.Pull_ALL, "out_of_reach", outage, "err", err)
-		switch {
-		case n.FailureDomain == s.settings.FailureDomain && outage >= joiningReplaceDelay:
-		case n.FailureDomain != s.settings.FailureDomain && outage >= memberReplaceDelay:
-			elsewhere++
-		default:
+		delay := memberReplaceDelay
+		if n.FailureDomain == s.settings.FailureDomain {
+			delay = joiningReplaceDelay
+		}
+		if outage < delay {
 			ok = false
 		}
 		skipped = append(skipped, n)
 	}
-	if elsewhere > 0 && len(skipped)+1 >= s.replicas(len(others)+1) {
+	if len(skipped)+1 >= s.replicas(len(others)+1) {
 		ok = false
 	}
 	return skipped, ok
