--- a/pkg/journal/folder.go
+++ b/pkg/journal/folder.go
@@ -15,8 +15,8 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/durable"
 )
 
-// folder keeps retained batches in plain files,
-// retained/<incarnation>/<object>, and fences as retained/<incarnation>/fenced.
+// folder stores each retained batch in a file retained/<incarnation>/<object>,
+// and each fence as an empty file retained/<incarnation>/fenced.
 type folder struct{ root string }
 
 const fenceFile = "fenced"
@@ -44,8 +44,8 @@
 	if err := durable.WriteFile(name, data); err != nil {
 		return errors.Wrap(err, "journal: data folder")
 	}
-	// An earlier process may have ended between the creation of the journal's folder and
-	// the sync of its name.
+	// An earlier process may have ended after it created the journal's folder
+	// and before it synced the parent folder.
 	return errors.Wrap(durable.OS{}.SyncFolder(f.root), "journal: data folder")
 }
 
@@ -55,22 +55,23 @@
 	return f.write(filepath.Join(f.dir(inc), fenceFile), nil)
 }
 
-func (f *folder) forget(inc core.Incarnation) { _ = os.RemoveAll(f.dir(inc)) }
+func (f *folder) removeLog(inc core.Incarnation) { _ = os.RemoveAll(f.dir(inc)) }
 
-// load reads what earlier starts kept. A file that is damaged ends the batches
-// of its log, and what follows is left out with a warning.
-func (f *folder) load(logger *slog.Logger) (map[core.Incarnation]*kept, error) {
+// load reads the batches and fences that earlier processes saved. It skips
+// a damaged batch with a warning, and with it the later batches of the journal.
+func (f *folder) load(logger *slog.Logger) (map[core.Incarnation]*retainedLog, error) {
 	dirs, err := os.ReadDir(f.root)
 	if err != nil {
 		return nil, errors.Wrap(err, "journal: data folder")
 	}
-	logs := map[core.Incarnation]*kept{}
+	logs := map[core.Incarnation]*retainedLog{}
 	for _, d := range dirs {
 		files, err := os.ReadDir(filepath.Join(f.root, d.Name()))
 		if err != nil {
 			return nil, errors.Wrap(err, "journal: data folder")
 		}
-		l := &kept{}
+		l := &retainedLog{}
+		begun := false
 		inc := core.Incarnation(d.Name())
 		sort.Slice(files, func(i, j int) bool { return files[i].Name() < files[j].Name() })
 		for _, file := range files {
@@ -80,17 +81,18 @@
 			}
 			n, err := strconv.ParseUint(file.Name(), 10, 64)
 			if err != nil || n == 0 {
-				continue // a temporary file of a write that did not finish
+				continue // temporary file of an interrupted write
 			}
 			payload, err := os.ReadFile(f.file(inc, n))
 			if err != nil {
 				return nil, errors.Wrap(err, "journal: data folder")
 			}
-			if len(l.held) == 0 {
-				l.committed = n - 1
+			if !begun {
+				// Only what precedes the first file was appended to the store.
+				l.committed, begun = n-1, true
 			}
 			o, err := Decode(payload)
-			if err != nil || n != l.last()+1 || o.Object != n || o.Incarnation != string(inc) {
+			if err != nil || n != l.lastObject()+1 || o.Object != n || o.Incarnation != string(inc) {
 				logger.Warn("retained batch not loaded", "journal", inc, "object", n, "error", err)
 				continue
 			}
