--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/attempt"
@@ -30,6 +31,7 @@
 	e       *Edge
 	w       http.ResponseWriter
 	r       *http.Request
+	conn    *callerConn // nil in tests that call the handler directly
 	req     platform.Request
 	route   *routing.Route
 	table   *routing.Table
@@ -39,9 +41,13 @@
 	// read and not yet delivered; nil: none.
 	responseHold *membudget.Reservation
 	began        time.Time
+	// onConn is the number of this request on its connection, from 1; writtenBefore is
+	// how many bytes were written there before it.
+	onConn, writtenBefore int64
 	// deadline is the earlier of the caller's deadline and the end of the route's
 	// timeout.
-	deadline time.Time
+	deadline  time.Time
+	deliverBy time.Time // write deadline of the caller's connection
 	// suspendedBefore is how long the machine had been suspended in total when
 	// deadline was last adjusted.
 	suspendedBefore time.Duration
@@ -62,9 +68,10 @@
 // serve handles one request of a caller.
 func (e *Edge) serve(w http.ResponseWriter, r *http.Request) {
 	c := &call{e: e, w: w, r: r, req: platform.DecodeRequest(r.Header), began: time.Now(), triedUpstreams: make(map[string]bool)}
-	if e.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	defer c.recoverPanic()
+	c.beginOnConn()
+	e.inFlight.add(c)
+	defer e.inFlight.remove(c)
 	c.setDeliveryDeadline(c.began.Add(defaultTimeout))
 	if e.transit.UnderPressure() {
 		c.refuse(http.StatusServiceUnavailable, retryAfterBusy, "no memory for another request")
@@ -128,6 +135,7 @@
 func (c *call) respond(status int, retryAfter time.Duration, why string) {
 	platform.SetLocalResponseHeader(c.w.Header(), c.req.ID, retryAfter)
 	c.w.Header().Set("Content-Length", "0")
+	c.prepareAnswer()
 	c.w.WriteHeader(status)
 	c.headSent = true
 	c.log("request ended by us", status, "why", why, "retry_after", retryAfter)
@@ -167,7 +175,7 @@
 // fail ends a request for which no upstream response can be delivered.
 func (c *call) fail(a attempt.Action, why string) {
 	if c.headSent {
-		c.log("answer broken off", http.StatusOK, "why", why)
+		c.log("answer broken off", http.StatusOK, append([]any{"why", why}, c.connAttrs()...)...)
 		c.e.metrics.recordEnd(c.kind(), "broken_off", time.Since(c.began))
 		panic(http.ErrAbortHandler)
 	}
@@ -181,6 +189,25 @@
 	}
 }
 
+// recoverPanic answers a request whose handling failed because of a fault of the edge:
+// net/http would close the connection without an answer. Streams that have begun break
+// off.
+func (c *call) recoverPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v == http.ErrAbortHandler {
+		panic(v)
+	}
+	c.e.logger.Error("request failed because of a fault of the edge", "id", c.req.ID, "panic", v, "stack", string(debug.Stack()))
+	c.e.metrics.handlerPanic()
+	if c.headSent {
+		panic(http.ErrAbortHandler)
+	}
+	c.respond(http.StatusBadGateway, 0, "fault of the edge")
+}
+
 // callerGone reports whether the caller has disconnected.
 func (c *call) callerGone() bool { return c.r.Context().Err() != nil }
 
@@ -195,11 +222,12 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // keeps net/http from adding one: the upstream's headers are passed on unchanged
 	}
+	c.prepareAnswer()
 	c.w.WriteHeader(resp.Status)
 	c.headSent = true
 	for _, piece := range body {
 		if _, err := c.w.Write(piece); err != nil {
-			c.e.logger.Debug("response not delivered", "id", c.req.ID, "err", err)
+			c.log("response not delivered", resp.Status, append([]any{"err", err}, c.connAttrs()...)...)
 			break
 		}
 	}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -27,6 +27,20 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_attempts_total{outcome=%q}`, outcome)).Inc()
 }
 
+// callerLeft counts a caller that disconnected before its answer, by how reading from its
+// connection ended.
+func (m *metrics) callerLeft(end string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_callers_left_total{conn=%q}`, end)).Inc()
+}
+
+// handlerPanic counts a request that failed because of a fault of the edge.
+func (m *metrics) handlerPanic() { m.set.GetOrCreateCounter(`yucca_edge_panics_total`).Inc() }
+
+// cutAtStop counts requests that were still without an answer at the end of a stop.
+func (m *metrics) cutAtStop(n int) {
+	m.set.GetOrCreateCounter(`yucca_edge_cut_at_stop_total`).Add(n)
+}
+
 // suspectFinding counts findings about requests that were in flight during a crash.
 func (m *metrics) suspectFinding(finding string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_suspects_total{finding=%q}`, finding)).Inc()
@@ -74,6 +88,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_streams_taken_up_total{origin=%q}`, source)).Inc()
 }
 
+// otherRun counts an upstream that was found to have started again without a new
+// registration.
+func (m *metrics) otherRun() {
+	m.set.GetOrCreateCounter(`yucca_edge_unregistered_runs_total`).Inc()
+}
+
 // originMoved counts a stream that moves to another version before its first event, by
 // whether that was recorded.
 func (m *metrics) originMoved(err error) {
@@ -114,4 +134,13 @@
 // turnNotFound counts a request whose parent turn was not found.
 func (m *metrics) turnNotFound() { m.set.GetOrCreateCounter(`yucca_edge_turns_not_found_total`).Inc() }
 
+// membersRead counts a read of the list of storage processes from the platform's store.
+func (m *metrics) membersRead(err error) {
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_member_reads_total{result=%q}`, result)).Inc()
+}
+
 func (m *metrics) serve(w http.ResponseWriter, _ *http.Request) { m.set.WritePrometheus(w) }
