--- a/pkg/journal/options.go
+++ b/pkg/journal/options.go
@@ -16,57 +16,57 @@
 }
 
 // WriterOptions configures a Writer. The callbacks are called from Run, in
-// order and without a lock; nil callbacks are left out. Zero durations take the
-// defaults in parentheses.
+// order and without a lock; nil callbacks are not called. Zero durations take
+// the defaults in parentheses.
 type WriterOptions struct {
-	// Committed tells that every record up to seq is in the store.
-	Committed func(seq core.Seq)
-	// Retained tells that every record up to seq is in the store or held by
+	// Committed reports that every record up to seq is in the store.
+	Committed func(defaultCallback core.Seq)
+	// Retained reports that every record up to seq is in the store or held by
 	// every reachable member of the retention set, and by at least one.
-	Retained func(seq core.Seq)
-	// Undurable tells that neither the store nor a member can be reached for
-	// the records up to seq.
-	Undurable func(seq core.Seq)
-	// Sealed tells that another incarnation has sealed the journal. Run
+	Retained func(defaultCallback core.Seq)
+	// Undurable reports that records up to seq are not known to be in the store
+	// and not retained, because no member is reachable either.
+	Undurable func(defaultCallback core.Seq)
+	// Sealed reports that another incarnation has sealed the journal. Run
 	// returns a SealedError afterwards.
 	Sealed func(by core.Incarnation)
 
-	// Retention is the first retention set: incarnations of other entries.
+	// Retention is the initial retention set: incarnations of other entries.
 	Retention []core.Incarnation
 	// Retainer returns the connection to a member, or nil if that
 	// incarnation cannot be reached.
 	Retainer func(member core.Incarnation) Retainer
 
-	AppendTimeout time.Duration // of one attempt to append (5 s)
-	RetainAfter   time.Duration // age of an append at which its batch is retained (300 ms)
-	RetainTimeout time.Duration // of one message to a member (1 s)
-	MinCollect    time.Duration // shortest time between the starts of two appends (5 ms)
-	MaxCollect    time.Duration // longest such time (50 ms)
+	AppendTimeout time.Duration // time limit of one append attempt (5 s)
+	RetainAfter   time.Duration // age of an append at which retention of its batch starts (300 ms)
+	RetainTimeout time.Duration // time limit of one message to a member (1 s)
+	MinCollect    time.Duration // lower bound of the time between the starts of two appends (5 ms)
+	MaxCollect    time.Duration // upper bound of that time (50 ms); up to ten times as long in an outage
 	Logger        *slog.Logger
 }
 
 func (o *WriterOptions) setDefaults() {
-	def := func(d *time.Duration, v time.Duration) {
+	defaultDuration := func(d *time.Duration, v time.Duration) {
 		if *d <= 0 {
 			*d = v
 		}
 	}
-	def(&o.AppendTimeout, 5*time.Second)
-	def(&o.RetainAfter, 300*time.Millisecond)
-	def(&o.RetainTimeout, time.Second)
-	def(&o.MinCollect, 5*time.Millisecond)
-	def(&o.MaxCollect, 50*time.Millisecond)
+	defaultDuration(&o.AppendTimeout, 5*time.Second)
+	defaultDuration(&o.RetainAfter, 300*time.Millisecond)
+	defaultDuration(&o.RetainTimeout, time.Second)
+	defaultDuration(&o.MinCollect, 5*time.Millisecond)
+	defaultDuration(&o.MaxCollect, 50*time.Millisecond)
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
-	seq := func(f *func(core.Seq)) {
+	defaultCallback := func(f *func(core.Seq)) {
 		if *f == nil {
 			*f = func(core.Seq) {}
 		}
 	}
-	seq(&o.Committed)
-	seq(&o.Retained)
-	seq(&o.Undurable)
+	defaultCallback(&o.Committed)
+	defaultCallback(&o.Retained)
+	defaultCallback(&o.Undurable)
 	if o.Sealed == nil {
 		o.Sealed = func(core.Incarnation) {}
 	}
@@ -75,7 +75,7 @@
 	}
 }
 
-// SealedError tells that a journal was ended by another incarnation.
+// SealedError reports that another incarnation has sealed or fenced a journal.
 type SealedError struct {
 	Journal core.Incarnation
 	By      core.Incarnation
