--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -83,6 +83,11 @@
 	}
 }
 
+// lostAttemptDiscounted counts a lost attempt that is no evidence of a crash, by reason.
+func (m *metrics) lostAttemptDiscounted(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_lost_attempts_discounted_total{reason=%q}`, reason)).Inc()
+}
+
 // streamTakenUp counts a request that takes up a stream, by the source of its origin.
 func (m *metrics) streamTakenUp(source string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_streams_taken_up_total{origin=%q}`, source)).Inc()
--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -40,8 +40,10 @@
 	s.mu.Lock()
 	found := f(&s.tracker, now)
 	s.unsent = append(s.unsent, found...)
+	discounted := s.tracker.TakeDiscounted()
 	s.updateFlagsLocked()
 	s.mu.Unlock()
+	s.logDiscounted(discounted)
 	s.log(found, "this entry")
 	if len(found) > 0 {
 		notify(s.wake)
@@ -81,6 +83,15 @@
 	}
 }
 
+// logDiscounted logs lost attempts that no longer count as evidence.
+func (s *suspects) logDiscounted(list []poison.Discounted) {
+	for _, d := range list {
+		s.e.logger.Info("lost attempt discounted", "fingerprint", hex(d.Fingerprint), "upstream", d.Run.ID, "born", d.Run.StartedUnixMs,
+			"life", d.Run.Life, "reason", string(d.Reason))
+		s.e.metrics.lostAttemptDiscounted(string(d.Reason))
+	}
+}
+
 // Report implements crashreport.Replica.
 func (s *suspects) Report(complete bool) *peerv1.CrashReport {
 	now := time.Now()
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -81,10 +81,32 @@
 	end End
 }
 
+// Reason is why a lost attempt does not count as evidence.
+type Reason string
+
+// Reasons for discounting lost attempts.
+const (
+	// Responded: the upstream responded to an attempt that was sent after the loss.
+	Responded Reason = "responded"
+	// Alive: the upstream accepted connections after the loss.
+	Alive Reason = "alive"
+	// Succeeded: the same request succeeded.
+	Succeeded Reason = "succeeded"
+)
+
+// Discounted is a lost attempt that no longer counts as evidence.
+type Discounted struct {
+	Run         Run
+	Fingerprint uint64
+	Reason      Reason
+}
+
 // Tracker attributes lost attempts to crashes. The zero value is ready for use.
 type Tracker struct {
 	EvidenceSet
 
+	discounted []Discounted // since the last call of TakeDiscounted
+
 	lostAttempt       map[Run][]lostAttempt // by run, oldest first
 	lostCount         int                   // number of attempts in lostAttempt
 	lostByFingerprint map[uint64]int        // number of attempts in lostAttempt
@@ -102,6 +124,25 @@
 // NeedsResponses reports whether RecordResponse has an effect at present.
 func (t *Tracker) NeedsResponses() bool { return t.lostCount > 0 || len(t.ended) > 0 }
 
+// TakeDiscounted returns the lost attempts that were discounted since its last call.
+func (t *Tracker) TakeDiscounted() []Discounted {
+	d := t.discounted
+	t.discounted = nil
+	return d
+}
+
+// discount removes the lost attempts at a run for which f returns true and keeps the
+// reason.
+func (t *Tracker) discount(r Run, reason Reason, f func(lostAttempt) bool) {
+	t.retainLost(r, func(l lostAttempt) bool {
+		if !f(l) {
+			return true
+		}
+		t.discounted = append(t.discounted, Discounted{r, l.fingerprint, reason})
+		return false
+	})
+}
+
 // RecordLost records an attempt that may have run and got no response. It returns new
 // evidence if the end of its upstream is already known.
 func (t *Tracker) RecordLost(r Run, fingerprint uint64, sentAt, now time.Time) []Evidence {
@@ -150,7 +191,11 @@
 func (t *Tracker) RecordAlive(r Run) {
 	r = t.withLife(r)
 	for i := range t.lostAttempt[r] {
-		t.lostAttempt[r][i].alive = true
+		l := &t.lostAttempt[r][i]
+		if !l.alive {
+			t.discounted = append(t.discounted, Discounted{r, l.fingerprint, Alive})
+		}
+		l.alive = true
 	}
 }
 
@@ -189,7 +234,7 @@
 			found = append(found, t.addEvidence(l.fingerprint, r, Cleared, now)...)
 		}
 	}
-	t.retainLost(r, func(l lostAttempt) bool { return !l.at.Before(sentAt) })
+	t.discount(r, Responded, func(l lostAttempt) bool { return l.at.Before(sentAt) })
 	if len(found) > 0 {
 		t.incrementLife(key)
 	}
@@ -231,7 +276,7 @@
 func (t *Tracker) RecordSuccess(fingerprint uint64, now time.Time) []Evidence {
 	if t.lostByFingerprint[fingerprint] > 0 {
 		for r := range t.lostAttempt {
-			t.retainLost(r, func(l lostAttempt) bool { return l.fingerprint != fingerprint })
+			t.discount(r, Succeeded, func(l lostAttempt) bool { return l.fingerprint == fingerprint })
 		}
 	}
 	return t.Clear(fingerprint, now)
