Name what identifies a request: content and caller

Evidence of crashes was kept by a number that packages computed in their own ways. pkg/identity has the type for both request paths: what is asked and who asks. The edge still leaves the caller empty, so nothing is decided in another way yet. CrashEvidence carries the caller; a process that doesn't know it sends 0.

go test ./pkg/poison ./pkg/crashreport ./cmd/... and the tests of crashes of pkg/edge pass.

--- a/cmd/yuccaspindled/status.go
+++ b/cmd/yuccaspindled/status.go
@@ -80,7 +80,7 @@
 		if !q.Until.IsZero() {
 			quarantine = "refused until " + q.Until.Format(time.RFC3339)
 		}
-		fmt.Fprintf(tw, "request %016x\ton board of %d crashes %v, %s\n", q.Fingerprint, q.Crashes, q.Upstreams, quarantine)
+		fmt.Fprintf(tw, "request %v\ton board of %d crashes %v, %s\n", q.Fingerprint, q.Crashes, q.Upstreams, quarantine)
 	}
 	return errors.Wrap(tw.Flush(), "write status")
 }
--- a/pkg/crashreport/crashreport.go
+++ b/pkg/crashreport/crashreport.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
 	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
@@ -87,7 +88,7 @@
 	r := &peerv1.CrashReport{Digest: b.Digest()}
 	for _, e := range list {
 		r.Evidence = append(r.Evidence, &peerv1.CrashEvidence{
-			Fingerprint: e.Fingerprint, Upstream: e.Run.ID, BornUnixMs: e.Run.StartedUnixMs, Life: e.Run.Life,
+			Fingerprint: uint64(e.Request.Content), Caller: uint64(e.Request.Caller), Upstream: e.Run.ID, BornUnixMs: e.Run.StartedUnixMs, Life: e.Run.Life,
 			Grade: gradeToWire[e.Grade], AgeMs: uint64(max(now.Sub(e.At), 0).Milliseconds()),
 		})
 	}
@@ -99,10 +100,10 @@
 	var added []poison.Evidence
 	for _, w := range r.GetEvidence() {
 		e := poison.Evidence{
-			Fingerprint: w.GetFingerprint(),
-			Run:         poison.Run{ID: w.GetUpstream(), StartedUnixMs: w.GetBornUnixMs(), Life: w.GetLife()},
-			Grade:       gradeFromWire[w.GetGrade()],
-			At:          now.Add(-age(w)),
+			Request: identity.Request{Content: identity.Content(w.GetFingerprint()), Caller: identity.Caller(w.GetCaller())},
+			Run:     poison.Run{ID: w.GetUpstream(), StartedUnixMs: w.GetBornUnixMs(), Life: w.GetLife()},
+			Grade:   gradeFromWire[w.GetGrade()],
+			At:      now.Add(-age(w)),
 		}
 		if b.Add(e, now) {
 			added = append(added, e)
--- a/pkg/crashreport/crashreport_test.go
+++ b/pkg/crashreport/crashreport_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
 	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 )
 
@@ -28,8 +29,13 @@
 
 func (h *replica) Merge(r *peerv1.CrashReport, _ string) { Merge(&h.EvidenceSet, r, h.clock) }
 
+// request returns a request of a single caller.
+func request(n uint64) identity.Request {
+	return identity.Request{Content: identity.Content(n), Caller: 1}
+}
+
 func evidence(fp uint64, id string, g poison.Grade, at time.Time) poison.Evidence {
-	return poison.Evidence{Fingerprint: fp, Run: poison.Run{ID: id, StartedUnixMs: 7, Life: 1}, Grade: g, At: at}
+	return poison.Evidence{Request: request(fp), Run: poison.Run{ID: id, StartedUnixMs: 7, Life: 1}, Grade: g, At: at}
 }
 
 // Guards against processes that hold different evidence after an exchange, or compute
@@ -46,7 +52,7 @@
 		t.Errorf("evidence differs: %+v and %+v", a.Evidence(), b.Evidence())
 	}
 	for name, h := range map[string]*replica{"a": a, "b": b} {
-		v := h.Restriction(1, h.clock)
+		v := h.Restriction(request(1), h.clock)
 		if left := v.Until.Sub(h.clock); v.Crashes != 2 || left < 29*time.Second || left > 30*time.Second {
 			t.Errorf("%s: %d crashes, refused for %v", name, v.Crashes, left)
 		}
--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -65,7 +65,7 @@
 	ran := o == attempt.Answered && !resp.NotRun && resp.Status < http.StatusInternalServerError
 	if ran && (s.hasSuspects.Load() || s.tracking.Load()) {
 		s.update(func(t *poison.Tracker, now time.Time) []poison.Evidence {
-			return t.RecordSuccess(c.fingerprint(), now)
+			return t.RecordSuccess(c.identity(), now)
 		})
 	}
 }
@@ -73,7 +73,7 @@
 // trackLost records that the request may have run and got no response.
 func (c *call) trackLost(run poison.Run) {
 	c.e.suspects.update(func(t *poison.Tracker, now time.Time) []poison.Evidence {
-		return t.RecordLost(run, c.fingerprint(), c.sentAt, now)
+		return t.RecordLost(run, c.identity(), c.sentAt, now)
 	})
 }
 
--- a/pkg/edge/crashing_test.go
+++ b/pkg/edge/crashing_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
 	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
@@ -286,7 +287,7 @@
 			s := a.edge.suspects
 			s.mu.Lock()
 			for _, id := range []string{"x", "y"} { // the findings are not sent
-				s.tracker.RecordLost(poison.Run{ID: id}, 7, time.Now(), time.Now())
+				s.tracker.RecordLost(poison.Run{ID: id}, identity.Request{Content: 7}, time.Now(), time.Now())
 				s.tracker.RecordEnd(poison.Run{ID: id}, poison.End{}, time.Now())
 			}
 			s.mu.Unlock()
@@ -415,7 +416,7 @@
 		t.Fatalf("suspects of the other edge: %+v", list)
 	}
 	rec := httptest.NewRecorder()
-	a.edge.serveRelease(rec, httptest.NewRequest(http.MethodPost, ReleasePath+"?fingerprint="+hex(list[0].Fingerprint), nil))
+	a.edge.serveRelease(rec, httptest.NewRequest(http.MethodPost, ReleasePath+"?fingerprint="+list[0].Fingerprint.String(), nil))
 	if rec.Code != http.StatusNoContent {
 		t.Fatalf("release: %d %s", rec.Code, rec.Body)
 	}
@@ -423,7 +424,7 @@
 		within(t, 3*exchangeInterval, "the request is released", func() bool { return len(p.edge.Status().Suspects) == 0 })
 	}
 	again := httptest.NewRecorder()
-	a.edge.serveRelease(again, httptest.NewRequest(http.MethodPost, ReleasePath+"?fingerprint="+hex(list[0].Fingerprint), nil))
+	a.edge.serveRelease(again, httptest.NewRequest(http.MethodPost, ReleasePath+"?fingerprint="+list[0].Fingerprint.String(), nil))
 	if again.Code != http.StatusNotFound {
 		t.Errorf("second release: status %d, want 404", again.Code)
 	}
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/attempt"
+	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
 	"github.com/yuccaspindle/yuccaspindle/pkg/membudget"
 	"github.com/yuccaspindle/yuccaspindle/pkg/origin"
 	"github.com/yuccaspindle/yuccaspindle/pkg/routing"
@@ -53,12 +54,12 @@
 	suspendedBefore time.Duration
 	tracker         *attempt.Tracker
 	triedUpstreams  map[string]bool
-	binding         origin.Binding // of the stream to the version that began it
-	headSent        bool           // the response header was sent
-	programStarted  bool           // an earlier turn of the program was served here, or the request names one
-	sentAt          time.Time      // start of the current attempt
-	hash            uint64         // fingerprint of the request; 0: not computed yet
-	isolated        bool           // the current attempt must not share its upstream with a suspected request
+	binding         origin.Binding   // of the stream to the version that began it
+	headSent        bool             // the response header was sent
+	programStarted  bool             // an earlier turn of the program was served here, or the request names one
+	sentAt          time.Time        // start of the current attempt
+	id              identity.Request // unknown: not computed yet
+	isolated        bool             // the current attempt must not share its upstream with a suspected request
 	// limited is set if the last placement failed because of rate limits; limitWait is
 	// the time after which the caller should retry.
 	limited   bool
@@ -166,8 +167,8 @@
 	if c.tracker != nil {
 		args = append(args, "attempts", c.tracker.Attempts())
 	}
-	if c.hash != 0 {
-		args = append(args, "fingerprint", hex(c.hash))
+	if c.id.Known() {
+		args = append(args, "fingerprint", c.id.Content)
 	}
 	c.e.logger.Info(msg, append(args, more...)...)
 }
--- a/pkg/edge/isolation.go
+++ b/pkg/edge/isolation.go
@@ -1,24 +1,28 @@
 package edge
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
+)
 
 // isolation keeps suspected requests on separate upstreams, so that the next crash
 // shows which of them caused it.
 type isolation struct {
 	mu        sync.Mutex
-	upstreams map[string]int // suspected requests by upstream
-	running   map[uint64]int // attempts by fingerprint
+	upstreams map[string]int           // suspected requests by upstream
+	running   map[identity.Request]int // attempts
 }
 
 func newIsolation() *isolation {
-	return &isolation{upstreams: make(map[string]int), running: make(map[uint64]int)}
+	return &isolation{upstreams: make(map[string]int), running: make(map[identity.Request]int)}
 }
 
-// isRunning reports whether a request with the fingerprint is already running.
-func (i *isolation) isRunning(fingerprint uint64) bool {
+// isRunning reports whether a copy of the request is already running.
+func (i *isolation) isRunning(q identity.Request) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.running[fingerprint] > 0
+	return i.running[q] > 0
 }
 
 // occupied reports whether a suspected request is running at an upstream.
@@ -29,14 +33,14 @@
 }
 
 // add changes the number of attempts of a request at an upstream by n.
-func (i *isolation) add(upstream string, fingerprint uint64, n int) {
+func (i *isolation) add(upstream string, q identity.Request, n int) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.upstreams[upstream] += n; i.upstreams[upstream] == 0 {
 		delete(i.upstreams, upstream)
 	}
-	if i.running[fingerprint] += n; i.running[fingerprint] == 0 {
-		delete(i.running, fingerprint)
+	if i.running[q] += n; i.running[q] == 0 {
+		delete(i.running, q)
 	}
 }
 
@@ -48,13 +52,13 @@
 // suspected.
 func (c *call) addIsolated(id string) {
 	if c.isolated {
-		c.e.suspects.isolation.add(id, c.fingerprint(), 1)
+		c.e.suspects.isolation.add(id, c.identity(), 1)
 	}
 }
 
 // removeIsolated records the end of such an attempt.
 func (c *call) removeIsolated(id string) {
 	if c.isolated {
-		c.e.suspects.isolation.add(id, c.fingerprint(), -1)
+		c.e.suspects.isolation.add(id, c.identity(), -1)
 	}
 }
--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -1,22 +1,20 @@
 package edge
 
 import (
-	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-)
 
-// hex formats a fingerprint as in logs and the status.
-func hex(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
+	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
+)
 
-// fingerprint identifies requests that make upstreams do the same work. Without a
-// body the program is part of it, so that requests of different callers differ. It
-// must be called after the body was read.
-func (c *call) fingerprint() uint64 {
-	if c.hash != 0 {
-		return c.hash
+// identity returns what identifies the request over its retries. Without a body the
+// program is part of it, so that requests of different callers differ. It must be called
+// after the body was read.
+func (c *call) identity() identity.Request {
+	if c.id.Known() {
+		return c.id
 	}
 	h := xxhash.New()
 	for _, part := range []string{c.r.Host, c.r.Method, c.r.RequestURI, c.req.ParentTurnID} {
@@ -27,8 +25,8 @@
 		_, _ = h.WriteString(c.req.Program)
 	}
 	_, _ = h.Write(c.body)
-	c.hash = max(h.Sum64(), 1)
-	return c.hash
+	c.id = identity.Request{Content: identity.Content(max(h.Sum64(), 1))}
+	return c.id
 }
 
 // refuseQuarantined refuses a request that has crashed upstreams, and a suspected one
@@ -41,10 +39,10 @@
 	}
 	now := time.Now()
 	s.mu.Lock()
-	v := s.tracker.Restriction(c.fingerprint(), now)
+	v := s.tracker.Restriction(c.identity(), now)
 	s.mu.Unlock()
 	c.isolated = v.Isolate
-	isRunning := v.Isolate && s.isolation.isRunning(c.fingerprint())
+	isRunning := v.Isolate && s.isolation.isRunning(c.identity())
 	why, wait := "request crashes upstreams", v.Until.Sub(now)
 	switch {
 	case isRunning:
--- a/pkg/edge/status.go
+++ b/pkg/edge/status.go
@@ -4,10 +4,10 @@
 	"encoding/json"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
+	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
 	"github.com/yuccaspindle/yuccaspindle/pkg/membudget"
 	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 )
@@ -98,15 +98,15 @@
 }
 
 func (e *Edge) serveRelease(w http.ResponseWriter, r *http.Request) {
-	fingerprint, err := strconv.ParseUint(r.FormValue("fingerprint"), 16, 64)
+	content, err := identity.ParseContent(r.FormValue("fingerprint"))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if !e.Release(fingerprint) {
+	if !e.Release(content) {
 		http.Error(w, "nothing speaks against the request", http.StatusNotFound)
 		return
 	}
-	e.logger.Info("request released by an operator", "fingerprint", hex(fingerprint), "operator", r.RemoteAddr)
+	e.logger.Info("request released by an operator", "fingerprint", content, "operator", r.RemoteAddr)
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -7,6 +7,7 @@
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/crashreport"
+	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
 	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 )
 
@@ -68,7 +69,7 @@
 func (s *suspects) log(found []poison.Evidence, source string) {
 	for _, e := range found {
 		s.mu.Lock()
-		v := s.tracker.Restriction(e.Fingerprint, time.Now())
+		v := s.tracker.Restriction(e.Request, time.Now())
 		s.mu.Unlock()
 		msg := "request suspected of a crash"
 		switch {
@@ -77,7 +78,7 @@
 		case !v.Until.IsZero():
 			msg = "request quarantined"
 		}
-		s.e.logger.Info(msg, "fingerprint", hex(e.Fingerprint), "upstream", e.Run.ID, "born", e.Run.StartedUnixMs, "life", e.Run.Life,
+		s.e.logger.Info(msg, "fingerprint", e.Request.Content, "upstream", e.Run.ID, "born", e.Run.StartedUnixMs, "life", e.Run.Life,
 			"grade", e.Grade, "crashes", v.Crashes, "until", v.Until, "alone", v.Isolate, "source", source)
 		s.e.metrics.suspectFinding(msg)
 	}
@@ -86,7 +87,7 @@
 // logDiscounted logs lost attempts that no longer count as evidence.
 func (s *suspects) logDiscounted(list []poison.Discounted) {
 	for _, d := range list {
-		s.e.logger.Info("lost attempt discounted", "fingerprint", hex(d.Fingerprint), "upstream", d.Run.ID, "born", d.Run.StartedUnixMs,
+		s.e.logger.Info("lost attempt discounted", "fingerprint", d.Request.Content, "upstream", d.Run.ID, "born", d.Run.StartedUnixMs,
 			"life", d.Run.Life, "reason", string(d.Reason))
 		s.e.metrics.lostAttemptDiscounted(string(d.Reason))
 	}
@@ -114,12 +115,12 @@
 	s.log(added, peer)
 }
 
-// Release clears a request of all crashes, on every process, and reports whether
-// there was any evidence against it.
-func (e *Edge) Release(fingerprint uint64) bool {
+// Release clears the requests with a content of all crashes, on every process, and
+// reports whether there was any evidence against them.
+func (e *Edge) Release(content identity.Content) bool {
 	released := false
 	e.suspects.update(func(t *poison.Tracker, now time.Time) []poison.Evidence {
-		cleared := t.Clear(fingerprint, now)
+		cleared := t.ClearContent(content, now)
 		released = len(cleared) > 0
 		return cleared
 	})
--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
 )
 
 const (
@@ -18,7 +20,7 @@
 	// clearedTTL is how long evidence with grade Cleared is kept, so that it reaches
 	// the other processes.
 	clearedTTL = 10 * time.Minute
-	// maxRequests bounds the number of fingerprints with evidence.
+	// maxRequests bounds the number of requests with evidence.
 	maxRequests = 4096
 
 	// quarantineCrashes is the number of crashes after which the prime suspect of a
@@ -76,10 +78,10 @@
 
 // Evidence records that a request was in flight at a crash of an upstream.
 type Evidence struct {
-	Fingerprint uint64
-	Run         Run
-	Grade       Grade
-	At          time.Time // when the crash was first detected
+	Request identity.Request
+	Run     Run
+	Grade   Grade
+	At      time.Time // when the crash was first detected
 }
 
 // isCrash reports whether the evidence counts as a crash against its request.
@@ -95,14 +97,15 @@
 
 // digest returns a hash of the evidence, without its time.
 func (e Evidence) digest() uint64 {
-	b := binary.LittleEndian.AppendUint64(nil, e.Fingerprint)
+	b := binary.LittleEndian.AppendUint64(nil, uint64(e.Request.Content))
+	b = binary.LittleEndian.AppendUint64(b, uint64(e.Request.Caller))
 	b = binary.LittleEndian.AppendUint64(b, uint64(e.Run.StartedUnixMs))
 	b = binary.LittleEndian.AppendUint32(b, e.Run.Life)
 	b = append(b, byte(e.Grade))
 	return xxhash.Sum64(append(b, e.Run.ID...))
 }
 
-// crashHistory holds the evidence about the requests with one fingerprint.
+// crashHistory holds the evidence about one request.
 type crashHistory struct {
 	crashes    map[Run]Evidence
 	lastCrash  time.Time // of the newest evidence that counts as a crash; zero: none
@@ -155,10 +158,10 @@
 // evidence are equal, in whatever order and however often they received it. The zero
 // value is ready for use.
 type EvidenceSet struct {
-	requests     map[uint64]*crashHistory
-	byRun        map[Run]map[uint64]bool // fingerprints with evidence about a run
+	requests     map[identity.Request]*crashHistory
+	byRun        map[Run]map[identity.Request]bool // requests with evidence about a run
 	digest       uint64
-	suspectCount int // fingerprints with evidence that counts as a crash
+	suspectCount int // requests with evidence that counts as a crash
 }
 
 // Digest returns a hash of all evidence, or 0 if there is none.
@@ -169,13 +172,13 @@
 
 // Add merges evidence into the set and reports whether it was new.
 func (set *EvidenceSet) Add(e Evidence, now time.Time) bool {
-	if e.Fingerprint == 0 || e.Grade < Presumed || e.Grade > Cleared {
+	if !e.Request.Known() || e.Grade < Presumed || e.Grade > Cleared {
 		return false
 	}
 	if e.At.After(now) {
 		e.At = now
 	}
-	h := set.requests[e.Fingerprint]
+	h := set.requests[e.Request]
 	if h == nil {
 		h = &crashHistory{crashes: make(map[Run]Evidence)}
 	}
@@ -197,21 +200,21 @@
 	h.updateTimes()
 	set.addToIndex(e, h)
 	set.updateSuspectCount(before, h.crashCount())
-	set.evictIfFull(e.Fingerprint)
+	set.evictIfFull(e.Request)
 	return true
 }
 
 // addToIndex adds evidence to the indexes and the digest.
 func (set *EvidenceSet) addToIndex(e Evidence, h *crashHistory) {
 	if set.requests == nil {
-		set.requests = make(map[uint64]*crashHistory)
-		set.byRun = make(map[Run]map[uint64]bool)
+		set.requests = make(map[identity.Request]*crashHistory)
+		set.byRun = make(map[Run]map[identity.Request]bool)
 	}
-	set.requests[e.Fingerprint] = h
+	set.requests[e.Request] = h
 	if set.byRun[e.Run] == nil {
-		set.byRun[e.Run] = make(map[uint64]bool)
+		set.byRun[e.Run] = make(map[identity.Request]bool)
 	}
-	set.byRun[e.Run][e.Fingerprint] = true
+	set.byRun[e.Run][e.Request] = true
 	set.digest ^= e.digest()
 }
 
@@ -226,15 +229,15 @@
 
 // evictIfFull removes the least important history if there are more than
 // maxRequests, but never the one just added.
-func (set *EvidenceSet) evictIfFull(added uint64) {
+func (set *EvidenceSet) evictIfFull(added identity.Request) {
 	if len(set.requests) <= maxRequests {
 		return
 	}
-	var victim uint64
+	var victim identity.Request
 	var victimHistory *crashHistory
-	for fp, h := range set.requests {
-		if fp != added && (victimHistory == nil || h.evictBefore(victimHistory)) {
-			victim, victimHistory = fp, h
+	for q, h := range set.requests {
+		if q != added && (victimHistory == nil || h.evictBefore(victimHistory)) {
+			victim, victimHistory = q, h
 		}
 	}
 	set.remove(victim)
@@ -250,18 +253,18 @@
 	return h.lastChange.Before(other.lastChange)
 }
 
-func (set *EvidenceSet) remove(fp uint64) {
-	h := set.requests[fp]
+func (set *EvidenceSet) remove(q identity.Request) {
+	h := set.requests[q]
 	set.updateSuspectCount(h.crashCount(), 0)
 	for _, e := range h.crashes {
 		set.removeFromIndex(e)
 	}
-	delete(set.requests, fp)
+	delete(set.requests, q)
 }
 
 // Expire removes evidence whose time to live has passed.
 func (set *EvidenceSet) Expire(now time.Time) {
-	for fp, h := range set.requests {
+	for q, h := range set.requests {
 		before := h.crashCount()
 		for run, e := range h.crashes {
 			if now.Sub(e.At) >= e.ttl() {
@@ -272,7 +275,7 @@
 		set.updateSuspectCount(before, h.crashCount())
 		h.updateTimes()
 		if len(h.crashes) == 0 {
-			delete(set.requests, fp)
+			delete(set.requests, q)
 		}
 	}
 }
@@ -280,7 +283,7 @@
 // removeFromIndex removes evidence from the indexes and the digest.
 func (set *EvidenceSet) removeFromIndex(e Evidence) {
 	set.digest ^= e.digest()
-	delete(set.byRun[e.Run], e.Fingerprint)
+	delete(set.byRun[e.Run], e.Request)
 	if len(set.byRun[e.Run]) == 0 {
 		delete(set.byRun, e.Run)
 	}
@@ -288,8 +291,8 @@
 
 // Clear marks all evidence against a request as cleared and returns the changed
 // evidence, which is to be sent to the other processes.
-func (set *EvidenceSet) Clear(fp uint64, now time.Time) []Evidence {
-	h := set.requests[fp]
+func (set *EvidenceSet) Clear(q identity.Request, now time.Time) []Evidence {
+	h := set.requests[q]
 	if h == nil {
 		return nil
 	}
@@ -306,11 +309,29 @@
 	return cleared
 }
 
+// ClearContent clears all requests with a content, as Clear does.
+func (set *EvidenceSet) ClearContent(c identity.Content, now time.Time) []Evidence {
+	var cleared []Evidence
+	for _, q := range set.sortedRequests() {
+		if q.Content == c {
+			cleared = append(cleared, set.Clear(q, now)...)
+		}
+	}
+	return cleared
+}
+
 // sortedRuns returns the runs with evidence in a fixed order.
 func (h *crashHistory) sortedRuns() []Run {
 	return slices.SortedFunc(maps.Keys(h.crashes), compareRuns)
 }
 
+// sortedRequests returns the requests with evidence in a fixed order.
+func (set *EvidenceSet) sortedRequests() []identity.Request {
+	return slices.SortedFunc(maps.Keys(set.requests), func(a, b identity.Request) int {
+		return cmp.Or(cmp.Compare(a.Content, b.Content), cmp.Compare(a.Caller, b.Caller))
+	})
+}
+
 func compareRuns(a, b Run) int {
 	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.StartedUnixMs, b.StartedUnixMs), cmp.Compare(a.Life, b.Life))
 }
@@ -318,8 +339,8 @@
 // Evidence returns all evidence in a fixed order.
 func (set *EvidenceSet) Evidence() []Evidence {
 	var list []Evidence
-	for _, fp := range slices.Sorted(maps.Keys(set.requests)) {
-		h := set.requests[fp]
+	for _, q := range set.sortedRequests() {
+		h := set.requests[q]
 		for _, run := range h.sortedRuns() {
 			list = append(list, h.crashes[run])
 		}
@@ -339,9 +360,9 @@
 	Isolate bool
 }
 
-// Restriction returns the restriction on the requests with a fingerprint.
-func (set *EvidenceSet) Restriction(fp uint64, now time.Time) Restriction {
-	h := set.requests[fp]
+// Restriction returns the restriction on a request.
+func (set *EvidenceSet) Restriction(q identity.Request, now time.Time) Restriction {
+	h := set.requests[q]
 	if h == nil {
 		return Restriction{}
 	}
@@ -350,7 +371,7 @@
 	if n < quarantineCrashes {
 		return v
 	}
-	if until := h.lastCrash.Add(set.quarantine(fp, h, n)); now.Before(until) {
+	if until := h.lastCrash.Add(set.quarantine(q, h, n)); now.Before(until) {
 		v.Until = until
 		return v
 	}
@@ -360,8 +381,8 @@
 
 // quarantine returns the duration of the quarantine after the last crash of a request
 // with the given number of crashes.
-func (set *EvidenceSet) quarantine(fp uint64, h *crashHistory, count int) time.Duration {
-	if set.isPrimeSuspect(fp, h, count) {
+func (set *EvidenceSet) quarantine(q identity.Request, h *crashHistory, count int) time.Duration {
+	if set.isPrimeSuspect(q, h, count) {
 		return primeQuarantine(h.provenCount())
 	}
 	if count < maxCrashes {
@@ -372,9 +393,9 @@
 
 // isPrimeSuspect reports whether, at one of its crashes, no other request in flight
 // has as many crashes as this one.
-func (set *EvidenceSet) isPrimeSuspect(fp uint64, h *crashHistory, count int) bool {
+func (set *EvidenceSet) isPrimeSuspect(q identity.Request, h *crashHistory, count int) bool {
 	for run, e := range h.crashes {
-		if e.isCrash() && set.hasMostCrashes(run, fp, count) {
+		if e.isCrash() && set.hasMostCrashes(run, q, count) {
 			return true
 		}
 	}
@@ -383,9 +404,9 @@
 
 // hasMostCrashes reports whether every other request in flight at the end of a run has
 // fewer than crashCount crashes.
-func (set *EvidenceSet) hasMostCrashes(run Run, fp uint64, crashCount int) bool {
+func (set *EvidenceSet) hasMostCrashes(run Run, q identity.Request, crashCount int) bool {
 	for other := range set.byRun[run] {
-		if other != fp && set.requests[other].crashCount() >= crashCount {
+		if other != q && set.requests[other].crashCount() >= crashCount {
 			return false
 		}
 	}
@@ -407,23 +428,24 @@
 
 // Suspect describes a request that was in flight at a crash and is not cleared.
 type Suspect struct {
-	Fingerprint uint64    `json:"fingerprint"`
-	Crashes     int       `json:"crashes"`
-	Upstreams   []string  `json:"upstreams"` // that crashed with the request in flight
-	Until       time.Time `json:"until"`     // end of the quarantine; zero: not quarantined
+	Fingerprint identity.Content `json:"fingerprint"`
+	Caller      identity.Caller  `json:"caller"`
+	Crashes     int              `json:"crashes"`
+	Upstreams   []string         `json:"upstreams"` // that crashed with the request in flight
+	Until       time.Time        `json:"until"`     // end of the quarantine; zero: not quarantined
 }
 
-// Suspects returns all suspects, sorted by fingerprint.
+// Suspects returns all suspects, sorted by fingerprint and caller.
 func (set *EvidenceSet) Suspects(now time.Time) []Suspect {
 	var list []Suspect
-	for _, fp := range slices.Sorted(maps.Keys(set.requests)) {
-		v := set.Restriction(fp, now)
+	for _, q := range set.sortedRequests() {
+		v := set.Restriction(q, now)
 		if v.Crashes == 0 {
 			continue
 		}
-		s := Suspect{Fingerprint: fp, Crashes: v.Crashes, Until: v.Until}
-		for _, run := range set.requests[fp].sortedRuns() {
-			if set.requests[fp].crashes[run].isCrash() {
+		s := Suspect{Fingerprint: q.Content, Caller: q.Caller, Crashes: v.Crashes, Until: v.Until}
+		for _, run := range set.requests[q].sortedRuns() {
+			if set.requests[q].crashes[run].isCrash() {
 				s.Upstreams = append(s.Upstreams, run.ID)
 			}
 		}
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -12,6 +12,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
 )
 
 const (
@@ -31,8 +33,8 @@
 
 // lostAttempt is an attempt that may have run and got no response.
 type lostAttempt struct {
-	fingerprint uint64
-	at          time.Time
+	request identity.Request
+	at      time.Time
 	// unreachable is set if no connection to the upstream could be made afterwards,
 	// presumed if that was then counted as a presumed crash.
 	unreachable, presumed bool
@@ -96,9 +98,9 @@
 
 // Discounted is a lost attempt that no longer counts as evidence.
 type Discounted struct {
-	Run         Run
-	Fingerprint uint64
-	Reason      Reason
+	Run     Run
+	Request identity.Request
+	Reason  Reason
 }
 
 // Tracker attributes lost attempts to crashes. The zero value is ready for use.
@@ -107,12 +109,12 @@
 
 	discounted []Discounted // since the last call of TakeDiscounted
 
-	lostAttempt       map[Run][]lostAttempt // by run, oldest first
-	lostCount         int                   // number of attempts in lostAttempt
-	lostByFingerprint map[uint64]int        // number of attempts in lostAttempt
-	unreachable       map[Run]bool          // runs that have attempts with unreachable set and presumed not set
-	ended             map[Run]runEnd
-	lives             map[Run]uint32 // current Life of a run; Life of the keys is 0
+	lostAttempt   map[Run][]lostAttempt    // by run, oldest first
+	lostCount     int                      // number of attempts in lostAttempt
+	lostByRequest map[identity.Request]int // number of attempts in lostAttempt
+	unreachable   map[Run]bool             // runs that have attempts with unreachable set and presumed not set
+	ended         map[Run]runEnd
+	lives         map[Run]uint32 // current Life of a run; Life of the keys is 0
 }
 
 // withLife returns a run with its current Life set.
@@ -138,28 +140,28 @@
 		if !f(l) {
 			return true
 		}
-		t.discounted = append(t.discounted, Discounted{r, l.fingerprint, reason})
+		t.discounted = append(t.discounted, Discounted{r, l.request, reason})
 		return false
 	})
 }
 
 // RecordLost records an attempt that may have run and got no response. It returns new
 // evidence if the end of its upstream is already known.
-func (t *Tracker) RecordLost(r Run, fingerprint uint64, sentAt, now time.Time) []Evidence {
+func (t *Tracker) RecordLost(r Run, q identity.Request, sentAt, now time.Time) []Evidence {
 	t.pruneExpired(now)
 	r = t.withLife(r)
 	if e, ok := t.ended[r]; ok && sentAt.Before(e.at) {
-		return t.addEvidence(fingerprint, r, e.end.grade(now.Sub(e.at)), now)
+		return t.addEvidence(q, r, e.end.grade(now.Sub(e.at)), now)
 	}
-	if fingerprint == 0 || t.lostCount >= maxLost {
+	if !q.Known() || t.lostCount >= maxLost {
 		return nil
 	}
 	if t.lostAttempt == nil {
 		t.lostAttempt = make(map[Run][]lostAttempt)
-		t.lostByFingerprint = make(map[uint64]int)
+		t.lostByRequest = make(map[identity.Request]int)
 	}
-	t.lostByFingerprint[fingerprint]++
-	t.lostAttempt[r] = append(t.lostAttempt[r], lostAttempt{fingerprint: fingerprint, at: now})
+	t.lostByRequest[q]++
+	t.lostAttempt[r] = append(t.lostAttempt[r], lostAttempt{request: q, at: now})
 	t.lostCount++
 	return nil
 }
@@ -180,7 +182,7 @@
 		if l.alive && end.sparesAlive() {
 			continue
 		}
-		found = append(found, t.addEvidence(l.fingerprint, r, end.grade(now.Sub(l.at)), now)...)
+		found = append(found, t.addEvidence(l.request, r, end.grade(now.Sub(l.at)), now)...)
 	}
 	t.retainLost(r, func(lostAttempt) bool { return false })
 	return found
@@ -193,7 +195,7 @@
 	for i := range t.lostAttempt[r] {
 		l := &t.lostAttempt[r][i]
 		if !l.alive {
-			t.discounted = append(t.discounted, Discounted{r, l.fingerprint, Alive})
+			t.discounted = append(t.discounted, Discounted{r, l.request, Alive})
 		}
 		l.alive = true
 	}
@@ -231,7 +233,7 @@
 	var found []Evidence
 	for _, l := range t.lostAttempt[r] {
 		if l.presumed && l.at.Before(sentAt) {
-			found = append(found, t.addEvidence(l.fingerprint, r, Cleared, now)...)
+			found = append(found, t.addEvidence(l.request, r, Cleared, now)...)
 		}
 	}
 	t.discount(r, Responded, func(l lostAttempt) bool { return l.at.Before(sentAt) })
@@ -253,7 +255,7 @@
 			l := &t.lostAttempt[r][i]
 			if l.unreachable && !l.presumed && l.at.Before(sentAt) {
 				l.presumed = true
-				found = append(found, t.addEvidence(l.fingerprint, r, Presumed, now)...)
+				found = append(found, t.addEvidence(l.request, r, Presumed, now)...)
 			}
 		}
 		if !slices.ContainsFunc(t.lostAttempt[r], func(l lostAttempt) bool { return l.unreachable && !l.presumed }) {
@@ -273,17 +275,17 @@
 
 // RecordSuccess clears a request that completed and returns the resulting evidence,
 // which is to be sent to the other processes.
-func (t *Tracker) RecordSuccess(fingerprint uint64, now time.Time) []Evidence {
-	if t.lostByFingerprint[fingerprint] > 0 {
+func (t *Tracker) RecordSuccess(q identity.Request, now time.Time) []Evidence {
+	if t.lostByRequest[q] > 0 {
 		for r := range t.lostAttempt {
-			t.discount(r, Succeeded, func(l lostAttempt) bool { return l.fingerprint == fingerprint })
+			t.discount(r, Succeeded, func(l lostAttempt) bool { return l.request == q })
 		}
 	}
-	return t.Clear(fingerprint, now)
+	return t.Clear(q, now)
 }
 
-func (t *Tracker) addEvidence(fingerprint uint64, r Run, g Grade, now time.Time) []Evidence {
-	e := Evidence{Fingerprint: fingerprint, Run: r, Grade: g, At: now}
+func (t *Tracker) addEvidence(q identity.Request, r Run, g Grade, now time.Time) []Evidence {
+	e := Evidence{Request: q, Run: r, Grade: g, At: now}
 	if !t.Add(e, now) {
 		return nil
 	}
@@ -310,8 +312,8 @@
 // decrementCounts removes one lost attempt from the counts.
 func (t *Tracker) decrementCounts(l lostAttempt) {
 	t.lostCount--
-	if t.lostByFingerprint[l.fingerprint]--; t.lostByFingerprint[l.fingerprint] <= 0 {
-		delete(t.lostByFingerprint, l.fingerprint)
+	if t.lostByRequest[l.request]--; t.lostByRequest[l.request] <= 0 {
+		delete(t.lostByRequest, l.request)
 	}
 }
 
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -4,26 +4,33 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
 )
 
-const (
-	poisonRequest = 7
-	soundRequest  = 8
-	otherRequest  = 9
+var (
+	poisonRequest = request(7)
+	soundRequest  = request(8)
+	otherRequest  = request(9)
 )
 
+// request returns a request of a single caller.
+func request(n int) identity.Request {
+	return identity.Request{Content: identity.Content(n), Caller: 1}
+}
+
 var start = time.Unix(1_700_000_000, 0)
 
 // crash records the end of a run with requests in flight.
-func (t *Tracker) crash(r Run, at time.Time, fingerprints ...uint64) []Evidence {
-	for _, fp := range fingerprints {
-		t.RecordLost(r, fp, at.Add(-time.Millisecond), at)
+func (t *Tracker) crash(r Run, at time.Time, requests ...identity.Request) []Evidence {
+	for _, q := range requests {
+		t.RecordLost(r, q, at.Add(-time.Millisecond), at)
 	}
 	return t.RecordEnd(r, End{}, at)
 }
 
-func (t *Tracker) refuses(fp uint64, now time.Time) bool {
-	return !t.Restriction(fp, now).Until.IsZero()
+func (t *Tracker) refuses(q identity.Request, now time.Time) bool {
+	return !t.Restriction(q, now).Until.IsZero()
 }
 
 // Guards against a request that crashes one upstream after another, and against
@@ -42,9 +49,9 @@
 	if !v.Until.After(start.Add(20 * time.Second)) {
 		t.Errorf("after the second crash: %+v", v)
 	}
-	for _, fp := range []uint64{soundRequest, otherRequest} {
-		if tr.refuses(fp, start.Add(3*time.Second)) {
-			t.Errorf("request %d is refused after one crash", fp)
+	for _, q := range []identity.Request{soundRequest, otherRequest} {
+		if tr.refuses(q, start.Add(3*time.Second)) {
+			t.Errorf("request %v is refused after one crash", q)
 		}
 	}
 	if tr.refuses(poisonRequest, start.Add(time.Minute)) {
@@ -165,8 +172,8 @@
 	var tr Tracker
 	now := start
 	for i := range maxCrashes {
-		for _, fp := range []uint64{poisonRequest, otherRequest} {
-			if tr.refuses(fp, now) {
+		for _, q := range []identity.Request{poisonRequest, otherRequest} {
+			if tr.refuses(q, now) {
 				t.Fatalf("request refused after %d crashes with equal suspects", i)
 			}
 		}
@@ -177,9 +184,9 @@
 		tr.RecordSuccess(soundRequest, now)
 		now = now.Add(time.Second)
 	}
-	for fp, want := range map[uint64]bool{poisonRequest: true, otherRequest: true, soundRequest: false} {
-		if tr.refuses(fp, now) != want {
-			t.Errorf("request %d after the third crash: refused %v", fp, !want)
+	for q, want := range map[identity.Request]bool{poisonRequest: true, otherRequest: true, soundRequest: false} {
+		if tr.refuses(q, now) != want {
+			t.Errorf("request %v after the third crash: refused %v", q, !want)
 		}
 	}
 }
@@ -303,7 +310,7 @@
 	tr.crash(Run{ID: "a"}, start, poisonRequest)
 	tr.crash(Run{ID: "b"}, start, poisonRequest)
 	for i := range maxRequests + 100 {
-		tr.crash(Run{ID: fmt.Sprint("u", i)}, start.Add(time.Second), uint64(100+i))
+		tr.crash(Run{ID: fmt.Sprint("u", i)}, start.Add(time.Second), request(100+i))
 	}
 	if n := len(tr.requests); n > maxRequests {
 		t.Errorf("%d requests are kept", n)
@@ -369,11 +376,11 @@
 func BenchmarkResponse(b *testing.B) {
 	var tr Tracker
 	for i := range maxLost {
-		tr.RecordLost(Run{ID: fmt.Sprint("u", i%100)}, uint64(100+i), start, start)
+		tr.RecordLost(Run{ID: fmt.Sprint("u", i%100)}, request(100+i), start, start)
 	}
 	r := Run{ID: "responding"}
 	for b.Loop() {
 		tr.RecordResponse(r, start, start)
-		tr.RecordSuccess(1, start)
+		tr.RecordSuccess(request(1), start)
 	}
 }
--- a/pkg/poison/property_test.go
+++ b/pkg/poison/property_test.go
@@ -16,8 +16,8 @@
 	stored        EvidenceSet
 	downUntil     []time.Time // by upstream
 	startedUnixMs []int64
-	crashes       map[uint64]int
-	served        map[uint64]bool
+	crashes       map[int]int
+	served        map[int]bool
 }
 
 // syncEvidence merges each of two sets into the other.
@@ -35,17 +35,17 @@
 const (
 	allowedRetries = 3 // further crashes that are acceptable after the third
 
-	poisonRequests = 3 // fingerprints 1 to 3 crash upstreams
-	totalRequests  = 6 // fingerprints 4 to 6 are sound
+	poisonRequests = 3 // requests 1 to 3 crash upstreams
+	totalRequests  = 6 // requests 4 to 6 are sound
 )
 
 // send simulates one attempt of each request at one entry and upstream.
-func (w *simulation) send(t *rapid.T, entry int, fps []uint64) {
+func (w *simulation) send(t *rapid.T, entry int, fps []int) {
 	e := w.entries[entry]
-	var sending []uint64
+	var sending []int
 	alone := 0
 	for _, fp := range fps {
-		v := e.Restriction(fp, w.now)
+		v := e.Restriction(request(fp), w.now)
 		if !v.Until.IsZero() || v.Isolate && alone > 0 {
 			continue
 		}
@@ -69,13 +69,13 @@
 		if !crashing {
 			w.served[fp] = true
 			e.RecordResponse(run, sent, w.now)
-			e.RecordSuccess(fp, w.now)
+			e.RecordSuccess(request(fp), w.now)
 			continue
 		}
 		if fp <= poisonRequests {
 			w.crashes[fp]++
 		}
-		e.RecordLost(run, fp, sent, w.now)
+		e.RecordLost(run, request(fp), sent, w.now)
 	}
 	if !crashing {
 		return
@@ -90,7 +90,7 @@
 // restarts of entries and late exchange of evidence.
 func TestAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &simulation{now: start, crashes: make(map[uint64]int), served: make(map[uint64]bool)}
+		w := &simulation{now: start, crashes: make(map[int]int), served: make(map[int]bool)}
 		for range rapid.IntRange(1, 4).Draw(t, "entries") {
 			w.entries = append(w.entries, &Tracker{})
 		}
@@ -104,7 +104,7 @@
 				w.entries[i] = &Tracker{}
 			}
 			syncEvidence(&w.entries[i].EvidenceSet, &w.stored, w.now)
-			fps := rapid.SliceOfNDistinct(rapid.Uint64Range(1, totalRequests), 1, 4, rapid.ID).Draw(t, "requests")
+			fps := rapid.SliceOfNDistinct(rapid.IntRange(1, totalRequests), 1, 4, rapid.ID[int]).Draw(t, "requests")
 			w.send(t, i, fps)
 			syncEvidence(&w.entries[i].EvidenceSet, &w.stored, w.now)
 		}
@@ -122,14 +122,14 @@
 				t.Fatalf("evidence differs after an exchange: %+v and %+v", e.Evidence(), w.stored.Evidence())
 			}
 		}
-		for fp := uint64(poisonRequests + 1); fp <= totalRequests; fp++ {
+		for fp := poisonRequests + 1; fp <= totalRequests; fp++ {
 			w.now = w.now.Add(maxQuarantine)
 			e := w.entries[0]
-			if v := e.Restriction(fp, w.now); !v.Until.IsZero() {
+			if v := e.Restriction(request(fp), w.now); !v.Until.IsZero() {
 				t.Fatalf("sound request %d is still refused after the longest quarantine: %+v", fp, v)
 			}
-			e.RecordSuccess(fp, w.now)
-			if v := e.Restriction(fp, w.now); v.Crashes != 0 {
+			e.RecordSuccess(request(fp), w.now)
+			if v := e.Restriction(request(fp), w.now); v.Crashes != 0 {
 				t.Fatalf("sound request %d is suspected after it completed: %+v", fp, v)
 			}
 		}
