--- a/pkg/edge/crashers_test.go
+++ b/pkg/edge/crashers_test.go
@@ -53,6 +53,8 @@
 	storeAway bool
 	// replace is set if another upstream is registered after each crash.
 	replace bool
+	// isPoison reports whether a request crashes its upstream; nil: if its body says so.
+	isPoison func(req *http.Request, body string) bool
 
 	mu      sync.Mutex
 	started int
@@ -60,6 +62,7 @@
 	// harmless is set if no body causes a crash anymore.
 	harmless bool
 	crashes  map[string]int // by body
+	times    []time.Time    // of all crashes
 }
 
 func newCrashers(d *deployment) *crashers {
@@ -84,6 +87,14 @@
 	}
 }
 
+// poisons reports whether a request crashes its upstream.
+func (f *crashers) poisons(req *http.Request, body string) bool {
+	if f.isPoison != nil {
+		return f.isPoison(req, body)
+	}
+	return strings.Contains(body, "poison")
+}
+
 // isHarmless reports whether no body causes a crash anymore.
 func (f *crashers) isHarmless() bool {
 	f.mu.Lock()
@@ -111,10 +122,23 @@
 	return f.crashes[body]
 }
 
+// lateCrashes returns the number of crashes later than a time after the third.
+func (f *crashers) lateCrashes(after time.Duration) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	late := 0
+	for _, at := range f.times {
+		if len(f.times) >= maxCrashes && at.After(f.times[maxCrashes-1].Add(after)) {
+			late++
+		}
+	}
+	return late
+}
+
 func (c *crasher) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	data, _ := io.ReadAll(req.Body) // the edge sends complete bodies
 	body := string(data)
-	if strings.Contains(body, "poison") && !c.f.isHarmless() {
+	if c.f.poisons(req, body) && !c.f.isHarmless() {
 		c.f.addRunning(1)
 		defer c.f.addRunning(-1)
 		c.announce()
@@ -156,6 +180,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.crashes[body]++
+	f.times = append(f.times, time.Now())
 	if !c.healthy {
 		return // several such requests in flight crash it only once
 	}
