Count crashes against content and caller of a request

Callers saw 14 of 14 retries of a request run that ends its upstreams, if others sent the same path and body, if its query differed, or if it had no body and another program each time.

Cause: one number stood for host, method, path, query and body, with the program only if there was no body. Every success of an equal request cleared it, whoever sent it; what differed between retries made another request of it. The class: things are taken as alike that differ, and as different that are alike.

Evidence counts against content (without the query) and caller (the program, else the address). A success clears its own single caller. Callers behind one address and callers that change are weighed by their crashes, for 30 s at a time.

Rules by themselves: pkg/poison/restriction_test.go.

--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -102,7 +102,7 @@
 	if o != attempt.Answered {
 		c.e.logger.Info("attempt failed", "id", c.req.ID, "upstream", m.ID, "address", m.Address, "version", m.SoftwareVersion,
 			"outcome", o, "status", status, "next", action, "in_flight", inFlight, "leaving", leaving,
-			"took_ms", now.Sub(c.began).Milliseconds(), "fingerprint", c.identity().Content, "err", err)
+			"took_ms", now.Sub(c.began).Milliseconds(), "fingerprint", c.identity().Content, "caller", c.identity().Caller, "err", err)
 	}
 	return action
 }
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -168,7 +168,7 @@
 		args = append(args, "attempts", c.tracker.Attempts())
 	}
 	if c.id.Known() {
-		args = append(args, "fingerprint", c.id.Content)
+		args = append(args, "fingerprint", c.id.Content, "caller", c.id.Caller)
 	}
 	c.e.logger.Info(msg, append(args, more...)...)
 }
--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -1,32 +1,38 @@
 package edge
 
 import (
+	"net"
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
 )
 
-// identity returns what identifies the request over its retries. Without a body the
-// program is part of it, so that requests of different callers differ. It must be called
-// after the body was read.
+// identity returns what identifies the request over its retries. It must be called after
+// the body was read.
 func (c *call) identity() identity.Request {
-	if c.id.Known() {
-		return c.id
+	if !c.id.Known() {
+		c.id = identity.Request{Content: c.content(), Caller: c.caller()}
 	}
-	h := xxhash.New()
-	for _, part := range []string{c.r.Host, c.r.Method, c.r.RequestURI, c.req.ParentTurnID} {
-		_, _ = h.WriteString(part)
-		_, _ = h.Write([]byte{0})
+	return c.id
+}
+
+// content returns what the request asks for. The earlier turns of a conversation are a
+// part of the body.
+func (c *call) content() identity.Content {
+	return identity.NewContent([]byte(c.r.Host), []byte(c.r.Method), []byte(c.r.URL.EscapedPath()), []byte(c.req.ParentTurnID), c.body)
+}
+
+// caller returns who sends the request: its program, or whoever is behind its address.
+func (c *call) caller() identity.Caller {
+	if c.req.Program != "" {
+		return identity.SingleCaller([]byte(c.req.Program))
 	}
-	if len(c.body) == 0 {
-		_, _ = h.WriteString(c.req.Program)
+	address, _, err := net.SplitHostPort(c.r.RemoteAddr)
+	if err != nil {
+		address = c.r.RemoteAddr
 	}
-	_, _ = h.Write(c.body)
-	c.id = identity.Request{Content: identity.Content(max(h.Sum64(), 1))}
-	return c.id
+	return identity.SharedCaller(address)
 }
 
 // refuseQuarantined refuses a request that has crashed upstreams, and a suspected one
--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -78,7 +78,7 @@
 		case !v.Until.IsZero():
 			msg = "request quarantined"
 		}
-		s.e.logger.Info(msg, "fingerprint", e.Request.Content, "upstream", e.Run.ID, "born", e.Run.StartedUnixMs, "life", e.Run.Life,
+		s.e.logger.Info(msg, "fingerprint", e.Request.Content, "caller", e.Request.Caller, "upstream", e.Run.ID, "born", e.Run.StartedUnixMs, "life", e.Run.Life,
 			"grade", e.Grade, "crashes", v.Crashes, "until", v.Until, "alone", v.Isolate, "source", source)
 		s.e.metrics.suspectFinding(msg)
 	}
@@ -87,7 +87,7 @@
 // logDiscounted logs lost attempts that no longer count as evidence.
 func (s *suspects) logDiscounted(list []poison.Discounted) {
 	for _, d := range list {
-		s.e.logger.Info("lost attempt discounted", "fingerprint", d.Request.Content, "upstream", d.Run.ID, "born", d.Run.StartedUnixMs,
+		s.e.logger.Info("lost attempt discounted", "fingerprint", d.Request.Content, "caller", d.Request.Caller, "upstream", d.Run.ID, "born", d.Run.StartedUnixMs,
 			"life", d.Run.Life, "reason", string(d.Reason))
 		s.e.metrics.lostAttemptDiscounted(string(d.Reason))
 	}
--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -22,19 +22,6 @@
 	clearedTTL = 10 * time.Minute
 	// maxRequests bounds the number of requests with evidence.
 	maxRequests = 4096
-
-	// quarantineCrashes is the number of crashes after which the prime suspect of a
-	// crash is quarantined.
-	quarantineCrashes = 2
-	// maxCrashes is the number of crashes after which a request is quarantined even
-	// if other requests are as suspect.
-	maxCrashes = 3
-
-	// shortQuarantine applies while the crashes may be a coincidence. It doubles with
-	// each further crash for which the request is not the prime suspect.
-	shortQuarantine = 30 * time.Second
-	longQuarantine  = time.Hour
-	maxQuarantine   = 24 * time.Hour
 )
 
 // Run identifies one run of an upstream, from a start of its process to its end.
@@ -47,6 +34,10 @@
 	Life uint32
 }
 
+// completedRun stands for no run: evidence about it, always with grade Cleared, records that
+// the request completed while a request with its content was suspected.
+var completedRun Run
+
 // Grade classifies the evidence against a request that was in flight when an upstream
 // ended. A higher grade replaces a lower one, so the order in which processes receive
 // evidence does not matter.
@@ -87,6 +78,11 @@
 // isCrash reports whether the evidence counts as a crash against its request.
 func (e Evidence) isCrash() bool { return e.Grade == Presumed || e.Grade == Confirmed }
 
+// isValid reports whether the evidence may be merged into a set.
+func (e Evidence) isValid() bool {
+	return e.Request.Known() && e.Grade >= Presumed && e.Grade <= Cleared && (e.Run != completedRun || e.Grade == Cleared)
+}
+
 // ttl returns how long the evidence is kept.
 func (e Evidence) ttl() time.Duration {
 	if e.Grade == Cleared {
@@ -112,6 +108,17 @@
 	lastChange time.Time // of the newest evidence of any grade
 }
 
+// completed reports whether the request completed while it, or another one with its
+// content, was suspected.
+func (h *crashHistory) completed() bool {
+	for _, e := range h.crashes {
+		if e.Grade == Cleared {
+			return true
+		}
+	}
+	return false
+}
+
 func (h *crashHistory) crashCount() int {
 	n := 0
 	for _, e := range h.crashes {
@@ -159,7 +166,8 @@
 // value is ready for use.
 type EvidenceSet struct {
 	requests     map[identity.Request]*crashHistory
-	byRun        map[Run]map[identity.Request]bool // requests with evidence about a run
+	byRun        map[Run]map[identity.Request]bool              // requests with evidence about a run
+	byContent    map[identity.Content]map[identity.Request]bool // requests with evidence
 	digest       uint64
 	suspectCount int // requests with evidence that counts as a crash
 }
@@ -172,7 +180,7 @@
 
 // Add merges evidence into the set and reports whether it was new.
 func (set *EvidenceSet) Add(e Evidence, now time.Time) bool {
-	if !e.Request.Known() || e.Grade < Presumed || e.Grade > Cleared {
+	if !e.isValid() {
 		return false
 	}
 	if e.At.After(now) {
@@ -209,8 +217,13 @@
 	if set.requests == nil {
 		set.requests = make(map[identity.Request]*crashHistory)
 		set.byRun = make(map[Run]map[identity.Request]bool)
+		set.byContent = make(map[identity.Content]map[identity.Request]bool)
 	}
 	set.requests[e.Request] = h
+	if set.byContent[e.Request.Content] == nil {
+		set.byContent[e.Request.Content] = make(map[identity.Request]bool)
+	}
+	set.byContent[e.Request.Content][e.Request] = true
 	if set.byRun[e.Run] == nil {
 		set.byRun[e.Run] = make(map[identity.Request]bool)
 	}
@@ -259,7 +272,16 @@
 	for _, e := range h.crashes {
 		set.removeFromIndex(e)
 	}
+	set.removeRequest(q)
+}
+
+// removeRequest removes a request whose evidence was removed.
+func (set *EvidenceSet) removeRequest(q identity.Request) {
 	delete(set.requests, q)
+	delete(set.byContent[q.Content], q)
+	if len(set.byContent[q.Content]) == 0 {
+		delete(set.byContent, q.Content)
+	}
 }
 
 // Expire removes evidence whose time to live has passed.
@@ -275,7 +297,7 @@
 		set.updateSuspectCount(before, h.crashCount())
 		h.updateTimes()
 		if len(h.crashes) == 0 {
-			delete(set.requests, q)
+			set.removeRequest(q)
 		}
 	}
 }
@@ -347,109 +369,3 @@
 	}
 	return list
 }
-
-// Restriction says whether and how a request may run.
-type Restriction struct {
-	Crashes int // crashes that count against the request
-	// Until is the end of the quarantine, during which the request must not run; zero:
-	// it is not quarantined.
-	Until time.Time
-	// Isolate is set if the request may run, but not on an upstream that is running
-	// another request with Isolate set. The next crash then has only one of them in
-	// flight.
-	Isolate bool
-}
-
-// Restriction returns the restriction on a request.
-func (set *EvidenceSet) Restriction(q identity.Request, now time.Time) Restriction {
-	h := set.requests[q]
-	if h == nil {
-		return Restriction{}
-	}
-	n := h.crashCount()
-	v := Restriction{Crashes: n}
-	if n < quarantineCrashes {
-		return v
-	}
-	if until := h.lastCrash.Add(set.quarantine(q, h, n)); now.Before(until) {
-		v.Until = until
-		return v
-	}
-	v.Isolate = true
-	return v
-}
-
-// quarantine returns the duration of the quarantine after the last crash of a request
-// with the given number of crashes.
-func (set *EvidenceSet) quarantine(q identity.Request, h *crashHistory, count int) time.Duration {
-	if set.isPrimeSuspect(q, h, count) {
-		return primeQuarantine(h.provenCount())
-	}
-	if count < maxCrashes {
-		return 0
-	}
-	return min(shortQuarantine<<min(count-maxCrashes, 16), longQuarantine)
-}
-
-// isPrimeSuspect reports whether, at one of its crashes, no other request in flight
-// has as many crashes as this one.
-func (set *EvidenceSet) isPrimeSuspect(q identity.Request, h *crashHistory, count int) bool {
-	for run, e := range h.crashes {
-		if e.isCrash() && set.hasMostCrashes(run, q, count) {
-			return true
-		}
-	}
-	return false
-}
-
-// hasMostCrashes reports whether every other request in flight at the end of a run has
-// fewer than crashCount crashes.
-func (set *EvidenceSet) hasMostCrashes(run Run, q identity.Request, crashCount int) bool {
-	for other := range set.byRun[run] {
-		if other != q && set.requests[other].crashCount() >= crashCount {
-			return false
-		}
-	}
-	return true
-}
-
-// primeQuarantine returns the duration of the quarantine of a prime suspect.
-func primeQuarantine(provenCrashes int) time.Duration {
-	switch {
-	case provenCrashes < quarantineCrashes:
-		return 0
-	case provenCrashes == quarantineCrashes:
-		return shortQuarantine
-	case provenCrashes == maxCrashes:
-		return longQuarantine
-	}
-	return maxQuarantine
-}
-
-// Suspect describes a request that was in flight at a crash and is not cleared.
-type Suspect struct {
-	Fingerprint identity.Content `json:"fingerprint"`
-	Caller      identity.Caller  `json:"caller"`
-	Crashes     int              `json:"crashes"`
-	Upstreams   []string         `json:"upstreams"` // that crashed with the request in flight
-	Until       time.Time        `json:"until"`     // end of the quarantine; zero: not quarantined
-}
-
-// Suspects returns all suspects, sorted by fingerprint and caller.
-func (set *EvidenceSet) Suspects(now time.Time) []Suspect {
-	var list []Suspect
-	for _, q := range set.sortedRequests() {
-		v := set.Restriction(q, now)
-		if v.Crashes == 0 {
-			continue
-		}
-		s := Suspect{Fingerprint: q.Content, Caller: q.Caller, Crashes: v.Crashes, Until: v.Until}
-		for _, run := range set.requests[q].sortedRuns() {
-			if set.requests[q].crashes[run].isCrash() {
-				s.Upstreams = append(s.Upstreams, run.ID)
-			}
-		}
-		list = append(list, s)
-	}
-	return list
-}
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -273,15 +273,16 @@
 	t.lives[key]++
 }
 
-// RecordSuccess clears a request that completed and returns the resulting evidence,
-// which is to be sent to the other processes.
+// RecordSuccess records that a request completed and returns the resulting evidence,
+// which is to be sent to the other processes. Lost attempts of a caller that is not single
+// are kept: they may be another caller's.
 func (t *Tracker) RecordSuccess(q identity.Request, now time.Time) []Evidence {
-	if t.lostByRequest[q] > 0 {
+	if q.Caller.Single() && t.lostByRequest[q] > 0 {
 		for r := range t.lostAttempt {
 			t.discount(r, Succeeded, func(l lostAttempt) bool { return l.request == q })
 		}
 	}
-	return t.Clear(q, now)
+	return t.RecordCompleted(q, now)
 }
 
 func (t *Tracker) addEvidence(q identity.Request, r Run, g Grade, now time.Time) []Evidence {
--- /dev/null
+++ b/pkg/poison/restriction.go
@@ -0,0 +1,251 @@
+package poison
+
+import (
+	"slices"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
+)
+
+const (
+	// quarantineCrashes is the number of crashes after which the prime suspect of a
+	// crash is quarantined.
+	quarantineCrashes = 2
+	// maxCrashes is the number of crashes after which a request is quarantined even
+	// if other requests are as suspect.
+	maxCrashes = 3
+
+	// shortQuarantine applies while the crashes may be a coincidence. It doubles with
+	// each further crash for which the request is not the prime suspect.
+	shortQuarantine = 30 * time.Second
+	longQuarantine  = time.Hour
+	maxQuarantine   = 24 * time.Hour
+
+	// separateCrashes is the time between crashes from which they count as separate ones
+	// while requests that look alike complete: many that are harmless may be in flight
+	// when several upstreams end at once.
+	separateCrashes = 500 * time.Millisecond
+	// mixedClearTime is how long after its last crash a request whose caller is not single
+	// is cleared by a success: until then the success may be another caller's.
+	mixedClearTime = 30 * time.Second
+	// maxCompletedCallers is the number of callers that completed a content from which it
+	// is too common to be suspected by itself.
+	maxCompletedCallers = 64
+)
+
+// Restriction says whether and how a request may run.
+type Restriction struct {
+	Crashes int // crashes that count against the request
+	// Until is the end of the quarantine, during which the request must not run; zero:
+	// it is not quarantined.
+	Until time.Time
+	// Isolate is set if the request may run, but not on an upstream that is running
+	// another request with Isolate set. The next crash then has only one of them in
+	// flight.
+	Isolate bool
+}
+
+// Restriction returns the restriction on a request. It follows from the evidence against
+// the request itself and, if that doesn't quarantine it, from the evidence against
+// requests with the same content.
+func (set *EvidenceSet) Restriction(q identity.Request, now time.Time) Restriction {
+	v := set.ownRestriction(q, now)
+	if !v.Until.IsZero() {
+		return v
+	}
+	if until := set.contentQuarantineEnd(q); now.Before(until) {
+		v.Until, v.Isolate = until, false
+	}
+	return v
+}
+
+// ownRestriction returns the restriction that follows from the crashes with the request
+// itself in flight.
+func (set *EvidenceSet) ownRestriction(q identity.Request, now time.Time) Restriction {
+	h := set.requests[q]
+	if h == nil {
+		return Restriction{}
+	}
+	n := h.crashCount()
+	v := Restriction{Crashes: n}
+	if n < quarantineCrashes {
+		return v
+	}
+	if !q.Caller.Single() && h.completed() {
+		if until := set.mixedQuarantineEnd(q, h, n); now.Before(until) {
+			v.Until = until
+		}
+		return v
+	}
+	if until := h.lastCrash.Add(set.quarantine(q, h, n)); now.Before(until) {
+		v.Until = until
+		return v
+	}
+	v.Isolate = true
+	return v
+}
+
+// quarantine returns the duration of the quarantine after the last crash of a request
+// with the given number of crashes.
+func (set *EvidenceSet) quarantine(q identity.Request, h *crashHistory, count int) time.Duration {
+	if set.isPrimeSuspect(q, h, count) {
+		return primeQuarantine(h.provenCount())
+	}
+	if count < maxCrashes {
+		return 0
+	}
+	return min(shortQuarantine<<min(count-maxCrashes, 16), longQuarantine)
+}
+
+// isPrimeSuspect reports whether, at one of its crashes, no other request in flight
+// has as many crashes as this one.
+func (set *EvidenceSet) isPrimeSuspect(q identity.Request, h *crashHistory, count int) bool {
+	for run, e := range h.crashes {
+		if e.isCrash() && set.hasMostCrashes(run, q, count) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasMostCrashes reports whether every other request in flight at the end of a run has
+// fewer than crashCount crashes.
+func (set *EvidenceSet) hasMostCrashes(run Run, q identity.Request, crashCount int) bool {
+	for other := range set.byRun[run] {
+		if other != q && set.requests[other].crashCount() >= crashCount {
+			return false
+		}
+	}
+	return true
+}
+
+// primeQuarantine returns the duration of the quarantine of a prime suspect.
+func primeQuarantine(provenCrashes int) time.Duration {
+	switch {
+	case provenCrashes < quarantineCrashes:
+		return 0
+	case provenCrashes == quarantineCrashes:
+		return shortQuarantine
+	case provenCrashes == maxCrashes:
+		return longQuarantine
+	}
+	return maxQuarantine
+}
+
+// mixedQuarantineEnd returns the end of the quarantine of a request that crashes upstreams
+// and completes, so that several callers seem to send it; zero: none.
+func (set *EvidenceSet) mixedQuarantineEnd(q identity.Request, h *crashHistory, count int) time.Time {
+	if h.separateCrashCount() < maxCrashes || !set.isPrimeSuspect(q, h, count) {
+		return time.Time{}
+	}
+	return h.lastCrash.Add(shortQuarantine)
+}
+
+// separateCrashCount returns the number of crashes that are separateCrashes apart.
+func (h *crashHistory) separateCrashCount() int {
+	var times []time.Time
+	for _, e := range h.crashes {
+		if e.isCrash() {
+			times = append(times, e.At)
+		}
+	}
+	return countSeparate(times)
+}
+
+// countSeparate returns how many of the times are separateCrashes apart.
+func countSeparate(times []time.Time) int {
+	slices.SortFunc(times, time.Time.Compare)
+	n := 0
+	var last time.Time
+	for _, at := range times {
+		if n == 0 || at.Sub(last) >= separateCrashes {
+			n, last = n+1, at
+		}
+	}
+	return n
+}
+
+// contentQuarantineEnd returns until when a request must not run because requests of
+// several other callers with the same content crash upstreams; zero: it may. A caller that
+// completed the content is not concerned.
+func (set *EvidenceSet) contentQuarantineEnd(q identity.Request) time.Time {
+	same := set.byContent[q.Content]
+	if len(same) < maxCrashes {
+		return time.Time{}
+	}
+	if h := set.requests[q]; h != nil && h.completed() {
+		return time.Time{}
+	}
+	times, completed := set.unexplainedCrashes(same)
+	n := len(times)
+	if completed > 0 {
+		n = countSeparate(times)
+	}
+	if n < maxCrashes || completed >= maxCompletedCallers {
+		return time.Time{}
+	}
+	last := slices.MaxFunc(times, time.Time.Compare)
+	if completed > 0 {
+		return last.Add(shortQuarantine)
+	}
+	return last.Add(min(shortQuarantine<<min(n-maxCrashes, 16), longQuarantine))
+}
+
+// unexplainedCrashes returns the times of the crashes with any of the requests in flight
+// that no single request accounts for, and the number of the requests that completed.
+func (set *EvidenceSet) unexplainedCrashes(requests map[identity.Request]bool) (times []time.Time, completed int) {
+	seen := make(map[Run]bool)
+	for q := range requests {
+		h := set.requests[q]
+		if h.completed() {
+			completed++
+		}
+		for run, e := range h.crashes {
+			if e.isCrash() && !seen[run] && !set.isExplained(run) {
+				times = append(times, e.At)
+			}
+			seen[run] = true
+		}
+	}
+	return times, completed
+}
+
+// isExplained reports whether a request in flight at the end of a run was in flight at
+// other crashes, too.
+func (set *EvidenceSet) isExplained(run Run) bool {
+	for q := range set.byRun[run] {
+		h := set.requests[q]
+		if e := h.crashes[run]; e.isCrash() && h.crashCount() >= quarantineCrashes {
+			return true
+		}
+	}
+	return false
+}
+
+// RecordCompleted records that a request completed, and returns the resulting evidence. It
+// clears a request of a single caller. Others are cleared only if they have not crashed an
+// upstream for some time. Callers that complete a suspected content are remembered.
+func (set *EvidenceSet) RecordCompleted(q identity.Request, now time.Time) []Evidence {
+	var found []Evidence
+	suspected := set.isContentSuspected(q.Content)
+	if h := set.requests[q]; h != nil && (q.Caller.Single() || now.Sub(h.lastCrash) >= mixedClearTime) {
+		found = set.Clear(q, now)
+	}
+	if !suspected || len(found) > 0 {
+		return found
+	}
+	if e := (Evidence{Request: q, Run: completedRun, Grade: Cleared, At: now}); set.Add(e, now) {
+		found = append(found, e)
+	}
+	return found
+}
+
+// isContentSuspected reports whether requests with the content were in flight at a crash.
+func (set *EvidenceSet) isContentSuspected(c identity.Content) bool {
+	for q := range set.byContent[c] {
+		if set.requests[q].crashCount() > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/poison/restriction_test.go
@@ -0,0 +1,154 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
+)
+
+const sameContent identity.Content = 21
+
+// from returns the request with sameContent of a caller.
+func from(caller identity.Caller) identity.Request {
+	return identity.Request{Content: sameContent, Caller: caller}
+}
+
+func single(n int) identity.Caller { return identity.SingleCaller([]byte(fmt.Sprint(n))) }
+
+var shared = identity.SharedCaller("10.0.0.1")
+
+// Guards against a request that crashes upstreams and is cleared by the success of another
+// caller's equal one, and against refusing that caller (issue 35).
+func TestSuccessOfAnotherCaller(t *testing.T) {
+	var tr Tracker
+	now := start
+	for i := range maxCrashes {
+		tr.crash(Run{ID: fmt.Sprint("u", i)}, now, from(single(1)), from(single(2)))
+		tr.RecordSuccess(from(single(2)), now.Add(time.Millisecond))
+		now = now.Add(time.Second)
+	}
+	if !tr.refuses(from(single(1)), now) {
+		t.Error("the caller whose request crashes upstreams is not refused")
+	}
+	for _, c := range []identity.Caller{single(2), single(3), shared} {
+		if tr.refuses(from(c), now) {
+			t.Errorf("another caller is refused: %v", c)
+		}
+	}
+}
+
+// Guards against a request that comes with another caller each time, beside equal harmless
+// ones or not, and against refusing callers that completed the same (issue 35).
+func TestCallersThatChange(t *testing.T) {
+	for _, harmless := range []bool{false, true} {
+		var tr Tracker
+		now, crashes := start, 0
+		for i := range 14 {
+			q := from(single(100 + i))
+			if !tr.refuses(q, now) {
+				crashes++
+				tr.crash(Run{ID: fmt.Sprint("u", i)}, now, q)
+			}
+			if harmless {
+				tr.RecordSuccess(from(single(1)), now.Add(time.Millisecond))
+				if tr.refuses(from(single(1)), now.Add(time.Millisecond)) {
+					t.Error("a caller that completes the request is refused")
+				}
+			}
+			now = now.Add(900 * time.Millisecond)
+		}
+		if crashes > maxCrashes {
+			t.Errorf("harmless requests %v: %d crashes, want at most %d", harmless, crashes, maxCrashes)
+		}
+	}
+}
+
+// Guards against a request that is cleared by an equal harmless one from behind the same
+// address (issue 35), and against refusing either for long.
+func TestCallersBehindOneAddress(t *testing.T) {
+	var tr Tracker
+	now, crashes, refusedUntil := start, 0, time.Time{}
+	for i := range 14 {
+		v := tr.Restriction(from(shared), now)
+		if v.Until.IsZero() {
+			crashes++
+			tr.crash(Run{ID: fmt.Sprint("u", i)}, now, from(shared))
+			tr.RecordSuccess(from(shared), now.Add(time.Millisecond))
+		}
+		refusedUntil = v.Until
+		now = now.Add(900 * time.Millisecond)
+	}
+	if crashes > maxCrashes {
+		t.Errorf("%d crashes, want at most %d", crashes, maxCrashes)
+	}
+	if left := refusedUntil.Sub(now); left > shortQuarantine {
+		t.Errorf("refused for %v more, want at most %v", left, shortQuarantine)
+	}
+	now = now.Add(shortQuarantine)
+	tr.RecordSuccess(from(shared), now)
+	if !tr.NoSuspects() {
+		t.Error("still suspected after it completed long after the last crash")
+	}
+}
+
+// Guards against refusing a request that many callers send because upstreams on which they
+// all ran ended at once (issue 35).
+func TestCommonRequestWhenManyUpstreamsEnd(t *testing.T) {
+	var tr Tracker
+	for i := range 7 {
+		tr.crash(Run{ID: fmt.Sprint("u", i)}, start.Add(time.Duration(i)*10*time.Millisecond), from(shared), from(single(i)))
+	}
+	now := start.Add(100 * time.Millisecond)
+	for _, c := range []identity.Caller{shared, single(100)} {
+		tr.RecordSuccess(from(c), now)
+	}
+	for _, c := range []identity.Caller{shared, single(1), single(100), single(101)} {
+		if tr.refuses(from(c), now) {
+			t.Errorf("refused: %v", c)
+		}
+	}
+}
+
+// Guards against refusing all callers of a common request because of crashes one after the
+// other, which many of them survived (issue 35).
+func TestCommonRequestOfManyCallers(t *testing.T) {
+	var tr Tracker
+	now := start
+	for i := range 6 {
+		tr.crash(Run{ID: fmt.Sprint("u", i)}, now, from(single(i)))
+		for j := range maxCompletedCallers {
+			tr.RecordSuccess(from(single(1000+j)), now)
+		}
+		now = now.Add(time.Second)
+	}
+	if tr.refuses(from(single(5000)), now) {
+		t.Error("a new caller of a common request is refused")
+	}
+}
+
+// Guards against evidence of completed requests that is kept for good, and against sets
+// that differ since one lacks it (issue 35).
+func TestCompletedRequestsExpire(t *testing.T) {
+	var tr, other Tracker
+	found := tr.crash(Run{ID: "u"}, start, from(single(1)))
+	found = append(found, tr.RecordSuccess(from(single(2)), start)...)
+	if again := tr.RecordSuccess(from(single(2)), start); len(again) != 0 {
+		t.Errorf("the same success is told again: %+v", again)
+	}
+	for _, e := range found {
+		other.Add(e, start)
+	}
+	if other.Digest() != tr.Digest() {
+		t.Error("the sets differ")
+	}
+	tr.Expire(start.Add(clearedTTL))
+	if len(tr.requests) != 1 || len(tr.byContent[sameContent]) != 1 {
+		t.Errorf("%d requests, %d of the content, want 1", len(tr.requests), len(tr.byContent[sameContent]))
+	}
+	tr.Expire(start.Add(evidenceTTL))
+	if len(tr.byContent) != 0 || tr.Digest() != 0 {
+		t.Errorf("left: %v, digest %x", tr.byContent, tr.Digest())
+	}
+}
