Make the caller a part of fingerprints on the product's own path

Callers saw equal requests refused as quarantined because another caller's had crashed upstreams, and a crashing request was cleared by another caller's success. Requests that follow other earlier turns were taken for one another.

Cause: the same as on the users' platform, a fingerprint of the content alone. Change: pkg/identity, as there: content and authenticated caller, and the program where the messages follow its earlier turns.

Evidence: TestFingerprintNamesContentAndCaller fails on the code before in all three checks; TestCrashingRequestIsQuarantined (another key) passes.

--- a/pkg/frontend/chat.go
+++ b/pkg/frontend/chat.go
@@ -6,6 +6,9 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
 )
 
 // bytesPerToken estimates token counts before an engine has counted them. Four
@@ -139,16 +142,15 @@
 	return append(out, '}'), nil
 }
 
-// Fingerprint identifies the content of a request independently of its key and
-// program, so that a request that crashes upstreams is recognised when resent.
-func (r *ChatRequest) Fingerprint() uint64 {
-	h := xxhash.New()
-	_, _ = h.WriteString(r.Model)
-	_, _ = h.WriteString("\x00" + r.Adapter)
+// Content returns what the request asks for, independently of its key, so that a request
+// that crashes upstreams is recognised when resent. history is the program whose earlier
+// turns precede the messages; empty: the messages are complete.
+func (r *ChatRequest) Content(history core.ProgramID) identity.Content {
+	parts := [][]byte{[]byte(r.Model), []byte(r.Adapter), []byte(history)}
 	for _, m := range r.Messages {
-		_, _ = h.WriteString("\x00" + m.Role + "\x00" + m.Content)
+		parts = append(parts, []byte(m.Role), []byte(m.Content))
 	}
-	return h.Sum64()
+	return identity.NewContent(parts...)
 }
 
 // SharedPrefix returns an identifier and the estimated length of the leading
--- a/pkg/frontend/frontend_test.go
+++ b/pkg/frontend/frontend_test.go
@@ -157,6 +157,35 @@
 	}
 }
 
+// Guards against one caller whose crashes quarantine the equal requests of others, or whose
+// success clears them, and against a request that is not known again under another key
+// (issue 35).
+func TestFingerprintNamesContentAndCaller(t *testing.T) {
+	b := &fakeBackend{owns: true}
+	send := func(path, body, caller, key string, headers ...string) uint64 {
+		t.Helper()
+		headers = append([]string{HeaderCaller, caller, HeaderKey, key}, headers...)
+		serve(t, b, http.MethodPost, path, body, headers...)
+		if len(b.calls) == 0 {
+			t.Fatalf("%s: no call", path)
+		}
+		return b.calls[len(b.calls)-1].Call.Fingerprint
+	}
+	for path, body := range map[string]string{"/v1/chat/completions": question, "/v1/services/parts/lookup": `{"part":"x"}`} {
+		first := send(path, body, "a", "k1")
+		if again := send(path, body, "a", "k2"); again != first {
+			t.Errorf("%s: another fingerprint under another key", path)
+		}
+		if other := send(path, body, "b", "k3"); other == first {
+			t.Errorf("%s: the same fingerprint for another caller", path)
+		}
+	}
+	p1 := send("/v1/chat/completions", question, "a", "k4", HeaderProgram, "p000-1", HeaderHistory, "append")
+	if p2 := send("/v1/chat/completions", question, "a", "k5", HeaderProgram, "p000-2", HeaderHistory, "append"); p1 == p2 {
+		t.Error("the same fingerprint behind other earlier turns")
+	}
+}
+
 // Guards against a request that is let in without a known key.
 func TestAuthentication(t *testing.T) {
 	s := New(Options{Backend: &fakeBackend{}, Callers: []Caller{{Name: "lango", KeySHA256: "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"}}})
@@ -257,7 +286,7 @@
 		if err != nil || !json.Valid(out) {
 			t.Errorf("body %q is passed on as %q, error %v", body, out, err)
 		}
-		r.Fingerprint()
+		r.Content("")
 		r.SharedPrefix()
 	})
 }
--- a/pkg/frontend/request.go
+++ b/pkg/frontend/request.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
 )
 
 // The headers of the caller interface.
@@ -235,7 +236,11 @@
 	}
 	call.Stream = chat.Stream
 	call.Digest = xxhash.Sum64(body)
-	call.Fingerprint = chat.Fingerprint()
+	history := core.ProgramID("")
+	if mode == historyAppend {
+		history = t.Program
+	}
+	call.Fingerprint = fingerprint(call, chat.Content(history))
 	call.PromptTokens = estimateTokens(chat.Messages...)
 	if id, tokens := chat.SharedPrefix(); tokens > 0 {
 		call.SharedPrefix = "s-" + strconv.FormatUint(id, 16)
@@ -244,6 +249,12 @@
 	return &CallRequest{Call: call, Parent: t.Parent, Target: t.Program, Implicit: t.Implicit, Append: mode == historyAppend, Chat: chat}, nil
 }
 
+// fingerprint returns the number that stands for a call over its retries. The callers of
+// this interface are authenticated, so the caller is a single one.
+func fingerprint(call core.Call, c identity.Content) uint64 {
+	return identity.Request{Content: c, Caller: identity.SingleCaller([]byte(call.Caller))}.Fingerprint()
+}
+
 // parseServiceCall builds the call of a request to a plain service.
 func (s *Server) parseServiceCall(r *http.Request, t Target, service, operation string, body []byte) (*CallRequest, error) {
 	call, err := s.baseCall(r, t)
@@ -261,7 +272,7 @@
 	call.Operation = operation
 	call.Request = body
 	call.Digest = xxhash.Sum64String(service + "/" + operation + "\x00" + string(body))
-	call.Fingerprint = call.Digest
+	call.Fingerprint = fingerprint(call, identity.NewContent([]byte(service), []byte(operation), body))
 	return &CallRequest{Call: call, Parent: t.Parent, Target: t.Program, Implicit: t.Implicit, Body: body}, nil
 }
 
