--- a/pkg/edge/crashing_test.go
+++ b/pkg/edge/crashing_test.go
@@ -32,6 +32,7 @@
 // evidence of the others, so that a request crashed two more upstreams after each
 // restart (issue 19).
 func TestCrashingRequestAfterRestart(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	f := newCrashers(d)
@@ -69,6 +70,7 @@
 // TestCrashingRequestAfterRestartOfAll guards against losing a quarantine when all
 // edges restart at the same time while the storage processes keep running (issue 19).
 func TestCrashingRequestAfterRestartOfAll(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	f := newCrashers(d)
@@ -97,6 +99,7 @@
 // TestCrashingRequestsTogether guards against requests that always crash upstreams
 // together, so that none of them is ever the only one in flight (issue 19).
 func TestCrashingRequestsTogether(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	f := newCrashers(d)
@@ -124,6 +127,7 @@
 // repeated at the same time as one that crashes upstreams: it kept the crashing one
 // from being the only suspect, or was refused in its place (issue 19).
 func TestCrashingRequestBesideSoundOne(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	f := newCrashers(d)
@@ -162,6 +166,7 @@
 // TestSilentCrash guards against crashes that are not counted because the upstream's
 // connections only become silent, or because the caller has disconnected (issue 19).
 func TestSilentCrash(t *testing.T) {
+	t.Parallel()
 	for name, timeout := range map[string]time.Duration{"until the deadline": 0, "until the caller leaves": 300 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t)
@@ -193,6 +198,7 @@
 // upstream is back under its ID before the next connection is made, and before the
 // store reports anything (issue 19).
 func TestCrashBehindAbsentStore(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	f := newCrashers(d)
@@ -217,6 +223,7 @@
 // its upstreams lost its responses and their registrations expired while the store
 // was unreachable (issue 19).
 func TestLapsedRegistrationIsNoCrash(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	for i := range 2 {
@@ -244,6 +251,7 @@
 // TestCrashBehindReusedAddress guards against a crash that is not counted because
 // another upstream has taken over the address by the next request (issue 19).
 func TestCrashBehindReusedAddress(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	var crashed atomic.Bool
@@ -271,6 +279,7 @@
 // TestMissedReportIsLearnt guards against an edge that was paused or disconnected
 // when findings were sent, and never asks for them (issue 19).
 func TestMissedReportIsLearnt(t *testing.T) {
+	t.Parallel()
 	for name, storages := range map[string]int{"from an edge": 0, "from a storage process": 3} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t)
@@ -303,6 +312,7 @@
 // requests before it has asked any other process (seeds 1 and 3 of TestCrashingSoak,
 // issue 19).
 func TestFirstRequestAfterRestart(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	f := newCrashers(d)
@@ -335,6 +345,7 @@
 // TestFirstRequestAfterFreeze guards against an edge that was paused and serves a
 // quarantined request before it asks the others for their findings (issue 19).
 func TestFirstRequestAfterFreeze(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	f := newCrashers(d)
@@ -362,6 +373,7 @@
 // TestCrashingRequestAfterPowerLoss guards against losing a quarantine when all
 // processes lose power (issue 19).
 func TestCrashingRequestAfterPowerLoss(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	f := newCrashers(d)
@@ -397,6 +409,7 @@
 // TestRelease guards against a request that some processes still refuse after an
 // operator has released it.
 func TestRelease(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	f := newCrashers(d)
--- a/pkg/edge/delivery_test.go
+++ b/pkg/edge/delivery_test.go
@@ -13,6 +13,7 @@
 // comes late because the process was paused: the write deadline, set when the request
 // began, has then passed.
 func TestAnswerAfterPauseIsCut(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	e := &Edge{logger: d.logger(), metrics: newMetrics()}
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -39,6 +39,7 @@
 // TestLostAnswer guards against running an unsafe request again, and against giving
 // up on a safe one, when an upstream fails without a response.
 func TestLostAnswer(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	d.route(clone(unsafeRoute))
@@ -66,6 +67,7 @@
 // TestFullUpstreams guards against a refusal that does not state that the request has
 // not run, is delayed, or has no Retry-After.
 func TestFullUpstreams(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	var r runs
@@ -93,6 +95,7 @@
 // simulation scale-2 of the large site (seed 93280957007) this caused 824 such
 // responses, and 200 of 717 programs failed.
 func TestFailingUpstreamIsAvoided(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	var failed atomic.Int32
@@ -124,6 +127,7 @@
 // TestFailureAfterRun guards against passing on an upstream's 503, which tells
 // callers that the request has not run, if the upstream does not state that.
 func TestFailureAfterRun(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) {
@@ -140,6 +144,7 @@
 // TestForgedAnswers guards against a success without the upstream's signature, and
 // against the response to another request.
 func TestForgedAnswers(t *testing.T) {
+	t.Parallel()
 	for name, h := range map[string]http.HandlerFunc{
 		"no signature": func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("forged")) },
 		"other id": func(w http.ResponseWriter, req *http.Request) {
@@ -163,6 +168,7 @@
 // TestForwardedRequest guards against forwarding headers that callers must not set,
 // and against changing the path, the body or the remaining time.
 func TestForwardedRequest(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	var r runs
@@ -197,6 +203,7 @@
 // event when its upstream disconnects, and against a broken stream that looks
 // complete.
 func TestStreamResumes(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(resumable))
 	d.route(clone(history))
@@ -230,6 +237,7 @@
 // TestSilentStream guards against a stream that waits for a silent upstream until the
 // caller disconnects.
 func TestSilentStream(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(resumable))
 	var r runs
@@ -253,6 +261,7 @@
 // TestConfiguration guards against a configuration that is not applied, and against a
 // return to an older one.
 func TestConfiguration(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
@@ -271,6 +280,7 @@
 
 // TestDrainingUpstream guards against sending new work to a draining upstream.
 func TestDrainingUpstream(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
@@ -283,6 +293,7 @@
 // TestRestartInOutage guards against an edge that serves nothing after a restart
 // while the store is down, although other edges know the deployment.
 func TestRestartInOutage(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
@@ -298,6 +309,7 @@
 // TestCallerLeaves guards against an upstream that keeps working for a caller that
 // has disconnected.
 func TestCallerLeaves(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	canceled := make(chan struct{})
@@ -322,6 +334,7 @@
 // TestStop guards against a planned stop that interrupts a request, and against an
 // edge that reports readiness while it stops.
 func TestStop(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	started, release := make(chan struct{}), make(chan struct{})
@@ -358,6 +371,7 @@
 // TestStopWithoutStorage guards against a planned stop that exceeds the platform's
 // grace period, and so ends with a kill, because token usage cannot be written.
 func TestStopWithoutStorage(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
@@ -383,6 +397,7 @@
 
 // TestTimeout guards against a response later than the route's timeout.
 func TestTimeout(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	r := clone(unsafeRoute)
 	r["TimeoutMs"] = 300
@@ -417,6 +432,7 @@
 // learning the deployment. In the incident inc-0702 this refused seven requests
 // within 150 ms of a power loss.
 func TestRequestWaitsForStart(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	p := d.edge("127.0.0.1")
@@ -439,6 +455,7 @@
 // TestAddressInUse guards against a process that neither serves nor ends if one of
 // its addresses is in use (found by the soak test, seed 7).
 func TestAddressInUse(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/pkg/edge/fanout_test.go
+++ b/pkg/edge/fanout_test.go
@@ -65,6 +65,7 @@
 // memory and traffic would grow with the deployment, and against changes that arrive
 // late at the end of a chain of edges, also after an edge in the chain has stopped.
 func TestFeedsThroughRelays(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
--- a/pkg/edge/follow_test.go
+++ b/pkg/edge/follow_test.go
@@ -38,6 +38,7 @@
 // TestFollowersDoNotCallStore guards against store calls that grow with the number of
 // edges, and against followers that miss a change.
 func TestFollowersDoNotCallStore(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
@@ -72,6 +73,7 @@
 // TestFollowedEntryEnds guards against edges that miss changes after the edge that
 // they follow has stopped.
 func TestFollowedEntryEnds(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
@@ -100,6 +102,7 @@
 // TestFollowedEntryIsCutOff guards against edges that keep following one that can no
 // longer reach the store, although they can.
 func TestFollowedEntryIsCutOff(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
@@ -129,6 +132,7 @@
 // to follow seeds that are not back yet. In the simulation trouble-1 of the large
 // site this refused 37 requests, and edges took 0.2 to 1.1 s to learn the deployment.
 func TestStartWithoutSeeds(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
@@ -170,6 +174,7 @@
 // fresh-da22 of the new customer's site this refused 182 requests in the 0.3 to 1 s
 // until the upstreams had registered again.
 func TestLapsedBehindAWaitingWatch(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
--- a/pkg/edge/halfclose_test.go
+++ b/pkg/edge/halfclose_test.go
@@ -14,6 +14,7 @@
 // as complete, for a caller that closes only its sending half. Its request ends, since a
 // closed connection looks the same, but it gets an answer that says so.
 func TestHalfClosedCallerGetsFalseSuccess(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name, method, path, body string
 		first                    int // events before the close
@@ -70,6 +71,7 @@
 // TestPanicLeavesNoAnswer guards against a fault in the handling of one request that
 // closes the caller's connection without an answer and without a line in the log.
 func TestPanicLeavesNoAnswer(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	// Without a view the handler dereferences a nil pointer.
 	e := &Edge{logger: d.logger(), metrics: newMetrics(), transit: membudget.New(1 << 20), inFlight: newInFlight(),
--- a/pkg/edge/leaving_test.go
+++ b/pkg/edge/leaving_test.go
@@ -62,6 +62,7 @@
 // has announced its shutdown in any kind of response, although its registration still
 // says "ready", with and without the store.
 func TestNoWorkForLeavingUpstream(t *testing.T) {
+	t.Parallel()
 	kinds := map[string]struct {
 		path    string
 		handler http.HandlerFunc
@@ -111,6 +112,7 @@
 // is shutting down, and against refusing requests while the last upstream of a
 // service may still be used.
 func TestLastUpstreamLeaves(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(resumable))
 	release := make(chan struct{})
--- a/pkg/edge/lostturn_test.go
+++ b/pkg/edge/lostturn_test.go
@@ -221,6 +221,7 @@
 // heard of yet (issue 32): with 60 edges, the lists of members differ while storage
 // processes join.
 func TestNotFoundNeedsTheCurrentList(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(lostTurnRoute())
 	var r runs
--- a/pkg/edge/membership_test.go
+++ b/pkg/edge/membership_test.go
@@ -30,6 +30,7 @@
 // process was replaced: another member takes its place in a program's replica group, and
 // a quorum of the new group could lack the records of the old one.
 func TestBudgetAfterReplacement(t *testing.T) {
+	t.Parallel()
 	const members, programs = 8, 40
 	d := newDeployment(t)
 	d.route(clone(history))
@@ -87,6 +88,7 @@
 // process joins: an entry that has not learnt of it writes to a quorum of the old replica
 // group, and a quorum of the new one could lack the record.
 func TestBudgetWithStaleMembers(t *testing.T) {
+	t.Parallel()
 	const members, programs = 8, 60
 	d := newDeployment(t)
 	d.route(clone(history))
@@ -137,6 +139,7 @@
 // TestTurnReplicasAfterRemoval guards against a turn that keeps one replica less for good:
 // a member that is not new takes an unreachable one out of the ledger.
 func TestTurnReplicasAfterRemoval(t *testing.T) {
+	t.Parallel()
 	const members, turns = 8, 20
 	d := newDeployment(t)
 	d.route(clone(history))
--- a/pkg/edge/misbehavior_test.go
+++ b/pkg/edge/misbehavior_test.go
@@ -43,6 +43,7 @@
 // without end. The edge's memory must stay bounded, other callers must be served, and
 // callers of that upstream must not receive a response that looks successful.
 func TestEndlessUpstream(t *testing.T) {
+	t.Parallel()
 	const maxHeapGrowth = 48 << 20 // the share of one upstream, garbage not yet collected, and the test servers
 	signed := func(w http.ResponseWriter, req *http.Request, kind string) {
 		sign(w, req)
@@ -141,6 +142,7 @@
 // TestStalledStreams guards against a stalled stream that is kept alive by comments,
 // empty events or single bytes instead of being resumed at another upstream.
 func TestStalledStreams(t *testing.T) {
+	t.Parallel()
 	trickle := func(part string) http.HandlerFunc {
 		return func(w http.ResponseWriter, req *http.Request) {
 			events(w, req, 1, 1)
@@ -184,6 +186,7 @@
 // TestSlowStreamIsNotCut guards against interrupting a slow but correct stream when
 // no other upstream could continue it.
 func TestSlowStreamIsNotCut(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(resumable))
 	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) {
@@ -202,6 +205,7 @@
 // TestSlowBodyIsNotRunAgain guards against retrying a request whose response arrives
 // slowly but steadily.
 func TestSlowBodyIsNotRunAgain(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	var r runs
@@ -239,6 +243,7 @@
 // they never complete, or that frame a request so that edge and upstream would read
 // it differently.
 func TestCallersInTrouble(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	var r runs
@@ -295,6 +300,7 @@
 // contradictory length and encoding, an upstream could see a second request inside
 // the first (request smuggling).
 func TestLengthBesideChunks(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	var r runs
@@ -319,6 +325,7 @@
 // TestCallerThatDoesNotRead guards against a caller that does not read its response
 // and thereby holds memory and a goroutine of the edge forever.
 func TestCallerThatDoesNotRead(t *testing.T) {
+	t.Parallel()
 	if testing.Short() {
 		t.Skip("waits for the delivery margin")
 	}
--- a/pkg/edge/oddentry_test.go
+++ b/pkg/edge/oddentry_test.go
@@ -37,6 +37,7 @@
 // upstreams, or sends requests to nobody, because of one odd entry in the list that
 // another program wrote (issue 29).
 func TestOddEntry(t *testing.T) {
+	t.Parallel()
 	for name, spec := range oddEntries() {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t)
--- a/pkg/edge/outofstep_test.go
+++ b/pkg/edge/outofstep_test.go
@@ -170,6 +170,7 @@
 // name no version, or joining them to another one, since a release that names its version
 // has begun (issue 32).
 func TestStreamOfUnnamedVersionGoesOn(t *testing.T) {
+	t.Parallel()
 	for name, other := range map[string]bool{"at the first edge": false, "at another edge": true} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t)
@@ -219,6 +220,7 @@
 // since its record was never written: the edge and the storage processes that should have
 // it ended right after its first events (issue 32).
 func TestStreamWithoutRecordIsRefused(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	route := clone(resumable)
 	route["MaxAttempts"] = 1
@@ -262,6 +264,7 @@
 // name the stream that it takes up and the edge has lost the store, and against refusing it
 // at an edge that is up to date and lists no versions (issue 32).
 func TestTakeUpThatNamesNoStream(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(resumable))
 	v := &versionedUpstreams{d: d}
--- a/pkg/edge/ratelimit_test.go
+++ b/pkg/edge/ratelimit_test.go
@@ -124,6 +124,7 @@
 // rate limit that it names to all edges together, while another upstream has capacity
 // (issue 26).
 func TestRequestsBeyondRateLimit(t *testing.T) {
+	t.Parallel()
 	for name, path := range map[string]string{"plain": "/unsafe/1", "stream": "/resumable/1"} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t)
@@ -151,6 +152,7 @@
 // of a service have one, and against holding a request that none of them may take
 // (issue 26).
 func TestAllUpstreamsAtRateLimit(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	upstreams := []*limitedUpstream{{limit: 3}, {limit: 0.5}}
@@ -181,6 +183,7 @@
 // TestRateLimitEnds guards against refusing requests after the only upstream of a
 // service has stopped naming a limit, and against missing a limit that is lowered.
 func TestRateLimitEnds(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	u := &limitedUpstream{limit: 50}
@@ -210,6 +213,7 @@
 // whose limit only another edge has heard of, and against an edge that starts without
 // the limits that the others know (issue 26).
 func TestRateLimitIsToldToOthers(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	u := &limitedUpstream{limit: 0.5}
--- a/pkg/edge/refusedagain_test.go
+++ b/pkg/edge/refusedagain_test.go
@@ -55,6 +55,7 @@
 // more on a kept connection; also if the caller sends the same request again, for which
 // the refusal was (issue 29).
 func TestRefusalWrittenAgain(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		path      string
 		id        string // of the second request; the first one is "first"
--- a/pkg/edge/replacement_test.go
+++ b/pkg/edge/replacement_test.go
@@ -54,6 +54,7 @@
 // and a lost member that stays in the ledger, because the store's answer to the registration
 // was lost: all turns with a budget are refused from then on (issue 32).
 func TestReplacementWithLostAnswer(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(history))
 	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 1) })
@@ -75,6 +76,7 @@
 // TestTwoLostInTwoDomains guards against members that stay in the ledger for good because
 // the process that would take one out waits for the records of the other (issue 32).
 func TestTwoLostInTwoDomains(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(history))
 	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 1) })
@@ -91,6 +93,7 @@
 // joined a small ledger at once: an entry that has not learnt of them writes to a quorum of
 // the old members, and the two form a quorum with one that lacks the record (issue 32).
 func TestBudgetWithTwoJoining(t *testing.T) {
+	t.Parallel()
 	const members, programs = 3, 10
 	d := newDeployment(t)
 	d.route(clone(history))
@@ -128,6 +131,7 @@
 // ends and starts again right after its registration: it must not count for reads before it
 // has copied the usage records again (issue 32).
 func TestKilledWhileSettling(t *testing.T) {
+	t.Parallel()
 	const members, programs = 8, 60
 	d := newDeployment(t)
 	d.route(clone(history))
@@ -167,6 +171,7 @@
 // of a complete log that is left on its disk must not make it count for reads before it has
 // copied the usage records again (issue 32).
 func TestReturnedAndKilledWhileSettling(t *testing.T) {
+	t.Parallel()
 	const members, programs = 8, 60
 	d := newDeployment(t)
 	d.route(clone(history))
@@ -211,6 +216,7 @@
 // process takes the places of two members at once, one lost for good and one only down:
 // the two may be all that have a record (issue 32; seed 136 of TestLostSoak).
 func TestReplacementWaitsForMemberThatIsDown(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(history))
 	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 1) })
--- a/pkg/edge/restartedversion_test.go
+++ b/pkg/edge/restartedversion_test.go
@@ -93,6 +93,7 @@
 // which started again under its id and address with another version, at an edge that has
 // not heard of the new registration (issue 32).
 func TestUpstreamRestartsAtOtherVersion(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		named     string // version that the first registrations name
 		restarted int    // upstreams that start again
@@ -134,6 +135,7 @@
 // that begins, at an edge that has lost the store, at an upstream which started again with
 // another version: it is then joined wherever it is taken up (issue 32).
 func TestNewStreamAtRestartedUpstream(t *testing.T) {
+	t.Parallel()
 	for name, named := range map[string]string{"version named": "v1", "version not named": ""} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t)
--- a/pkg/edge/stalled_test.go
+++ b/pkg/edge/stalled_test.go
@@ -10,6 +10,7 @@
 // TestStalledStreamIsLeftForRefusal guards against breaking off a stream of a slow but sound
 // upstream because every other upstream, to which it would move, refuses it.
 func TestStalledStreamIsLeftForRefusal(t *testing.T) {
+	t.Parallel()
 	const pause = 900 * time.Millisecond // the stall limit of the route is 450 ms
 	d := newDeployment(t)
 	d.route(clone(resumable))
--- a/pkg/edge/status_test.go
+++ b/pkg/edge/status_test.go
@@ -9,6 +9,7 @@
 
 // TestStatus guards against a status that does not show why an upstream is not used.
 func TestStatus(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
--- a/pkg/edge/storage_test.go
+++ b/pkg/edge/storage_test.go
@@ -27,6 +27,7 @@
 // TestRetirement guards against removing a storage instance with turns that no other
 // one has, and against a retirement that never completes.
 func TestRetirement(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(history))
 	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 1) })
@@ -65,6 +66,7 @@
 // member again after a restart without the records written meanwhile: in the
 // simulation store-disks it registered before it had read its registration.
 func TestRemovedMemberCatchesUp(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(history))
 	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 1) })
@@ -94,6 +96,7 @@
 // TestReplacedMember guards against a ledger that keeps a lost process in its
 // majority after a new one has replaced it.
 func TestReplacedMember(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(history))
 	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 1) })
@@ -117,6 +120,7 @@
 // TestRestartOfAllInOutage guards against a deployment that serves nothing after all
 // its processes have restarted while the store is unreachable.
 func TestRestartOfAllInOutage(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(history))
 	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 2) })
@@ -185,6 +189,7 @@
 // storage processes, and against a storage process that misses its retirement, or new
 // members, after the edge that it follows has stopped.
 func TestStorageDoesNotCallStore(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
@@ -215,6 +220,7 @@
 // retirement because the edge that it follows received it from another edge and did
 // not pass it on (found by the simulation hunt-1b52-7 of the large site).
 func TestRetirementOverEntries(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
--- a/pkg/edge/streamerror_test.go
+++ b/pkg/edge/streamerror_test.go
@@ -98,6 +98,7 @@
 // TestErrorInsideStream guards against the text or the head of an upstream's error in the
 // middle of a caller's stream, and against a stream that ends as complete there (issue 32).
 func TestErrorInsideStream(t *testing.T) {
+	t.Parallel()
 	for name, h := range continuations() {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t)
@@ -129,6 +130,7 @@
 // TestTakenUpStreamIsInOrder guards against events that come twice, are missing or belong to
 // no event where a caller takes a stream up after its third event (issue 32).
 func TestTakenUpStreamIsInOrder(t *testing.T) {
+	t.Parallel()
 	text := func(s string) http.HandlerFunc { return signedBody(http.StatusOK, "text/event-stream", s) }
 	const next = "id: 4\ndata: word4\n\n"
 	for name, c := range map[string]struct {
@@ -168,6 +170,7 @@
 // TestStreamAfterFailedContinuation guards against giving a stream up, though a third
 // upstream can continue it, after one that answered with no continuation (issue 32).
 func TestStreamAfterFailedContinuation(t *testing.T) {
+	t.Parallel()
 	for name, h := range map[string]http.HandlerFunc{
 		"JSON":                   signedBody(http.StatusOK, "application/json", "{\"error\": \"no\"}\n\n"),
 		"head inside the stream": signedBody(http.StatusOK, "text/event-stream", "HTTP/1.1 500 Internal Server Error\r\n\r\n"),
@@ -206,6 +209,7 @@
 // TestFirstAnswerIsNoStream guards against relaying a response that is no event stream as
 // one: the caller gets it whole, with its proof, or an error (issue 32).
 func TestFirstAnswerIsNoStream(t *testing.T) {
+	t.Parallel()
 	const page = "<html>\n\nerror</html>"
 	for name, c := range map[string]struct {
 		path string
@@ -256,6 +260,7 @@
 // TestStreamWithoutIDsIsNotContinued guards against events that come twice: a stream whose
 // events have no ids can't be continued after one that was delivered (issue 32).
 func TestStreamWithoutIDsIsNotContinued(t *testing.T) {
+	t.Parallel()
 	for name, first := range map[string]string{
 		"no ids":             "data: word1\n\ndata: word2\n\n",
 		"last one without":   "id: 1\ndata: word1\n\ndata: word2\n\n",
--- a/pkg/edge/streamversion_test.go
+++ b/pkg/edge/streamversion_test.go
@@ -116,6 +116,7 @@
 // TestStreamContinuedAtOtherVersion guards against an answer whose events come from two
 // software versions, after the upstream that began it broke off (issue 29).
 func TestStreamContinuedAtOtherVersion(t *testing.T) {
+	t.Parallel()
 	for name, budget := range map[string]bool{"with budget": true, "without budget": false} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t)
@@ -278,6 +279,7 @@
 // TestStreamOfGoneVersion guards against a stream that goes on at another version once no
 // upstream of its own is left, and against callers that wait for a refusal (issue 29).
 func TestStreamOfGoneVersion(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(resumable))
 	v := &versionedUpstreams{d: d}
@@ -315,6 +317,7 @@
 // take it up, since the other upstreams of its version have just announced their shutdown
 // (issue 29).
 func TestStreamGoesOnAtDrainingUpstream(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(resumable))
 	v := &versionedUpstreams{d: d}
@@ -357,6 +360,7 @@
 // that was chosen for it has no upstream left, and against taking it up at that version
 // afterwards (issue 29).
 func TestStreamMovesBeforeFirstEvent(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	route := clone(resumable)
 	route["MaxAttempts"] = 1
--- a/pkg/edge/suspects_test.go
+++ b/pkg/edge/suspects_test.go
@@ -37,6 +37,7 @@
 // TestPoisonRequest guards against a request that is retried at any edge and crashes
 // all upstreams one after the other.
 func TestPoisonRequest(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(unsafeRoute))
 	var crashes atomic.Int32
--- a/pkg/edge/suspension_test.go
+++ b/pkg/edge/suspension_test.go
@@ -33,6 +33,7 @@
 // TestSuspensionEndsRequests guards against retrying a request whose time ran out
 // while the machine was suspended.
 func TestSuspensionEndsRequests(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	var r runs
@@ -56,6 +57,7 @@
 // TestSuspensionInvalidatesView guards against serving a request with state from
 // before a suspension of the machine.
 func TestSuspensionInvalidatesView(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	named := func(name string) http.HandlerFunc {
--- a/pkg/edge/turn_test.go
+++ b/pkg/edge/turn_test.go
@@ -24,6 +24,7 @@
 // TestHistory guards against a turn whose history is lost, mixed up or out of order,
 // also through another edge and after a restart of all processes.
 func TestHistory(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(history))
 	var r runs
@@ -74,6 +75,7 @@
 // restarts empty must copy the records of the others before it becomes a member
 // again.
 func TestLostDisk(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(history))
 	var r runs
@@ -116,6 +118,7 @@
 // TestBudget guards against exceeding a budget, also by turns at other edges, and
 // against a 402 for a turn that ran.
 func TestBudget(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(history))
 	var r runs
@@ -142,6 +145,7 @@
 // silent-connections (seed 451784357851) a turn answered at 8.516 s, by an edge whose
 // connections had become silent, got a 404 at 8.627 s.
 func TestTurnNotYetDurable(t *testing.T) {
+	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(history))
 	var r runs
