Do not take a member out by a registration from before its return

Callers saw nothing by themselves: a storage process that had returned to the ledger stayed out of it for good, so that later losses had one member less to meet them.

All newer members of a failure domain ping an older one and take it out after 7 s, each on its own. removeMember read the current revision, but wrote the registration that it knew when it began to copy records. If the member had been taken out by another process, had caught up and registered again meanwhile, its new registration was overwritten by the earlier one. The member ignores registrations with an earlier start as outdated events (members.put), so it went on as a complete member that nobody asks.

The removal now changes the registration that the store has, and fails if the member has registered again since it was found unreachable. The pings that follow decide anew.

--- a/pkg/storage/join.go
+++ b/pkg/storage/join.go
@@ -440,20 +440,32 @@
 }
 
 // removeMember marks a member as removed from the ledger. It reports whether that
-// succeeded.
-func (s *Storage) removeMember(ctx context.Context, n platform.Node) bool {
+// succeeded. It fails if the member has registered again: it was reachable then, and would
+// take its earlier registration for an outdated event.
+func (s *Storage) removeMember(ctx context.Context, known platform.Node) bool {
+	if err := s.markRemoved(ctx, known); err != nil {
+		s.logger.Warn("failed to remove member from the ledger", "member", known.Name, "err", err)
+		return false
+	}
+	s.logger.Info("member taken out", "member", known.Name, "address", known.Address, "replaced_by", s.settings.Node)
+	return true
+}
+
+func (s *Storage) markRemoved(ctx context.Context, known platform.Node) error {
 	store := s.store.Load()
-	o, err := store.Get(ctx, platform.KindNodes, n.Name)
-	if err == nil {
-		n.Removed = true
-		err = store.Update(ctx, platform.KindNodes, n.Name, o.Revision, n)
+	o, err := store.Get(ctx, platform.KindNodes, known.Name)
+	if err != nil {
+		return err
 	}
+	n, err := platform.DecodeNode(o)
 	if err != nil {
-		s.logger.Warn("failed to remove member from the ledger", "member", n.Name, "err", err)
-		return false
+		return err
 	}
-	s.logger.Info("member taken out", "member", n.Name, "address", n.Address, "replaced_by", s.settings.Node)
-	return true
+	if !n.Started.Equal(known.Started) {
+		return errors.Errorf("registered again at %v, known since %v", n.Started, known.Started)
+	}
+	n.Removed = true
+	return store.Update(ctx, platform.KindNodes, known.Name, o.Revision, n)
 }
 
 // outages records since when members have been unreachable.
--- a/pkg/storage/retire_test.go
+++ b/pkg/storage/retire_test.go
@@ -129,3 +129,40 @@
 		t.Error("its writes count although it was removed from the ledger")
 	}
 }
+
+// Guards against a member that is out of the ledger for good without knowing it: another
+// process takes it out by a registration from before its return (issue 35). It ignores that
+// registration as its own earlier one, and nobody asks it any more.
+func TestRemovalOfReturnedMember(t *testing.T) {
+	t.Parallel()
+	store := platformstore.New()
+	server := httptest.NewServer(store)
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	url := strings.TrimPrefix(server.URL, "http://")
+	ips := loopback.Addresses("127.0.0.", 34, 2)
+	port, err := loopback.FreePort(ips...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	returned, remover := startMember(t, store, url, ips[0], port), startMember(t, store, url, ips[1], port)
+	before := ownRegistration(t, returned)
+	if !returned.register(t.Context()) {
+		t.Fatal("the member does not register again")
+	}
+	if remover.removeMember(t.Context(), before) {
+		t.Error("a registration from before the return of a member was enough to take it out")
+	}
+	spec, _, _ := store.Get(platform.KindNodes, returned.settings.Node)
+	if n, err := platform.DecodeNode(platform.Object{Name: returned.settings.Node, Spec: spec}); err != nil || n.Removed || n.Started.Equal(before.Started) {
+		t.Errorf("the member is registered as %+v, %v", n, err)
+	}
+	now := ownRegistration(t, returned)
+	if !remover.removeMember(t.Context(), now) {
+		t.Fatal("the member is not taken out by its current registration")
+	}
+	for end := time.Now().Add(5 * time.Second); returned.ledger.WriteStatus() == peerv1.LedgerReply_OK; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the member does not learn that it was taken out")
+		}
+	}
+}
