Let members after the first ones settle at the first start, too

Callers of a deployment that has just started for the first time got more tokens than the budget of their program.

Entries learn of the storage processes one by one while these register. One that knows three of 24 reserves at these, and another one that knows all asks three of the five of the program's replica group, which may be others. Processes that join later count for reads only once they have copied the usage records after all entries had time to learn of them; at the first start each process counted at once.

Now the order of the registrations decides. Of the first 2n+1 members, if n may be lost, any two quorums share one, so these count at once, and a deployment of three starts as before.

The members of the tests of pkg/storage tolerated no loss, for which only the first one counts at once; they now tolerate one, as deployments do, and startMember waits until they count for reads, which is more than before.

--- a/pkg/edge/membership_test.go
+++ b/pkg/edge/membership_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
 )
@@ -173,3 +175,41 @@
 		}
 	}
 }
+
+// TestBudgetWhileStarting guards against a budget that is exceeded while a deployment starts
+// for the first time: an entry that knows the first storage processes reserves at these, and
+// those that register later form quorums without them (issue 35; seed 202 of TestLostSoak
+// with 60 edges and 24 storage processes).
+func TestBudgetWhileStarting(t *testing.T) {
+	t.Parallel()
+	const members, early, programs = 8, 2, 40
+	d := newDeployment(t)
+	d.route(clone(history))
+	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 1) })
+	for i := range early {
+		d.storage(fmt.Sprintf("127.0.0.%d", 11+i), t.TempDir())
+	}
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, early)
+	reserve := func(c *ledger.Client, program int, attempt uint64) error {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_, err := c.Reserve(ctx, &peerv1.Usage{Program: fmt.Sprint("p", program), Attempt: attempt, Tokens: 70}, 100, 0)
+		return err
+	}
+	first := ledger.NewClient(p.edge.transport, staleDirectory(p.edge.view.Storage()), 1, d.logger())
+	for i := early; i < members; i++ {
+		d.storage(fmt.Sprintf("127.0.0.%d", 11+i), t.TempDir())
+	}
+	for i := range programs {
+		if err := reserve(first, i, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.ready(t, 1, members)
+	for i := range programs {
+		if err := reserve(p.edge.ledger, i, 2); !errors.Is(err, ledger.ErrOverBudget) {
+			t.Errorf("p%d: 70 more tokens of a budget of 100 with 70 reserved: %v, want %v", i, err, ledger.ErrOverBudget)
+		}
+	}
+}
--- a/pkg/storage/join.go
+++ b/pkg/storage/join.go
@@ -57,6 +57,9 @@
 	replacing bool
 	// begun is set once catchUp was called.
 	begun bool
+	// founding is set until this process has become a member of a ledger without records, at
+	// the first start of the deployment.
+	founding bool
 	// settleAt is when a new member copies the usage records again; zero: it is not new.
 	settleAt time.Time
 }
@@ -64,12 +67,10 @@
 // joinLedger makes this process a member of the ledger and keeps it one until the
 // context is done.
 func (s *Storage) joinLedger(ctx context.Context) {
-	if s.settings.FirstStart && s.ledger.Status() == peerv1.LedgerReply_CATCHING_UP {
-		if err := s.ledger.MarkComplete(ctx); err != nil {
-			s.logger.Error("failed to initialize the ledger", "err", err)
-		}
+	j := &joiner{
+		s: s, outages: newOutages(), progress: newPullProgress(), copied: make(map[string]map[string]bool),
+		founding: s.settings.FirstStart && s.ledger.Status() == peerv1.LedgerReply_CATCHING_UP,
 	}
-	j := &joiner{s: s, outages: newOutages(), progress: newPullProgress(), copied: make(map[string]map[string]bool)}
 	lastPing := time.Now()
 	for ctx.Err() == nil {
 		j.step(ctx)
@@ -105,6 +106,8 @@
 		j.progress.clear()
 	case status == peerv1.LedgerReply_CATCHING_UP && !j.settleAt.IsZero():
 		j.settle(ctx)
+	case status == peerv1.LedgerReply_CATCHING_UP && j.founding:
+		j.found(ctx, own, registered)
 	case status == peerv1.LedgerReply_CATCHING_UP:
 		j.catchUp(ctx, own, registered)
 	case !registered || !own.Active || own.Address != s.settings.PeerAddress():
@@ -112,6 +115,50 @@
 	}
 }
 
+// found makes this process a member at the first start of the deployment. Entries learn of
+// the members one by one and reserve at a quorum of those that they know. Any two quorums of
+// the first 2n+1 members share one, if n may be lost, so these count for reads at once. Later
+// ones settle first.
+func (j *joiner) found(ctx context.Context, own platform.Node, registered bool) {
+	s := j.s
+	if (!registered || !own.Active || own.Address != s.settings.PeerAddress()) && !s.register(ctx) {
+		return
+	}
+	earlier, err := s.countEarlier(ctx)
+	if err != nil {
+		s.logger.Info("order of the first members not known", "err", err)
+		return
+	}
+	j.founding = false
+	if earlier <= 2*s.settings.DisksToLose && s.markCaughtUp(ctx) {
+		return
+	}
+	j.settleAt = time.Now().Add(settleDelay)
+}
+
+// countEarlier returns how many members registered before this process, by the platform's
+// store.
+func (s *Storage) countEarlier(ctx context.Context) (int, error) {
+	objects, _, err := s.store.Load().List(ctx, platform.KindNodes)
+	if err != nil {
+		return 0, err
+	}
+	own := slices.IndexFunc(objects, func(o platform.Object) bool { return o.Name == s.settings.Node })
+	if own < 0 {
+		return 0, errors.New("own registration is not listed")
+	}
+	earlier := 0
+	for _, o := range objects {
+		n, err := platform.DecodeNode(o)
+		// One that can't be read may be a member. The order may not be known.
+		member := err != nil || n.Role == platform.RoleStorage && n.Active
+		if member && o.Name != s.settings.Node && o.Created <= objects[own].Created {
+			earlier++
+		}
+	}
+	return earlier, nil
+}
+
 // refreshMembership reads the registrations after a suspension of the machine,
 // during which other processes may have removed this one from the ledger.
 func (s *Storage) refreshMembership(ctx context.Context, total time.Duration) {
--- a/pkg/storage/retire_test.go
+++ b/pkg/storage/retire_test.go
@@ -16,12 +16,13 @@
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
 
-// startMember starts a storage process and returns it once it is a member.
+// startMember starts a storage process and returns it once it is a member that counts for
+// reads.
 func startMember(t *testing.T, store *platformstore.Store, url, ip string, port int) *Storage {
 	t.Helper()
 	s, err := New(&platform.Settings{
 		Node: "node-" + ip, IP: ip, FailureDomain: "a1", Region: "a", RegionOf: map[string]string{"a1": "a"},
-		PeerPort: port, FirstStart: true, DataDir: t.TempDir(), StoreAddress: url,
+		PeerPort: port, FirstStart: true, DisksToLose: 1, DataDir: t.TempDir(), StoreAddress: url,
 	}, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -31,7 +32,8 @@
 	go func() { done <- s.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
 	for end := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-		if spec, _, ok := store.Get(platform.KindNodes, "node-"+ip); ok && strings.Contains(string(spec), `"active":true`) {
+		spec, _, ok := store.Get(platform.KindNodes, "node-"+ip)
+		if ok && strings.Contains(string(spec), `"active":true`) && s.ledger.Status() == peerv1.LedgerReply_OK {
 			return s
 		}
 		if time.Now().After(end) {
