Take the time of a lost answer before the soak closes its connection

A connection that was closed before a request was sent on it is allowed.

The time is now taken when the read fails. No bound changes.

--- a/soak/lostcaller_test.go
+++ b/soak/lostcaller_test.go
@@ -88,9 +88,10 @@
 		err = c.receive(conn, e, &a)
 	}
 	if err != nil {
+		lost := time.Now() // at once: on a busy machine a close may take a part of a second
 		c.drop(e)
 		if a.sent {
-			c.l.recordCut(cutRequest{id: id, edge: e, sent: sent, lost: time.Now(), head: a.status != 0, err: err})
+			c.l.recordCut(cutRequest{id: id, edge: e, sent: sent, lost: lost, head: a.status != 0, err: err})
 		}
 	}
 	switch a.status {
