Take retired storage processes away in the soak

TestLostSoak waited for the state "done" of a retirement, but storage processes report "completed" (platform/objects.go). So every retirement was noted as "has not retired in time", and no process was ever taken away after one: whether its records outlive it was never played.

--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -52,6 +52,7 @@
 	acked    int       // version of the configuration
 	ackedAt  time.Time // when the store acknowledged it
 	joined   int       // storage processes so far
+	retired  int       // storage processes that were taken away after their retirement
 }
 
 // faultState tells when faults concern a process.
@@ -415,8 +416,8 @@
 			if len(l.answered) < 20 {
 				t.Errorf("only %d turns were answered whole", len(l.answered))
 			}
-			t.Logf("faults %v: %d requests ran, %d turns were answered whole, %d requests were cut, statuses %v",
-				l.classes, len(l.runs.runs), len(l.answered), len(l.cut), l.statuses)
+			t.Logf("faults %v: %d requests ran, %d turns were answered whole, %d requests were cut, %d storage processes retired, statuses %v",
+				l.classes, len(l.runs.runs), len(l.answered), len(l.cut), l.retired, l.statuses)
 			if t.Failed() {
 				l.keepLostLogs()
 			}
--- a/soak/lostfault_test.go
+++ b/soak/lostfault_test.go
@@ -126,8 +126,11 @@
 	l.store.Put(platform.KindRetirements, node, map[string]any{"DeadlineS": 10})
 	l.note("storage %s retires", p.ip)
 	for began := time.Now(); time.Since(began) < recoveryTime; time.Sleep(50 * time.Millisecond) {
-		if _, status, _ := l.store.Get(platform.KindRetirements, node); strings.Contains(string(status), `"done"`) {
+		if _, status, _ := l.store.Get(platform.KindRetirements, node); strings.Contains(string(status), `"completed"`) {
 			l.note("storage %s has retired", p.ip)
+			l.mu.Lock()
+			l.retired++
+			l.mu.Unlock()
 			l.remove(p)
 			return
 		}
