Send the earlier turns to members that store a later one without them

Callers whose conversation goes on for longer than twice RetentionS could get 503 for each further turn, though its parent was answered whole a moment ago ("ancestor turn ... is missing").

A turn is acknowledged by a quorum of its replica group, and a member that stores it keeps the turns before it as long as that one, but only up to the first one that it lacks. If other members answer first, or one is away for some turns, no member has the whole chain, and its first turns expire. With up to five storage processes the members asked first were even drawn anew for each turn, by the order of a map.

A member now names, in its acknowledgement of a turn, the latest earlier turn that it lacks, and the edge, which has the conversation in memory, sends it these turns after the response has ended. So each quorum that stores a turn gets its whole chain and keeps it. What can't be sent is sent with the next turn. Members of older builds name none. The replica group has the same order for each turn of a program, so that the members stay the same while none is away and nothing is sent.

TestEarlierTurnsFollowTheLastOne failed without the call of the edge: "not within 10s: the member that was away gets the earlier turn". Processor time, bytes and disk were not measured.

--- a/pkg/edge/lostturn_test.go
+++ b/pkg/edge/lostturn_test.go
@@ -311,3 +311,18 @@
 		t.Error("the next turn is not served")
 	}
 }
+
+// Guards against a storage process that stores a turn and not those before it, which then
+// expire at the others although the conversation goes on (issue 35).
+func TestEarlierTurnsFollowTheLastOne(t *testing.T) {
+	t.Parallel()
+	d := newTurnDeployment(t)
+	d.stores[0].stop()
+	if a := sendTurn(t, d.p, "t1", "", "A", 10000); !a.whole() {
+		t.Fatalf("%+v", a)
+	}
+	d.restartStore(0)
+	d.stores[1].stop()
+	eventually(t, "the next turn is not served", func() bool { return sendTurn(t, d.p, "t2", "t1", "B", 10000).whole() })
+	within(t, 10*time.Second, "the member that was away gets the earlier turn", func() bool { return d.holds(d.stores[0].settings, "t1") })
+}
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -23,6 +23,9 @@
 	// because its turn has become durable. It is below the quarter of a second by which
 	// a route's timeout may be exceeded.
 	lateCommit = 200 * time.Millisecond
+	// completeTimeout limits how long earlier turns are sent to members that lack them, after
+	// the response has ended. What is not sent then is sent with the next turn.
+	completeTimeout = 3 * time.Second
 	// commitRetryTimeout limits the write of a stream's origin beside its first attempt.
 	commitRetryTimeout = 60 * time.Second
 	// maxTurnOutput limits the output of one turn in bytes, so that its ledger record
@@ -46,7 +49,8 @@
 	c        *call
 	reserved bool // tokens are reserved in the ledger
 	settled  bool
-	input    []byte // without the earlier turns
+	input    []byte               // without the earlier turns
+	earlier  []*peerv1.TurnRecord // of the conversation, oldest first
 	output   []byte
 	tokens   int // delivered, as the budget counts them
 	hold     *membudget.Reservation
@@ -153,6 +157,7 @@
 	if err != nil {
 		return err
 	}
+	t.earlier = chain
 	size := len(t.input)
 	for _, r := range chain {
 		size += len(r.GetInput()) + len(r.GetOutput())
@@ -294,6 +299,11 @@
 			c.e.turns.Add(rec.GetId(), rec)
 		}
 		done <- result{receipt, err}
+		if err == nil {
+			completing, cancel := context.WithTimeout(context.Background(), completeTimeout)
+			defer cancel()
+			c.e.ledger.CompleteChains(completing, receipt, t.earlier)
+		}
 	}()
 	t.durability = durabilityNo
 	select {
--- a/pkg/ledger/client.go
+++ b/pkg/ledger/client.go
@@ -84,17 +84,15 @@
 // one program. With five, a majority remains if two lose their disks.
 const ReplicationFactor = 5
 
-// ReplicaGroup returns the members that hold the records of a program. It uses
-// rendezvous hashing: adding or removing one member changes at most one member
-// of each group.
+// ReplicaGroup returns the members that hold the records of a program, in an order that
+// depends on the program only, so that its records are mostly at the same members of a
+// small ledger, too. It uses rendezvous hashing: adding or removing one member changes at
+// most one member of each group.
 func ReplicaGroup(members []Member, key string) []Member {
-	if len(members) <= ReplicationFactor {
-		return members
-	}
 	ranked := slices.Clone(members)
 	rank := func(m Member) uint64 { return xxhash.Sum64String(m.Name + "\x00" + key) }
 	slices.SortFunc(ranked, func(a, b Member) int { return cmp.Compare(rank(b), rank(a)) })
-	return ranked[:ReplicationFactor]
+	return ranked[:min(len(ranked), ReplicationFactor)]
 }
 
 // sortByDistance returns the members of the own region first, then those of other
--- a/pkg/ledger/server.go
+++ b/pkg/ledger/server.go
@@ -89,7 +89,7 @@
 	status := s.Store.ReadStatus()
 	switch op := req.GetOp().(type) {
 	case *peerv1.LedgerRequest_Write:
-		return &peerv1.LedgerReply{Status: s.Store.WriteStatus()}
+		return &peerv1.LedgerReply{Status: s.Store.WriteStatus(), Missing: s.lackedTurns(op.Write.GetRecords())}
 	case *peerv1.LedgerRequest_Reserve:
 		return &peerv1.LedgerReply{Status: s.Store.UsageStatus(), Usage: s.Store.Usage(op.Reserve.GetUsage().GetProgram(), op.Reserve.GetContinues())}
 	case *peerv1.LedgerRequest_Compare:
@@ -106,6 +106,18 @@
 	return &peerv1.LedgerReply{Status: status}
 }
 
+// lackedTurns returns for each turn, if its chain is not complete here, the digest of the
+// latest earlier turn that is lacking.
+func (s Server) lackedTurns(recs []*peerv1.LedgerRecord) []uint64 {
+	var list []uint64
+	for _, rec := range recs {
+		if id, ok := s.Store.LackedTurn(rec.GetTurn().GetId()); ok {
+			list = append(list, turnDigest(id))
+		}
+	}
+	return list
+}
+
 // missing returns the digests of records that the store does not have.
 func (s Server) missing(digests []uint64) []uint64 {
 	have := Digests(s.Store.Records(peerv1.Pull_ALL))
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -188,6 +188,22 @@
 	return chain
 }
 
+// lackedTurn returns the latest turn before the given one that is not in this state; false:
+// all are, or the given one is not.
+func (s *State) lackedTurn(id string) (string, bool) {
+	for range maxChainTurns {
+		t := s.turns[id]
+		if t == nil || t.record.GetParent() == "" {
+			return "", false
+		}
+		id = t.record.GetParent()
+		if s.turns[id] == nil {
+			return id, true
+		}
+	}
+	return "", false
+}
+
 func reverse(list []*peerv1.TurnRecord) {
 	for i, j := 0, len(list)-1; i < j; i, j = i+1, j-1 {
 		list[i], list[j] = list[j], list[i]
@@ -214,11 +230,14 @@
 			_, _ = h.WriteString(o.GetService() + "\x00" + o.GetVersion())
 		}
 	case *peerv1.LedgerRecord_Turn:
-		_, _ = h.WriteString(b.Turn.GetId())
+		return turnDigest(b.Turn.GetId())
 	}
 	return h.Sum64()
 }
 
+// turnDigest returns the digest of a turn.
+func turnDigest(id string) uint64 { return xxhash.Sum64String(id) }
+
 // Digests returns the records indexed by their digests.
 func Digests(recs []*peerv1.LedgerRecord) map[uint64]*peerv1.LedgerRecord {
 	m := make(map[uint64]*peerv1.LedgerRecord, len(recs))
--- a/pkg/ledger/store.go
+++ b/pkg/ledger/store.go
@@ -353,6 +353,14 @@
 	return s.state.Chain(id)
 }
 
+// LackedTurn returns the latest turn before the given one that this process does not have;
+// false: it has all, or not the given one.
+func (s *Store) LackedTurn(id string) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.lackedTurn(id)
+}
+
 // Records returns all usage records, all turns or both.
 func (s *Store) Records(part peerv1.Pull_Part) []*peerv1.LedgerRecord {
 	s.mu.Lock()
--- a/pkg/ledger/write.go
+++ b/pkg/ledger/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +15,45 @@
 type Receipt struct {
 	Acknowledged []string
 	Asked        int // members of the replica group
+	// incomplete are the members that acknowledged a turn and lack an earlier one of its
+	// chain, with the digest of the latest one that they lack.
+	incomplete map[Member]uint64
+}
+
+// CompleteChains sends earlier turns of a conversation to those members that acknowledged its
+// last turn without having them. earlier lists them, oldest first. A member keeps the turns
+// before one that it stores as long as that one, but only those that it has. Members that
+// can't be reached get them with a later turn of the conversation.
+func (c *Client) CompleteChains(ctx context.Context, r Receipt, earlier []*peerv1.TurnRecord) {
+	var wg sync.WaitGroup
+	for m, lacked := range r.incomplete {
+		wg.Go(func() { c.completeChain(ctx, m, lacked, earlier) })
+	}
+	wg.Wait()
+}
+
+// completeChain sends to one member the turns of a chain that it lacks, the latest one first.
+func (c *Client) completeChain(ctx context.Context, m Member, lacked uint64, earlier []*peerv1.TurnRecord) {
+	sent := 0
+	for i := len(earlier) - 1; i >= 0; i-- {
+		rec := &peerv1.LedgerRecord{Body: &peerv1.LedgerRecord_Turn{Turn: earlier[i]}}
+		if Digest(rec) != lacked {
+			continue
+		}
+		res := c.requestWithRetry(ctx, m, &peerv1.LedgerRequest{
+			Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: []*peerv1.LedgerRecord{rec}}},
+		}, nil)
+		if res.err != nil || res.reply.GetStatus() != peerv1.LedgerReply_OK {
+			c.logger.Info("member lacks turns of a chain", "member", m.Name, "turn", earlier[i].GetId(), "status", res.reply.GetStatus(), "err", res.err)
+			return
+		}
+		sent++
+		if len(res.reply.GetMissing()) == 0 {
+			break
+		}
+		lacked = res.reply.GetMissing()[0]
+	}
+	c.logger.Debug("earlier turns sent to a member", "member", m.Name, "turns", sent)
 }
 
 // Write stores records of one program at a quorum of its replica group.
@@ -49,13 +89,24 @@
 	go c.cancelOnChange(ctx, cancel, program, group)
 	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: recs}}}
 	replies, err := c.queryMembers(ctx, c.sortByDistance(group), need, req, func(r []memberReply, _ int) bool { return countOK(r) >= need })
-	receipt := Receipt{Acknowledged: acknowledged(replies), Asked: len(group)}
+	receipt := Receipt{Acknowledged: acknowledged(replies), Asked: len(group), incomplete: incompleteChains(replies)}
 	if err == nil && c.countListed(receipt.Acknowledged) < need {
 		err = errors.Wrapf(ErrNoMajority, "members that acknowledged were taken out, replies [%s]", describe(replies))
 	}
 	return receipt, err
 }
 
+// incompleteChains returns the members that acknowledged a turn whose chain they lack in part.
+func incompleteChains(replies []memberReply) map[Member]uint64 {
+	lacked := make(map[Member]uint64)
+	for _, r := range replies {
+		if missing := r.reply.GetMissing(); r.reply.GetStatus() == peerv1.LedgerReply_OK && len(missing) > 0 {
+			lacked[r.member] = missing[0]
+		}
+	}
+	return lacked
+}
+
 // groupCheckInterval is how often a write that waits for members checks whether its
 // replica group has changed.
 const groupCheckInterval = 100 * time.Millisecond
