Show in explain what speaks against a request and its lookalikes

It adds the lines with the same fingerprint, of any process, up to 30 s after the request. The function that chose the lines was 60 lines long; it is a type with a rule a line now. TestCrashesOfRequest; the other tests are unchanged.

--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -61,10 +61,32 @@
 	"taken out of the ledger": true, "member taken out": true, "retired": true, "turn only found in the memory of another edge": true,
 }
 
+// aboutCrashes are the events of any process that tell what speaks against a request, or
+// no longer does. They are shown for all requests with its content.
+var aboutCrashes = map[string]bool{
+	"request suspected of a crash": true, "request cleared of a crash": true, "request quarantined": true,
+	"lost attempt discounted": true, "request released by an operator": true,
+}
+
+// crashDetection is how long after an attempt its upstream may be found to have crashed.
+const crashDetection = 30 * time.Second
+
 const limitReason = "upstreams at their rate limit"
 
+// story is what the lines of a request say about which other lines concern it.
+type story struct {
+	related      map[string]bool // ids of requests
+	parent       string          // turn that the request continues; empty: none
+	sources      map[string]bool
+	upstreams    map[string]bool
+	fingerprints map[string]bool
+	limited      bool      // it was refused because of rate limits
+	first, last  time.Time // of its own lines; zero: there are none
+}
+
 // Request returns the lines that concern a request, the turn that it continues, and the
-// other requests of callers for the same stream, in the order of their time. It returns none if no log has a line of the request.
+// other requests of callers for the same stream, in the order of their time. It returns
+// none if no log has a line of the request.
 func Request(id string, sources ...Source) ([]Line, error) {
 	var all []Line
 	for _, s := range sources {
@@ -74,46 +96,68 @@
 		}
 		all = append(all, lines...)
 	}
-	var own []Line
-	sourceOf, upstreams := map[string]bool{}, map[string]bool{}
-	limited := false
-	related := sameStream(id, all)
-	parent := parentOf(id, all)
-	if parent != "" {
-		related[parent] = true
+	s := newStory(id, all)
+	if s.first.IsZero() {
+		return nil, nil
 	}
+	var list []Line
 	for _, l := range all {
-		if !related[l.fields["id"]] {
-			continue
+		if s.concerns(l) {
+			list = append(list, l)
 		}
-		own = append(own, l)
-		sourceOf[l.Source] = true
-		upstreams[l.fields["upstream"]] = true
-		limited = limited || l.fields["why"] == limitReason
 	}
-	if len(own) == 0 {
-		return nil, nil
+	slices.SortStableFunc(list, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return list, nil
+}
+
+func newStory(id string, all []Line) *story {
+	s := &story{
+		related: sameStream(id, all), parent: parentOf(id, all),
+		sources: map[string]bool{}, upstreams: map[string]bool{}, fingerprints: map[string]bool{},
+	}
+	if s.parent != "" {
+		s.related[s.parent] = true
 	}
-	first := slices.MinFunc(own, func(a, b Line) int { return a.Time.Compare(b.Time) }).Time
-	last := slices.MaxFunc(own, func(a, b Line) int { return a.Time.Compare(b.Time) }).Time
 	for _, l := range all {
-		if l.Time.Before(first.Add(-before)) || l.Time.After(last) || related[l.fields["id"]] {
-			continue
-		}
-		msg := l.fields["msg"]
-		if parent != "" && aboutLedger[msg] {
-			own = append(own, l)
-			continue
-		}
-		if !sourceOf[l.Source] {
-			continue
-		}
-		if beliefs[msg] || aboutUpstream[msg] && upstreams[l.fields["upstream"]] || limited && aboutLimits[msg] {
-			own = append(own, l)
+		if s.related[l.fields["id"]] {
+			s.add(l)
 		}
 	}
-	slices.SortStableFunc(own, func(a, b Line) int { return a.Time.Compare(b.Time) })
-	return own, nil
+	return s
+}
+
+// add takes over what a line of the request says.
+func (s *story) add(l Line) {
+	s.sources[l.Source] = true
+	s.upstreams[l.fields["upstream"]] = true
+	if fp := l.fields["fingerprint"]; fp != "" {
+		s.fingerprints[fp] = true
+	}
+	s.limited = s.limited || l.fields["why"] == limitReason
+	if s.first.IsZero() || l.Time.Before(s.first) {
+		s.first = l.Time
+	}
+	if l.Time.After(s.last) {
+		s.last = l.Time
+	}
+}
+
+// concerns reports whether a line concerns the request.
+func (s *story) concerns(l Line) bool {
+	msg := l.fields["msg"]
+	switch {
+	case s.related[l.fields["id"]]:
+		return true
+	case aboutCrashes[msg]:
+		return s.fingerprints[l.fields["fingerprint"]] && !l.Time.After(s.last.Add(crashDetection))
+	case l.Time.Before(s.first.Add(-before)) || l.Time.After(s.last):
+		return false
+	case s.parent != "" && aboutLedger[msg]:
+		return true
+	case !s.sources[l.Source]:
+		return false
+	}
+	return beliefs[msg] || aboutUpstream[msg] && s.upstreams[l.fields["upstream"]] || s.limited && aboutLimits[msg]
 }
 
 // parentOf returns the turn that a request continues; empty: none.
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -105,3 +105,31 @@
 		t.Errorf("got %s, want %s", strings.Join(got, ", "), want)
 	}
 }
+
+const crashLog = `time=2026-10-18T07:29:00.000Z level=INFO msg="request suspected of a crash" fingerprint=0a caller=03 upstream=u1 crashes=1
+time=2026-10-18T07:29:05.000Z level=INFO msg="request cleared of a crash" fingerprint=0a caller=05 upstream=u1
+time=2026-10-18T07:29:06.000Z level=INFO msg="request suspected of a crash" fingerprint=0b caller=03 upstream=u1 crashes=1
+time=2026-10-18T07:31:02.000Z level=INFO msg="attempt failed" id=a1 upstream=u2 outcome=broken fingerprint=0a caller=03
+time=2026-10-18T07:31:03.000Z level=INFO msg="lost attempt discounted" fingerprint=0a caller=03 upstream=u2 reason=responded
+`
+
+const crashLogOfOther = `time=2026-10-18T07:31:20.000Z level=INFO msg="request quarantined" fingerprint=0a caller=03 upstream=u2 crashes=2
+time=2026-10-18T07:32:20.000Z level=INFO msg="request quarantined" fingerprint=0a caller=03 upstream=u3 crashes=3
+`
+
+// Guards against a request that was in flight at a crash without what speaks against it and
+// its lookalikes, from any process, and against showing that of other requests (issue 35).
+func TestCrashesOfRequest(t *testing.T) {
+	lines, err := Request("a1", Source{"edge-1", strings.NewReader(crashLog)}, Source{"edge-2", strings.NewReader(crashLogOfOther)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, l := range lines {
+		got = append(got, l.fields["msg"]+" "+l.fields["fingerprint"]+" "+l.fields["crashes"])
+	}
+	want := "request suspected of a crash 0a 1,request cleared of a crash 0a ,attempt failed 0a ,lost attempt discounted 0a ,request quarantined 0a 2"
+	if strings.Join(got, ",") != want {
+		t.Errorf("got %s", strings.Join(got, ","))
+	}
+}
