Log the time given to upstreams and who holds a reservation

'attempt failed' now has the time given, the time left when the request was written and what the caller stated. An attempt beyond the bounds of its request is counted and logged. All lines that end a turn name the members that hold its reservation.

--- a/pkg/attempt/attempt.go
+++ b/pkg/attempt/attempt.go
@@ -78,6 +78,9 @@
 // Attempts returns the number of attempts so far.
 func (t *Tracker) Attempts() int { return t.ran + t.rejections + t.notSent }
 
+// Exhausted reports whether as many attempts may have run the request as are allowed.
+func (t *Tracker) Exhausted() bool { return t.ran >= t.request.MaxAttempts }
+
 // MayRetry reports whether another upstream may run the request after the current
 // attempt is canceled.
 func (t *Tracker) MayRetry() bool { return t.request.Idempotent && t.ran+1 < t.request.MaxAttempts }
--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -28,6 +28,7 @@
 // send sends the request to a member and reads the response header.
 func (c *call) send(ctx context.Context, m *fleet.Member, req *upstream.Request) (*upstream.Response, error) {
 	resp, err := c.e.pool.Do(ctx, req)
+	c.checkBounds(m, req)
 	if other := (*upstream.OtherRunError)(nil); errors.As(err, &other) {
 		c.e.recordOtherRun(m, other.Got, c.req.ID)
 	}
@@ -41,6 +42,37 @@
 	return resp, nil
 }
 
+// overlongBy is how much more time than is left an upstream may be given: the users' rules
+// count what is beyond it.
+const overlongBy = 500 * time.Millisecond
+
+// checkBounds counts an attempt that was sent beyond the bounds of its request: after as
+// many attempts as may run it, or with more time than was left. None of it should happen.
+func (c *call) checkBounds(m *fleet.Member, req *upstream.Request) {
+	c.given, c.left = 0, 0
+	if req.WrittenAt().IsZero() {
+		return
+	}
+	given, named := platform.TimeGiven(req.Header)
+	c.given, c.left = given, c.deadline.Sub(req.WrittenAt())
+	c.e.metrics.timeGiven(given)
+	exceeded := ""
+	switch {
+	case c.tracker.Exhausted():
+		exceeded = "attempts"
+	case !named:
+		exceeded = "no_deadline"
+	case given > c.left+overlongBy, c.req.TimeLeft > 0 && given > c.req.TimeLeft+overlongBy:
+		exceeded = "time"
+	default:
+		return
+	}
+	c.e.metrics.boundExceeded(exceeded)
+	c.e.logger.Error("attempt beyond the bounds of its request", "id", c.req.ID, "upstream", m.ID, "bound", exceeded,
+		"attempts", c.tracker.Attempts(), "max_attempts", c.route.MaxAttempts,
+		"given_ms", given.Milliseconds(), "left_ms", c.left.Milliseconds(), "caller_ms", c.req.TimeLeft.Milliseconds())
+}
+
 // markLeaving records that an upstream announced its shutdown in a response: it gets
 // no new work.
 func (e *Edge) markLeaving(m *fleet.Member, id string) {
@@ -102,7 +134,8 @@
 	if o != attempt.Answered {
 		c.e.logger.Info("attempt failed", "id", c.req.ID, "upstream", m.ID, "address", m.Address, "version", m.SoftwareVersion,
 			"outcome", o, "status", status, "next", action, "in_flight", inFlight, "leaving", leaving,
-			"took_ms", now.Sub(c.began).Milliseconds(), "fingerprint", c.identity().Content, "caller", c.identity().Caller, "err", err)
+			"took_ms", now.Sub(c.began).Milliseconds(), "given_ms", c.given.Milliseconds(), "left_ms", c.left.Milliseconds(),
+			"caller_ms", c.req.TimeLeft.Milliseconds(), "fingerprint", c.identity().Content, "caller", c.identity().Caller, "err", err)
 	}
 	return action
 }
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -4,10 +4,12 @@
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
+	"strings"
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/attempt"
 	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
+	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
 	"github.com/yuccaspindle/yuccaspindle/pkg/membudget"
 	"github.com/yuccaspindle/yuccaspindle/pkg/origin"
 	"github.com/yuccaspindle/yuccaspindle/pkg/routing"
@@ -58,6 +60,8 @@
 	headSent        bool             // the response header was sent
 	programStarted  bool             // an earlier turn of the program was served here, or the request names one
 	sentAt          time.Time        // start of the current attempt
+	given, left     time.Duration    // that the upstream was given, and that was left when the request was written; 0: not written
+	reservation     ledger.Receipt   // of the tokens of a turn
 	id              identity.Request // unknown: not computed yet
 	isolated        bool             // the current attempt must not share its upstream with a suspected request
 	// limited is set if the last placement failed because of rate limits; limitWait is
@@ -167,6 +171,9 @@
 	if c.tracker != nil {
 		args = append(args, "attempts", c.tracker.Attempts())
 	}
+	if r := c.reservation; r.Asked > 0 {
+		args = append(args, "reserved_by", strings.Join(r.Acknowledged, ","), "reserved_of", r.Asked)
+	}
 	if c.id.Known() {
 		args = append(args, "fingerprint", c.id.Content, "caller", c.id.Caller)
 	}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -27,6 +27,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_attempts_total{outcome=%q}`, outcome)).Inc()
 }
 
+// timeGiven records the time that an upstream was given for an attempt.
+func (m *metrics) timeGiven(d time.Duration) {
+	m.set.GetOrCreateHistogram(`yucca_edge_attempt_given_seconds`).Update(d.Seconds())
+}
+
+// boundExceeded counts an attempt beyond the bounds of its request, by bound.
+func (m *metrics) boundExceeded(bound string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_attempts_beyond_bounds_total{bound=%q}`, bound)).Inc()
+}
+
 // callerLeft counts a caller that disconnected before its answer, by how reading from its
 // connection ended.
 func (m *metrics) callerLeft(end string) {
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -90,7 +90,8 @@
 		c.e.logger.Warn("origin of a stream not known", "id", c.req.ID, "resumes", c.req.ResumedID, "err", reserveErr)
 		c.refuse(http.StatusServiceUnavailable, retryAfterUnready, whyOriginUnknown)
 	case reserveErr != nil:
-		c.e.logger.Warn("budget not known", "id", c.req.ID, "program", c.req.Program, "err", reserveErr)
+		c.e.logger.Warn("budget not known", "id", c.req.ID, "program", c.req.Program,
+			"answered", len(c.reservation.Acknowledged), "of", c.reservation.Asked, "err", reserveErr)
 		c.refuse(http.StatusServiceUnavailable, retryAfterUnready, "budget not known")
 	case historyErr != nil:
 		c.e.logger.Warn("history not known", "id", c.req.ID, "parent", c.req.ParentTurnID, "err", historyErr)
@@ -138,6 +139,7 @@
 	began := time.Now()
 	res, err := c.e.ledger.Reserve(ctx, c.usage(c.req.MaxTokens, false), c.req.TokenBudget, c.resumedKey())
 	c.e.metrics.ledger("reserve", err, time.Since(began))
+	c.reservation = res.Receipt
 	if res.Spent > 0 {
 		c.e.spent.Add(c.req.Program, res.Spent)
 	}
--- a/pkg/ledger/write.go
+++ b/pkg/ledger/write.go
@@ -10,7 +10,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 )
 
-// Receipt names the members that acknowledged a write.
+// Receipt names the members that acknowledged a write or a reservation.
 type Receipt struct {
 	Acknowledged []string
 	Asked        int // members of the replica group
@@ -145,6 +145,7 @@
 
 // Reservation is the result of Reserve.
 type Reservation struct {
+	Receipt
 	Spent int // tokens used by finished turns
 	// Origin is the origin of the stream that the attempt continues; nil: none is
 	// recorded.
@@ -161,15 +162,16 @@
 	need := c.quorum(len(members))
 	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Reserve{Reserve: &peerv1.Reserve{Usage: u, Continues: continues}}}
 	replies, err := c.queryMembers(ctx, members, need, req, func(r []memberReply, _ int) bool { return countOK(r) >= need })
+	res := Reservation{Receipt: Receipt{Acknowledged: acknowledged(replies), Asked: len(members)}}
 	if err != nil {
-		return Reservation{}, err
+		return res, err
 	}
 	lists := make([][]*peerv1.Usage, 0, len(replies))
 	for _, r := range replies {
 		lists = append(lists, r.reply.GetUsage())
 	}
 	merged := MergeUsage(lists...)
-	res := Reservation{Spent: SpentTokens(merged), Origin: merged[continues].GetOrigin()}
+	res.Spent, res.Origin = SpentTokens(merged), merged[continues].GetOrigin()
 	if budget > 0 && !FitsBudget(merged, u.GetAttempt(), int(u.GetTokens()), budget) {
 		return res, ErrOverBudget
 	}
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -30,8 +30,13 @@
 	// Run is the start of the upstream's run, in Unix ms. If the upstream says that it is
 	// another run, the request is not sent; 0: any run.
 	Run int64
+
+	written time.Time // when writing began
 }
 
+// WrittenAt returns when writing the request began; zero: it was not written.
+func (r *Request) WrittenAt() time.Time { return r.written }
+
 // head returns the encoded request line and headers.
 func (r *Request) head() []byte {
 	var b bytes.Buffer
@@ -92,11 +97,17 @@
 	}
 	resp := &Response{p: p, c: c, stop: stop}
 	data := append(r.head(), r.Body...)
+	began := time.Now()
 	if len(data) <= maxSequentialWrite {
-		if n, err := c.Write(data); err != nil {
+		n, err := c.Write(data)
+		if n > 0 {
+			r.written = began
+		}
+		if err != nil {
 			return fail("write", n > 0, err)
 		}
 	} else {
+		r.written = began
 		resp.written = make(chan error, 1)
 		go func() {
 			_, err := c.Write(data)
