Give upstreams the time that is left when the request is written

The headers of a request, with the time left, were made before the connection: a dial (0.4 s at most), the question for the run (0.3 s) and a second dial could pass until the request was written, so a retry could end later than its request. The value is now set when the request is written. Nothing is written once no time is left; the caller's own value is never forwarded.

TestTimeLeftIsThatOfTheWrite on the code before: 'the upstream was given 5000 ms, 4.843770191s were left'. TestNothingIsSentAfterTheDeadline held before, because a write after the deadline of a connection fails; it now rests on a check of its own.

--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -17,7 +17,7 @@
 // request returns the request to send to an upstream.
 func (c *call) request(m *fleet.Member, lastEvent string) *upstream.Request {
 	h := platform.ForwardHeader(c.r.Header, platform.ForwardOptions{
-		UpstreamID: m.ID, TimeLeft: time.Until(c.deadline), Priority: c.urgency(), LastEventID: lastEvent,
+		UpstreamID: m.ID, Priority: c.urgency(), LastEventID: lastEvent,
 	})
 	return &upstream.Request{
 		Address: m.Address, MaxConnections: c.connectionLimit(), ID: c.req.ID,
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -74,7 +74,8 @@
 }
 
 // Do sends a request and reads the response head. Canceling the context aborts
-// the exchange, also while the body is read.
+// the exchange, also while the body is read. The upstream is given what is left until the
+// deadline of the context when the request is written: connecting takes a part of it.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
 	c, err := p.getRun(ctx, r)
 	if err != nil {
@@ -96,8 +97,15 @@
 		return nil, &Error{Step: step, Addr: r.Address, Sent: sent, Err: err}
 	}
 	resp := &Response{p: p, c: c, stop: stop}
-	data := append(r.head(), r.Body...)
 	began := time.Now()
+	if d, ok := ctx.Deadline(); ok {
+		left := d.Sub(began)
+		if left <= 0 {
+			return fail("write", false, context.DeadlineExceeded)
+		}
+		platform.SetTimeGiven(r.Header, left)
+	}
+	data := append(r.head(), r.Body...)
 	if len(data) <= maxSequentialWrite {
 		n, err := c.Write(data)
 		if n > 0 {
--- a/pkg/upstream/run_test.go
+++ b/pkg/upstream/run_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,67 @@
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
 
+// TestTimeLeftIsThatOfTheWrite guards against giving an upstream the time that was left
+// before the connection was there (issue 35): the new connection and the question for the
+// run, which is answered late, take a part of it.
+func TestTimeLeftIsThatOfTheWrite(t *testing.T) {
+	const delay = runCheckTimeout / 2
+	got := make(chan string, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == platform.UpstreamStatePath {
+			time.Sleep(delay)
+			fmt.Fprint(w, `{"born":7}`)
+			return
+		}
+		got <- r.Header.Get("Deadline-Ms")
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	}))
+	defer srv.Close()
+	defer srv.CloseClientConnections()
+	deadline := time.Now().Add(5 * time.Second)
+	ctx, cancel := context.WithDeadline(t.Context(), deadline)
+	defer cancel()
+	req := &Request{
+		Address: strings.TrimPrefix(srv.URL, "http://"), ID: "r", Method: "GET", URI: "/x", Host: "h", Run: 7,
+		Header: platform.ForwardHeader(http.Header{"Attempt-Id": {"r"}, "Deadline-Ms": {"5000"}}, platform.ForwardOptions{UpstreamID: "u"}),
+	}
+	resp, err := NewPool().Do(ctx, req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Finish()
+	given, err := strconv.Atoi(<-got)
+	if left := deadline.Sub(req.WrittenAt()); err != nil || given <= 0 || time.Duration(given)*time.Millisecond > left {
+		t.Errorf("the upstream was given %d ms (%v), %v were left", given, err, left)
+	}
+}
+
+// TestNothingIsSentAfterTheDeadline guards against a request that reaches an upstream with
+// the caller's own time because none is left.
+func TestNothingIsSentAfterTheDeadline(t *testing.T) {
+	ran := make(chan string, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { ran <- r.Header.Get("Deadline-Ms") }))
+	defer srv.Close()
+	p := NewPool()
+	address := strings.TrimPrefix(srv.URL, "http://")
+	if err := p.Probe(t.Context(), address, 0, true); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithDeadline(t.Context(), time.Now().Add(-time.Millisecond))
+	defer cancel()
+	_, err := p.Do(ctx, &Request{Address: address, ID: "r", Method: "GET", URI: "/x", Host: "h", Header: http.Header{"Deadline-Ms": {"5000"}}})
+	var ue *Error
+	if !errors.As(err, &ue) || ue.Sent {
+		t.Errorf("error %v, want one of a request that was not sent", err)
+	}
+	srv.Close() // waits for requests under way
+	select {
+	case v := <-ran:
+		t.Errorf("the request ran and was given %q ms", v)
+	default:
+	}
+}
+
 // TestRunIsChecked guards against sending a request that is for one run of an upstream to
 // another one, against losing it at upstreams that do not say which run they are, and against
 // asking again on a kept connection (issue 32).
