Refuse requests whose deadline has passed

A request with 'Deadline-Ms: 0' or a negative value counted as one without a deadline: an upstream got it with the whole timeout of its route, or 30 s. Callers that try again at the very end of their time, and upstreams that call with what is left to them, may state 0.

--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -62,7 +62,7 @@
 		exceeded = "attempts"
 	case !named:
 		exceeded = "no_deadline"
-	case given > c.left+overlongBy, c.req.TimeLeft > 0 && given > c.req.TimeLeft+overlongBy:
+	case given > c.left+overlongBy, c.req.HasTimeLeft && given > c.req.TimeLeft+overlongBy:
 		exceeded = "time"
 	default:
 		return
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -117,14 +117,16 @@
 	c.servePlain()
 }
 
+// timeout returns the time that the request has: until the caller's deadline, which may
+// have passed, and at most the timeout of its route.
 func (c *call) timeout() time.Duration {
 	d := c.req.TimeLeft
-	if t := c.route.Timeout; t > 0 && (d == 0 || t < d) {
-		d = t
-	}
-	if d == 0 {
+	if !c.req.HasTimeLeft {
 		d = defaultTimeout
 	}
+	if t := c.route.Timeout; t > 0 && (!c.req.HasTimeLeft || t < d) {
+		d = t
+	}
 	return d
 }
 
