Refuse requests that the rest of a stop can't hold

Callers saw: an edge in a planned stop took requests that came late in the grace, passed them on, and at the end of the grace cut them: plain ones, unsafe ones among them, with 502, streams and turns too. An unsafe request may not be repeated after that.

Cause: nothing compared the rest of the grace with the request before an attempt. That holds for first attempts, take-ups of streams, requests whose body is complete late, and retries after a lost attempt.

Evidence: TestLateRequestsAreCutAtStop (GraceS 8, connections opened 1.8 s after the signal send at 3.8 s, upstreams work for 6 s) failed on the code before for all of safe, unsafe, stream, turn, take-up and slow body: passed on and answered 502 at the cut.

A request that does not fit gets 503, Connection: close and a short Retry-After; one with a lost attempt gets 502 at once. Streams that have begun go on. Short requests are served to the end; both tests check that.

--- a/pkg/edge/caller.go
+++ b/pkg/edge/caller.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"net/http"
 	"os"
 	"time"
@@ -118,7 +117,7 @@
 
 // logCallerLeft records a request whose caller has disconnected.
 func (c *call) logCallerLeft() {
-	if context.Cause(c.r.Context()) == errStopped {
+	if c.cutByStop() {
 		c.log("request cut at the end of a stop", 0, c.connAttrs()...)
 		c.e.metrics.recordEnd(c.kind(), "cut_at_stop", time.Since(c.began))
 		return
--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -64,6 +64,10 @@
 	return max(limit/c.e.view.edgeCount(), 1)
 }
 
+// endBeforeAttempt ends a request that must not be passed on, or not again. It reports
+// whether it did.
+func (c *call) endBeforeAttempt() bool { return c.endAtStop() || c.refuseQuarantined() }
+
 // recordEnd records the end of an attempt and returns the next action.
 func (c *call) recordEnd(m *fleet.Member, o attempt.Outcome, resp *upstream.Response, err error) attempt.Action {
 	now := time.Now()
@@ -112,6 +116,9 @@
 	c.e.withFleet(func(f *fleet.Fleet) { f.RecordEnd(m) })
 	c.removeIsolated(m.ID)
 	c.trackLost(poison.Run{ID: m.ID, StartedUnixMs: m.StartedUnixMs})
+	if !c.cutByStop() {
+		c.recordTime()
+	}
 	c.abandon()
 }
 
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -69,6 +69,7 @@
 	metrics   *metrics
 	transit   *membudget.Budget
 	inFlight  *inFlight
+	times     *routeTimes
 
 	mu    sync.Mutex // guards fleet
 	fleet *fleet.Fleet
@@ -110,6 +111,9 @@
 	e.store.Store(platform.NewStore(settings.StoreAddress))
 	e.view = newView(e)
 	var err error
+	if e.times, err = newRouteTimes(); err != nil {
+		return nil, err
+	}
 	if e.affinity, err = lru.New[string, string](affinityCacheSize); err != nil {
 		return nil, err
 	}
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -23,6 +23,7 @@
 	// time.
 	retryAfterUnready = 500 * time.Millisecond // no configuration, or no majority of the storage processes
 	retryAfterBusy    = 200 * time.Millisecond // no capacity at the upstreams
+	retryAfterStop    = 50 * time.Millisecond  // another edge takes the request at once
 	// retryJitter keeps callers that were refused together from returning together.
 	retryJitter = 200 * time.Millisecond
 )
@@ -42,6 +43,7 @@
 	// read and not yet delivered; nil: none.
 	responseHold *membudget.Reservation
 	began        time.Time
+	receivedAt   time.Time // when the body was complete; zero: it is not yet
 	// onConn is the number of this request on its connection, from 1; writtenBefore is
 	// how many bytes were written there before it.
 	onConn, writtenBefore int64
@@ -101,6 +103,7 @@
 	if !c.readBody(bodyHold) {
 		return
 	}
+	c.receivedAt = time.Now()
 	defer c.releaseResponse()
 	c.service = c.route.Pick(rand.Float64())
 	c.tracker = attempt.New(attempt.Request{
@@ -184,6 +187,7 @@
 	case attempt.Refuse:
 		c.refuse(http.StatusServiceUnavailable, c.retryAfter(), why)
 	case attempt.Expire:
+		c.recordTime()
 		c.respond(http.StatusGatewayTimeout, 0, why)
 	default:
 		c.respond(http.StatusBadGateway, 0, why)
@@ -232,6 +236,9 @@
 			break
 		}
 	}
+	if resp.Status < http.StatusInternalServerError {
+		c.recordTime()
+	}
 	c.log("request answered", resp.Status)
 	c.e.metrics.recordEnd(c.kind(), "answered", time.Since(c.began))
 }
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -7,6 +7,7 @@
 
 	vm "github.com/VictoriaMetrics/metrics"
 
+	"github.com/yuccaspindle/yuccaspindle/pkg/attempt"
 	"github.com/yuccaspindle/yuccaspindle/pkg/membudget"
 )
 
@@ -41,6 +42,12 @@
 	m.set.GetOrCreateCounter(`yucca_edge_cut_at_stop_total`).Add(n)
 }
 
+// endedForStop counts requests that a stopping edge did not pass on, or not again, since
+// the rest of the stop could not hold them, by what their callers were told.
+func (m *metrics) endedForStop(a attempt.Action) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_ended_for_stop_total{action=%q}`, a.String())).Inc()
+}
+
 // suspectFinding counts findings about requests that were in flight during a crash.
 func (m *metrics) suspectFinding(finding string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_suspects_total{finding=%q}`, finding)).Inc()
--- a/pkg/edge/plain.go
+++ b/pkg/edge/plain.go
@@ -20,7 +20,7 @@
 // delivered, so that the caller never sees a truncated one.
 func (c *call) servePlain() {
 	for {
-		if c.refuseQuarantined() {
+		if c.endBeforeAttempt() {
 			return
 		}
 		m, why := c.place()
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -56,6 +56,9 @@
 
 // serveStream serves a request whose response is an event stream.
 func (c *call) serveStream() {
+	if c.endAtStop() {
+		return // before it reserves tokens
+	}
 	t, ok := c.beginTurn()
 	if !ok {
 		return
@@ -67,7 +70,7 @@
 	defer t.settle()
 	c.programStarted = c.req.ParentTurnID != "" || c.req.Program != "" && c.e.knowsProgram(c.req.Program)
 	for {
-		if c.refuseQuarantined() {
+		if c.endBeforeAttempt() {
 			return
 		}
 		m, why := s.place()
@@ -117,6 +120,7 @@
 	default:
 		c.fail(attempt.GiveUp, whyNotDurable)
 	}
+	c.recordTime()
 	c.log("stream answered", http.StatusOK, "upstream", m.ID, "version", m.SoftwareVersion, "events", s.events,
 		"begin_ms", t.beginDuration.Milliseconds(), "commit_ms", t.commitDuration.Milliseconds(),
 		"durable", string(t.durability), "stored_by", strings.Join(t.storedBy, ","))
