Promise at the end of a stop what has not run

Callers saw: a request whose body was still on its way at the end of a stop ended with a closed connection, and a turn that waited for the ledger with 502. Neither had been passed on, so their callers lost the promise that lets them repeat an unsafe request.

Cause: the end of a stop ends the context of requests, which the read of a body does not see; and a turn whose context ends was taken for one whose caller has left.

The end of a stop now ends the read of a body, and both get 503 with a short Retry-After. A body that becomes complete at the same moment is refused too.

--- a/pkg/edge/caller.go
+++ b/pkg/edge/caller.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"net/http"
 	"os"
 	"time"
@@ -44,7 +45,17 @@
 	if err := rc.SetReadDeadline(c.deadline); err != nil {
 		c.e.logger.Debug("read deadline not set", "id", c.req.ID, "err", err)
 	}
+	// The end of a stop ends the wait for a body, so that its caller gets an answer.
+	unwatch := context.AfterFunc(c.r.Context(), func() {
+		if c.cutByStop() {
+			_ = rc.SetReadDeadline(time.Now())
+		}
+	})
+	defer unwatch()
 	pieces, err := membudget.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, limit, hold)
+	if err == nil && !unwatch() && c.cutByStop() {
+		err = os.ErrDeadlineExceeded
+	}
 	if err == nil {
 		c.body = membudget.Join(pieces)
 		// A remaining read deadline would end the detection of a disconnecting
@@ -59,6 +70,8 @@
 		c.refuse(http.StatusRequestEntityTooLarge, 0, "body too large")
 	case errors.Is(err, membudget.ErrShareExceeded) || errors.Is(err, membudget.ErrExhausted):
 		c.refuse(http.StatusServiceUnavailable, retryAfterBusy, "no memory for the body")
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.cutByStop():
+		c.refuseAtStop()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.refuse(http.StatusRequestTimeout, 0, "body not received in time")
 	default:
--- a/pkg/edge/latestop_test.go
+++ b/pkg/edge/latestop_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/platform"
 )
 
 // platformGrace is the grace period of the users' platform.
@@ -109,6 +112,51 @@
 	callers.Wait()
 }
 
+// TestBodyAtEndOfStop guards against a stop that closes the connection of a caller which is
+// still sending its body, where it can promise that the request has not run.
+func TestBodyAtEndOfStop(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	var got passedOn
+	d.upstream("u1", "app", func(_ http.ResponseWriter, req *http.Request) { got.add(req) })
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 0)
+	caller := p.raw(t)
+	caller.send(rawRequest("POST", "/unsafe/1", "a", "", "Content-Length: 4") + "in")
+	eventually(t, "the request is not read", func() bool { n, _ := p.edge.inFlight.ids(); return n == 1 })
+	p.cancel()
+	got.checkRefused(t, "a", caller.receive("POST"))
+}
+
+// TestTurnNotBegunAtEndOfStop guards against a stop that answers a turn which still waits
+// for the ledger as if it may have run.
+func TestTurnNotBegunAtEndOfStop(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.route(clone(history))
+	var got passedOn
+	d.upstream("u1", "llm", func(_ http.ResponseWriter, req *http.Request) { got.add(req) })
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	for _, name := range []string{"s1", "s2", "s3"} {
+		d.store.Put(platform.KindNodes, name, platform.Node{
+			Role: platform.RoleStorage, Address: silent.Addr().String(), FailureDomain: "a1", Active: true,
+		})
+	}
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 3)
+	p.edge.times.add("history", time.Millisecond)
+	caller := p.raw(t)
+	caller.send(rawRequest("POST", "/history/1", "a", "in", "Program-Id: p", "Token-Budget: 1000", "Token-Count: 10,20"))
+	eventually(t, "the request is not read", func() bool { n, _ := p.edge.inFlight.ids(); return n == 1 })
+	p.cancel()
+	got.checkRefused(t, "a", caller.receive("POST"))
+}
+
 // TestUsuallyLongRequestsInStop guards against a stop that passes on requests, or passes
 // them on again after a lost attempt, although requests of their route usually last longer
 // than the rest of the grace.
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -76,6 +76,8 @@
 	historyErr := <-history
 	t.beginDuration = time.Since(c.began)
 	switch {
+	case c.cutByStop():
+		c.refuseAtStop()
 	case c.callerGone():
 		c.abandon()
 	case errors.Is(reserveErr, ledger.ErrOverBudget):
