Reserve tokens also at the replica group that storage processes know

With more than five storage processes, an edge that is cut off from the store and from the other edges, but not from the storage processes, keeps a list without a member that joined meanwhile. Its quorums and those of other edges may share no member, and the program gets its budget once from each.

A reservation now carries a hash of the group that is asked. A storage process that receives changes of the members and knows another group names it, and the reservation needs a quorum of that group too, so it meets those of every edge with the newer list. Lists with fewer members than a quorum say nothing and are ignored.

Remains: an edge that is cut off together with a quorum of the old group while members join. Settled records still go to the edge's own group only: other edges then count the reservation, which is no less.

--- a/pkg/ledger/client.go
+++ b/pkg/ledger/client.go
@@ -97,6 +97,15 @@
 	return ranked[:ReplicationFactor]
 }
 
+// groupKey identifies a replica group by the names of its members.
+func groupKey(group []Member) uint64 {
+	h := xxhash.New()
+	for _, name := range sortedNames(group) {
+		_, _ = h.WriteString(name + "\x00")
+	}
+	return h.Sum64()
+}
+
 // sortByDistance returns the members of the own region first, then those of other
 // regions, then those reachable only through a relay.
 func (c *Client) sortByDistance(members []Member) []Member {
--- a/pkg/ledger/client_test.go
+++ b/pkg/ledger/client_test.go
@@ -24,6 +24,9 @@
 	stores  []*Store
 	peers   []*transport.Transport
 	client  *Client
+	// knows returns the members that a storage process lists and whether it receives
+	// changes; nil: none does.
+	knows func() ([]Member, bool)
 }
 
 func (c *cluster) Storage() []Member {
@@ -69,11 +72,12 @@
 			t.Fatal(err)
 		}
 		tr := newTransport(t, func(ctx context.Context, _ *transport.Session, st *transport.Stream, m *peerv1.Envelope) {
+			server := Server{Store: s, Group: c.group}
 			if b := m.GetLedgerBatch(); b != nil {
-				_ = Server{Store: s}.ServeBatches(ctx, st, b)
+				_ = server.ServeBatches(ctx, st, b)
 				return
 			}
-			_ = Server{Store: s}.Serve(ctx, st, m.GetLedgerRequest())
+			_ = server.Serve(ctx, st, m.GetLedgerRequest())
 		})
 		c.stores, c.peers = append(c.stores, s), append(c.peers, tr)
 		c.members = append(c.members, Member{Name: string(rune('a' + i)), Address: tr.Addr(), Local: i == 0})
@@ -83,6 +87,18 @@
 	return c
 }
 
+// group is the replica group of a program as the storage processes know it.
+func (c *cluster) group(program string) ([]Member, bool) {
+	c.mu.Lock()
+	knows := c.knows
+	c.mu.Unlock()
+	if knows == nil {
+		return nil, false
+	}
+	members, current := knows()
+	return ReplicaGroup(members, program), current
+}
+
 // loseDisk removes all records of a storage process.
 func (c *cluster) loseDisk(i int) {
 	s := c.stores[i]
--- a/pkg/ledger/read.go
+++ b/pkg/ledger/read.go
@@ -75,13 +75,15 @@
 }
 
 // memberNames lists members for logs.
-func memberNames(members []Member) string {
+func memberNames(members []Member) string { return strings.Join(sortedNames(members), ",") }
+
+func sortedNames(members []Member) []string {
 	names := make([]string, 0, len(members))
 	for _, m := range members {
 		names = append(names, m.Name)
 	}
 	slices.Sort(names)
-	return strings.Join(names, ",")
+	return names
 }
 
 // tailFrom asks the given members for a turn and its ancestors.
--- a/pkg/ledger/server.go
+++ b/pkg/ledger/server.go
@@ -14,7 +14,12 @@
 const pullReplyBytes = 64 << 10
 
 // Server handles the ledger requests of peers.
-type Server struct{ Store *Store }
+type Server struct {
+	Store *Store
+	// Group returns the replica group of a program as this process knows it, and whether
+	// it receives changes of the members; nil: it knows none.
+	Group func(program string) ([]Member, bool)
+}
 
 // Serve handles the single request of a stream.
 func (s Server) Serve(ctx context.Context, st *transport.Stream, req *peerv1.LedgerRequest) error {
@@ -91,7 +96,10 @@
 	case *peerv1.LedgerRequest_Write:
 		return &peerv1.LedgerReply{Status: s.Store.WriteStatus()}
 	case *peerv1.LedgerRequest_Reserve:
-		return &peerv1.LedgerReply{Status: s.Store.UsageStatus(), Usage: s.Store.Usage(op.Reserve.GetUsage().GetProgram(), op.Reserve.GetContinues())}
+		return &peerv1.LedgerReply{
+			Status: s.Store.UsageStatus(), Usage: s.Store.Usage(op.Reserve.GetUsage().GetProgram(), op.Reserve.GetContinues()),
+			Group: s.otherGroup(op.Reserve),
+		}
 	case *peerv1.LedgerRequest_Compare:
 		return &peerv1.LedgerReply{Status: status, Missing: s.missing(op.Compare.GetDigests())}
 	case *peerv1.LedgerRequest_Fetch:
@@ -106,6 +114,23 @@
 	return &peerv1.LedgerReply{Status: status}
 }
 
+// otherGroup returns the replica group of a program if this process knows that it isn't
+// the one that is asked.
+func (s Server) otherGroup(r *peerv1.Reserve) []*peerv1.GroupMember {
+	if s.Group == nil || r.GetGroup() == 0 {
+		return nil
+	}
+	group, current := s.Group(r.GetUsage().GetProgram())
+	if !current || groupKey(group) == r.GetGroup() {
+		return nil
+	}
+	list := make([]*peerv1.GroupMember, 0, len(group))
+	for _, m := range group {
+		list = append(list, &peerv1.GroupMember{Name: m.Name, Address: m.Address})
+	}
+	return list
+}
+
 // missing returns the digests of records that the store does not have.
 func (s Server) missing(digests []uint64) []uint64 {
 	have := Digests(s.Store.Records(peerv1.Pull_ALL))
--- a/pkg/ledger/write.go
+++ b/pkg/ledger/write.go
@@ -160,8 +160,11 @@
 func (c *Client) Reserve(ctx context.Context, u *peerv1.Usage, budget int, continues uint64) (Reservation, error) {
 	members := c.sortByDistance(ReplicaGroup(c.directory.Storage(), u.GetProgram()))
 	need := c.quorum(len(members))
-	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Reserve{Reserve: &peerv1.Reserve{Usage: u, Continues: continues}}}
+	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Reserve{Reserve: &peerv1.Reserve{Usage: u, Continues: continues, Group: groupKey(members)}}}
 	replies, err := c.queryMembers(ctx, members, need, req, func(r []memberReply, _ int) bool { return countOK(r) >= need })
+	if err == nil {
+		replies, err = c.reserveAtOtherGroups(ctx, members, replies, req)
+	}
 	res := Reservation{Receipt: Receipt{Acknowledged: acknowledged(replies), Asked: len(members)}}
 	if err != nil {
 		return res, err
@@ -177,3 +180,40 @@
 	}
 	return res, nil
 }
+
+// reserveAtOtherGroups sends a reservation also to a quorum of each replica group that a
+// member names because it knows of other members than this client: quorums of two groups
+// may share no member. It returns the replies of all groups.
+func (c *Client) reserveAtOtherGroups(ctx context.Context, asked []Member, replies []memberReply, req *peerv1.LedgerRequest) ([]memberReply, error) {
+	done := map[uint64]bool{groupKey(asked): true}
+	for i := 0; i < len(replies); i++ {
+		group := groupOf(replies[i].reply)
+		key, need := groupKey(group), c.quorum(len(group))
+		if done[key] || len(group) < need { // a list that is not complete yet
+			continue
+		}
+		done[key] = true
+		c.logger.Info("storage process knows another replica group", "program", req.GetReserve().GetUsage().GetProgram(),
+			"member", replies[i].member.Name, "asked", memberNames(asked), "group", memberNames(group))
+		reserved := acknowledged(replies)
+		lacking := slices.DeleteFunc(slices.Clone(group), func(m Member) bool { return slices.Contains(reserved, m.Name) })
+		if need -= len(group) - len(lacking); need <= 0 {
+			continue
+		}
+		more, err := c.queryMembers(ctx, lacking, need, req, func(r []memberReply, _ int) bool { return countOK(r) >= need })
+		replies = append(replies, more...)
+		if err != nil {
+			return replies, err
+		}
+	}
+	return replies, nil
+}
+
+// groupOf returns the replica group that a reply names; empty: it names none.
+func groupOf(r *peerv1.LedgerReply) []Member {
+	group := make([]Member, 0, len(r.GetGroup()))
+	for _, m := range r.GetGroup() {
+		group = append(group, Member{Name: m.GetName(), Address: m.GetAddress()})
+	}
+	return group
+}
--- a/pkg/storage/members.go
+++ b/pkg/storage/members.go
@@ -132,6 +132,13 @@
 	m.listed = m.listed || !lost
 }
 
+// live reports whether the registrations are known and changes of them are received.
+func (m *members) live() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listed && !m.lost
+}
+
 // nodeHandler applies events about registrations to members.
 type nodeHandler struct{ target *members }
 
--- a/pkg/storage/replicate.go
+++ b/pkg/storage/replicate.go
@@ -87,6 +87,16 @@
 	return before, after
 }
 
+// replicaGroup returns the replica group of a program, and whether this process receives
+// changes of the members.
+func (s *Storage) replicaGroup(program string) ([]ledger.Member, bool) {
+	if !s.members.live() {
+		return nil, false
+	}
+	current, _ := s.memberLists(nil)
+	return ledger.ReplicaGroup(current, program), true
+}
+
 // replicateTurns sends turns to further members until each has as many replicas without
 // the removed members as it had when it was acknowledged. This process must have copied the
 // records of all other members.
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -134,7 +134,7 @@
 }
 
 func (s *Storage) servePeer(ctx context.Context, sess *transport.Session, st *transport.Stream, first *peerv1.Envelope) {
-	server := ledger.Server{Store: s.ledger}
+	server := ledger.Server{Store: s.ledger, Group: s.replicaGroup}
 	var err error
 	switch m := first.GetBody().(type) {
 	case *peerv1.Envelope_LedgerBatch:
