Keep lost attempts until the end of their upstream's run is known

Cause: a response to any attempt that was sent after a loss discarded the lost attempt. The edge takes the process behind an address for the run that is registered, so the new run's response to a harmless request spared the request that had ended the old one. In the logs: "lost attempt discounted", reason responded, for the guilty request, and no "request suspected of a crash" for it.

Now such a response discounts the lost attempt, as an accepted connection did already: it counts again if the upstream turns out to have been replaced. It is discarded only if the response came over a connection from before the attempt, since a connection does not outlive its process. An attempt that this edge gave up (the caller left, a timeout) may run on for half a second, so what is seen before that says nothing. Discounted attempts give way if too many are kept, and survive that a presumed crash is cleared.

--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -48,7 +48,7 @@
 		c.e.suspects.runsEnded(end)
 	case errors.As(err, &ue) && ue.Sent:
 		c.e.metrics.lostAttempt(ue.Timeout(), leaving)
-		c.trackLost(run)
+		c.trackLost(run, ue.Timeout())
 		go c.e.suspects.probe(end, m.Address, c.connectionLimit(), ue.Timeout())
 	}
 }
@@ -58,8 +58,12 @@
 func (c *call) trackResponse(run poison.Run, o attempt.Outcome, resp *upstream.Response) {
 	s := c.e.suspects
 	if s.tracking.Load() {
+		r := poison.Response{SentAt: c.sentAt}
+		if resp != nil {
+			r.ConnectedAt = resp.ConnectedAt
+		}
 		s.update(func(t *poison.Tracker, now time.Time) []poison.Evidence {
-			return t.RecordResponse(run, c.sentAt, now)
+			return t.RecordResponse(run, r, now)
 		})
 	}
 	ran := o == attempt.Answered && !resp.NotRun && resp.Status < http.StatusInternalServerError
@@ -70,9 +74,13 @@
 	}
 }
 
-// trackLost records that the request may have run and got no response.
-func (c *call) trackLost(run poison.Run) {
+// trackLost records that the request may have run and got no response. abandoned is set if
+// this edge gave it up, so that the upstream may work on it.
+func (c *call) trackLost(run poison.Run, abandoned bool) {
 	c.e.suspects.update(func(t *poison.Tracker, now time.Time) []poison.Evidence {
+		if abandoned {
+			return t.RecordAbandoned(run, c.identity(), c.sentAt, now)
+		}
 		return t.RecordLost(run, c.identity(), c.sentAt, now)
 	})
 }
@@ -98,7 +106,7 @@
 	if silent && !s.allowProbe(address) {
 		return
 	}
-	accepted := true
+	accepted, began := true, time.Now()
 	for range 2 {
 		err := s.e.pool.Probe(context.Background(), address, limit, silent)
 		var ue *upstream.Error
@@ -123,7 +131,7 @@
 		return
 	}
 	s.update(func(t *poison.Tracker, _ time.Time) []poison.Evidence {
-		t.RecordAlive(end.run)
+		t.RecordAlive(end.run, began)
 		return nil
 	})
 }
--- a/pkg/edge/crashers_test.go
+++ b/pkg/edge/crashers_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -32,6 +33,8 @@
 	// crashDelay is how long a poisonous request runs before its upstream crashes, so
 	// that other requests are in flight at that moment.
 	crashDelay time.Duration
+	// serviceTime is how long a harmless request runs; 0: twice crashDelay.
+	serviceTime time.Duration
 	// silent upstreams stop responding when they crash, but do not close their
 	// connections.
 	silent bool
@@ -39,8 +42,11 @@
 	// stays.
 	deregisterAfter time.Duration
 	// restartAfter is how long after a crash an upstream listens again with the same
-	// ID and registration; 0: never.
+	// ID and registration; 0: never. A silent one does not respond to new connections
+	// until then.
 	restartAfter time.Duration
+	// registerAfter is how long after that an upstream with renewBorn registers.
+	registerAfter time.Duration
 	// announceAfter is how long after the arrival of a poisonous request its upstream
 	// announces its shutdown in its registration; 0: never.
 	announceAfter time.Duration
@@ -152,7 +158,7 @@
 	if c.f.announceInResponse {
 		w.Header().Set("Server-Leaving", "1")
 	} else {
-		time.Sleep(2 * c.f.crashDelay)
+		time.Sleep(cmp.Or(c.f.serviceTime, 2*c.f.crashDelay))
 	}
 	sign(w, req)
 	_, _ = w.Write([]byte("done"))
@@ -185,7 +191,10 @@
 		return // several such requests in flight crash it only once
 	}
 	c.healthy = false
-	if f.silent {
+	switch {
+	case f.silent && f.restartAfter > 0:
+		c.net.Suspend()
+	case f.silent:
 		c.net.Silence()
 	}
 	go c.end()
@@ -215,10 +224,13 @@
 		c.born++
 		born := c.born
 		f.mu.Unlock()
-		if err := c.net.Listen(""); err != nil {
+		if f.silent {
+			c.net.Resume()
+		} else if err := c.net.Listen(""); err != nil {
 			f.d.t.Error(err)
 		}
 		if f.renewBorn {
+			time.Sleep(f.registerAfter)
 			f.d.registerRun(c.id, "app", c.net.Addr(), "ready", born)
 		}
 	}
--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -111,7 +111,7 @@
 func (c *call) cancelAttempt(m *fleet.Member) {
 	c.e.withFleet(func(f *fleet.Fleet) { f.RecordEnd(m) })
 	c.removeIsolated(m.ID)
-	c.trackLost(poison.Run{ID: m.ID, StartedUnixMs: m.StartedUnixMs})
+	c.trackLost(poison.Run{ID: m.ID, StartedUnixMs: m.StartedUnixMs}, true)
 	c.abandon()
 }
 
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -27,19 +27,26 @@
 	// process may have been suspended in a longer time, and the upstream have left as
 	// planned without an announcement.
 	promptDetection = 1500 * time.Millisecond
+	// abandonedRunTime is how long an upstream may work on a request after this entry has
+	// closed its connection: upstreams must stop within half a second.
+	abandonedRunTime = 500 * time.Millisecond
 	// maxLost bounds the lost attempts that are kept.
 	maxLost = 4096
 )
 
 // lostAttempt is an attempt that may have run and got no response.
 type lostAttempt struct {
-	request identity.Request
-	at      time.Time
+	request    identity.Request
+	sentAt, at time.Time
+	// over is when the attempt no longer runs: an upstream that is alive then has not
+	// crashed because of it.
+	over time.Time
 	// unreachable is set if no connection to the upstream could be made afterwards,
 	// presumed if that was then counted as a presumed crash.
 	unreachable, presumed bool
-	// alive is set if the upstream accepted connections for a while afterwards.
-	alive bool
+	// discounted says that the address of the upstream was alive after the attempt was
+	// over. The attempt counts again if that was another run. Empty: it counts.
+	discounted Reason
 }
 
 // Sign is how the end of a run became known.
@@ -73,9 +80,9 @@
 	return Confirmed
 }
 
-// sparesAlive reports whether a lost attempt after which the upstream was alive did not end
-// it. What accepted the connections was not the upstream itself if it was replaced.
-func (e End) sparesAlive() bool { return e.Sign != Replaced }
+// sparesDiscounted reports whether a lost attempt after which the address was alive did not
+// end the upstream. What was alive was another run if the upstream was replaced.
+func (e End) sparesDiscounted() bool { return e.Sign != Replaced }
 
 // runEnd is the recorded end of a run.
 type runEnd struct {
@@ -96,7 +103,8 @@
 	Succeeded Reason = "succeeded"
 )
 
-// Discounted is a lost attempt that no longer counts as evidence.
+// Discounted is a lost attempt that no longer counts as evidence, unless its upstream turns
+// out to have been replaced.
 type Discounted struct {
 	Run     Run
 	Request identity.Request
@@ -110,6 +118,7 @@
 	discounted []Discounted // since the last call of TakeDiscounted
 
 	lostAttempt   map[Run][]lostAttempt    // by run, oldest first
+	spareCount    int                      // number of discounted attempts in lostAttempt
 	lostCount     int                      // number of attempts in lostAttempt
 	lostByRequest map[identity.Request]int // number of attempts in lostAttempt
 	unreachable   map[Run]bool             // runs that have attempts with unreachable set and presumed not set
@@ -133,39 +142,74 @@
 	return d
 }
 
-// discount removes the lost attempts at a run for which f returns true and keeps the
-// reason.
-func (t *Tracker) discount(r Run, reason Reason, f func(lostAttempt) bool) {
+// discard removes the lost attempts at a run for which f returns true.
+func (t *Tracker) discard(r Run, reason Reason, f func(lostAttempt) bool) {
 	t.retainLost(r, func(l lostAttempt) bool {
 		if !f(l) {
 			return true
 		}
-		t.discounted = append(t.discounted, Discounted{r, l.request, reason})
+		if l.discounted == "" {
+			t.discounted = append(t.discounted, Discounted{r, l.request, reason})
+		}
 		return false
 	})
 }
 
-// RecordLost records an attempt that may have run and got no response. It returns new
-// evidence if the end of its upstream is already known.
+// discount marks the lost attempts at a run that were over at a time, at which the address
+// of the upstream was alive.
+func (t *Tracker) discount(r Run, reason Reason, at time.Time) {
+	for i := range t.lostAttempt[r] {
+		l := &t.lostAttempt[r][i]
+		if l.discounted != "" || at.Before(l.over) {
+			continue
+		}
+		l.discounted, l.unreachable, l.presumed = reason, false, false
+		t.spareCount++
+		t.discounted = append(t.discounted, Discounted{r, l.request, reason})
+	}
+}
+
+// RecordLost records an attempt that may have run and got no response because its
+// connection broke. It returns new evidence if the end of its upstream is already known.
 func (t *Tracker) RecordLost(r Run, q identity.Request, sentAt, now time.Time) []Evidence {
+	return t.recordLost(r, lostAttempt{request: q, sentAt: sentAt, at: now, over: now}, now)
+}
+
+// RecordAbandoned records an attempt that may have run and was given up by this entry. The
+// upstream may work on it for a while.
+func (t *Tracker) RecordAbandoned(r Run, q identity.Request, sentAt, now time.Time) []Evidence {
+	return t.recordLost(r, lostAttempt{request: q, sentAt: sentAt, at: now, over: now.Add(abandonedRunTime)}, now)
+}
+
+func (t *Tracker) recordLost(r Run, l lostAttempt, now time.Time) []Evidence {
 	t.pruneExpired(now)
 	r = t.withLife(r)
-	if e, ok := t.ended[r]; ok && sentAt.Before(e.at) {
-		return t.addEvidence(q, r, e.end.grade(now.Sub(e.at)), now)
+	if e, ok := t.ended[r]; ok && l.sentAt.Before(e.at) {
+		return t.addEvidence(l.request, r, e.end.grade(now.Sub(e.at)), now)
 	}
-	if !q.Known() || t.lostCount >= maxLost {
+	if !l.request.Known() || !t.makeRoom() {
 		return nil
 	}
 	if t.lostAttempt == nil {
 		t.lostAttempt = make(map[Run][]lostAttempt)
 		t.lostByRequest = make(map[identity.Request]int)
 	}
-	t.lostByRequest[q]++
-	t.lostAttempt[r] = append(t.lostAttempt[r], lostAttempt{request: q, at: now})
+	t.lostByRequest[l.request]++
+	t.lostAttempt[r] = append(t.lostAttempt[r], l)
 	t.lostCount++
 	return nil
 }
 
+// makeRoom reports whether another lost attempt can be kept. Discounted ones give way.
+func (t *Tracker) makeRoom() bool {
+	if t.lostCount >= maxLost && t.spareCount > 0 {
+		for r := range t.lostAttempt {
+			t.retainLost(r, func(l lostAttempt) bool { return l.discounted == "" })
+		}
+	}
+	return t.lostCount < maxLost
+}
+
 // RecordEnd records that a run of an upstream ended. It returns new evidence against the
 // requests whose attempts were lost there.
 func (t *Tracker) RecordEnd(r Run, end End, now time.Time) []Evidence {
@@ -179,7 +223,7 @@
 	}
 	var found []Evidence
 	for _, l := range t.lostAttempt[r] {
-		if l.alive && end.sparesAlive() {
+		if l.discounted != "" && end.sparesDiscounted() {
 			continue
 		}
 		found = append(found, t.addEvidence(l.request, r, end.grade(now.Sub(l.at)), now)...)
@@ -188,17 +232,10 @@
 	return found
 }
 
-// RecordAlive records that an upstream accepted connections for a while after the attempts
-// that were lost there until then. A new run may have accepted them.
-func (t *Tracker) RecordAlive(r Run) {
-	r = t.withLife(r)
-	for i := range t.lostAttempt[r] {
-		l := &t.lostAttempt[r][i]
-		if !l.alive {
-			t.discounted = append(t.discounted, Discounted{r, l.request, Alive})
-		}
-		l.alive = true
-	}
+// RecordAlive records that an upstream accepted connections at a time and for a while after
+// it. A new run may have accepted them.
+func (t *Tracker) RecordAlive(r Run, at time.Time) {
+	t.discount(t.withLife(r), Alive, at)
 }
 
 // RecordUnreachable records that no connection to an upstream could be made. That
@@ -206,41 +243,84 @@
 func (t *Tracker) RecordUnreachable(r Run) {
 	r = t.withLife(r)
 	for i := range t.lostAttempt[r] {
-		t.lostAttempt[r][i].unreachable = true
-	}
-	if len(t.lostAttempt[r]) == 0 {
-		return
-	}
-	if t.unreachable == nil {
-		t.unreachable = make(map[Run]bool)
+		l := &t.lostAttempt[r][i]
+		if l.discounted != "" {
+			continue
+		}
+		l.unreachable = true
+		if t.unreachable == nil {
+			t.unreachable = make(map[Run]bool)
+		}
+		t.unreachable[r] = true
 	}
-	t.unreachable[r] = true
+}
+
+// Response describes when an upstream responded.
+type Response struct {
+	// ConnectedAt is when the connection was made; zero: unknown.
+	ConnectedAt time.Time
+	SentAt      time.Time // when the attempt was sent
+}
+
+// provesAlive reports whether the response comes from the run that lost an attempt, after
+// the attempt was over: a connection does not outlive the run that accepted it.
+func (p Response) provesAlive(l lostAttempt) bool {
+	return !p.ConnectedAt.IsZero() && p.ConnectedAt.Before(l.sentAt) && !p.SentAt.Before(l.over)
 }
 
 // RecordResponse records that an upstream responded to an attempt. If its end was
 // recorded before the attempt was sent, the response comes from a new run. Otherwise the
-// upstream did not crash, and the attempts that it lost earlier are discarded. The
-// response also shows that this entry is not cut off from the network, so upstreams that
-// cannot be reached are presumed to have crashed.
-func (t *Tracker) RecordResponse(r Run, sentAt, now time.Time) []Evidence {
+// upstream seems not to have crashed, so the attempts that it lost earlier are discounted,
+// and discarded if the response surely comes from the run that lost them. The response
+// also shows that this entry is not cut off from the network, so upstreams that cannot be
+// reached are presumed to have crashed.
+func (t *Tracker) RecordResponse(r Run, resp Response, now time.Time) []Evidence {
 	key := r
 	r = t.withLife(r)
-	if e, ok := t.ended[r]; ok && sentAt.After(e.at) {
+	if e, ok := t.ended[r]; ok && resp.SentAt.After(e.at) {
 		delete(t.ended, r)
 		t.incrementLife(key)
-		return t.presumeCrashes(r, sentAt, now)
+		return t.presumeCrashes(r, resp.SentAt, now)
+	}
+	found := t.clearPresumed(r, resp.SentAt, now)
+	t.discard(r, Responded, resp.provesAlive)
+	t.discount(r, Responded, resp.SentAt)
+	if len(found) > 0 {
+		t.incrementLife(key)
+		t.moveLost(r, t.withLife(key))
+	}
+	return append(found, t.presumeCrashes(r, resp.SentAt, now)...)
+}
+
+// clearPresumed clears the requests that are presumed to have ended a run because it was
+// unreachable, if one of their attempts was lost before a response was asked for.
+func (t *Tracker) clearPresumed(r Run, sentAt, now time.Time) []Evidence {
+	isCleared := func(l lostAttempt) bool { return l.presumed && l.at.Before(sentAt) }
+	if !slices.ContainsFunc(t.lostAttempt[r], isCleared) {
+		return nil
 	}
 	var found []Evidence
 	for _, l := range t.lostAttempt[r] {
-		if l.presumed && l.at.Before(sentAt) {
+		if l.presumed {
 			found = append(found, t.addEvidence(l.request, r, Cleared, now)...)
 		}
 	}
-	t.discount(r, Responded, func(l lostAttempt) bool { return l.at.Before(sentAt) })
-	if len(found) > 0 {
-		t.incrementLife(key)
+	return found
+}
+
+// moveLost moves the lost attempts at a run to the next Life of it: evidence about the
+// current one was cleared, and they may turn out to count nevertheless.
+func (t *Tracker) moveLost(from, to Run) {
+	delete(t.unreachable, from)
+	list := t.lostAttempt[from]
+	delete(t.lostAttempt, from)
+	if len(list) == 0 {
+		return
+	}
+	for i := range list {
+		list[i].unreachable, list[i].presumed = false, false
 	}
-	return append(found, t.presumeCrashes(r, sentAt, now)...)
+	t.lostAttempt[to] = list
 }
 
 // presumeCrashes presumes a crash of each unreachable upstream, given that another
@@ -279,7 +359,7 @@
 func (t *Tracker) RecordSuccess(q identity.Request, now time.Time) []Evidence {
 	if q.Caller.Single() && t.lostByRequest[q] > 0 {
 		for r := range t.lostAttempt {
-			t.discount(r, Succeeded, func(l lostAttempt) bool { return l.request == q })
+			t.discard(r, Succeeded, func(l lostAttempt) bool { return l.request == q })
 		}
 	}
 	return t.RecordCompleted(q, now)
@@ -313,6 +393,9 @@
 // decrementCounts removes one lost attempt from the counts.
 func (t *Tracker) decrementCounts(l lostAttempt) {
 	t.lostCount--
+	if l.discounted != "" {
+		t.spareCount--
+	}
 	if t.lostByRequest[l.request]--; t.lostByRequest[l.request] <= 0 {
 		delete(t.lostByRequest, l.request)
 	}
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -128,7 +128,7 @@
 		var tr Tracker
 		r := Run{ID: "u"}
 		tr.RecordLost(r, soundRequest, start, start)
-		tr.RecordAlive(r)
+		tr.RecordAlive(r, start)
 		if found := tr.RecordEnd(r, c.end, start.Add(time.Second)); len(found) != c.want {
 			t.Errorf("%+v: evidence %+v, want %d", c.end, found, c.want)
 		}
@@ -226,7 +226,7 @@
 		now := start
 		for _, b := range startTimes {
 			r := Run{ID: "u1", StartedUnixMs: b}
-			tr.RecordResponse(r, now, now)
+			tr.RecordResponse(r, Response{SentAt: now}, now)
 			tr.crash(r, now.Add(time.Second), poisonRequest)
 			now = now.Add(5 * time.Second)
 		}
@@ -264,7 +264,7 @@
 		t.Errorf("suspects of a crash a minute later: %+v", found)
 	}
 	tr.RecordLost(Run{ID: "u2"}, poisonRequest, start, start.Add(time.Minute))
-	tr.RecordResponse(Run{ID: "u2"}, start.Add(61*time.Second), start.Add(61*time.Second))
+	tr.RecordResponse(Run{ID: "u2"}, Response{SentAt: start.Add(61 * time.Second)}, start.Add(61*time.Second))
 	if found := tr.RecordEnd(Run{ID: "u2"}, End{}, start.Add(62*time.Second)); len(found) != 0 {
 		t.Errorf("suspects of a crash after another response: %+v", found)
 	}
@@ -337,7 +337,7 @@
 	}
 	respond := func(tr *Tracker, id string) []Evidence {
 		now = now.Add(pause)
-		return tr.RecordResponse(Run{ID: id}, now, now)
+		return tr.RecordResponse(Run{ID: id}, Response{SentAt: now}, now)
 	}
 	var cutOff, partlyCutOff, unreachable Tracker
 	for i := range maxCrashes {
@@ -380,7 +380,7 @@
 	}
 	r := Run{ID: "responding"}
 	for b.Loop() {
-		tr.RecordResponse(r, start, start)
+		tr.RecordResponse(r, Response{SentAt: start}, start)
 		tr.RecordSuccess(request(1), start)
 	}
 }
--- a/pkg/poison/property_test.go
+++ b/pkg/poison/property_test.go
@@ -68,7 +68,7 @@
 	for _, fp := range sending {
 		if !crashing {
 			w.served[fp] = true
-			e.RecordResponse(run, sent, w.now)
+			e.RecordResponse(run, Response{SentAt: sent}, w.now)
 			e.RecordSuccess(request(fp), w.now)
 			continue
 		}
--- a/pkg/standin/faultnet/faultnet.go
+++ b/pkg/standin/faultnet/faultnet.go
@@ -22,6 +22,8 @@
 	srv    *http.Server
 	conns  map[*conn]struct{}
 	closed bool
+	// suspended is set while new connections are silent from the start.
+	suspended bool
 }
 
 // New returns a server that is not listening yet.
@@ -80,6 +82,22 @@
 	}
 }
 
+// Suspend makes every open connection silent, as Silence does, and every new one until
+// Resume is called: they are accepted, but nothing is read.
+func (s *Server) Suspend() {
+	s.mu.Lock()
+	s.suspended = true
+	s.mu.Unlock()
+	s.Silence()
+}
+
+// Resume ends Suspend for new connections.
+func (s *Server) Resume() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspended = false
+}
+
 // Close stops serving for good.
 func (s *Server) Close() error {
 	s.mu.Lock()
@@ -112,6 +130,9 @@
 	c := &conn{Conn: nc, s: l.s, silent: make(chan struct{}), gone: make(chan struct{})}
 	l.s.mu.Lock()
 	l.s.conns[c] = struct{}{}
+	if l.s.suspended {
+		c.silence()
+	}
 	l.s.mu.Unlock()
 	return c, nil
 }
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -59,6 +59,7 @@
 	// Length is the announced length of the body in bytes, or -1 if there is none.
 	Length int64
 	platform.ResponseMetadata
+	ConnectedAt time.Time // when the connection was made
 
 	p        *Pool
 	c        *conn
@@ -90,7 +91,7 @@
 		}
 		return nil, &Error{Step: step, Addr: r.Address, Sent: sent, Err: err}
 	}
-	resp := &Response{p: p, c: c, stop: stop}
+	resp := &Response{ConnectedAt: c.opened, p: p, c: c, stop: stop}
 	data := append(r.head(), r.Body...)
 	if len(data) <= maxSequentialWrite {
 		if n, err := c.Write(data); err != nil {
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -56,6 +56,7 @@
 	br       *bufio.Reader // reads from limiter
 	lastUsed time.Time
 	idleTime time.Duration
+	opened   time.Time
 	reused   bool // taken from the idle list, so it may have carried a response before
 	carried  carriedIDs
 	run      checkedRun
@@ -239,7 +240,7 @@
 		return nil, &Error{Step: "dial", Addr: address, Err: err}
 	}
 	limiter := &headLimitReader{r: nc}
-	return &conn{Conn: nc, address: address, limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferBytes), idleTime: defaultIdleTime}, nil
+	return &conn{Conn: nc, address: address, limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferBytes), idleTime: defaultIdleTime, opened: time.Now()}, nil
 }
 
 // Probe checks that a connection to an address can be had, a new one if fresh is
