--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -64,6 +64,7 @@
 	// Length is the announced length of the body in bytes, or -1 if there is none.
 	Length int64
 	platform.ResponseMetadata
+	ConnectedAt time.Time // when the connection was made
 
 	p        *Pool
 	c        *conn
@@ -96,7 +97,7 @@
 		}
 		return nil, &Error{Step: step, Addr: r.Address, Sent: sent, Err: err}
 	}
-	resp := &Response{p: p, c: c, stop: stop}
+	resp := &Response{ConnectedAt: c.opened, p: p, c: c, stop: stop}
 	began := time.Now()
 	if d, ok := ctx.Deadline(); ok {
 		left := d.Sub(began)
