Ask what became of an upstream after its caller has left

Cause: an attempt whose caller leaves was recorded as lost, but nothing asked its upstream afterwards, as it is done for other lost attempts. The end was known only with the removal of the registration, more than 1.5 s later and so as a presumed crash, or not at all if the upstream was back in time.

Now the upstream is asked half a second after an attempt was given up, when it must have stopped, unless other responses have told by then. An upstream that describes its state says which run it is, so the attempts are discarded if it is the same one and count at once if it is another.

--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -48,7 +48,11 @@
 		c.e.suspects.runsEnded(end)
 	case errors.As(err, &ue) && ue.Sent:
 		c.e.metrics.lostAttempt(ue.Timeout(), leaving)
-		c.trackLost(run, ue.Timeout())
+		if ue.Timeout() {
+			c.trackAbandoned(m, leaving)
+		} else {
+			c.trackLost(run)
+		}
 		go c.e.suspects.probe(end, m.Address, c.connectionLimit(), ue.Timeout())
 	}
 }
@@ -74,17 +78,26 @@
 	}
 }
 
-// trackLost records that the request may have run and got no response. abandoned is set if
-// this edge gave it up, so that the upstream may work on it.
-func (c *call) trackLost(run poison.Run, abandoned bool) {
+// trackLost records that the request may have run and got no response.
+func (c *call) trackLost(run poison.Run) {
 	c.e.suspects.update(func(t *poison.Tracker, now time.Time) []poison.Evidence {
-		if abandoned {
-			return t.RecordAbandoned(run, c.identity(), c.sentAt, now)
-		}
 		return t.RecordLost(run, c.identity(), c.sentAt, now)
 	})
 }
 
+// trackAbandoned records that this edge gave an attempt up, so that the upstream may work on
+// it for a while. leaving is set if the upstream had announced its shutdown.
+func (c *call) trackAbandoned(m *fleet.Member, leaving bool) {
+	run := poison.Run{ID: m.ID, StartedUnixMs: m.StartedUnixMs}
+	c.e.suspects.update(func(t *poison.Tracker, now time.Time) []poison.Evidence {
+		return t.RecordAbandoned(run, c.identity(), c.sentAt, now)
+	})
+	go c.e.suspects.watchAbandoned(abandonedAttempts{
+		m: m, end: endedRun{run, poison.End{Announced: leaving, Sign: poison.Refused}}, limit: c.connectionLimit(),
+		reportsState: c.table.Service(c.service).ReportsState, id: c.req.ID,
+	})
+}
+
 // runsEnded records that runs of upstreams have ended.
 func (s *suspects) runsEnded(ended ...endedRun) {
 	if len(ended) == 0 {
--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -9,7 +9,6 @@
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/attempt"
 	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
-	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 	"github.com/yuccaspindle/yuccaspindle/pkg/upstream"
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
@@ -111,7 +110,9 @@
 func (c *call) cancelAttempt(m *fleet.Member) {
 	c.e.withFleet(func(f *fleet.Fleet) { f.RecordEnd(m) })
 	c.removeIsolated(m.ID)
-	c.trackLost(poison.Run{ID: m.ID, StartedUnixMs: m.StartedUnixMs}, true)
+	leaving := false
+	c.e.withFleet(func(*fleet.Fleet) { leaving = m.ShuttingDown() })
+	c.trackAbandoned(m, leaving)
 	c.abandon()
 }
 
--- a/pkg/edge/suspects.go
+++ b/pkg/edge/suspects.go
@@ -25,12 +25,13 @@
 	tracker poison.Tracker
 	unsent  []poison.Evidence    // findings not yet sent to the other processes
 	probed  map[string]time.Time // time of the last probe of an unresponsive upstream, by address
+	watched map[poison.Run]bool  // runs at which attempts were given up
 }
 
 func newSuspects(e *Edge) *suspects {
 	return &suspects{
 		e: e, wake: make(chan struct{}, 1), exchanger: newExchanger(),
-		isolation: newIsolation(), probed: make(map[string]time.Time),
+		isolation: newIsolation(), probed: make(map[string]time.Time), watched: make(map[poison.Run]bool),
 	}
 }
 
--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -27,9 +27,9 @@
 	// process may have been suspended in a longer time, and the upstream have left as
 	// planned without an announcement.
 	promptDetection = 1500 * time.Millisecond
-	// abandonedRunTime is how long an upstream may work on a request after this entry has
+	// AbandonedRunTime is how long an upstream may work on a request after this entry has
 	// closed its connection: upstreams must stop within half a second.
-	abandonedRunTime = 500 * time.Millisecond
+	AbandonedRunTime = 500 * time.Millisecond
 	// maxLost bounds the lost attempts that are kept.
 	maxLost = 4096
 )
@@ -178,7 +178,7 @@
 // RecordAbandoned records an attempt that may have run and was given up by this entry. The
 // upstream may work on it for a while.
 func (t *Tracker) RecordAbandoned(r Run, q identity.Request, sentAt, now time.Time) []Evidence {
-	return t.recordLost(r, lostAttempt{request: q, sentAt: sentAt, at: now, over: now.Add(abandonedRunTime)}, now)
+	return t.recordLost(r, lostAttempt{request: q, sentAt: sentAt, at: now, over: now.Add(AbandonedRunTime)}, now)
 }
 
 func (t *Tracker) recordLost(r Run, l lostAttempt, now time.Time) []Evidence {
@@ -238,6 +238,20 @@
 	t.discount(t.withLife(r), Alive, at)
 }
 
+// RecordRunning records that a run of an upstream went on at a time: it said itself which run
+// it is.
+func (t *Tracker) RecordRunning(r Run, at time.Time) {
+	t.discard(t.withLife(r), Alive, func(l lostAttempt) bool { return !at.Before(l.over) })
+}
+
+// HasLost reports whether there are lost attempts at a run that were over after a time and
+// are not discounted.
+func (t *Tracker) HasLost(r Run, after time.Time) bool {
+	return slices.ContainsFunc(t.lostAttempt[t.withLife(r)], func(l lostAttempt) bool {
+		return l.discounted == "" && l.over.After(after)
+	})
+}
+
 // RecordUnreachable records that no connection to an upstream could be made. That
 // alone is no evidence of a crash, since this entry may be cut off from the network.
 func (t *Tracker) RecordUnreachable(r Run) {
--- a/pkg/poison/replaced_test.go
+++ b/pkg/poison/replaced_test.go
@@ -84,8 +84,8 @@
 		want  int           // evidence
 	}{
 		"before the loss":   {-100 * time.Millisecond, 1},
-		"still running":     {abandonedRunTime / 2, 1},
-		"no longer running": {abandonedRunTime, 0},
+		"still running":     {AbandonedRunTime / 2, 1},
+		"no longer running": {AbandonedRunTime, 0},
 	} {
 		var tr Tracker
 		r := Run{ID: "u"}
--- a/pkg/upstream/error.go
+++ b/pkg/upstream/error.go
@@ -17,9 +17,12 @@
 	ErrProtocolSwitch = errors.New("upstream switches protocols (status 101)")
 )
 
+// StepDial is the step of an Error without a connection.
+const StepDial = "dial"
+
 // Error describes a failed exchange with an upstream.
 type Error struct {
-	Step string // dial, write, read head, read body
+	Step string // StepDial, write, read head, read body
 	Addr string // of the upstream
 	Sent bool   // whether the upstream may have received the request
 	Err  error
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -224,7 +224,7 @@
 	p.mu.Lock()
 	if limit > 0 && p.open[address] >= limit {
 		p.mu.Unlock()
-		return nil, &Error{Step: "dial", Addr: address, Err: ErrTooManyConnections}
+		return nil, &Error{Step: StepDial, Addr: address, Err: ErrTooManyConnections}
 	}
 	p.open[address]++
 	p.dialed++
@@ -237,7 +237,7 @@
 		p.mu.Lock()
 		p.releaseLocked(address)
 		p.mu.Unlock()
-		return nil, &Error{Step: "dial", Addr: address, Err: err}
+		return nil, &Error{Step: StepDial, Addr: address, Err: err}
 	}
 	limiter := &headLimitReader{r: nc}
 	return &conn{Conn: nc, address: address, limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferBytes), idleTime: defaultIdleTime, opened: time.Now()}, nil
--- a/pkg/upstream/run.go
+++ b/pkg/upstream/run.go
@@ -109,3 +109,28 @@
 	}
 	return next, err
 }
+
+// AskRun asks an upstream which run it is, on an idle connection if there is one, and returns
+// the start of the run in Unix ms; 0: the upstream does not say.
+func (p *Pool) AskRun(ctx context.Context, address string, limit int) (int64, error) {
+	c := p.takeIdle(address, time.Now(), func(*conn) bool { return true })
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx, address, limit); err != nil {
+			return 0, err
+		}
+	}
+	_ = c.SetDeadline(time.Now().Add(runCheckTimeout))
+	usable, err := c.askRun()
+	start := c.run.start
+	if err != nil || !usable {
+		p.discard(c)
+	} else {
+		_ = c.SetDeadline(time.Time{})
+		p.put(c)
+	}
+	if err != nil {
+		return 0, &Error{Step: "ask for the run", Addr: address, Err: err}
+	}
+	return start, nil
+}
