Count a loss that is noticed after the upstream's new run has responded

Cause: the first response of a new run deleted the recorded end of the one before, so a loss that was noticed later was kept as one of the new run.

Evidence: TestLossNoticedAfterNewRunResponds failed before ("evidence [], want one confirmed about the run that ended") and passes after.

--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -184,8 +184,8 @@
 func (t *Tracker) recordLost(r Run, l lostAttempt, now time.Time) []Evidence {
 	t.pruneExpired(now)
 	r = t.withLife(r)
-	if e, ok := t.ended[r]; ok && l.sentAt.Before(e.at) {
-		return t.addEvidence(l.request, r, e.end.grade(now.Sub(e.at)), now)
+	if ended, e, ok := t.endAfter(r, l.sentAt); ok {
+		return t.addEvidence(l.request, ended, e.end.grade(now.Sub(e.at)), now)
 	}
 	if !l.request.Known() || !t.makeRoom() {
 		return nil
@@ -200,6 +200,22 @@
 	return nil
 }
 
+// endAfter returns the first recorded end after a time, of the current Life of a run or of
+// those right before it.
+func (t *Tracker) endAfter(current Run, at time.Time) (ended Run, end runEnd, ok bool) {
+	for life := int64(current.Life); life >= 0; life-- {
+		r := Run{ID: current.ID, StartedUnixMs: current.StartedUnixMs, Life: uint32(life)}
+		e, known := t.ended[r]
+		switch {
+		case known && at.Before(e.at):
+			ended, end, ok = r, e, true
+		case r != current:
+			return ended, end, ok
+		}
+	}
+	return ended, end, ok
+}
+
 // makeRoom reports whether another lost attempt can be kept. Discounted ones give way.
 func (t *Tracker) makeRoom() bool {
 	if t.lostCount >= maxLost && t.spareCount > 0 {
@@ -292,7 +308,6 @@
 	key := r
 	r = t.withLife(r)
 	if e, ok := t.ended[r]; ok && resp.SentAt.After(e.at) {
-		delete(t.ended, r)
 		t.incrementLife(key)
 		return t.presumeCrashes(r, resp.SentAt, now)
 	}
--- a/pkg/poison/replaced_test.go
+++ b/pkg/poison/replaced_test.go
@@ -115,3 +115,27 @@
 		t.Errorf("%d lost attempts are kept, want at most %d", tr.lostCount, maxLost)
 	}
 }
+
+// Guards against a crash that does not count because its loss is noticed only after the new
+// run of the upstream has responded (issue 35).
+func TestLossNoticedAfterNewRunResponds(t *testing.T) {
+	for name, record := range map[string]func(*Tracker, Run, time.Time) []Evidence{
+		"broken": func(tr *Tracker, r Run, now time.Time) []Evidence { return tr.RecordLost(r, poisonRequest, start, now) },
+		"given up": func(tr *Tracker, r Run, now time.Time) []Evidence {
+			return tr.RecordAbandoned(r, poisonRequest, start, now)
+		},
+	} {
+		var tr Tracker
+		r := Run{ID: "u"}
+		at := start.Add(100 * time.Millisecond)
+		tr.RecordEnd(r, End{Sign: Refused}, at)
+		at = at.Add(200 * time.Millisecond)
+		tr.RecordResponse(r, Response{ConnectedAt: at, SentAt: at}, at)
+		if found := record(&tr, r, at.Add(200*time.Millisecond)); len(found) != 1 || found[0].Grade != Confirmed || found[0].Run != r {
+			t.Errorf("%s: evidence %+v, want one confirmed about the run that ended", name, found)
+		}
+		if found := tr.RecordLost(r, soundRequest, at, at.Add(300*time.Millisecond)); len(found) != 0 {
+			t.Errorf("%s: evidence against an attempt at the new run: %+v", name, found)
+		}
+	}
+}
