Count the crash of a new run that has not responded to anything

Cause: only a response told a new run from the one that had ended before, so an attempt that was sent after the end was attributed to the ended run, where the request had been counted already.

An attempt that was sent after the end and got lost was accepted by a new run, so it begins a new life of the run, as a response does.

Evidence: TestNewRunCrashesBeforeItResponds failed before ("1 crashes count after 2") and passes after; TestAnyOrder passes with 5,000 random sequences.

--- a/pkg/poison/poison.go
+++ b/pkg/poison/poison.go
@@ -183,10 +183,15 @@
 
 func (t *Tracker) recordLost(r Run, l lostAttempt, now time.Time) []Evidence {
 	t.pruneExpired(now)
+	key := r
 	r = t.withLife(r)
 	if ended, e, ok := t.endAfter(r, l.sentAt); ok {
 		return t.addEvidence(l.request, ended, e.end.grade(now.Sub(e.at)), now)
 	}
+	if _, ok := t.ended[r]; ok { // a new run accepted the attempt
+		t.incrementLife(key)
+		r = t.withLife(key)
+	}
 	if !l.request.Known() || !t.makeRoom() {
 		return nil
 	}
--- a/pkg/poison/replaced_test.go
+++ b/pkg/poison/replaced_test.go
@@ -139,3 +139,17 @@
 		}
 	}
 }
+
+// Guards against counting two crashes at one address once because the new run ended before
+// it responded to anything (issue 35).
+func TestNewRunCrashesBeforeItResponds(t *testing.T) {
+	var tr Tracker
+	r := Run{ID: "u"}
+	for i := range maxCrashes {
+		now := start.Add(time.Duration(i) * 2 * time.Second)
+		tr.crash(r, now, poisonRequest)
+		if n := tr.Restriction(poisonRequest, now).Crashes; n != i+1 {
+			t.Fatalf("%d crashes count after %d", n, i+1)
+		}
+	}
+}
