--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -9,7 +9,6 @@
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/attempt"
 	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
-	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 	"github.com/yuccaspindle/yuccaspindle/pkg/upstream"
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
@@ -146,9 +145,13 @@
 
 // cancelAttempt ends a request and its attempt because the caller disconnected.
 func (c *call) cancelAttempt(m *fleet.Member) {
-	c.e.withFleet(func(f *fleet.Fleet) { f.RecordEnd(m) })
+	leaving := false
+	c.e.withFleet(func(f *fleet.Fleet) {
+		f.RecordEnd(m)
+		leaving = m.ShuttingDown()
+	})
 	c.removeIsolated(m.ID)
-	c.trackLost(poison.Run{ID: m.ID, StartedUnixMs: m.StartedUnixMs}, true)
+	c.trackAbandoned(m, leaving)
 	if !c.cutByStop() {
 		c.recordTime()
 	}
