--- a/pkg/edge/caller.go
+++ b/pkg/edge/caller.go
@@ -45,7 +45,17 @@
 	if err := rc.SetReadDeadline(c.deadline); err != nil {
 		c.e.logger.Debug("read deadline not set", "id", c.req.ID, "err", err)
 	}
+	// The end of a stop ends the wait for a body, so that its caller gets an answer.
+	unwatch := context.AfterFunc(c.r.Context(), func() {
+		if c.cutByStop() {
+			_ = rc.SetReadDeadline(time.Now())
+		}
+	})
+	defer unwatch()
 	pieces, err := membudget.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, limit, hold)
+	if err == nil && !unwatch() && c.cutByStop() {
+		err = os.ErrDeadlineExceeded
+	}
 	if err == nil {
 		c.body = membudget.Join(pieces)
 		// A remaining read deadline would end the detection of a disconnecting
@@ -60,6 +70,8 @@
 		c.refuse(http.StatusRequestEntityTooLarge, 0, "body too large")
 	case errors.Is(err, membudget.ErrShareExceeded) || errors.Is(err, membudget.ErrExhausted):
 		c.refuse(http.StatusServiceUnavailable, retryAfterBusy, "no memory for the body")
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.cutByStop():
+		c.refuseAtStop()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.refuse(http.StatusRequestTimeout, 0, "body not received in time")
 	default:
@@ -118,7 +130,7 @@
 
 // logCallerLeft records a request whose caller has disconnected.
 func (c *call) logCallerLeft() {
-	if context.Cause(c.r.Context()) == errStopped {
+	if c.cutByStop() {
 		c.log("request cut at the end of a stop", 0, c.connAttrs()...)
 		c.e.metrics.recordEnd(c.kind(), "cut_at_stop", time.Since(c.began))
 		return
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -4,10 +4,12 @@
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
+	"strings"
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/attempt"
 	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
+	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
 	"github.com/yuccaspindle/yuccaspindle/pkg/membudget"
 	"github.com/yuccaspindle/yuccaspindle/pkg/origin"
 	"github.com/yuccaspindle/yuccaspindle/pkg/routing"
@@ -23,6 +25,7 @@
 	// time.
 	retryAfterUnready = 500 * time.Millisecond // no configuration, or no majority of the storage processes
 	retryAfterBusy    = 200 * time.Millisecond // no capacity at the upstreams
+	retryAfterStop    = 50 * time.Millisecond  // another edge takes the request at once
 	// retryJitter keeps callers that were refused together from returning together.
 	retryJitter = 200 * time.Millisecond
 )
@@ -42,6 +45,7 @@
 	// read and not yet delivered; nil: none.
 	responseHold *membudget.Reservation
 	began        time.Time
+	receivedAt   time.Time // when the body was complete; zero: it is not yet
 	// onConn is the number of this request on its connection, from 1; writtenBefore is
 	// how many bytes were written there before it.
 	onConn, writtenBefore int64
@@ -58,6 +62,8 @@
 	headSent        bool             // the response header was sent
 	programStarted  bool             // an earlier turn of the program was served here, or the request names one
 	sentAt          time.Time        // start of the current attempt
+	given, left     time.Duration    // that the upstream was given, and that was left when the request was written; 0: not written
+	reservation     ledger.Receipt   // of the tokens of a turn
 	id              identity.Request // unknown: not computed yet
 	isolated        bool             // the current attempt must not share its upstream with a suspected request
 	// limited is set if the last placement failed because of rate limits; limitWait is
@@ -101,6 +107,7 @@
 	if !c.readBody(bodyHold) {
 		return
 	}
+	c.receivedAt = time.Now()
 	defer c.releaseResponse()
 	c.service = c.route.Pick(rand.Float64())
 	c.tracker = attempt.New(attempt.Request{
@@ -113,14 +120,16 @@
 	c.servePlain()
 }
 
+// timeout returns the time that the request has: until the caller's deadline, which may
+// have passed, and at most the timeout of its route.
 func (c *call) timeout() time.Duration {
 	d := c.req.TimeLeft
-	if t := c.route.Timeout; t > 0 && (d == 0 || t < d) {
-		d = t
-	}
-	if d == 0 {
+	if !c.req.HasTimeLeft {
 		d = defaultTimeout
 	}
+	if t := c.route.Timeout; t > 0 && (!c.req.HasTimeLeft || t < d) {
+		d = t
+	}
 	return d
 }
 
@@ -167,6 +176,9 @@
 	if c.tracker != nil {
 		args = append(args, "attempts", c.tracker.Attempts())
 	}
+	if r := c.reservation; r.Asked > 0 {
+		args = append(args, "reserved_by", strings.Join(r.Acknowledged, ","), "reserved_of", r.Asked)
+	}
 	if c.id.Known() {
 		args = append(args, "fingerprint", c.id.Content, "caller", c.id.Caller)
 	}
@@ -184,6 +196,7 @@
 	case attempt.Refuse:
 		c.refuse(http.StatusServiceUnavailable, c.retryAfter(), why)
 	case attempt.Expire:
+		c.recordTime()
 		c.respond(http.StatusGatewayTimeout, 0, why)
 	default:
 		c.respond(http.StatusBadGateway, 0, why)
@@ -232,6 +245,9 @@
 			break
 		}
 	}
+	if resp.Status < http.StatusInternalServerError {
+		c.recordTime()
+	}
 	c.log("request answered", resp.Status)
 	c.e.metrics.recordEnd(c.kind(), "answered", time.Since(c.began))
 }
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -7,6 +7,7 @@
 
 	vm "github.com/VictoriaMetrics/metrics"
 
+	"github.com/yuccaspindle/yuccaspindle/pkg/attempt"
 	"github.com/yuccaspindle/yuccaspindle/pkg/membudget"
 )
 
@@ -27,6 +28,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_attempts_total{outcome=%q}`, outcome)).Inc()
 }
 
+// timeGiven records the time that an upstream was given for an attempt.
+func (m *metrics) timeGiven(d time.Duration) {
+	m.set.GetOrCreateHistogram(`yucca_edge_attempt_given_seconds`).Update(d.Seconds())
+}
+
+// boundExceeded counts an attempt beyond the bounds of its request, by bound.
+func (m *metrics) boundExceeded(bound string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_attempts_beyond_bounds_total{bound=%q}`, bound)).Inc()
+}
+
 // callerLeft counts a caller that disconnected before its answer, by how reading from its
 // connection ended.
 func (m *metrics) callerLeft(end string) {
@@ -41,6 +52,12 @@
 	m.set.GetOrCreateCounter(`yucca_edge_cut_at_stop_total`).Add(n)
 }
 
+// endedForStop counts requests that a stopping edge did not pass on, or not again, since
+// the rest of the stop could not hold them, by what their callers were told.
+func (m *metrics) endedForStop(a attempt.Action) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_ended_for_stop_total{action=%q}`, a.String())).Inc()
+}
+
 // suspectFinding counts findings about requests that were in flight during a crash.
 func (m *metrics) suspectFinding(finding string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_suspects_total{finding=%q}`, finding)).Inc()
--- a/pkg/ledger/write.go
+++ b/pkg/ledger/write.go
@@ -11,7 +11,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 )
 
-// Receipt names the members that acknowledged a write.
+// Receipt names the members that acknowledged a write or a reservation.
 type Receipt struct {
 	Acknowledged []string
 	Asked        int // members of the replica group
@@ -196,6 +196,7 @@
 
 // Reservation is the result of Reserve.
 type Reservation struct {
+	Receipt
 	Spent int // tokens used by finished turns
 	// Origin is the origin of the stream that the attempt continues; nil: none is
 	// recorded.
@@ -210,19 +211,69 @@
 func (c *Client) Reserve(ctx context.Context, u *peerv1.Usage, budget int, continues uint64) (Reservation, error) {
 	members := c.sortByDistance(ReplicaGroup(c.directory.Storage(), u.GetProgram()))
 	need := c.quorum(len(members))
-	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Reserve{Reserve: &peerv1.Reserve{Usage: u, Continues: continues}}}
+	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Reserve{Reserve: &peerv1.Reserve{Usage: u, Continues: continues, Group: groupKey(members)}}}
 	replies, err := c.queryMembers(ctx, members, need, req, func(r []memberReply, _ int) bool { return countOK(r) >= need })
+	if err == nil {
+		replies, err = c.reserveAtOtherGroups(ctx, members, replies, req)
+	}
+	res := Reservation{Receipt: Receipt{Acknowledged: acknowledged(replies), Asked: len(members)}}
 	if err != nil {
-		return Reservation{}, err
+		return res, err
 	}
 	lists := make([][]*peerv1.Usage, 0, len(replies))
 	for _, r := range replies {
 		lists = append(lists, r.reply.GetUsage())
 	}
 	merged := MergeUsage(lists...)
-	res := Reservation{Spent: SpentTokens(merged), Origin: merged[continues].GetOrigin()}
+	res.Spent, res.Origin = SpentTokens(merged), merged[continues].GetOrigin()
 	if budget > 0 && !FitsBudget(merged, u.GetAttempt(), int(u.GetTokens()), budget) {
 		return res, ErrOverBudget
 	}
 	return res, nil
 }
+
+// isBeginning reports whether a group is of a list that is not complete yet, while a
+// deployment starts: a part of the asked one that is too small for a ledger. The first
+// members that register are enough for each quorum then.
+func (c *Client) isBeginning(group, asked []Member) bool {
+	names := sortedNames(asked)
+	other := func(m Member) bool { return !slices.Contains(names, m.Name) }
+	return len(group) < 2*c.tolerated+1 && !slices.ContainsFunc(group, other)
+}
+
+// reserveAtOtherGroups sends a reservation also to a quorum of each replica group that a
+// member names because it knows of other members than this client: quorums of two groups
+// may share no member. It returns the replies of all groups.
+func (c *Client) reserveAtOtherGroups(ctx context.Context, asked []Member, replies []memberReply, req *peerv1.LedgerRequest) ([]memberReply, error) {
+	done := map[uint64]bool{groupKey(asked): true}
+	for i := 0; i < len(replies); i++ {
+		group := groupOf(replies[i].reply)
+		key, need := groupKey(group), c.quorum(len(group))
+		if done[key] || len(group) < need || c.isBeginning(group, asked) {
+			continue
+		}
+		done[key] = true
+		c.logger.Info("storage process knows another replica group", "program", req.GetReserve().GetUsage().GetProgram(),
+			"member", replies[i].member.Name, "asked", memberNames(asked), "group", memberNames(group))
+		reserved := acknowledged(replies)
+		lacking := slices.DeleteFunc(slices.Clone(group), func(m Member) bool { return slices.Contains(reserved, m.Name) })
+		if need -= len(group) - len(lacking); need <= 0 {
+			continue
+		}
+		more, err := c.queryMembers(ctx, lacking, need, req, func(r []memberReply, _ int) bool { return countOK(r) >= need })
+		replies = append(replies, more...)
+		if err != nil {
+			return replies, err
+		}
+	}
+	return replies, nil
+}
+
+// groupOf returns the replica group that a reply names; empty: it names none.
+func groupOf(r *peerv1.LedgerReply) []Member {
+	group := make([]Member, 0, len(r.GetGroup()))
+	for _, m := range r.GetGroup() {
+		group = append(group, Member{Name: m.GetName(), Address: m.GetAddress()})
+	}
+	return group
+}
