--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -9,7 +9,6 @@
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/attempt"
 	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
-	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 	"github.com/yuccaspindle/yuccaspindle/pkg/upstream"
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
@@ -96,6 +95,10 @@
 	return max(limit/c.e.view.edgeCount(), 1)
 }
 
+// endBeforeAttempt ends a request that must not be passed on, or not again. It reports
+// whether it did.
+func (c *call) endBeforeAttempt() bool { return c.endAtStop() || c.refuseQuarantined() }
+
 // recordEnd records the end of an attempt and returns the next action.
 func (c *call) recordEnd(m *fleet.Member, o attempt.Outcome, resp *upstream.Response, err error) attempt.Action {
 	now := time.Now()
@@ -142,9 +145,16 @@
 
 // cancelAttempt ends a request and its attempt because the caller disconnected.
 func (c *call) cancelAttempt(m *fleet.Member) {
-	c.e.withFleet(func(f *fleet.Fleet) { f.RecordEnd(m) })
+	leaving := false
+	c.e.withFleet(func(f *fleet.Fleet) {
+		f.RecordEnd(m)
+		leaving = m.ShuttingDown()
+	})
 	c.removeIsolated(m.ID)
-	c.trackLost(poison.Run{ID: m.ID, StartedUnixMs: m.StartedUnixMs})
+	c.trackAbandoned(m, leaving)
+	if !c.cutByStop() {
+		c.recordTime()
+	}
 	c.abandon()
 }
 
