--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -23,6 +23,9 @@
 	// because its turn has become durable. It is below the quarter of a second by which
 	// a route's timeout may be exceeded.
 	lateCommit = 200 * time.Millisecond
+	// completeTimeout limits how long earlier turns are sent to members that lack them, after
+	// the response has ended. What is not sent then is sent with the next turn.
+	completeTimeout = 3 * time.Second
 	// commitRetryTimeout limits the write of a stream's origin beside its first attempt.
 	commitRetryTimeout = 60 * time.Second
 	// maxTurnOutput limits the output of one turn in bytes, so that its ledger record
@@ -46,7 +49,8 @@
 	c        *call
 	reserved bool // tokens are reserved in the ledger
 	settled  bool
-	input    []byte // without the earlier turns
+	input    []byte               // without the earlier turns
+	earlier  []*peerv1.TurnRecord // of the conversation, oldest first
 	output   []byte
 	tokens   int // delivered, as the budget counts them
 	hold     *membudget.Reservation
@@ -76,6 +80,8 @@
 	historyErr := <-history
 	t.beginDuration = time.Since(c.began)
 	switch {
+	case c.cutByStop():
+		c.refuseAtStop()
 	case c.callerGone():
 		c.abandon()
 	case errors.Is(reserveErr, ledger.ErrOverBudget):
@@ -90,7 +96,8 @@
 		c.e.logger.Warn("origin of a stream not known", "id", c.req.ID, "resumes", c.req.ResumedID, "err", reserveErr)
 		c.refuse(http.StatusServiceUnavailable, retryAfterUnready, whyOriginUnknown)
 	case reserveErr != nil:
-		c.e.logger.Warn("budget not known", "id", c.req.ID, "program", c.req.Program, "err", reserveErr)
+		c.e.logger.Warn("budget not known", "id", c.req.ID, "program", c.req.Program,
+			"answered", len(c.reservation.Acknowledged), "of", c.reservation.Asked, "err", reserveErr)
 		c.refuse(http.StatusServiceUnavailable, retryAfterUnready, "budget not known")
 	case historyErr != nil:
 		c.e.logger.Warn("history not known", "id", c.req.ID, "parent", c.req.ParentTurnID, "err", historyErr)
@@ -138,6 +145,7 @@
 	began := time.Now()
 	res, err := c.e.ledger.Reserve(ctx, c.usage(c.req.MaxTokens, false), c.req.TokenBudget, c.resumedKey())
 	c.e.metrics.ledger("reserve", err, time.Since(began))
+	c.reservation = res.Receipt
 	if res.Spent > 0 {
 		c.e.spent.Add(c.req.Program, res.Spent)
 	}
@@ -153,6 +161,7 @@
 	if err != nil {
 		return err
 	}
+	t.earlier = chain
 	size := len(t.input)
 	for _, r := range chain {
 		size += len(r.GetInput()) + len(r.GetOutput())
@@ -294,6 +303,11 @@
 			c.e.turns.Add(rec.GetId(), rec)
 		}
 		done <- result{receipt, err}
+		if err == nil {
+			completing, cancel := context.WithTimeout(context.Background(), completeTimeout)
+			defer cancel()
+			c.e.ledger.CompleteChains(completing, receipt, t.earlier)
+		}
 	}()
 	t.durability = durabilityNo
 	select {
