Count the last event of open turns whole against a budget

Tokens count by whole events, and a turn's limit need not be a multiple of an event. Turns that run in parallel each exceed what they reserved by a part of an event, and together exceed the budget by more than the one turn that is allowed. That the users' upstreams end a turn in such an event isn't known; their example limits are multiples.

A reservation is refused now if the program could exceed its budget by more than this turn with whole events. What fits by its limits and exceeds the budget by less is served as before: a budget of one or two turns still holds them.

--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -146,6 +146,10 @@
 		c.e.spent.Add(c.req.Program, res.Spent)
 	}
 	t.origin = res.Origin
+	perEvent := c.table.Service(c.service).TokensPerEvent
+	if err == nil && !ledger.FitsWholeEvents(res.Records, ledger.AttemptKey(c.req.ID), c.req.MaxTokens, c.req.TokenBudget, perEvent) {
+		return ledger.ErrOverBudget
+	}
 	return err
 }
 
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -297,3 +297,24 @@
 	}
 	return used+limit <= budget
 }
+
+// FitsWholeEvents reports whether a turn of at most limit tokens exceeds the budget by no
+// more than itself, if the last event of each open turn counts whole. Turns that fit by
+// their limits may together exceed the budget by a part of an event each.
+func FitsWholeEvents(records map[uint64]*peerv1.Usage, attempt uint64, limit, budget, perEvent int) bool {
+	if perEvent <= 0 {
+		return true
+	}
+	whole := func(tokens int) int { return (tokens + perEvent - 1) / perEvent * perEvent }
+	used := whole(limit)
+	for key, u := range records {
+		switch {
+		case key == attempt:
+		case u.GetSettled():
+			used += int(u.GetTokens())
+		default:
+			used += whole(int(u.GetTokens()))
+		}
+	}
+	return used <= budget+limit
+}
--- a/pkg/ledger/state_test.go
+++ b/pkg/ledger/state_test.go
@@ -55,6 +55,39 @@
 	}
 }
 
+// Guards against open turns that each exceed their limit by a part of an event, and
+// against a refusal of what fits a budget by such parts alone.
+func TestFitsWholeEvents(t *testing.T) {
+	open := func(n int, tokens uint32) map[uint64]*peerv1.Usage {
+		records := map[uint64]*peerv1.Usage{1: {Attempt: 1, Tokens: 60}}
+		for i := range n {
+			records[uint64(10+i)] = &peerv1.Usage{Attempt: uint64(10 + i), Tokens: tokens}
+		}
+		return records
+	}
+	settled := open(1, 0)
+	settled[10] = &peerv1.Usage{Attempt: 10, Tokens: 851, Settled: true}
+	for name, c := range map[string]struct {
+		records  map[uint64]*peerv1.Usage
+		budget   int
+		perEvent int
+		fits     bool
+	}{
+		"only turn":                {open(0, 0), 60, 14, true},
+		"two of two":               {open(1, 60), 120, 14, true},
+		"13 of 15":                 {open(12, 60), 900, 14, true},
+		"14 of 15":                 {open(13, 60), 900, 14, false},
+		"15 of 15 in whole events": {open(14, 60), 900, 15, true},
+		"no events":                {open(14, 60), 900, 0, true},
+		"settled tokens are exact": {settled, 861, 14, true},
+		"beyond the budget":        {settled, 860, 14, false},
+	} {
+		if got := FitsWholeEvents(c.records, 1, 60, c.budget, c.perEvent); got != c.fits {
+			t.Errorf("%s: fits is %v, want %v", name, got, c.fits)
+		}
+	}
+}
+
 // Guards against two concurrent reservations that both succeed although only one
 // fits the budget. Any two majorities share a member, which sees both.
 func TestConcurrentReservations(t *testing.T) {
--- a/pkg/ledger/write.go
+++ b/pkg/ledger/write.go
@@ -147,6 +147,8 @@
 type Reservation struct {
 	Receipt
 	Spent int // tokens used by finished turns
+	// Records holds the usage records of the program by attempt key.
+	Records map[uint64]*peerv1.Usage
 	// Origin is the origin of the stream that the attempt continues; nil: none is
 	// recorded.
 	Origin *peerv1.Origin
@@ -174,7 +176,7 @@
 		lists = append(lists, r.reply.GetUsage())
 	}
 	merged := MergeUsage(lists...)
-	res.Spent, res.Origin = SpentTokens(merged), merged[continues].GetOrigin()
+	res.Spent, res.Origin, res.Records = SpentTokens(merged), merged[continues].GetOrigin(), merged
 	if budget > 0 && !FitsBudget(merged, u.GetAttempt(), int(u.GetTokens()), budget) {
 		return res, ErrOverBudget
 	}
