--- a/pkg/ledger/server.go
+++ b/pkg/ledger/server.go
@@ -94,7 +94,7 @@
 	status := s.Store.ReadStatus()
 	switch op := req.GetOp().(type) {
 	case *peerv1.LedgerRequest_Write:
-		return &peerv1.LedgerReply{Status: s.Store.WriteStatus()}
+		return &peerv1.LedgerReply{Status: s.Store.WriteStatus(), Missing: s.lackedTurns(op.Write.GetRecords())}
 	case *peerv1.LedgerRequest_Reserve:
 		return &peerv1.LedgerReply{
 			Status: s.Store.UsageStatus(), Usage: s.Store.Usage(op.Reserve.GetUsage().GetProgram(), op.Reserve.GetContinues()),
@@ -114,6 +114,18 @@
 	return &peerv1.LedgerReply{Status: status}
 }
 
+// lackedTurns returns for each turn, if its chain is not complete here, the digest of the
+// latest earlier turn that is lacking.
+func (s Server) lackedTurns(recs []*peerv1.LedgerRecord) []uint64 {
+	var list []uint64
+	for _, rec := range recs {
+		if id, ok := s.Store.LackedTurn(rec.GetTurn().GetId()); ok {
+			list = append(list, turnDigest(id))
+		}
+	}
+	return list
+}
+
 // otherGroup returns the replica group of a program if this process knows that it isn't
 // the one that is asked.
 func (s Server) otherGroup(r *peerv1.Reserve) []*peerv1.GroupMember {
