Report processes that crash by themselves in TestLostSoak

A process that ended by itself was started again and only noted, so a crash of an edge, such as two goroutines writing one map, looked like one of the soak's own kills, and the requests that it cut were excused.

The output of each process is now searched for what the runtime writes in a crash, and for the reports of the race detector in a trial with daemons built with it. TestCrashIsFound has an example of each.

--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"iter"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -382,9 +383,48 @@
 	stop()
 	wg.Wait()
 	l.checkCut()
+	l.checkCrashes()
 	return l.runs.check()
 }
 
+// crashMarks begin what the runtime of Go writes when a process crashes, or a race when it
+// was built to detect these.
+var crashMarks = []string{"panic: ", "fatal error: ", "WARNING: DATA RACE"}
+
+// checkCrashes reports processes that crashed by themselves. Their callers lose the
+// requests under way, which looks like a kill.
+func (l *lostSoak) checkCrashes() {
+	for _, p := range slices.Concat(l.edges, l.storages, l.gone) {
+		if at, ok := findCrash(p.log.String()); ok {
+			l.violate("%s %s crashed:\n%s", p.role, p.ip, at)
+		}
+	}
+}
+
+// findCrash returns the beginning of the first crash in the output of a process.
+func findCrash(output string) (string, bool) {
+	const shown = 2000 // bytes
+	for line, rest := range lines(output) {
+		if slices.ContainsFunc(crashMarks, func(mark string) bool { return strings.HasPrefix(line, mark) }) {
+			return rest[:min(len(rest), shown)], true
+		}
+	}
+	return "", false
+}
+
+// lines yields each line of a text, and the text from there on.
+func lines(text string) iter.Seq2[string, string] {
+	return func(yield func(line, rest string) bool) {
+		for text != "" {
+			line, rest, _ := strings.Cut(text, "\n")
+			if !yield(line, text) {
+				return
+			}
+			text = rest
+		}
+	}
+}
+
 // keepLostLogs writes the logs of all processes and the events to files.
 func (l *lostSoak) keepLostLogs() {
 	l.storages = append(l.storages, l.gone...)
@@ -460,3 +500,16 @@
 		}
 	}
 }
+
+// Guards against a crash of a process that the soak takes for one of its kills.
+func TestCrashIsFound(t *testing.T) {
+	const before = "time=2026 level=INFO msg=\"panic: in a value\"\n"
+	for _, crash := range []string{"fatal error: concurrent map writes\n\ngoroutine 7\n", "panic: runtime error\n", "WARNING: DATA RACE\nRead at\n"} {
+		if at, ok := findCrash(before + crash + before); !ok || !strings.HasPrefix(at, crash) {
+			t.Errorf("%q: found %t, %q", crash, ok, at)
+		}
+	}
+	if at, ok := findCrash(before); ok {
+		t.Errorf("found without a crash: %q", at)
+	}
+}
