--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -48,7 +48,11 @@
 		c.e.suspects.runsEnded(end)
 	case errors.As(err, &ue) && ue.Sent:
 		c.e.metrics.lostAttempt(ue.Timeout(), leaving)
-		c.trackLost(run)
+		if ue.Timeout() {
+			c.trackAbandoned(m, leaving)
+		} else {
+			c.trackLost(run)
+		}
 		go c.e.suspects.probe(end, m.Address, c.connectionLimit(), ue.Timeout())
 	}
 }
@@ -58,8 +62,12 @@
 func (c *call) trackResponse(run poison.Run, o attempt.Outcome, resp *upstream.Response) {
 	s := c.e.suspects
 	if s.tracking.Load() {
+		r := poison.Response{SentAt: c.sentAt}
+		if resp != nil {
+			r.ConnectedAt = resp.ConnectedAt
+		}
 		s.update(func(t *poison.Tracker, now time.Time) []poison.Evidence {
-			return t.RecordResponse(run, c.sentAt, now)
+			return t.RecordResponse(run, r, now)
 		})
 	}
 	ran := o == attempt.Answered && !resp.NotRun && resp.Status < http.StatusInternalServerError
@@ -77,6 +85,19 @@
 	})
 }
 
+// trackAbandoned records that this edge gave an attempt up, so that the upstream may work on
+// it for a while. leaving is set if the upstream had announced its shutdown.
+func (c *call) trackAbandoned(m *fleet.Member, leaving bool) {
+	run := poison.Run{ID: m.ID, StartedUnixMs: m.StartedUnixMs}
+	c.e.suspects.update(func(t *poison.Tracker, now time.Time) []poison.Evidence {
+		return t.RecordAbandoned(run, c.identity(), c.sentAt, now)
+	})
+	go c.e.suspects.watchAbandoned(abandonedAttempts{
+		m: m, end: endedRun{run, poison.End{Announced: leaving, Sign: poison.Refused}}, limit: c.connectionLimit(),
+		reportsState: c.table.Service(c.service).ReportsState, id: c.req.ID,
+	})
+}
+
 // runsEnded records that runs of upstreams have ended.
 func (s *suspects) runsEnded(ended ...endedRun) {
 	if len(ended) == 0 {
@@ -98,7 +119,7 @@
 	if silent && !s.allowProbe(address) {
 		return
 	}
-	accepted := true
+	accepted, began := true, time.Now()
 	for range 2 {
 		err := s.e.pool.Probe(context.Background(), address, limit, silent)
 		var ue *upstream.Error
@@ -123,7 +144,7 @@
 		return
 	}
 	s.update(func(t *poison.Tracker, _ time.Time) []poison.Evidence {
-		t.RecordAlive(end.run)
+		t.RecordAlive(end.run, began)
 		return nil
 	})
 }
