Count a crash beside an equal request that completed in any order

What callers saw: whether a content whose caller is another one each time is quarantined could differ from one request and process to the next.

Cause: unexplainedCrashes marked a run as counted also at the evidence that was cleared. If an equal harmless request had been in flight at the same upstream and completed since, the crash counted or not as the iteration of a map happened to visit the two.

Now only evidence that counts as a crash takes part, and the latest time of a run is its time.

Evidence: TestCrashBesideCompletedEqualRequest failed before ("a new caller is not refused after three crashes beside equal requests that completed") and passes after, with all of pkg/poison.

--- a/pkg/poison/restriction.go
+++ b/pkg/poison/restriction.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -194,20 +195,19 @@
 // unexplainedCrashes returns the times of the crashes with any of the requests in flight
 // that no single request accounts for, and the number of the requests that completed.
 func (set *EvidenceSet) unexplainedCrashes(requests map[identity.Request]bool) (times []time.Time, completed int) {
-	seen := make(map[Run]bool)
+	at := make(map[Run]time.Time)
 	for q := range requests {
 		h := set.requests[q]
 		if h.completed() {
 			completed++
 		}
 		for run, e := range h.crashes {
-			if e.isCrash() && !seen[run] && !set.isExplained(run) {
-				times = append(times, e.At)
+			if e.isCrash() && e.At.After(at[run]) && !set.isExplained(run) {
+				at[run] = e.At
 			}
-			seen[run] = true
 		}
 	}
-	return times, completed
+	return slices.Collect(maps.Values(at)), completed
 }
 
 // isExplained reports whether a request in flight at the end of a run was in flight at
--- a/pkg/poison/restriction_test.go
+++ b/pkg/poison/restriction_test.go
@@ -152,3 +152,21 @@
 		t.Errorf("left: %v, digest %x", tr.byContent, tr.Digest())
 	}
 }
+
+// Guards against a verdict that depends on the order of a map: of two requests with the same
+// content in flight at one crash, one has completed since.
+func TestCrashBesideCompletedEqualRequest(t *testing.T) {
+	for range 64 {
+		var tr Tracker
+		now := start
+		for i := range maxCrashes {
+			guilty, harmless := from(single(100+i)), from(single(200+i))
+			tr.crash(Run{ID: fmt.Sprint("u", i)}, now, guilty, harmless)
+			tr.RecordSuccess(harmless, now.Add(time.Millisecond))
+			now = now.Add(time.Second)
+		}
+		if !tr.refuses(from(single(300)), now) {
+			t.Fatal("a new caller is not refused after three crashes beside equal requests that completed")
+		}
+	}
+}
