Take only requests that completed for completed ones

What callers saw: a request that crashes upstreams, without a program, ran a third time at once and again every 30 s, not isolated, in place of being quarantined at its second crash, longer with each further one.

Cause: any cleared evidence made a request one that several callers send, of which some complete it. A presumed crash is also cleared when the upstream turns out to run, which says nothing of that. For the same reason a caller was spared the quarantine of its content.

Now only the evidence that is recorded for a success counts. It is recorded if the content is still suspected after the caller's own crashes were cleared.

--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -109,14 +109,11 @@
 }
 
 // completed reports whether the request completed while it, or another one with its
-// content, was suspected.
+// content, was suspected. That evidence was cleared does not show it: the upstream may just
+// have turned out to run.
 func (h *crashHistory) completed() bool {
-	for _, e := range h.crashes {
-		if e.Grade == Cleared {
-			return true
-		}
-	}
-	return false
+	_, ok := h.crashes[completedRun]
+	return ok
 }
 
 func (h *crashHistory) crashCount() int {
--- a/pkg/poison/restriction.go
+++ b/pkg/poison/restriction.go
@@ -227,11 +227,10 @@
 // upstream for some time. Callers that complete a suspected content are remembered.
 func (set *EvidenceSet) RecordCompleted(q identity.Request, now time.Time) []Evidence {
 	var found []Evidence
-	suspected := set.isContentSuspected(q.Content)
 	if h := set.requests[q]; h != nil && (q.Caller.Single() || now.Sub(h.lastCrash) >= mixedClearTime) {
 		found = set.Clear(q, now)
 	}
-	if !suspected || len(found) > 0 {
+	if !set.isContentSuspected(q.Content) {
 		return found
 	}
 	if e := (Evidence{Request: q, Run: completedRun, Grade: Cleared, At: now}); set.Add(e, now) {
--- a/pkg/poison/restriction_test.go
+++ b/pkg/poison/restriction_test.go
@@ -170,3 +170,26 @@
 		}
 	}
 }
+
+// Guards against taking a request that was cleared because its upstream still runs for one
+// that completed: no equal request of another caller needs to be spared then.
+func TestClearedIsNotCompleted(t *testing.T) {
+	var tr Tracker
+	r, q := Run{ID: "v"}, from(shared)
+	tr.RecordLost(r, q, start, start)
+	tr.RecordUnreachable(r)
+	at := start.Add(100 * time.Millisecond)
+	if found := tr.RecordResponse(Run{ID: "other"}, Response{SentAt: at}, at); len(found) != 1 || found[0].Grade != Presumed {
+		t.Fatalf("evidence while the upstream is unreachable: %+v", found)
+	}
+	at = start.Add(200 * time.Millisecond)
+	if found := tr.RecordResponse(r, Response{SentAt: at}, at); len(found) != 1 || found[0].Grade != Cleared {
+		t.Fatalf("evidence after a response: %+v", found)
+	}
+	for i := range quarantineCrashes {
+		tr.crash(Run{ID: fmt.Sprint("u", i)}, start.Add(time.Duration(i+1)*time.Second), q)
+	}
+	if now := start.Add(3 * time.Second); !tr.refuses(q, now) {
+		t.Errorf("not refused after %d crashes: %+v", quarantineCrashes, tr.Restriction(q, now))
+	}
+}
