Bound what is recorded about callers that complete a suspected content

What happened: after one crash beside a request that many callers send, each success of another caller was a finding. It went to 16 edges and all storage processes and stayed for 10 min, so that evidence of one content could crowd out other evidence (4096 requests).

Cause: RecordCompleted recorded callers beyond the 64 from which a content is too common to be suspected.

Now nothing is recorded beyond these, except for a request that has crashes of its own: it may share its address with others.

Evidence: TestCompletionsOfCommonRequestAreBounded failed before ("1280 successes are told, want at most 64") and passes after, with all of pkg/poison.

--- a/pkg/poison/restriction.go
+++ b/pkg/poison/restriction.go
@@ -230,7 +230,7 @@
 	if h := set.requests[q]; h != nil && (q.Caller.Single() || now.Sub(h.lastCrash) >= mixedClearTime) {
 		found = set.Clear(q, now)
 	}
-	if !set.isContentSuspected(q.Content) {
+	if !set.needsCompleted(q) {
 		return found
 	}
 	if e := (Evidence{Request: q, Run: completedRun, Grade: Cleared, At: now}); set.Add(e, now) {
@@ -239,12 +239,18 @@
 	return found
 }
 
-// isContentSuspected reports whether requests with the content were in flight at a crash.
-func (set *EvidenceSet) isContentSuspected(c identity.Content) bool {
-	for q := range set.byContent[c] {
-		if set.requests[q].crashCount() > 0 {
-			return true
+// needsCompleted reports whether a restriction may depend on that a request completed: its
+// content is suspected, and it is not known yet to be too common to be suspected by itself,
+// or crashes count against the request, which others behind its address may send, too.
+func (set *EvidenceSet) needsCompleted(q identity.Request) bool {
+	suspected, completed := false, 0
+	for other := range set.byContent[q.Content] {
+		h := set.requests[other]
+		suspected = suspected || h.crashCount() > 0
+		if h.completed() {
+			completed++
 		}
 	}
-	return false
+	h := set.requests[q]
+	return suspected && (completed < maxCompletedCallers || h != nil && h.crashCount() > 0)
 }
--- a/pkg/poison/restriction_test.go
+++ b/pkg/poison/restriction_test.go
@@ -193,3 +193,18 @@
 		t.Errorf("not refused after %d crashes: %+v", quarantineCrashes, tr.Restriction(q, now))
 	}
 }
+
+// Guards against evidence without bound about a content that many callers complete: it
+// would crowd out other evidence, and each success would be told to all processes.
+func TestCompletionsOfCommonRequestAreBounded(t *testing.T) {
+	var tr Tracker
+	tr.crash(Run{ID: "u"}, start, from(single(1)))
+	told := 0
+	for i := range 10 * maxCompletedCallers {
+		address := identity.SharedCaller(fmt.Sprint("10.0.0.", i))
+		told += len(tr.RecordSuccess(from(single(1000+i)), start)) + len(tr.RecordSuccess(from(address), start))
+	}
+	if told > maxCompletedCallers {
+		t.Errorf("%d successes are told, want at most %d", told, maxCompletedCallers)
+	}
+}
