Lengthen the quarantine of a request that crashes on beside equal ones

Cause: while equal requests complete, each quarantine lasted 30 s, and the success of a harmless one after that cleared all crashes, so that three more were needed.

Now each crash after the third doubles the quarantine, up to 1 h, as it does for other requests. A success after a quarantine still clears the crashes, but leaves evidence that there was one, for 10 min; until then one crash is enough for the next quarantine. A success during one clears nothing.

Evidence: TestCallersBehindOneAddressForLong, 5 min of virtual time, failed before: 9 late crashes with a retry after 0.4 s, 9 with one after 5 s, at most 3 are allowed; now 3 and 3. The harmless requests pay nothing more in these: 2984 and 2900 of 3000 refused, before and after. They pay more where the other request pauses: after a quarantine, one crash refuses them for 60 s and more. A request that is sent less often than every 30 s is still cleared each time.

--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -38,6 +38,14 @@
 // the request completed while a request with its content was suspected.
 var completedRun Run
 
+// mixedQuarantine stands for no run either: evidence about it, always with grade Cleared,
+// records that a request whose caller is not single completed after its n-th quarantine, so
+// that its crashes were cleared.
+func mixedQuarantine(n int) Run { return Run{Life: uint32(n)} }
+
+// isNone reports whether the run stands for none.
+func (r Run) isNone() bool { return r.ID == "" && r.StartedUnixMs == 0 }
+
 // Grade classifies the evidence against a request that was in flight when an upstream
 // ended. A higher grade replaces a lower one, so the order in which processes receive
 // evidence does not matter.
@@ -80,7 +88,7 @@
 
 // isValid reports whether the evidence may be merged into a set.
 func (e Evidence) isValid() bool {
-	return e.Request.Known() && e.Grade >= Presumed && e.Grade <= Cleared && (e.Run != completedRun || e.Grade == Cleared)
+	return e.Request.Known() && e.Grade >= Presumed && e.Grade <= Cleared && (!e.Run.isNone() || e.Grade == Cleared)
 }
 
 // ttl returns how long the evidence is kept.
--- a/pkg/poison/restriction.go
+++ b/pkg/poison/restriction.go
@@ -69,15 +69,15 @@
 	}
 	n := h.crashCount()
 	v := Restriction{Crashes: n}
-	if n < quarantineCrashes {
-		return v
-	}
-	if !q.Caller.Single() && h.completed() {
+	if !q.Caller.Single() && (h.completed() || h.mixedQuarantines() > 0) {
 		if until := set.mixedQuarantineEnd(q, h, n); now.Before(until) {
 			v.Until = until
 		}
 		return v
 	}
+	if n < quarantineCrashes {
+		return v
+	}
 	if until := h.lastCrash.Add(set.quarantine(q, h, n)); now.Before(until) {
 		v.Until = until
 		return v
@@ -134,12 +134,29 @@
 }
 
 // mixedQuarantineEnd returns the end of the quarantine of a request that crashes upstreams
-// and completes, so that several callers seem to send it; zero: none.
+// and completes, so that several callers seem to send it; zero: none. It doubles with each
+// further crash, also if a success cleared the earlier ones: then one crash is enough.
 func (set *EvidenceSet) mixedQuarantineEnd(q identity.Request, h *crashHistory, count int) time.Time {
-	if h.separateCrashCount() < maxCrashes || !set.isPrimeSuspect(q, h, count) {
+	earlier, n := h.mixedQuarantines(), h.separateCrashCount()
+	if earlier == 0 && n < maxCrashes || n == 0 || !set.isPrimeSuspect(q, h, count) {
 		return time.Time{}
 	}
-	return h.lastCrash.Add(shortQuarantine)
+	if earlier == 0 {
+		n -= maxCrashes - 1
+	}
+	return h.lastCrash.Add(min(shortQuarantine<<min(earlier+n-1, 16), longQuarantine))
+}
+
+// mixedQuarantines returns how many quarantines by mixedQuarantineEnd were followed by a
+// success that cleared their crashes, not counting those that are long ago.
+func (h *crashHistory) mixedQuarantines() int {
+	n := 0
+	for run := range h.crashes {
+		if run.isNone() {
+			n = max(n, int(run.Life))
+		}
+	}
+	return n
 }
 
 // separateCrashCount returns the number of crashes that are separateCrashes apart.
@@ -227,8 +244,12 @@
 // upstream for some time. Callers that complete a suspected content are remembered.
 func (set *EvidenceSet) RecordCompleted(q identity.Request, now time.Time) []Evidence {
 	var found []Evidence
-	if h := set.requests[q]; h != nil && (q.Caller.Single() || now.Sub(h.lastCrash) >= mixedClearTime) {
+	switch h := set.requests[q]; {
+	case h == nil:
+	case q.Caller.Single():
 		found = set.Clear(q, now)
+	default:
+		found = set.clearMixed(q, h, now)
 	}
 	if !set.needsCompleted(q) {
 		return found
@@ -239,6 +260,25 @@
 	return found
 }
 
+// clearMixed clears a request whose caller is not single if its last crash is long ago, and
+// its quarantine is over. The quarantine is remembered: the success may be another caller's.
+func (set *EvidenceSet) clearMixed(q identity.Request, h *crashHistory, now time.Time) []Evidence {
+	until := set.mixedQuarantineEnd(q, h, h.crashCount())
+	if now.Sub(h.lastCrash) < mixedClearTime || now.Before(until) {
+		return nil
+	}
+	earlier := h.mixedQuarantines()
+	found := set.Clear(q, now)
+	if until.IsZero() {
+		return found
+	}
+	e := Evidence{Request: q, Run: mixedQuarantine(earlier + 1), Grade: Cleared, At: now}
+	if set.Add(e, now) {
+		found = append(found, e)
+	}
+	return found
+}
+
 // needsCompleted reports whether a restriction may depend on that a request completed: its
 // content is suspected, and it is not known yet to be too common to be suspected by itself,
 // or crashes count against the request, which others behind its address may send, too.
--- a/pkg/poison/restriction_test.go
+++ b/pkg/poison/restriction_test.go
@@ -208,3 +208,35 @@
 		t.Errorf("%d successes are told, want at most %d", told, maxCompletedCallers)
 	}
 }
+
+// Guards against a request behind a shared address that runs without limit, a few times after
+// each quarantine, because equal harmless requests clear it meanwhile.
+func TestCallersBehindOneAddressForLong(t *testing.T) {
+	for _, retry := range []time.Duration{400 * time.Millisecond, 5 * time.Second} {
+		var tr Tracker
+		var crashes []time.Time
+		refused, sent := 0, 0
+		for now := start; now.Before(start.Add(5 * time.Minute)); now = now.Add(100 * time.Millisecond) {
+			if now.Sub(start)%retry == 0 && !tr.refuses(from(shared), now) {
+				tr.crash(Run{ID: fmt.Sprint("u", len(crashes))}, now, from(shared))
+				crashes = append(crashes, now)
+			}
+			sent++
+			if tr.refuses(from(shared), now) {
+				refused++
+			} else {
+				tr.RecordSuccess(from(shared), now)
+			}
+		}
+		late := 0
+		for _, at := range crashes {
+			if len(crashes) >= maxCrashes && at.After(crashes[maxCrashes-1].Add(4*time.Second)) {
+				late++
+			}
+		}
+		t.Logf("retry after %v: %d crashes, %d late, %d of %d harmless requests refused", retry, len(crashes), late, refused, sent)
+		if late > 3 {
+			t.Errorf("retry after %v: %d crashes later than 4 s after the third, want at most 3", retry, late)
+		}
+	}
+}
