Remember as long as crashes that callers behind an address complete a request

Cause: that some of them complete was forgotten after 10 min, and could not be seen again while the request was quarantined. Then its crashes counted as those of a single caller, with a quarantine of 24 h from the fourth on.

Now that evidence is kept as long as crashes are.

Evidence: TestCompletedBehindOneAddressIsKept failed before ("refused for 23h47m32s more after 7 crashes, want at most 1h0m0s") and passes after, with all of pkg/poison.

--- a/pkg/poison/evidence.go
+++ b/pkg/poison/evidence.go
@@ -93,7 +93,10 @@
 
 // ttl returns how long the evidence is kept.
 func (e Evidence) ttl() time.Duration {
-	if e.Grade == Cleared {
+	// Callers behind one address that complete a request can't show it again while it is
+	// quarantined because of others, so it is known as long as their crashes.
+	keepCompleted := e.Run == completedRun && !e.Request.Caller.Single()
+	if e.Grade == Cleared && !keepCompleted {
 		return clearedTTL
 	}
 	return evidenceTTL
--- a/pkg/poison/restriction_test.go
+++ b/pkg/poison/restriction_test.go
@@ -240,3 +240,23 @@
 		}
 	}
 }
+
+// Guards against refusing callers behind one address for up to a day because it is forgotten
+// that some of them complete the request, while others crash upstreams with it.
+func TestCompletedBehindOneAddressIsKept(t *testing.T) {
+	var tr Tracker
+	now, crashes := start, 0
+	for ; now.Before(start.Add(20 * time.Minute)); now = now.Add(time.Second) {
+		tr.Expire(now)
+		if !tr.refuses(from(shared), now) {
+			tr.crash(Run{ID: fmt.Sprint("u", crashes)}, now, from(shared))
+			crashes++
+		}
+		if now.Equal(start) {
+			tr.RecordSuccess(from(shared), now)
+		}
+	}
+	if left := tr.Restriction(from(shared), now).Until.Sub(now); left > longQuarantine {
+		t.Errorf("refused for %v more after %d crashes, want at most %v", left, crashes, longQuarantine)
+	}
+}
