--- a/pkg/poison/restriction.go
+++ b/pkg/poison/restriction.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -68,15 +69,15 @@
 	}
 	n := h.crashCount()
 	v := Restriction{Crashes: n}
-	if n < quarantineCrashes {
-		return v
-	}
-	if !q.Caller.Single() && h.completed() {
+	if !q.Caller.Single() && (h.completed() || h.mixedQuarantines() > 0) {
 		if until := set.mixedQuarantineEnd(q, h, n); now.Before(until) {
 			v.Until = until
 		}
 		return v
 	}
+	if n < quarantineCrashes {
+		return v
+	}
 	if until := h.lastCrash.Add(set.quarantine(q, h, n)); now.Before(until) {
 		v.Until = until
 		return v
@@ -133,12 +134,29 @@
 }
 
 // mixedQuarantineEnd returns the end of the quarantine of a request that crashes upstreams
-// and completes, so that several callers seem to send it; zero: none.
+// and completes, so that several callers seem to send it; zero: none. It doubles with each
+// further crash, also if a success cleared the earlier ones: then one crash is enough.
 func (set *EvidenceSet) mixedQuarantineEnd(q identity.Request, h *crashHistory, count int) time.Time {
-	if h.separateCrashCount() < maxCrashes || !set.isPrimeSuspect(q, h, count) {
+	earlier, n := h.mixedQuarantines(), h.separateCrashCount()
+	if earlier == 0 && n < maxCrashes || n == 0 || !set.isPrimeSuspect(q, h, count) {
 		return time.Time{}
 	}
-	return h.lastCrash.Add(shortQuarantine)
+	if earlier == 0 {
+		n -= maxCrashes - 1
+	}
+	return h.lastCrash.Add(min(shortQuarantine<<min(earlier+n-1, 16), longQuarantine))
+}
+
+// mixedQuarantines returns how many quarantines by mixedQuarantineEnd were followed by a
+// success that cleared their crashes, not counting those that are long ago.
+func (h *crashHistory) mixedQuarantines() int {
+	n := 0
+	for run := range h.crashes {
+		if run.isNone() {
+			n = max(n, int(run.Life))
+		}
+	}
+	return n
 }
 
 // separateCrashCount returns the number of crashes that are separateCrashes apart.
@@ -194,20 +212,19 @@
 // unexplainedCrashes returns the times of the crashes with any of the requests in flight
 // that no single request accounts for, and the number of the requests that completed.
 func (set *EvidenceSet) unexplainedCrashes(requests map[identity.Request]bool) (times []time.Time, completed int) {
-	seen := make(map[Run]bool)
+	at := make(map[Run]time.Time)
 	for q := range requests {
 		h := set.requests[q]
 		if h.completed() {
 			completed++
 		}
 		for run, e := range h.crashes {
-			if e.isCrash() && !seen[run] && !set.isExplained(run) {
-				times = append(times, e.At)
+			if e.isCrash() && e.At.After(at[run]) && !set.isExplained(run) {
+				at[run] = e.At
 			}
-			seen[run] = true
 		}
 	}
-	return times, completed
+	return slices.Collect(maps.Values(at)), completed
 }
 
 // isExplained reports whether a request in flight at the end of a run was in flight at
@@ -227,11 +244,14 @@
 // upstream for some time. Callers that complete a suspected content are remembered.
 func (set *EvidenceSet) RecordCompleted(q identity.Request, now time.Time) []Evidence {
 	var found []Evidence
-	suspected := set.isContentSuspected(q.Content)
-	if h := set.requests[q]; h != nil && (q.Caller.Single() || now.Sub(h.lastCrash) >= mixedClearTime) {
+	switch h := set.requests[q]; {
+	case h == nil:
+	case q.Caller.Single():
 		found = set.Clear(q, now)
+	default:
+		found = set.clearMixed(q, h, now)
 	}
-	if !suspected || len(found) > 0 {
+	if !set.needsCompleted(q) {
 		return found
 	}
 	if e := (Evidence{Request: q, Run: completedRun, Grade: Cleared, At: now}); set.Add(e, now) {
@@ -240,12 +260,37 @@
 	return found
 }
 
-// isContentSuspected reports whether requests with the content were in flight at a crash.
-func (set *EvidenceSet) isContentSuspected(c identity.Content) bool {
-	for q := range set.byContent[c] {
-		if set.requests[q].crashCount() > 0 {
-			return true
+// clearMixed clears a request whose caller is not single if its last crash is long ago, and
+// its quarantine is over. The quarantine is remembered: the success may be another caller's.
+func (set *EvidenceSet) clearMixed(q identity.Request, h *crashHistory, now time.Time) []Evidence {
+	until := set.mixedQuarantineEnd(q, h, h.crashCount())
+	if now.Sub(h.lastCrash) < mixedClearTime || now.Before(until) {
+		return nil
+	}
+	earlier := h.mixedQuarantines()
+	found := set.Clear(q, now)
+	if until.IsZero() {
+		return found
+	}
+	e := Evidence{Request: q, Run: mixedQuarantine(earlier + 1), Grade: Cleared, At: now}
+	if set.Add(e, now) {
+		found = append(found, e)
+	}
+	return found
+}
+
+// needsCompleted reports whether a restriction may depend on that a request completed: its
+// content is suspected, and it is not known yet to be too common to be suspected by itself,
+// or crashes count against the request, which others behind its address may send, too.
+func (set *EvidenceSet) needsCompleted(q identity.Request) bool {
+	suspected, completed := false, 0
+	for other := range set.byContent[q.Content] {
+		h := set.requests[other]
+		suspected = suspected || h.crashCount() > 0
+		if h.completed() {
+			completed++
 		}
 	}
-	return false
+	h := set.requests[q]
+	return suspected && (completed < maxCompletedCallers || h != nil && h.crashCount() > 0)
 }
