Ask for an announced shutdown when an abandoned attempt's upstream has ended

What callers saw: a request whose caller had left counted as a proven crash although its upstream had announced its shutdown and left as planned within half a second; two such crashes quarantine it, while one that follows an announcement counts only beside others.

Cause: whether the shutdown was announced was read when the caller left, and used when the upstream was asked, 0.5 s later.

Now it is read again then.

Evidence: TestAttemptOfLeftCaller/planned_end_before_the_check failed before ("evidence [confirmed], want [presumed]") and passes after, the others too.

--- a/pkg/edge/abandoned.go
+++ b/pkg/edge/abandoned.go
@@ -55,7 +55,10 @@
 	var ue *upstream.Error
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		s.runsEnded(a.end)
+		// It may have announced its shutdown, and left as planned, since.
+		end := a.end
+		s.e.withFleet(func(*fleet.Fleet) { end.end.Announced = end.end.Announced || a.m.ShuttingDown() })
+		s.runsEnded(end)
 	case errors.As(err, &ue) && ue.Step == upstream.StepDial && ue.Timeout():
 		s.update(func(t *poison.Tracker, _ time.Time) []poison.Evidence {
 			t.RecordUnreachable(a.end.run)
--- a/pkg/edge/abandoned_test.go
+++ b/pkg/edge/abandoned_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
 	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 	"github.com/yuccaspindle/yuccaspindle/pkg/standin/faultnet"
 	"github.com/yuccaspindle/yuccaspindle/platform"
@@ -17,17 +18,18 @@
 // TestAttemptOfLeftCaller guards against missing the crash of an upstream whose caller had
 // left, because nothing asks the upstream afterwards and its registration is removed late;
 // and against suspecting a request because its upstream, which went on, left as planned
-// soon afterwards (issue 35).
+// soon afterwards, or taking that for a proven crash (issue 35).
 func TestAttemptOfLeftCaller(t *testing.T) {
 	t.Parallel()
 	const crashAfter, leaveAfter, checkTime = 250 * time.Millisecond, 100 * time.Millisecond, 1500 * time.Millisecond
 	for name, c := range map[string]struct {
-		crash, restart bool
-		want           []poison.Grade
+		crash, restart, announce bool
+		want                     []poison.Grade
 	}{
-		"crash":             {crash: true, want: []poison.Grade{poison.Confirmed}},
-		"crash and restart": {crash: true, restart: true, want: []poison.Grade{poison.Confirmed}},
-		"planned end":       {},
+		"crash":                        {crash: true, want: []poison.Grade{poison.Confirmed}},
+		"crash and restart":            {crash: true, restart: true, want: []poison.Grade{poison.Confirmed}},
+		"planned end":                  {},
+		"planned end before the check": {crash: true, announce: true, want: []poison.Grade{poison.Presumed}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -50,6 +52,10 @@
 			ctx, cancel := context.WithTimeout(t.Context(), leaveAfter)
 			defer cancel()
 			p.callContext(t, ctx, "POST", "/resumable/1", "in", map[string]string{"Attempt-Id": "a"})
+			if c.announce {
+				d.register("u1", "llm", srv.Addr(), "draining")
+				eventually(t, "the edge does not know of the shutdown", func() bool { return p.isShuttingDown("u1") })
+			}
 			if c.crash {
 				time.Sleep(crashAfter - leaveAfter)
 				srv.Drop()
@@ -76,6 +82,15 @@
 	}
 }
 
+// isShuttingDown reports whether an edge knows that an upstream announced its shutdown.
+func (p *process) isShuttingDown(id string) (leaving bool) {
+	p.edge.withFleet(func(f *fleet.Fleet) {
+		m := f.Member(id)
+		leaving = m != nil && m.ShuttingDown()
+	})
+	return leaving
+}
+
 // evidence returns all evidence of an edge.
 func (p *process) evidence() []poison.Evidence {
 	s := p.edge.suspects
