Leave out answers without a run from the times of a route

What callers saw: nothing yet. A late request of a stop may be passed on and cut at its end if upstreams answered recent requests of its route at once without running them (400 with Not-Executed): the longest of these looked like a bound for it.

Cause: deliver recorded the time of each answer below 500.

Now answers that say that the request did not run are left out.

Evidence: TestUnrunRequestsTellNoTimes failed before ("times of 4 requests are known, want 1") and passes after, as TestLateRequestsAreCutAtStop and TestUsuallyLongRequestsInStop do.

--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -245,7 +245,7 @@
 			break
 		}
 	}
-	if resp.Status < http.StatusInternalServerError {
+	if resp.Status < http.StatusInternalServerError && !resp.NotRun {
 		c.recordTime()
 	}
 	c.log("request answered", resp.Status)
--- a/pkg/edge/latestop_test.go
+++ b/pkg/edge/latestop_test.go
@@ -259,3 +259,31 @@
 	}
 	callers.Wait()
 }
+
+// TestUnrunRequestsTellNoTimes guards against a stop that passes on late requests of a route
+// and cuts them, because upstreams answered others of it at once without running them.
+func TestUnrunRequestsTellNoTimes(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == "/unsafe/bad" {
+			rejectWith(http.StatusBadRequest, "Not-Executed")(w, req)
+			return
+		}
+		serveAny(w, req)
+	})
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 0)
+	for i := range 3 {
+		if a := p.call(t, "POST", "/unsafe/bad", "in", map[string]string{"Attempt-Id": fmt.Sprint("bad", i)}); a.status != http.StatusBadRequest {
+			t.Fatalf("bad request: %+v", a)
+		}
+	}
+	if a := p.call(t, "POST", "/unsafe/1", "in", map[string]string{"Attempt-Id": "good"}); a.status != http.StatusOK {
+		t.Fatalf("good request: %+v", a)
+	}
+	if n := p.edge.times.estimate("unsafe").Requests; n != 1 {
+		t.Errorf("times of %d requests are known, want 1", n)
+	}
+}
