Blame crashes on callers that change rather than on bystanders

Callers behind one address, without a program, were refused as crashing upstreams, and a request that names another program each time ran on.

Cause: a request that many send, behind one address, is often in flight when another one ends its upstream. It collected more crashes than each of the changing callers, so it was the prime suspect, and its crashes counted as accounted for, so the content never was.

Change: the crashes of a request count with those of others with its content that have not completed; one that completes accounts only for crashes with no other suspect of its content.

--- a/pkg/poison/restriction.go
+++ b/pkg/poison/restriction.go
@@ -110,16 +110,42 @@
 }
 
 // hasMostCrashes reports whether every other request in flight at the end of a run has
-// fewer than crashCount crashes.
+// fewer than crashCount crashes. The crashes of a request count with those of others with
+// its content that have not completed: the caller may be another one each time.
 func (set *EvidenceSet) hasMostCrashes(run Run, q identity.Request, crashCount int) bool {
 	for other := range set.byRun[run] {
-		if other != q && set.requests[other].crashCount() >= crashCount {
+		h := set.requests[other]
+		if other == q || !h.crashes[run].isCrash() {
+			continue
+		}
+		if h.crashCount() >= crashCount || other.Content != q.Content && set.contentCrashCount(other.Content) >= crashCount {
+			return false
+		}
+		if other.Content == q.Content && !h.completed() && set.requests[q].completed() {
 			return false
 		}
 	}
 	return true
 }
 
+// contentCrashCount returns the number of crashes with a request of the content in flight
+// that has not completed.
+func (set *EvidenceSet) contentCrashCount(c identity.Content) int {
+	runs := make(map[Run]bool)
+	for q := range set.byContent[c] {
+		h := set.requests[q]
+		if h.completed() {
+			continue
+		}
+		for run, e := range h.crashes {
+			if e.isCrash() {
+				runs[run] = true
+			}
+		}
+	}
+	return len(runs)
+}
+
 // primeQuarantine returns the duration of the quarantine of a prime suspect.
 func primeQuarantine(provenCrashes int) time.Duration {
 	switch {
@@ -228,11 +254,15 @@
 }
 
 // isExplained reports whether a request in flight at the end of a run was in flight at
-// other crashes, too.
+// other crashes, too. One that also completes accounts only for crashes with no other
+// suspect of its content.
 func (set *EvidenceSet) isExplained(run Run) bool {
 	for q := range set.byRun[run] {
 		h := set.requests[q]
-		if e := h.crashes[run]; e.isCrash() && h.crashCount() >= quarantineCrashes {
+		if !h.crashes[run].isCrash() || h.crashCount() < quarantineCrashes {
+			continue
+		}
+		if !h.completed() || set.hasMostCrashes(run, q, h.crashCount()) {
 			return true
 		}
 	}
--- a/pkg/poison/restriction_test.go
+++ b/pkg/poison/restriction_test.go
@@ -260,3 +260,46 @@
 		t.Errorf("refused for %v more after %d crashes, want at most %v", left, crashes, longQuarantine)
 	}
 }
+
+// Guards against refusing harmless callers behind one address because they were in flight
+// at crashes of a request whose caller is another one each time, and against missing that
+// one since they seem to account for its crashes (issue 35; seeds 5, 6 and 50 of
+// TestBudgetSoak).
+func TestBystandersBehindOneAddress(t *testing.T) {
+	const other identity.Content = 22
+	for name, content := range map[string]identity.Content{"the same content": sameContent, "another content": other} {
+		var tr Tracker
+		bystander := identity.Request{Content: content, Caller: shared}
+		now, crashes := start, 0
+		for i := range 14 {
+			if q := from(single(100 + i)); !tr.refuses(q, now) {
+				crashes++
+				tr.crash(Run{ID: fmt.Sprint("u", i)}, now, q, bystander)
+			}
+			now = now.Add(100 * time.Millisecond)
+			if tr.refuses(bystander, now) {
+				t.Errorf("%s: the bystander is refused after %d crashes", name, crashes)
+			}
+			tr.RecordSuccess(bystander, now)
+			now = now.Add(800 * time.Millisecond)
+		}
+		if crashes > maxCrashes {
+			t.Errorf("%s: %d crashes, want at most %d", name, crashes, maxCrashes)
+		}
+	}
+}
+
+// Guards against refusing a program whose requests differ each time, and were in flight at
+// crashes of a request whose caller is another one each time (issue 35).
+func TestBystanderOfChangingCallers(t *testing.T) {
+	var tr Tracker
+	bystander := identity.Request{Content: 22, Caller: single(1)}
+	now := start
+	for i := range quarantineCrashes {
+		tr.crash(Run{ID: fmt.Sprint("u", i)}, now, from(single(100+i)), bystander)
+		now = now.Add(time.Second)
+	}
+	if tr.refuses(bystander, now) {
+		t.Errorf("refused: %+v", tr.Restriction(bystander, now))
+	}
+}
