--- a/pkg/edge/abandoned.go
+++ b/pkg/edge/abandoned.go
@@ -61,7 +61,9 @@
 			t.RecordUnreachable(a.end.run)
 			return nil
 		})
-	case err != nil || startedUnixMs == 0:
+	case err != nil:
+		s.e.logger.Info("no response from the upstream of a lost attempt", "upstream", a.m.ID, "address", a.m.Address, "id", a.id, "err", err)
+	case startedUnixMs == 0:
 	case startedUnixMs == a.m.StartedUnixMs:
 		s.update(func(t *poison.Tracker, _ time.Time) []poison.Evidence {
 			t.RecordRunning(a.end.run, now)
