Test, failing: callers that change after two crashes each

What callers saw: nothing yet; found by review. A request whose caller is another one after every second attempt crashes upstreams without limit: a crash counts against a content only if no request in flight was in flight at another crash, and the caller's own request was.

--- a/pkg/poison/restriction_test.go
+++ b/pkg/poison/restriction_test.go
@@ -260,3 +260,27 @@
 		t.Errorf("refused for %v more after %d crashes, want at most %v", left, crashes, longQuarantine)
 	}
 }
+
+// Guards against a request that comes with another caller after every second attempt: each
+// caller's two crashes explain each other, so the content is never quarantined (issue 35).
+// At most three crashes may come later than 4 s after the third.
+func TestCallersThatChangeAfterTwoCrashes(t *testing.T) {
+	var tr Tracker
+	var crashes []time.Time
+	late := 0
+	for i := range 20 {
+		now := start.Add(time.Duration(i) * 900 * time.Millisecond)
+		q := from(single(100 + i/2))
+		if tr.refuses(q, now) {
+			continue
+		}
+		tr.crash(Run{ID: fmt.Sprint("u", i)}, now, q)
+		crashes = append(crashes, now)
+		if len(crashes) > maxCrashes && now.Sub(crashes[maxCrashes-1]) > 4*time.Second {
+			late++
+		}
+	}
+	if late > 3 {
+		t.Errorf("%d of %d crashes are late, want at most 3", late, len(crashes))
+	}
+}
