--- a/pkg/poison/restriction.go
+++ b/pkg/poison/restriction.go
@@ -235,40 +235,55 @@
 	return last.Add(min(shortQuarantine<<min(n-maxCrashes, 16), longQuarantine))
 }
 
-// unexplainedCrashes returns the times of the crashes with any of the requests in flight
-// that no single request accounts for, and the number of the requests that completed.
+// unexplainedCrashes returns the times of the crashes with any of the requests in flight,
+// which have the same content, and the number of the requests that completed. It returns no
+// times if a single one of the requests accounts for most of the crashes. Crashes for which
+// requests with other contents account are left out.
 func (set *EvidenceSet) unexplainedCrashes(requests map[identity.Request]bool) (times []time.Time, completed int) {
 	at := make(map[Run]time.Time)
+	most := 0
 	for q := range requests {
 		h := set.requests[q]
 		if h.completed() {
 			completed++
 		}
+		accounted := 0
 		for run, e := range h.crashes {
-			if e.isCrash() && e.At.After(at[run]) && !set.isExplained(run) {
+			if !e.isCrash() || set.isExplained(run, q.Content) {
+				continue
+			}
+			if e.At.After(at[run]) {
 				at[run] = e.At
 			}
+			if set.accountsFor(q, run) {
+				accounted++
+			}
 		}
+		most = max(most, accounted)
+	}
+	if most >= quarantineCrashes && 2*most > len(at) {
+		return nil, completed
 	}
 	return slices.Collect(maps.Values(at)), completed
 }
 
-// isExplained reports whether a request in flight at the end of a run was in flight at
-// other crashes, too. One that also completes accounts only for crashes with no other
-// suspect of its content.
-func (set *EvidenceSet) isExplained(run Run) bool {
+// isExplained reports whether a request with another content accounts for a crash.
+func (set *EvidenceSet) isExplained(run Run, content identity.Content) bool {
 	for q := range set.byRun[run] {
-		h := set.requests[q]
-		if !h.crashes[run].isCrash() || h.crashCount() < quarantineCrashes {
-			continue
-		}
-		if !h.completed() || set.hasMostCrashes(run, q, h.crashCount()) {
+		if q.Content != content && set.requests[q].crashCount() >= quarantineCrashes && set.accountsFor(q, run) {
 			return true
 		}
 	}
 	return false
 }
 
+// accountsFor reports whether a request may have caused the end of a run. One that also
+// completes may have only if no other suspect of its content was in flight.
+func (set *EvidenceSet) accountsFor(q identity.Request, run Run) bool {
+	h := set.requests[q]
+	return h.crashes[run].isCrash() && (!h.completed() || set.hasMostCrashes(run, q, h.crashCount()))
+}
+
 // RecordCompleted records that a request completed, and returns the resulting evidence. It
 // clears a request of a single caller. Others are cleared only if they have not crashed an
 // upstream for some time. Callers that complete a suspected content are remembered.
