--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -90,6 +90,11 @@
 	if size.storages >= 5 {
 		size.tolerated = 2
 	}
+	return newFaultySoak(t, bin, seed, size)
+}
+
+// newFaultySoak starts a deployment and the record of its faults.
+func newFaultySoak(t *testing.T, bin string, seed uint64, size deployment) *lostSoak {
 	l := &lostSoak{
 		soak: newDeployment(t, bin, seed, size), seed: seed, began: time.Now(),
 		disks: make(chan struct{}, size.tolerated), faults: make(map[*process]*faultState),
--- a/soak/lostfault_test.go
+++ b/soak/lostfault_test.go
@@ -176,9 +176,12 @@
 
 // cutStore keeps processes from the store, so that their views differ from those of the
 // others.
-func (l *lostSoak) cutStore(ps []*process, d time.Duration) {
+func (l *lostSoak) cutStore(ps []*process, d time.Duration) { l.cutStoreFrom(true, ps, d) }
+
+// cutStoreFrom is cutStore. core is set if other processes count as concerned as well.
+func (l *lostSoak) cutStoreFrom(core bool, ps []*process, d time.Duration) {
 	l.note("%d processes are cut from the store for %v", len(ps), d)
-	l.concerning(true, ps, func() {
+	l.concerning(core, ps, func() {
 		for _, p := range ps {
 			p.storeURL.set(func(x *proxy) { x.dropAll = true })
 		}
