--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -30,8 +30,13 @@
 	// Run is the start of the upstream's run, in Unix ms. If the upstream says that it is
 	// another run, the request is not sent; 0: any run.
 	Run int64
+
+	written time.Time // when writing began
 }
 
+// WrittenAt returns when writing the request began; zero: it was not written.
+func (r *Request) WrittenAt() time.Time { return r.written }
+
 // head returns the encoded request line and headers.
 func (r *Request) head() []byte {
 	var b bytes.Buffer
@@ -69,7 +74,8 @@
 }
 
 // Do sends a request and reads the response head. Canceling the context aborts
-// the exchange, also while the body is read.
+// the exchange, also while the body is read. The upstream is given what is left until the
+// deadline of the context when the request is written: connecting takes a part of it.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
 	c, err := p.getRun(ctx, r)
 	if err != nil {
@@ -91,12 +97,25 @@
 		return nil, &Error{Step: step, Addr: r.Address, Sent: sent, Err: err}
 	}
 	resp := &Response{p: p, c: c, stop: stop}
+	began := time.Now()
+	if d, ok := ctx.Deadline(); ok {
+		left := d.Sub(began)
+		if left <= 0 {
+			return fail("write", false, context.DeadlineExceeded)
+		}
+		platform.SetTimeGiven(r.Header, left)
+	}
 	data := append(r.head(), r.Body...)
 	if len(data) <= maxSequentialWrite {
-		if n, err := c.Write(data); err != nil {
+		n, err := c.Write(data)
+		if n > 0 {
+			r.written = began
+		}
+		if err != nil {
 			return fail("write", n > 0, err)
 		}
 	} else {
+		r.written = began
 		resp.written = make(chan error, 1)
 		go func() {
 			_, err := c.Write(data)
