--- a/soak/budget_test.go
+++ b/soak/budget_test.go
@@ -18,6 +18,7 @@
 	// headStart is how long harmless callers send before the first guilty request.
 	headStart     = time.Second
 	budgetMinimum = 200 // harmless requests that a run must send
+	plainCallers  = 4   // callers of requests that look like no guilty one
 )
 
 // budgetSoak looks for repeats beyond what is allowed: requests that end the upstreams
@@ -89,6 +90,10 @@
 			b.harmless = append(b.harmless, b.drawHarmless(g))
 		}
 	}
+	for n := range plainCallers {
+		r := budgetRequest{route: []string{"safe", "unsafe"}[n%2], path: "plain", body: "plain", newBody: true, name: fmt.Sprint("plain", n)}
+		b.harmless = append(b.harmless, &harmlessCaller{budgetRequest: r, distinct: true, statuses: make(map[int]int)})
+	}
 	return b
 }
 
@@ -135,6 +140,8 @@
 
 // injectBudgetFaults injects overlapping faults until the context ends. They concern one
 // half of the edges, so that the others stay in touch, and the core only in some runs.
+// Edges cannot be cut off from each other: they take part under the address at which they
+// listen. A paused edge is cut off from all others for a time.
 func (b *budgetSoak) injectBudgetFaults(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
--- a/soak/budgetupstream_test.go
+++ b/soak/budgetupstream_test.go
@@ -16,7 +16,9 @@
 	maxRunBeforeEnd = 300  // ms that a guilty request runs before its upstream ends
 	maxOutage       = 2500 // ms until an upstream comes back
 	maxRegisterSkew = 700  // ms that a registration precedes or follows the listening
-	troublePercent  = 6
+	// troublePercent of the harmless requests are refused, cut or stalled, stallPercent
+	// stalled.
+	troublePercent, stallPercent = 9, 6
 )
 
 // budgetUpstream is one process of an upstream, which ends when it runs a guilty request.
@@ -99,9 +101,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	trouble := -1
-	if b.mix.troubles && b.draw(100) < troublePercent {
-		trouble = b.draw(3)
+	trouble := troublePercent
+	if b.mix.troubles {
+		trouble = b.draw(100)
 	}
 	if trouble == 0 {
 		w.Header().Set("Not-Executed", "1")
@@ -119,10 +121,10 @@
 	if a.guilty != nil {
 		u.runGuilty(w, a, run)
 	}
-	switch trouble {
-	case 1:
+	switch {
+	case trouble < troublePercent-stallPercent:
 		panic(http.ErrAbortHandler)
-	case 2:
+	case trouble < troublePercent:
 		time.Sleep(b.between(600, 1500))
 	}
 	time.Sleep(b.between(2, 30))
