--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -56,6 +56,7 @@
 	br       *bufio.Reader // reads from limiter
 	lastUsed time.Time
 	idleTime time.Duration
+	opened   time.Time
 	reused   bool // taken from the idle list, so it may have carried a response before
 	carried  carriedIDs
 	run      checkedRun
@@ -223,7 +224,7 @@
 	p.mu.Lock()
 	if limit > 0 && p.open[address] >= limit {
 		p.mu.Unlock()
-		return nil, &Error{Step: "dial", Addr: address, Err: ErrTooManyConnections}
+		return nil, &Error{Step: StepDial, Addr: address, Err: ErrTooManyConnections}
 	}
 	p.open[address]++
 	p.dialed++
@@ -236,10 +237,10 @@
 		p.mu.Lock()
 		p.releaseLocked(address)
 		p.mu.Unlock()
-		return nil, &Error{Step: "dial", Addr: address, Err: err}
+		return nil, &Error{Step: StepDial, Addr: address, Err: err}
 	}
 	limiter := &headLimitReader{r: nc}
-	return &conn{Conn: nc, address: address, limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferBytes), idleTime: defaultIdleTime}, nil
+	return &conn{Conn: nc, address: address, limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferBytes), idleTime: defaultIdleTime, opened: time.Now()}, nil
 }
 
 // Probe checks that a connection to an address can be had, a new one if fresh is
