Let the soak's upstreams answer the question for their state

Edges ask an upstream for its state (GET /report) after a caller has left. It now answers as PROTOCOL.md has it. All other requests without an id still count as runs that no caller asked for.

--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -13,6 +13,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/platform"
 )
 
 // run is one execution of a request at an upstream.
@@ -246,6 +248,11 @@
 }
 
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet && r.URL.Path == platform.UpstreamStatePath { // no request of a caller
+		w.Header().Set("Content-Type", "application/json")
+		fmt.Fprint(w, `{"Stage":"dual","Busy":false}`)
+		return
+	}
 	id, arrived := r.Header.Get("Attempt-Id"), time.Now()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
