--- a/soak/budget_test.go
+++ b/soak/budget_test.go
@@ -47,6 +47,7 @@
 	pause      time.Duration // between faults
 	troubles   bool          // upstreams also fail harmless requests
 	announced  int           // ends of 100 that are preceded by the announcement of a shutdown
+	state      bool          // upstreams say which run they are
 }
 
 // tokenProgram is what a program with a budget was handed.
@@ -64,6 +65,7 @@
 		mix: budgetMix{
 			guilty: 3 + rng.IntN(3), coreFaults: rng.IntN(3) == 0, pause: time.Duration(500+rng.IntN(1500)) * time.Millisecond,
 			troubles: rng.IntN(2) == 0, announced: []int{0, 30, 100}[rng.IntN(3)],
+			state: seed%2 == 1,
 		},
 	}
 	size := deployment{
@@ -101,6 +103,7 @@
 // upstreams that guilty requests end.
 func (b *budgetSoak) config(version int) map[string]any {
 	c := config(version)
+	llmService := c["Services"].([]any)[0]
 	var routes []any
 	for _, r := range c["Routes"].([]any) {
 		if r := r.(map[string]any); r["Name"] == "turn" {
@@ -114,6 +117,11 @@
 		})
 	}
 	c["Routes"] = routes
+	if b.mix.state {
+		c["Services"] = []any{llmService, map[string]any{"Name": "app", "Engine": map[string]any{"ChunkTokens": 1}}}
+	} else {
+		c["Services"] = []any{llmService, map[string]any{"Name": "app"}}
+	}
 	return c
 }
 
--- a/soak/budgetupstream_test.go
+++ b/soak/budgetupstream_test.go
@@ -94,6 +94,11 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
+	if b.mix.state && r.Method == http.MethodGet && r.URL.Path == platform.UpstreamStatePath {
+		w.Header().Set("Content-Type", "application/json")
+		fmt.Fprintf(w, `{"Stage":"dual","Busy":false,"born":%d}`, u.born)
+		return
+	}
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
 	if target := r.Header.Get("Target-Instance"); target != "" && target != u.id {
