--- a/pkg/poison/restriction_test.go
+++ b/pkg/poison/restriction_test.go
@@ -152,3 +152,111 @@
 		t.Errorf("left: %v, digest %x", tr.byContent, tr.Digest())
 	}
 }
+
+// Guards against a verdict that depends on the order of a map: of two requests with the same
+// content in flight at one crash, one has completed since.
+func TestCrashBesideCompletedEqualRequest(t *testing.T) {
+	for range 64 {
+		var tr Tracker
+		now := start
+		for i := range maxCrashes {
+			guilty, harmless := from(single(100+i)), from(single(200+i))
+			tr.crash(Run{ID: fmt.Sprint("u", i)}, now, guilty, harmless)
+			tr.RecordSuccess(harmless, now.Add(time.Millisecond))
+			now = now.Add(time.Second)
+		}
+		if !tr.refuses(from(single(300)), now) {
+			t.Fatal("a new caller is not refused after three crashes beside equal requests that completed")
+		}
+	}
+}
+
+// Guards against taking a request that was cleared because its upstream still runs for one
+// that completed: no equal request of another caller needs to be spared then.
+func TestClearedIsNotCompleted(t *testing.T) {
+	var tr Tracker
+	r, q := Run{ID: "v"}, from(shared)
+	tr.RecordLost(r, q, start, start)
+	tr.RecordUnreachable(r)
+	at := start.Add(100 * time.Millisecond)
+	if found := tr.RecordResponse(Run{ID: "other"}, Response{SentAt: at}, at); len(found) != 1 || found[0].Grade != Presumed {
+		t.Fatalf("evidence while the upstream is unreachable: %+v", found)
+	}
+	at = start.Add(200 * time.Millisecond)
+	if found := tr.RecordResponse(r, Response{SentAt: at}, at); len(found) != 1 || found[0].Grade != Cleared {
+		t.Fatalf("evidence after a response: %+v", found)
+	}
+	for i := range quarantineCrashes {
+		tr.crash(Run{ID: fmt.Sprint("u", i)}, start.Add(time.Duration(i+1)*time.Second), q)
+	}
+	if now := start.Add(3 * time.Second); !tr.refuses(q, now) {
+		t.Errorf("not refused after %d crashes: %+v", quarantineCrashes, tr.Restriction(q, now))
+	}
+}
+
+// Guards against evidence without bound about a content that many callers complete: it
+// would crowd out other evidence, and each success would be told to all processes.
+func TestCompletionsOfCommonRequestAreBounded(t *testing.T) {
+	var tr Tracker
+	tr.crash(Run{ID: "u"}, start, from(single(1)))
+	told := 0
+	for i := range 10 * maxCompletedCallers {
+		address := identity.SharedCaller(fmt.Sprint("10.0.0.", i))
+		told += len(tr.RecordSuccess(from(single(1000+i)), start)) + len(tr.RecordSuccess(from(address), start))
+	}
+	if told > maxCompletedCallers {
+		t.Errorf("%d successes are told, want at most %d", told, maxCompletedCallers)
+	}
+}
+
+// Guards against a request behind a shared address that runs without limit, a few times after
+// each quarantine, because equal harmless requests clear it meanwhile.
+func TestCallersBehindOneAddressForLong(t *testing.T) {
+	for _, retry := range []time.Duration{400 * time.Millisecond, 5 * time.Second} {
+		var tr Tracker
+		var crashes []time.Time
+		refused, sent := 0, 0
+		for now := start; now.Before(start.Add(5 * time.Minute)); now = now.Add(100 * time.Millisecond) {
+			if now.Sub(start)%retry == 0 && !tr.refuses(from(shared), now) {
+				tr.crash(Run{ID: fmt.Sprint("u", len(crashes))}, now, from(shared))
+				crashes = append(crashes, now)
+			}
+			sent++
+			if tr.refuses(from(shared), now) {
+				refused++
+			} else {
+				tr.RecordSuccess(from(shared), now)
+			}
+		}
+		late := 0
+		for _, at := range crashes {
+			if len(crashes) >= maxCrashes && at.After(crashes[maxCrashes-1].Add(4*time.Second)) {
+				late++
+			}
+		}
+		t.Logf("retry after %v: %d crashes, %d late, %d of %d harmless requests refused", retry, len(crashes), late, refused, sent)
+		if late > 3 {
+			t.Errorf("retry after %v: %d crashes later than 4 s after the third, want at most 3", retry, late)
+		}
+	}
+}
+
+// Guards against refusing callers behind one address for up to a day because it is forgotten
+// that some of them complete the request, while others crash upstreams with it.
+func TestCompletedBehindOneAddressIsKept(t *testing.T) {
+	var tr Tracker
+	now, crashes := start, 0
+	for ; now.Before(start.Add(20 * time.Minute)); now = now.Add(time.Second) {
+		tr.Expire(now)
+		if !tr.refuses(from(shared), now) {
+			tr.crash(Run{ID: fmt.Sprint("u", crashes)}, now, from(shared))
+			crashes++
+		}
+		if now.Equal(start) {
+			tr.RecordSuccess(from(shared), now)
+		}
+	}
+	if left := tr.Restriction(from(shared), now).Until.Sub(now); left > longQuarantine {
+		t.Errorf("refused for %v more after %d crashes, want at most %v", left, crashes, longQuarantine)
+	}
+}
