--- a/pkg/edge/misbehavior_test.go
+++ b/pkg/edge/misbehavior_test.go
@@ -205,7 +205,6 @@
 // TestSlowBodyIsNotRunAgain guards against retrying a request whose response arrives
 // slowly but steadily.
 func TestSlowBodyIsNotRunAgain(t *testing.T) {
-	t.Parallel()
 	d := newDeployment(t)
 	d.route(clone(safeRoute))
 	var r runs
