--- a/soak/budget_test.go
+++ b/soak/budget_test.go
@@ -15,6 +15,9 @@
 const (
 	budgetSeconds   = 14 // default duration of the faults
 	budgetUpstreams = 12
+	// registrationTime is how long edges may know the upstreams that this soak replaces by
+	// its own.
+	registrationTime = 500 * time.Millisecond
 	// headStart is how long harmless callers send before the first guilty request.
 	headStart     = time.Second
 	budgetMinimum = 200 // harmless requests that a run must send
@@ -191,6 +194,7 @@
 // play runs all callers beside the faults and returns the violations.
 func (b *budgetSoak) play() []string {
 	b.waitReady()
+	time.Sleep(registrationTime)
 	b.note("mix %+v, MaxAttempts %d, %d edges", b.mix, b.maxAttempts, len(b.edges))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(envInt(b.t, "SOAK_SECONDS", budgetSeconds))*time.Second)
 	defer cancel()
