Make two tests of budgets independent of how busy the machine is

TestBudgetOfTurnsThatEndInAnEvent (0 tokens of 60): 16 turns start 8 ms apart, and reservations that took 60 ms there refuse each other, as its comment says. Each turn now waits until the one before has begun or was refused.

TestBudgetAfterReplacement (dial of the lost member refused): the edge listed eight members before the news of the removal, the lost one among them, so the test went on too soon; it waits until the lost one is gone from the list.

The checks are the same. 4 runs of each with the race detector pass.

--- a/pkg/edge/membership_test.go
+++ b/pkg/edge/membership_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -56,6 +57,9 @@
 	s.DataDir, s.FirstStart = t.TempDir(), false
 	d.storageWith(s)
 	eventually(t, "the lost process is still a member", func() bool { return d.node(stores[0].settings).Removed })
+	eventually(t, "the edge still lists the lost process", func() bool {
+		return !slices.ContainsFunc(p.edge.view.Storage(), func(m ledger.Member) bool { return m.Name == stores[0].settings.Node })
+	})
 	p.ready(t, 1, members)
 	p.checkReplicas(t, reserved)
 }
--- a/pkg/edge/roundedbudget_test.go
+++ b/pkg/edge/roundedbudget_test.go
@@ -18,9 +18,11 @@
 	const parallel, most, budget = 16, 60, 15 * 60
 	d := newDeployment(t)
 	d.route(clone(history))
+	var decided atomic.Int64 // turns that have begun or were refused
 	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) {
+		decided.Add(1)
 		events(w, req, 1, 4)
-		time.Sleep(400 * time.Millisecond) // until all turns are reserved
+		time.Sleep(time.Second) // until all turns are reserved
 		events(w, req, 5, 5)
 	})
 	d.storages()
@@ -33,13 +35,18 @@
 	} {
 		var delivered atomic.Int64
 		var wg sync.WaitGroup
+		decided.Store(0)
 		for i := range parallel {
-			time.Sleep(8 * time.Millisecond) // reservations at the same moment refuse each other
+			// Reservations at the same moment refuse each other.
+			eventually(t, "the turn before is not decided", func() bool { return decided.Load() == int64(i) })
 			wg.Go(func() {
 				a := p.call(t, "POST", "/history/1", "in", map[string]string{
 					"Attempt-Id": fmt.Sprint(c.program, "-", i), "Program-Id": fmt.Sprint("r", c.program),
 					"Token-Budget": fmt.Sprint(c.budget), "Token-Count": fmt.Sprint("10,", most),
 				})
+				if a.status != http.StatusOK {
+					decided.Add(1)
+				}
 				delivered.Add(int64(14 * strings.Count(a.body, "data: ")))
 			})
 		}
