Wait until a returned member counts in TestRemovedMemberCatchesUp

By the log the process had registered 2 ms before and was still marking its ledger as complete: it answers that it is catching up then, and no read counts it. The test waits until it counts and then demands the turn at once, as before. 5 runs pass.

--- a/pkg/edge/harness_test.go
+++ b/pkg/edge/harness_test.go
@@ -379,8 +379,18 @@
 	return d.run(s, nil, st.Run)
 }
 
+// counts reports whether a storage process has caught up.
+func (d *deployment) counts(s *platform.Settings) bool {
+	return d.fetchStatus(s, "no such turn") == peerv1.LedgerReply_NOT_FOUND
+}
+
 // holds reports whether a storage process has caught up and stores a turn.
 func (d *deployment) holds(s *platform.Settings, id string) bool {
+	return d.counts(s) && d.fetchStatus(s, id) == peerv1.LedgerReply_OK
+}
+
+// fetchStatus asks a storage process for a turn and returns the status of its reply.
+func (d *deployment) fetchStatus(s *platform.Settings, id string) peerv1.LedgerReply_Status {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	tr, err := transport.New(transport.Config{
@@ -390,14 +400,11 @@
 		d.t.Fatal(err)
 	}
 	defer func() { _ = tr.Close(ctx) }()
-	ask := func(id string) peerv1.LedgerReply_Status {
-		r, err := ledger.Call(ctx, tr, s.PeerAddress(), &peerv1.LedgerRequest{
-			Op: &peerv1.LedgerRequest_Fetch{Fetch: &peerv1.FetchChain{Turn: id}},
-		})
-		if err != nil {
-			return peerv1.LedgerReply_UNREACHABLE
-		}
-		return r.GetStatus()
+	r, err := ledger.Call(ctx, tr, s.PeerAddress(), &peerv1.LedgerRequest{
+		Op: &peerv1.LedgerRequest_Fetch{Fetch: &peerv1.FetchChain{Turn: id}},
+	})
+	if err != nil {
+		return peerv1.LedgerReply_UNREACHABLE
 	}
-	return ask("no such turn") == peerv1.LedgerReply_NOT_FOUND && ask(id) == peerv1.LedgerReply_OK
+	return r.GetStatus()
 }
--- a/pkg/edge/storage_test.go
+++ b/pkg/edge/storage_test.go
@@ -88,6 +88,7 @@
 	s.FirstStart = false
 	d.storageWith(s)
 	p.ready(t, 1, 3)
+	eventually(t, "the process does not count for reads", func() bool { return d.counts(s) })
 	if !d.holds(s, "t1") {
 		t.Error("the process is a member without the turn written meanwhile")
 	}
