Do not count a new member that could not copy the usage records

Callers could get more tokens than the budget of their program: a new storage process that settles marked its log as complete although none of the others had answered, so a read that counts it missed their reservations.

Cause: settle skipped every member that was out of reach. A record is on more of the others than may be lost, which covers as many skipped members as may be lost and not more. The class is that of the disjoint lists: a quorum is counted without asking who knows.

It tries again after a second now, until at most as many are skipped.

--- a/pkg/edge/membership_test.go
+++ b/pkg/edge/membership_test.go
@@ -217,3 +217,28 @@
 		}
 	}
 }
+
+// TestSettlingWithoutOthers guards against a new member that counts for reads although it
+// could not copy the usage records: reservations of others would be missed (issue 35).
+func TestSettlingWithoutOthers(t *testing.T) {
+	t.Parallel()
+	const members, early = 5, 3 // of which one may be lost
+	d := newDeployment(t)
+	d.route(clone(history))
+	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 1) })
+	p := d.edge("127.0.0.1")
+	var stores []*process
+	for i := range members {
+		stores = append(stores, d.storage(fmt.Sprintf("127.0.0.%d", 11+i), t.TempDir()))
+		p.ready(t, 1, i+1)
+	}
+	for _, s := range stores[:early] {
+		s.stop()
+	}
+	time.Sleep(4 * time.Second) // a second more than a new member waits before it copies
+	for _, s := range stores[early:] {
+		if d.counts(s.settings) {
+			t.Errorf("%s counts for reads without the records of %d others", s.settings.Node, early)
+		}
+	}
+}
--- a/pkg/storage/join.go
+++ b/pkg/storage/join.go
@@ -34,6 +34,8 @@
 	// copy of the usage records. Entries learn of the registration within 2 s, or
 	// replace the feed that did not tell them.
 	settleDelay = 3 * time.Second
+	// settleRetryDelay is the time until the next copy if too many members were unreachable.
+	settleRetryDelay = time.Second
 	// unfinishedJoin is the age of its registration below which a process that starts
 	// without a complete log may have ended while it joined. It exceeds settleDelay by the
 	// time of a restart.
@@ -281,19 +283,25 @@
 // settle copies the usage records once more, after all entries have had the time to learn
 // of this member, and then marks the log as complete. Until then an entry with the list of
 // before may write to a quorum without this process, and reads must not count on it.
-// A record on such a quorum is on two of the other members of its group, so one that is
-// unreachable now is skipped.
+// A record on such a quorum is on more of the other members of its group than may be lost, so
+// as many as may be lost are skipped if they are unreachable now.
 func (j *joiner) settle(ctx context.Context) {
 	if time.Now().Before(j.settleAt) {
 		return
 	}
 	s := j.s
 	others, _ := s.members.others()
+	skipped := 0
 	for _, n := range others {
 		if err := s.pullFrom(ctx, n.Address, peerv1.Pull_USAGE); err != nil {
 			s.logger.Info("records not received", "peer", n.Name, "address", n.Address, "part", peerv1.Pull_USAGE, "err", err)
+			skipped++
 		}
 	}
+	if skipped > s.settings.DisksToLose {
+		j.settleAt = time.Now().Add(settleRetryDelay)
+		return
+	}
 	if s.markCaughtUp(ctx) {
 		j.settleAt, j.replacing = time.Time{}, false
 	}
