Let harmless requests yield to several that crash upstreams

Callers behind one address, or that name a new program each time, were refused as crashing upstreams because they had been in flight when several other requests ended them, and those others were not.

Cause: each guilty request is quarantined after its second crash, so a harmless one that several of them cut off has more crashes than any of them. It was the prime suspect of each, and kept them from being it.

Change: a request that also completes yields to one that never does, if that was in flight at several crashes, and never keeps it from being the prime suspect; its quarantine counts only crashes of which it is the prime suspect.

Evidence: TestBystanderOfSeveralRequests failed before (refused after each of 3 to 8 crashes, three of four guilty requests not refused) and passes, with all of pkg/poison and the tests of crashes of pkg/edge.

--- a/pkg/poison/restriction.go
+++ b/pkg/poison/restriction.go
@@ -110,24 +110,36 @@
 }
 
 // hasMostCrashes reports whether every other request in flight at the end of a run has
-// fewer than crashCount crashes. The crashes of a request count with those of others with
-// its content that have not completed: the caller may be another one each time.
+// fewer than crashCount crashes.
 func (set *EvidenceSet) hasMostCrashes(run Run, q identity.Request, crashCount int) bool {
 	for other := range set.byRun[run] {
-		h := set.requests[other]
-		if other == q || !h.crashes[run].isCrash() {
-			continue
-		}
-		if h.crashCount() >= crashCount || other.Content != q.Content && set.contentCrashCount(other.Content) >= crashCount {
-			return false
-		}
-		if other.Content == q.Content && !h.completed() && set.requests[q].completed() {
+		if other != q && set.requests[other].crashes[run].isCrash() && set.isAsSuspect(other, q, crashCount) {
 			return false
 		}
 	}
 	return true
 }
 
+// isAsSuspect reports whether a crash speaks against other as much as against q, which was
+// in flight at crashCount crashes. A request that also completes yields to one that never
+// does, if that has its content or was in flight at several crashes. The crashes of a request
+// count with those of others with its content that have not completed: the caller may be
+// another one each time.
+func (set *EvidenceSet) isAsSuspect(other, q identity.Request, crashCount int) bool {
+	h, completes := set.requests[other], set.requests[q].completed()
+	switch {
+	case h.completed() && !completes:
+		return false
+	case h.crashCount() >= crashCount:
+		return true
+	case other.Content == q.Content:
+		return completes && !h.completed()
+	case completes && !h.completed() && h.crashCount() >= quarantineCrashes:
+		return true
+	}
+	return set.contentCrashCount(other.Content) >= crashCount
+}
+
 // contentCrashCount returns the number of crashes with a request of the content in flight
 // that has not completed.
 func (set *EvidenceSet) contentCrashCount(c identity.Content) int {
@@ -163,8 +175,14 @@
 // and completes, so that several callers seem to send it; zero: none. It doubles with each
 // further crash, also if a success cleared the earlier ones: then one crash is enough.
 func (set *EvidenceSet) mixedQuarantineEnd(q identity.Request, h *crashHistory, count int) time.Time {
-	earlier, n := h.mixedQuarantines(), h.separateCrashCount()
-	if earlier == 0 && n < maxCrashes || n == 0 || !set.isPrimeSuspect(q, h, count) {
+	var times []time.Time // of the crashes of which it is the prime suspect
+	for run, e := range h.crashes {
+		if e.isCrash() && set.hasMostCrashes(run, q, count) {
+			times = append(times, e.At)
+		}
+	}
+	earlier, n := h.mixedQuarantines(), countSeparate(times)
+	if earlier == 0 && n < maxCrashes || n == 0 {
 		return time.Time{}
 	}
 	if earlier == 0 {
@@ -185,17 +203,6 @@
 	return n
 }
 
-// separateCrashCount returns the number of crashes that are separateCrashes apart.
-func (h *crashHistory) separateCrashCount() int {
-	var times []time.Time
-	for _, e := range h.crashes {
-		if e.isCrash() {
-			times = append(times, e.At)
-		}
-	}
-	return countSeparate(times)
-}
-
 // countSeparate returns how many of the times are separateCrashes apart.
 func countSeparate(times []time.Time) int {
 	slices.SortFunc(times, time.Time.Compare)
--- a/pkg/poison/restriction_test.go
+++ b/pkg/poison/restriction_test.go
@@ -327,3 +327,28 @@
 		t.Errorf("%d of %d crashes are late, want at most 3", late, len(crashes))
 	}
 }
+
+// Guards against refusing harmless callers behind one address because they were in flight
+// at crashes of several requests, each of which is quarantined after its second crash, so
+// that the harmless ones have the most crashes (issue 35; seeds 45 and 50 of
+// TestBudgetSoak).
+func TestBystanderOfSeveralRequests(t *testing.T) {
+	var tr Tracker
+	bystander := identity.Request{Content: 50, Caller: shared}
+	now := start
+	for i := range 8 {
+		q := request(100 + i/2)
+		tr.crash(Run{ID: fmt.Sprint("u", i)}, now, q, bystander)
+		now = now.Add(100 * time.Millisecond)
+		tr.RecordSuccess(bystander, now)
+		if tr.refuses(bystander, now) {
+			t.Errorf("refused after %d crashes of others: %+v", i+1, tr.Restriction(bystander, now))
+		}
+		now = now.Add(600 * time.Millisecond)
+	}
+	for i := range 4 {
+		if !tr.refuses(request(100+i), now) {
+			t.Errorf("request %d is not refused", i)
+		}
+	}
+}
