End the watch of an upstream only without lost attempts

An attempt that its caller left could go unasked: whether lost attempts remain and the end of the watch were two steps, and one that was recorded between them found a watch that was ending. Both are one step under the lock now.

--- a/pkg/edge/abandoned.go
+++ b/pkg/edge/abandoned.go
@@ -31,10 +31,9 @@
 	if !s.addWatched(a.end.run) {
 		return
 	}
-	defer s.removeWatched(a.end.run)
 	for checked := (time.Time{}); ; {
 		time.Sleep(poison.AbandonedRunTime)
-		if !s.hasLost(a.end.run, checked) {
+		if s.endWatch(a.end.run, checked) {
 			return
 		}
 		checked = time.Now()
@@ -77,13 +76,6 @@
 	}
 }
 
-// hasLost reports whether lost attempts at a run count that were over after a time.
-func (s *suspects) hasLost(run poison.Run, after time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.tracker.HasLost(run, after)
-}
-
 // addWatched adds a run to those that are watched, and reports whether it was not yet one.
 func (s *suspects) addWatched(run poison.Run) bool {
 	s.mu.Lock()
@@ -95,8 +87,15 @@
 	return true
 }
 
-func (s *suspects) removeWatched(run poison.Run) {
+// endWatch removes a run from those that are watched and returns true, unless lost attempts
+// at it count that were over after a time. Both happen at once: an attempt that is recorded
+// later begins a new watch.
+func (s *suspects) endWatch(run poison.Run, after time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.tracker.HasLost(run, after) {
+		return false
+	}
 	delete(s.watched, run)
+	return true
 }
--- a/pkg/edge/abandoned_test.go
+++ b/pkg/edge/abandoned_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
+	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
 	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 	"github.com/yuccaspindle/yuccaspindle/pkg/standin/faultnet"
 	"github.com/yuccaspindle/yuccaspindle/platform"
@@ -96,3 +98,27 @@
 	defer s.mu.Unlock()
 	return s.tracker.Evidence()
 }
+
+// Guards against an attempt that is given up just as the watch of its upstream ends, so that
+// neither that watch nor another one asks what became of the upstream (issue 35).
+func TestWatchEndsOnlyWithoutLostAttempts(t *testing.T) {
+	t.Parallel()
+	e, err := New(newDeployment(t).settings("127.0.0.1"), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, run, now := e.suspects, poison.Run{ID: "u1"}, time.Now()
+	if !s.addWatched(run) {
+		t.Fatal("the run is watched already")
+	}
+	s.tracker.RecordAbandoned(run, identity.Request{Content: 1}, now, now)
+	if s.addWatched(run) {
+		t.Error("the run is watched twice")
+	}
+	if s.endWatch(run, now) {
+		t.Error("the watch ends although an attempt is lost")
+	}
+	if !s.endWatch(run, now.Add(time.Minute)) || !s.addWatched(run) {
+		t.Error("the watch does not end, or does not begin again")
+	}
+}
