Keep suspects from an upstream until it is known whether it has ended

Callers of a harmless request could be refused as crashing upstreams beside one that does: two suspects run apart, and the second was sent to the upstream that had just lost the first one's attempt, broke off at once and was blamed for the end, too.

Cause: an attempt stopped counting for the isolation before its loss was recorded, and nothing kept the place until the probe had told whether the upstream ended.

Now the loss is recorded first, and an upstream that lost an attempt counts as occupied for suspects until its probe has ended.

--- a/pkg/edge/crash.go
+++ b/pkg/edge/crash.go
@@ -53,7 +53,13 @@
 		} else {
 			c.trackLost(run)
 		}
-		go c.e.suspects.probe(end, m.Address, c.connectionLimit(), ue.Timeout())
+		// Another suspect that is sent there before the end is known would be blamed, too.
+		release := c.e.suspects.isolation.hold(m.ID)
+		limit := c.connectionLimit()
+		go func() {
+			defer release()
+			c.e.suspects.probe(end, m.Address, limit, ue.Timeout())
+		}()
 	}
 }
 
--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -130,8 +130,8 @@
 		inFlight = m.InFlight()
 		leaving = m.ShuttingDown()
 	})
-	c.removeIsolated(m.ID)
 	c.trackAttempt(m, leaving, o, resp, err)
+	c.removeIsolated(m.ID)
 	c.e.metrics.attempt(o.String())
 	action := c.tracker.RecordEnd(o, status >= http.StatusInternalServerError, now)
 	if o != attempt.Answered {
--- a/pkg/edge/isolation.go
+++ b/pkg/edge/isolation.go
@@ -36,12 +36,29 @@
 func (i *isolation) add(upstream string, q identity.Request, n int) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.occupyLocked(upstream, n)
+	if i.running[q] += n; i.running[q] == 0 {
+		delete(i.running, q)
+	}
+}
+
+// occupyLocked changes the number of suspected requests at an upstream by n. The caller
+// holds the lock.
+func (i *isolation) occupyLocked(upstream string, n int) {
 	if i.upstreams[upstream] += n; i.upstreams[upstream] == 0 {
 		delete(i.upstreams, upstream)
 	}
-	if i.running[q] += n; i.running[q] == 0 {
-		delete(i.running, q)
+}
+
+// hold keeps suspected requests from an upstream until release is called.
+func (i *isolation) hold(upstream string) (release func()) {
+	occupy := func(n int) {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		i.occupyLocked(upstream, n)
 	}
+	occupy(1)
+	return func() { occupy(-1) }
 }
 
 // occupied reports whether this request must not use a member because it and a
