--- a/pkg/edge/stopping_test.go
+++ b/pkg/edge/stopping_test.go
@@ -12,6 +12,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/platform"
 )
 
 func startUnsafe(t *testing.T, grace time.Duration, h http.HandlerFunc) *process {
@@ -259,3 +262,67 @@
 		t.Errorf("the stop took %v", took)
 	}
 }
+
+// TestStop guards against a planned stop that interrupts a request, and against an
+// edge that reports readiness while it stops.
+func TestStop(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	started, release := make(chan struct{}), make(chan struct{})
+	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) {
+		close(started)
+		<-release
+		sign(w, req)
+		_, _ = w.Write([]byte("done"))
+	})
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 0)
+	got := make(chan response, 1)
+	go func() { got <- p.call(t, "POST", "/unsafe/1", "x", map[string]string{"Attempt-Id": "1"}) }()
+	<-started
+	p.cancel()
+	eventually(t, "the stopping edge reports readiness", func() bool {
+		resp, err := http.Get("http://" + p.settings.ReadyListen + platform.ReadinessPath)
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == http.StatusServiceUnavailable
+	})
+	close(release)
+	if a := <-got; a.status != 200 || a.body != "done" || !strings.EqualFold(a.header.Get("Connection"), "close") && a.err != nil {
+		t.Errorf("%+v", a)
+	}
+	if err := <-p.done; err != nil {
+		t.Errorf("the edge stopped with %v", err)
+	}
+	close(p.done)
+}
+
+// TestStopWithoutStorage guards against a planned stop that exceeds the platform's
+// grace period, and so ends with a kill, because token usage cannot be written.
+func TestStopWithoutStorage(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.route(clone(unsafeRoute))
+	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) { sign(w, req) })
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	for _, name := range []string{"s1", "s2", "s3"} {
+		d.store.Put(platform.KindNodes, name, platform.Node{
+			Role: platform.RoleStorage, Address: silent.Addr().String(), FailureDomain: "a1", Active: true,
+		})
+	}
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 3)
+	p.edge.settler.add(usageRecord(&peerv1.Usage{Program: "p", Attempt: 1, Tokens: 5, Settled: true}))
+	began := time.Now()
+	p.stop()
+	if took := time.Since(began); took > p.settings.StopGrace {
+		t.Errorf("the stop took %v, the grace period is %v", took, p.settings.StopGrace)
+	}
+}
--- a/pkg/edge/timegiven_test.go
+++ b/pkg/edge/timegiven_test.go
@@ -210,3 +210,53 @@
 		g.check(t, deadline, wait, 0)
 	})
 }
+
+// TestDeadlineThatHasPassed guards against a request whose caller has no time left and that
+// reaches an upstream with the whole timeout of its route (issue 35), and against a large
+// value that is taken for one that has passed.
+func TestDeadlineThatHasPassed(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.route(clone(safeRoute))
+	d.route(clone(unsafeRoute))
+	var r runs
+	d.upstream("u1", "app", func(w http.ResponseWriter, req *http.Request) {
+		r.record(req)
+		sign(w, req)
+	})
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 0)
+	for _, c := range []struct {
+		deadline string
+		status   int
+		given    time.Duration // at most, and at least half of it; 0: not sent
+	}{
+		{"0", 503, 0}, {"-5", 503, 0}, {"0.0", 503, 0},
+		{"", 200, 3 * time.Second}, {"abc", 200, 3 * time.Second}, {"NaN", 200, 3 * time.Second},
+		{"1e30", 200, 3 * time.Second}, {"+Inf", 200, 3 * time.Second}, {"99999999999999", 200, 3 * time.Second},
+	} {
+		for _, path := range []string{"/safe/1", "/unsafe/1"} {
+			before := r.count()
+			header := map[string]string{"Attempt-Id": "a" + c.deadline + path}
+			if c.deadline != "" {
+				header["Deadline-Ms"] = c.deadline
+			}
+			a := p.call(t, "GET", path, "", header)
+			if a.status != c.status || a.err != nil {
+				t.Errorf("%s, %q: status %d, %v, want %d", path, c.deadline, a.status, a.err, c.status)
+			}
+			if ran := r.count() > before; ran != (c.given > 0) {
+				t.Errorf("%s, %q: ran is %v", path, c.deadline, ran)
+				continue
+			}
+			if c.given == 0 {
+				continue
+			}
+			_, head := r.last()
+			least := c.given / 2
+			if given, _ := platform.TimeGiven(head); given > c.given || given < least {
+				t.Errorf("%s, %q: the upstream was given %v, want %v to %v", path, c.deadline, given, least, c.given)
+			}
+		}
+	}
+}
