--- a/review/harness/harness_test.go
+++ b/review/harness/harness_test.go
@@ -33,28 +33,59 @@
 	notRun     = 2
 )
 
-// Bounds of the installation, as in its settings.
-const (
-	contactTime = 4 * time.Second
-	drainTime   = 3 * time.Second
-	graceTime   = 8 * time.Second
+// site is what the cases need of an installation's sheet.
+type site struct {
+	zones       []string          // those of the machines, in turn
+	regions     map[string]string // by zone
+	tolerated   int               // machines with a disk that may be lost at once
+	contactTime time.Duration
+	drainTime   time.Duration
+	graceTime   time.Duration
+	recoverTime time.Duration
+	catchUpTime time.Duration
+	configTime  time.Duration
+}
+
+// lango is the installation lango-dispatch, grown is lango-dispatch-grown.
+var (
+	lango = site{
+		zones:     []string{"dar-kinondoni", "dar-temeke", "arusha-njiro"},
+		regions:   map[string]string{"dar-kinondoni": "dar-coast", "dar-temeke": "dar-coast", "arusha-njiro": "arusha-north"},
+		tolerated: 1, contactTime: 4 * time.Second, drainTime: 3 * time.Second, graceTime: 8 * time.Second,
+		recoverTime: 12 * time.Second, catchUpTime: 4400 * time.Millisecond, configTime: 3 * time.Second,
+	}
+	grown = site{
+		zones: []string{"dar-kinondoni", "dar-temeke", "dar-ilala", "arusha-njiro", "arusha-sakina", "arusha-kijenge"},
+		regions: map[string]string{
+			"dar-kinondoni": "dar-coast", "dar-temeke": "dar-coast", "dar-ilala": "dar-coast",
+			"arusha-njiro": "arusha-north", "arusha-sakina": "arusha-north", "arusha-kijenge": "arusha-north",
+		},
+		tolerated: 2, contactTime: 5 * time.Second, drainTime: 4 * time.Second, graceTime: 8 * time.Second,
+		recoverTime: 15 * time.Second, catchUpTime: 6 * time.Second, configTime: 4 * time.Second,
+	}
 )
 
+// scriptedCase is one case.
+type scriptedCase struct {
+	site site
+	run  func(*world) int
+}
+
 // cases are the scripted cases by name.
-var cases = map[string]func(*world) int{}
+var cases = map[string]scriptedCase{}
 
 func TestMain(*testing.M) {
-	run, ok := cases[os.Getenv("CASE")]
+	c, ok := cases[os.Getenv("CASE")]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "CASE names no case")
 		os.Exit(notRun)
 	}
-	os.Exit(runCase(run))
+	os.Exit(runCase(c))
 }
 
 // runCase prepares a world, runs a case in it and ends all its processes.
-func runCase(run func(*world) int) (code int) {
-	w, err := newWorld()
+func runCase(c scriptedCase) (code int) {
+	w, err := newWorld(c.site)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return notRun
@@ -66,7 +97,7 @@
 			code = notRun
 		}
 	}()
-	code = run(w)
+	code = c.run(w)
 	w.note("exit code %d (0: the rule held, 1: it was broken)", code)
 	return code
 }
@@ -82,6 +113,7 @@
 
 // world is one deployment with its stand-ins.
 type world struct {
+	site    site
 	trouble bool
 	began   time.Time
 	dir     string
@@ -99,8 +131,8 @@
 	closers   []func()
 }
 
-func newWorld() (*world, error) {
-	w := &world{trouble: os.Getenv("TROUBLE") != "0", began: time.Now()}
+func newWorld(s site) (*world, error) {
+	w := &world{site: s, trouble: os.Getenv("TROUBLE") != "0", began: time.Now()}
 	record, err := os.Create(os.Getenv("RECORD"))
 	if err != nil {
 		return nil, err
@@ -170,11 +202,6 @@
 	return ln.Addr().(*net.TCPAddr).Port, nil
 }
 
-// zones are the failure domains of the deployment with their regions.
-var zones = map[string]string{"dar-kinondoni": "dar-coast", "dar-temeke": "dar-coast", "arusha-njiro": "arusha-north"}
-
-var zoneNames = []string{"dar-kinondoni", "dar-temeke", "arusha-njiro"}
-
 // process is an edge or storage process under test.
 type process struct {
 	w              *world
@@ -192,7 +219,7 @@
 
 // addProcess prepares a process of a role; n is its number in the deployment, from 1.
 func (w *world) addProcess(role string, n int) *process {
-	p := &process{w: w, role: role, ip: fmt.Sprintf("%s.%d", w.network, n), zone: zoneNames[(n-1)%len(zoneNames)]}
+	p := &process{w: w, role: role, ip: fmt.Sprintf("%s.%d", w.network, n), zone: w.site.zones[(n-1)%len(w.site.zones)]}
 	p.settings = filepath.Join(w.dir, p.name()+".json")
 	if role == "storage" {
 		p.dataDir = filepath.Join(w.dir, p.name()+"-data")
@@ -213,23 +240,24 @@
 
 func (p *process) name() string { return p.role + "-" + p.ip }
 
-// writeSettings writes the settings file. seeds are the addresses of edges.
-func (p *process) writeSettings(first bool, seeds []string) {
+// writeSettings writes the settings file.
+func (p *process) writeSettings(first bool) {
 	memory, listen := 154, map[string]string{}
 	if p.role == "edge" {
 		memory = 134
 		listen = map[string]string{"Frontend": p.frontend, "Ready": p.ready, "ControlPlane": net.JoinHostPort(p.ip, "8144")}
 	}
 	m := map[string]any{
-		"NodeName": p.name(), "Role": p.role, "MachineClass": p.role, "Ip": p.ip, "Zone": p.zone, "Region": zones[p.zone], "Zones": zones,
-		"ListenAddresses": listen, "InternalPortRange": []int{p.w.port, p.w.port + 15}, "Seeds": seeds,
+		"NodeName": p.name(), "Role": p.role, "MachineClass": p.role, "Ip": p.ip, "Zone": p.zone, "Region": p.w.site.regions[p.zone], "Zones": p.w.site.regions,
+		"ListenAddresses": listen, "InternalPortRange": []int{p.w.port, p.w.port + 15}, "Seeds": p.w.seeds(),
 		"IsFirstStart": first, "IsCounted": p.role == "storage",
 		"Limits":  map[string]any{"CpuShare": 0.3, "Cores": 1, "MemoryMb": memory, "MaxFds": 4100, "LinkMbps": 1000.0},
 		"DataDir": nil, "Discovery": "platform", "Entry": "vip", "HeartbeatMs": 1200,
-		"FaultTolerance": map[string]int{"MachineCount": 1, "Zones": 0, "RegionCount": 0},
+		"FaultTolerance": map[string]int{"MachineCount": p.w.site.tolerated, "Zones": 0, "RegionCount": 0},
 		"Bounds": map[string]any{
-			"SeedLagS": 3, "ReuseAfterS": 2, "ContactMs": contactTime.Milliseconds(), "AckMs": 5000, "CatchUpS": 4.4, "DrainMs": drainTime.Milliseconds(),
-			"GraceS": graceTime.Seconds(), "LossSlackMs": 200, "ConfigApplyMs": 3000, "RollbackSlackMs": 250, "StretchMaxMs": 6000, "RecoverS": 12, "IterationMs": 400,
+			"SeedLagS": 3, "ReuseAfterS": 2, "ContactMs": p.w.site.contactTime.Milliseconds(), "AckMs": 5000, "CatchUpS": p.w.site.catchUpTime.Seconds(),
+			"DrainMs": p.w.site.drainTime.Milliseconds(), "GraceS": p.w.site.graceTime.Seconds(), "LossSlackMs": 200, "ConfigApplyMs": p.w.site.configTime.Milliseconds(),
+			"RollbackSlackMs": 250, "StretchMaxMs": 6000, "RecoverS": p.w.site.recoverTime.Seconds(), "IterationMs": 400,
 		},
 		"Platform": map[string]any{"Address": p.w.storeLink.addr(), "form": "objects", "WritesPerS": 400, "ReadsPerS": 2000, "HistoryS": 20, "ValueBytes": 1048576},
 	}
@@ -278,33 +306,36 @@
 	}
 }
 
-// deploy starts edges and storage processes and waits until all edges are ready and the
-// storage processes have registered.
+// deploy starts edges and storage processes and waits until all edges are ready.
 func (w *world) deploy(edges, storages int) (e, s []*process) {
-	var seeds []string
 	for n := 1; n <= edges; n++ {
 		e = append(e, w.addProcess("edge", n))
-		if n <= 3 {
-			seeds = append(seeds, fmt.Sprintf("%s.%d:8144", w.network, n))
-		}
 	}
 	for n := 1; n <= storages; n++ {
-		s = append(s, w.addProcess("storage", edges+n))
+		p := w.addProcess("storage", edges+n)
+		p.zone = w.site.zones[(n-1)%len(w.site.zones)]
+		s = append(s, p)
 	}
-	for i, p := range append(append([]*process(nil), e...), s...) {
-		if p.role == "storage" {
-			p.zone = zoneNames[(i-edges)%len(zoneNames)]
-		}
-		p.writeSettings(true, seeds)
+	for _, p := range w.procs {
+		p.writeSettings(true)
 		p.start()
 	}
 	for _, p := range e {
 		w.waitFor("readiness of "+p.name(), func() bool { return p.isReady() })
 	}
-	time.Sleep(contactTime)
+	time.Sleep(w.site.contactTime)
 	return e, s
 }
 
+// seeds are the addresses of the first edges.
+func (w *world) seeds() []string {
+	var list []string
+	for n := range 3 {
+		list = append(list, fmt.Sprintf("%s.%d:8144", w.network, n+1))
+	}
+	return list
+}
+
 func (w *world) waitFor(what string, f func() bool) {
 	for end := time.Now().Add(20 * time.Second); !f(); time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(end) {
