Review case: a turn that was taken up loses its first events

On a route with history and Resumable, the record of a turn that another edge completes lacks the events of the first attempt.

--- a/review/harness/harness_test.go
+++ b/review/harness/harness_test.go
@@ -123,6 +123,7 @@
 
 	recordMu sync.Mutex
 	record   *os.File
+	bodies   map[string]string // with which workers ran requests, by request id
 
 	store     *platformstore.Store
 	storeLink *link // between the processes and the store
@@ -132,7 +133,7 @@
 }
 
 func newWorld(s site) (*world, error) {
-	w := &world{site: s, trouble: os.Getenv("TROUBLE") != "0", began: time.Now()}
+	w := &world{site: s, bodies: make(map[string]string), trouble: os.Getenv("TROUBLE") != "0", began: time.Now()}
 	record, err := os.Create(os.Getenv("RECORD"))
 	if err != nil {
 		return nil, err
--- a/review/harness/standins_test.go
+++ b/review/harness/standins_test.go
@@ -113,9 +113,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if _, err := io.ReadAll(r.Body); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
 		return
 	}
+	e.w.setBody(id, string(body))
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	e.w.note("worker %s (%s) runs %s after event %d", e.id, version, id, after)
 	w.Header().Set("Attempt-Id", id)
@@ -136,9 +138,24 @@
 	}
 }
 
+// setBody records the body with which a worker runs a request.
+func (w *world) setBody(id, body string) {
+	w.recordMu.Lock()
+	defer w.recordMu.Unlock()
+	w.bodies[id] = body
+}
+
+// body returns the body with which a worker ran a request.
+func (w *world) body(id string) string {
+	w.recordMu.Lock()
+	defer w.recordMu.Unlock()
+	return w.bodies[id]
+}
+
 // answer is what a client got.
 type answer struct {
 	id       string
+	program  string
 	status   int
 	events   []string // data of the events
 	complete bool
--- a/review/harness/successors_test.go
+++ b/review/harness/successors_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"sync"
@@ -26,16 +27,23 @@
 	}
 }
 
-// turn sends one turn of a program.
+// turn sends one turn of a program that continues from another one; empty: from none.
 func (w *world) turn(client *http.Client, p *process, id, program, parent string) answer {
+	if parent == "" {
+		return w.turnWith(client, p, id, program, "input of "+id+"\n", nil)
+	}
+	return w.turnWith(client, p, id, program, "input of "+id+"\n", map[string]string{"Parent-Turn": parent})
+}
+
+// turnWith sends one turn of a program with an input and further headers.
+func (w *world) turnWith(client *http.Client, p *process, id, program, input string, more map[string]string) answer {
 	header := map[string]string{
 		"Model": "m", "Token-Count": "839,280", "Deadline-Ms": "3000", "Program-Id": program, "Session-Id": "s" + program, "Program-Deadline-Ms": "60000", "Token-Budget": "22400",
 	}
-	if parent != "" {
-		header["Parent-Turn"] = parent
-	}
-	a := w.stream(client, p.frontend, "/pufi791/4b", id, header, []byte("input of "+id+"\n"))
-	w.note("turn %s of %s (parent %q) at %s: status %d, complete %t, %d events, %v", id, program, parent, p.name(), a.status, a.complete, len(a.events), a.err)
+	maps.Copy(header, more)
+	a := w.stream(client, p.frontend, "/pufi791/4b", id, header, []byte(input))
+	a.program = program
+	w.note("turn %s of %s with %v at %s: status %d, complete %t, %d events, %v", id, program, more, p.name(), a.status, a.complete, len(a.events), a.err)
 	return a
 }
 
