--- a/review/harness/harness_test.go
+++ b/review/harness/harness_test.go
@@ -238,7 +238,7 @@
 			*to = net.JoinHostPort(p.ip, strconv.Itoa(port))
 		}
 	}
-	log, err := os.Create(filepath.Join(os.TempDir(), "review-"+p.name()+".log"))
+	log, err := os.Create(filepath.Join(w.dir, p.name()+".log"))
 	must(err)
 	p.log = log
 	w.procs = append(w.procs, p)
