--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -8,6 +8,7 @@
 	vm "github.com/VictoriaMetrics/metrics"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/attempt"
+	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
 	"github.com/yuccaspindle/yuccaspindle/pkg/membudget"
 )
 
@@ -126,6 +127,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_origin_moves_total{result=%q}`, result)).Inc()
 }
 
+// overBudget counts a turn that was refused since it exceeds its program's budget, by
+// whether finished turns alone have spent it.
+func (m *metrics) overBudget(u ledger.BudgetUse) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_over_budget_total{open_turns="%t"}`, u.OpenTurns > 0)).Inc()
+}
+
 // firstEvent records the time to the first event of a stream.
 func (m *metrics) firstEvent(took time.Duration) {
 	m.set.GetOrCreateHistogram(`yucca_edge_first_event_seconds`).Update(took.Seconds())
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -31,6 +31,9 @@
 // whyNotDurable is the reason for breaking off a stream whose turn is not stored.
 const whyNotDurable = "turn not durable"
 
+// whyBudgetSpent is the reason for refusing a turn that exceeds the budget of its program.
+const whyBudgetSpent = "budget spent"
+
 var (
 	errEventOrder = errors.New("events are missing or out of order")
 	errCallerLeft = errors.New("the caller closed its connection")
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -85,7 +85,8 @@
 	case c.callerGone():
 		c.abandon()
 	case errors.Is(reserveErr, ledger.ErrOverBudget):
-		c.refuse(http.StatusPaymentRequired, 0, "budget spent")
+		c.refuse(http.StatusPaymentRequired, 0, whyBudgetSpent)
+		c.e.metrics.overBudget(c.budgetUse)
 	case errors.Is(historyErr, ledger.ErrNotFound):
 		source, age := c.e.view.source(time.Now())
 		c.e.logger.Warn("turn not found", "id", c.req.ID, "parent", c.req.ParentTurnID, "err", historyErr,
@@ -150,6 +151,7 @@
 		c.e.spent.Add(c.req.Program, res.Spent)
 	}
 	t.origin = res.Origin
+	c.budgetUse = ledger.UseOf(res.Records, ledger.AttemptKey(c.req.ID))
 	perEvent := c.table.Service(c.service).TokensPerEvent
 	if err == nil && !ledger.FitsWholeEvents(res.Records, ledger.AttemptKey(c.req.ID), c.req.MaxTokens, c.req.TokenBudget, perEvent) {
 		return ledger.ErrOverBudget
