Count a reservation only for a lease until its turn is passed on

Seen: after an edge was gone, turns of its programs were answered 402 at all others, for twice the retention, though no upstream had got them. A 402 ends a program.

Cause: a turn's most tokens are reserved before it is passed on, and only the edge that reserved them could take that back.

Change: a reservation is stored as leased and counts for 1.5 s. Right before the request is written to an upstream, the edge sends the same record without that mark; from then on it counts until it is settled. A turn is passed on within 1 s of its reservation, else it is reserved again; events later than 150 ms after that wait until a quorum has the confirmation, and one that was stored after the lease is checked against the budget once more. While only leased reservations stand in the way, the answer is 503, not 402.

--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -145,6 +145,15 @@
 
 // cancelAttempt ends a request and its attempt because the caller disconnected.
 func (c *call) cancelAttempt(m *fleet.Member) {
+	c.releaseAttempt(m)
+	if !c.cutByStop() {
+		c.recordTime()
+	}
+	c.abandon()
+}
+
+// releaseAttempt ends an attempt that this edge gives up although the upstream works on it.
+func (c *call) releaseAttempt(m *fleet.Member) {
 	leaving := false
 	c.e.withFleet(func(f *fleet.Fleet) {
 		f.RecordEnd(m)
@@ -152,10 +161,6 @@
 	})
 	c.removeIsolated(m.ID)
 	c.trackAbandoned(m, leaving)
-	if !c.cutByStop() {
-		c.recordTime()
-	}
-	c.abandon()
 }
 
 // classifyError returns the outcome of an attempt without a response. detectStall is
--- a/pkg/edge/goneedge_test.go
+++ b/pkg/edge/goneedge_test.go
@@ -11,15 +11,17 @@
 )
 
 // reserveOnly reserves a turn's tokens as an edge does before it passes the turn on.
-func (p *process) reserveOnly(t *testing.T, id, program string, tokens, budget int) {
+func (p *process) reserveOnly(t *testing.T, id, program string, tokens, budget int) *turn {
 	t.Helper()
 	c := &call{
-		e: p.edge, r: &http.Request{}, route: &routing.Route{KeepsHistory: true, Retention: time.Minute}, table: p.edge.view.table.Load(),
+		e: p.edge, r: &http.Request{}, deadline: time.Now().Add(3 * time.Second), route: &routing.Route{KeepsHistory: true, Retention: time.Minute}, table: p.edge.view.table.Load(),
 		req: platform.Request{ID: id, Program: program, MaxTokens: tokens, TokenBudget: budget},
 	}
-	if err := (&turn{c: c}).reserve(t.Context()); err != nil {
+	reserved := &turn{c: c}
+	if err := reserved.reserve(t.Context()); err != nil {
 		t.Fatal(err)
 	}
+	return reserved
 }
 
 // TestReservationOfGoneEdge guards against a program that is refused for good because of
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -64,6 +64,7 @@
 	sentAt          time.Time        // start of the current attempt
 	given, left     time.Duration    // that the upstream was given, and that was left when the request was written; 0: not written
 	reservation     ledger.Receipt   // of the tokens of a turn
+	passedOn        bool             // the turn was passed on to an upstream, or is about to be
 	budgetUse       ledger.BudgetUse // by the other turns of the program, when the tokens were reserved
 	id              identity.Request // unknown: not computed yet
 	isolated        bool             // the current attempt must not share its upstream with a suspected request
@@ -179,7 +180,7 @@
 	}
 	if r := c.reservation; r.Asked > 0 {
 		args = append(args, "reserved_by", strings.Join(r.Acknowledged, ","), "reserved_of", r.Asked,
-			"budget", c.req.TokenBudget, "most", c.req.MaxTokens, "spent", c.budgetUse.Spent, "open", c.budgetUse.Open, "open_turns", c.budgetUse.OpenTurns)
+			"budget", c.req.TokenBudget, "most", c.req.MaxTokens, "spent", c.budgetUse.Spent, "open", c.budgetUse.Open, "leased", c.budgetUse.Leased, "open_turns", c.budgetUse.OpenTurns)
 	}
 	if c.id.Known() {
 		args = append(args, "fingerprint", c.id.Content, "caller", c.id.Caller)
--- a/pkg/edge/membership_test.go
+++ b/pkg/edge/membership_test.go
@@ -47,7 +47,7 @@
 	var reserved []*peerv1.Usage
 	for i := range programs {
 		u := &peerv1.Usage{Program: fmt.Sprint("p", i), Attempt: 1, Tokens: 70}
-		if _, err := p.edge.ledger.Reserve(t.Context(), u, 100, 0); err != nil {
+		if _, err := p.edge.ledger.Reserve(t.Context(), u, 100, 0, 0); err != nil {
 			t.Fatal(err)
 		}
 		reserved = append(reserved, u)
@@ -116,7 +116,7 @@
 	var reserved []*peerv1.Usage
 	for i := range programs {
 		u := &peerv1.Usage{Program: fmt.Sprint("p", i), Attempt: 1, Tokens: 70}
-		if _, err := stale.Reserve(t.Context(), u, 100, 0); err != nil {
+		if _, err := stale.Reserve(t.Context(), u, 100, 0, 0); err != nil {
 			t.Fatal(err)
 		}
 		reserved = append(reserved, u)
@@ -198,7 +198,7 @@
 	reserve := func(c *ledger.Client, program int, attempt uint64) error {
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
-		_, err := c.Reserve(ctx, &peerv1.Usage{Program: fmt.Sprint("p", program), Attempt: attempt, Tokens: 70}, 100, 0)
+		_, err := c.Reserve(ctx, &peerv1.Usage{Program: fmt.Sprint("p", program), Attempt: attempt, Tokens: 70}, 100, 0, 0)
 		return err
 	}
 	first := ledger.NewClient(p.edge.transport, staleDirectory(p.edge.view.Storage()), 1, d.logger())
--- a/pkg/edge/origin.go
+++ b/pkg/edge/origin.go
@@ -232,7 +232,7 @@
 	if c.req.ResumedID == "" || c.e.origins.Contains(c.req.ResumedID) || len(c.e.view.Storage()) == 0 {
 		return nil, nil
 	}
-	res, err := c.e.ledger.Reserve(ctx, c.usage(0, true), 0, c.resumedKey())
+	res, err := c.e.ledger.Reserve(ctx, c.usage(0, true), 0, 0, c.resumedKey())
 	return res.Origin, err
 }
 
--- a/pkg/edge/replacement_test.go
+++ b/pkg/edge/replacement_test.go
@@ -68,7 +68,7 @@
 	d.storageWith(s)
 	eventually(t, "the new process does not register", lost.Load)
 	within(t, 15*time.Second, "the lost process is taken out", func() bool { return d.node(stores[0].settings).Removed })
-	if _, err := p.edge.ledger.Reserve(t.Context(), &peerv1.Usage{Program: "p", Attempt: 1, Tokens: 70}, 100, 0); err != nil {
+	if _, err := p.edge.ledger.Reserve(t.Context(), &peerv1.Usage{Program: "p", Attempt: 1, Tokens: 70}, 100, 0, 0); err != nil {
 		t.Error(err)
 	}
 }
@@ -115,7 +115,7 @@
 	var reserved []*peerv1.Usage
 	for i := range programs {
 		u := &peerv1.Usage{Program: fmt.Sprint("p", i), Attempt: 1, Tokens: 70}
-		if _, err := stale.Reserve(t.Context(), u, 100, 0); err != nil {
+		if _, err := stale.Reserve(t.Context(), u, 100, 0, 0); err != nil {
 			t.Fatal(err)
 		}
 		reserved = append(reserved, u)
@@ -156,7 +156,7 @@
 	var reserved []*peerv1.Usage
 	for i := range programs {
 		u := &peerv1.Usage{Program: fmt.Sprint("p", i), Attempt: 1, Tokens: 70}
-		if _, err := stale.Reserve(t.Context(), u, 100, 0); err != nil {
+		if _, err := stale.Reserve(t.Context(), u, 100, 0, 0); err != nil {
 			t.Fatal(err)
 		}
 		reserved = append(reserved, u)
@@ -202,7 +202,7 @@
 	var reserved []*peerv1.Usage
 	for i := range programs {
 		u := &peerv1.Usage{Program: fmt.Sprint("p", i), Attempt: 1, Tokens: 70}
-		if _, err := stale.Reserve(t.Context(), u, 100, 0); err != nil {
+		if _, err := stale.Reserve(t.Context(), u, 100, 0, 0); err != nil {
 			t.Fatal(err)
 		}
 		reserved = append(reserved, u)
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -34,6 +34,9 @@
 // whyBudgetSpent is the reason for refusing a turn that exceeds the budget of its program.
 const whyBudgetSpent = "budget spent"
 
+// whyUnconfirmed is the reason for breaking off a stream whose tokens are not accounted for.
+const whyUnconfirmed = "passing on not recorded"
+
 var (
 	errEventOrder = errors.New("events are missing or out of order")
 	errCallerLeft = errors.New("the caller closed its connection")
@@ -73,7 +76,7 @@
 	defer t.settle()
 	c.programStarted = c.req.ParentTurnID != "" || c.req.Program != "" && c.e.knowsProgram(c.req.Program)
 	for {
-		if c.endBeforeAttempt() {
+		if c.endBeforeAttempt() || !t.ensureLease() {
 			return
 		}
 		m, why := s.place()
@@ -89,6 +92,11 @@
 			c.cancelAttempt(m)
 			return
 		}
+		if errors.Is(err, errUnconfirmed) {
+			c.releaseAttempt(m)
+			c.fail(attempt.GiveUp, whyUnconfirmed)
+			return
+		}
 		if o == attempt.Stalled {
 			s.stalled = m.ID
 		}
@@ -160,6 +168,7 @@
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	req := c.request(m, s.lastID)
+	req.BeforeWrite = s.turn.passOn
 	if detectStall {
 		req.HeadDeadline = earlier(c.deadline, time.Now().Add(firstEventStallFactor*c.route.LatencyObjective))
 	}
@@ -273,6 +282,9 @@
 	if err != nil || !follows {
 		return err
 	}
+	if err := s.turn.awaitConfirmation(); err != nil {
+		return err
+	}
 	if !c.headSent {
 		s.writeHead(resp)
 	}
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -48,6 +48,7 @@
 type turn struct {
 	c        *call
 	reserved bool // tokens are reserved in the ledger
+	lease    lease
 	settled  bool
 	input    []byte               // without the earlier turns
 	earlier  []*peerv1.TurnRecord // of the conversation, oldest first
@@ -85,8 +86,7 @@
 	case c.callerGone():
 		c.abandon()
 	case errors.Is(reserveErr, ledger.ErrOverBudget):
-		c.refuse(http.StatusPaymentRequired, 0, whyBudgetSpent)
-		c.e.metrics.overBudget(c.budgetUse)
+		t.refuseTokens(reserveErr)
 	case errors.Is(historyErr, ledger.ErrNotFound):
 		source, age := c.e.view.source(time.Now())
 		c.e.logger.Warn("turn not found", "id", c.req.ID, "parent", c.req.ParentTurnID, "err", historyErr,
@@ -97,9 +97,7 @@
 		c.e.logger.Warn("origin of a stream not known", "id", c.req.ID, "resumes", c.req.ResumedID, "err", reserveErr)
 		c.refuse(http.StatusServiceUnavailable, retryAfterUnready, whyOriginUnknown)
 	case reserveErr != nil:
-		c.e.logger.Warn("budget not known", "id", c.req.ID, "program", c.req.Program,
-			"answered", len(c.reservation.Acknowledged), "of", c.reservation.Asked, "err", reserveErr)
-		c.refuse(http.StatusServiceUnavailable, retryAfterUnready, "budget not known")
+		t.refuseTokens(reserveErr)
 	case historyErr != nil:
 		c.e.logger.Warn("history not known", "id", c.req.ID, "parent", c.req.ParentTurnID, "err", historyErr)
 		c.refuse(http.StatusServiceUnavailable, retryAfterUnready, "history not known")
@@ -116,12 +114,13 @@
 	return nil, false
 }
 
-// usage returns the usage record of the turn. The origin of its stream is in the open
-// record, which a majority has before the turn runs, or in the only one.
+// usage returns the usage record of the turn, which is leased until the turn is passed on.
+// The origin of its stream is in the open record, which a majority has before the turn runs,
+// or in the only one.
 func (c *call) usage(tokens int, settled bool) *peerv1.Usage {
 	u := &peerv1.Usage{
 		Program: c.ledgerKey(), Attempt: ledger.AttemptKey(c.req.ID), Tokens: uint32(tokens), Settled: settled,
-		RetentionMs: uint32(c.route.Retention.Milliseconds()),
+		RetentionMs: uint32(c.route.Retention.Milliseconds()), Leased: !settled && !c.passedOn,
 	}
 	if !settled || !c.hasBudget() {
 		u.Origin = c.recordedOrigin()
@@ -142,23 +141,30 @@
 	if spent, ok := c.e.spent.Get(c.req.Program); ok && spent+c.req.MaxTokens > c.req.TokenBudget {
 		return ledger.ErrOverBudget
 	}
+	return t.reserveTokens(ctx)
+}
+
+// reserveTokens reserves the tokens of the turn until it is passed on.
+func (t *turn) reserveTokens(ctx context.Context) error {
+	c := t.c
 	t.reserved = true
-	began := time.Now()
-	res, err := c.e.ledger.Reserve(ctx, c.usage(c.req.MaxTokens, false), c.req.TokenBudget, c.resumedKey())
-	c.e.metrics.ledger("reserve", err, time.Since(began))
+	t.beginLease()
+	u := c.usage(c.req.MaxTokens, false)
+	res, err := c.e.ledger.Reserve(ctx, u, c.req.TokenBudget, c.tokensPerEvent(), c.resumedKey())
+	c.e.metrics.ledger("reserve", err, time.Since(t.lease.began))
 	c.reservation = res.Receipt
 	if res.Spent > 0 {
 		c.e.spent.Add(c.req.Program, res.Spent)
 	}
 	t.origin = res.Origin
-	c.budgetUse = ledger.UseOf(res.Records, ledger.AttemptKey(c.req.ID))
-	perEvent := c.table.Service(c.service).TokensPerEvent
-	if err == nil && !ledger.FitsWholeEvents(res.Records, ledger.AttemptKey(c.req.ID), c.req.MaxTokens, c.req.TokenBudget, perEvent) {
-		return ledger.ErrOverBudget
-	}
+	c.budgetUse = ledger.UseOf(res.Records, u.GetAttempt())
 	return err
 }
 
+// tokensPerEvent returns how many tokens an event of the request's service counts as; 0: that
+// is not known.
+func (c *call) tokensPerEvent() int { return c.table.Service(c.service).TokensPerEvent }
+
 // loadHistory prepends the earlier turns of the conversation to the body.
 func (t *turn) loadHistory(ctx context.Context) error {
 	began := time.Now()
@@ -248,7 +254,7 @@
 // event counts an event that was delivered. It returns an error if the output of the
 // turn cannot be kept.
 func (t *turn) event(ev event) error {
-	t.tokens += t.c.table.Service(t.c.service).TokensPerEvent
+	t.tokens += t.c.tokensPerEvent()
 	if !t.c.route.KeepsHistory {
 		return nil
 	}
--- a/pkg/ledger/budget.go
+++ b/pkg/ledger/budget.go
@@ -1,11 +1,16 @@
 package ledger
 
-import "github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+import (
+	"maps"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+)
 
 // BudgetUse is what the other turns of a program have taken of its budget.
 type BudgetUse struct {
 	Spent     int // tokens of finished turns
 	Open      int // tokens reserved by turns that are not finished
+	Leased    int // those of Open for turns that were not passed on to an upstream
 	OpenTurns int // turns that are not finished
 }
 
@@ -19,12 +24,34 @@
 			use.Spent += int(u.GetTokens())
 		default:
 			use.Open += int(u.GetTokens())
+			if u.GetLeased() {
+				use.Leased += int(u.GetTokens())
+			}
 			use.OpenTurns++
 		}
 	}
 	return use
 }
 
+// CheckBudget returns an error if a turn of at most limit tokens does not fit a budget by
+// FitsBudget and FitsWholeEvents: ErrBudgetReserved if it would without the reservations of
+// turns that were not passed on to an upstream, which may never be, and otherwise
+// ErrOverBudget.
+func CheckBudget(records map[uint64]*peerv1.Usage, attempt uint64, limit, budget, perEvent int) error {
+	fits := func(records map[uint64]*peerv1.Usage) bool {
+		return FitsBudget(records, attempt, limit, budget) && FitsWholeEvents(records, attempt, limit, budget, perEvent)
+	}
+	if fits(records) {
+		return nil
+	}
+	passedOn := maps.Clone(records)
+	maps.DeleteFunc(passedOn, func(_ uint64, u *peerv1.Usage) bool { return u.GetLeased() })
+	if fits(passedOn) {
+		return ErrBudgetReserved
+	}
+	return ErrOverBudget
+}
+
 // SpentTokens returns the sum of the tokens of settled records. Spent tokens are
 // never returned to the budget.
 func SpentTokens(records map[uint64]*peerv1.Usage) int {
--- a/pkg/ledger/client.go
+++ b/pkg/ledger/client.go
@@ -20,6 +20,9 @@
 	ErrNoMajority = errors.New("no majority of the storage processes answers")
 	ErrNotFound   = errors.New("turn not found on any storage process")
 	ErrOverBudget = errors.New("turn exceeds the program's token budget")
+	// ErrBudgetReserved means that the turn may fit the budget once reservations of turns
+	// that were not passed on have ended, within ReservationLease.
+	ErrBudgetReserved = errors.New("the rest of the program's token budget is reserved")
 )
 
 // Member is an active storage process.
--- a/pkg/ledger/client_test.go
+++ b/pkg/ledger/client_test.go
@@ -139,14 +139,14 @@
 	if err := c.client.Write(longContext(t), "p", recs); err != nil {
 		t.Fatalf("with two of three: %v", err)
 	}
-	if _, err := c.client.Reserve(longContext(t), reservation(1, 50), 100, 0); err != nil {
+	if _, err := c.client.Reserve(longContext(t), reservation(1, 50), 100, 0, 0); err != nil {
 		t.Fatalf("with two of three: %v", err)
 	}
 	c.stop(1)
 	if err := c.client.Write(shortContext(t), "p", recs); !errors.Is(err, ErrNoMajority) {
 		t.Errorf("with one of three: %v", err)
 	}
-	if _, err := c.client.Reserve(shortContext(t), reservation(2, 10), 100, 0); !errors.Is(err, ErrNoMajority) {
+	if _, err := c.client.Reserve(shortContext(t), reservation(2, 10), 100, 0, 0); !errors.Is(err, ErrNoMajority) {
 		t.Errorf("with one of three: %v", err)
 	}
 	if chain, err := c.client.Chain(longContext(t), "a"); err != nil || len(chain) != 1 {
@@ -158,17 +158,17 @@
 // of a turn after it was settled with fewer tokens.
 func TestReserve(t *testing.T) {
 	c := newCluster(t, 3)
-	if _, err := c.client.Reserve(longContext(t), reservation(1, 80), 100, 0); err != nil {
+	if _, err := c.client.Reserve(longContext(t), reservation(1, 80), 100, 0, 0); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := c.client.Reserve(longContext(t), reservation(2, 80), 100, 0); !errors.Is(err, ErrOverBudget) {
+	if _, err := c.client.Reserve(longContext(t), reservation(2, 80), 100, 0, 0); !errors.Is(err, ErrOverBudget) {
 		t.Fatalf("second reservation: %v", err)
 	}
 	settled := []*peerv1.LedgerRecord{usage(1, 10, true), usage(2, 0, true)}
 	if err := c.client.Write(longContext(t), "p", settled); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := c.client.Reserve(longContext(t), reservation(3, 80), 100, 0); err != nil {
+	if _, err := c.client.Reserve(longContext(t), reservation(3, 80), 100, 0, 0); err != nil {
 		t.Errorf("reservation after the settlement: %v", err)
 	}
 }
@@ -203,14 +203,14 @@
 	if err := c.client.Write(shortContext(t), "p", []*peerv1.LedgerRecord{turnRecord("a", "")}); !errors.Is(err, ErrNoMajority) {
 		t.Errorf("write: %v", err)
 	}
-	if _, err := c.client.Reserve(shortContext(t), reservation(1, 10), 100, 0); !errors.Is(err, ErrNoMajority) {
+	if _, err := c.client.Reserve(shortContext(t), reservation(1, 10), 100, 0, 0); !errors.Is(err, ErrNoMajority) {
 		t.Errorf("reservation: %v", err)
 	}
 	c.stores[1].SetLeaving(false)
 	c.stores[0].SetMember()
 	c.loseDisk(0)
 	c.stop(2)
-	if _, err := c.client.Reserve(shortContext(t), reservation(2, 10), 100, 0); !errors.Is(err, ErrNoMajority) {
+	if _, err := c.client.Reserve(shortContext(t), reservation(2, 10), 100, 0, 0); !errors.Is(err, ErrNoMajority) {
 		t.Errorf("reservation after a lost disk: %v", err)
 	}
 }
@@ -230,7 +230,7 @@
 	if err := c.client.Write(shortContext(t), "p", recs); !errors.Is(err, ErrNoMajority) {
 		t.Errorf("write: %v", err)
 	}
-	if _, err := c.client.Reserve(shortContext(t), reservation(1, 10), 100, 0); !errors.Is(err, ErrNoMajority) {
+	if _, err := c.client.Reserve(shortContext(t), reservation(1, 10), 100, 0, 0); !errors.Is(err, ErrNoMajority) {
 		t.Errorf("reservation: %v", err)
 	}
 	_, total := c.stores[0].CheckSuspension()
@@ -246,14 +246,14 @@
 // deploy/days/two-members.toml: refused for 5.5 s.
 func TestServesWhileCatchingUp(t *testing.T) {
 	c := newCluster(t, 2)
-	if _, err := c.client.Reserve(longContext(t), reservation(1, 60), 100, 0); err != nil {
+	if _, err := c.client.Reserve(longContext(t), reservation(1, 60), 100, 0, 0); err != nil {
 		t.Fatal(err)
 	}
 	c.loseDisk(1)
 	if err := c.client.Write(longContext(t), "p", []*peerv1.LedgerRecord{turnRecord("a", "")}); err != nil {
 		t.Errorf("write to both disks: %v", err)
 	}
-	if _, err := c.client.Reserve(shortContext(t), reservation(2, 60), 100, 0); !errors.Is(err, ErrNoMajority) {
+	if _, err := c.client.Reserve(shortContext(t), reservation(2, 60), 100, 0, 0); !errors.Is(err, ErrNoMajority) {
 		t.Errorf("reservation before the usage records are copied: %v", err)
 	}
 	for _, rec := range c.stores[0].Records(peerv1.Pull_USAGE) {
@@ -262,7 +262,7 @@
 		}
 	}
 	c.stores[1].SetUsageComplete()
-	if _, err := c.client.Reserve(longContext(t), reservation(3, 60), 100, 0); !errors.Is(err, ErrOverBudget) {
+	if _, err := c.client.Reserve(longContext(t), reservation(3, 60), 100, 0, 0); !errors.Is(err, ErrOverBudget) {
 		t.Errorf("reservation above the budget: %v", err)
 	}
 	if _, err := c.client.Chain(shortContext(t), "none"); !errors.Is(err, ErrNoMajority) {
@@ -294,7 +294,7 @@
 		c.members[i].Address = []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}[i]
 	}
 	c.relays = []string{relay.Addr()}
-	if _, err := c.client.Reserve(longContext(t), reservation(1, 10), 100, 0); err != nil {
+	if _, err := c.client.Reserve(longContext(t), reservation(1, 10), 100, 0, 0); err != nil {
 		t.Errorf("reservation through the relay: %v", err)
 	}
 }
@@ -332,7 +332,7 @@
 	if err := c.client.Write(shortContext(t), "p", []*peerv1.LedgerRecord{turnRecord("a", "")}); !errors.Is(err, ErrNoMajority) {
 		t.Errorf("write with one known member: %v", err)
 	}
-	if _, err := c.client.Reserve(shortContext(t), reservation(1, 10), 100, 0); !errors.Is(err, ErrNoMajority) {
+	if _, err := c.client.Reserve(shortContext(t), reservation(1, 10), 100, 0, 0); !errors.Is(err, ErrNoMajority) {
 		t.Errorf("reservation with one known member: %v", err)
 	}
 	c.members = all[:2]
@@ -430,7 +430,7 @@
 	for _, m := range c.members {
 		go c.client.redial(m)
 	}
-	if _, err := c.client.Reserve(longContext(t), reservation(1, 10), 100, 0); err != nil {
+	if _, err := c.client.Reserve(longContext(t), reservation(1, 10), 100, 0, 0); err != nil {
 		t.Fatal(err)
 	}
 	if took := time.Since(start); took > redialMax {
--- a/pkg/ledger/origin_test.go
+++ b/pkg/ledger/origin_test.go
@@ -32,7 +32,7 @@
 		for _, i := range order {
 			s.Apply(&peerv1.LedgerRecord{Body: &peerv1.LedgerRecord_Usage{Usage: versions[i]}}, time.Unix(1, 0))
 		}
-		list := s.Usage("p", 1)
+		list := s.Usage("p", 1, startTime)
 		if len(list) != 1 || list[0].GetOrigin().GetVersion() != "v2" || list[0].GetTokens() != 28 || !list[0].GetSettled() {
 			t.Errorf("order %v: %v", order, list)
 		}
@@ -62,12 +62,12 @@
 	s := NewState()
 	s.Apply(record(usageWithOrigin(1, 0, true, "v1", 1)), time.Unix(1, 0))
 	s.Apply(record(usageWithOrigin(2, 7, true, "v1", 1)), time.Unix(1, 0))
-	for _, u := range s.Usage("p", 1) {
+	for _, u := range s.Usage("p", 1, startTime) {
 		if hasOrigin := u.GetOrigin() != nil; hasOrigin != (u.GetAttempt() == 1) {
 			t.Errorf("reply about attempt 1 has %v", u)
 		}
 	}
-	if list := s.Usage("p", 0); len(list) != 1 || list[0].GetOrigin() != nil {
+	if list := s.Usage("p", 0, startTime); len(list) != 1 || list[0].GetOrigin() != nil {
 		t.Errorf("reply about no attempt: %v", list)
 	}
 }
--- a/pkg/ledger/othergroup_test.go
+++ b/pkg/ledger/othergroup_test.go
@@ -43,7 +43,7 @@
 				cl.stop(i)
 			}
 			u := &peerv1.Usage{Program: "p", Attempt: 1, Tokens: 70}
-			_, err := cl.client.Reserve(shortContext(t), u, 100, 0)
+			_, err := cl.client.Reserve(shortContext(t), u, 100, 0, 0)
 			if !errors.Is(err, c.err) {
 				t.Fatalf("error %v, want %v", err, c.err)
 			}
@@ -61,7 +61,7 @@
 			}
 			other := &cluster{members: all[3:]}
 			client := NewClient(cl.client.transport, other, 1, slog.New(slog.DiscardHandler))
-			if _, err := client.Reserve(shortContext(t), &peerv1.Usage{Program: "p", Attempt: 2, Tokens: 70}, 100, 0); !errors.Is(err, ErrOverBudget) {
+			if _, err := client.Reserve(shortContext(t), &peerv1.Usage{Program: "p", Attempt: 2, Tokens: 70}, 100, 0, 0); !errors.Is(err, ErrOverBudget) {
 				t.Errorf("a client with the other list: %v, want %v", err, ErrOverBudget)
 			}
 		})
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -20,6 +20,10 @@
 // within the retention time of its last turn.
 const retentionFactor = 2
 
+// ReservationLease is how long a leased reservation counts after a member has stored it. An
+// entry that still has not passed the turn on then must reserve again.
+const ReservationLease = 1500 * time.Millisecond
+
 // maxChainTurns limits the length of a chain, in case its parents form a cycle.
 const maxChainTurns = 4096
 
@@ -40,9 +44,11 @@
 
 // programUsage holds the usage records of one program by attempt key.
 type programUsage struct {
-	usage   map[uint64]*peerv1.Usage
-	expires time.Time
-	file    int // the oldest one with records of the program
+	usage map[uint64]*peerv1.Usage
+	// leaseEnds holds the ends of the leases of leased records.
+	leaseEnds map[uint64]time.Time
+	expires   time.Time
+	file      int // the oldest one with records of the program
 }
 
 // turn is a turn record with its expiry time.
@@ -87,11 +93,23 @@
 func (s *State) applyUsage(u *peerv1.Usage, now time.Time) {
 	p := s.programs[u.GetProgram()]
 	if p == nil {
-		p = &programUsage{usage: make(map[uint64]*peerv1.Usage), file: s.file}
+		p = &programUsage{usage: make(map[uint64]*peerv1.Usage), leaseEnds: make(map[uint64]time.Time), file: s.file}
 		s.programs[u.GetProgram()] = p
 	}
 	p.expires = now.Add(retention(u.GetRetentionMs()))
-	p.usage[u.GetAttempt()] = newerUsage(p.usage[u.GetAttempt()], u)
+	merged := newerUsage(p.usage[u.GetAttempt()], u)
+	p.usage[u.GetAttempt()] = merged
+	if merged.GetLeased() {
+		p.leaseEnds[u.GetAttempt()] = now.Add(ReservationLease)
+	} else {
+		delete(p.leaseEnds, u.GetAttempt())
+	}
+}
+
+// leaseOver reports whether an attempt has a leased record whose lease has ended.
+func (p *programUsage) leaseOver(attempt uint64, now time.Time) bool {
+	end, leased := p.leaseEnds[attempt]
+	return leased && now.After(end)
 }
 
 // newerUsage merges two versions of a usage record: the newer one, with the origin that
@@ -110,8 +128,8 @@
 }
 
 // newerTokens returns the version of a usage record that replaces the other, as far as
-// its tokens are concerned. A settled version replaces an open one; otherwise the one
-// with more tokens wins.
+// its tokens are concerned. A settled version replaces an open one, and an open one a
+// leased one; otherwise the one with more tokens wins.
 func newerTokens(a, b *peerv1.Usage) *peerv1.Usage {
 	switch {
 	case a == nil:
@@ -121,6 +139,11 @@
 			return a
 		}
 		return b
+	case a.GetLeased() != b.GetLeased():
+		if b.GetLeased() {
+			return a
+		}
+		return b
 	case a.GetTokens() > b.GetTokens():
 		return a
 	}
@@ -143,14 +166,11 @@
 func (s *State) UsageComplete() bool { return s.complete || s.usageComplete }
 
 // Usage returns the usage records of a program. Settled records with zero tokens
-// are omitted, since a program that loops creates hundreds of them. Only the record of
-// the attempt origin is complete, with its origin; 0: none is. Records that are not part
-// of the state yet may be added.
-func (s *State) Usage(name string, origin uint64, added ...*peerv1.Usage) []*peerv1.Usage {
-	var usage map[uint64]*peerv1.Usage
-	if p := s.programs[name]; p != nil {
-		usage = p.usage
-	}
+// are omitted, since a program that loops creates hundreds of them, and so are leased
+// ones whose lease has ended. Only the record of the attempt origin is complete, with its
+// origin; 0: none is. Records that are not part of the state yet may be added.
+func (s *State) Usage(name string, origin uint64, now time.Time, added ...*peerv1.Usage) []*peerv1.Usage {
+	usage := s.countedUsage(name, now)
 	if len(added) > 0 {
 		usage = MergeUsage(slices.Collect(maps.Values(usage)), added)
 	}
@@ -160,14 +180,36 @@
 			list = append(list, u)
 			continue
 		}
-		if u.GetSettled() && u.GetTokens() == 0 {
+		if (u.GetSettled() || u.GetLeased()) && u.GetTokens() == 0 {
 			continue
 		}
-		list = append(list, &peerv1.Usage{Attempt: u.GetAttempt(), Tokens: u.GetTokens(), Settled: u.GetSettled()})
+		list = append(list, &peerv1.Usage{Attempt: u.GetAttempt(), Tokens: u.GetTokens(), Settled: u.GetSettled(), Leased: u.GetLeased()})
 	}
 	return list
 }
 
+// countedUsage returns the usage records of a program without the tokens of leased ones whose
+// lease has ended. The caller must not change the result.
+func (s *State) countedUsage(name string, now time.Time) map[uint64]*peerv1.Usage {
+	p := s.programs[name]
+	if p == nil {
+		return nil
+	}
+	over := func(attempt uint64) bool { return p.leaseOver(attempt, now) }
+	if !slices.ContainsFunc(slices.Collect(maps.Keys(p.leaseEnds)), over) {
+		return p.usage
+	}
+	usage := maps.Clone(p.usage)
+	for attempt := range p.leaseEnds {
+		if over(attempt) {
+			ended := proto.CloneOf(usage[attempt])
+			ended.Tokens = 0
+			usage[attempt] = ended
+		}
+	}
+	return usage
+}
+
 // Chain returns a turn and its ancestors, oldest first, up to the first ancestor
 // that is not in this state. It is empty if the turn itself is missing. Other
 // members may have the missing turns, since each turn is stored at a majority of
@@ -221,8 +263,11 @@
 		var tail [13]byte
 		binary.LittleEndian.PutUint64(tail[:], u.GetAttempt())
 		binary.LittleEndian.PutUint32(tail[8:], u.GetTokens())
-		if u.GetSettled() {
+		switch {
+		case u.GetSettled():
 			tail[12] = 1
+		case u.GetLeased():
+			tail[12] = 2
 		}
 		_, _ = h.Write(tail[:])
 		if o := u.GetOrigin(); o != nil {
--- a/pkg/ledger/state_test.go
+++ b/pkg/ledger/state_test.go
@@ -34,7 +34,7 @@
 		for _, r := range order {
 			s.Apply(r, startTime)
 		}
-		got := s.Usage("p", 0)
+		got := s.Usage("p", 0, startTime)
 		if len(got) != 1 || got[0].GetTokens() != 70 || !got[0].GetSettled() {
 			t.Errorf("usage is %v, want 70 settled tokens", got)
 		}
@@ -110,7 +110,7 @@
 		for _, i := range rapid.Permutation([]int{0, 1, 2, 3}).Draw(t, "order") {
 			s := steps[i]
 			states[s.member].Apply(usage(uint64(s.attempt), limit, false), startTime)
-			replies[s.attempt] = append(replies[s.attempt], states[s.member].Usage("p", 0))
+			replies[s.attempt] = append(replies[s.attempt], states[s.member].Usage("p", 0, startTime))
 		}
 		passed := 0
 		for attempt, lists := range replies {
--- a/pkg/ledger/store.go
+++ b/pkg/ledger/store.go
@@ -342,7 +342,7 @@
 func (s *Store) Usage(program string, origin uint64) []*peerv1.Usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state.Usage(program, origin, s.unsynced[program]...)
+	return s.state.Usage(program, origin, time.Now(), s.unsynced[program]...)
 }
 
 // Chain returns a turn and its ancestors as far as this process has them, oldest
--- a/pkg/ledger/write.go
+++ b/pkg/ledger/write.go
@@ -206,11 +206,12 @@
 }
 
 // Reserve reserves tokens of a program's budget for an attempt. It fails with
-// ErrOverBudget if the tokens do not fit, and with ErrNoMajority if no quorum replied
-// before the context was done. In both cases the reservation may remain stored. budget
-// is in tokens; 0: no limit. continues is the key of the attempt that began the stream
+// ErrOverBudget or ErrBudgetReserved if the tokens do not fit, and with ErrNoMajority if no
+// quorum replied before the context was done. In all cases the reservation may remain
+// stored. budget is in tokens; 0: no limit. perEvent is the number of tokens that an event
+// counts as; 0: not known. continues is the key of the attempt that began the stream
 // which this one continues; 0: none.
-func (c *Client) Reserve(ctx context.Context, u *peerv1.Usage, budget int, continues uint64) (Reservation, error) {
+func (c *Client) Reserve(ctx context.Context, u *peerv1.Usage, budget, perEvent int, continues uint64) (Reservation, error) {
 	members := c.sortByDistance(ReplicaGroup(c.directory.Storage(), u.GetProgram()))
 	need := c.quorum(len(members))
 	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Reserve{Reserve: &peerv1.Reserve{Usage: u, Continues: continues, Group: groupKey(members)}}}
@@ -228,10 +229,10 @@
 	}
 	merged := MergeUsage(lists...)
 	res.Spent, res.Origin, res.Records = SpentTokens(merged), merged[continues].GetOrigin(), merged
-	if budget > 0 && !FitsBudget(merged, u.GetAttempt(), int(u.GetTokens()), budget) {
-		return res, ErrOverBudget
+	if budget > 0 {
+		err = CheckBudget(merged, u.GetAttempt(), int(u.GetTokens()), budget, perEvent)
 	}
-	return res, nil
+	return res, err
 }
 
 // isBeginning reports whether a group is of a list that is not complete yet, while a
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -30,6 +30,9 @@
 	// Run is the start of the upstream's run, in Unix ms. If the upstream says that it is
 	// another run, the request is not sent; 0: any run.
 	Run int64
+	// BeforeWrite, if set, is called right before the request is written. If it fails, the
+	// request is not sent.
+	BeforeWrite func() error
 
 	written time.Time // when writing began
 }
@@ -107,6 +110,11 @@
 		platform.SetTimeGiven(r.Header, left)
 	}
 	data := append(r.head(), r.Body...)
+	if r.BeforeWrite != nil {
+		if err := r.BeforeWrite(); err != nil {
+			return fail("reserve", false, err)
+		}
+	}
 	if len(data) <= maxSequentialWrite {
 		n, err := c.Write(data)
 		if n > 0 {
