Go on without members that are not reached, in any failure domain, and take them out

Cause: a process that joins could go on without an unreachable member only if that was in its own failure domain.

Change: a process that joins goes on without members that it has not reached for 2.5 s, wherever they are, and one that has lost its disk without those not reached for 7 s, as long as each acknowledged record is left somewhere: fewer than a write quorum are without their records, its own lost ones and those of members that catch up included. It restores their replicas and takes them out, so that one that returns catches up instead of counting in replica groups that it has entered meanwhile. If that fails, all members are read again, since one may have been lost after it was read. A member that is catching up tells which replicas it has: two that join at once needed that from each other.

--- a/pkg/storage/join.go
+++ b/pkg/storage/join.go
@@ -17,11 +17,11 @@
 const (
 	// joinInterval is the delay between the steps of joining.
 	joinInterval = 200 * time.Millisecond
-	// joiningReplaceDelay is how long an older member of the same failure domain
-	// must be unreachable before a process that is joining replaces it.
+	// joiningReplaceDelay is how long a member must be unreachable before a process that
+	// is joining goes on without it and takes it out of the ledger.
 	joiningReplaceDelay = 2500 * time.Millisecond
-	// memberReplaceDelay is the same for a process that has joined. It is longer
-	// than a restart and most network partitions.
+	// memberReplaceDelay is the same for members. It is longer than a restart and most
+	// network partitions.
 	memberReplaceDelay = 7 * time.Second
 	// connectTimeout limits the opening of a connection to a member. It is short, so
 	// that the outage of a member is established within joiningReplaceDelay and one
@@ -200,7 +200,7 @@
 }
 
 // pullProgress holds the names of the members whose usage records and turns have
-// been copied.
+// been copied, and whether these members had all their records.
 type pullProgress struct{ usage, turns map[string]bool }
 
 func newPullProgress() *pullProgress {
@@ -213,10 +213,10 @@
 }
 
 // catchUp copies the records of all other members, usage records first, since no
-// turn can start without them. A process that is not a member, or no longer one,
-// may skip an unreachable older member of its failure domain, which it then
-// replaces. Each member is read only once, since later writes reach a majority
-// without this process.
+// turn can start without them. It goes on without members that are unreachable, as far as
+// pullFromOthers allows, and takes them out of the ledger: they may lack what is written
+// meanwhile. Each member is read only once, since later writes reach a majority without
+// this process.
 func (j *joiner) catchUp(ctx context.Context, own platform.Node, registered bool) {
 	s := j.s
 	if !j.begun {
@@ -227,19 +227,22 @@
 	j.replacing = j.replacing || !registered || !own.Active || own.Removed
 	replacing := j.replacing
 	if s.ledger.UsageStatus() != peerv1.LedgerReply_OK {
-		if _, complete := j.pullFromOthers(ctx, peerv1.Pull_USAGE, replacing, j.progress.usage); !complete {
+		unreachable, complete := j.pullFromOthers(ctx, peerv1.Pull_USAGE, replacing, j.progress.usage)
+		if !complete {
 			return
 		}
-		if !replacing {
+		if !replacing && len(unreachable) == 0 {
 			s.ledger.SetUsageComplete()
 			s.logger.Info("budgets caught up")
 		}
 	}
-	replaced, complete := j.pullFromOthers(ctx, peerv1.Pull_TURNS, replacing, j.progress.turns)
+	unreachable, complete := j.pullFromOthers(ctx, peerv1.Pull_TURNS, replacing, j.progress.turns)
 	if !complete {
 		return
 	}
-	if replacing && !j.takePlace(ctx, replaced) {
+	if (replacing || len(unreachable) > 0) && !j.takePlace(ctx, unreachable, replacing) {
+		// A member may have become unreachable since it was read.
+		j.progress.clear()
 		return
 	}
 	if j.settleAt.IsZero() && s.markCaughtUp(ctx) {
@@ -247,37 +250,54 @@
 	}
 }
 
-// takePlace registers this process, which has copied all records, as a member in place of
-// the unreachable ones. It reports whether that succeeded.
-func (j *joiner) takePlace(ctx context.Context, replaced []platform.Node) bool {
+// takePlace takes unreachable members out of the ledger once others have the replicas that
+// are lost with them. A process that is joining registers before. It must have copied all
+// records. It reports whether that succeeded.
+func (j *joiner) takePlace(ctx context.Context, unreachable []platform.Node, joining bool) bool {
 	s := j.s
-	if err := s.replicateUsage(ctx, replaced); err != nil {
-		s.logger.Warn("failed to copy usage records to their new replicas", "err", err)
+	if err := s.restoreReplicas(ctx, unreachable, joining); err != nil {
+		s.logger.Warn("failed to restore the replicas of unreachable members", "err", err)
 		return false
 	}
-	if !s.register(ctx) {
+	mustSettle := joining && s.mustSettle(unreachable)
+	if joining && !s.register(ctx) {
 		return false
 	}
-	for _, n := range replaced {
-		s.removeMember(ctx, n)
+	for _, n := range unreachable {
+		if !s.removeMember(ctx, n) {
+			return false
+		}
 	}
-	if s.mustSettle(len(replaced)) {
+	if mustSettle {
 		j.settleAt = time.Now().Add(settleDelay)
 	}
 	return true
 }
 
+// restoreReplicas copies records to the members that get them in place of the removed ones.
+// One that is joining is itself the replica that takes the place of a removed one.
+func (s *Storage) restoreReplicas(ctx context.Context, removed []platform.Node, joining bool) error {
+	if err := s.replicateUsage(ctx, removed); err != nil {
+		return err
+	}
+	if joining && len(removed) <= 1 {
+		return nil
+	}
+	return s.replicateTurns(ctx, removed)
+}
+
 // minSettleMembers is the number of other members from which on two processes that join at
 // once can form a quorum with one of them. With fewer, any two quorums share a member.
 const minSettleMembers = 3
 
 // mustSettle reports whether a quorum of a program's replica group may share no member
 // with one of the group before this process joined in place of some members. Others may
-// join at the same time. In a small ledger a process that takes the place of a lost one
-// changes no quorum of the remaining members.
-func (s *Storage) mustSettle(replaced int) bool {
+// join at the same time. In a small ledger a process that takes the place of one that is
+// lost, in its failure domain, changes no quorum of the remaining members.
+func (s *Storage) mustSettle(replaced []platform.Node) bool {
 	others, _ := s.members.others()
-	return len(others) >= ledger.ReplicationFactor || replaced == 0 && len(others) >= minSettleMembers
+	successor := len(replaced) == 1 && replaced[0].FailureDomain == s.settings.FailureDomain
+	return len(others) >= ledger.ReplicationFactor || !successor && len(others) >= minSettleMembers
 }
 
 // settle copies the usage records once more, after all entries have had the time to learn
@@ -293,7 +313,7 @@
 	others, _ := s.members.others()
 	skipped := 0
 	for _, n := range others {
-		if err := s.pullFrom(ctx, n.Address, peerv1.Pull_USAGE); err != nil {
+		if _, err := s.pullFrom(ctx, n.Address, peerv1.Pull_USAGE); err != nil {
 			s.logger.Info("records not received", "peer", n.Name, "address", n.Address, "part", peerv1.Pull_USAGE, "err", err)
 			skipped++
 		}
@@ -318,74 +338,97 @@
 }
 
 // pullFromOthers copies a part of the records, usage, turns or both, from the members
-// that are not in done. It returns the unreachable members that this process
-// replaces, and whether the part was copied from all others.
-func (j *joiner) pullFromOthers(ctx context.Context, part peerv1.Pull_Part, replacing bool, done map[string]bool) (replaced []platform.Node, complete bool) {
+// that are not in done. It returns the members that are unreachable, and whether this
+// process has all records of the part that were ever acknowledged.
+func (j *joiner) pullFromOthers(ctx context.Context, part peerv1.Pull_Part, joining bool, done map[string]bool) (unreachable []platform.Node, complete bool) {
 	s := j.s
 	others, _ := s.members.others()
-	complete = true
+	delay := memberReplaceDelay
+	if joining {
+		delay = joiningReplaceDelay
+	}
+	waits := false
 	for _, n := range others {
-		if done[n.Name] {
+		if _, copied := done[n.Name]; copied {
 			continue
 		}
-		if err := s.pullFrom(ctx, n.Address, part); err != nil {
-			outage := j.outages.recordFailure(n.Name, time.Now())
-			s.logger.Info("records not received", "peer", n.Name, "address", n.Address, "part", part, "out_of_reach", outage, "err", err)
-			if !replacing || n.FailureDomain != s.settings.FailureDomain || outage < joiningReplaceDelay {
-				complete = false
-				continue
-			}
-			replaced = append(replaced, n)
+		whole, err := s.pullFrom(ctx, n.Address, part)
+		if err == nil {
+			j.outages.recordSuccess(n.Name)
+			done[n.Name] = whole
 			continue
 		}
-		j.outages.recordSuccess(n.Name)
-		done[n.Name] = true
+		outage := j.outages.recordFailure(n.Name, time.Now())
+		s.logger.Info("records not received", "peer", n.Name, "address", n.Address, "part", part, "out_of_reach", outage, "err", err)
+		unreachable = append(unreachable, n)
+		waits = waits || outage < delay
 	}
-	if len(replaced) >= s.replicas(len(others)) {
-		// They may be all that have some record, and all but one may only be down.
-		s.logger.Warn("too many members out of reach to take their places", "members", len(others), "out_of_reach", len(replaced))
-		complete = false
+	switch {
+	case len(unreachable) == 0:
+		return nil, true
+	case waits:
+		return nil, false
+	}
+	if lost := len(unreachable) + forgetIncomplete(done); !s.mayLack(lost, len(others), joining) {
+		s.logger.Warn("too many members without their records to go on", "members", len(others), "unreachable", len(unreachable), "without_records", lost)
+		return nil, false
 	}
-	return replaced, complete
+	return unreachable, true
+}
+
+// forgetIncomplete removes the members that did not have all their records when they were
+// read, so that they are read again, and returns their number.
+func forgetIncomplete(done map[string]bool) int {
+	before := len(done)
+	maps.DeleteFunc(done, func(_ string, whole bool) bool { return !whole })
+	return before - len(done)
 }
 
-// pullFrom copies from a member the records that this process lacks.
-func (s *Storage) pullFrom(ctx context.Context, address string, part peerv1.Pull_Part) error {
+// mayLack reports whether each acknowledged record is at another member if lost ones of
+// others lack theirs. The records of a member that is not joining are lost, too, but those
+// of a list without it were acknowledged without it.
+func (s *Storage) mayLack(lost, others int, joining bool) bool {
+	return lost < s.replicas(others) && (joining || lost+1 < s.replicas(others+1))
+}
+
+// pullFrom copies from a member the records that this process lacks. It reports whether the
+// member has all records that it ever acknowledged.
+func (s *Storage) pullFrom(ctx context.Context, address string, part peerv1.Pull_Part) (whole bool, err error) {
 	start := time.Now()
 	connectCtx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	sess, err := s.transport.Dial(connectCtx, address)
 	if err != nil {
-		return err
+		return false, err
 	}
 	have := slices.Collect(maps.Keys(ledger.Digests(s.ledger.Records(part))))
 	st, err := sess.Open(connectCtx, &peerv1.Envelope{Body: &peerv1.Envelope_LedgerRequest{LedgerRequest: &peerv1.LedgerRequest{
 		Op: &peerv1.LedgerRequest_Pull{Pull: &peerv1.Pull{Have: have, Part: part}},
 	}}})
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer st.Close()
 	count, size := 0, 0
 	for {
 		if err := st.SetDeadline(time.Now().Add(pullTimeout)); err != nil {
-			return errors.Wrap(err, "set deadline")
+			return false, errors.Wrap(err, "set deadline")
 		}
 		m, err := st.Recv()
 		if err != nil {
-			return err
+			return false, err
 		}
 		r := m.GetLedgerReply()
 		count += len(r.GetRecords())
 		size += proto.Size(r)
 		if len(r.GetRecords()) > 0 {
 			if err := s.ledger.Write(ctx, r.GetRecords()); err != nil {
-				return err
+				return false, err
 			}
 		}
 		if !r.GetMore() {
 			s.logger.Info("records received", "peer", address, "part", part, "records", count, "bytes", size, "took", time.Since(start))
-			return nil
+			return r.GetStatus() != peerv1.LedgerReply_CATCHING_UP, nil
 		}
 	}
 }
--- a/pkg/storage/remove.go
+++ b/pkg/storage/remove.go
@@ -21,7 +21,8 @@
 	}
 	others, _ := s.members.others()
 	for _, n := range others {
-		if n.FailureDomain != s.settings.FailureDomain || n.Created == 0 || n.Created >= own.Created {
+		older := n.Created != 0 && n.Created < own.Created
+		if n.FailureDomain != s.settings.FailureDomain || !older {
 			continue
 		}
 		if err := s.ping(ctx, n.Address); err == nil {
@@ -35,28 +36,16 @@
 	}
 }
 
-// replace removes an unreachable member after the records of which it had a copy have
-// been copied to others. Otherwise these would have one replica less for good.
+// replace removes an unreachable member, and those whose records could not be copied either,
+// after the records of which they had a copy have been copied to others. Otherwise these
+// would have fewer replicas for good.
 func (j *joiner) replace(ctx context.Context, n platform.Node) {
-	s := j.s
 	skipped, ok := j.copyRecords(ctx, n)
 	if !ok {
 		return
 	}
-	without := append(skipped, n)
-	if err := s.replicateUsage(ctx, without); err != nil {
-		s.logger.Warn("failed to copy usage records to their new replicas", "err", err)
-		delete(j.copied, n.Name) // one that has not replied may have to be skipped
-		return
-	}
-	if err := s.replicateTurns(ctx, without); err != nil {
-		s.logger.Warn("failed to copy turns to new replicas", "err", err)
-		delete(j.copied, n.Name)
-		return
-	}
-	if s.removeMember(ctx, n) {
-		delete(j.copied, n.Name)
-	}
+	j.takePlace(ctx, append(skipped, n), false)
+	delete(j.copied, n.Name) // one that has not replied may have to be skipped
 }
 
 // copyRecords copies to this process the records of all members except the one to be
@@ -77,7 +66,7 @@
 		if n.Name == removed.Name || done[n.Name] {
 			continue
 		}
-		err := s.pullFrom(ctx, n.Address, peerv1.Pull_ALL)
+		_, err := s.pullFrom(ctx, n.Address, peerv1.Pull_ALL)
 		if err == nil {
 			j.outages.recordSuccess(n.Name)
 			done[n.Name] = true
--- a/pkg/storage/replicate.go
+++ b/pkg/storage/replicate.go
@@ -134,12 +134,17 @@
 			continue
 		}
 		g.Go(func() error {
-			reply, err := s.request(ctx, m.Address, &peerv1.LedgerRequest{
+			reply, err := s.requestAny(ctx, m.Address, &peerv1.LedgerRequest{
 				Op: &peerv1.LedgerRequest_Compare{Compare: &peerv1.Compare{Digests: digests}},
 			})
 			if err != nil {
 				return errors.Wrapf(err, "compare records with %s", m.Name)
 			}
+			// What a member that catches up has already is a replica. Two that catch up at
+			// once would otherwise wait for each other.
+			if st := reply.GetStatus(); st != peerv1.LedgerReply_OK && st != peerv1.LedgerReply_CATCHING_UP {
+				return errors.Errorf("compare records with %s: status %s", m.Name, st)
+			}
 			mu.Lock()
 			defer mu.Unlock()
 			for _, d := range reply.GetMissing() {
--- a/pkg/storage/retire.go
+++ b/pkg/storage/retire.go
@@ -139,9 +139,7 @@
 // request sends one request to a member. It fails if the reply has a status other
 // than OK, for example because the member is catching up.
 func (s *Storage) request(ctx context.Context, address string, req *peerv1.LedgerRequest) (*peerv1.LedgerReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
-	reply, err := ledger.Call(ctx, s.transport, address, req)
+	reply, err := s.requestAny(ctx, address, req)
 	if err != nil {
 		return nil, err
 	}
@@ -150,3 +148,10 @@
 	}
 	return reply, nil
 }
+
+// requestAny sends one request to a member and returns its reply with any status.
+func (s *Storage) requestAny(ctx context.Context, address string, req *peerv1.LedgerRequest) (*peerv1.LedgerReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	return ledger.Call(ctx, s.transport, address, req)
+}
