Retire storage processes in turn, and serve until the last transfer

Cause: a process that retires refused all requests from the beginning, also the records of another one that retires, and waited for that one in turn. Both counted as members meanwhile, so no quorum was left.

Change: a process that retires transfers its records while it serves, and refuses requests only during a last transfer of 2 s at most; if that fails it serves again. Processes that retire at once take turns, by name, for 3 s at most. One that would leave too few members for a quorum stays. A member that is not reached for 2.5 s is taken out by the one that retires, which waited for it without end.

--- a/pkg/storage/join.go
+++ b/pkg/storage/join.go
@@ -18,7 +18,7 @@
 	// joinInterval is the delay between the steps of joining.
 	joinInterval = 200 * time.Millisecond
 	// joiningReplaceDelay is how long a member must be unreachable before a process that
-	// is joining goes on without it and takes it out of the ledger.
+	// is joining or retiring goes on without it and takes it out of the ledger.
 	joiningReplaceDelay = 2500 * time.Millisecond
 	// memberReplaceDelay is the same for members. It is longer than a restart and most
 	// network partitions.
@@ -102,6 +102,8 @@
 	status := s.ledger.Status()
 	switch {
 	case status == peerv1.LedgerReply_LEAVING:
+	case registered && own.Removed && s.retirement.begun():
+		s.ledger.SetLeaving(true) // the answer to its removal may have been lost
 	case status == peerv1.LedgerReply_OK && registered && own.Removed:
 		s.logger.Warn("taken out of the ledger, catching up", "node", s.settings.Node)
 		s.ledger.SetRemoved()
--- a/pkg/storage/remove.go
+++ b/pkg/storage/remove.go
@@ -12,17 +12,22 @@
 )
 
 // removeUnreachable removes older members of the same failure domain that have
-// been unreachable for memberReplaceDelay.
+// been unreachable for memberReplaceDelay. A process that retires removes any member that
+// it cannot transfer its records to.
 func (j *joiner) removeUnreachable(ctx context.Context) {
 	s := j.s
 	own, registered := s.members.own()
 	if !registered || !own.Active {
 		return
 	}
+	retiring, delay := s.retirement.begun(), memberReplaceDelay
+	if retiring {
+		delay = joiningReplaceDelay
+	}
 	others, _ := s.members.others()
 	for _, n := range others {
 		older := n.Created != 0 && n.Created < own.Created
-		if n.FailureDomain != s.settings.FailureDomain || !older {
+		if !retiring && (n.FailureDomain != s.settings.FailureDomain || !older) {
 			continue
 		}
 		if err := s.ping(ctx, n.Address); err == nil {
@@ -30,7 +35,7 @@
 			delete(j.copied, n.Name)
 			continue
 		}
-		if j.outages.recordFailure(n.Name, time.Now()) >= memberReplaceDelay {
+		if j.outages.recordFailure(n.Name, time.Now()) >= delay {
 			j.replace(ctx, n)
 		}
 	}
--- a/pkg/storage/retire.go
+++ b/pkg/storage/retire.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,13 +19,18 @@
 const (
 	retireRetryInterval = 200 * time.Millisecond
 	requestTimeout      = 1500 * time.Millisecond // of one request to another member
+	// leavingTimeout limits the last transfer, in which this process refuses new records.
+	leavingTimeout = 2 * time.Second
+	// retireOrderTimeout limits the wait for members that retire before this one.
+	retireOrderTimeout = 3 * time.Second
 )
 
 // retirementHandler starts the retirement of this instance when an operator
 // requests it.
 type retirementHandler struct {
-	s    *Storage
-	once sync.Once
+	s       *Storage
+	once    sync.Once
+	started atomic.Bool
 }
 
 func (h *retirementHandler) Listed(objects []platform.Object, _ bool) {
@@ -49,46 +56,90 @@
 }
 
 // start starts the retirement in the background on its first call.
-func (h *retirementHandler) start() { h.once.Do(func() { go h.s.retire() }) }
+func (h *retirementHandler) start() {
+	h.once.Do(func() {
+		h.started.Store(true)
+		go h.s.retire()
+	})
+}
+
+// begun reports whether the retirement of this instance was requested.
+func (h *retirementHandler) begun() bool { return h.started.Load() }
 
-// retire refuses new records, transfers all records to the other members and
-// removes this process from the ledger. It retries until this succeeds.
+// retire transfers all records to the other members and removes this process from the
+// ledger. It retries until this succeeds. The process serves as a member meanwhile, except
+// during the last transfer: members that retire at once take turns with that, so that the
+// others are a quorum.
 func (s *Storage) retire() {
 	ctx := context.Background()
+	began := time.Now()
 	s.logger.Info("retiring", "node", s.settings.Node)
-	s.ledger.SetLeaving(true)
 	if err := s.store.Load().SetRetirementStatus(ctx, s.settings.Node, false); err != nil {
 		s.logger.Warn("failed to write the retirement state", "err", err)
 	}
 	for {
-		if err := s.leaveLedger(ctx); err == nil {
-			s.logger.Info("retired", "node", s.settings.Node)
-			return
-		} else {
-			s.logger.Info("retirement goes on", "err", err)
+		err := s.leaveLedger(ctx, time.Since(began) < retireOrderTimeout)
+		if err == nil {
+			break
 		}
+		s.logger.Info("retirement goes on", "err", err)
+		time.Sleep(retireRetryInterval/2 + rand.N(retireRetryInterval))
+	}
+	for {
+		err := s.store.Load().SetRetirementStatus(ctx, s.settings.Node, true)
+		if err == nil {
+			break
+		}
+		s.logger.Warn("failed to write the retirement state", "err", err)
 		time.Sleep(retireRetryInterval)
 	}
+	s.logger.Info("retired", "node", s.settings.Node, "took", time.Since(began))
 }
 
-// leaveLedger transfers the records, marks this process as removed from the
-// ledger and reports the retirement as done.
-func (s *Storage) leaveLedger(ctx context.Context) error {
+// leaveLedger transfers the records and marks this process as removed from the ledger. If
+// inOrder is set, it does not leave before other members that retire.
+func (s *Storage) leaveLedger(ctx context.Context, inOrder bool) error {
+	if err := s.refreshMembers(ctx); err != nil {
+		return err
+	}
 	if err := s.transferRecords(ctx); err != nil {
 		return err
 	}
-	own, _ := s.members.own()
-	own.Active, own.Removed = false, true
-	if err := platform.Register(ctx, s.store.Load(), s.settings.Node, own); err != nil {
+	if inOrder {
+		if err := s.checkRetireOrder(ctx); err != nil {
+			return err
+		}
+	}
+	if others, _ := s.members.others(); len(others) <= s.settings.DisksToLose {
+		return errors.Errorf("too few members would remain: %d, %d disks may be lost", len(others), s.settings.DisksToLose)
+	}
+	ctx, cancel := context.WithTimeout(ctx, leavingTimeout)
+	defer cancel()
+	s.ledger.SetLeaving(true)
+	if err := s.finishLeaving(ctx); err != nil {
+		s.ledger.SetLeaving(false)
 		return err
 	}
-	return s.store.Load().SetRetirementStatus(ctx, s.settings.Node, true)
+	return nil
 }
 
-// transferRecords sends to each other member the records that it lacks.
-func (s *Storage) transferRecords(ctx context.Context) error {
-	// The watch may lag behind, but the records must also reach a member that has
-	// just joined.
+// finishLeaving transfers the records that this process has got since the first transfer and
+// marks it as removed from the ledger. No further ones are accepted.
+func (s *Storage) finishLeaving(ctx context.Context) error {
+	if err := s.refreshMembers(ctx); err != nil {
+		return err
+	}
+	if err := s.transferRecords(ctx); err != nil {
+		return err
+	}
+	own, _ := s.members.own()
+	own.Active, own.Removed = false, true
+	return platform.Register(ctx, s.store.Load(), s.settings.Node, own)
+}
+
+// refreshMembers reads the members from the platform's store. The watch may lag behind, but
+// the records must also reach a member that has just joined.
+func (s *Storage) refreshMembers(ctx context.Context) error {
 	registered, _, err := s.store.Load().List(ctx, platform.KindNodes)
 	if err != nil {
 		return err
@@ -96,6 +147,28 @@
 	for _, o := range registered {
 		s.members.put(o)
 	}
+	return nil
+}
+
+// checkRetireOrder returns an error if another member that retires comes first, by name.
+func (s *Storage) checkRetireOrder(ctx context.Context) error {
+	requested, _, err := s.store.Load().List(ctx, platform.KindRetirements)
+	if err != nil {
+		return err
+	}
+	others, _ := s.members.others()
+	for _, o := range requested {
+		isMember := slices.ContainsFunc(others, func(n platform.Node) bool { return n.Name == o.Name })
+		if isMember && o.Name < s.settings.Node {
+			return errors.Errorf("%s retires first", o.Name)
+		}
+	}
+	return nil
+}
+
+// transferRecords sends to each other member the records that it lacks. It fails while one
+// is catching up: the remaining members must be a quorum for reads.
+func (s *Storage) transferRecords(ctx context.Context) error {
 	others, known := s.members.others()
 	if !known || len(others) == 0 {
 		return errors.New("no other active storage process is known")
--- a/pkg/storage/retire_test.go
+++ b/pkg/storage/retire_test.go
@@ -87,7 +87,7 @@
 	leaving.members.mu.Lock()
 	delete(leaving.members.nodes, fmt.Sprint("node-", ips[2])) // as if its event had not arrived yet
 	leaving.members.mu.Unlock()
-	if err := leaving.transferRecords(ctx); err != nil {
+	if err := leaving.leaveLedger(ctx, true); err != nil {
 		t.Fatal(err)
 	}
 	for _, s := range []*Storage{first, last} {
