Soak: two changes at once, then lost disks while all else loses power

Storage processes of all soaks are in different failure domains now: all in one hid that two successors wait for each other. A 402 is a violation if the budget holds one more turn by the callers' account, where a turn that reached no upstream counts nothing. TestLostSoak draws the new faults as class pairs, and the new final fault.

--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -40,7 +40,9 @@
 	began time.Time
 	// classes are the classes of faults of this run.
 	classes []string
-	disks   chan struct{} // a token for each disk that may be lost at a time
+	// final is the kind of the final fault; nil: the seed draws it.
+	final *int
+	disks chan struct{} // a token for each disk that may be lost at a time
 
 	mu       sync.Mutex
 	events   strings.Builder // faults and what callers observed, with times
@@ -48,6 +50,7 @@
 	core     faultState // of the store, the storage processes and the upstreams
 	gone     []*process // replaced storage processes
 	answered []answeredTurn
+	programs map[string]*programBudget
 	cut      []cutRequest
 	statuses map[int]int
 	acked    int       // version of the configuration
@@ -99,7 +102,7 @@
 func newFaultySoak(t *testing.T, bin string, seed uint64, size deployment) *lostSoak {
 	l := &lostSoak{
 		soak: newDeployment(t, bin, seed, size), seed: seed, began: time.Now(),
-		disks: make(chan struct{}, size.tolerated), faults: make(map[*process]*faultState),
+		disks: make(chan struct{}, size.tolerated), faults: make(map[*process]*faultState), programs: make(map[string]*programBudget),
 		statuses: make(map[int]int), acked: 1, ackedAt: time.Now(), joined: size.storages,
 	}
 	for _, p := range append(slices.Clone(l.edges), l.storages...) {
@@ -268,7 +271,7 @@
 	last := 0
 	for try := 0; ; try++ {
 		id := fmt.Sprintf("turn-after-%s-%d", a.id, try)
-		r := c.turn(id, a, "again "+id+"\n", 0)
+		r := c.turn(id, a, "again "+id+"\n", c.l.budgetOf(a.program).left())
 		if r.status == http.StatusOK && r.whole {
 			return
 		}
@@ -312,17 +315,25 @@
 	}
 }
 
+// finalDisksAndPower is the final fault in which disks are lost while all other processes
+// lose power, also those without a disk.
+const finalDisksAndPower = 4
+
 // finalFault is the last fault, right after a configuration was acknowledged.
 func (l *lostSoak) finalFault(rng *rand.Rand) {
 	l.nextVersion()
 	storages := l.storageList()
 	all := append(slices.Clone(l.edges), storages...)
-	kind := rng.IntN(4)
+	kind := rng.IntN(5)
 	// What a failed sync leaves shows only after a power loss.
 	power := slices.Contains(l.classes, "power") || slices.Contains(l.classes, "failsync")
-	if kind != 1 && !power || kind == 2 && !slices.Contains(l.classes, "disks") {
+	disks := slices.Contains(l.classes, "disks") || slices.Contains(l.classes, pairClass)
+	if kind != 1 && !power || (kind == 2 || kind == 4) && !disks {
 		kind = 1
 	}
+	if l.final != nil {
+		kind = *l.final
+	}
 	switch kind {
 	case 0:
 		l.note("final fault: all processes lose power")
@@ -337,6 +348,10 @@
 	case 3:
 		l.note("final fault: all storage processes lose power")
 		l.powerLoss(rng.Uint64(), nil, storages...)
+	case finalDisksAndPower:
+		rng.Shuffle(len(storages), func(i, j int) { storages[i], storages[j] = storages[j], storages[i] })
+		l.note("final fault: %d disks are lost, all other processes lose power", l.size.tolerated)
+		l.powerLoss(rng.Uint64(), storages[:l.size.tolerated], all...)
 	}
 }
 
@@ -425,12 +440,15 @@
 // whole, configurations, budgets and requests on persistent connections, over power
 // losses, lost, full and failing disks, changes of the storage processes and faults of
 // the store.
-func TestLostSoak(t *testing.T) {
+func TestLostSoak(t *testing.T) { playLostSeeds(t, newLostSoak) }
+
+// playLostSeeds plays the deployments that begin returns and reports their violations.
+func playLostSeeds(t *testing.T, begin func(t *testing.T, bin string, seed uint64) *lostSoak) {
 	bin := build(t, diskOverlay(t, nil)...)
 	for _, seed := range seeds(t) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
-			l := newLostSoak(t, bin, seed)
+			l := begin(t, bin, seed)
 			violations := l.playLost(faultDuration(t))
 			slices.Sort(violations)
 			for _, v := range violations[:min(len(violations), shownViolations)] {
--- a/soak/lostcaller_test.go
+++ b/soak/lostcaller_test.go
@@ -147,7 +147,7 @@
 
 // turn runs a turn that follows another one, which may have no id, at a random edge.
 // budget is in tokens; 0: none.
-func (c *lostCaller) turn(id string, parent answeredTurn, input string, budget int) turnResult {
+func (c *lostCaller) turn(id string, parent answeredTurn, input string, budget int) (r turnResult) {
 	time.Sleep(thinkTime)
 	l, e := c.l, c.edge()
 	h := map[string]string{
@@ -160,8 +160,10 @@
 		h["Parent-Turn"] = parent.id
 	}
 	l.runs.expect(id, parent.history+input)
+	l.budgetOf(parent.program).begin(id)
 	a := c.send(e, http.MethodPost, "/turn/x", id, input, h)
-	r := turnResult{status: a.status}
+	r = turnResult{status: a.status}
+	defer func() { l.budgetOf(parent.program).end(id, r) }()
 	switch a.status {
 	case http.StatusNotFound, http.StatusGone:
 		l.violate("%s is answered %d by %s; its parent %s was answered whole at %s by %s",
@@ -209,17 +211,22 @@
 	last, spent, budget := answeredTurn{program: program}, 0, 0
 	if c.rng.IntN(2) == 0 {
 		budget = 40 + c.rng.IntN(400)
+		c.l.addProgram(program, budget)
 	}
 	for turn := 0; turn < 8 && ctx.Err() == nil; turn++ {
 		id := fmt.Sprintf("turn-%s-%d", program, turn)
 		var wg sync.WaitGroup
 		var other turnResult
-		if c.rng.IntN(4) == 0 {
+		parallel := c.rng.IntN(4) == 0
+		if parallel {
 			parent := last
 			wg.Go(func() { other = second.turn(id+"-b", parent, "in "+id+"-b\n", budget) })
 		}
 		r := c.turn(id, last, "in "+id+"\n", budget)
 		wg.Wait()
+		if r.status == http.StatusPaymentRequired && !parallel {
+			c.checkOverBudget(id, program)
+		}
 		spent += (r.events + other.events) * tokensPerEvent
 		if budget > 0 && spent > budget+eventsPerTurn*tokensPerEvent {
 			c.l.violate("%s handed out %d tokens of a budget of %d", program, spent, budget)
--- a/soak/lostfault_test.go
+++ b/soak/lostfault_test.go
@@ -100,26 +100,31 @@
 			l.note("storage %s ends for good", old.ip)
 			l.remove(old)
 		}
-		l.mu.Lock()
-		l.joined++
-		p := l.newProcess("storage", l.address(100+l.joined))
-		l.faults[p] = &faultState{}
-		l.mu.Unlock()
-		p.writeSettings(l.soak, false)
-		p.opMu.Lock()
-		p.start(l.bin)
-		p.opMu.Unlock()
-		l.note("storage %s joins", p.ip)
-		l.mu.Lock()
-		l.storages = append(l.storages, p)
-		l.mu.Unlock()
-		l.caughtUp(p, 0)
+		l.caughtUp(l.join(old.zone), 0)
 		if retire {
 			l.retire(old)
 		}
 	})
 }
 
+// join starts an empty storage process in a failure domain.
+func (l *lostSoak) join(zone string) *process {
+	l.mu.Lock()
+	l.joined++
+	p := l.newProcessIn(zone, "storage", l.address(100+l.joined))
+	l.faults[p] = &faultState{}
+	l.mu.Unlock()
+	p.writeSettings(l.soak, false)
+	p.opMu.Lock()
+	p.start(l.bin)
+	p.opMu.Unlock()
+	l.note("storage %s joins", p.ip)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.storages = append(l.storages, p)
+	return p
+}
+
 // retire takes a storage process out with its records.
 func (l *lostSoak) retire(p *process) {
 	node := "storage-" + p.ip
@@ -198,13 +203,25 @@
 
 // loseOneDisk runs f while it holds the right to lose one disk. It does nothing if as
 // many disks are lost as the settings tolerate.
-func (l *lostSoak) loseOneDisk(f func()) {
-	select {
-	case l.disks <- struct{}{}:
-		f()
-		<-l.disks
-	default:
+func (l *lostSoak) loseOneDisk(f func()) { l.loseDisks(1, f) }
+
+// loseDisks is loseOneDisk for n disks at once.
+func (l *lostSoak) loseDisks(n int, f func()) {
+	held := 0
+	defer func() {
+		for range held {
+			<-l.disks
+		}
+	}()
+	for range n {
+		select {
+		case l.disks <- struct{}{}:
+			held++
+		default:
+			return
+		}
 	}
+	f()
 }
 
 // draw returns n different processes of a list, or fewer.
@@ -333,7 +350,7 @@
 // concerns most storage processes before another one repairs their state.
 func drawClasses(t *testing.T, rng *rand.Rand) []string {
 	var all []string
-	for _, f := range lostFaults {
+	for _, f := range allLostFaults() {
 		if !slices.Contains(all, f.class) {
 			all = append(all, f.class)
 		}
@@ -371,7 +388,7 @@
 		length: time.Duration(200+rng.IntN(1300)) * time.Millisecond, seed: rng.Uint64(), share: rng.Float64() * 0.3,
 	}
 	var weighted []lostFault
-	for _, f := range lostFaults {
+	for _, f := range allLostFaults() {
 		for range f.weight {
 			if slices.Contains(l.classes, f.class) {
 				weighted = append(weighted, f)
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
 	"os"
 	"os/exec"
@@ -21,6 +22,7 @@
 type process struct {
 	t        *testing.T
 	role, ip string
+	zone     string
 	dir      string
 	settings string
 	caller   string
@@ -61,8 +63,19 @@
 	return l.buf.String()
 }
 
-func (s *soak) newProcess(role, ip string) *process {
-	p := &process{t: s.t, role: role, ip: ip, dir: filepath.Join(s.t.TempDir(), "data")}
+// zones are the failure domains of the storage processes, by region. All other processes
+// are in the first one.
+var zones = map[string]string{"a1": "a", "a2": "a", "a3": "a", "a4": "a", "a5": "a", "a6": "a"}
+
+// zoneOf returns the failure domain of a storage process, given its number from 0. The last
+// ones share theirs with others.
+func zoneOf(n int) string { return fmt.Sprintf("a%d", 1+n%len(zones)) }
+
+// newProcess returns a process that was not started, in the first failure domain.
+func (s *soak) newProcess(role, ip string) *process { return s.newProcessIn(zoneOf(0), role, ip) }
+
+func (s *soak) newProcessIn(zone, role, ip string) *process {
+	p := &process{t: s.t, role: role, ip: ip, zone: zone, dir: filepath.Join(s.t.TempDir(), "data")}
 	p.caller = net.JoinHostPort(ip, strconv.Itoa(freePort(s.t, ip)))
 	p.ready = net.JoinHostPort(ip, strconv.Itoa(freePort(s.t, ip)))
 	p.settings = filepath.Join(s.t.TempDir(), "settings.json")
@@ -86,7 +99,7 @@
 // whole deployment.
 func (p *process) writeSettings(s *soak, first bool) {
 	m := map[string]any{
-		"NodeName": p.role + "-" + p.ip, "Ip": p.ip, "Zone": "a1", "Region": "a", "Zones": map[string]string{"a1": "a"},
+		"NodeName": p.role + "-" + p.ip, "Ip": p.ip, "Zone": p.zone, "Region": "a", "Zones": zones,
 		"ListenAddresses":   map[string]string{"Frontend": p.caller, "Ready": p.ready},
 		"InternalPortRange": []int{s.port}, "Seeds": []string{s.address(1) + ":1", s.address(2) + ":1", s.address(3) + ":1"},
 		"IsFirstStart": first, "Limits": map[string]int{"MemoryMb": memoryMB}, "Bounds": map[string]int{"GraceS": 5, "DrainMs": int(drainTime.Milliseconds())},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -107,7 +107,7 @@
 	}
 	s.started = len(s.upstreams)
 	for i := range size.storages {
-		s.storages = append(s.storages, s.newProcess("storage", s.address(101+i)))
+		s.storages = append(s.storages, s.newProcessIn(zoneOf(i), "storage", s.address(101+i)))
 	}
 	for i := range size.edges {
 		s.edges = append(s.edges, s.newProcess("edge", s.address(1+i)))
