Bound the heads of upstreams' answers in the sidecar

Seen by other operators: an upstream sends bytes that are no answer without end, and the process that called it runs out of memory. Here a sidecar of 256 MB allocated 52 to 167 MB for one answer with an endless head or endless interim answers, to calls, health checks, orders and moves of the cache.

Cause: net/http bounds the head of an answer at 10 MB, and its parsing takes many times as much.

Change: 64 KiB, as in pkg/upstream.

--- a/pkg/sidecar/upstream.go
+++ b/pkg/sidecar/upstream.go
@@ -20,6 +20,9 @@
 	// maxAnswer bounds a whole answer in bytes, so that Done fits into one
 	// envelope.
 	maxAnswer = 7 << 20
+	// maxHeadBytes bounds the head of an answer together with the interim (1xx) ones before
+	// it. net/http bounds it at 10 MB, of which the parsing takes many times as much.
+	maxHeadBytes = 64 << 10
 	// controlTimeout bounds small requests to the upstream.
 	controlTimeout = 2 * time.Second
 )
@@ -45,9 +48,11 @@
 	}
 	tr := &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConns: cfg.IdleConns,
-		MaxIdleConnsPerHost: cfg.IdleConns, IdleConnTimeout: 30 * time.Second,
+		MaxIdleConnsPerHost: cfg.IdleConns, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes,
+	}
+	once := &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	once := &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &upstream{
 		base: strings.TrimSuffix(cfg.Upstream.URL, "/"), token: cfg.Upstream.OrderToken,
