Do not send a request to an upstream whose state is too large to be read

Cause: a description of the state over 256 KiB counted as one that doesn't name its run, so a request for a certain run was sent to an upstream that answers without end: an absence was taken for an answer.

Change: it is an error, and the request goes to another upstream. Result: TestEndlessStateAnswer/body failed before and passes; TestEndlessBytesOnIdleConnection and the other cases passed before, too.

--- a/pkg/upstream/error.go
+++ b/pkg/upstream/error.go
@@ -13,7 +13,10 @@
 	ErrResponseMismatch   = errors.New("response does not belong to the request")
 	// ErrHeadTooLarge means that the data before the body of a response exceeds a
 	// limit. It may be an endless stream that is not HTTP at all.
-	ErrHeadTooLarge   = errors.New("response head exceeds the size limit")
+	ErrHeadTooLarge = errors.New("response head exceeds the size limit")
+	// ErrStateTooLarge means that the description of an upstream's state exceeds the size
+	// limit, so that its run is not known.
+	ErrStateTooLarge  = errors.New("state of the upstream exceeds the size limit")
 	ErrProtocolSwitch = errors.New("upstream switches protocols (status 101)")
 )
 
@@ -41,8 +44,8 @@
 }
 
 // IsInvalidResponse reports whether an exchange failed because the upstream sent
-// a response that is too large, belongs to another request or switches the
+// a response or state that is too large, belongs to another request or switches the
 // protocol. Such an upstream has not crashed.
 func IsInvalidResponse(err error) bool {
-	return errors.Is(err, ErrHeadTooLarge) || errors.Is(err, ErrResponseMismatch) || errors.Is(err, ErrProtocolSwitch)
+	return errors.Is(err, ErrHeadTooLarge) || errors.Is(err, ErrStateTooLarge) || errors.Is(err, ErrResponseMismatch) || errors.Is(err, ErrProtocolSwitch)
 }
--- a/pkg/upstream/run.go
+++ b/pkg/upstream/run.go
@@ -73,11 +73,14 @@
 	if err != nil {
 		return false, err
 	}
+	if len(body) > maxStateBytes {
+		return false, ErrStateTooLarge
+	}
 	c.run.asked = true
-	if resp.StatusCode == http.StatusOK && len(body) <= maxStateBytes {
+	if resp.StatusCode == http.StatusOK {
 		c.run.start = platform.DecodeUpstreamStart(body)
 	}
-	return !resp.Close && !meta.Close && len(body) <= maxStateBytes && c.br.Buffered() == 0, nil
+	return !resp.Close && !meta.Close && c.br.Buffered() == 0, nil
 }
 
 // getRun returns a connection for a request, as get does, that leads to the run which the
