--- a/pkg/edge/memberpairs_test.go
+++ b/pkg/edge/memberpairs_test.go
@@ -112,7 +112,9 @@
 				firstEnded, secondEnded := first.change(d, 4), second.change(d, 5)
 				within(t, pairTime, "the first change does not end", firstEnded)
 				within(t, pairTime, "the second change does not end", secondEnded)
-				within(t, pairTime, "the next turn is not served", func() bool { return sendTurn(t, d.p, fmt.Sprint("t3-", time.Now().UnixNano()), "t2", "B", 100*70).whole() })
+				within(t, pairTime, "the next turn is not served", func() bool {
+					return sendTurn(t, d.p, fmt.Sprint("t3-", time.Now().UnixNano()), "t2", "B", 100*70).whole()
+				})
 				if _, err := d.p.edge.ledger.Reserve(t.Context(), &peerv1.Usage{Program: "q", Attempt: 1, Tokens: 70}, 100, 14, 0); err != nil {
 					t.Errorf("tokens of another program: %v", err)
 				}
