Refuse to take up a turn on a route with history

Cause: the record of a turn holds what one request delivered. Change: such a take-up is refused (503, not run); the caller sends the turn again from its start.

--- a/pkg/edge/origin.go
+++ b/pkg/edge/origin.go
@@ -18,6 +18,8 @@
 	whyOriginUnknown  = "version of the stream not known"
 	whyVersionGone    = "no upstream of the stream's version"
 	whyServiceChanged = "the route no longer leads to the stream's service"
+	// A turn whose first events only its caller has would be stored without them.
+	whyEventsNotKept = "the first events of the turn are not kept"
 )
 
 // streamKeyPrefix precedes the id of a stream in the ledger key of streams without a
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -67,6 +67,10 @@
 // beginTurn reserves the turn's tokens and prepends the earlier turns to its input.
 // If the turn must not run, it answers the request and returns false.
 func (c *call) beginTurn() (*turn, bool) {
+	if c.takesUp() && c.route.KeepsHistory {
+		c.refuse(http.StatusServiceUnavailable, retryAfterBusy, whyEventsNotKept)
+		return nil, false
+	}
 	c.beginOrigin()
 	t := &turn{c: c, input: c.body, hold: c.e.transit.Reservation("turn "+c.req.ID, membudget.CallerShare)}
 	ctx, cancel := context.WithDeadline(c.r.Context(), earlier(c.deadline, time.Now().Add(ledgerTimeout)))
