Ask an upstream for its run before a stream begins, once while connected

Cause: an edge asked for the run before a new stream only while it knew that it receives no changes, and a silent store isn't noticed for up to 20 s.

Change: it always asks, but a new connection inherits the answer while another one to the same address is open, since connections don't outlive a run.

--- a/pkg/edge/origin.go
+++ b/pkg/edge/origin.go
@@ -88,14 +88,14 @@
 func (c *call) tried(id string) bool { return c.triedUpstreams[id] }
 
 // expectedRun returns the start of the run that must get the request, in Unix ms; 0: any
-// may. A stream that has begun must not go on at an upstream that has started again, maybe
-// with another version, and whose new registration this edge has not seen. While the edge
-// receives no changes, neither may a new stream begin there: its record would be wrong.
+// may. A stream must not begin or go on at an upstream that has started again, maybe with
+// another version, and whose new registration this edge has not seen: the record of a new one
+// would be wrong.
 func (c *call) expectedRun(m *fleet.Member) int64 {
 	if !c.table.Service(c.service).ReportsState {
 		return 0
 	}
-	if c.binding.Begun() || c.binding.Bound() && !c.e.view.live() {
+	if c.binding.Bound() {
 		return m.StartedUnixMs
 	}
 	return 0
--- a/pkg/edge/restartedversion_test.go
+++ b/pkg/edge/restartedversion_test.go
@@ -133,10 +133,19 @@
 
 // TestNewStreamAtRestartedUpstream guards against recording the earlier version for a stream
 // that begins, at an edge that has lost the store, at an upstream which started again with
-// another version: it is then joined wherever it is taken up (issue 32).
+// another version: it is then joined wherever it is taken up (issue 32). A store that is
+// silent on open connections is not noticed for seconds (review case 3).
 func TestNewStreamAtRestartedUpstream(t *testing.T) {
 	t.Parallel()
-	for name, named := range map[string]string{"version named": "v1", "version not named": ""} {
+	for name, c := range map[string]struct {
+		named  string
+		silent bool
+	}{
+		"version named":                   {"v1", false},
+		"version not named":               {"", false},
+		"version named, silent store":     {"v1", true},
+		"version not named, silent store": {"", true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t)
 			route := clone(resumable)
@@ -144,13 +153,16 @@
 			d.route(route)
 			v := &versionedUpstreams{d: d}
 			v.breaks.Store(true)
-			upstreams := v.startRestarting(named)
+			upstreams := v.startRestarting(c.named)
 			d.storages()
 			behind, gate := d.gatedEdge("127.0.0.2")
 			behind.ready(t, oldUpstreams, 3)
-			gate.refusing.Store(true)
+			gate.refusing.Store(!c.silent)
+			gate.silent.Store(c.silent)
 			upstreams.restart(oldUpstreams - 2)
-			eventually(t, "the edge does not notice that the store refuses it", func() bool { return !behind.edge.view.live() })
+			if !c.silent {
+				eventually(t, "the edge does not notice that the store refuses it", func() bool { return !behind.edge.view.live() })
+			}
 			begun := behind.beginStreams(t)
 			again := d.edge("127.0.0.1")
 			again.ready(t, oldUpstreams, 3)
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -38,15 +38,18 @@
 // Pool holds open connections by upstream address. It is safe for concurrent
 // use.
 type Pool struct {
-	mu     sync.Mutex
-	idle   map[string][]*conn // most recently used last
-	open   map[string]int     // number of connections, idle and in use
+	mu   sync.Mutex
+	idle map[string][]*conn // most recently used last
+	open map[string]int     // number of connections, idle and in use
+	// runs holds the runs that open connections lead to, as far as upstreams were asked. A
+	// connection does not outlive a run.
+	runs   map[string]checkedRun
 	dialed uint64
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{idle: make(map[string][]*conn), open: make(map[string]int)}
+	return &Pool{idle: make(map[string][]*conn), open: make(map[string]int), runs: make(map[string]checkedRun)}
 }
 
 type conn struct {
@@ -155,6 +158,36 @@
 func (p *Pool) releaseLocked(address string) {
 	if p.open[address]--; p.open[address] <= 0 {
 		delete(p.open, address)
+		delete(p.runs, address)
+	}
+}
+
+// inheritRun gives a new connection the run that another open one to its address leads to.
+func (p *Pool) inheritRun(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	kept := p.idle[c.address][:0]
+	for _, other := range p.idle[c.address] {
+		if other.reusable(now) {
+			kept = append(kept, other)
+			continue
+		}
+		p.discardLocked(other)
+	}
+	clear(p.idle[c.address][len(kept):])
+	p.idle[c.address] = kept
+	if p.open[c.address] > 1 { // besides the new one
+		c.run = p.runs[c.address]
+	}
+}
+
+// recordRun notes which run the connections to an address lead to.
+func (p *Pool) recordRun(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[c.address] > 0 {
+		p.runs[c.address] = c.run
 	}
 }
 
--- a/pkg/upstream/run.go
+++ b/pkg/upstream/run.go
@@ -90,12 +90,18 @@
 	if err != nil || r.Run == 0 {
 		return c, err
 	}
+	if !c.run.asked {
+		p.inheritRun(c)
+	}
 	deadline, _ := ctx.Deadline()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	usable, err := c.checkRun(r.Run, deadline)
 	if stopped := stop(); err == nil && !stopped {
 		err = ctx.Err()
 	}
+	if err == nil {
+		p.recordRun(c)
+	}
 	if err == nil && usable {
 		return c, nil
 	}
--- a/pkg/upstream/run_test.go
+++ b/pkg/upstream/run_test.go
@@ -152,3 +152,46 @@
 		})
 	}
 }
+
+// TestRunIsAskedOnce guards against a question for the run of an upstream on each new
+// connection, which is billed, and against an answer that is kept after the run has ended.
+func TestRunIsAskedOnce(t *testing.T) {
+	var asked, born atomic.Int64
+	born.Store(7)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == platform.UpstreamStatePath {
+			asked.Add(1)
+			fmt.Fprintf(w, `{"born":%d}`, born.Load())
+			return
+		}
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	}))
+	defer srv.Close()
+	defer srv.CloseClientConnections()
+	p := NewPool()
+	do := func(id string) (*Response, error) {
+		return p.Do(t.Context(), &Request{
+			Address: strings.TrimPrefix(srv.URL, "http://"), ID: id, Method: "GET", URI: "/x", Host: "h", Run: 7, Header: http.Header{"Attempt-Id": {id}},
+		})
+	}
+	var open []*Response
+	for _, id := range []string{"a", "b", "c"} { // each on a connection of its own
+		resp, err := do(id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, resp)
+	}
+	if asked.Load() != 1 {
+		t.Errorf("the upstream was asked %d times for its run, want once", asked.Load())
+	}
+	born.Store(8) // it starts again: all connections end
+	for _, resp := range open {
+		resp.Finish()
+	}
+	p.CloseAllIdle()
+	var other *OtherRunError
+	if _, err := do("d"); !errors.As(err, &other) {
+		t.Errorf("a request for the run of before: %v, want an OtherRunError", err)
+	}
+}
