Transfer to each member only what it needs when a storage process retires

Cause: all records were sent to all other members, one member after the other. Change: usage records go to the members that enter the replica group of their program, and turns to as many members as hold them otherwise; the second transfer is of what has come since the first.

--- a/pkg/ledger/server.go
+++ b/pkg/ledger/server.go
@@ -145,6 +145,9 @@
 
 // missing returns the digests of records that the store does not have.
 func (s Server) missing(digests []uint64) []uint64 {
+	if len(digests) == 0 {
+		return nil
+	}
 	have := Digests(s.Store.Records(peerv1.Pull_ALL))
 	var list []uint64
 	for _, d := range digests {
--- a/pkg/storage/join.go
+++ b/pkg/storage/join.go
@@ -279,13 +279,14 @@
 // restoreReplicas copies records to the members that get them in place of the removed ones.
 // One that is joining is itself the replica that takes the place of a removed one.
 func (s *Storage) restoreReplicas(ctx context.Context, removed []platform.Node, joining bool) error {
-	if err := s.replicateUsage(ctx, removed); err != nil {
+	change := s.memberLists(removed)
+	if err := s.replicateUsage(ctx, change); err != nil {
 		return err
 	}
 	if joining && len(removed) <= 1 {
 		return nil
 	}
-	return s.replicateTurns(ctx, removed)
+	return s.replicateTurns(ctx, change.after, ledger.Digests(s.ledger.Records(peerv1.Pull_TURNS)))
 }
 
 // minSettleMembers is the number of other members from which on two processes that join at
--- a/pkg/storage/replicate.go
+++ b/pkg/storage/replicate.go
@@ -17,14 +17,20 @@
 // maxConcurrentPushes limits the members that records are sent to at the same time.
 const maxConcurrentPushes = 8
 
-// replicateUsage sends the usage records of this process to the members that take the
-// places of the removed ones in the replica groups of their programs. Each quorum of a new
-// group then has every acknowledged record that a quorum of the old one had. This process
-// must have copied the records of all other members.
-func (s *Storage) replicateUsage(ctx context.Context, removed []platform.Node) error {
-	return s.push(ctx, s.newReplicas(removed))
+// pushBatchSize is the largest number of records in one write to another member.
+const pushBatchSize = 200
+
+// replicateUsage sends the usage records of this process to the members that enter the
+// replica groups of their programs with a change of the members. Each quorum of a new group
+// then has every acknowledged record that a quorum of the old one had, as far as this process
+// has it: one that takes the places of others must have copied the records of all others.
+func (s *Storage) replicateUsage(ctx context.Context, change memberChange) error {
+	return s.push(ctx, s.newReplicas(change, s.ledger.Records(peerv1.Pull_USAGE)))
 }
 
+// memberChange is the members of the ledger before and after a change.
+type memberChange struct{ before, after []ledger.Member }
+
 // push sends records to members.
 func (s *Storage) push(ctx context.Context, list map[ledger.Member][]*peerv1.LedgerRecord) error {
 	g, ctx := errgroup.WithContext(ctx)
@@ -46,17 +52,16 @@
 }
 
 // newReplicas returns the usage records that each member has to get because it enters the
-// replica group of their program once the removed members have left.
-func (s *Storage) newReplicas(removed []platform.Node) map[ledger.Member][]*peerv1.LedgerRecord {
-	before, after := s.memberLists(removed)
+// replica group of their program with a change of the members.
+func (s *Storage) newReplicas(change memberChange, recs []*peerv1.LedgerRecord) map[ledger.Member][]*peerv1.LedgerRecord {
 	entering := make(map[string][]ledger.Member) // by program
 	list := make(map[ledger.Member][]*peerv1.LedgerRecord)
-	for _, rec := range s.ledger.Records(peerv1.Pull_USAGE) {
+	for _, rec := range recs {
 		program := rec.GetUsage().GetProgram()
 		members, ok := entering[program]
 		if !ok {
-			old := ledger.ReplicaGroup(before, program)
-			members = slices.DeleteFunc(slices.Clone(ledger.ReplicaGroup(after, program)), func(m ledger.Member) bool {
+			old := ledger.ReplicaGroup(change.before, program)
+			members = slices.DeleteFunc(slices.Clone(ledger.ReplicaGroup(change.after, program)), func(m ledger.Member) bool {
 				return m.Name == s.settings.Node || slices.Contains(old, m)
 			})
 			entering[program] = members
@@ -70,9 +75,10 @@
 
 // memberLists returns the members of the ledger before and after this process has taken
 // the places of the removed ones.
-func (s *Storage) memberLists(removed []platform.Node) (before, after []ledger.Member) {
+func (s *Storage) memberLists(removed []platform.Node) memberChange {
 	self := ledger.Member{Name: s.settings.Node, Address: s.settings.PeerAddress()}
-	after = append(after, self)
+	var before []ledger.Member
+	after := []ledger.Member{self}
 	if own, registered := s.members.own(); registered && own.Active && !own.Removed {
 		before = append(before, self)
 	}
@@ -84,7 +90,7 @@
 			after = append(after, m)
 		}
 	}
-	return before, after
+	return memberChange{before, after}
 }
 
 // replicaGroup returns the replica group of a program, and whether this process receives
@@ -93,16 +99,12 @@
 	if !s.members.live() {
 		return nil, false
 	}
-	current, _ := s.memberLists(nil)
-	return ledger.ReplicaGroup(current, program), true
+	return ledger.ReplicaGroup(s.memberLists(nil).before, program), true
 }
 
-// replicateTurns sends turns to further members until each has as many replicas without
-// the removed members as it had when it was acknowledged. This process must have copied the
-// records of all other members.
-func (s *Storage) replicateTurns(ctx context.Context, removed []platform.Node) error {
-	_, after := s.memberLists(removed)
-	turns := ledger.Digests(s.ledger.Records(peerv1.Pull_TURNS))
+// replicateTurns sends turns, by digest, to further members until each has as many replicas
+// among the given members as it had when it was acknowledged.
+func (s *Storage) replicateTurns(ctx context.Context, after []ledger.Member, turns map[uint64]*peerv1.LedgerRecord) error {
 	lacking, err := s.compare(ctx, after, turns)
 	if err != nil {
 		return err
--- a/pkg/storage/retire.go
+++ b/pkg/storage/retire.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
@@ -31,6 +32,9 @@
 	s       *Storage
 	once    sync.Once
 	started atomic.Bool
+	// transferred holds the digests of the records that the others have, so that the last
+	// transfer is short. It is used by one goroutine.
+	transferred map[uint64]bool
 }
 
 func (h *retirementHandler) Listed(objects []platform.Object, _ bool) {
@@ -166,49 +170,52 @@
 	return nil
 }
 
-// transferRecords sends to each other member the records that it lacks. It fails while one
-// is catching up: the remaining members must be a quorum for reads.
+// transferRecords sends the records of this process to the members that need them once it has
+// left: the usage records to those that enter the replica groups of their programs, and turns
+// until each has enough replicas. It fails while a member is catching up, since the remaining
+// ones must be a quorum for reads. Members that join or leave meanwhile copy or replace
+// replicas themselves.
 func (s *Storage) transferRecords(ctx context.Context) error {
-	others, known := s.members.others()
-	if !known || len(others) == 0 {
-		return errors.New("no other active storage process is known")
-	}
-	recs := s.ledger.Records(peerv1.Pull_ALL)
-	for _, n := range others {
-		if err := s.pushMissing(ctx, n.Address, recs); err != nil {
-			return errors.Wrapf(err, "transfer records to %s", n.Name)
-		}
+	change := s.memberLists(nil)
+	change.after = slices.DeleteFunc(change.after, func(m ledger.Member) bool { return m.Name == s.settings.Node })
+	if err := s.checkComplete(ctx, change.after); err != nil {
+		return err
 	}
-	return nil
-}
-
-// pushBatchSize is the largest number of records in one write to another member.
-const pushBatchSize = 200
-
-// pushMissing sends to another member those records that it lacks.
-func (s *Storage) pushMissing(ctx context.Context, address string, recs []*peerv1.LedgerRecord) error {
-	byDigest := ledger.Digests(recs)
-	digests := slices.Collect(maps.Keys(byDigest))
-	reply, err := s.request(ctx, address, &peerv1.LedgerRequest{
-		Op: &peerv1.LedgerRequest_Compare{Compare: &peerv1.Compare{Digests: digests}},
-	})
-	if err != nil {
+	usage, turns := s.untransferred(peerv1.Pull_USAGE), s.untransferred(peerv1.Pull_TURNS)
+	if err := s.push(ctx, s.newReplicas(change, slices.Collect(maps.Values(usage)))); err != nil {
 		return err
 	}
-	for missing := range slices.Chunk(reply.GetMissing(), pushBatchSize) {
-		batch := make([]*peerv1.LedgerRecord, 0, len(missing))
-		for _, d := range missing {
-			batch = append(batch, byDigest[d])
-		}
-		if _, err := s.request(ctx, address, &peerv1.LedgerRequest{
-			Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: batch}},
-		}); err != nil {
-			return err
+	if err := s.replicateTurns(ctx, change.after, turns); err != nil {
+		return err
+	}
+	for _, recs := range []map[uint64]*peerv1.LedgerRecord{usage, turns} {
+		for digest := range recs {
+			s.retirement.transferred[digest] = true
 		}
 	}
 	return nil
 }
 
+// untransferred returns the records of a part, by digest, that the others may lack.
+func (s *Storage) untransferred(part peerv1.Pull_Part) map[uint64]*peerv1.LedgerRecord {
+	recs := ledger.Digests(s.ledger.Records(part))
+	maps.DeleteFunc(recs, func(digest uint64, _ *peerv1.LedgerRecord) bool { return s.retirement.transferred[digest] })
+	return recs
+}
+
+// checkComplete returns an error unless all members have all their records.
+func (s *Storage) checkComplete(ctx context.Context, members []ledger.Member) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(maxConcurrentPushes)
+	for _, m := range members {
+		g.Go(func() error {
+			_, err := s.request(ctx, m.Address, &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Compare{Compare: &peerv1.Compare{}}})
+			return errors.Wrapf(err, "ask %s whether it is complete", m.Name)
+		})
+	}
+	return g.Wait()
+}
+
 // request sends one request to a member. It fails if the reply has a status other
 // than OK, for example because the member is catching up.
 func (s *Storage) request(ctx context.Context, address string, req *peerv1.LedgerRequest) (*peerv1.LedgerReply, error) {
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -61,7 +61,7 @@
 	s := &Storage{settings: settings, logger: logger, ledger: l, snapshot: loadSnapshot(settings, logger)}
 	s.store.Store(platform.NewStore(settings.StoreAddress))
 	s.members = newMembers(settings, logger)
-	s.retirement = &retirementHandler{s: s}
+	s.retirement = &retirementHandler{s: s, transferred: make(map[uint64]bool)}
 	s.snapshotSaver = &snapshotSaver{snapshot: peerstate.NewSnapshot()}
 	s.evidenceStore = loadEvidence(settings, logger)
 	s.transport, err = transport.New(transport.Config{
