Do not count the replicas of members that retire at the same time

Cause: since records go only to the members that need them, a member that retires at the same time counted as one that stays. Change: turns get their replicas at the members that stay, and usage records go to those that enter a replica group with either change.

--- a/pkg/storage/replicate.go
+++ b/pkg/storage/replicate.go
@@ -73,10 +73,15 @@
 	return list
 }
 
+// self returns this process as a member.
+func (s *Storage) self() ledger.Member {
+	return ledger.Member{Name: s.settings.Node, Address: s.settings.PeerAddress()}
+}
+
 // memberLists returns the members of the ledger before and after this process has taken
 // the places of the removed ones.
 func (s *Storage) memberLists(removed []platform.Node) memberChange {
-	self := ledger.Member{Name: s.settings.Node, Address: s.settings.PeerAddress()}
+	self := s.self()
 	var before []ledger.Member
 	after := []ledger.Member{self}
 	if own, registered := s.members.own(); registered && own.Active && !own.Removed {
@@ -110,7 +115,7 @@
 		return err
 	}
 	list := make(map[ledger.Member][]*peerv1.LedgerRecord)
-	need := s.replicas(len(after))
+	need := min(s.replicas(len(after)), len(after))
 	for digest, without := range lacking {
 		replicas := len(after) - len(without)
 		for _, m := range ledger.ReplicaGroup(without, turns[digest].GetTurn().GetId()) {
--- a/pkg/storage/retire.go
+++ b/pkg/storage/retire.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -103,16 +104,12 @@
 // leaveLedger transfers the records and marks this process as removed from the ledger. If
 // inOrder is set, it does not leave before other members that retire.
 func (s *Storage) leaveLedger(ctx context.Context, inOrder bool) error {
-	if err := s.refreshMembers(ctx); err != nil {
+	retiring, err := s.transferRecords(ctx)
+	if err != nil {
 		return err
 	}
-	if err := s.transferRecords(ctx); err != nil {
-		return err
-	}
-	if inOrder {
-		if err := s.checkRetireOrder(ctx); err != nil {
-			return err
-		}
+	if first := slices.MinFunc(append(retiring, s.self()), compareNames); inOrder && first.Name != s.settings.Node {
+		return errors.Errorf("%s retires first", first.Name)
 	}
 	if others, _ := s.members.others(); len(others) <= s.settings.DisksToLose {
 		return errors.Errorf("too few members would remain: %d, %d disks may be lost", len(others), s.settings.DisksToLose)
@@ -130,10 +127,7 @@
 // finishLeaving transfers the records that this process has got since the first transfer and
 // marks it as removed from the ledger. No further ones are accepted.
 func (s *Storage) finishLeaving(ctx context.Context) error {
-	if err := s.refreshMembers(ctx); err != nil {
-		return err
-	}
-	if err := s.transferRecords(ctx); err != nil {
+	if _, err := s.transferRecords(ctx); err != nil {
 		return err
 	}
 	own, _ := s.members.own()
@@ -141,6 +135,8 @@
 	return platform.Register(ctx, s.store.Load(), s.settings.Node, own)
 }
 
+func compareNames(a, b ledger.Member) int { return cmp.Compare(a.Name, b.Name) }
+
 // refreshMembers reads the members from the platform's store. The watch may lag behind, but
 // the records must also reach a member that has just joined.
 func (s *Storage) refreshMembers(ctx context.Context) error {
@@ -154,46 +150,65 @@
 	return nil
 }
 
-// checkRetireOrder returns an error if another member that retires comes first, by name.
-func (s *Storage) checkRetireOrder(ctx context.Context) error {
+// listRetiring returns those of the members whose retirement was requested, by the platform's
+// store.
+func (s *Storage) listRetiring(ctx context.Context, members []ledger.Member) ([]ledger.Member, error) {
 	requested, _, err := s.store.Load().List(ctx, platform.KindRetirements)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	others, _ := s.members.others()
-	for _, o := range requested {
-		isMember := slices.ContainsFunc(others, func(n platform.Node) bool { return n.Name == o.Name })
-		if isMember && o.Name < s.settings.Node {
-			return errors.Errorf("%s retires first", o.Name)
+	var retiring []ledger.Member
+	for _, m := range members {
+		if slices.ContainsFunc(requested, func(o platform.Object) bool { return o.Name == m.Name }) {
+			retiring = append(retiring, m)
 		}
 	}
-	return nil
+	return retiring, nil
 }
 
 // transferRecords sends the records of this process to the members that need them once it has
 // left: the usage records to those that enter the replica groups of their programs, and turns
 // until each has enough replicas. It fails while a member is catching up, since the remaining
 // ones must be a quorum for reads. Members that join or leave meanwhile copy or replace
-// replicas themselves.
-func (s *Storage) transferRecords(ctx context.Context) error {
+// replicas themselves. It returns the others that retire, too: two that counted on each
+// other's replicas would both leave.
+func (s *Storage) transferRecords(ctx context.Context) (retiring []ledger.Member, err error) {
+	if err := s.refreshMembers(ctx); err != nil {
+		return nil, err
+	}
 	change := s.memberLists(nil)
-	change.after = slices.DeleteFunc(change.after, func(m ledger.Member) bool { return m.Name == s.settings.Node })
+	change.after = without(change.after, []ledger.Member{s.self()})
+	if len(change.after) == 0 {
+		return nil, errors.New("no other active storage process is known")
+	}
 	if err := s.checkComplete(ctx, change.after); err != nil {
-		return err
+		return nil, err
+	}
+	if retiring, err = s.listRetiring(ctx, change.after); err != nil {
+		return nil, err
 	}
+	staying := without(change.after, retiring)
 	usage, turns := s.untransferred(peerv1.Pull_USAGE), s.untransferred(peerv1.Pull_TURNS)
-	if err := s.push(ctx, s.newReplicas(change, slices.Collect(maps.Values(usage)))); err != nil {
-		return err
+	for _, after := range [][]ledger.Member{change.after, staying} {
+		recs := s.newReplicas(memberChange{change.before, after}, slices.Collect(maps.Values(usage)))
+		if err := s.push(ctx, recs); err != nil {
+			return nil, err
+		}
 	}
-	if err := s.replicateTurns(ctx, change.after, turns); err != nil {
-		return err
+	if err := s.replicateTurns(ctx, staying, turns); err != nil {
+		return nil, err
 	}
 	for _, recs := range []map[uint64]*peerv1.LedgerRecord{usage, turns} {
 		for digest := range recs {
 			s.retirement.transferred[digest] = true
 		}
 	}
-	return nil
+	return retiring, nil
+}
+
+// without returns the members of a list that are not in another one.
+func without(list, excluded []ledger.Member) []ledger.Member {
+	return slices.DeleteFunc(slices.Clone(list), func(m ledger.Member) bool { return slices.Contains(excluded, m) })
 }
 
 // untransferred returns the records of a part, by digest, that the others may lack.
--- a/pkg/storage/retire_test.go
+++ b/pkg/storage/retire_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
 	"github.com/yuccaspindle/yuccaspindle/pkg/standin/loopback"
 	"github.com/yuccaspindle/yuccaspindle/pkg/standin/platformstore"
 	"github.com/yuccaspindle/yuccaspindle/platform"
@@ -168,3 +169,54 @@
 		}
 	}
 }
+
+// Guards against the loss of a turn with two disks after two members have retired: each of
+// these counted the other one's copy as a replica that stays (issue 41; seed 36 of
+// TestPairsSoak).
+func TestRetiringMembersDoNotCountOnEachOther(t *testing.T) {
+	store := platformstore.New()
+	server := httptest.NewServer(store)
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	url := strings.TrimPrefix(server.URL, "http://")
+	ips := loopback.Addresses("127.0.0.", 31, 7)
+	port, err := loopback.FreePort(ips...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var members []*Storage
+	for _, ip := range ips {
+		members = append(members, startMember(t, store, url, ip, port))
+	}
+	retiring, staying := members[:2], members[2:]
+	const turns = 20
+	for i := range turns {
+		record := &peerv1.LedgerRecord{Body: &peerv1.LedgerRecord_Turn{Turn: &peerv1.TurnRecord{Id: fmt.Sprint("t", i), RetentionMs: 60_000}}}
+		for _, s := range []*Storage{retiring[0], retiring[1], staying[i%len(staying)]} { // a quorum
+			if err := s.ledger.Write(t.Context(), []*peerv1.LedgerRecord{record}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	for _, s := range retiring {
+		store.Put(platform.KindRetirements, s.settings.Node, map[string]any{"DeadlineS": 8})
+	}
+	for _, s := range retiring {
+		for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+			if _, status, _ := store.Get(platform.KindRetirements, s.settings.Node); strings.Contains(string(status), `"completed"`) {
+				break
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%s does not retire", s.settings.Node)
+			}
+		}
+	}
+	for i := range turns {
+		replicas := 0
+		for _, s := range staying {
+			replicas += len(s.ledger.Chain(fmt.Sprint("t", i)))
+		}
+		if replicas < ledger.Majority(len(staying)) {
+			t.Errorf("t%d is on %d of the %d members that stay", i, replicas, len(staying))
+		}
+	}
+}
