Tell a member that has not settled from one that has lost its disk

Cause: a member that ended before it had settled starts as one that catches up, like one that has lost its disk, and counted as one without its records.

Change: a process marks its log before it registers for the first time. With the mark, which is lost with the disk, it has all that it ever acknowledged, and says so to those that read its records.

--- a/pkg/edge/concurrentchanges_test.go
+++ b/pkg/edge/concurrentchanges_test.go
@@ -85,3 +85,32 @@
 		return true
 	})
 }
+
+// TestUnsettledMembersAndTwoLost guards against members that wait for each other without end:
+// some that ended before they had settled, on whose disks is all that they acknowledged, and
+// two that are lost for good (issue 41; seed 34 of TestPairsSoak).
+func TestUnsettledMembersAndTwoLost(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.route(clone(history))
+	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) { events(w, req, 1, 5) })
+	p := d.edge("127.0.0.1")
+	stores := d.spreadStorages(t, p, 2, "a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8")
+	unsettled := stores[6:]
+	for _, s := range unsettled {
+		if d.counts(s.settings) {
+			t.Fatal("a member has settled already: the case was not played")
+		}
+	}
+	for _, s := range append(unsettled, stores[:2]...) {
+		s.stop()
+	}
+	for _, s := range unsettled {
+		again := *s.settings
+		again.FirstStart = false
+		d.storageWith(&again)
+	}
+	for _, s := range unsettled {
+		within(t, pairTime, "a member that had not settled does not catch up", func() bool { return d.counts(s.settings) })
+	}
+}
--- a/pkg/ledger/carry.go
+++ b/pkg/ledger/carry.go
@@ -107,6 +107,9 @@
 	if s.complete && s.completeFile == file {
 		list = append(list, &peerv1.LedgerRecord{Body: &peerv1.LedgerRecord_Synced{Synced: &peerv1.Synced{}}})
 	}
+	if s.kept && s.keptFile == file {
+		list = append(list, &peerv1.LedgerRecord{Body: &peerv1.LedgerRecord_Joined{Joined: &peerv1.Joined{}}})
+	}
 	return list
 }
 
@@ -125,4 +128,7 @@
 	if s.completeFile == from {
 		s.completeFile = to
 	}
+	if s.keptFile == from {
+		s.keptFile = to
+	}
 }
--- a/pkg/ledger/server.go
+++ b/pkg/ledger/server.go
@@ -185,5 +185,5 @@
 		}
 		recs, size = nil, 0
 	}
-	return st.Send(replyEnvelope(&peerv1.LedgerReply{Status: s.Store.Status(), Records: recs}))
+	return st.Send(replyEnvelope(&peerv1.LedgerReply{Status: s.Store.Status(), Records: recs, Kept: s.Store.Kept()}))
 }
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -35,6 +35,11 @@
 	complete bool
 	// completeFile is the number of the file with the mark of a complete log.
 	completeFile int
+	// kept is set if the state has all records that its process ever acknowledged. Unlike
+	// complete, it does not say that the process counts for reads.
+	kept bool
+	// keptFile is the number of the file with the mark of that.
+	keptFile int
 	// file is the number of the file with the records that are applied next.
 	file int
 	// usageComplete is set if the state has all usage records that the process ever
@@ -87,6 +92,8 @@
 		}
 	case *peerv1.LedgerRecord_Synced:
 		s.complete, s.completeFile = true, s.file
+	case *peerv1.LedgerRecord_Joined:
+		s.kept, s.keptFile = true, s.file
 	}
 }
 
@@ -161,6 +168,10 @@
 // acknowledged.
 func (s *State) Complete() bool { return s.complete }
 
+// Kept reports whether the state has all records that its process ever acknowledged, also if
+// it does not count for reads.
+func (s *State) Kept() bool { return s.complete || s.kept }
+
 // UsageComplete reports whether the state has all usage records that its process
 // ever acknowledged.
 func (s *State) UsageComplete() bool { return s.complete || s.usageComplete }
--- a/pkg/ledger/store.go
+++ b/pkg/ledger/store.go
@@ -78,7 +78,11 @@
 	if s.removalMark, err = openRemovalMark(fs, dir); err != nil {
 		return nil, err
 	}
-	if !l.Intact() || s.removalMark.set {
+	if !l.Intact() {
+		s.state.complete, s.state.kept = false, false
+	}
+	if s.removalMark.set {
+		s.state.kept = s.state.Kept()
 		s.state.complete = false
 	}
 	return s, nil
@@ -219,6 +223,20 @@
 	return nil
 }
 
+// MarkJoined marks the log as one that holds all records that this process ever acknowledged.
+// A process that has lost its disk lacks the mark, and one that ends while it joins has it.
+func (s *Store) MarkJoined(ctx context.Context) error {
+	return s.Write(ctx, []*peerv1.LedgerRecord{{Body: &peerv1.LedgerRecord_Joined{Joined: &peerv1.Joined{}}}})
+}
+
+// Kept reports whether the store has all records that this process ever acknowledged, also if
+// it does not count for reads.
+func (s *Store) Kept() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Kept()
+}
+
 // SetLeaving makes the store refuse requests while this process leaves the
 // ledger.
 func (s *Store) SetLeaving(leaving bool) {
@@ -234,6 +252,7 @@
 func (s *Store) SetRemoved() {
 	s.mu.Lock()
 	s.removed = true
+	s.state.kept = s.state.Kept()
 	s.state.complete, s.state.usageComplete = false, false
 	s.mu.Unlock()
 	s.markMu.Lock()
--- a/pkg/storage/join.go
+++ b/pkg/storage/join.go
@@ -123,7 +123,7 @@
 // ones settle first.
 func (j *joiner) found(ctx context.Context, own platform.Node, registered bool) {
 	s := j.s
-	if (!registered || !own.Active || own.Address != s.settings.PeerAddress()) && !s.register(ctx) {
+	if (!registered || !own.Active || own.Address != s.settings.PeerAddress()) && !s.join(ctx) {
 		return
 	}
 	earlier, err := s.countEarlier(ctx)
@@ -182,6 +182,16 @@
 	s.logger.Warn("machine was suspended, members read anew", "suspended", total)
 }
 
+// join registers this process as a new member, from which on its acknowledgements count. It
+// reports whether that succeeded.
+func (s *Storage) join(ctx context.Context) bool {
+	if err := s.ledger.MarkJoined(ctx); err != nil {
+		s.logger.Error("failed to mark the ledger of a new member", "err", err)
+		return false
+	}
+	return s.register(ctx)
+}
+
 // register registers this process as an active member of the ledger. It reports whether
 // that succeeded.
 func (s *Storage) register(ctx context.Context) bool {
@@ -247,7 +257,7 @@
 		return false
 	}
 	mustSettle := joining && s.mustSettle(unreachable)
-	if joining && !s.register(ctx) {
+	if joining && !s.join(ctx) {
 		return false
 	}
 	for _, n := range unreachable {
--- a/pkg/storage/pull.go
+++ b/pkg/storage/pull.go
@@ -59,7 +59,7 @@
 	case waits:
 		return nil, false
 	}
-	if lost := len(unreachable) + forgetIncomplete(done); !s.mayLack(lost, len(others), joining) {
+	if lost := len(unreachable) + forgetIncomplete(done); !s.mayLack(lost, len(others), !joining && !s.ledger.Kept()) {
 		s.logger.Warn("too many members without their records to go on", "members", len(others), "unreachable", len(unreachable), "without_records", lost)
 		return nil, false
 	}
@@ -75,10 +75,10 @@
 }
 
 // mayLack reports whether each acknowledged record is at another member if lost ones of
-// others lack theirs. The records of a member that is not joining are lost, too, but those
-// of a list without it were acknowledged without it.
-func (s *Storage) mayLack(lost, others int, joining bool) bool {
-	return lost < s.replicas(others) && (joining || lost+1 < s.replicas(others+1))
+// others lack theirs. ownLost is set for a member that has lost its own: these count, too, but
+// not among the records of a list without it.
+func (s *Storage) mayLack(lost, others int, ownLost bool) bool {
+	return lost < s.replicas(others) && (!ownLost || lost+1 < s.replicas(others+1))
 }
 
 // pullFrom copies from a member the records that this process lacks. It reports whether the
@@ -118,7 +118,7 @@
 		}
 		if !r.GetMore() {
 			s.logger.Info("records received", "peer", address, "part", part, "records", count, "bytes", size, "took", time.Since(start))
-			return r.GetStatus() != peerv1.LedgerReply_CATCHING_UP, nil
+			return r.GetKept() || r.GetStatus() != peerv1.LedgerReply_CATCHING_UP, nil
 		}
 	}
 }
