Count on members that retire later, and keep enough of them

Cause, found by reading: a member that retires counted on none that retires at the same time. If all others do, it sent its turns to nobody and left. Change: each counts on those that stay longer, by name, and stays itself if no more than may be lost would be left.

--- a/pkg/storage/retire.go
+++ b/pkg/storage/retire.go
@@ -1,7 +1,6 @@
 package storage
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -104,15 +103,14 @@
 // leaveLedger transfers the records and marks this process as removed from the ledger. If
 // inOrder is set, it does not leave before other members that retire.
 func (s *Storage) leaveLedger(ctx context.Context, inOrder bool) error {
-	retiring, err := s.transferRecords(ctx)
-	if err != nil {
+	o, err := s.transferRecords(ctx)
+	switch {
+	case err != nil:
 		return err
-	}
-	if first := slices.MinFunc(append(retiring, s.self()), compareNames); inOrder && first.Name != s.settings.Node {
-		return errors.Errorf("%s retires first", first.Name)
-	}
-	if others, _ := s.members.others(); len(others) <= s.settings.DisksToLose {
-		return errors.Errorf("too few members would remain: %d, %d disks may be lost", len(others), s.settings.DisksToLose)
+	case inOrder && len(o.earlier) > 0:
+		return errors.Errorf("%s retires first", o.earlier[0].Name)
+	case len(o.staying) <= s.settings.DisksToLose:
+		return errors.Errorf("too few members would remain: %d, %d disks may be lost", len(o.staying), s.settings.DisksToLose)
 	}
 	ctx, cancel := context.WithTimeout(ctx, leavingTimeout)
 	defer cancel()
@@ -135,8 +133,6 @@
 	return platform.Register(ctx, s.store.Load(), s.settings.Node, own)
 }
 
-func compareNames(a, b ledger.Member) int { return cmp.Compare(a.Name, b.Name) }
-
 // refreshMembers reads the members from the platform's store. The watch may lag behind, but
 // the records must also reach a member that has just joined.
 func (s *Storage) refreshMembers(ctx context.Context) error {
@@ -150,65 +146,65 @@
 	return nil
 }
 
-// listRetiring returns those of the members whose retirement was requested, by the platform's
-// store.
-func (s *Storage) listRetiring(ctx context.Context, members []ledger.Member) ([]ledger.Member, error) {
+// retireOrder is the other members as a member that retires counts on them: each counts only
+// on those that stay longer, so that no two that leave count on each other.
+type retireOrder struct {
+	earlier []ledger.Member // those that retire, too, and come first, by name
+	staying []ledger.Member // all others, of which some may retire later
+}
+
+// readOrder returns the order of the other members, by the retirements that the platform's
+// store has.
+func (s *Storage) readOrder(ctx context.Context, others []ledger.Member) (retireOrder, error) {
 	requested, _, err := s.store.Load().List(ctx, platform.KindRetirements)
 	if err != nil {
-		return nil, err
-	}
-	var retiring []ledger.Member
-	for _, m := range members {
-		if slices.ContainsFunc(requested, func(o platform.Object) bool { return o.Name == m.Name }) {
-			retiring = append(retiring, m)
+		return retireOrder{}, err
+	}
+	var order retireOrder
+	for _, m := range others {
+		retires := slices.ContainsFunc(requested, func(o platform.Object) bool { return o.Name == m.Name })
+		if retires && m.Name < s.settings.Node {
+			order.earlier = append(order.earlier, m)
+		} else {
+			order.staying = append(order.staying, m)
 		}
 	}
-	return retiring, nil
+	return order, nil
 }
 
 // transferRecords sends the records of this process to the members that need them once it has
 // left: the usage records to those that enter the replica groups of their programs, and turns
-// until each has enough replicas. It fails while a member is catching up, since the remaining
-// ones must be a quorum for reads. Members that join or leave meanwhile copy or replace
-// replicas themselves. It returns the others that retire, too: two that counted on each
-// other's replicas would both leave.
-func (s *Storage) transferRecords(ctx context.Context) (retiring []ledger.Member, err error) {
+// until each has enough replicas at the members that stay longer. It fails while a member is
+// catching up, since the remaining ones must be a quorum for reads. Members that join or leave
+// meanwhile copy or replace replicas themselves.
+func (s *Storage) transferRecords(ctx context.Context) (order retireOrder, err error) {
 	if err := s.refreshMembers(ctx); err != nil {
-		return nil, err
+		return order, err
 	}
 	change := s.memberLists(nil)
-	change.after = without(change.after, []ledger.Member{s.self()})
-	if len(change.after) == 0 {
-		return nil, errors.New("no other active storage process is known")
-	}
+	change.after = slices.DeleteFunc(change.after, func(m ledger.Member) bool { return m.Name == s.settings.Node })
 	if err := s.checkComplete(ctx, change.after); err != nil {
-		return nil, err
+		return order, err
 	}
-	if retiring, err = s.listRetiring(ctx, change.after); err != nil {
-		return nil, err
+	if order, err = s.readOrder(ctx, change.after); err != nil {
+		return order, err
 	}
-	staying := without(change.after, retiring)
 	usage, turns := s.untransferred(peerv1.Pull_USAGE), s.untransferred(peerv1.Pull_TURNS)
-	for _, after := range [][]ledger.Member{change.after, staying} {
+	for _, after := range [][]ledger.Member{change.after, order.staying} {
 		recs := s.newReplicas(memberChange{change.before, after}, slices.Collect(maps.Values(usage)))
 		if err := s.push(ctx, recs); err != nil {
-			return nil, err
+			return order, err
 		}
 	}
-	if err := s.replicateTurns(ctx, staying, turns); err != nil {
-		return nil, err
+	if err := s.replicateTurns(ctx, order.staying, turns); err != nil {
+		return order, err
 	}
 	for _, recs := range []map[uint64]*peerv1.LedgerRecord{usage, turns} {
 		for digest := range recs {
 			s.retirement.transferred[digest] = true
 		}
 	}
-	return retiring, nil
-}
-
-// without returns the members of a list that are not in another one.
-func without(list, excluded []ledger.Member) []ledger.Member {
-	return slices.DeleteFunc(slices.Clone(list), func(m ledger.Member) bool { return slices.Contains(excluded, m) })
+	return order, nil
 }
 
 // untransferred returns the records of a part, by digest, that the others may lack.
--- a/pkg/storage/retire_test.go
+++ b/pkg/storage/retire_test.go
@@ -220,3 +220,40 @@
 		}
 	}
 }
+
+// Guards against the loss of a turn, and of each quorum, if the retirement of all members is
+// requested: as many stay as a record needs.
+func TestRetirementOfAllMembers(t *testing.T) {
+	store := platformstore.New()
+	server := httptest.NewServer(store)
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	url := strings.TrimPrefix(server.URL, "http://")
+	ips := loopback.Addresses("127.0.0.", 31, 3)
+	port, err := loopback.FreePort(ips...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var members []*Storage
+	for _, ip := range ips {
+		members = append(members, startMember(t, store, url, ip, port))
+	}
+	record := &peerv1.LedgerRecord{Body: &peerv1.LedgerRecord_Turn{Turn: &peerv1.TurnRecord{Id: "t", RetentionMs: 60_000}}}
+	for _, s := range members[:2] { // a quorum
+		if err := s.ledger.Write(t.Context(), []*peerv1.LedgerRecord{record}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, s := range members {
+		store.Put(platform.KindRetirements, s.settings.Node, map[string]any{"DeadlineS": 8})
+	}
+	time.Sleep(retireOrderTimeout + time.Second) // until they no longer wait for each other
+	serving := 0
+	for _, s := range members {
+		if s.ledger.WriteStatus() == peerv1.LedgerReply_OK && len(s.ledger.Chain("t")) == 1 {
+			serving++
+		}
+	}
+	if serving != 2 {
+		t.Errorf("%d members serve with the turn, want 2 if one disk may be lost", serving)
+	}
+}
