Transfer again when the members or their order change during a retirement

Cause, found by reading: the short last transfer skipped records that an earlier one had counted on members which were asked to retire, or left, in between. Change: the first transfer is forgotten then. The tests of retirements and of pairs of changes pass; no test shows the case by itself.

--- a/pkg/storage/retire.go
+++ b/pkg/storage/retire.go
@@ -32,9 +32,10 @@
 	s       *Storage
 	once    sync.Once
 	started atomic.Bool
-	// transferred holds the digests of the records that the others have, so that the last
-	// transfer is short. It is used by one goroutine.
+	// transferred holds the digests of the records that the others have as the members were
+	// in order, so that the last transfer is short. They are used by one goroutine.
 	transferred map[uint64]bool
+	order       retireOrder
 }
 
 func (h *retirementHandler) Listed(objects []platform.Object, _ bool) {
@@ -153,6 +154,10 @@
 	staying []ledger.Member // all others, of which some may retire later
 }
 
+func (o retireOrder) equal(other retireOrder) bool {
+	return slices.Equal(o.earlier, other.earlier) && slices.Equal(o.staying, other.staying)
+}
+
 // readOrder returns the order of the other members, by the retirements that the platform's
 // store has.
 func (s *Storage) readOrder(ctx context.Context, others []ledger.Member) (retireOrder, error) {
@@ -189,6 +194,10 @@
 	if order, err = s.readOrder(ctx, change.after); err != nil {
 		return order, err
 	}
+	if !order.equal(s.retirement.order) {
+		s.retirement.order = order
+		clear(s.retirement.transferred) // it counted on members that may have left, or leave first
+	}
 	usage, turns := s.untransferred(peerv1.Pull_USAGE), s.untransferred(peerv1.Pull_TURNS)
 	for _, after := range [][]ledger.Member{change.after, order.staying} {
 		recs := s.newReplicas(memberChange{change.before, after}, slices.Collect(maps.Values(usage)))
