--- a/pkg/storage/retire_test.go
+++ b/pkg/storage/retire_test.go
@@ -43,6 +43,24 @@
 	}
 }
 
+// startMembers starts storage processes that share a store, one after the other.
+func startMembers(t *testing.T, n int) (*platformstore.Store, []*Storage) {
+	t.Helper()
+	store := platformstore.New()
+	server := httptest.NewServer(store)
+	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	ips := loopback.Addresses("127.0.0.", 31, n)
+	port, err := loopback.FreePort(ips...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var members []*Storage
+	for _, ip := range ips {
+		members = append(members, startMember(t, store, strings.TrimPrefix(server.URL, "http://"), ip, port))
+	}
+	return store, members
+}
+
 // ownRegistration waits until a process knows its own registration, which is
 // later than the store has it, and returns it.
 func ownRegistration(t *testing.T, s *Storage) platform.Node {
@@ -60,16 +78,8 @@
 // Guards against a retiring member that does not transfer its records to a member
 // that has just joined, because the event about it has not arrived yet.
 func TestRetiringMemberKnowsAll(t *testing.T) {
-	store := platformstore.New()
-	server := httptest.NewServer(store)
-	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
-	url := strings.TrimPrefix(server.URL, "http://")
-	ips := loopback.Addresses("127.0.0.", 31, 3)
-	port, err := loopback.FreePort(ips...)
-	if err != nil {
-		t.Fatal(err)
-	}
-	leaving, first, last := startMember(t, store, url, ips[0], port), startMember(t, store, url, ips[1], port), startMember(t, store, url, ips[2], port)
+	_, members := startMembers(t, 3)
+	leaving, first, last := members[0], members[1], members[2]
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	record := &peerv1.LedgerRecord{Body: &peerv1.LedgerRecord_Turn{Turn: &peerv1.TurnRecord{Id: "t", RetentionMs: 60_000}}}
@@ -86,7 +96,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	leaving.members.mu.Lock()
-	delete(leaving.members.nodes, fmt.Sprint("node-", ips[2])) // as if its event had not arrived yet
+	delete(leaving.members.nodes, last.settings.Node) // as if its event had not arrived yet
 	leaving.members.mu.Unlock()
 	if err := leaving.leaveLedger(ctx, true); err != nil {
 		t.Fatal(err)
@@ -101,15 +111,8 @@
 // Guards against a storage process that was removed from the ledger while its
 // machine was suspended, and that acts as a member until the watch reports it.
 func TestRemovedWhileSuspended(t *testing.T) {
-	store := platformstore.New()
-	server := httptest.NewServer(store)
-	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
-	ips := loopback.Addresses("127.0.0.", 31, 1)
-	port, err := loopback.FreePort(ips...)
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := startMember(t, store, strings.TrimPrefix(server.URL, "http://"), ips[0], port)
+	store, members := startMembers(t, 1)
+	s := members[0]
 	own := ownRegistration(t, s)
 	store.SetDeaf(true) // watches receive no events
 	own.Removed = true
@@ -138,16 +141,8 @@
 // registration as its own earlier one, and nobody asks it any more.
 func TestRemovalOfReturnedMember(t *testing.T) {
 	t.Parallel()
-	store := platformstore.New()
-	server := httptest.NewServer(store)
-	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
-	url := strings.TrimPrefix(server.URL, "http://")
-	ips := loopback.Addresses("127.0.0.", 34, 2)
-	port, err := loopback.FreePort(ips...)
-	if err != nil {
-		t.Fatal(err)
-	}
-	returned, remover := startMember(t, store, url, ips[0], port), startMember(t, store, url, ips[1], port)
+	store, members := startMembers(t, 2)
+	returned, remover := members[0], members[1]
 	before := ownRegistration(t, returned)
 	if !returned.register(t.Context()) {
 		t.Fatal("the member does not register again")
@@ -174,19 +169,7 @@
 // these counted the other one's copy as a replica that stays (issue 41; seed 36 of
 // TestPairsSoak).
 func TestRetiringMembersDoNotCountOnEachOther(t *testing.T) {
-	store := platformstore.New()
-	server := httptest.NewServer(store)
-	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
-	url := strings.TrimPrefix(server.URL, "http://")
-	ips := loopback.Addresses("127.0.0.", 31, 7)
-	port, err := loopback.FreePort(ips...)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var members []*Storage
-	for _, ip := range ips {
-		members = append(members, startMember(t, store, url, ip, port))
-	}
+	store, members := startMembers(t, 7)
 	retiring, staying := members[:2], members[2:]
 	const turns = 20
 	for i := range turns {
@@ -224,19 +207,7 @@
 // Guards against the loss of a turn, and of each quorum, if the retirement of all members is
 // requested: as many stay as a record needs.
 func TestRetirementOfAllMembers(t *testing.T) {
-	store := platformstore.New()
-	server := httptest.NewServer(store)
-	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
-	url := strings.TrimPrefix(server.URL, "http://")
-	ips := loopback.Addresses("127.0.0.", 31, 3)
-	port, err := loopback.FreePort(ips...)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var members []*Storage
-	for _, ip := range ips {
-		members = append(members, startMember(t, store, url, ip, port))
-	}
+	store, members := startMembers(t, 3)
 	record := &peerv1.LedgerRecord{Body: &peerv1.LedgerRecord_Turn{Turn: &peerv1.TurnRecord{Id: "t", RetentionMs: 60_000}}}
 	for _, s := range members[:2] { // a quorum
 		if err := s.ledger.Write(t.Context(), []*peerv1.LedgerRecord{record}); err != nil {
