--- a/pkg/objectapi/client_test.go
+++ b/pkg/objectapi/client_test.go
@@ -134,7 +134,8 @@
 		c := m.newClient("a")
 		c.timeout, c.readTries, c.firstDelay, c.maxDelay = time.Second, 3, 100*time.Millisecond, time.Second
 		m.SetFaults("a", Faults{Outage: true})
-		time.AfterFunc(150*time.Millisecond, func() { m.SetFaults("a", Faults{}) })
+		// The pauses vary by half: the third try comes after 125 ms at the earliest.
+		time.AfterFunc(120*time.Millisecond, func() { m.SetFaults("a", Faults{}) })
 		if _, err := c.Get(t.Context(), "k"); err != nil {
 			t.Errorf("Get over a short outage: %v", err)
 		}
