--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -70,6 +70,7 @@
 	transit   *membudget.Budget
 	inFlight  *inFlight
 	times     *routeTimes
+	load      *load
 
 	mu    sync.Mutex // guards fleet
 	fleet *fleet.Fleet
@@ -103,10 +104,12 @@
 		metrics:       newMetrics(),
 		transit:       membudget.New(transitLimit(settings.MemoryMB)),
 		inFlight:      newInFlight(),
+		load:          newLoad(),
 		suspendedTime: suspend.New().Total,
 	}
 	e.metrics.transit(e.transit)
 	e.metrics.limitedUpstreams(e.limitedCount)
+	e.load.export(e.metrics, func() float64 { return float64(e.inFlight.count()) })
 	e.fleet.SetLeavingGrace(settings.DrainTime / leavingTimeDivisor)
 	e.store.Store(platform.NewStore(settings.StoreAddress))
 	e.view = newView(e)
@@ -174,6 +177,7 @@
 	background(func(ctx context.Context) { e.settler.run(ctx, e.stopDeadline) })
 	background(e.suspects.run)
 	background(e.logLimitedUse)
+	background(e.measureLoad)
 	background(e.limits.run)
 	g.Go(func() error {
 		defer cancel()
--- a/pkg/edge/inflight.go
+++ b/pkg/edge/inflight.go
@@ -25,6 +25,13 @@
 	delete(f.calls, c)
 }
 
+// count returns the number of requests.
+func (f *inFlight) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.calls)
+}
+
 // ids returns the number of requests and the ids of the first maxLoggedIDs of them.
 func (f *inFlight) ids() (int, []string) {
 	f.mu.Lock()
--- a/pkg/edge/lease.go
+++ b/pkg/edge/lease.go
@@ -103,13 +103,14 @@
 func (t *turn) confirm(u *peerv1.Usage, deadline time.Time) error {
 	c := t.c
 	began := time.Now()
+	defer c.e.load.wait(stepPassOn)()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	err := c.e.ledger.Write(ctx, u.GetProgram(), []*peerv1.LedgerRecord{usageRecord(u)})
 	if err == nil && t.leaseAge() >= ledger.ReservationLease {
 		_, err = c.e.ledger.Reserve(ctx, u, c.req.TokenBudget, c.tokensPerEvent(), 0)
 	}
-	c.e.metrics.ledger("pass on", err, time.Since(began))
+	c.e.metrics.ledger(stepPassOn, err, time.Since(began))
 	if err != nil {
 		c.e.logger.Warn("passing on of a turn not recorded", "id", c.req.ID, "program", c.req.Program, "err", err)
 	}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -146,12 +146,12 @@
 }
 
 // ledger records the duration of a ledger call by step and result.
-func (m *metrics) ledger(step string, err error, took time.Duration) {
+func (m *metrics) ledger(step ledgerStep, err error, took time.Duration) {
 	result := "ok"
 	if err != nil {
 		result = "failed"
 	}
-	m.set.GetOrCreateHistogram(fmt.Sprintf(`yucca_edge_ledger_seconds{step=%q,result=%q}`, step, result)).Update(took.Seconds())
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`yucca_edge_ledger_seconds{step=%q,result=%q}`, string(step), result)).Update(took.Seconds())
 }
 
 // turnEnded counts a complete stream by whether its turn was durable when its response
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -154,8 +154,10 @@
 	t.reserved = true
 	t.beginLease()
 	u := c.usage(c.req.MaxTokens, false)
+	answered := c.e.load.wait(stepReserve)
 	res, err := c.e.ledger.Reserve(ctx, u, c.req.TokenBudget, c.tokensPerEvent(), c.resumedKey())
-	c.e.metrics.ledger("reserve", err, time.Since(t.lease.began))
+	answered()
+	c.e.metrics.ledger(stepReserve, err, time.Since(t.lease.began))
 	c.reservation = res.Receipt
 	if res.Spent > 0 {
 		c.e.spent.Add(c.req.Program, res.Spent)
@@ -172,8 +174,10 @@
 // loadHistory prepends the earlier turns of the conversation to the body.
 func (t *turn) loadHistory(ctx context.Context) error {
 	began := time.Now()
+	answered := t.c.e.load.wait(stepHistory)
 	chain, err := t.c.e.chain(ctx, t.c.req.ParentTurnID)
-	t.c.e.metrics.ledger("history", err, time.Since(began))
+	answered()
+	t.c.e.metrics.ledger(stepHistory, err, time.Since(began))
 	if err != nil {
 		return err
 	}
@@ -312,8 +316,10 @@
 	ctx, cancel := context.WithDeadline(context.Background(), later(c.deadline, began).Add(lateCommit))
 	go func() {
 		defer cancel()
+		answered := c.e.load.wait(stepCommit)
 		receipt, err := c.e.ledger.WriteWithReceipt(ctx, c.req.Program, recs)
-		c.e.metrics.ledger("commit", err, time.Since(began))
+		answered()
+		c.e.metrics.ledger(stepCommit, err, time.Since(began))
 		if err == nil {
 			// Not earlier: a turn that continues this one would be stored without it.
 			c.e.turns.Add(rec.GetId(), rec)
