Withdraw reservations that don't fit their budget, and ask again

Cause: since reservations are leased, a turn that doesn't fit beside turns that were not passed on is told to come back, not that the budget is spent. Its own reservation stayed stored until its settlement or for 1.5 s, in the way of the others: a livelock of refused turns.

Change: a storage process stores a reservation only if it fits beside the records that it has. An edge whose reservation conflicts with turns that were not passed on withdraws it and asks again within 0.5 s: by then these were passed on, or refused. If members have stored different ones, the one at the nearest member is not withdrawn, so that one is left. If members refuse by records that others know to have ended, all are asked to store it as before, and the sum decides. What a quorum has accepted is counted by each later one, as before.

It is not enough by itself.

--- a/pkg/edge/lease.go
+++ b/pkg/edge/lease.go
@@ -150,6 +150,9 @@
 // refuseTokens answers a request whose tokens could not be reserved. The turn does not run.
 func (t *turn) refuseTokens(err error) {
 	c := t.c
+	if errors.Is(err, ledger.ErrOverBudget) || errors.Is(err, ledger.ErrBudgetReserved) {
+		t.reserved = false // the ledger client has withdrawn it
+	}
 	switch {
 	case errors.Is(err, ledger.ErrOverBudget):
 		c.refuse(http.StatusPaymentRequired, 0, whyBudgetSpent)
--- a/pkg/ledger/client.go
+++ b/pkg/ledger/client.go
@@ -226,7 +226,11 @@
 // conclusive reports whether a status is not expected to change if the request is
 // retried soon.
 func conclusive(s peerv1.LedgerReply_Status) bool {
-	return s == peerv1.LedgerReply_OK || s == peerv1.LedgerReply_NOT_FOUND || s == peerv1.LedgerReply_LEAVING
+	switch s {
+	case peerv1.LedgerReply_OK, peerv1.LedgerReply_NOT_FOUND, peerv1.LedgerReply_LEAVING, peerv1.LedgerReply_OVER_BUDGET:
+		return true
+	}
+	return false
 }
 
 // requestOnce sends a request directly or, if the member is unreachable, through
@@ -272,9 +276,14 @@
 
 // acknowledged returns the names of the members that replied with status OK.
 func acknowledged(replies []memberReply) []string {
+	return namesWith(replies, peerv1.LedgerReply_OK)
+}
+
+// namesWith returns the names of the members that replied with a status.
+func namesWith(replies []memberReply, s peerv1.LedgerReply_Status) []string {
 	var names []string
 	for _, r := range replies {
-		if r.reply.GetStatus() == peerv1.LedgerReply_OK {
+		if r.reply.GetStatus() == s {
 			names = append(names, r.member.Name)
 		}
 	}
--- a/pkg/ledger/lease_test.go
+++ b/pkg/ledger/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -90,3 +91,115 @@
 		}
 	})
 }
+
+// Guards against turns that keep each other out of a budget that holds one of them: those
+// that were refused have reserved nothing (issue 44).
+func TestRefusedTurnsReserveNothing(t *testing.T) {
+	c := newCluster(t, 3)
+	reserve := func(attempt uint64) error {
+		u := reservation(attempt, 70)
+		u.Leased = true
+		_, err := c.client.Reserve(longContext(t), u, 140, 14, 0)
+		return err
+	}
+	for attempt := range uint64(2) {
+		if err := reserve(1 + attempt); err != nil {
+			t.Fatalf("attempt %d: %v", 1+attempt, err)
+		}
+	}
+	var wg sync.WaitGroup
+	for attempt := range uint64(10) {
+		wg.Go(func() {
+			if err := reserve(3 + attempt); !errors.Is(err, ErrBudgetReserved) {
+				t.Errorf("attempt %d beside two: %v, want %v", 3+attempt, err, ErrBudgetReserved)
+			}
+		})
+	}
+	wg.Wait()
+	ended := reservation(1, 0)
+	ended.Settled = true
+	if err := c.client.Write(longContext(t), "p", []*peerv1.LedgerRecord{{Body: &peerv1.LedgerRecord_Usage{Usage: ended}}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := reserve(20); err != nil {
+		t.Errorf("a turn beside one of the same size, with room for two: %v", err)
+	}
+}
+
+// Guards against a burst of turns of one program that are all refused, since each counts the
+// reservations of all others (issue 44).
+func TestBurstOfTurnsLeavesOne(t *testing.T) {
+	const turns, most, budget = 20, 70, 140
+	c := newCluster(t, 3)
+	results := make(chan error, turns)
+	for attempt := range uint64(turns) {
+		go func() {
+			u := reservation(attempt+1, most)
+			u.Leased = true
+			_, err := c.client.Reserve(longContext(t), u, budget, 14, 0)
+			results <- err
+		}()
+	}
+	began := 0
+	for range turns {
+		switch err := <-results; {
+		case err == nil:
+			began++
+		case !errors.Is(err, ErrBudgetReserved):
+			t.Errorf("%v, want %v", err, ErrBudgetReserved)
+		}
+	}
+	if began < 1 || began*most > budget {
+		t.Errorf("%d of %d turns of %d tokens begin, want one at least, within a budget of %d", began, turns, most, budget)
+	}
+}
+
+// Guards against a withdrawn reservation that keeps counting, and against one that is sent
+// again and does not, whatever order the members get them in.
+func TestLatestLeasedRevisionCounts(t *testing.T) {
+	version := func(revision, tokens uint32) *peerv1.LedgerRecord {
+		rec := leased(1, tokens)
+		rec.GetUsage().Revision = revision
+		return rec
+	}
+	for name, c := range map[string]struct {
+		records []*peerv1.LedgerRecord
+		tokens  uint32
+	}{
+		"withdrawn":                 {[]*peerv1.LedgerRecord{version(0, 70), version(1, 0)}, 0},
+		"withdrawn, late copy":      {[]*peerv1.LedgerRecord{version(1, 0), version(0, 70)}, 0},
+		"sent again":                {[]*peerv1.LedgerRecord{version(1, 0), version(2, 70)}, 70},
+		"sent again, late copy":     {[]*peerv1.LedgerRecord{version(2, 70), version(1, 0)}, 70},
+		"passed on, late copy":      {[]*peerv1.LedgerRecord{usage(1, 70, false), version(1, 0)}, 70},
+		"passed on after its lease": {[]*peerv1.LedgerRecord{version(2, 70), usage(1, 70, false)}, 70},
+	} {
+		s := NewState()
+		for _, rec := range c.records {
+			s.Apply(rec, startTime)
+		}
+		tokens := uint32(0)
+		for _, u := range s.Usage("p", 0, startTime) {
+			tokens += u.GetTokens()
+		}
+		if tokens != c.tokens {
+			t.Errorf("%s: %d tokens count, want %d", name, tokens, c.tokens)
+		}
+	}
+}
+
+// Guards against a turn that is refused because of records that some members still count as
+// open and a quorum knows to be settled.
+func TestOutdatedMembersDoNotRefuse(t *testing.T) {
+	c := newCluster(t, 3)
+	open, settled := reservation(1, 100), reservation(1, 10)
+	settled.Settled = true
+	for i, u := range []*peerv1.Usage{settled, open, open} {
+		if err := c.stores[i].Write(longContext(t), []*peerv1.LedgerRecord{{Body: &peerv1.LedgerRecord_Usage{Usage: u}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.stop(2)
+	if _, err := c.client.Reserve(longContext(t), reservation(2, 70), 100, 14, 0); err != nil {
+		t.Errorf("70 of 100 tokens beside a turn that has used 10: %v", err)
+	}
+}
--- a/pkg/ledger/server.go
+++ b/pkg/ledger/server.go
@@ -54,10 +54,18 @@
 }
 
 // handleAll stores the records of all requests with one write to disk and returns
-// the replies.
+// the replies. Reservations that do not fit their budgets are not stored: those of turns that
+// are refused would keep each other's turns out.
 func (s Server) handleAll(ctx context.Context, reqs []*peerv1.LedgerRequest) []*peerv1.LedgerReply {
 	var recs []*peerv1.LedgerRecord
-	for _, req := range reqs {
+	refused := make([]bool, len(reqs))
+	for i, req := range reqs {
+		if r := req.GetReserve(); r != nil {
+			if refused[i] = !s.Store.admit(r); refused[i] {
+				continue
+			}
+			defer s.Store.release(r)
+		}
 		recs = append(recs, recordsToWrite(req)...)
 	}
 	failed := false
@@ -65,13 +73,17 @@
 		failed = s.Store.Write(ctx, recs) != nil
 	}
 	replies := make([]*peerv1.LedgerReply, 0, len(reqs))
-	for _, req := range reqs {
+	for i, req := range reqs {
 		var r *peerv1.LedgerReply
-		if failed && len(recordsToWrite(req)) > 0 {
+		switch {
+		case failed && !refused[i] && len(recordsToWrite(req)) > 0:
 			r = &peerv1.LedgerReply{Status: peerv1.LedgerReply_FAILED}
-		} else {
+		default:
 			r = s.buildReply(req)
 		}
+		if refused[i] && r.GetStatus() == peerv1.LedgerReply_OK {
+			r.Status = peerv1.LedgerReply_OVER_BUDGET
+		}
 		r.Id = req.GetId()
 		replies = append(replies, r)
 	}
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -136,7 +136,7 @@
 
 // newerTokens returns the version of a usage record that replaces the other, as far as
 // its tokens are concerned. A settled version replaces an open one, and an open one a
-// leased one; otherwise the one with more tokens wins.
+// leased one; of two leased ones the later revision wins, otherwise the one with more tokens.
 func newerTokens(a, b *peerv1.Usage) *peerv1.Usage {
 	switch {
 	case a == nil:
@@ -151,6 +151,11 @@
 			return a
 		}
 		return b
+	case a.GetLeased() && a.GetRevision() != b.GetRevision():
+		if a.GetRevision() > b.GetRevision() {
+			return a
+		}
+		return b
 	case a.GetTokens() > b.GetTokens():
 		return a
 	}
@@ -194,7 +199,7 @@
 		if (u.GetSettled() || u.GetLeased()) && u.GetTokens() == 0 {
 			continue
 		}
-		list = append(list, &peerv1.Usage{Attempt: u.GetAttempt(), Tokens: u.GetTokens(), Settled: u.GetSettled(), Leased: u.GetLeased()})
+		list = append(list, &peerv1.Usage{Attempt: u.GetAttempt(), Tokens: u.GetTokens(), Settled: u.GetSettled(), Leased: u.GetLeased(), Revision: u.GetRevision()})
 	}
 	return list
 }
@@ -281,6 +286,9 @@
 			tail[12] = 2
 		}
 		_, _ = h.Write(tail[:])
+		if u.GetLeased() && u.GetRevision() > 0 {
+			_, _ = h.Write(binary.LittleEndian.AppendUint32(nil, u.GetRevision()))
+		}
 		if o := u.GetOrigin(); o != nil {
 			_, _ = h.Write(binary.LittleEndian.AppendUint32(nil, o.GetRevision()))
 			_, _ = h.WriteString(o.GetService() + "\x00" + o.GetVersion())
--- a/pkg/ledger/store.go
+++ b/pkg/ledger/store.go
@@ -185,6 +185,32 @@
 // failed.
 func (s *Store) Flush(ctx context.Context) error { return s.Write(ctx, nil) }
 
+// admit reports whether the tokens of a reservation fit the budget of their program beside
+// the records of this process, and shows the record to all reads until release is called, so
+// that of two reservations that fit one at a time the second is refused. A process that lacks
+// records admits all: its reply does not count.
+func (s *Store) admit(r *peerv1.Reserve) bool {
+	if r.GetBudget() == 0 || s.UsageStatus() != peerv1.LedgerReply_OK {
+		return true
+	}
+	u := r.GetUsage()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records := MergeUsage(s.state.Usage(u.GetProgram(), 0, time.Now(), s.unsynced[u.GetProgram()]...))
+	if CheckBudget(records, u.GetAttempt(), int(u.GetTokens()), int(r.GetBudget()), int(r.GetPerEvent())) != nil {
+		return false
+	}
+	s.unsynced.add(&peerv1.LedgerRecord{Body: &peerv1.LedgerRecord_Usage{Usage: u}})
+	return true
+}
+
+// release ends what admit began, once the record was written or could not be.
+func (s *Store) release(r *peerv1.Reserve) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unsynced.remove(&peerv1.LedgerRecord{Body: &peerv1.LedgerRecord_Usage{Usage: r.GetUsage()}})
+}
+
 // unsyncedUsage holds the usage records that wait for the disk, by program.
 type unsyncedUsage map[string][]*peerv1.Usage
 
--- a/pkg/ledger/write.go
+++ b/pkg/ledger/write.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 )
@@ -203,38 +205,141 @@
 	// Origin is the origin of the stream that the attempt continues; nil: none is
 	// recorded.
 	Origin *peerv1.Origin
+	// refused are the members that have not stored the reservation, since it does not fit.
+	refused []string
 }
 
+const (
+	// conflictDelay is the longest first wait of a reservation that did not fit beside those of
+	// turns that were not passed on. It doubles each time; half of it varies.
+	conflictDelay = 60 * time.Millisecond
+	// conflictLimit limits the time for which a reservation is sent again.
+	conflictLimit = 500 * time.Millisecond
+	// withdrawTimeout limits the withdrawal of a reservation. It then ends with its lease.
+	withdrawTimeout = ReservationLease
+)
+
 // Reserve reserves tokens of a program's budget for an attempt. It fails with
 // ErrOverBudget or ErrBudgetReserved if the tokens do not fit, and with ErrNoMajority if no
-// quorum replied before the context was done. In all cases the reservation may remain
-// stored. budget is in tokens; 0: no limit. perEvent is the number of tokens that an event
-// counts as; 0: not known. continues is the key of the attempt that began the stream
-// which this one continues; 0: none.
+// quorum replied before the context was done. In the latter case the reservation may remain
+// stored at some members. budget is in tokens; 0: no limit. perEvent is the number of tokens
+// that an event counts as; 0: not known. continues is the key of the attempt that began the
+// stream which this one continues; 0: none.
+//
+// A reservation that does not fit beside those of turns that were not passed on is sent again
+// after a while: these turns are passed on or refused in a moment. Until then it is withdrawn,
+// but not if the nearest member has stored it. So if members have stored different ones of
+// several that fit one at a time, one is left.
 func (c *Client) Reserve(ctx context.Context, u *peerv1.Usage, budget, perEvent int, continues uint64) (Reservation, error) {
-	members := c.sortByDistance(ReplicaGroup(c.directory.Storage(), u.GetProgram()))
-	need := c.quorum(len(members))
-	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Reserve{Reserve: &peerv1.Reserve{Usage: u, Continues: continues, Group: groupKey(members)}}}
-	replies, err := c.queryMembers(ctx, members, need, req, func(r []memberReply, _ int) bool { return countOK(r) >= need })
-	if err == nil {
-		replies, err = c.reserveAtOtherGroups(ctx, members, replies, req)
+	r := &peerv1.Reserve{Usage: u, Continues: continues, Budget: uint32(budget), PerEvent: uint32(perEvent)}
+	for began, delay := time.Now(), conflictDelay; ; delay *= 2 {
+		members := c.sortByDistance(ReplicaGroup(c.directory.Storage(), u.GetProgram()))
+		r.Group = groupKey(members)
+		res, err := c.reserveOnce(ctx, members, r)
+		if !errors.Is(err, ErrBudgetReserved) && !errors.Is(err, ErrOverBudget) {
+			return res, err
+		}
+		wait := delay/2 + rand.N(delay/2)
+		over := errors.Is(err, ErrOverBudget) || time.Since(began)+wait > conflictLimit
+		if over || !slices.Contains(res.Acknowledged, members[0].Name) {
+			r = c.withdraw(r, res.refused, members)
+		}
+		if over {
+			return res, err
+		}
+		select {
+		case <-ctx.Done():
+			return res, err
+		case <-time.After(wait):
+		}
 	}
-	res := Reservation{Receipt: Receipt{Acknowledged: acknowledged(replies), Asked: len(members)}}
-	if err != nil {
+}
+
+// reserveOnce sends a reservation to a replica group and checks it against the budget.
+func (c *Client) reserveOnce(ctx context.Context, members []Member, r *peerv1.Reserve) (Reservation, error) {
+	check := func(res Reservation) error {
+		return CheckBudget(res.Records, r.GetUsage().GetAttempt(), int(r.GetUsage().GetTokens()), int(r.GetBudget()), int(r.GetPerEvent()))
+	}
+	res, stored, err := c.reserve(ctx, members, r)
+	if err != nil || r.GetBudget() == 0 {
 		return res, err
 	}
-	lists := make([][]*peerv1.Usage, 0, len(replies))
-	for _, r := range replies {
-		lists = append(lists, r.reply.GetUsage())
+	if err = check(res); err != nil || stored {
+		return res, err
 	}
-	merged := MergeUsage(lists...)
-	res.Spent, res.Origin, res.Records = SpentTokens(merged), merged[continues].GetOrigin(), merged
-	if budget > 0 {
-		err = CheckBudget(merged, u.GetAttempt(), int(u.GetTokens()), budget, perEvent)
+	// Members refused it because of records that others know to have ended.
+	res, _, err = c.reserve(ctx, members, &peerv1.Reserve{Usage: r.GetUsage(), Continues: r.GetContinues(), Group: r.GetGroup()})
+	if err == nil {
+		err = check(res)
 	}
 	return res, err
 }
 
+// withdraw takes back the reservation of a turn that was not passed on, in the background, at
+// all members but those that have refused it: more than have replied may have stored it. It
+// returns the reservation to send next, which replaces what is stored.
+func (c *Client) withdraw(r *peerv1.Reserve, refused []string, members []Member) *peerv1.Reserve {
+	u := r.GetUsage()
+	if !u.GetLeased() || len(refused) == len(members) {
+		return r
+	}
+	withdrawn, next := proto.CloneOf(u), proto.CloneOf(r)
+	withdrawn.Tokens, withdrawn.Revision = 0, u.GetRevision()+1
+	next.Usage.Revision = u.GetRevision() + 2
+	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{
+		Records: []*peerv1.LedgerRecord{{Body: &peerv1.LedgerRecord_Usage{Usage: withdrawn}}},
+	}}}
+	for _, m := range members {
+		if slices.Contains(refused, m.Name) {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+			defer cancel()
+			if _, err := c.requestOnce(ctx, m, req, nil); err != nil {
+				c.logger.Debug("reservation not withdrawn, it ends with its lease", "member", m.Name, "err", err)
+			}
+		}()
+	}
+	return next
+}
+
+// reserve sends a reservation to the members of a replica group, and to other groups that
+// these name, until a quorum of each has stored it, or a member of a quorum has refused it;
+// stored says which.
+func (c *Client) reserve(ctx context.Context, members []Member, r *peerv1.Reserve) (res Reservation, stored bool, err error) {
+	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Reserve{Reserve: r}}
+	replies, stored, err := c.reserveAt(ctx, members, c.quorum(len(members)), req)
+	if err == nil && stored {
+		replies, stored, err = c.reserveAtOtherGroups(ctx, members, replies, req)
+	}
+	res = Reservation{Receipt: Receipt{Acknowledged: acknowledged(replies), Asked: len(members)}, refused: refusedBy(replies)}
+	if err != nil {
+		return res, false, err
+	}
+	lists := make([][]*peerv1.Usage, 0, len(replies))
+	for _, reply := range replies {
+		lists = append(lists, reply.reply.GetUsage())
+	}
+	res.Records = MergeUsage(lists...)
+	res.Spent, res.Origin = SpentTokens(res.Records), res.Records[r.GetContinues()].GetOrigin()
+	return res, stored, nil
+}
+
+// reserveAt sends a reservation to members until need of them have replied with all records
+// of the program that they ever acknowledged; stored says whether all these have stored it.
+func (c *Client) reserveAt(ctx context.Context, members []Member, need int, req *peerv1.LedgerRequest) (replies []memberReply, stored bool, err error) {
+	replies, err = c.queryMembers(ctx, members, need, req, func(r []memberReply, _ int) bool {
+		return countOK(r)+len(refusedBy(r)) >= need
+	})
+	return replies, countOK(replies) >= need, err
+}
+
+// refusedBy returns the names of the members that refused a reservation.
+func refusedBy(replies []memberReply) []string {
+	return namesWith(replies, peerv1.LedgerReply_OVER_BUDGET)
+}
+
 // isBeginning reports whether a group is of a list that is not complete yet, while a
 // deployment starts: a part of the asked one that is too small for a ledger. The first
 // members that register are enough for each quorum then.
@@ -246,8 +351,9 @@
 
 // reserveAtOtherGroups sends a reservation also to a quorum of each replica group that a
 // member names because it knows of other members than this client: quorums of two groups
-// may share no member. It returns the replies of all groups.
-func (c *Client) reserveAtOtherGroups(ctx context.Context, asked []Member, replies []memberReply, req *peerv1.LedgerRequest) ([]memberReply, error) {
+// may share no member. It returns the replies of all groups, and whether a quorum of each has
+// stored the reservation.
+func (c *Client) reserveAtOtherGroups(ctx context.Context, asked []Member, replies []memberReply, req *peerv1.LedgerRequest) ([]memberReply, bool, error) {
 	done := map[uint64]bool{groupKey(asked): true}
 	for i := 0; i < len(replies); i++ {
 		group := groupOf(replies[i].reply)
@@ -263,13 +369,13 @@
 		if need -= len(group) - len(lacking); need <= 0 {
 			continue
 		}
-		more, err := c.queryMembers(ctx, lacking, need, req, func(r []memberReply, _ int) bool { return countOK(r) >= need })
+		more, stored, err := c.reserveAt(ctx, lacking, need, req)
 		replies = append(replies, more...)
-		if err != nil {
-			return replies, err
+		if err != nil || !stored {
+			return replies, false, err
 		}
 	}
-	return replies, nil
+	return replies, true, nil
 }
 
 // groupOf returns the replica group that a reply names; empty: it names none.
