--- a/pkg/transport/session.go
+++ b/pkg/transport/session.go
@@ -249,24 +249,6 @@
 // Close ends the session and all its streams.
 func (s *Session) Close() error { return errors.WithStack(s.ys.Close()) }
 
-// Probe closes the session if the peer does not answer a ping in time: the
-// connection may be silent for good while a new one works.
-func (s *Session) Probe(timeout time.Duration) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_, _ = s.ys.Ping() // fails only when the session ends
-	}()
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case <-done:
-	case <-timer.C:
-		s.t.log.Info("peer connection is silent", "peer", s.addr, "waited", timeout)
-		_ = s.ys.Close()
-	}
-}
-
 // flush returns after the peer has read everything sent before, or after
 // flushTimeout. Closing a socket with unread input resets the connection,
 // which can discard data that the peer has not read yet.
