Refuse turns at once that would wait for the ledger too long

The state sustains itself.

Cause: an edge took all work whether or not it could finish it, so that it finished none. Two lacks look the same to a caller: no processor time, no quorum.

Change: how many turns may wait for the ledger at a time follows from how long they wait (pkg/adaptivelimit: additive increase, multiplicative decrease, 16 to 256, 0.5 s). What is beyond is refused at once with a Retry-After, first turns of programs before later ones. An edge that refuses and is short of processor time reports itself as not ready, and its refusals close the connection: callers come to another edge, if need be of another domain. One that lacks a quorum stays ready, since all others lack it, too.

--- /dev/null
+++ b/pkg/edge/admission.go
@@ -0,0 +1,90 @@
+package edge
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/adaptivelimit"
+)
+
+const (
+	// Bounds of how many turns may wait for the ledger before they run.
+	minWaitingTurns = 16
+	maxWaitingTurns = 256
+	// ledgerTarget is how long a turn should wait for the ledger at most: some round trips
+	// between regions. Longer waits come from too little processor time or a lost quorum.
+	ledgerTarget = 500 * time.Millisecond
+	// limitInterval is the shortest time between two decreases of the limit.
+	limitInterval = 200 * time.Millisecond
+	// newProgramShare is the part of the limit that first turns of programs may use: refusing
+	// one costs little, while a program in progress would lose its work.
+	newProgramShare = 0.75
+	// retryAfterOverload is when a caller should return whose turn was refused at the limit.
+	retryAfterOverload = 300 * time.Millisecond
+	// overloadMemory is how long after the last refusal an edge counts as overloaded.
+	overloadMemory = 2 * time.Second
+)
+
+// whyOverloaded is the reason for refusing a turn that would wait for the ledger too long.
+const whyOverloaded = "too many turns wait"
+
+// admission limits how many turns wait for the ledger.
+type admission struct {
+	mu      sync.Mutex
+	limiter *adaptivelimit.Limiter
+}
+
+func newAdmission() *admission {
+	return &admission{limiter: adaptivelimit.New(adaptivelimit.Config{
+		Min: minWaitingTurns, Max: maxWaitingTurns, Target: ledgerTarget, Interval: limitInterval,
+	})}
+}
+
+// begin reports whether a turn may wait for the ledger. If it may, end must be called with
+// whether the ledger failed.
+func (a *admission) begin(programStarted bool) (end func(failed bool), ok bool) {
+	share, began := 1.0, time.Now()
+	if !programStarted {
+		share = newProgramShare
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.limiter.Begin(share, began) {
+		return nil, false
+	}
+	return func(failed bool) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.limiter.End(began, time.Now(), failed)
+	}, true
+}
+
+// refusedLately reports whether a turn was refused a moment ago.
+func (a *admission) refusedLately(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return now.Sub(a.limiter.LastRefused()) < overloadMemory
+}
+
+// limit returns the current limit in turns.
+func (a *admission) limit() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.limiter.Limit()
+}
+
+// overloaded reports whether this edge is short of processor time and refuses turns. Other
+// edges may have room then. One that lacks a quorum is not overloaded: others lack it, too.
+func (e *Edge) overloaded(now time.Time) bool {
+	return time.Duration(e.load.runWait.Load()) >= overloadedWait && e.admission.refusedLately(now)
+}
+
+// refuseOverload refuses a turn that would wait for the ledger too long. If this edge is
+// overloaded, the caller's next connection leads to another one.
+func (c *call) refuseOverload() {
+	if c.e.overloaded(time.Now()) {
+		c.w.Header().Set("Connection", "close")
+	}
+	c.refuse(http.StatusServiceUnavailable, retryAfterOverload, whyOverloaded)
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -72,6 +72,7 @@
 	inFlight  *inFlight
 	times     *routeTimes
 	load      *load
+	admission *admission
 
 	mu    sync.Mutex // guards fleet
 	fleet *fleet.Fleet
@@ -106,11 +107,12 @@
 		transit:       membudget.New(transitLimit(settings.MemoryMB)),
 		inFlight:      newInFlight(),
 		load:          newLoad(),
+		admission:     newAdmission(),
 		suspendedTime: suspend.New().Total,
 	}
 	e.metrics.transit(e.transit)
 	e.metrics.limitedUpstreams(e.limitedCount)
-	e.load.export(e.metrics, func() float64 { return float64(e.inFlight.count()) })
+	e.load.export(e.metrics, func() float64 { return float64(e.inFlight.count()) }, func() float64 { return float64(e.admission.limit()) })
 	e.fleet.SetLeavingGrace(settings.DrainTime / leavingTimeDivisor)
 	e.store.Store(platform.NewStore(settings.StoreAddress))
 	e.view = newView(e)
--- a/pkg/edge/load.go
+++ b/pkg/edge/load.go
@@ -48,9 +48,10 @@
 }
 
 // export adds the load to the metrics of the edge.
-func (l *load) export(m *metrics, open func() float64) {
+func (l *load) export(m *metrics, open, limit func() float64) {
 	m.set.NewGauge(`yucca_edge_open_requests`, open)
 	m.set.NewGauge(`yucca_edge_run_wait_seconds`, func() float64 { return time.Duration(l.runWait.Load()).Seconds() })
+	m.set.NewGauge(`yucca_edge_waiting_turns_limit`, limit)
 	for s, n := range l.waiting {
 		m.set.NewGauge(fmt.Sprintf(`yucca_edge_ledger_waiting{step=%q}`, string(s)), func() float64 { return float64(n.Load()) })
 	}
@@ -75,7 +76,7 @@
 		}
 		waiting := func(s ledgerStep) int64 { return e.load.waiting[s].Load() }
 		e.logger.Warn("short of processor time", "run_wait_median_ms", now.Median.Milliseconds(), "run_wait_p99_ms", now.P99.Milliseconds(),
-			"open_requests", e.inFlight.count(), "reserve", waiting(stepReserve), "history", waiting(stepHistory),
+			"open_requests", e.inFlight.count(), "limit", e.admission.limit(), "reserve", waiting(stepReserve), "history", waiting(stepHistory),
 			"pass_on", waiting(stepPassOn), "commit", waiting(stepCommit), "goroutines", now.Goroutines, "gc_cycles", now.GCCycles)
 	}
 }
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -132,7 +132,7 @@
 }
 
 func (e *Edge) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if e.draining.Load() || !e.view.ready() {
+	if e.draining.Load() || !e.view.ready() || e.overloaded(time.Now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -65,6 +65,7 @@
 	if c.endAtStop() {
 		return // before it reserves tokens
 	}
+	c.programStarted = c.continuesProgram()
 	t, ok := c.beginTurn()
 	if !ok {
 		return
@@ -74,7 +75,7 @@
 		s.lastID = c.req.LastEventID
 	}
 	defer t.settle()
-	c.programStarted = c.req.ParentTurnID != "" || c.req.Program != "" && c.e.knowsProgram(c.req.Program)
+	c.programStarted = c.continuesProgram() // the reservation tells of other edges' turns
 	for {
 		if c.endBeforeAttempt() || !t.ensureLease() {
 			return
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -71,6 +71,14 @@
 		c.refuse(http.StatusServiceUnavailable, retryAfterBusy, whyEventsNotKept)
 		return nil, false
 	}
+	admitted := func(bool) {}
+	if c.waitsForLedger() {
+		var ok bool
+		if admitted, ok = c.e.admission.begin(c.programStarted); !ok {
+			c.refuseOverload()
+			return nil, false
+		}
+	}
 	c.beginOrigin()
 	t := &turn{c: c, input: c.body, hold: c.e.transit.Reservation("turn "+c.req.ID, membudget.CallerShare)}
 	ctx, cancel := context.WithDeadline(c.r.Context(), earlier(c.deadline, time.Now().Add(ledgerTimeout)))
@@ -83,6 +91,7 @@
 	}
 	reserveErr := t.reserve(ctx)
 	historyErr := <-history
+	admitted(errors.Is(reserveErr, ledger.ErrNoMajority) || errors.Is(historyErr, ledger.ErrNoMajority))
 	t.beginDuration = time.Since(c.began)
 	switch {
 	case c.cutByStop():
@@ -118,6 +127,11 @@
 	return nil, false
 }
 
+// waitsForLedger reports whether the turn needs the ledger before it runs.
+func (c *call) waitsForLedger() bool {
+	return c.hasBudget() || c.route.KeepsHistory && c.req.ParentTurnID != ""
+}
+
 // usage returns the usage record of the turn, which is leased until the turn is passed on.
 // The origin of its stream is in the open record, which a majority has before the turn runs,
 // or in the only one.
--- a/pkg/edge/urgency.go
+++ b/pkg/edge/urgency.go
@@ -38,6 +38,12 @@
 	return min(u, leastUrgent)
 }
 
+// continuesProgram reports whether an earlier turn of the request's program was served, as
+// far as this edge knows.
+func (c *call) continuesProgram() bool {
+	return c.req.ParentTurnID != "" || c.req.Program != "" && c.e.knowsProgram(c.req.Program)
+}
+
 // knowsProgram reports whether an earlier turn of a program was served, here or, as its
 // use of tokens shows, through another edge.
 func (e *Edge) knowsProgram(program string) bool {
