Send each try of a reservation as a message of its own

Seen: "DATA RACE" between Client.Reserve and the marshalling of a request, in TestSmallEdgesFarFromStorageAreStarved with the race detector (1 of 1 runs).

Cause: the group of a reservation that is sent again was set in the message of the try before, which may still wait to be written. Change: a new message for each try. Result: the test passes with the race detector (1 of 1).

--- a/pkg/ledger/write.go
+++ b/pkg/ledger/write.go
@@ -241,18 +241,19 @@
 // but not if the nearest member has stored it. So if members have stored different ones of
 // several that fit one at a time, one is left.
 func (c *Client) Reserve(ctx context.Context, u *peerv1.Usage, budget, perEvent int, continues uint64) (Reservation, error) {
-	r := &peerv1.Reserve{Usage: u, Continues: continues, Budget: uint32(budget), PerEvent: uint32(perEvent)}
 	for began, delay := time.Now(), conflictDelay; ; delay *= 2 {
 		members := c.sortByDistance(ReplicaGroup(c.directory.Storage(), u.GetProgram()))
-		r.Group = groupKey(members)
-		res, err := c.reserveOnce(ctx, members, r)
+		// A message that was sent may still wait to be written, so each try has its own.
+		res, err := c.reserveOnce(ctx, members, &peerv1.Reserve{
+			Usage: u, Continues: continues, Group: groupKey(members), Budget: uint32(budget), PerEvent: uint32(perEvent),
+		})
 		if !errors.Is(err, ErrBudgetReserved) && !errors.Is(err, ErrOverBudget) {
 			return res, err
 		}
 		wait := delay/2 + rand.N(delay/2)
 		over := errors.Is(err, ErrOverBudget) || time.Since(began)+wait > conflictLimit
 		if over || !slices.Contains(res.Acknowledged, members[0].Name) {
-			r = c.withdraw(r, res.refused, members)
+			u = c.withdraw(u, res.refused, members)
 		}
 		if over {
 			return res, err
@@ -287,15 +288,14 @@
 
 // withdraw takes back the reservation of a turn that was not passed on, in the background, at
 // all members but those that have refused it: more than have replied may have stored it. It
-// returns the reservation to send next, which replaces what is stored.
-func (c *Client) withdraw(r *peerv1.Reserve, refused []string, members []Member) *peerv1.Reserve {
-	u := r.GetUsage()
+// returns the record to reserve with next, which replaces what is stored.
+func (c *Client) withdraw(u *peerv1.Usage, refused []string, members []Member) *peerv1.Usage {
 	if !u.GetLeased() || len(refused) == len(members) {
-		return r
+		return u
 	}
-	withdrawn, next := proto.CloneOf(u), proto.CloneOf(r)
+	withdrawn, next := proto.CloneOf(u), proto.CloneOf(u)
 	withdrawn.Tokens, withdrawn.Revision = 0, u.GetRevision()+1
-	next.Usage.Revision = u.GetRevision() + 2
+	next.Revision = u.GetRevision() + 2
 	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{
 		Records: []*peerv1.LedgerRecord{{Body: &peerv1.LedgerRecord_Usage{Usage: withdrawn}}},
 	}}}
