Let turns wait for the ledger up to 0.9 s before the limit falls

Cause: a refusal costs a caller its Retry-After and one of few tries, so that it is worse than a wait of the same length.

Change: 0.9 s, and the limit falls to 0.7 of the turns that wait, not 0.5.

--- a/pkg/adaptivelimit/limiter.go
+++ b/pkg/adaptivelimit/limiter.go
@@ -7,7 +7,7 @@
 
 const (
 	// decreaseFactor is what remains of the calls under way after slow or failed ones.
-	decreaseFactor = 0.5
+	decreaseFactor = 0.7
 	// inUseShare is the share of the limit that must be in use for it to grow.
 	inUseShare = 0.5
 )
--- a/pkg/edge/admission.go
+++ b/pkg/edge/admission.go
@@ -14,7 +14,7 @@
 	maxWaitingTurns = 256
 	// ledgerTarget is how long a turn should wait for the ledger at most: some round trips
 	// between regions. Longer waits come from too little processor time or a lost quorum.
-	ledgerTarget = 500 * time.Millisecond
+	ledgerTarget = 900 * time.Millisecond
 	// limitInterval is the shortest time between two decreases of the limit.
 	limitInterval = 200 * time.Millisecond
 	// newProgramShare is the part of the limit that first turns of programs may use: refusing
