--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -99,6 +100,11 @@
 
 // New returns an edge with the settings. Run starts it.
 func New(settings *platform.Settings, logger *slog.Logger) (*Edge, error) {
+	return newEdge(settings, logger, nil)
+}
+
+// newEdge returns an edge whose connections to peers are made by dial; nil: directly.
+func newEdge(settings *platform.Settings, logger *slog.Logger, dial func(ctx context.Context, address string) (net.Conn, error)) (*Edge, error) {
 	e := &Edge{
 		settings: settings, logger: logger,
 		pool:          upstream.NewPool(),
@@ -133,7 +139,7 @@
 		return nil, err
 	}
 	e.transport, err = transport.New(transport.Config{
-		Listen: settings.PeerAddress(), Isolated: true, Logger: logger, Hello: e.hello,
+		Listen: settings.PeerAddress(), Isolated: true, Logger: logger, Hello: e.hello, Dialer: dial,
 	}, e.servePeer)
 	if err != nil {
 		return nil, err
