--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -50,6 +50,7 @@
 	core     faultState // of the store, the storage processes and the upstreams
 	gone     []*process // replaced storage processes
 	answered []answeredTurn
+	shares   map[*process]share
 	programs map[string]*programBudget
 	cut      []cutRequest
 	statuses map[int]int
@@ -103,7 +104,7 @@
 	l := &lostSoak{
 		soak: newDeployment(t, bin, seed, size), seed: seed, began: time.Now(),
 		disks: make(chan struct{}, size.tolerated), faults: make(map[*process]*faultState), programs: make(map[string]*programBudget),
-		statuses: make(map[int]int), acked: 1, ackedAt: time.Now(), joined: size.storages,
+		shares: make(map[*process]share), statuses: make(map[int]int), acked: 1, ackedAt: time.Now(), joined: size.storages,
 	}
 	for _, p := range append(slices.Clone(l.edges), l.storages...) {
 		l.faults[p] = &faultState{}
@@ -385,6 +386,7 @@
 	wg.Wait()
 	l.checkCut()
 	l.checkCrashes()
+	l.checkShares()
 	return l.runs.check()
 }
 
--- a/soak/lostcaller_test.go
+++ b/soak/lostcaller_test.go
@@ -99,6 +99,7 @@
 		c.l.runs.recordRefusal(id, strconv.Itoa(a.status))
 	}
 	c.l.count(a.status)
+	c.l.countShare(e, a)
 	return a
 }
 
