Lower the limit from a quarter of slow calls on, sooner while short of processor time

Cause: what a wait says depends on why it is long. An edge that is cut off from the storage processes waits 0.3 s through others and finishes what it takes; one without processor time will be late with the rest of the turn, too.

Change: the limit falls when a quarter of the last calls was slow, and a call is slow from 0.4 s on while the process is short of processor time, from 0.9 s on otherwise.

--- a/pkg/adaptivelimit/limiter.go
+++ b/pkg/adaptivelimit/limiter.go
@@ -1,13 +1,15 @@
 // Package adaptivelimit bounds how many calls wait for something at a time, by how long they
-// wait: additive increase while most are fast, multiplicative decrease while most are slow or
+// wait: additive increase while they are fast, multiplicative decrease while many are slow or
 // fail. What is beyond the limit is refused at once instead of waiting until its deadline.
 package adaptivelimit
 
 import "time"
 
 const (
-	// decreaseFactor is what remains of the calls under way after an interval in which most
-	// were slow or failed.
+	// slowShare is the share of the calls of an interval that may be slow or fail before the
+	// limit falls: single ones fail for other reasons than overload.
+	slowShare = 0.25
+	// decreaseFactor is what remains of the calls under way when the limit falls.
 	decreaseFactor = 0.7
 	// inUseShare is the share of the limit that must be in use for it to grow.
 	inUseShare = 0.5
@@ -16,7 +18,6 @@
 // Config configures a Limiter.
 type Config struct {
 	Min, Max int           // bounds of the limit, in calls
-	Target   time.Duration // a call that takes longer is slow
 	Interval time.Duration // between two changes of the limit
 }
 
@@ -48,10 +49,10 @@
 	return true
 }
 
-// End records the end of a call that began at a time.
-func (l *Limiter) End(began, now time.Time, failed bool) {
+// End records the end of a call, and whether it took too long or failed.
+func (l *Limiter) End(slow bool, now time.Time) {
 	l.open--
-	if failed || now.Sub(began) > l.cfg.Target {
+	if slow {
 		l.slow++
 	} else {
 		l.fast++
@@ -65,7 +66,7 @@
 func (l *Limiter) change(now time.Time) {
 	most := float64(l.most)
 	switch {
-	case l.slow > l.fast:
+	case float64(l.slow) > slowShare*float64(l.slow+l.fast):
 		l.limit = max(min(l.limit, most)*decreaseFactor, float64(l.cfg.Min))
 	case most >= inUseShare*l.limit:
 		l.limit = min(l.limit+float64(l.fast), float64(l.cfg.Max))
--- a/pkg/adaptivelimit/limiter_test.go
+++ b/pkg/adaptivelimit/limiter_test.go
@@ -5,7 +5,10 @@
 	"time"
 )
 
-var testConfig = Config{Min: 4, Max: 64, Target: 500 * time.Millisecond, Interval: 100 * time.Millisecond}
+var testConfig = Config{Min: 4, Max: 64, Interval: 100 * time.Millisecond}
+
+// testTarget is how long a call may take without being slow.
+const testTarget = 500 * time.Millisecond
 
 // measured is the end of a play in which refusals and waits are measured: some cycles of the
 // limit.
@@ -35,7 +38,7 @@
 			if last {
 				wait = max(wait, now.Sub(queue[0]))
 			}
-			l.End(queue[0], now, false)
+			l.End(now.Sub(queue[0]) > testTarget, now)
 			queue = queue[1:]
 		}
 	}
@@ -46,8 +49,8 @@
 // be finished: the wait stays near the target, and only the excess is refused.
 func TestOverloadIsRefused(t *testing.T) {
 	refused, wait := play(New(testConfig), 100, 40, 20*time.Second)
-	if wait > 3*testConfig.Target {
-		t.Errorf("calls wait %v at 2.5 times what can be served, want at most %v", wait, 3*testConfig.Target)
+	if wait > 3*testTarget {
+		t.Errorf("calls wait %v at 2.5 times what can be served, want at most %v", wait, 3*testTarget)
 	}
 	if refused > 70 {
 		t.Errorf("%d of 100 calls a second are refused, 60 can't be served", refused)
@@ -93,7 +96,7 @@
 		if !l.Begin(1, now) {
 			t.Fatalf("call %d is refused, limit %d", i, l.Limit())
 		}
-		l.End(now, now.Add(10*time.Millisecond), i%10 == 0)
+		l.End(i%10 == 0, now)
 		now = now.Add(10 * time.Millisecond)
 	}
 }
--- a/pkg/edge/admission.go
+++ b/pkg/edge/admission.go
@@ -12,9 +12,12 @@
 	// Bounds of how many turns may wait for the ledger before they run.
 	minWaitingTurns = 16
 	maxWaitingTurns = 256
-	// ledgerTarget is how long a turn should wait for the ledger at most: some round trips
-	// between regions. Longer waits come from too little processor time or a lost quorum.
+	// ledgerTarget is how long a turn should wait for the ledger at most. A refusal costs its
+	// caller about as much.
 	ledgerTarget = 900 * time.Millisecond
+	// busyTarget is the same while the process is short of processor time: the rest of the turn
+	// will be slow, too, and another edge may have room.
+	busyTarget = 400 * time.Millisecond
 	// limitInterval is the shortest time between two decreases of the limit.
 	limitInterval = 200 * time.Millisecond
 	// newProgramShare is the part of the limit that first turns of programs may use: refusing
@@ -37,13 +40,13 @@
 
 func newAdmission() *admission {
 	return &admission{limiter: adaptivelimit.New(adaptivelimit.Config{
-		Min: minWaitingTurns, Max: maxWaitingTurns, Target: ledgerTarget, Interval: limitInterval,
+		Min: minWaitingTurns, Max: maxWaitingTurns, Interval: limitInterval,
 	})}
 }
 
 // begin reports whether a turn may wait for the ledger. If it may, end must be called with
-// whether the ledger failed.
-func (a *admission) begin(programStarted bool) (end func(failed bool), ok bool) {
+// whether the ledger failed and how long the turn should have waited at most.
+func (a *admission) begin(programStarted bool) (end func(failed bool, target time.Duration), ok bool) {
 	share, began := 1.0, time.Now()
 	if !programStarted {
 		share = newProgramShare
@@ -53,10 +56,11 @@
 	if !a.limiter.Begin(share, began) {
 		return nil, false
 	}
-	return func(failed bool) {
+	return func(failed bool, target time.Duration) {
+		now := time.Now()
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		a.limiter.End(began, time.Now(), failed)
+		a.limiter.End(failed || now.Sub(began) > target, now)
 	}, true
 }
 
@@ -74,10 +78,21 @@
 	return a.limiter.Limit()
 }
 
+// busy reports whether goroutines that can run wait for a processor.
+func (e *Edge) busy() bool { return time.Duration(e.load.runWait.Load()) >= overloadedWait }
+
+// waitTarget returns how long a turn should wait for the ledger at most.
+func (e *Edge) waitTarget() time.Duration {
+	if e.busy() {
+		return busyTarget
+	}
+	return ledgerTarget
+}
+
 // overloaded reports whether this edge is short of processor time and refuses turns. Other
 // edges may have room then. One that lacks a quorum is not overloaded: others lack it, too.
 func (e *Edge) overloaded(now time.Time) bool {
-	return time.Duration(e.load.runWait.Load()) >= overloadedWait && e.admission.refusedLately(now)
+	return e.busy() && e.admission.refusedLately(now)
 }
 
 // refuseOverload refuses a turn that would wait for the ledger too long. If this edge is
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -71,7 +71,7 @@
 		c.refuse(http.StatusServiceUnavailable, retryAfterBusy, whyEventsNotKept)
 		return nil, false
 	}
-	admitted := func(bool) {}
+	admitted := func(bool, time.Duration) {}
 	if c.waitsForLedger() {
 		var ok bool
 		if admitted, ok = c.e.admission.begin(c.programStarted); !ok {
@@ -91,7 +91,7 @@
 	}
 	reserveErr := t.reserve(ctx)
 	historyErr := <-history
-	admitted(errors.Is(reserveErr, ledger.ErrNoMajority) || errors.Is(historyErr, ledger.ErrNoMajority))
+	admitted(errors.Is(reserveErr, ledger.ErrNoMajority) || errors.Is(historyErr, ledger.ErrNoMajority), c.e.waitTarget())
 	t.beginDuration = time.Since(c.began)
 	switch {
 	case c.cutByStop():
