Reserve again with a later revision than a withdrawal

Cause, found by reading: a turn that was not passed on within its lease reserves again. Its record had revision 0, and a member that last got a withdrawal of an earlier try took it for the older one: it acknowledged, and the tokens didn't count there.

Change: Reserve returns the revision to go on with. The wait for the ledger is a function of its own, so that its place is given back in any case. Result: TestReservationAfterWithdrawalCounts passes; it fails if the revision is not passed on (the third turn gets the tokens), not run on the code before, which doesn't return one.

--- a/pkg/edge/admission.go
+++ b/pkg/edge/admission.go
@@ -18,7 +18,7 @@
 	// busyTarget is the same while the process is short of processor time: the rest of the turn
 	// will be slow, too, and another edge may have room.
 	busyTarget = 400 * time.Millisecond
-	// limitInterval is the shortest time between two decreases of the limit.
+	// limitInterval is the time between two changes of the limit.
 	limitInterval = 200 * time.Millisecond
 	// newProgramShare is the part of the limit that first turns of programs may use: refusing
 	// one costs little, while a program in progress would lose its work.
@@ -64,6 +64,15 @@
 	}, true
 }
 
+// admitTurn reports whether the turn may begin. If it may, admitted must be called once it
+// has what it needs of the ledger; see admission.begin.
+func (c *call) admitTurn() (admitted func(failed bool, target time.Duration), ok bool) {
+	if !c.waitsForLedger() {
+		return func(bool, time.Duration) {}, true
+	}
+	return c.e.admission.begin(c.programStarted)
+}
+
 // refusedLately reports whether a turn was refused a moment ago.
 func (a *admission) refusedLately(now time.Time) bool {
 	a.mu.Lock()
--- a/pkg/edge/load.go
+++ b/pkg/edge/load.go
@@ -13,7 +13,7 @@
 	// loadInterval is how often the load of the process is measured.
 	loadInterval = time.Second
 	// overloadedWait is the wait for a processor, of one goroutine in a hundred, from which
-	// on the load is logged.
+	// on the process counts as short of processor time and its load is logged.
 	overloadedWait = 50 * time.Millisecond
 )
 
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -47,7 +47,8 @@
 // turn is one turn of a program: its reserved tokens, input and output.
 type turn struct {
 	c        *call
-	reserved bool // tokens are reserved in the ledger
+	reserved bool   // tokens are reserved in the ledger
+	revision uint32 // of the next reservation
 	lease    lease
 	settled  bool
 	input    []byte               // without the earlier turns
@@ -71,27 +72,14 @@
 		c.refuse(http.StatusServiceUnavailable, retryAfterBusy, whyEventsNotKept)
 		return nil, false
 	}
-	admitted := func(bool, time.Duration) {}
-	if c.waitsForLedger() {
-		var ok bool
-		if admitted, ok = c.e.admission.begin(c.programStarted); !ok {
-			c.refuseOverload()
-			return nil, false
-		}
+	admitted, ok := c.admitTurn()
+	if !ok {
+		c.refuseOverload()
+		return nil, false
 	}
 	c.beginOrigin()
 	t := &turn{c: c, input: c.body, hold: c.e.transit.Reservation("turn "+c.req.ID, membudget.CallerShare)}
-	ctx, cancel := context.WithDeadline(c.r.Context(), earlier(c.deadline, time.Now().Add(ledgerTimeout)))
-	defer cancel()
-	history := make(chan error, 1)
-	if c.route.KeepsHistory && c.req.ParentTurnID != "" {
-		go func() { history <- t.loadHistory(ctx) }()
-	} else {
-		history <- nil
-	}
-	reserveErr := t.reserve(ctx)
-	historyErr := <-history
-	admitted(errors.Is(reserveErr, ledger.ErrNoMajority) || errors.Is(historyErr, ledger.ErrNoMajority), c.e.waitTarget())
+	reserveErr, historyErr := t.awaitLedger(admitted)
 	t.beginDuration = time.Since(c.began)
 	switch {
 	case c.cutByStop():
@@ -127,6 +115,27 @@
 	return nil, false
 }
 
+// awaitLedger reserves the tokens of the turn and loads its history. It calls admitted with
+// the outcome.
+func (t *turn) awaitLedger(admitted func(failed bool, target time.Duration)) (reserveErr, historyErr error) {
+	c := t.c
+	defer func() {
+		lacksQuorum := errors.Is(reserveErr, ledger.ErrNoMajority) || errors.Is(historyErr, ledger.ErrNoMajority)
+		admitted(lacksQuorum, c.e.waitTarget())
+	}()
+	ctx, cancel := context.WithDeadline(c.r.Context(), earlier(c.deadline, time.Now().Add(ledgerTimeout)))
+	defer cancel()
+	history := make(chan error, 1)
+	if c.route.KeepsHistory && c.req.ParentTurnID != "" {
+		go func() { history <- t.loadHistory(ctx) }()
+	} else {
+		history <- nil
+	}
+	reserveErr = t.reserve(ctx)
+	historyErr = <-history
+	return reserveErr, historyErr
+}
+
 // waitsForLedger reports whether the turn needs the ledger before it runs.
 func (c *call) waitsForLedger() bool {
 	return c.hasBudget() || c.route.KeepsHistory && c.req.ParentTurnID != ""
@@ -168,10 +177,12 @@
 	t.reserved = true
 	t.beginLease()
 	u := c.usage(c.req.MaxTokens, false)
+	u.Revision = t.revision
 	answered := c.e.load.wait(stepReserve)
 	res, err := c.e.ledger.Reserve(ctx, u, c.req.TokenBudget, c.tokensPerEvent(), c.resumedKey())
 	answered()
 	c.e.metrics.ledger(stepReserve, err, time.Since(t.lease.began))
+	t.revision = res.NextRevision
 	c.reservation = res.Receipt
 	if res.Spent > 0 {
 		c.e.spent.Add(c.req.Program, res.Spent)
--- a/pkg/ledger/lease_test.go
+++ b/pkg/ledger/lease_test.go
@@ -218,3 +218,35 @@
 		t.Error("the write waits until its context is done")
 	}
 }
+
+// Guards against a turn that reserves again, after its lease, with a record that a member
+// takes for one older than its withdrawal: its tokens would not count there.
+func TestReservationAfterWithdrawalCounts(t *testing.T) {
+	c := newCluster(t, 3)
+	lease := func(attempt uint64, revision uint32) *peerv1.Usage {
+		u := reservation(attempt, 70)
+		u.Leased, u.Revision = true, revision
+		return u
+	}
+	if _, err := c.client.Reserve(longContext(t), lease(1, 0), 100, 14, 0); err != nil {
+		t.Fatal(err)
+	}
+	res, err := c.client.Reserve(longContext(t), lease(2, 0), 100, 14, 0)
+	if !errors.Is(err, ErrBudgetReserved) {
+		t.Fatalf("a second turn of 70 of 100 tokens: %v, want %v", err, ErrBudgetReserved)
+	}
+	withdrawn := lease(2, res.NextRevision-1) // some member may have got it last
+	withdrawn.Tokens = 0
+	time.Sleep(ReservationLease)
+	for _, s := range c.stores {
+		if err := s.Write(longContext(t), []*peerv1.LedgerRecord{{Body: &peerv1.LedgerRecord_Usage{Usage: withdrawn}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := c.client.Reserve(longContext(t), lease(2, res.NextRevision), 100, 14, 0); err != nil {
+		t.Fatalf("the second turn after the lease of the first: %v", err)
+	}
+	if _, err := c.client.Reserve(longContext(t), lease(3, 0), 100, 14, 0); !errors.Is(err, ErrBudgetReserved) {
+		t.Errorf("a third turn beside the second: %v, want %v", err, ErrBudgetReserved)
+	}
+}
--- a/pkg/ledger/write.go
+++ b/pkg/ledger/write.go
@@ -215,6 +215,9 @@
 	// Origin is the origin of the stream that the attempt continues; nil: none is
 	// recorded.
 	Origin *peerv1.Origin
+	// NextRevision is the revision with which the attempt must reserve again: what members
+	// have stored of earlier tries has a lower one.
+	NextRevision uint32
 	// refused are the members that have not stored the reservation, since it does not fit.
 	refused []string
 }
@@ -247,6 +250,7 @@
 		res, err := c.reserveOnce(ctx, members, &peerv1.Reserve{
 			Usage: u, Continues: continues, Group: groupKey(members), Budget: uint32(budget), PerEvent: uint32(perEvent),
 		})
+		res.NextRevision = u.GetRevision() + 1
 		if !errors.Is(err, ErrBudgetReserved) && !errors.Is(err, ErrOverBudget) {
 			return res, err
 		}
@@ -254,6 +258,7 @@
 		over := errors.Is(err, ErrOverBudget) || time.Since(began)+wait > conflictLimit
 		if over || !slices.Contains(res.Acknowledged, members[0].Name) {
 			u = c.withdraw(u, res.refused, members)
+			res.NextRevision = u.GetRevision()
 		}
 		if over {
 			return res, err
