Decode workspaces, their keys and quotas, and the bounds that go with them

Cause: deployments with workspaces are in force; their configuration names keys, priorities and quotas, which the edge doesn't know. Change: platform/ decodes them into routing.Config.Workspaces, whose keys are held as digests, and rejects a configuration with an ambiguous key, an empty or repeated name or a negative rate. ForwardHeader hides the key and names the workspace if it is told to. The messages for quotas and the workspace of a turn are declared. Nothing uses them yet.

--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -54,6 +54,7 @@
 	// system prepends the earlier turns.
 	KeepsHistory bool
 	Retention    time.Duration // how long a turn can be continued
+	Public       bool          // requests need no key of a workspace
 }
 
 // Idempotent reports whether a request of the route may run more than once.
@@ -68,6 +69,9 @@
 	TokensPerEvent int // tokens per event of a stream, for accounting; 0: not a model service
 	// ReportsState is set if the upstreams describe their state when asked.
 	ReportsState bool
+	// CacheTokens is the memory of one upstream for running requests and cached prompts, in
+	// tokens; 0: unknown.
+	CacheTokens int
 }
 
 // Limits bounds the requests of callers.
@@ -84,17 +88,22 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Workspaces is empty in a deployment whose requests carry no keys.
+	Workspaces []Workspace
 }
 
 // Table is an immutable index of the routes of one configuration.
 type Table struct {
 	cfg    Config
 	byHost map[string][]*Route // longest prefix first
+	byKey  map[KeyDigest]*Workspace
+	byName map[string]*Workspace
 }
 
 // NewTable indexes a configuration.
 func NewTable(cfg Config) *Table {
 	t := &Table{cfg: cfg, byHost: make(map[string][]*Route)}
+	t.indexWorkspaces()
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
 		host := strings.ToLower(r.Host)
