Log and export the steps of an edge's start

Cause: after a power loss of everything a third of the requests end late, and nothing tells what the first answer waited for. Change: the first end of each step (listening, configuration, deployment, first quorum, first history, first event, first durable turn) is logged and exported.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -74,6 +74,7 @@
 	times     *routeTimes
 	load      *load
 	admission *admission
+	startup   *startup
 
 	mu    sync.Mutex // guards fleet
 	fleet *fleet.Fleet
@@ -114,9 +115,11 @@
 		inFlight:      newInFlight(),
 		load:          newLoad(),
 		admission:     newAdmission(),
+		startup:       newStartup(time.Now(), logger),
 		suspendedTime: suspend.New().Total,
 	}
 	e.metrics.transit(e.transit)
+	e.startup.export(e.metrics)
 	e.metrics.limitedUpstreams(e.limitedCount)
 	e.load.export(e.metrics, func() float64 { return float64(e.inFlight.count()) }, func() float64 { return float64(e.admission.limit()) })
 	e.fleet.SetLeavingGrace(settings.DrainTime / leavingTimeDivisor)
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -87,6 +87,7 @@
 			}
 		})
 	}
+	e.startup.end(stepListening)
 	e.logger.Info("started", "node", e.settings.Node, "callers", e.settings.CallerListen, "failure_domain", e.settings.FailureDomain)
 	select {
 	case <-stop.Done():
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -270,6 +270,7 @@
 	c.headSent = true
 	c.binding.Begin()
 	c.e.metrics.firstEvent(time.Since(c.began))
+	c.e.startup.end(stepFirstEvent)
 }
 
 // event relays one event. It skips events that the caller already has, from an
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -189,6 +189,9 @@
 	}
 	t.origin = res.Origin
 	c.budgetUse = ledger.UseOf(res.Records, u.GetAttempt())
+	if err == nil {
+		c.e.startup.end(stepFirstQuorum)
+	}
 	return err
 }
 
@@ -206,6 +209,7 @@
 	if err != nil {
 		return err
 	}
+	t.c.e.startup.end(stepFirstHistory)
 	t.earlier = chain
 	size := len(t.input)
 	for _, r := range chain {
@@ -368,6 +372,7 @@
 		}
 		t.durability = durabilityYes
 		t.settled = true
+		c.e.startup.end(stepFirstDurable)
 	case <-c.r.Context().Done():
 	}
 	t.commitDuration = time.Since(began)
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -104,7 +104,10 @@
 	nodes := v.nodesLoaded
 	v.mu.Unlock()
 	if nodes && v.ready() {
-		v.loadedOnce.Do(func() { close(v.loaded) })
+		v.loadedOnce.Do(func() {
+			close(v.loaded)
+			v.e.startup.end(stepDeployment)
+		})
 	}
 }
 
@@ -242,6 +245,7 @@
 	v.config = spec
 	v.recordChange(platform.KindConfig, platform.ConfigName)
 	v.table.Store(routing.NewTable(cfg))
+	v.e.startup.end(stepConfiguration)
 	v.e.logger.Info("configuration in force", "version", cfg.Version, "routes", len(cfg.Routes), "source", source)
 }
 
