Accept peers before the ledger is read, and read it with fewer copies

Cause: after a power loss of everything the edges are up 0.1 to 0.3 s before the storage processes listen, since these read their ledgers first (10 MB, 33,000 records). An edge that is refused tries again after 50, 100, 200 and 400 ms. Change: a storage process listens first and lets requests wait until its ledger is read; the reader uses one buffer for all records and reads 256 KB at a time; the number of records is counted, not collected, for the log line.

--- a/pkg/ledger/log.go
+++ b/pkg/ledger/log.go
@@ -145,9 +145,10 @@
 	}
 	defer f.Close()
 	file := &diskReader{file: f}
-	r := bufio.NewReader(file)
+	r := bufio.NewReaderSize(file, readBufferBytes)
+	var buf []byte // of the last record; decoding copies what it keeps
 	for ; ; n++ {
-		rec, recordSize, err := readRecord(r)
+		rec, recordSize, err := readRecord(r, &buf)
 		if err == io.EOF {
 			return n, size, file.err, nil
 		}
@@ -159,23 +160,32 @@
 	}
 }
 
+// readBufferBytes is the size of one read of a file. At the start each call of the operating
+// system delays the first request.
+const readBufferBytes = 256 << 10
+
 // readRecord returns the next record and its size in the file. The error is io.EOF at
-// the end of the file.
-func readRecord(r io.Reader) (*peerv1.LedgerRecord, int, error) {
-	var header [frameHeaderBytes]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
+// the end of the file. It keeps a buffer in buf for the next call.
+func readRecord(r *bufio.Reader, buf *[]byte) (*peerv1.LedgerRecord, int, error) {
+	header, err := r.Peek(frameHeaderBytes)
+	if err != nil {
+		if err == io.EOF && len(header) > 0 {
+			err = io.ErrUnexpectedEOF
+		}
 		return nil, 0, err
 	}
-	size := binary.LittleEndian.Uint32(header[:4])
+	size, sum := binary.LittleEndian.Uint32(header[:4]), binary.LittleEndian.Uint32(header[4:])
 	if size > maxRecordBytes {
 		return nil, 0, errors.Errorf("record of %d bytes exceeds the limit", size)
 	}
-	data := make([]byte, size)
+	_, _ = r.Discard(frameHeaderBytes) // was peeked
+	*buf = slices.Grow((*buf)[:0], int(size))[:size]
+	data := *buf
 	if _, err := io.ReadFull(r, data); err != nil {
 		return nil, 0, errors.Wrap(err, "incomplete record")
 	}
 	// A range of zero bytes must not be decoded as an empty record.
-	if size == 0 || crc32.Checksum(data, crcTable) != binary.LittleEndian.Uint32(header[4:]) {
+	if size == 0 || crc32.Checksum(data, crcTable) != sum {
 		return nil, 0, errors.New("checksum mismatch")
 	}
 	rec := &peerv1.LedgerRecord{}
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -311,6 +311,15 @@
 	return m
 }
 
+// count returns the number of records.
+func (s *State) count() int {
+	n := len(s.turns)
+	for _, p := range s.programs {
+		n += len(p.usage)
+	}
+	return n
+}
+
 // Records returns all usage records, all turns or both. The record that marks a
 // complete log is not included.
 func (s *State) Records(part peerv1.Pull_Part) []*peerv1.LedgerRecord {
--- a/pkg/ledger/store.go
+++ b/pkg/ledger/store.go
@@ -406,6 +406,13 @@
 	return s.state.lackedTurn(id)
 }
 
+// Count returns the number of records.
+func (s *Store) Count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.count()
+}
+
 // Records returns all usage records, all turns or both.
 func (s *Store) Records(part peerv1.Pull_Part) []*peerv1.LedgerRecord {
 	s.mu.Lock()
--- a/pkg/storage/join.go
+++ b/pkg/storage/join.go
@@ -331,6 +331,6 @@
 		s.logger.Error("failed to mark the ledger as complete", "err", err)
 		return false
 	}
-	s.logger.Info("caught up", "records", len(s.ledger.Records(peerv1.Pull_ALL)))
+	s.logger.Info("caught up", "records", s.ledger.Count())
 	return true
 }
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -42,6 +42,8 @@
 	evidenceStore *evidenceStore
 	// snapshot is the deployment snapshot on disk when this process started.
 	snapshot *peerstate.Snapshot
+	// opened is closed once the ledger is read. Requests that come before wait for it.
+	opened chan struct{}
 }
 
 // New returns a storage process that uses the ledger in the data folder of the
@@ -53,21 +55,51 @@
 // NewOn returns a storage process whose ledger is on another file system, at the same
 // path. Its other files are on the disk of the machine.
 func NewOn(fs durable.FS, settings *platform.Settings, logger *slog.Logger) (*Storage, error) {
-	l, err := ledger.OpenStoreOn(fs, settings.DataDir, logger)
-	if err != nil {
+	s := &Storage{settings: settings, logger: logger, opened: make(chan struct{})}
+	if err := s.listen(); err != nil {
+		return nil, err
+	}
+	var err error
+	if s.ledger, err = ledger.OpenStoreOn(fs, settings.DataDir, logger); err != nil {
+		s.closeTransport()
 		return nil, err
 	}
 	removeTemporary(settings, logger)
-	s := &Storage{settings: settings, logger: logger, ledger: l, snapshot: loadSnapshot(settings, logger)}
+	s.snapshot = loadSnapshot(settings, logger)
 	s.store.Store(platform.NewStore(settings.StoreAddress))
 	s.members = newMembers(settings, logger)
 	s.retirement = &retirementHandler{s: s, transferred: make(map[uint64]bool)}
 	s.snapshotSaver = &snapshotSaver{snapshot: peerstate.NewSnapshot()}
 	s.evidenceStore = loadEvidence(settings, logger)
+	close(s.opened)
+	return s, nil
+}
+
+// listen accepts the connections of peers. It comes before the ledger is read: a peer that is
+// refused waits up to a second before it tries again, and after a power loss of all processes
+// the edges are up before the ledgers are read.
+func (s *Storage) listen() error {
+	var err error
 	s.transport, err = transport.New(transport.Config{
-		Listen: settings.PeerAddress(), Isolated: true, Logger: logger, Hello: s.hello,
+		Listen: s.settings.PeerAddress(), Isolated: true, Logger: s.logger, Hello: s.hello,
 	}, s.servePeer)
-	return s, err
+	if err != nil {
+		return err
+	}
+	if err := s.transport.Start(); err != nil {
+		return err
+	}
+	s.logger.Info("listening", "node", s.settings.Node, "address", s.settings.PeerAddress())
+	return nil
+}
+
+// closeTransport aborts the requests that are still under way after closeTimeout.
+func (s *Storage) closeTransport() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := s.transport.Close(ctx); err != nil {
+		s.logger.Warn("peer requests were aborted at shutdown", "err", err)
+	}
 }
 
 // removeTemporary removes what killed processes have left in the data folder. It is not
@@ -101,10 +133,7 @@
 
 // Run serves until stop is canceled.
 func (s *Storage) Run(stop context.Context) error {
-	if err := s.transport.Start(); err != nil {
-		return err
-	}
-	s.logger.Info("started", "node", s.settings.Node, "records", len(s.ledger.Records(peerv1.Pull_ALL)), "status", s.ledger.Status())
+	s.logger.Info("started", "node", s.settings.Node, "records", s.ledger.Count(), "status", s.ledger.Status())
 	writing, stopWriting := context.WithCancel(context.Background())
 	defer stopWriting()
 	var disk errgroup.Group
@@ -121,11 +150,7 @@
 	background(s.joinLedger)
 	err := g.Wait()
 	s.logger.Info("stopping")
-	closing, done := context.WithTimeout(context.Background(), closeTimeout)
-	defer done()
-	if closeErr := s.transport.Close(closing); closeErr != nil {
-		s.logger.Warn("peer requests were aborted at shutdown", "err", closeErr)
-	}
+	s.closeTransport()
 	stopWriting()
 	if diskErr := disk.Wait(); diskErr != nil {
 		return diskErr
@@ -134,6 +159,11 @@
 }
 
 func (s *Storage) servePeer(ctx context.Context, sess *transport.Session, st *transport.Stream, first *peerv1.Envelope) {
+	select {
+	case <-s.opened:
+	case <-ctx.Done():
+		return
+	}
 	server := ledger.Server{Store: s.ledger, Group: s.replicaGroup}
 	var err error
 	switch m := first.GetBody().(type) {
