Authenticate requests by the keys of workspaces, hide the keys, and use their priority

Cause: the configuration names workspaces and their keys, which no edge asks for; keys were forwarded to upstreams. Change: a request on a route that is not public needs a key of the table in force (401 otherwise), also before each attempt and right before it is written. An upstream is told the name of the workspace and never the key. The priority of a workspace replaces that of the route. Log lines name keys by a salted digest.

--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -17,11 +17,16 @@
 func (c *call) request(m *fleet.Member, lastEvent string) *upstream.Request {
 	h := platform.ForwardHeader(c.r.Header, platform.ForwardOptions{
 		UpstreamID: m.ID, Priority: c.urgency(), LastEventID: lastEvent,
+		HideKey: c.hideKey, Workspace: c.workspaceName(),
 	})
-	return &upstream.Request{
+	req := &upstream.Request{
 		Address: m.Address, MaxConnections: c.connectionLimit(), ID: c.req.ID,
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body, Run: c.expectedRun(m),
 	}
+	if c.hideKey {
+		req.BeforeWrite = c.mayWrite
+	}
+	return req
 }
 
 // send sends the request to a member and reads the response header.
@@ -97,7 +102,9 @@
 
 // endBeforeAttempt ends a request that must not be passed on, or not again. It reports
 // whether it did.
-func (c *call) endBeforeAttempt() bool { return c.endAtStop() || c.refuseQuarantined() }
+func (c *call) endBeforeAttempt() bool {
+	return c.endAtStop() || c.refuseKey(c.recheckKey()) || c.refuseQuarantined()
+}
 
 // recordEnd records the end of an attempt and returns the next action.
 func (c *call) recordEnd(m *fleet.Member, o attempt.Outcome, resp *upstream.Response, err error) attempt.Action {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -74,6 +74,8 @@
 	times     *routeTimes
 	load      *load
 	admission *admission
+	// keyDigests makes the digests by which log lines name keys.
+	keyDigests keyDigests
 
 	mu    sync.Mutex // guards fleet
 	fleet *fleet.Fleet
@@ -114,6 +116,7 @@
 		inFlight:      newInFlight(),
 		load:          newLoad(),
 		admission:     newAdmission(),
+		keyDigests:    newKeyDigests(),
 		suspendedTime: suspend.New().Total,
 	}
 	e.metrics.transit(e.transit)
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -32,15 +32,22 @@
 
 // call is the state of one caller's request.
 type call struct {
-	e       *Edge
-	w       http.ResponseWriter
-	r       *http.Request
-	conn    *callerConn // nil in tests that call the handler directly
-	req     platform.Request
-	route   *routing.Route
-	table   *routing.Table
-	service string
-	body    []byte
+	e     *Edge
+	w     http.ResponseWriter
+	r     *http.Request
+	conn  *callerConn // nil in tests that call the handler directly
+	req   platform.Request
+	route *routing.Route
+	table *routing.Table
+	// workspace is the workspace whose key the request carries; nil: none is needed.
+	workspace *routing.Workspace
+	// checked is the table against which the key was checked last; nil: none was needed yet.
+	checked *routing.Table
+	// hideKey is set once a table with workspaces applied to the request.
+	hideKey    bool
+	keyRefused bool // the answer is a refusal of the key
+	service    string
+	body       []byte
 	// responseHold accounts for the memory of a response, or a part of one, that was
 	// read and not yet delivered; nil: none.
 	responseHold *membudget.Reservation
@@ -100,6 +107,9 @@
 		c.refuse(http.StatusNotFound, 0, "no route")
 		return
 	}
+	if c.refuseKey(c.checkKey(c.table)) {
+		return
+	}
 	c.deadline = c.began.Add(c.timeout())
 	c.setDeliveryDeadline(c.deadline)
 	// Memory is accounted for by connection, not by address: all callers may come
@@ -166,6 +176,12 @@
 	if c.route != nil {
 		args = append(args, "route", c.route.Name, "config", c.table.Version())
 	}
+	if c.workspace != nil {
+		args = append(args, "workspace", c.workspace.Name)
+	}
+	if c.keyRefused {
+		args = append(args, "key", c.e.keyDigests.text(c.req.Key))
+	}
 	if c.req.Program != "" {
 		args = append(args, "program", c.req.Program)
 	}
--- a/pkg/edge/lease.go
+++ b/pkg/edge/lease.go
@@ -76,9 +76,12 @@
 
 // passOn records that the turn is about to be written to an upstream, without waiting for the
 // storage processes: its reservation counts from then on until it is settled. It fails if the
-// reservation may no longer count.
+// reservation may no longer count, or the key of the request.
 func (t *turn) passOn() error {
 	c := t.c
+	if err := c.mayWrite(); err != nil {
+		return err
+	}
 	if !t.reserved || c.passedOn {
 		return nil
 	}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -24,6 +24,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`yucca_edge_request_seconds{kind=%q}`, kind)).Update(took.Seconds())
 }
 
+// keyRefused counts a request that was not passed on because of its key, by reason.
+func (m *metrics) keyRefused(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_keys_refused_total{reason=%q}`, reason)).Inc()
+}
+
 // attempt counts an attempt at an upstream by its outcome.
 func (m *metrics) attempt(outcome string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_attempts_total{outcome=%q}`, outcome)).Inc()
--- a/pkg/edge/placement.go
+++ b/pkg/edge/placement.go
@@ -108,7 +108,7 @@
 // program comes from a turn that was served.
 func (c *call) turnState() turnState {
 	return turnState{
-		priority:       c.route.Priority,
+		priority:       c.priority(),
 		programStarted: c.programStarted || c.route.Kind != routing.Stream && c.req.Program != "",
 		timeLeft:       c.req.ProgramTimeLeft - time.Since(c.began),
 		hasDeadline:    c.req.HasProgramTimeLeft,
@@ -129,7 +129,7 @@
 // rank returns the place of the request among others while upstreams of its service are
 // limited.
 func (c *call) rank() ratelimit.Rank {
-	rank := ratelimit.Rank(max(c.route.Priority, 0))
+	rank := ratelimit.Rank(max(c.priority(), 0))
 	if !c.turnState().programStarted {
 		rank += ratelimit.NewProgram
 	}
--- a/pkg/edge/plain.go
+++ b/pkg/edge/plain.go
@@ -29,6 +29,9 @@
 			return
 		}
 		resp, body, o, err := c.runAttempt(m)
+		if c.endUnwritten(m, err) {
+			return
+		}
 		if o != attempt.Answered && c.callerGone() {
 			c.cancelAttempt(m)
 			return
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -89,6 +89,9 @@
 			c.e.affinity.Add(key, m.ID)
 		}
 		resp, body, o, err := s.runAttempt(m)
+		if c.endUnwritten(m, err) {
+			return
+		}
 		if errors.Is(err, errCallerLeft) || o != attempt.Answered && c.callerGone() {
 			c.cancelAttempt(m)
 			return
--- a/pkg/edge/urgency.go
+++ b/pkg/edge/urgency.go
@@ -6,9 +6,8 @@
 const (
 	mostUrgent  = 1 // a program in progress on a route with the highest priority
 	leastUrgent = 9
-	// priorityStep separates the priorities of routes, so that a route of lower
-	// priority is never served before one of higher priority whose programs are in
-	// time.
+	// priorityStep separates the priorities, so that a request of lower priority is
+	// never served before one of higher priority whose program is in time.
 	priorityStep = 3
 	// firstTurnPenalty is added for a program that has not started: refusing it costs
 	// little, while a program in progress would lose its work.
@@ -20,7 +19,7 @@
 
 // turnState is what the urgency of a turn depends on.
 type turnState struct {
-	priority       int           // of the route; 0 is the highest
+	priority       int           // of the workspace or the route; 0 is the highest
 	programStarted bool          // an earlier turn of the program was served
 	timeLeft       time.Duration // until the program's deadline
 	hasDeadline    bool          // timeLeft is set
