--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -75,6 +75,8 @@
 	load      *load
 	admission *admission
 	startup   *startup
+	// keyDigests makes the digests by which log lines name keys.
+	keyDigests keyDigests
 
 	mu    sync.Mutex // guards fleet
 	fleet *fleet.Fleet
@@ -116,6 +118,7 @@
 		load:          newLoad(),
 		admission:     newAdmission(),
 		startup:       newStartup(time.Now(), logger),
+		keyDigests:    newKeyDigests(),
 		suspendedTime: suspend.New().Total,
 	}
 	e.metrics.transit(e.transit)
