Refuse requests with keys unless the configuration is known to be current

Cause: an edge that was stopped, suspended or cut off accepted a revoked key by what it knew (FailClosed). Checks come from the store's watch, from a feed, whose updates answer pings (an update that waited in a buffer is dated by the question and not by its arrival), or from a peer that is asked once a second while the others fail. The watch of another kind no longer vouches for the configuration. LastVerified keeps the monotonic reading. The decision is repeated right before an attempt is written. Nothing changes without FailClosed.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -125,6 +125,9 @@
 	e.fleet.SetLeavingGrace(settings.DrainTime / leavingTimeDivisor)
 	e.store.Store(platform.NewStore(settings.StoreAddress))
 	e.view = newView(e)
+	if e.view.keyLimit > 0 {
+		e.metrics.configAge(e.view.configAge)
+	}
 	var err error
 	if e.times, err = newRouteTimes(); err != nil {
 		return nil, err
--- a/pkg/edge/feed.go
+++ b/pkg/edge/feed.go
@@ -93,8 +93,8 @@
 }
 
 // serveFeed sends the complete state and then all changes, until this edge no longer
-// receives changes itself. insist admits a follower even if the limits are reached.
-func (v *view) serveFeed(ctx context.Context, session *transport.Session, st *transport.Stream, insist bool) error {
+// receives changes itself. A request that insists is admitted even if the limits are reached.
+func (v *view) serveFeed(ctx context.Context, session *transport.Session, st *transport.Stream, req *peerv1.FeedRequest) error {
 	send := func(u *peerv1.FeedUpdate) error {
 		if err := st.SetDeadline(time.Now().Add(peerstate.FeedTimeout)); err != nil {
 			return errors.Wrap(err, "set deadline")
@@ -103,16 +103,22 @@
 	}
 	id := session.Identity()
 	candidate := follower{address: id.Address, failureDomain: id.FailureDomain, region: id.Region}
-	if ok, alternatives := v.admitFollower(st, candidate, id.Role, insist); !ok {
+	if ok, alternatives := v.admitFollower(st, candidate, id.Role, req.GetInsist()); !ok {
 		return send(&peerv1.FeedUpdate{Full: true, FollowInstead: alternatives})
 	}
 	defer v.removeFollower(st)
 	cursor, complete := uint64(0), true
+	pings := receivePings(st, req.GetPing())
 	for {
+		// Before the content is read, which then holds all that the check has found.
+		ping, ago := pings.newest(), v.encodedAge()
 		u, next, changed, err := v.buildUpdate(cursor, complete)
 		if err != nil {
 			return err
 		}
+		if ping != 0 {
+			u.Echo, u.CheckedAgo = ping, ago
+		}
 		if err := send(u); err != nil {
 			return err
 		}
@@ -130,6 +136,9 @@
 		case <-changed:
 			timer.Reset(feedBatchDelay)
 			<-timer.C
+		case <-pings.arrived:
+		case <-pings.ended:
+			return nil
 		case <-timer.C:
 		}
 		timer.Stop()
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -40,6 +40,9 @@
 		},
 		WatchStore: v.watchStore,
 	}
+	if v.keyLimit > 0 {
+		f.Clock, f.OnChecked = v.sinceBoot, v.checked.Record
+	}
 	v.setRefresh(f.Restart)
 	f.Run(ctx)
 }
@@ -59,6 +62,9 @@
 		Store: v.e.store.Load, Logger: v.e.logger, Interval: checkInterval, CheckKind: platform.KindRetirements,
 		OnCheck: v.applyRetirements, StoreWasDown: unreachable,
 	}
+	if v.keyLimit > 0 {
+		group.Clock, group.OnChecked, group.CurrentKind = v.sinceBoot, v.checked.Record, platform.KindConfig
+	}
 	group.Add(platform.KindConfig, configHandler{v})
 	group.Add(platform.KindUpstreams, upstreamHandler{v})
 	group.Add(platform.KindNodes, nodeHandler{v})
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -29,6 +29,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_keys_refused_total{reason=%q}`, reason)).Inc()
 }
 
+// configAge exports the time since the configuration was last known to be current.
+func (m *metrics) configAge(age func() time.Duration) {
+	m.set.NewGauge(`yucca_edge_config_checked_ago_seconds`, func() float64 { return age().Seconds() })
+}
+
 // attempt counts an attempt at an upstream by its outcome.
 func (m *metrics) attempt(outcome string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_attempts_total{outcome=%q}`, outcome)).Inc()
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -20,11 +20,11 @@
 	case *peerv1.Envelope_LedgerRequest:
 		err = st.Send(&peerv1.Envelope{Body: &peerv1.Envelope_LedgerReply{LedgerReply: e.handleLedgerRequest(ctx, m.LedgerRequest)}})
 	case *peerv1.Envelope_StateRequest:
-		err = st.Send(&peerv1.Envelope{Body: &peerv1.Envelope_StateReply{StateReply: e.view.stateReply(m.StateRequest.GetBrief())}})
+		err = st.Send(&peerv1.Envelope{Body: &peerv1.Envelope_StateReply{StateReply: e.view.stateReply(m.StateRequest)}})
 	case *peerv1.Envelope_StateReply:
 		e.view.acceptOffer(m.StateReply, "peer "+s.Addr())
 	case *peerv1.Envelope_FeedRequest:
-		err = e.view.serveFeed(ctx, s, st, m.FeedRequest.GetInsist())
+		err = e.view.serveFeed(ctx, s, st, m.FeedRequest)
 	case *peerv1.Envelope_CrashReport:
 		err = st.Send(crashreport.Envelope(crashreport.HandleReport(e.suspects, m.CrashReport, s.Addr())))
 	case *peerv1.Envelope_LimitReport:
--- a/pkg/edge/status.go
+++ b/pkg/edge/status.go
@@ -36,6 +36,7 @@
 	Upstreams     []fleet.Health   `json:"upstreams"`
 	Suspects      []poison.Suspect `json:"suspects"` // requests that were in flight during a crash
 	Transit       membudget.Usage  `json:"transit"`  // memory of bodies in transit
+	Workspaces    WorkspaceStatus  `json:"workspaces"`
 	Limits        LimitStatus      `json:"limits"`
 }
 
@@ -60,6 +61,7 @@
 		s.Storage = append(s.Storage, m.Name)
 	}
 	e.view.feedStatus(&s, now)
+	s.Workspaces = e.workspaceStatus()
 	s.Limits = LimitStatus{Coordinator: e.limits.currentCoordinator(), Shares: make(map[string]float64)}
 	e.withFleet(func(f *fleet.Fleet) {
 		s.Upstreams = f.Health(now)
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -11,10 +11,12 @@
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
+	"github.com/yuccaspindle/yuccaspindle/pkg/freshness"
 	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
 	"github.com/yuccaspindle/yuccaspindle/pkg/peerstate"
 	"github.com/yuccaspindle/yuccaspindle/pkg/poison"
 	"github.com/yuccaspindle/yuccaspindle/pkg/routing"
+	"github.com/yuccaspindle/yuccaspindle/pkg/suspend"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
@@ -46,6 +48,7 @@
 	table atomic.Pointer[routing.Table]
 
 	memberReader *memberReader
+	currency
 
 	mu        sync.Mutex
 	config    []byte // as stored
@@ -84,6 +87,7 @@
 		lost: map[string]bool{platform.KindConfig: true, platform.KindUpstreams: true, platform.KindNodes: true},
 	}
 	v.memberReader = newMemberReader(v.listStorage)
+	v.currency = currency{keyLimit: freshness.Limit(e.settings.RevocationTime), sinceBoot: suspend.Now}
 	return v
 }
 
@@ -157,6 +161,9 @@
 	wg.Go(func() { v.register(ctx) })
 	wg.Go(func() { v.expireUpstreams(ctx) })
 	wg.Go(func() { v.pollPeers(ctx) })
+	if v.keyLimit > 0 {
+		wg.Go(func() { v.dateByPeers(ctx) })
+	}
 	wg.Wait()
 }
 
@@ -386,12 +393,16 @@
 }
 
 // stateReply returns this edge's state for a peer that cannot reach the store.
-func (v *view) stateReply(brief bool) *peerv1.StateReply {
+func (v *view) stateReply(req *peerv1.StateRequest) *peerv1.StateReply {
 	live := v.live()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if brief {
-		return &peerv1.StateReply{Configuration: v.config, Live: live}
+	if req.GetBrief() {
+		reply := &peerv1.StateReply{Configuration: v.config, Live: live, CheckedAgo: v.encodedAge()}
+		if t := v.table.Load(); t != nil && t.Version() == req.GetKnownVersion() {
+			reply.Configuration = nil
+		}
+		return reply
 	}
 	return &peerv1.StateReply{
 		Configuration: v.config, Upstreams: peerstate.StoredSpecs(v.upstreams), Nodes: peerstate.StoredObjects(v.nodeSpecs), Live: live,
--- a/pkg/edge/workspace.go
+++ b/pkg/edge/workspace.go
@@ -19,11 +19,12 @@
 	keyUnknown
 	keyRevoked // it was accepted before
 	keyMoved   // it belongs to another workspace than before
+	keyNotCurrent
 )
 
 // String returns the reason in logs and metrics.
 func (r keyResult) String() string {
-	return [...]string{"accepted", "no key", "unknown key", "key revoked", "key moved"}[r]
+	return [...]string{"accepted", "no key", "unknown key", "key revoked", "key moved", "configuration may be old"}[r]
 }
 
 // unwrittenError is the error of an attempt that was not written because of the key of its
@@ -44,6 +45,9 @@
 		c.checked = t
 		return keyAccepted
 	}
+	if !c.e.trustsKeys() {
+		return keyNotCurrent
+	}
 	w, ok := t.Workspace(c.req.Key)
 	switch {
 	case c.req.Key == "":
@@ -80,6 +84,9 @@
 	if t := c.e.view.table.Load(); t != c.checked {
 		return c.checkKey(t)
 	}
+	if c.workspace != nil && !c.e.trustsKeys() {
+		return keyNotCurrent
+	}
 	return keyAccepted
 }
 
@@ -119,7 +126,11 @@
 		c.fail(c.tracker.NoUpstreamLeft(), result.String())
 		return true
 	}
-	if result == keyMoved {
+	switch result {
+	case keyNotCurrent:
+		c.refuse(http.StatusServiceUnavailable, retryAfterUnready, result.String())
+		return true
+	case keyMoved:
 		// The repeated request is one of the other workspace.
 		c.refuse(http.StatusServiceUnavailable, retryAfterBusy, result.String())
 		return true
--- a/pkg/peerstate/feed.go
+++ b/pkg/peerstate/feed.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/freshness"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
@@ -34,6 +35,10 @@
 	feedDialTimeout = 500 * time.Millisecond
 )
 
+// ErrUndated ends the feed of an entry that does not answer pings: what it sends may have
+// waited in a buffer for any time.
+var ErrUndated = errors.New("the entry does not answer pings")
+
 // ErrNotWatching ends the feed of an entry that does not watch the store, or whose last
 // check of the store is too old.
 var ErrNotWatching = errors.New("the entry has no current watch of the store")
@@ -53,6 +58,8 @@
 type Update struct {
 	Age        time.Duration // time since the sender last verified that it had all changes
 	Hops       int           // number of entries between the sender and the store
+	echo       uint64        // number of the ping that the update answers
+	checkedAgo freshness.EncodedAge
 	HasContent bool
 	Complete   bool // the changes list all existing objects
 	// Grace is the remaining time after an outage of the store in which upstreams may not
@@ -77,6 +84,7 @@
 // decodeUpdate decodes and decompresses a message of a feed.
 func decodeUpdate(u *peerv1.FeedUpdate) (*Update, error) {
 	update := &Update{Age: time.Duration(u.GetAgeMs()) * time.Millisecond, Hops: int(u.GetHops())}
+	update.echo, update.checkedAgo = u.GetEcho(), freshness.EncodedAge(u.GetCheckedAgo())
 	if len(u.GetContent()) == 0 {
 		return update, nil
 	}
@@ -115,19 +123,21 @@
 
 // Follow receives the feed of the entry at an address and passes its updates to onUpdate.
 // It returns when the context ends, the feed is idle for too long, or the entry's state
-// is too old. With noRedirect set, the entry must serve the feed itself.
-func Follow(ctx context.Context, t *transport.Transport, address string, noRedirect bool, onUpdate func(*Update)) error {
+// is too old. With noRedirect set, the entry must serve the feed itself. The updates are dated
+// by d, unless it is nil.
+func Follow(ctx context.Context, t *transport.Transport, address string, noRedirect bool, d *Dating, onUpdate func(*Update)) error {
 	dialing, cancel := context.WithTimeout(ctx, feedDialTimeout)
 	defer cancel()
 	session, err := t.Dial(dialing, address)
 	if err != nil {
 		return err
 	}
-	st, err := session.Open(dialing, &peerv1.Envelope{Body: &peerv1.Envelope_FeedRequest{FeedRequest: &peerv1.FeedRequest{Insist: noRedirect}}})
+	st, err := session.Open(dialing, feedRequest(noRedirect, d.ask()))
 	if err != nil {
 		return err
 	}
 	defer st.Close()
+	defer d.end()
 	defer context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })()
 	until := time.Now().Add(FeedTimeout)
 	for {
@@ -152,7 +162,11 @@
 		if !u.GetWatching() || update.Age > maxFeedAge {
 			return errors.Wrapf(ErrNotWatching, "feed of %s, last check of the store %v ago", address, update.Age)
 		}
+		if d != nil && update.echo == 0 {
+			return errors.Wrapf(ErrUndated, "feed of %s", address)
+		}
 		onUpdate(update)
+		d.record(update, func(ping uint64) error { return st.Send(feedRequest(noRedirect, ping)) })
 		until = time.Now().Add(min(FeedIdleTimeout, maxFeedAge-update.Age+FeedInterval))
 	}
 }
--- a/pkg/peerstate/follower.go
+++ b/pkg/peerstate/follower.go
@@ -55,6 +55,11 @@
 	// WatchStore watches the store until the context ends; wasDown is set if the store was
 	// unavailable before.
 	WatchStore func(ctx context.Context, wasDown bool)
+	// Clock and OnChecked date the state: OnChecked receives the reading of Clock at or before
+	// the begin of the newest check of the store that the state has passed. Without them,
+	// the entries are not asked.
+	Clock     func() time.Duration
+	OnChecked func(began time.Duration)
 
 	mu         sync.Mutex
 	cancelFeed context.CancelCauseFunc // ends the current feed; nil without one
@@ -206,7 +211,7 @@
 	defer cancel(nil)
 	f.setCancelFeed(cancel)
 	defer f.setCancelFeed(nil)
-	err := Follow(ctx, f.Transport, address, noRedirect, func(u *Update) {
+	err := Follow(ctx, f.Transport, address, noRedirect, newDating(f.Clock, f.OnChecked), func(u *Update) {
 		f.OnUpdate(u, address)
 		if u.Complete {
 			f.Logger.Info("following", "peer", address, "hops", u.Hops+1)
--- a/pkg/peerstate/peerstate.go
+++ b/pkg/peerstate/peerstate.go
@@ -28,6 +28,12 @@
 	return len(reply.GetConfiguration()) > 0, err
 }
 
+// FetchCurrent requests the configuration from the entry at an address, unless it is the known
+// version, and when it was checked.
+func FetchCurrent(ctx context.Context, t *transport.Transport, address string, known uint64) (*peerv1.StateReply, error) {
+	return fetch(ctx, t, address, &peerv1.StateRequest{Brief: true, KnownVersion: known})
+}
+
 // Send sends a snapshot to the entry at an address.
 func Send(ctx context.Context, t *transport.Transport, address string, s *Snapshot) error {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
--- a/pkg/storewatch/group.go
+++ b/pkg/storewatch/group.go
@@ -29,11 +29,22 @@
 	// StoreWasDown is set if the store was unavailable before Run, see Handler.Listed.
 	StoreWasDown bool
 
-	lastVerified atomic.Int64 // start of the last check that found no missing change, Unix ns
-	lastFailed   atomic.Int64 // last check at which the store was unavailable, Unix ns; 0: none
+	// Clock and OnChecked report when the objects of CurrentKind were last known to be
+	// current: OnChecked receives the reading of Clock from before the check. Both may be
+	// nil.
+	Clock       func() time.Duration
+	OnChecked   func(began time.Duration)
+	CurrentKind string
+
+	// Both keep the reading of the monotonic clock, since the time of day may be set.
+	lastVerified atomic.Pointer[time.Time] // start of the last check that found no missing change
+	lastFailed   atomic.Pointer[time.Time] // last check at which the store was unavailable; nil: none
 	tracker      tracker
-	probeToken   chan struct{} // see Watcher
-	watchers     []*Watcher
+	// current records the revisions at which the objects of CurrentKind are known: those
+	// that their own watcher has reached, and those that are changes of other objects.
+	current    *tracker      // nil without OnChecked
+	probeToken chan struct{} // see Watcher
+	watchers   []*Watcher
 }
 
 // Add adds a watcher of a kind to the group. It must be called before Run.
@@ -43,10 +54,20 @@
 		g.probeToken <- struct{}{}
 	}
 	g.tracker.watchers++
-	g.watchers = append(g.watchers, &Watcher{
+	w := &Watcher{
 		Store: g.Store, Kind: kind, Handler: h, Logger: g.Logger,
 		tracker: &g.tracker, relist: make(chan struct{}, 1), probeToken: g.probeToken, storeDown: g.StoreWasDown,
-	})
+	}
+	if g.OnChecked != nil {
+		if g.current == nil {
+			g.current = new(tracker)
+		}
+		w.current = g.current
+		if kind == g.CurrentKind {
+			w.clock, w.onListed = g.Clock, g.OnChecked
+		}
+	}
+	g.watchers = append(g.watchers, w)
 }
 
 // Run runs the watchers until the context ends.
@@ -62,16 +83,23 @@
 // UnavailableWithin reports whether a check found the store unavailable within the last d.
 func (g *Group) UnavailableWithin(d time.Duration) bool {
 	lastFailed := g.lastFailed.Load()
-	return lastFailed != 0 && time.Since(time.Unix(0, lastFailed)) < d
+	return lastFailed != nil && time.Since(*lastFailed) < d
 }
 
 // LastVerified returns the start of the last check that found no missing change.
-func (g *Group) LastVerified() time.Time { return time.Unix(0, g.lastVerified.Load()) }
+// Before the first one it returns the zero time.
+func (g *Group) LastVerified() time.Time {
+	if t := g.lastVerified.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
 
 func (g *Group) runChecks(ctx context.Context) {
 	t := time.NewTicker(g.Interval)
 	defer t.Stop()
-	g.lastVerified.Store(time.Now().UnixNano()) // the initial listing counts as a check
+	started := time.Now()
+	g.lastVerified.Store(&started) // the initial listing counts as a check
 	for {
 		select {
 		case <-ctx.Done():
@@ -81,26 +109,32 @@
 		if len(g.probeToken) == 0 {
 			continue // the store is unavailable, and a watcher probes it
 		}
-		began := time.Now()
+		began, reading := time.Now(), time.Duration(0)
+		if g.OnChecked != nil {
+			reading = g.Clock()
+		}
 		objects, revision, err := g.Store().List(ctx, g.CheckKind)
 		if err != nil {
 			// The watchers report an unavailable store. A waiting watch may not detect the
 			// outage, see UnavailableWithin.
-			g.lastFailed.Store(time.Now().UnixNano())
+			failed := time.Now()
+			g.lastFailed.Store(&failed)
 			g.Logger.Debug("store check failed", "err", err)
 			continue
 		}
 		for _, o := range objects {
 			g.tracker.recordRevision(o.Revision)
+			g.current.recordRevision(o.Revision)
 		}
 		if g.OnCheck != nil {
 			g.OnCheck(objects)
 		}
-		if !g.tracker.complete(revision) {
+		if !g.tracker.complete(revision) || !g.current.complete(revision) {
 			sleep(ctx, maxEventLag)
 		}
 		if g.tracker.complete(revision) {
-			g.lastVerified.Store(began.UnixNano())
+			g.lastVerified.Store(&began)
+			g.reportCurrent(revision, reading)
 			continue
 		}
 		g.Logger.Info("changes not heard of, listing again", "revision", revision)
@@ -109,13 +143,36 @@
 	}
 }
 
+// reportCurrent reports that the objects of CurrentKind passed a check, or lists them again
+// if a change of theirs may be missing. A revision that another kind's watch has reached says
+// nothing about them: their own watch may be silent.
+func (g *Group) reportCurrent(revision uint64, reading time.Duration) {
+	if g.OnChecked == nil {
+		return
+	}
+	if g.current.complete(revision) {
+		g.OnChecked(reading)
+		return
+	}
+	for _, w := range g.watchers {
+		if w.onListed != nil {
+			g.Logger.Info("changes of a kind may be missing, listing it again", "kind", w.Kind, "revision", revision)
+			w.requestList()
+		}
+	}
+}
+
 // Relist makes all watchers list their kinds again.
 func (g *Group) Relist() {
 	for _, w := range g.watchers {
-		select {
-		case w.relist <- struct{}{}:
-		default: // the watcher is about to list its kind anyway
-		}
+		w.requestList()
+	}
+}
+
+func (w *Watcher) requestList() {
+	select {
+	case w.relist <- struct{}{}:
+	default: // the watcher is about to list its kind anyway
 	}
 }
 
@@ -128,8 +185,8 @@
 	firstLists map[*Watcher]uint64 // revision of the first listing
 }
 
-// recordList records the first listing of a watcher. Once all watchers have listed their
-// kinds, all revisions up to the oldest of these listings are known.
+// recordList records the first listing that a watcher has passed on to its handler. Once all
+// watchers have listed their kinds, all revisions up to the oldest of these listings are known.
 func (t *tracker) recordList(w *Watcher, revision uint64) {
 	if t == nil {
 		return
@@ -153,7 +210,8 @@
 	t.advance(oldest)
 }
 
-// recordRevision records that a watcher has received a revision.
+// recordRevision records that a watcher has received a revision and passed its change on to
+// its handler.
 func (t *tracker) recordRevision(revision uint64) {
 	if t == nil {
 		return
@@ -170,6 +228,9 @@
 
 // complete reports whether every revision up to the given one is known.
 func (t *tracker) complete(upTo uint64) bool {
+	if t == nil {
+		return true
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for t.knownUpTo < upTo && t.seen[t.knownUpTo+1] {
@@ -181,6 +242,9 @@
 
 // reset marks all revisions up to the given one as known.
 func (t *tracker) reset(knownUpTo uint64) {
+	if t == nil {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.advance(knownUpTo)
--- a/pkg/storewatch/storewatch.go
+++ b/pkg/storewatch/storewatch.go
@@ -46,7 +46,12 @@
 	// probeToken is a channel with one token. While the store is unavailable, only the
 	// watcher that has taken the token calls it, since refused calls are billed too.
 	probeToken chan struct{}
-	storeDown  bool // the store was unavailable before Run
+	storeDown  bool     // the store was unavailable before Run
+	current    *tracker // of the group; nil: none
+	// onListed, if set, receives the reading of clock from before each listing, once the
+	// handler has its objects.
+	clock    func() time.Duration
+	onListed func(began time.Duration)
 }
 
 // Run watches the kind until the context ends.
@@ -54,6 +59,10 @@
 	storeDown, hasToken := w.storeDown, false
 	pause := minRetryPause
 	for ctx.Err() == nil {
+		began := time.Duration(0)
+		if w.onListed != nil {
+			began = w.clock()
+		}
 		objects, revision, err := w.Store().List(ctx, w.Kind)
 		if err == nil {
 			if hasToken {
@@ -63,8 +72,9 @@
 			if storeDown {
 				w.Logger.Info("store regained", "kind", w.Kind, "revision", revision)
 			}
-			w.tracker.recordList(w, revision)
 			w.Handler.Listed(objects, storeDown)
+			w.tracker.recordList(w, revision)
+			w.recordCurrent(objects, revision, began)
 			storeDown, pause = false, minRetryPause
 			err = w.follow(ctx, revision)
 		}
@@ -93,6 +103,18 @@
 	}
 }
 
+// recordCurrent records a listing for the objects of the group's CurrentKind.
+func (w *Watcher) recordCurrent(objects []platform.Object, revision uint64, began time.Duration) {
+	if w.onListed != nil {
+		w.current.reset(revision)
+		w.onListed(began)
+		return
+	}
+	for _, o := range objects {
+		w.current.recordRevision(o.Revision)
+	}
+}
+
 // acquireProbe takes the token of the group and reports whether it had to wait for it.
 func (w *Watcher) acquireProbe(ctx context.Context) (waited bool) {
 	if w.probeToken == nil {
@@ -140,13 +162,19 @@
 			}
 			return err
 		}
+		if len(changes) > 0 {
+			w.Handler.Changed(changes)
+		}
 		for _, c := range changes {
 			w.tracker.recordRevision(c.Object.Revision)
+			w.current.recordRevision(c.Object.Revision)
 		}
 		w.tracker.recordRevision(next)
+		if w.onListed != nil {
+			w.current.reset(next)
+		}
 		revision = next
 		if len(changes) > 0 {
-			w.Handler.Changed(changes)
 			sleep(ctx, batchDelay)
 		}
 	}
