Let a turn continue only turns of its own workspace

Cause: histories were found by the id of the parent alone. Change: a turn is stored with its workspace; a conversation with a turn of another workspace does not exist for the request, from the memory of an edge, another edge or the ledger. Records without a workspace match any.

--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -203,6 +203,9 @@
 	chain, err := t.c.e.chain(ctx, t.c.req.ParentTurnID)
 	answered()
 	t.c.e.metrics.ledger(stepHistory, err, time.Since(began))
+	if err == nil {
+		err = t.c.checkHistory(chain)
+	}
 	if err != nil {
 		return err
 	}
@@ -325,7 +328,7 @@
 	}
 	rec := &peerv1.TurnRecord{
 		Id: c.req.ID, Parent: c.req.ParentTurnID, Input: t.input, Output: t.output,
-		RetentionMs: uint32(c.route.Retention.Milliseconds()),
+		RetentionMs: uint32(c.route.Retention.Milliseconds()), Workspace: c.workspaceName(),
 	}
 	recs := []*peerv1.LedgerRecord{{Body: &peerv1.LedgerRecord_Turn{Turn: rec}}}
 	if t.reserved {
