--- a/cmd/yuccaspindled/status.go
+++ b/cmd/yuccaspindled/status.go
@@ -66,6 +66,7 @@
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(tw, "node\t%s in %s, draining %v\n", s.Node, s.FailureDomain, s.Draining)
 	fmt.Fprintf(tw, "configuration\t%d, %s\n", s.Configuration, source)
+	writeWorkspaces(tw, s.Workspaces)
 	fmt.Fprintf(tw, "feeds\t%d %v\n", len(s.Followers), s.Followers)
 	fmt.Fprintf(tw, "entries\t%d\nstorage\t%v\n", s.Edges, s.Storage)
 	fmt.Fprintf(tw, "in transit\t%d of %d bytes, %d times refused\n\n", s.Transit.Used, s.Transit.Limit, s.Transit.Refused)
@@ -85,6 +86,21 @@
 	return errors.Wrap(tw.Flush(), "write status")
 }
 
+// writeWorkspaces writes whether requests with keys are accepted.
+func writeWorkspaces(w io.Writer, s edge.WorkspaceStatus) {
+	if s.Known == 0 {
+		return
+	}
+	keys := "keys accepted"
+	if !s.AcceptsKeys {
+		keys = "keys refused"
+	}
+	if s.Limit > 0 {
+		keys += fmt.Sprintf(", configuration checked %v ago, refused from %v on", s.CheckedAgo.Round(time.Millisecond), s.Limit)
+	}
+	fmt.Fprintf(w, "workspaces\t%d, %s\n", s.Known, keys)
+}
+
 // writeLimits writes which part of the rate limits the entry may use.
 func writeLimits(w io.Writer, l edge.LimitStatus) {
 	if l.Known == 0 {
--- a/pkg/edge/workspacefresh.go
+++ b/pkg/edge/workspacefresh.go
@@ -70,7 +70,7 @@
 			return
 		case <-time.After(dateInterval/2 + rand.N(dateInterval)):
 		}
-		if v.table.Load() == nil || v.checked.Within(v.keyLimit/2, v.sinceBoot()) {
+		if t := v.table.Load(); t == nil || !t.HasWorkspaces() || v.checked.Within(v.keyLimit/2, v.sinceBoot()) {
 			continue
 		}
 		for _, address := range v.peers() {
--- a/pkg/edge/workspacefresh_test.go
+++ b/pkg/edge/workspacefresh_test.go
@@ -145,6 +145,9 @@
 	p := d.failClosed("127.0.0.1", &jumped)
 	p.ready(t, 1, 0)
 	eventually(t, "the configuration was not checked", p.edge.trustsKeys)
+	if jumped.Load() != 0 {
+		t.Fatal("the upstream was asked before the request")
+	}
 	if a := p.call(t, "POST", "/resumable/1", "in", withKey(northKey)); a.status != 503 || r.count() != 0 || jumped.Load() == 0 {
 		t.Errorf("%+v, ran %d times", a, r.count())
 	}
