Decode load reports with a pace; ignore and count malformed ones

Cause: a Server-Load header with four figures was ignored as a whole, and a malformed one counted as an idle upstream. Change: platform.Load.Pace; a report that is malformed, implausible or of another run is ignored by itself, with the reason in a metric. Reports with a pace are not used for the cost yet.

--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -38,6 +38,7 @@
 		c.e.markLeaving(m, c.req.ID)
 	}
 	c.recordLimit(m, resp.RateLimit)
+	c.ignoreLoad(m, resp.MalformedLoad)
 	return resp, nil
 }
 
@@ -106,7 +107,7 @@
 	c.e.withFleet(func(f *fleet.Fleet) {
 		if resp != nil {
 			status = resp.Status
-			if l := resp.Load; l != nil {
+			if l := resp.Load; l != nil && l.Pace == 0 {
 				f.RecordLoad(m, fleet.Load{Running: l.Running, Waiting: l.Waiting, Slots: l.Slots}, now)
 			}
 		}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -85,6 +85,11 @@
 	m.set.NewGauge(`yucca_edge_limited_upstreams`, count)
 }
 
+// loadIgnored counts a load report that was ignored, by reason.
+func (m *metrics) loadIgnored(why string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_load_reports_ignored_total{why=%q}`, why)).Inc()
+}
+
 // undelivered counts reports of findings that could not be sent to a process.
 func (m *metrics) undelivered() { m.set.GetOrCreateCounter(`yucca_edge_suspects_untold_total`).Inc() }
 
