Expected time to finish as the score of services that report a pace

Cause: the cost of an upstream is a sum of counts and constants, which moves work away from the upstream that holds a conversation's prefix. Change: named filters, a score in ms, estimates learnt from this edge's own measurements, a cache estimate, sampling against herds, a home for conversations. Today's cost is unchanged for other services. Not wired yet. Result: go test ./pkg/fleet passes.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -40,6 +40,8 @@
 // Load is the load that an upstream reported with a response.
 type Load struct {
 	Running, Waiting, Slots int
+	// Pace is how long work takes there now, relative to the usual time; 0: not given.
+	Pace float64
 }
 
 const (
@@ -89,6 +91,9 @@
 	// replacedUnixMs is the start of the run that the registration still names although
 	// this one has replaced it; 0: the registration names this run.
 	replacedUnixMs int64
+
+	distance float64   // round trip, ms
+	est      *estimate // nil: no pace was reported, and nothing was sent since others reported one
 }
 
 // InFlight returns the number of running attempts of this process.
@@ -113,6 +118,10 @@
 	leavingGrace time.Duration
 	limits       *ratelimit.Book
 	gates        map[string]*ratelimit.Gate // by service
+	start        time.Time
+	models       map[string]*model // by service; those that report a pace
+	prefixes     *prefixCache
+	hashes       map[string][]uint64 // of the ids of byService
 }
 
 // New returns an empty fleet for a process in the given failure domain that starts at
@@ -125,6 +134,10 @@
 		leavingRuns: make(leavingRuns),
 		limits:      ratelimit.NewBook(start),
 		gates:       make(map[string]*ratelimit.Gate),
+		start:       start,
+		models:      make(map[string]*model),
+		prefixes:    newPrefixCache(maxCachedParts),
+		hashes:      make(map[string][]uint64),
 	}
 }
 
@@ -155,6 +168,7 @@
 	m.Service, m.FailureDomain, m.Slots = u.Service, u.FailureDomain, u.Slots
 	m.State, m.WarmupRemaining = u.State, u.WarmupRemaining
 	m.missing = false
+	m.distance = f.distanceTo(m.FailureDomain)
 	if f.members[u.ID] == nil {
 		f.add(m)
 	}
@@ -215,14 +229,20 @@
 	list := f.byService[m.Service]
 	i, _ := slices.BinarySearchFunc(list, m.ID, compareID)
 	f.byService[m.Service] = slices.Insert(list, i, m)
+	f.addHash(m, i)
 }
 
 // drop removes a member from both indexes.
 func (f *Fleet) drop(m *Member) {
 	delete(f.members, m.ID)
+	if m.est != nil && m.est.reports {
+		f.models[m.Service].reporting--
+	}
+	m.est = nil
 	list := f.byService[m.Service]
 	if i, ok := slices.BinarySearchFunc(list, m.ID, compareID); ok {
 		f.byService[m.Service] = slices.Delete(list, i, i+1)
+		f.dropHash(m, i)
 	}
 }
 
@@ -248,14 +268,20 @@
 func (f *Fleet) RecordEnd(m *Member) { m.inFlight-- }
 
 // RecordLoad records the load reported with a response. It must be called before
-// RecordEnd of the same attempt, which the reported load includes.
-func (f *Fleet) RecordLoad(m *Member, l Load, now time.Time) {
+// RecordEnd of the same attempt, which the reported load includes. It returns false if it
+// ignores the report because the member can't have that load.
+func (f *Fleet) RecordLoad(m *Member, l Load, now time.Time) bool {
+	if !plausible(m, l) {
+		return false
+	}
 	if l.Slots > 0 {
 		m.Slots = l.Slots
 	}
 	m.otherRequests = max(0, float64(l.Running+l.Waiting-m.inFlight))
 	m.waiting = float64(l.Waiting)
 	m.loadReportedAt = now
+	f.recordReport(m, l, now)
+	return true
 }
 
 // RecordSuccess records an attempt with a complete response.
--- a/pkg/fleet/limit.go
+++ b/pkg/fleet/limit.go
@@ -115,7 +115,7 @@
 	var s supply
 	next := time.Duration(math.MaxInt64)
 	for _, m := range f.byService[r.Service] {
-		if !f.candidate(m, r, now) {
+		if !f.candidate(m, &r, now) {
 			continue
 		}
 		s.add(f, m, now)
--- /dev/null
+++ b/pkg/fleet/model.go
@@ -0,0 +1,164 @@
+package fleet
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minSamples is the number of measurements from which on an estimate is used.
+	minSamples = 8
+	// modelWeight is the weight of the newest measurement of a service: an estimate follows
+	// about the last hundred.
+	modelWeight = 0.01
+	// regressionWeight is that of the relation between prompt and time, which has more noise.
+	regressionWeight = 0.004
+	// maxOutlier times the estimate is the largest value that a measurement counts as. A
+	// stopped process would otherwise count for a hundred others.
+	maxOutlier = 6.0
+	// minSpread is the standard deviation of the prompt lengths, relative to their mean,
+	// from which on the time of a prompt token can be told from the constant part.
+	minSpread = 0.15
+)
+
+// average is a moving average, exact for the first values.
+type average struct{ value, n float64 }
+
+func (a *average) add(x, weight float64) {
+	a.n++
+	a.value += max(1/a.n, weight) * (x - a.value)
+}
+
+// addBounded adds a measurement; one beyond maxOutlier times the average counts as that.
+func (a *average) addBounded(x, weight float64) {
+	if a.n >= minSamples {
+		x = min(x, maxOutlier*a.value)
+	}
+	a.add(x, weight)
+}
+
+func (a *average) known() bool { return a.n >= minSamples }
+
+// line is a moving linear regression of y on x.
+type line struct{ x, y, xx, xy average }
+
+func (l *line) add(x, y float64) {
+	if l.y.known() {
+		y = min(y, maxOutlier*max(l.at(x), l.y.value))
+	}
+	l.x.add(x, regressionWeight)
+	l.y.add(y, regressionWeight)
+	l.xx.add(x*x, regressionWeight)
+	l.xy.add(x*y, regressionWeight)
+}
+
+// slope returns the increase of y with x. If all x are about equal, it cannot be told from
+// the constant part: half of the proportion is assumed.
+func (l *line) slope() float64 {
+	if l.x.value <= 0 {
+		return 0
+	}
+	proportion := l.y.value / l.x.value
+	variance := l.xx.value - l.x.value*l.x.value
+	if variance < minSpread*minSpread*l.x.value*l.x.value {
+		return proportion / 2
+	}
+	slope := (l.xy.value - l.x.value*l.y.value) / variance
+	return min(max(slope, 0), proportion)
+}
+
+// at returns the y to expect at x.
+func (l *line) at(x float64) float64 { return max(l.y.value+l.slope()*(x-l.x.value), 0) }
+
+// model is what this process has learnt about the work of one service from its own
+// measurements, over all its upstreams. Times are in ms at the usual pace.
+type model struct {
+	reporting int // members whose last report had a pace
+
+	first    line    // time to the first event without its tokens, over tokens to read
+	step     average // time of a generated token
+	duration average // of a whole request
+	output   average // tokens generated for a request
+	read     average // prompt tokens of a request that were not cached
+	size     average // prompt and output tokens of a request
+
+	others   average // requests of other processes at a report, per slot
+	ownShare average // requests of this process among all at a report
+
+	roaming average // later turns of conversations that this process does not know
+
+	readTime float64 // per prompt token, from first
+}
+
+// knows reports whether there are enough measurements to estimate the time of a request.
+func (md *model) knows(r *Request) bool {
+	if r.PromptTokens == 0 {
+		return md.duration.known()
+	}
+	return md.first.y.known() && md.step.known()
+}
+
+// output returns the tokens that a request probably generates.
+func (md *model) outputTokens(r *Request) float64 {
+	if r.OutputTokens > 0 {
+		return float64(r.OutputTokens)
+	}
+	return md.output.value
+}
+
+// timeModel returns the model of a request's service, or nil if today's cost is in force:
+// no upstream reports a pace, or too little has been measured yet.
+func (f *Fleet) timeModel(r *Request) *model {
+	md := f.models[r.Service]
+	if md == nil || md.reporting == 0 || !md.knows(r) {
+		return nil
+	}
+	return md
+}
+
+// ReportsPace reports whether upstreams of a service report a pace.
+func (f *Fleet) ReportsPace(service string) bool {
+	md := f.models[service]
+	return md != nil && md.reporting > 0
+}
+
+// recordReport records what a load report says about the pace of a member.
+func (f *Fleet) recordReport(m *Member, l Load, now time.Time) {
+	if l.Pace == 0 && m.est == nil || f.members[m.ID] != m {
+		return
+	}
+	md := f.models[m.Service]
+	if md == nil {
+		md = &model{}
+		f.models[m.Service] = md
+	}
+	e := f.estimate(m)
+	if was := e.reports; was != (l.Pace > 0) {
+		e.reports = !was
+		if was {
+			md.reporting--
+		} else {
+			md.reporting++
+		}
+	}
+	if l.Pace == 0 {
+		return
+	}
+	e.pace.report(l.Pace, now)
+	slots := float64(max(m.Slots, 1))
+	md.others.add(min(m.otherRequests, maxQueueFactor*slots)/slots, modelWeight)
+	// The request that the report came with is no random one: it is left out.
+	if all := l.Running + l.Waiting - 1; all > 0 {
+		md.ownShare.add(min(max(float64(m.inFlight-1)/float64(all), 0), 1), modelWeight)
+	}
+}
+
+// maxQueueFactor times its slots is the number of requests that a member is believed to
+// have at most: its slots and a queue of three times as many.
+const maxQueueFactor = 4.0
+
+// plausible reports whether a report with a pace may be of the member: its slots do not
+// change by more than maxQueueFactor.
+func plausible(m *Member, l Load) bool {
+	return l.Pace == 0 || m.Slots <= 0 || float64(l.Slots) <= maxQueueFactor*float64(m.Slots) && l.Pace > 0 && !math.IsInf(l.Pace, 0)
+}
--- a/pkg/fleet/pick.go
+++ b/pkg/fleet/pick.go
@@ -5,9 +5,20 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/yuccaspindle/yuccaspindle/pkg/ratelimit"
 )
 
+// Part is a part of a prompt.
+type Part struct {
+	Key    uint64 // PartKey of its id
+	Tokens int
+}
+
+// PartKey returns the key of the part with the id, the same in all processes.
+func PartKey(id string) uint64 { return xxhash.Sum64String(id) }
+
 // Request holds the properties of a request that affect the selection of a member.
 type Request struct {
 	Service string
@@ -27,9 +38,25 @@
 	TimeLeft time.Duration
 	// ServiceTime is the expected duration of the request at an idle member.
 	ServiceTime time.Duration
+
+	// What follows affects the choice only for services whose upstreams report a pace.
+
+	PromptTokens int    // 0: unknown, or not a request to a model
+	Prompt       []Part // leading parts of the prompt, in order
+	// OutputTokens is the expected number of generated tokens; 0: unknown.
+	OutputTokens int
+	EventTokens  int // tokens of one event of a stream
+	// CacheTokens is the memory of an upstream for running requests and cached prompts;
+	// 0: unknown.
+	CacheTokens int
+
+	LaterTurn bool // the conversation has earlier turns
+
+	home *Member // where other processes probably sent the conversation
 }
 
-// Components of the expected cost of a member, in ms.
+// Components of the expected cost of a member, in ms. Those of distance, failures and
+// warm-up are also part of the score of services that report a pace.
 const (
 	otherDomainCost = 1.0  // round trip between failure domains
 	otherRegionCost = 60.0 // round trip between regions, whose link has little bandwidth and is billed
@@ -47,56 +74,50 @@
 // its shutdown last, within the grace period, or else the suspended one whose
 // suspension ends first. A member with a rate limit is a candidate only while this
 // process has a permit for it.
-func (f *Fleet) Pick(r Request, now time.Time) *Member {
+func (f *Fleet) Pick(r Request, now time.Time) *Member { return f.Select(&r, now) }
+
+// Select is Pick for a request that is passed to StartWork afterwards, in which it notes
+// what it assumed.
+func (f *Fleet) Select(r *Request, now time.Time) *Member {
 	var offered supply
-	var best, leaving, fallback *Member
-	bestCost := math.Inf(1)
-	i := 0
-	for _, m := range f.byService[r.Service] {
-		if !f.candidate(m, r, now) {
-			continue
-		}
-		i++
-		if !offered.add(f, m, now) {
-			continue
-		}
-		if m.ShuttingDown() {
-			if f.leavingUsable(m, now) && !m.Suspended(now) && (leaving == nil || m.announcedAt().After(leaving.announcedAt())) {
-				leaving = m
-			}
-			continue
-		}
-		if m.Suspended(now) {
-			if fallback == nil || m.suspendedUntil.Before(fallback.suspendedUntil) {
-				fallback = m
-			}
-			continue
-		}
-		cost := f.cost(m, r, now) + jitterCost*tieBreak(r.Draw, i)
-		if cost < bestCost {
-			best, bestCost = m, cost
-		}
-	}
-	chosen := cmp.Or(best, leaving, fallback)
+	best, others := f.best(r, &offered, now)
+	chosen := cmp.Or(best, others.leaving, others.suspended)
 	if offered.limited {
 		f.limits.AddDemand()
 	}
-	if chosen == nil || !f.admit(r, offered, now) {
+	if chosen == nil || !f.admit(*r, offered, now) {
 		return nil
 	}
 	return chosen
 }
 
-// candidate reports whether a member may get a request, as far as its registration and
-// the request are concerned.
-func (f *Fleet) candidate(m *Member, r Request, now time.Time) bool {
-	if r.Bound && m.SoftwareVersion != r.Version {
-		return false
+// best returns the usable member with the lowest expected cost, nil if there is none, and
+// the last resorts.
+func (f *Fleet) best(r *Request, offered *supply, now time.Time) (*Member, lastResorts) {
+	if md := f.timeModel(r); md != nil {
+		if m := f.bestOfSample(md, r, now); m != nil {
+			return m, lastResorts{}
+		}
+		return f.bestByTime(md, r, offered, now)
 	}
-	if m.State != Ready && !(r.Continues && f.leavingUsable(m, now)) {
-		return false
+	var best *Member
+	var others lastResorts
+	bestCost := math.Inf(1)
+	i := 0
+	for _, m := range f.byService[r.Service] {
+		v := f.filter(m, r, offered, now)
+		if v != excluded {
+			i++
+		}
+		if v != usable {
+			others.add(f, m, v, now)
+			continue
+		}
+		if cost := f.cost(m, *r, now) + jitterCost*tieBreak(r.Draw, i); cost < bestCost {
+			best, bestCost = m, cost
+		}
 	}
-	return r.Excluded == nil || !r.Excluded(m.ID)
+	return best, others
 }
 
 // HasAlternative reports whether a request has a candidate that accepts attempts now.
@@ -106,7 +127,7 @@
 	limited, found, free := false, false, false
 	for _, m := range f.byService[r.Service] {
 		limited = limited || m.State == Ready && m.Limited()
-		if m.ShuttingDown() || m.Suspended(now) || !f.candidate(m, r, now) {
+		if m.ShuttingDown() || m.Suspended(now) || !f.candidate(m, &r, now) {
 			continue
 		}
 		if m.Limited() && f.limits.Permits(m.limit, now) == 0 {
--- a/pkg/fleet/run.go
+++ b/pkg/fleet/run.go
@@ -18,7 +18,7 @@
 		registered = m.replacedUnixMs
 	}
 	f.drop(m)
-	f.add(&Member{Upstream: u, replacedUnixMs: registered})
+	f.add(&Member{Upstream: u, replacedUnixMs: registered, distance: m.distance})
 	f.attachLimit(u.ID)
 	return m.EndedUpstream(), true
 }
--- a/pkg/fleet/version.go
+++ b/pkg/fleet/version.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -15,21 +14,7 @@
 // PreferredVersion returns the version of the member with the lowest expected cost of those
 // that accept attempts now. It returns false if there is none.
 func (f *Fleet) PreferredVersion(r Request, now time.Time) (string, bool) {
-	var best *Member
-	bestCost := math.Inf(1)
-	i := 0
-	for _, m := range f.byService[r.Service] {
-		if !f.candidate(m, r, now) {
-			continue
-		}
-		i++
-		if m.ShuttingDown() || m.Suspended(now) || m.Limited() && f.limits.Permits(m.limit, now) == 0 {
-			continue
-		}
-		if cost := f.cost(m, r, now) + jitterCost*tieBreak(r.Draw, i); cost < bestCost {
-			best, bestCost = m, cost
-		}
-	}
+	best, _ := f.best(&r, nil, now)
 	if best == nil {
 		return "", false
 	}
@@ -45,7 +30,7 @@
 	}
 	var last *Member
 	for _, m := range f.byService[r.Service] {
-		if f.candidate(m, r, now) && (last == nil || f.betterLastResort(m, last, now)) {
+		if f.candidate(m, &r, now) && (last == nil || f.betterLastResort(m, last, now)) {
 			last = m
 		}
 	}
