Place requests by their expected time where upstreams report a pace

Cause: counts move work away from the upstream that holds a conversation's prompt, and four-figure load reports were not used at all. Change: the edge describes prompts and output to the fleet, records reports with a pace when the response begins, and measures first events and ends. Measured pace before reported, delay to others, home of a conversation.

--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -27,6 +27,7 @@
 // send sends the request to a member and reads the response header.
 func (c *call) send(ctx context.Context, m *fleet.Member, req *upstream.Request) (*upstream.Response, error) {
 	resp, err := c.e.pool.Do(ctx, req)
+	c.writtenAt = req.WrittenAt()
 	c.checkBounds(m, req)
 	if other := (*upstream.OtherRunError)(nil); errors.As(err, &other) {
 		c.e.recordOtherRun(m, other.Got, c.req.ID)
@@ -38,7 +39,7 @@
 		c.e.markLeaving(m, c.req.ID)
 	}
 	c.recordLimit(m, resp.RateLimit)
-	c.ignoreLoad(m, resp.MalformedLoad)
+	c.recordPace(m, resp)
 	return resp, nil
 }
 
@@ -111,6 +112,7 @@
 				f.RecordLoad(m, fleet.Load{Running: l.Running, Waiting: l.Waiting, Slots: l.Slots}, now)
 			}
 		}
+		f.EndWork(&c.work, o == attempt.Answered && status < http.StatusBadRequest, c.writtenAt, now)
 		f.RecordEnd(m)
 		switch {
 		case o == attempt.Answered && status >= http.StatusInternalServerError:
@@ -157,6 +159,7 @@
 func (c *call) releaseAttempt(m *fleet.Member) {
 	leaving := false
 	c.e.withFleet(func(f *fleet.Fleet) {
+		f.EndWork(&c.work, false, c.writtenAt, time.Now())
 		f.RecordEnd(m)
 		leaving = m.ShuttingDown()
 	})
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/attempt"
+	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
 	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
 	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
 	"github.com/yuccaspindle/yuccaspindle/pkg/membudget"
@@ -57,6 +58,10 @@
 	// deadline was last adjusted.
 	suspendedBefore time.Duration
 	tracker         *attempt.Tracker
+	work            fleet.Work   // of the current attempt
+	parts           []fleet.Part // leading parts of the prompt; nil: none, or not computed yet
+	placed          placement    // what was expected of the current attempt
+	writtenAt       time.Time    // when its request was written; zero: it was not
 	triedUpstreams  map[string]bool
 	binding         origin.Binding   // of the stream to the version that began it
 	headSent        bool             // the response header was sent
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -85,6 +85,13 @@
 	m.set.NewGauge(`yucca_edge_limited_upstreams`, count)
 }
 
+// placement counts an attempt by the cost that chose its upstream, and the tokens of its
+// prompt that it was expected to read.
+func (m *metrics) placement(p placement) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_placements_total{by=%q}`, p.by())).Inc()
+	m.set.GetOrCreateCounter(`yucca_edge_prompt_tokens_to_read_total`).Add(p.read)
+}
+
 // loadIgnored counts a load report that was ignored, by reason.
 func (m *metrics) loadIgnored(why string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_load_reports_ignored_total{why=%q}`, why)).Inc()
--- a/pkg/edge/origin.go
+++ b/pkg/edge/origin.go
@@ -79,6 +79,7 @@
 	if key := c.affinityKey(); key != "" {
 		req.Affinity, _ = c.e.affinity.Get(key)
 	}
+	c.describeWork(&req)
 	version, ok := "", false
 	c.e.withFleet(func(f *fleet.Fleet) { version, ok = choose(f, req, time.Now()) })
 	return ok && c.binding.Bind(origin.Origin{Service: c.service, Version: version})
--- a/pkg/edge/placement.go
+++ b/pkg/edge/placement.go
@@ -40,6 +40,7 @@
 // left.
 func (c *call) pick(now time.Time) *fleet.Member {
 	req := c.fleetRequest(func(id string) bool { return c.tried(id) || c.occupied(id) })
+	c.describeWork(&req)
 	req.Draw, req.Rank, req.TimeLeft, req.ServiceTime = rand.Float64(), c.rank(), c.deadline.Sub(now), c.route.LatencyObjective
 	if key := c.affinityKey(); key != "" {
 		req.Affinity, _ = c.e.affinity.Get(key)
@@ -49,8 +50,9 @@
 	limited := false
 	c.limited = false
 	c.e.withFleet(func(f *fleet.Fleet) {
-		if m = f.Pick(req, now); m != nil {
+		if m = f.Select(&req, now); m != nil {
 			cause, limited = c.cause(m, req.Affinity), m.Limited()
+			c.work = f.StartWork(m, &req, now)
 			f.RecordStart(m, cause, now)
 			return
 		}
@@ -62,6 +64,7 @@
 		}
 		c.triedUpstreams[m.ID] = true
 		c.sentAt = now
+		c.recordPlacement()
 		c.addIsolated(m.ID)
 	}
 	return m
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -135,7 +135,8 @@
 	c.recordTime()
 	c.log("stream answered", http.StatusOK, "upstream", m.ID, "version", m.SoftwareVersion, "events", s.events,
 		"begin_ms", t.beginDuration.Milliseconds(), "commit_ms", t.commitDuration.Milliseconds(),
-		"durable", string(t.durability), "stored_by", strings.Join(t.storedBy, ","))
+		"durable", string(t.durability), "stored_by", strings.Join(t.storedBy, ","), "placed_by", c.placed.by(),
+		"expected_ms", c.placed.expected.Milliseconds(), "read_tokens", c.placed.read)
 	c.e.metrics.recordEnd(c.kind(), "answered", time.Since(c.began))
 }
 
@@ -279,6 +280,9 @@
 	if ev.malformed {
 		return errMalformedEvent
 	}
+	if ev.hasData {
+		c.recordEvent()
+	}
 	follows, err := s.follows(ev)
 	if err != nil || !follows {
 		return err
--- a/pkg/fleet/health.go
+++ b/pkg/fleet/health.go
@@ -23,6 +23,9 @@
 	// last ratelimit.Window, while there is a limit.
 	RateLimit      *float64 `json:"rate_limit,omitempty"`
 	RecentRequests int      `json:"recent_requests,omitempty"`
+	// Pace is how long work takes there, relative to the average upstream of its service, as
+	// measured and reported; 0: no pace is reported.
+	Pace float64 `json:"pace,omitempty"`
 	// UnavailableReason says why the upstream gets no attempts; empty if it gets them.
 	UnavailableReason string `json:"out,omitempty"`
 }
@@ -43,6 +46,9 @@
 		ID: m.ID, Service: m.Service, Address: m.Address, FailureDomain: m.FailureDomain, Version: m.SoftwareVersion,
 		InFlight: m.inFlight, Load: f.load(m, now), Slots: m.Slots, FailureRate: m.currentFailureRate(now),
 	}
+	if m.est != nil && m.est.reports {
+		h.Pace = m.est.pace.now(now)
+	}
 	if m.limit.Limited() {
 		limit := m.limit.Reading().PerSecond
 		h.RateLimit, h.RecentRequests = &limit, f.limits.Usage(m.limit, now).Counts.Total()
--- a/pkg/fleet/home.go
+++ b/pkg/fleet/home.go
@@ -55,10 +55,10 @@
 // change of the list moves only the conversations of the members that came or went.
 func (f *Fleet) homes(r *Request) [2]*Member {
 	var best [2]*Member
-	if len(r.Prompt) == 0 {
+	if r.Conversation == 0 {
 		return best
 	}
-	key := r.Prompt[len(r.Prompt)-1].Key
+	key := r.Conversation
 	first, second := -1, -1
 	var firstHash, secondHash uint64
 	for i, h := range f.hashes[r.Service] {
--- a/pkg/fleet/mixed_test.go
+++ b/pkg/fleet/mixed_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"testing"
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/ratelimit"
@@ -19,7 +20,6 @@
 	roaming        bool // turns of a program come through any edge
 	paced          bool // reports have a pace
 	reports        bool
-	byWork         bool // ranks by remaining work
 	seed           uint64
 }
 
@@ -67,7 +67,6 @@
 	events                     []event // sorted by time
 	result                     [2]kindResult
 	homes                      map[[2]uint64]string // last upstream, by edge and conversation
-	shortWork                  float64
 	refused                    int
 	readAgain                  int
 	cachedTokens, promptTokens int
@@ -76,7 +75,7 @@
 func simTime(at float64) time.Time { return start.Add(time.Duration(at * float64(time.Millisecond))) }
 
 func newSim(c simConfig) *sim {
-	s := &sim{simConfig: c, rnd: rand.New(rand.NewPCG(c.seed, 7)), homes: make(map[[2]uint64]string), shortWork: 200}
+	s := &sim{simConfig: c, rnd: rand.New(rand.NewPCG(c.seed, 7)), homes: make(map[[2]uint64]string)}
 	for range c.edges {
 		s.fleets = append(s.fleets, New("a1", regions, start))
 	}
@@ -152,7 +151,7 @@
 	r := Request{
 		Service: "s", Draw: s.rnd.Float64(), ServiceTime: 275 * time.Millisecond, PromptTokens: p.prompt,
 		Prompt:       []Part{{Key: shared, Tokens: 512}, {Key: p.id, Tokens: p.prompt - 512}},
-		OutputTokens: int(float64(out) * math.Exp(0.5*s.rnd.NormFloat64())), EventTokens: engineEvent, CacheTokens: s.memory, LaterTurn: n > 0,
+		OutputTokens: int(float64(out) * math.Exp(0.5*s.rnd.NormFloat64())), EventTokens: engineEvent, CacheTokens: s.memory, LaterTurn: n > 0, Conversation: p.id,
 	}
 	if p.prompt <= 512 {
 		r.Prompt = []Part{{Key: shared, Tokens: p.prompt}}
@@ -167,12 +166,12 @@
 	home := [2]uint64{uint64(p.edge), p.id}
 	r.Affinity = s.homes[home]
 	m := f.Select(&r, now)
-	f.RecordStart(m, ratelimit.First, now)
 	w := f.StartWork(m, &r, now)
+	f.RecordStart(m, ratelimit.First, now)
 	s.homes[home] = m.ID
 	e := s.engine[slices.IndexFunc(f.byService["s"], func(o *Member) bool { return o == m })]
 	trip := 0.3 + m.distance/2
-	q := &engineRequest{parts: r.Prompt, prompt: p.prompt, out: out, rank: s.rank(p, n, w.expected)}
+	q := &engineRequest{parts: r.Prompt, prompt: p.prompt, out: out, rank: 1 + max(1-n, 0)}
 	q.first = func(at float64) {
 		running, waiting := len(e.running), len(e.queue)
 		pace := e.pace(at) / e.base
@@ -218,18 +217,6 @@
 	})
 }
 
-// rank returns the urgency of a turn, as pkg/edge sends it.
-func (s *sim) rank(p *program, n int, work float64) int {
-	rank := 2
-	if n > 0 {
-		rank = 1
-		if s.byWork && work > 0 && work < s.shortWork {
-			rank = 0
-		}
-	}
-	return rank
-}
-
 // report records the load of an engine as the edge does: with a pace when the response
 // begins.
 func (s *sim) report(f *Fleet, m *Member, running, waiting int, pace float64, now time.Time) {
@@ -259,3 +246,31 @@
 		k.inAim++
 	}
 }
+
+// TestLongAndShortPrompts guards against long prompts that hold up short ones at the same
+// upstream, and against serving the short ones at the expense of the long ones: for both
+// kinds, the shares of first events and programs within their aims must not be smaller than
+// with today's cost, with and without its load reports.
+func TestLongAndShortPrompts(t *testing.T) {
+	for _, roaming := range []bool{false, true} {
+		load := simConfig{edges: 13, engines: 20, programs: 1200, everyMs: 16, memory: 120_000, roaming: roaming, seed: 1}
+		var results [3]*sim
+		for i, name := range []string{"no loads", "counts", "time"} {
+			c := load
+			c.reports, c.paced = i == 1, i == 2
+			s := newSim(c)
+			s.run()
+			results[i] = s
+			t.Logf("roaming %v, %s: %.2f of prompts cached, %d tokens read again\n  short: %v\n  long:  %v", roaming, name,
+				float64(s.cachedTokens)/float64(s.promptTokens), s.readAgain, &s.result[0], &s.result[1])
+		}
+		for kind, name := range []string{"short", "long"} {
+			after := &results[2].result[kind]
+			for _, s := range results[:2] {
+				if before := &s.result[kind]; after.firstShare() < before.firstShare() || after.programShare() < before.programShare() {
+					t.Errorf("roaming %v, %s prompts: %v; before: %v", roaming, name, after, before)
+				}
+			}
+		}
+	}
+}
--- a/pkg/fleet/model.go
+++ b/pkg/fleet/model.go
@@ -1,9 +1,6 @@
 package fleet
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// minSamples is the number of measurements from which on an estimate is used.
@@ -157,8 +154,16 @@
 // have at most: its slots and a queue of three times as many.
 const maxQueueFactor = 4.0
 
-// plausible reports whether a report with a pace may be of the member: its slots do not
-// change by more than maxQueueFactor.
+// maxPlaces times its slots is the number of requests that a plausible report has at most.
+// Queues have three to four places for a slot.
+const maxPlaces = 16
+
+// plausible reports whether a report with a pace may be of the member: its slots have not
+// become many times as many, nor has it many times more requests than slots.
 func plausible(m *Member, l Load) bool {
-	return l.Pace == 0 || m.Slots <= 0 || float64(l.Slots) <= maxQueueFactor*float64(m.Slots) && l.Pace > 0 && !math.IsInf(l.Pace, 0)
+	if l.Pace == 0 {
+		return true
+	}
+	slots := max(l.Slots, m.Slots, 1)
+	return (m.Slots <= 0 || l.Slots <= maxQueueFactor*m.Slots) && l.Running <= maxPlaces*slots && l.Waiting <= maxPlaces*slots
 }
--- a/pkg/fleet/pace.go
+++ b/pkg/fleet/pace.go
@@ -6,18 +6,21 @@
 )
 
 const (
-	// reportHalfLife is the age at which a reported pace has half its weight. What slows an
+	// reportValidity is the age from which on a reported pace has no weight. What slows an
 	// upstream changes about every 600 ms.
-	reportHalfLife = 250 * time.Millisecond
+	reportValidity = 600 * time.Millisecond
 	// measuredHalfLife is that of a pace that this process measured.
 	measuredHalfLife = 400 * time.Millisecond
-	// measuredTrust is the weight of a new measurement beside what was known: the time to a
-	// first event also depends on work that this process does not see.
-	measuredTrust = 0.6
+	// priorMeasurements is the number of fresh measurements that what was known before counts
+	// as: a single one also depends on work that this process does not see.
+	priorMeasurements = 4.0
 	// usualWeight is the weight of the newest measurement in the usual pace of a member.
 	usualWeight = 0.05
 	// reportPrior is the number of measurements that a member's average report counts as.
 	reportPrior = 4.0
+	// maxReportStep is how many times slower or faster than the average a report counts as in
+	// that average.
+	maxReportStep = 1.5
 	// maxDeviation is how many times slower or faster than usual a member is believed to be.
 	// Neighbours slow an upstream 2.5 times.
 	maxDeviation = 4.0
@@ -29,6 +32,7 @@
 	reports  average
 	reported float64
 	measured float64
+	fresh    float64 // measurements in measured, by their age at measuredAt
 
 	reportedAt, measuredAt time.Time // zero: never
 }
@@ -38,19 +42,28 @@
 	if p.reports.n > 0 {
 		v = min(max(v, p.reports.value/maxDeviation), p.reports.value*maxDeviation)
 	}
-	p.reports.add(v, usualWeight)
+	p.average(v)
 	p.reported, p.reportedAt = v, now
 }
 
+// average adds a reported pace to the average one, which starts at the usual pace. A single
+// report changes it by little.
+func (p *pace) average(v float64) {
+	if p.reports.n == 0 {
+		p.reports = average{value: 1, n: reportPrior}
+	}
+	mean := p.reports.value
+	p.reports.add(min(max(v, mean/maxReportStep), mean*maxReportStep), usualWeight)
+}
+
 // measure records a measured pace.
 func (p *pace) measure(v float64, now time.Time) {
 	usual := p.usualPace()
 	v = min(max(v, usual/maxDeviation), usual*maxDeviation)
 	p.usual.add(v, usualWeight)
-	w := decay(p.measuredAt, now, measuredHalfLife)
-	// A measurement that is still fresh shares its weight with the new one.
-	p.measured = (v + w*p.measured) / (1 + w)
-	p.measuredAt = now
+	fresh := p.fresh * decay(p.measuredAt, now, measuredHalfLife)
+	p.measured = (v + fresh*p.measured) / (1 + fresh)
+	p.fresh, p.measuredAt = fresh+1, now
 }
 
 // usualPace returns the long-term pace: measured, and as reported before there are enough
@@ -71,9 +84,11 @@
 	usual := p.usualPace()
 	v := usual
 	if p.reports.n > 0 {
-		v += decay(p.reportedAt, now, reportHalfLife) * (usual*p.reported/p.reports.value - usual)
+		weight := max(1-float64(now.Sub(p.reportedAt))/float64(reportValidity), 0)
+		v += weight * usual * (p.reported/p.reports.value - 1)
 	}
-	return v + measuredTrust*decay(p.measuredAt, now, measuredHalfLife)*(p.measured-v)
+	fresh := p.fresh * decay(p.measuredAt, now, measuredHalfLife)
+	return v + fresh/(fresh+priorMeasurements)*(p.measured-v)
 }
 
 // decay returns the weight of something that was observed at a time; 0: never.
--- a/pkg/fleet/pick.go
+++ b/pkg/fleet/pick.go
@@ -50,7 +50,11 @@
 	// 0: unknown.
 	CacheTokens int
 
-	LaterTurn bool // the conversation has earlier turns
+	LaterTurn    bool   // the conversation has earlier turns
+	Conversation uint64 // PartKey of its id; 0: none
+	// Partial is set if the response begins in the middle of a stream: its times are not
+	// those of a whole one.
+	Partial bool
 
 	home *Member // where other processes probably sent the conversation
 }
--- a/pkg/fleet/sample.go
+++ b/pkg/fleet/sample.go
@@ -9,7 +9,7 @@
 	// sampleSize is how many usable members of the own region are compared. Other processes
 	// that decide at the same moment by the same reports compare others, so they do not all
 	// choose the same one.
-	sampleSize = 8
+	sampleSize = 5
 	// maxProbes bounds the members that are looked at to find them.
 	maxProbes = 64
 	// sampleShare bounds the sample to a share of a small service's members, for the same
@@ -82,20 +82,28 @@
 	c := choice{cost: math.Inf(1)}
 	list := f.byService[r.Service]
 	seed := math.Float64bits(r.Draw)
-	usableSeen := 0
+	near := 0
 	for i, m := range list {
 		v := f.filter(m, r, offered, now)
 		if v != usable {
 			others.add(f, m, v, now)
 			continue
 		}
-		usableSeen++
-		// Each member is compared with the same probability, but the first usable ones
-		// always, so that one is found.
-		tie := mix(seed + uint64(i))
-		if m.ID == r.Affinity || usableSeen <= 2 || tie%uint64(len(list)) < sampleSize {
+		if m.distance < otherRegionCost {
+			near++
+		}
+		if tie := mix(seed + uint64(i)); m.ID == r.Affinity || tie%uint64(len(list)) < sampleSize {
 			c.add(f, md, m, r, mix(tie), now)
 		}
 	}
+	if c.best != nil && (near == 0 || c.best.distance < otherRegionCost) {
+		return c.best, others
+	}
+	// Few of many are usable: they are all compared.
+	for i, m := range list {
+		if f.filter(m, r, nil, now) == usable {
+			c.add(f, md, m, r, mix(seed+uint64(i)), now)
+		}
+	}
 	return c.best, others
 }
--- a/pkg/fleet/score.go
+++ b/pkg/fleet/score.go
@@ -28,7 +28,7 @@
 	// delayWeight is the weight of the delay that a prompt causes to the requests that run
 	// at a member, beside the time of the request itself. With 1, the sum of all is least;
 	// it is less because an estimate of the others is old.
-	delayWeight = 0.5
+	delayWeight = 2.0
 	// loadSpread is the error of the estimated number of requests at a member, about. A slot
 	// is probably free only if the estimate is that much below the slots.
 	loadSpread = 2.0
@@ -69,7 +69,7 @@
 	s.read = max(r.PromptTokens-int(cached), 1)
 	prefill, decode := md.readTime*float64(s.read), md.step.value*output
 	meanPrefill := md.readTime * md.read.value
-	mean := meanPrefill + md.step.value*md.output.value
+	mean := md.mean()
 	running := min(load, slots)
 
 	left := e.remaining(at, p) + others*averageLeft*mean
@@ -86,6 +86,11 @@
 	return s
 }
 
+// mean returns the time of an average request to a model on an idle member.
+func (md *model) mean() float64 {
+	return md.readTime*md.read.value + md.step.value*md.output.value
+}
+
 // othersAt estimates the requests of other processes at a member. With its age, a report
 // gives way to what is usual in the service.
 func (f *Fleet) othersAt(md *model, m *Member, slots float64, now time.Time) float64 {
--- a/pkg/fleet/work.go
+++ b/pkg/fleet/work.go
@@ -88,6 +88,13 @@
 	firstAt, lastAt time.Time
 	events          int
 	plain           bool
+	partial         bool
+}
+
+// Expected returns the time that the attempt should take at the usual pace, 0 if it is not
+// known, and the prompt tokens that are expected to be read.
+func (w *Work) Expected() (time.Duration, int) {
+	return time.Duration(w.expected * float64(time.Millisecond)), w.read
 }
 
 // StartWork records that a request is sent to a member. It returns the attempt, which ends
@@ -103,11 +110,13 @@
 	s := f.score(md, m, r, now)
 	w := Work{
 		model: md, est: e, prompt: r.Prompt, read: s.read, begun: at, unread: true, eventToken: r.EventTokens, distance: m.distance,
-		plain: r.PromptTokens == 0, ahead: e.toRead(md, at, pace),
+		plain: r.PromptTokens == 0, partial: r.Partial, ahead: e.toRead(md, at, pace),
+	}
+	if md.step.known() {
+		w.eventTime = md.step.value * float64(r.EventTokens)
 	}
 	if md.knows(r) {
 		w.expected = (s.Prefill + s.Decode) / s.Pace
-		w.eventTime = md.step.value * float64(r.EventTokens)
 		w.queue = s.Queue
 		w.firstToken = md.first.at(float64(w.read) + w.ahead)
 	}
@@ -142,7 +151,7 @@
 	now, md, e := w.firstAt, w.model, w.est
 	w.endReading(f.moment(now), e.pace.now(now))
 	f.prefixes.add(&e.cache, w.prompt, w.read, 0)
-	if w.plain {
+	if w.plain || w.partial || w.eventTime == 0 {
 		return
 	}
 	took := max(milliseconds(now.Sub(sentAt))-w.distance-w.eventTime, 0)
@@ -176,7 +185,7 @@
 	if e.running == 0 {
 		e.work, e.begun, e.tokens, e.unread, e.backlog = 0, 0, 0, 0, 0 // no sum of rounding errors
 	}
-	if complete {
+	if complete && !w.partial {
 		f.learn(w, sentAt, now)
 	}
 	w.model = nil
@@ -203,3 +212,11 @@
 	md.size.add(w.tokens, modelWeight)
 	f.prefixes.add(&e.cache, w.prompt, 0, output)
 }
+
+// RunningWork returns the number of attempts at a member between StartWork and EndWork.
+func (f *Fleet) RunningWork(m *Member) int {
+	if m.est == nil {
+		return 0
+	}
+	return m.est.running
+}
