Keep requests in their region while it has slots, and look for homes there

Cause: the delay that a prompt causes to others counted against the distance of another region, so 99 of 100 requests left a region with 4 of 8 slots in use (TestTimeStaysInRegion). Change: a member of another region is chosen only if it beats what a near one takes without the requests beside it; homes and samples are taken by region.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -122,7 +122,7 @@
 	start        time.Time
 	models       map[string]*model // by service; those that report a pace
 	prefixes     *prefixCache
-	hashes       map[string][]uint64 // of the ids of byService
+	groups       map[string]*groups // by service
 }
 
 // New returns an empty fleet for a process in the given failure domain that starts at
@@ -138,7 +138,7 @@
 		start:       start,
 		models:      make(map[string]*model),
 		prefixes:    newPrefixCache(maxCachedParts),
-		hashes:      make(map[string][]uint64),
+		groups:      make(map[string]*groups),
 	}
 }
 
@@ -166,10 +166,12 @@
 	if m == old && m.State == Ready && u.State == Draining {
 		m.drainingSince = now
 	}
-	m.Service, m.FailureDomain, m.Slots = u.Service, u.FailureDomain, u.Slots
+	m.Service, m.Slots = u.Service, u.Slots
+	if m != f.members[u.ID] || m.FailureDomain != u.FailureDomain {
+		f.setDomain(m, u.FailureDomain)
+	}
 	m.State, m.WarmupRemaining = u.State, u.WarmupRemaining
 	m.missing = false
-	m.distance = f.distanceTo(m.FailureDomain)
 	if f.members[u.ID] == nil {
 		f.add(m)
 	}
@@ -230,7 +232,7 @@
 	list := f.byService[m.Service]
 	i, _ := slices.BinarySearchFunc(list, m.ID, compareID)
 	f.byService[m.Service] = slices.Insert(list, i, m)
-	f.addHash(m, i)
+	f.groupOf(m).add(m)
 }
 
 // drop removes a member from both indexes.
@@ -241,7 +243,7 @@
 	list := f.byService[m.Service]
 	if i, ok := slices.BinarySearchFunc(list, m.ID, compareID); ok {
 		f.byService[m.Service] = slices.Delete(list, i, i+1)
-		f.dropHash(m, i)
+		f.groupOf(m).drop(m)
 	}
 }
 
--- a/pkg/fleet/home.go
+++ b/pkg/fleet/home.go
@@ -40,29 +40,72 @@
 	}
 }
 
-// addHash keeps the hashes of a service's members beside the list of members, in its order:
-// looking for a home reads them all.
-func (f *Fleet) addHash(m *Member, i int) {
-	f.hashes[m.Service] = slices.Insert(f.hashes[m.Service], i, xxhash.Sum64String(m.ID))
+// group holds the members of a service in the own region, or beyond it, in any order, with
+// the hashes of their ids: looking for a home reads them all.
+type group struct {
+	members []*Member
+	hashes  []uint64
 }
 
-func (f *Fleet) dropHash(m *Member, i int) {
-	f.hashes[m.Service] = slices.Delete(f.hashes[m.Service], i, i+1)
+// groups holds the members of a service by their distance.
+type groups struct{ near, far group }
+
+func (g *group) add(m *Member) {
+	g.members = append(g.members, m)
+	g.hashes = append(g.hashes, xxhash.Sum64String(m.ID))
+}
+
+func (g *group) drop(m *Member) {
+	i := slices.Index(g.members, m)
+	if i < 0 {
+		return
+	}
+	last := len(g.members) - 1
+	g.members[i], g.hashes[i] = g.members[last], g.hashes[last]
+	g.members[last] = nil
+	g.members, g.hashes = g.members[:last], g.hashes[:last]
+}
+
+// inRegion reports whether the member is in the region of this process.
+func (m *Member) inRegion() bool { return m.distance < otherRegionCost }
+
+// groupOf returns the group of a member.
+func (f *Fleet) groupOf(m *Member) *group {
+	g := f.groups[m.Service]
+	if g == nil {
+		g = &groups{}
+		f.groups[m.Service] = g
+	}
+	if m.inRegion() {
+		return &g.near
+	}
+	return &g.far
 }
 
-// homes returns the two members at which all processes look for a conversation of which
-// they know nothing: those with the highest hashes of the conversation and the member. A
-// change of the list moves only the conversations of the members that came or went.
-func (f *Fleet) homes(r *Request) [2]*Member {
+// setDomain sets the failure domain of a member.
+func (f *Fleet) setDomain(m *Member, domain string) {
+	listed := f.members[m.ID] == m
+	if listed {
+		f.groupOf(m).drop(m)
+	}
+	m.FailureDomain, m.distance = domain, f.distanceTo(domain)
+	if listed {
+		f.groupOf(m).add(m)
+	}
+}
+
+// homes returns the two members of the region at which its processes look for a conversation
+// of which they know nothing: those with the highest hashes of the conversation and the
+// member. A change of the members moves only the conversations of those that came or went.
+func (g *group) homes(conversation uint64) [2]*Member {
 	var best [2]*Member
-	if r.Conversation == 0 {
+	if conversation == 0 || len(g.members) == 0 {
 		return best
 	}
-	key := r.Conversation
 	first, second := -1, -1
 	var firstHash, secondHash uint64
-	for i, h := range f.hashes[r.Service] {
-		switch v := mix(h ^ key); {
+	for i, h := range g.hashes {
+		switch v := mix(h ^ conversation); {
 		case first < 0 || v > firstHash:
 			second, secondHash = first, firstHash
 			first, firstHash = i, v
@@ -70,10 +113,9 @@
 			second, secondHash = i, v
 		}
 	}
-	for i, at := range [2]int{first, second} {
-		if at >= 0 {
-			best[i] = f.byService[r.Service][at]
-		}
+	best[0] = g.members[first]
+	if second >= 0 {
+		best[1] = g.members[second]
 	}
 	return best
 }
--- a/pkg/fleet/sample.go
+++ b/pkg/fleet/sample.go
@@ -9,7 +9,10 @@
 	// sampleSize is how many usable members of the own region are compared. Other processes
 	// that decide at the same moment by the same reports compare others, so they do not all
 	// choose the same one.
-	sampleSize = 5
+	sampleSize = 4
+	// farSampleSize is how many members of other regions are compared besides, in case the own
+	// region has no slots left.
+	farSampleSize = 2
 	// maxProbes bounds the members that are looked at to find them.
 	maxProbes = 64
 	// sampleShare bounds the sample to a share of a small service's members, for the same
@@ -17,31 +20,71 @@
 	sampleShare = 0.6
 )
 
-// choice is the best of the members that were compared.
+// choice holds the best of the members that were compared, in the own region and beyond.
 type choice struct {
-	best *Member
-	cost float64
+	near, far         *Member
+	nearCost, farCost float64
+	// nearAlone is the cost of near without what it shares with the requests that run there.
+	nearAlone float64
 }
 
 // add compares a member.
 func (c *choice) add(f *Fleet, md *model, m *Member, r *Request, tie uint64, now time.Time) {
 	s := f.score(md, m, r, now)
 	cost := s.Total() + jitterCost*float64(tie>>32)/(1<<32)
-	if c.best == nil || cost < c.cost {
-		c.best, c.cost = m, cost
+	switch {
+	case m.inRegion():
+		if c.near == nil || cost < c.nearCost {
+			c.near, c.nearCost, c.nearAlone = m, cost, cost-s.Ahead-s.Batch-s.Delay
+		}
+	case c.far == nil || cost < c.farCost:
+		c.far, c.farCost = m, cost
+	}
+}
+
+// best returns the member to choose. A request leaves the region only if it would have to
+// wait there for a slot or memory, or if the members there fail or are slow, not in order to
+// run beside fewer others: the link between regions has little bandwidth and is billed.
+func (c *choice) best() *Member {
+	if c.near == nil || c.far != nil && c.farCost < c.nearAlone {
+		return c.far
 	}
+	return c.near
 }
 
 // bestOfSample returns the best of some random members, of the one that served the program
 // before and of the one at which all processes would look for the conversation. It returns
-// nil if a limit is in force, which has to be counted over all members, or if it finds none.
+// nil if a limit is in force, which has to be counted over all members, or if it finds none
+// in the own region.
 func (f *Fleet) bestOfSample(md *model, r *Request, now time.Time) *Member {
-	list := f.byService[r.Service]
-	if f.limits.Active() > 0 || len(list) == 0 {
+	g := f.groups[r.Service]
+	if f.limits.Active() > 0 || g == nil {
+		return nil
+	}
+	var c choice
+	f.sample(md, &c, g.near.members, sampleOf(len(g.near.members)), r, now)
+	if c.near == nil {
 		return nil
 	}
-	c := choice{cost: math.Inf(1)}
-	near, want := 0, sampleOf(len(list))
+	f.sample(md, &c, g.far.members, farSampleSize, r, now)
+	if m := f.members[r.Affinity]; m != nil && m.Service == r.Service && f.filter(m, r, nil, now) == usable {
+		c.add(f, md, m, r, 0, now)
+	}
+	for _, m := range g.near.homes(r.Conversation) {
+		if m != nil && f.filter(m, r, nil, now) == usable {
+			r.home = m
+			c.add(f, md, m, r, 0, now)
+			break
+		}
+	}
+	return c.best()
+}
+
+// sample compares a number of random usable members of a list.
+func (f *Fleet) sample(md *model, c *choice, list []*Member, size int, r *Request, now time.Time) {
+	if len(list) == 0 {
+		return
+	}
 	seed := math.Float64bits(r.Draw)
 	for i := range uint64(maxProbes) {
 		tie := mix(seed + i)
@@ -50,27 +93,10 @@
 			continue
 		}
 		c.add(f, md, m, r, mix(tie), now)
-		if m.distance < otherRegionCost {
-			near++
-		}
-		if near >= want {
-			break
-		}
-	}
-	if near == 0 {
-		return nil
-	}
-	if m := f.members[r.Affinity]; m != nil && m.Service == r.Service && f.filter(m, r, nil, now) == usable {
-		c.add(f, md, m, r, seed, now)
-	}
-	for _, m := range f.homes(r) {
-		if m != nil && f.filter(m, r, nil, now) == usable {
-			r.home = m
-			c.add(f, md, m, r, seed, now)
-			break
+		if size--; size <= 0 {
+			return
 		}
 	}
-	return c.best
 }
 
 func sampleOf(n int) int { return min(sampleSize, int(math.Ceil(sampleShare*float64(n)))) }
@@ -79,7 +105,7 @@
 // one. It returns the best of some of the usable ones, and the last resorts.
 func (f *Fleet) bestByTime(md *model, r *Request, offered *supply, now time.Time) (*Member, lastResorts) {
 	var others lastResorts
-	c := choice{cost: math.Inf(1)}
+	var c choice
 	list := f.byService[r.Service]
 	seed := math.Float64bits(r.Draw)
 	near := 0
@@ -89,15 +115,15 @@
 			others.add(f, m, v, now)
 			continue
 		}
-		if m.distance < otherRegionCost {
+		if m.inRegion() {
 			near++
 		}
 		if tie := mix(seed + uint64(i)); m.ID == r.Affinity || tie%uint64(len(list)) < sampleSize {
 			c.add(f, md, m, r, mix(tie), now)
 		}
 	}
-	if c.best != nil && (near == 0 || c.best.distance < otherRegionCost) {
-		return c.best, others
+	if c.near != nil || near == 0 && c.far != nil {
+		return c.best(), others
 	}
 	// Few of many are usable: they are all compared.
 	for i, m := range list {
@@ -105,5 +131,5 @@
 			c.add(f, md, m, r, mix(seed+uint64(i)), now)
 		}
 	}
-	return c.best, others
+	return c.best(), others
 }
--- a/pkg/fleet/score_test.go
+++ b/pkg/fleet/score_test.go
@@ -250,3 +250,108 @@
 		}
 	}
 }
+
+// Guards against filters that hold for the cost by counts only: rate limits, suspensions,
+// excluded members and the last resorts.
+func TestFiltersHoldByTime(t *testing.T) {
+	f, now := pacedFleet(4)
+	r := turn(7, 900)
+	list := f.byService["s"]
+	for _, m := range list[:3] {
+		f.RecordFailure(m, true, now)
+	}
+	if m := f.Pick(r, now); m != list[3] {
+		t.Errorf("picked %+v, want the only member that is not suspended", m)
+	}
+	r.Excluded = func(id string) bool { return id == list[3].ID }
+	if m := f.Pick(r, now); m == nil || m == list[3] {
+		t.Errorf("picked %+v, want a suspended one as the last resort", m)
+	}
+	r.Excluded = nil
+	f.Limits().SetShares(ratelimit.EqualShares(0, 1), now)
+	f.RecordLimit(list[3], limitTo(0), now, now)
+	if m := f.Pick(r, now); m == list[3] {
+		t.Error("picked a member without a permit")
+	}
+}
+
+// Guards against traffic between regions while the own one has room, and against refusing
+// requests or waiting for long while the other one has.
+func TestTimeStaysInRegion(t *testing.T) {
+	f, now := pacedFleet(10)
+	for i := range 10 {
+		f.Put(upstream(fmt.Sprintf("far%d", i), "b1"), now)
+	}
+	picked := func(l Load) (far int) {
+		for _, m := range f.byService["s"] {
+			f.RecordLoad(m, Load{Running: 1, Slots: 8, Pace: 1}, now)
+			if m.distance < otherRegionCost {
+				f.RecordLoad(m, l, now)
+			}
+		}
+		for i := range 100 {
+			r := turn(uint64(600+i), 900)
+			r.Draw = float64(i) / 100
+			if f.Pick(r, now).distance >= otherRegionCost {
+				far++
+			}
+		}
+		return far
+	}
+	if n := picked(Load{Running: 4, Slots: 8, Pace: 1}); n > 0 {
+		t.Errorf("%d of 100 requests leave the region, which has room", n)
+	}
+	if n := picked(Load{Running: 8, Waiting: 24, Slots: 8, Pace: 1}); n < 90 {
+		t.Errorf("%d of 100 requests leave the region, which has queues of 24", n)
+	}
+}
+
+// Guards against a new run of an upstream that inherits the cached prompts and the pace of
+// the one before, and against attempts of the old one that count for the new one.
+func TestNewRunStartsAnew(t *testing.T) {
+	f, now := pacedFleet(4)
+	old := f.byService["s"][0]
+	r := turn(7, 900)
+	w := f.StartWork(old, &r, now)
+	u := old.Upstream
+	u.StartedUnixMs++
+	f.Put(u, now)
+	f.EndWork(&w, true, now, now.Add(time.Second))
+	f.RecordLoad(old, Load{Running: 8, Waiting: 8, Slots: 8, Pace: 4}, now)
+	if m := f.Member(old.ID); m.est != nil || f.RunningWork(m) != 0 {
+		t.Errorf("the new run has the estimate of the old one: %+v", m.est)
+	}
+	if n := f.models["s"].members[reportsPace]; n != 3 {
+		t.Errorf("%d members report a pace, want 3", n)
+	}
+}
+
+// Guards against sending plain requests to slow or full upstreams of a service whose
+// requests have no tokens.
+func TestPlainRequestsByTime(t *testing.T) {
+	f := newFleet(upstream("fast", "a1"), upstream("slow", "a1"), upstream("full", "a1"))
+	now := start
+	plain := Request{Service: "s"}
+	reportAll(f, Load{Running: 1, Slots: 8, Pace: 1}, now)
+	for i := range 60 {
+		id := []string{"fast", "slow", "full"}[i%3]
+		m := f.Member(id)
+		w := f.StartWork(m, &plain, now)
+		end := now.Add(40 * time.Millisecond)
+		if id == "slow" {
+			end = now.Add(90 * time.Millisecond)
+		}
+		f.EndWork(&w, true, now, end)
+		now = end
+	}
+	reportAll(f, Load{Running: 1, Slots: 8, Pace: 1}, now)
+	f.RecordLoad(f.Member("full"), Load{Running: 8, Waiting: 12, Slots: 8, Pace: 1}, now)
+	md := f.timeModel(&plain)
+	if md == nil {
+		t.Fatal("the expected time is not in force")
+	}
+	total := func(id string) float64 { s := f.score(md, f.Member(id), &plain, now); return s.Total() }
+	if fast, slow, full := total("fast"), total("slow"), total("full"); fast >= slow || fast >= full {
+		t.Errorf("fast %.1f ms, slow %.1f ms, full %.1f ms", fast, slow, full)
+	}
+}
