--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -40,6 +40,8 @@
 // Load is the load that an upstream reported with a response.
 type Load struct {
 	Running, Waiting, Slots int
+	// Pace is how long work takes there now, relative to the usual time; 0: not given.
+	Pace float64
 }
 
 const (
@@ -89,6 +91,10 @@
 	// replacedUnixMs is the start of the run that the registration still names although
 	// this one has replaced it; 0: the registration names this run.
 	replacedUnixMs int64
+
+	distance float64 // round trip, ms
+	reports  reportKind
+	est      *estimate // nil: no pace was reported, and nothing was sent since others reported one
 }
 
 // InFlight returns the number of running attempts of this process.
@@ -113,6 +119,10 @@
 	leavingGrace time.Duration
 	limits       *ratelimit.Book
 	gates        map[string]*ratelimit.Gate // by service
+	start        time.Time
+	models       map[string]*model // by service; those that report a pace
+	prefixes     *prefixCache
+	groups       map[string]*groups // by service
 }
 
 // New returns an empty fleet for a process in the given failure domain that starts at
@@ -125,6 +135,10 @@
 		leavingRuns: make(leavingRuns),
 		limits:      ratelimit.NewBook(start),
 		gates:       make(map[string]*ratelimit.Gate),
+		start:       start,
+		models:      make(map[string]*model),
+		prefixes:    newPrefixCache(maxCachedParts),
+		groups:      make(map[string]*groups),
 	}
 }
 
@@ -152,7 +166,10 @@
 	if m == old && m.State == Ready && u.State == Draining {
 		m.drainingSince = now
 	}
-	m.Service, m.FailureDomain, m.Slots = u.Service, u.FailureDomain, u.Slots
+	m.Service, m.Slots = u.Service, u.Slots
+	if m != f.members[u.ID] || m.FailureDomain != u.FailureDomain {
+		f.setDomain(m, u.FailureDomain)
+	}
 	m.State, m.WarmupRemaining = u.State, u.WarmupRemaining
 	m.missing = false
 	if f.members[u.ID] == nil {
@@ -215,14 +232,18 @@
 	list := f.byService[m.Service]
 	i, _ := slices.BinarySearchFunc(list, m.ID, compareID)
 	f.byService[m.Service] = slices.Insert(list, i, m)
+	f.groupOf(m).add(m)
 }
 
 // drop removes a member from both indexes.
 func (f *Fleet) drop(m *Member) {
 	delete(f.members, m.ID)
+	f.countReports(m, reportsNothing)
+	m.est = nil
 	list := f.byService[m.Service]
 	if i, ok := slices.BinarySearchFunc(list, m.ID, compareID); ok {
 		f.byService[m.Service] = slices.Delete(list, i, i+1)
+		f.groupOf(m).drop(m)
 	}
 }
 
@@ -248,14 +269,20 @@
 func (f *Fleet) RecordEnd(m *Member) { m.inFlight-- }
 
 // RecordLoad records the load reported with a response. It must be called before
-// RecordEnd of the same attempt, which the reported load includes.
-func (f *Fleet) RecordLoad(m *Member, l Load, now time.Time) {
+// RecordEnd of the same attempt, which the reported load includes. It returns false if it
+// ignores the report because the member can't have that load.
+func (f *Fleet) RecordLoad(m *Member, l Load, now time.Time) bool {
+	if !plausible(m, l) {
+		return false
+	}
 	if l.Slots > 0 {
 		m.Slots = l.Slots
 	}
 	m.otherRequests = max(0, float64(l.Running+l.Waiting-m.inFlight))
 	m.waiting = float64(l.Waiting)
 	m.loadReportedAt = now
+	f.recordReport(m, l, now)
+	return true
 }
 
 // RecordSuccess records an attempt with a complete response.
