Quotas: token buckets of coordinators and edges, without clock or I/O

Cause: a workspace's quota holds for all edges together, also while some of them restart, freeze or are cut off.

--- /dev/null
+++ b/pkg/quota/admit.go
@@ -0,0 +1,84 @@
+package quota
+
+import "time"
+
+// Outcome is what happens to a request.
+type Outcome int
+
+// The outcomes.
+const (
+	Admitted Outcome = iota
+	Waiting          // for the reply of a coordinator: call Resume after each one
+	Refused
+)
+
+// Decision is the result of a check.
+type Decision struct {
+	Outcome Outcome
+	// RetryAfter is the time after which a refused request should come again.
+	RetryAfter time.Duration
+}
+
+// Admit decides on a request. Requests of a workspace without a quota are admitted.
+func (n *Node) Admit(id uint64, now Time) Decision {
+	w := n.state(id, now)
+	if w == nil {
+		return Decision{}
+	}
+	w.seen.add(now)
+	w.usedAt = now
+	if w.take(now) {
+		w.admitted.add(now)
+		return Decision{}
+	}
+	if w.mayGet(len(n.members.list), now) {
+		w.waiting++
+		return Decision{Outcome: Waiting}
+	}
+	return Decision{Outcome: Refused, RetryAfter: w.refuse(now)}
+}
+
+// Resume decides again on a request that waits. It waits no longer if last is set.
+func (n *Node) Resume(id uint64, last bool, now Time) Decision {
+	w := n.used[id]
+	if w == nil {
+		return Decision{} // the quota was removed
+	}
+	if w.take(now) {
+		w.waiting = max(w.waiting-1, 0)
+		w.admitted.add(now)
+		return Decision{}
+	}
+	w.waiting = max(w.waiting-1, 0)
+	if !last && w.mayGet(len(n.members.list), now) {
+		w.waiting++
+		return Decision{Outcome: Waiting}
+	}
+	return Decision{Outcome: Refused, RetryAfter: w.refuse(now)}
+}
+
+// Leave ends the wait of a request whose caller is gone.
+func (n *Node) Leave(id uint64) {
+	if w := n.used[id]; w != nil {
+		w.waiting = max(w.waiting-1, 0)
+	}
+}
+
+// Over is a workspace that sends more than its quota through this edge.
+type Over struct {
+	Workspace uint64
+	Quota     Quota
+	// Requests a second of the last second.
+	Seen, Admitted, Refused float64
+}
+
+// Over returns the workspaces of which this edge refused requests in the last second.
+func (n *Node) Over(now Time) []Over {
+	var list []Over
+	for _, w := range n.active {
+		if r := w.refused.rate(now); r > 0 {
+			list = append(list, Over{w.id, w.quota, w.seen.rate(now), w.admitted.rate(now), r})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/quota/bounds.go
@@ -0,0 +1,91 @@
+package quota
+
+import "time"
+
+// Time is a point in time: the duration since the origin of a node's clock.
+type Time = time.Duration
+
+// Bounds says how exactly quotas are kept. In any Window, at most
+// (rate * window + burst) * (1 + Overrun) + Slack requests may run.
+type Bounds struct {
+	Window  time.Duration
+	Overrun float64 // part of the quota
+	Slack   float64 // requests
+}
+
+// Quota is the quota of one workspace, for all edges together.
+type Quota struct {
+	Rate  float64 // requests a second
+	Burst float64 // requests
+}
+
+const (
+	// poolShare is the part of the rate that the coordinators grant. An edge through which
+	// all requests of a workspace come has to reach 0.95 of the quota with it.
+	poolShare = 0.98
+	// baseShare is the part of the rate that edges use without a coordinator. Together with
+	// poolShare it exceeds the quota by 3%, which is paid from the overrun.
+	baseShare = 0.05
+	// The following shares divide what may run beyond the quota in a window. What they
+	// leave covers views of the list of edges that differ for a moment.
+	poolExtra  = 0.3  // added to the burst in the coordinators' buckets
+	baseExtra  = 0.1  // capacity of all base buckets
+	startExtra = 0.05 // in the buckets of coordinators that start; a window may hold two starts
+	// maxCoordinators is the largest number of coordinators of a workspace. With 8, the
+	// loss of one leaves 0.86 of the quota.
+	maxCoordinators = 8
+	// slackPerCoordinator is the slack that pays for a bucket that holds one token at least.
+	slackPerCoordinator = 2.5
+	// lifeShare is the part of a coordinator's bucket that may be granted and unused while
+	// the quota is used up: granted tokens count as held in the bucket until they expire.
+	lifeShare = 0.5
+	// minLife and maxLife bound how long a granted token may be used. minLife exceeds a
+	// round trip between regions.
+	minLife = 100 * time.Millisecond
+	maxLife = time.Second
+	// ListAge is the age up to which a list of edges counts as current. In calm, the feeds
+	// between edges keep it below 2 s.
+	ListAge = 2500 * time.Millisecond
+)
+
+// extra returns the requests beyond the quota that a window may have.
+func (b Bounds) extra(q Quota) float64 {
+	return b.Overrun*(q.Rate*b.Window.Seconds()+q.Burst) + b.Slack
+}
+
+// Limit returns the most requests of a workspace in a window.
+func (b Bounds) Limit(q Quota) float64 {
+	return q.Rate*b.Window.Seconds() + q.Burst + b.extra(q)
+}
+
+// coordinators returns the number of coordinators of each workspace among n edges. It does
+// not depend on the quota: edges with different configurations choose the same ones.
+func (b Bounds) coordinators(n int) int {
+	return max(min(n, maxCoordinators, int(b.Slack/slackPerCoordinator)), 1)
+}
+
+// pool returns rate and capacity of the coordinators' buckets together.
+func (b Bounds) pool(q Quota) (rate, capacity float64) {
+	return poolShare * q.Rate, q.Burst + poolExtra*b.extra(q)
+}
+
+// base returns the number of edges that have a base bucket, among n edges, and rate and
+// capacity of each one. A bucket that can't hold a token would be of no use.
+func (b Bounds) base(q Quota, n int) (holders int, rate, capacity float64) {
+	total := baseExtra * b.extra(q)
+	holders = min(n, int(total))
+	if holders == 0 {
+		return 0, 0, 0
+	}
+	return holders, baseShare * q.Rate / float64(holders), total / float64(holders)
+}
+
+// life returns how long granted tokens of a workspace may be used.
+func (b Bounds) life(q Quota) time.Duration {
+	rate, capacity := b.pool(q)
+	if rate <= 0 {
+		return minLife
+	}
+	d := time.Duration(lifeShare * capacity / rate * float64(time.Second))
+	return min(max(d, minLife), maxLife)
+}
--- /dev/null
+++ b/pkg/quota/exchange.go
@@ -0,0 +1,213 @@
+package quota
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// helloInterval is the time between two requests for the list of an edge while a list
+	// begins, and slowHelloInterval once helloTime has passed.
+	helloInterval     = 100 * time.Millisecond
+	helloTime         = 3 * time.Second
+	slowHelloInterval = time.Second
+	// staleHelloInterval is that time while the list is not verified.
+	staleHelloInterval = 700 * time.Millisecond
+	// reserve is the part of a pool that is left for requests that wait.
+	reserve = 0.25
+	// minNext and maxNext bound the time after which a coordinator that had too few tokens
+	// is asked again. Until maxNext its bucket does not fill up.
+	minNext = 20 * time.Millisecond
+	maxNext = 2 * time.Second
+)
+
+// Due returns the requests to send now. It is called regularly, and when a request waits.
+func (n *Node) Due(now Time) []Ask {
+	if len(n.configs) == 0 {
+		return nil
+	}
+	n.begin(now)
+	n.sweep(now)
+	var asks []Ask
+	index := make(map[string]int)
+	to := func(address string) *Ask {
+		i, ok := index[address]
+		if !ok {
+			i = len(asks)
+			index[address] = i
+			asks = append(asks, n.ask(address, now))
+		}
+		return &asks[i]
+	}
+	for _, address := range n.hellos(now) {
+		to(address)
+		n.helloAt[address] = now
+	}
+	for _, w := range n.active {
+		wanted, urgent := w.missing(now)
+		if wanted == 0 {
+			continue
+		}
+		list, each := w.choose(wanted, now)
+		for _, c := range list {
+			w.asking[c] += each
+			a := to(c)
+			a.Request.Demands = append(a.Request.Demands, Demand{w.id, each, urgent})
+		}
+	}
+	return asks
+}
+
+func (n *Node) ask(address string, now Time) Ask {
+	return Ask{
+		To: address, sentAt: now, generation: n.generation, dropped: n.dropped[address],
+		Request: Request{From: n.members.self, ConfigVersion: n.version, Members: n.members.digest, Starting: !n.started},
+	}
+}
+
+// hellos returns the edges to ask for their lists.
+func (n *Node) hellos(now Time) []string {
+	m := &n.members
+	var list []string
+	interval := staleHelloInterval
+	switch {
+	case !m.listed:
+		return nil
+	case !m.begun:
+		list = m.unconfirmed(max(m.adoptedAt, now-confirmAge))
+		if interval = helloInterval; now-m.adoptedAt > helloTime {
+			interval = slowHelloInterval
+		}
+	case !m.isVerified || now-m.verifiedAt > confirmAge:
+		list = m.unconfirmed(now - staleHelloInterval)
+	}
+	return slices.DeleteFunc(list, func(address string) bool {
+		at, ok := n.helloAt[address]
+		return ok && now-at < interval
+	})
+}
+
+// Handle answers a request. A starting sender is a new process at its address: tokens that
+// an earlier one granted are dropped, so that they do not add to what it grants.
+func (n *Node) Handle(r Request, now Time) Grant {
+	n.begin(now)
+	if r.Starting && r.From != n.members.self {
+		n.dropped[r.From]++
+		for _, w := range n.active {
+			w.drop(func(h holding) bool { return h.from == r.From })
+		}
+	}
+	g := Grant{ConfigVersion: n.version, Members: n.members.digest, Refused: !n.members.isCurrent(now)}
+	for _, d := range r.Demands {
+		t := Tokens{Workspace: d.Workspace, Next: refusedPause}
+		if !g.Refused {
+			n.grant(&t, d, now)
+		}
+		g.Tokens = append(g.Tokens, t)
+	}
+	return g
+}
+
+// grant fills in the answer to one demand.
+func (n *Node) grant(t *Tokens, d Demand, now Time) {
+	c := n.configs[d.Workspace]
+	p := n.pool(d.Workspace, c, now)
+	if p == nil {
+		return
+	}
+	leave := 0.0
+	if !d.Urgent {
+		leave = reserve * p.capacity
+	}
+	t.Life = n.bounds.life(c.Quota)
+	t.Granted = p.take(d.Wanted, leave, t.Life, now)
+	t.Next = 0
+	if t.Granted < d.Wanted {
+		// As many as are missing, but no more than half of what the bucket can hold.
+		level := max(min(float64(d.Wanted-t.Granted)+leave, (p.capacity-p.outstanding)/2, p.capacity/2), 1)
+		t.Next = min(max(p.until(level), minNext), maxNext)
+	}
+}
+
+// pool returns the bucket of a workspace that this edge coordinates, or nil.
+func (n *Node) pool(id uint64, c *config, now Time) *pool {
+	if p := n.pools[id]; p != nil || c == nil {
+		return p
+	}
+	m := &n.members
+	if !m.begun || !n.coordinates(id) {
+		return nil
+	}
+	p := &pool{bucket: bucket{at: now}, usedAt: now}
+	n.resizePool(p, c)
+	c.unused.advance(c.unused.capacity, now)
+	k := float64(n.coordinatorCount())
+	p.level = min(c.unused.level/k, p.rate*(now-m.begunAt).Seconds())
+	if m.begunAt == n.firstBegunAt {
+		p.level += startExtra * n.bounds.extra(c.Quota) / k
+	}
+	p.level = min(p.level, p.capacity)
+	n.pools[id] = p
+	return p
+}
+
+// Reply applies the reply to a request.
+func (n *Node) Reply(a Ask, g Grant, now Time) {
+	delete(n.failures, a.To)
+	if a.To != n.members.self {
+		n.members.confirm(a.To, g.Members, a.sentAt)
+	}
+	n.begin(now)
+	void := a.generation+1 < n.generation || a.dropped != n.dropped[a.To]
+	for i, d := range a.Request.Demands {
+		w := n.used[d.Workspace]
+		if w == nil {
+			continue
+		}
+		w.answered(a.To, d.Wanted)
+		if i >= len(g.Tokens) || g.Tokens[i].Workspace != d.Workspace {
+			w.nextAt[a.To] = now + refusedPause
+			continue
+		}
+		t := g.Tokens[i]
+		if t.Granted < d.Wanted {
+			w.nextAt[a.To] = now + min(max(t.Next, minNext), maxNext)
+		}
+		if !void && slices.Contains(w.coordinators, a.To) {
+			w.hold(holding{a.To, min(t.Granted, n.mostFrom(w)), a.sentAt + min(t.Life, maxLife)})
+		}
+	}
+}
+
+// mostFrom returns the most tokens that a coordinator with the same configuration grants at
+// once.
+func (n *Node) mostFrom(w *workspace) uint32 {
+	_, capacity := n.bounds.pool(w.quota)
+	return uint32(max(capacity/float64(n.coordinatorCount()), 1)) + 1
+}
+
+// answered records that a coordinator answered, or did not.
+func (w *workspace) answered(coordinator string, wanted uint32) {
+	if w.asking[coordinator] > wanted {
+		w.asking[coordinator] -= wanted
+		return
+	}
+	delete(w.asking, coordinator)
+}
+
+// Fail records that a request was not answered.
+func (n *Node) Fail(a Ask, now Time) {
+	pause := failPause
+	if f, ok := n.failures[a.To]; ok {
+		if pause = f.pause; now >= f.until {
+			pause = min(2*f.pause, maxFailPause)
+		}
+	}
+	n.failures[a.To] = failure{now + pause, pause}
+	for _, d := range a.Request.Demands {
+		if w := n.used[d.Workspace]; w != nil {
+			w.answered(a.To, d.Wanted)
+			w.nextAt[a.To] = now + pause
+		}
+	}
+}
--- /dev/null
+++ b/pkg/quota/quota_test.go
@@ -0,0 +1,122 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+)
+
+func pow(x, y float64) float64 { return math.Pow(x, y) }
+
+// TestUsableInCalm guards against a quota that can't be used: when all requests come through
+// one edge, when a small quota is spread over many edges, and when it has no burst.
+func TestUsableInCalm(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		edges int
+		quota Quota
+		skew  float64
+	}{
+		{"one edge of 26", 26, Quota{100, 100}, 50},
+		{"one edge of 26, no burst", 26, Quota{100, 0}, 50},
+		{"26 edges, 5 a second", 26, Quota{5, 5}, 0},
+		{"26 edges, 5 a second, no burst", 26, Quota{5, 0}, 0},
+		{"26 edges, one with most", 26, Quota{300, 300}, 1},
+		{"26 edges, even", 26, Quota{1000, 500}, 0},
+		{"one edge alone", 1, Quota{50, 10}, 0},
+		{"3 edges", 3, Quota{50, 10}, 1},
+	} {
+		s := newSim(1, c.edges, c.quota)
+		s.setDemand(1.3*c.quota.Rate, c.skew)
+		s.advance(10 * time.Second)
+		s.totals()
+		s.advance(40 * time.Second)
+		used, _ := s.totals()
+		part := float64(used) / 40 / c.quota.Rate
+		worst, _ := s.worst()
+		t.Logf("%s: %.3f of the quota used, excess %.0f", c.name, part, worst)
+		if part < 0.95 || worst > 0 {
+			t.Errorf("%s: %.3f of the quota used, want 0.95; excess %.0f", c.name, part, worst)
+		}
+	}
+}
+
+// TestLossOfOneEdge guards against a quota that depends on one edge.
+func TestLossOfOneEdge(t *testing.T) {
+	for _, rate := range []float64{5, 100} {
+		for lost := range 10 {
+			s := newSim(uint64(lost), 10, Quota{rate, rate})
+			s.setDemand(1.3*rate, 0)
+			s.advance(10 * time.Second)
+			s.kill(s.edges[lost])
+			s.setDemand(1.3*rate*10/9, 0)
+			s.advance(time.Second)
+			s.totals()
+			s.advance(40 * time.Second)
+			used, _ := s.totals()
+			if part := float64(used) / 40 / rate; part < 0.8 {
+				t.Errorf("rate %g without edge %d: %.3f of the quota used, want 0.8", rate, lost, part)
+			}
+		}
+	}
+}
+
+// TestNormalUse guards against refusals and delays of a workspace within its quota: usual
+// traffic of 1/1.6 of the quota with bursts of twice that for a second.
+func TestNormalUse(t *testing.T) {
+	for _, q := range []Quota{{5, 10}, {36, 36}, {300, 300}, {300, 60}} {
+		for _, skew := range []float64{0, 1} {
+			s := newSim(3, 26, q)
+			s.setDemand(q.Rate/1.6, skew)
+			s.advance(10 * time.Second)
+			s.totals()
+			s.delays, s.messages = nil, 0
+			for range 10 {
+				s.setDemand(2*q.Rate/1.6, skew)
+				s.advance(time.Second)
+				s.setDemand(q.Rate/1.6, skew)
+				s.advance(5 * time.Second)
+			}
+			used, refused := s.totals()
+			slices.Sort(s.delays)
+			waited := 0
+			for _, d := range s.delays {
+				if d > 0 {
+					waited++
+				}
+			}
+			p99 := s.delays[len(s.delays)*99/100]
+			t.Logf("rate %g burst %g skew %g: %d used, %d refused, %d waited, 99%% below %v, %.0f messages/s", q.Rate, q.Burst, skew, used, refused, waited, p99, float64(s.messages)/60)
+			if refused > 0 || p99 > 20*time.Millisecond {
+				t.Errorf("rate %g burst %g skew %g: %d refused of %d, 99%% below %v", q.Rate, q.Burst, skew, refused, used, p99)
+			}
+		}
+	}
+}
+
+// TestRestartOfAll guards against edges that refuse usual traffic for long after all of them
+// were killed.
+func TestRestartOfAll(t *testing.T) {
+	for _, q := range []Quota{{36, 36}, {300, 300}} {
+		s := newSim(5, 26, q)
+		s.setDemand(q.Rate/1.6, 0)
+		s.advance(10 * time.Second)
+		for _, e := range s.edges {
+			s.kill(e)
+		}
+		s.advance(time.Second)
+		for _, e := range s.edges {
+			s.start(e)
+		}
+		s.totals()
+		s.advance(time.Second)
+		used, refused := s.totals()
+		s.advance(time.Second)
+		_, later := s.totals()
+		t.Logf("rate %g: %d used, %d refused in the first second, %d in the next", q.Rate, used, refused, later)
+		if worst, _ := s.worst(); later > 0 || refused > used/2 || worst > 0 {
+			t.Errorf("rate %g: %d used, %d refused in the first second, %d in the next; excess %g", q.Rate, used, refused, later, worst)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/quota/workspace.go
@@ -0,0 +1,183 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// MaxWait is how long a request may wait for the reply of a coordinator.
+	MaxWait = 100 * time.Millisecond
+	// prefetchTime is how long the tokens that an edge holds are to last.
+	prefetchTime = 500 * time.Millisecond
+	// keepOneRate is the rate, in requests a second, from which an edge always holds a token.
+	// Below it, most tokens would expire unused.
+	keepOneRate = 1
+	// refusedPause is the time until a coordinator that grants nothing is asked again.
+	refusedPause = 100 * time.Millisecond
+	// An edge that does not answer is left out for failPause, which doubles with each
+	// failure up to maxFailPause.
+	failPause    = 200 * time.Millisecond
+	maxFailPause = 2 * time.Second
+	// idleAfter is the time without a request after which the state of a workspace is
+	// dropped.
+	idleAfter = 30 * time.Second
+	// tokensPerCoordinator is the number of tokens from which a demand is divided among
+	// several coordinators.
+	tokensPerCoordinator = 4
+)
+
+// holding is a number of tokens that one coordinator granted.
+type holding struct {
+	from  string
+	count uint32
+	until Time
+}
+
+// workspace is what an edge keeps about a workspace that it has requests of.
+type workspace struct {
+	id    uint64
+	quota Quota
+	life  time.Duration
+	base  bucket
+	held  []holding // by expiry
+
+	coordinators []string        // of the current list
+	nextAt       map[string]Time // when a coordinator will have tokens again
+	asking       map[string]uint32
+	waiting      int // requests that wait for a reply
+
+	seen, admitted, refused usage
+	usedAt                  Time
+	promisedAt              Time // latest time that a refused caller was told
+	turn                    int  // rotates the coordinators
+}
+
+// drop removes the tokens for which f returns true.
+func (w *workspace) drop(f func(holding) bool) { w.held = slices.DeleteFunc(w.held, f) }
+
+// available returns the number of tokens that can be used now.
+func (w *workspace) available(now Time) uint32 {
+	n := uint32(0)
+	for _, h := range w.held {
+		if h.until > now {
+			n += h.count
+		}
+	}
+	return n
+}
+
+// take uses one token.
+func (w *workspace) take(now Time) bool {
+	expired := 0
+	for expired < len(w.held) && (w.held[expired].until <= now || w.held[expired].count == 0) {
+		expired++
+	}
+	if expired > 0 {
+		w.held = append(w.held[:0], w.held[expired:]...)
+	}
+	if len(w.held) > 0 {
+		w.held[0].count--
+		return true
+	}
+	w.base.advance(w.base.capacity, now)
+	if w.base.level >= 1 {
+		w.base.level--
+		return true
+	}
+	return false
+}
+
+// hold adds granted tokens.
+func (w *workspace) hold(h holding) {
+	if h.count == 0 {
+		return
+	}
+	at, _ := slices.BinarySearchFunc(w.held, h, func(a, b holding) int { return int(a.until - b.until) })
+	w.held = slices.Insert(w.held, at, h)
+}
+
+// scale applies a lower quota to the tokens held.
+func (w *workspace) scale(factor float64) {
+	for i := range w.held {
+		w.held[i].count = uint32(float64(w.held[i].count) * factor)
+	}
+}
+
+// readyAt returns when the first coordinator has tokens, or whether one is being asked.
+func (w *workspace) readyAt(now Time) (at Time, asking bool) {
+	at = now + maxWait
+	for _, c := range w.coordinators {
+		if _, ok := w.asking[c]; ok {
+			asking = true
+		}
+		at = min(at, max(w.nextAt[c], now))
+	}
+	return at, asking
+}
+
+// mayGet reports whether a request may get a token if it waits: a coordinator is being
+// asked, or has not said that it has none, or will have some in time for it.
+func (w *workspace) mayGet(edges int, now Time) bool {
+	at, asking := w.readyAt(now)
+	if len(w.coordinators) == 0 || !asking && at > now+MaxWait {
+		return false
+	}
+	if at <= now {
+		return true
+	}
+	rate := max(w.admitted.rate(now), w.quota.Rate/float64(max(edges, 1)))
+	return float64(w.waiting) < 1+rate*MaxWait.Seconds()
+}
+
+// refuse returns the time after which a refused request should come again. Each refused
+// caller gets a time of its own, as far apart as the tokens of this edge.
+func (w *workspace) refuse(now Time) time.Duration {
+	w.refused.add(now)
+	at, _ := w.readyAt(now)
+	w.base.advance(w.base.capacity, now)
+	at = min(at, now+w.base.until(1))
+	rate := max(w.admitted.rate(now), w.quota.Rate*baseShare/maxCoordinators, 1/maxWait.Seconds())
+	spacing := time.Duration(float64(time.Second) / rate)
+	at = max(at, min(w.promisedAt+spacing, now+maxWait))
+	w.promisedAt = at
+	return at - now
+}
+
+// missing returns how many tokens to ask for now.
+func (w *workspace) missing(now Time) (n uint32, urgent bool) {
+	have := w.available(now)
+	for _, count := range w.asking {
+		have += count
+	}
+	rate := w.seen.peak(now)
+	need := rate * min(prefetchTime, w.life).Seconds()
+	if w.waiting > 0 && uint32(w.waiting) > have {
+		return uint32(w.waiting) - have + uint32(need), true
+	}
+	// Half of what is needed is left when the next tokens are asked for.
+	if float64(have) < need/2 {
+		return uint32(math.Ceil(need)) - have, false
+	}
+	if have == 0 && rate >= keepOneRate {
+		return 1, false
+	}
+	return 0, false
+}
+
+// choose returns the coordinators to ask for n tokens and how many to ask each one for.
+func (w *workspace) choose(n uint32, now Time) (list []string, each uint32) {
+	for i := range w.coordinators {
+		c := w.coordinators[(w.turn+i)%len(w.coordinators)]
+		if _, ok := w.asking[c]; !ok && w.nextAt[c] <= now {
+			list = append(list, c)
+		}
+	}
+	if len(list) == 0 {
+		return nil, 0
+	}
+	k := min(len(list), max(int(n)/tokensPerCoordinator, 1))
+	w.turn++
+	return list[:k], (n + uint32(k) - 1) / uint32(k)
+}
