Quotas: the check of requests and the exchange of tokens between edges

Cause: pkg/quota decides without I/O. Result: go vet clean; go test ./pkg/quota passes with two views of the list of edges; not run with processes yet.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -68,6 +68,7 @@
 	confirmer *confirmer
 	suspects  *suspects
 	limits    *limitExchanger
+	quotas    *quotas
 	metrics   *metrics
 	transit   *membudget.Budget
 	inFlight  *inFlight
@@ -149,6 +150,7 @@
 	e.confirmer = newConfirmer(e.ledger, e.load)
 	e.suspects = newSuspects(e)
 	e.limits = newLimitExchanger(e)
+	e.quotas = newQuotas(e)
 	if !settings.FirstStart {
 		e.suspects.exchanger.beginRound()
 	}
@@ -190,6 +192,7 @@
 	background(e.measureLoad)
 	background(e.confirmer.run)
 	background(e.limits.run)
+	background(e.quotas.run)
 	g.Go(func() error {
 		defer cancel()
 		return e.serveCallers(ctx, stop)
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -40,7 +40,9 @@
 	route   *routing.Route
 	table   *routing.Table
 	service string
-	body    []byte
+	// workspace is whose key the request carries; nil: none.
+	workspace *routing.Workspace
+	body      []byte
 	// responseHold accounts for the memory of a response, or a part of one, that was
 	// read and not yet delivered; nil: none.
 	responseHold *membudget.Reservation
@@ -102,6 +104,9 @@
 	}
 	c.deadline = c.began.Add(c.timeout())
 	c.setDeliveryDeadline(c.deadline)
+	if !c.admitQuota() {
+		return
+	}
 	// Memory is accounted for by connection, not by address: all callers may come
 	// through one load balancer.
 	bodyHold := e.transit.Reservation("caller "+r.RemoteAddr, membudget.CallerShare)
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -30,6 +30,9 @@
 	case *peerv1.Envelope_LimitReport:
 		reply := e.limits.handle(m.LimitReport, time.Now())
 		err = st.Send(&peerv1.Envelope{Body: &peerv1.Envelope_LimitShares{LimitShares: reply}})
+	case *peerv1.Envelope_QuotaRequest:
+		reply := e.quotas.handle(m.QuotaRequest)
+		err = st.Send(&peerv1.Envelope{Body: &peerv1.Envelope_QuotaGrant{QuotaGrant: reply}})
 	default:
 		e.logger.Warn("unknown peer request", "peer", s.Addr())
 	}
--- a/pkg/edge/status.go
+++ b/pkg/edge/status.go
@@ -37,6 +37,7 @@
 	Suspects      []poison.Suspect `json:"suspects"` // requests that were in flight during a crash
 	Transit       membudget.Usage  `json:"transit"`  // memory of bodies in transit
 	Limits        LimitStatus      `json:"limits"`
+	Quotas        QuotaStatus      `json:"quotas"`
 }
 
 // LimitStatus is an edge's part of the rate limits of upstreams.
@@ -68,6 +69,7 @@
 			s.Limits.Shares[region] = f.Limits().Shares().Width(region)
 		}
 	})
+	s.Quotas = e.quotas.status()
 	e.suspects.mu.Lock()
 	s.Suspects = e.suspects.tracker.Suspects(now)
 	e.suspects.mu.Unlock()
--- a/pkg/quota/admit.go
+++ b/pkg/quota/admit.go
@@ -82,3 +82,17 @@
 	}
 	return list
 }
+
+// State is what a node knows of its part as a coordinator.
+type State struct {
+	Edges   int  // in its list
+	Begun   bool // no edge with an earlier list can be a coordinator
+	Current bool // the list is known to be current: tokens are granted
+	Pools   int  // workspaces of which it has granted tokens lately
+}
+
+// State returns the state of the node as a coordinator.
+func (n *Node) State(now Time) State {
+	m := &n.members
+	return State{Edges: len(m.list), Begun: m.begun, Current: m.isCurrent(now), Pools: len(n.pools)}
+}
--- a/pkg/quota/exchange.go
+++ b/pkg/quota/exchange.go
@@ -11,6 +11,8 @@
 	helloInterval     = 50 * time.Millisecond
 	helloTime         = time.Second
 	slowHelloInterval = time.Second
+	// maxHellos bounds the edges that are asked for their lists at once.
+	maxHellos = 32
 	// staleHelloInterval is that time while the list is not verified.
 	staleHelloInterval = 700 * time.Millisecond
 	// reserve is the part of a pool that is left for requests that wait.
@@ -114,17 +116,18 @@
 	case !m.listed:
 		return nil
 	case !m.begun:
-		list = m.unconfirmed(max(m.adoptedAt, now-confirmAge))
+		list = m.unconfirmed(m.adoptedAt)
 		if interval = helloInterval; now-m.adoptedAt > helloTime {
 			interval = slowHelloInterval
 		}
 	case !m.isVerified || now-m.verifiedAt > confirmAge:
 		list = m.unconfirmed(now - staleHelloInterval)
 	}
-	return slices.DeleteFunc(list, func(address string) bool {
+	list = slices.DeleteFunc(list, func(address string) bool {
 		at, ok := n.helloAt[address]
 		return ok && now-at < interval
 	})
+	return list[:min(len(list), maxHellos)]
 }
 
 // Handle answers a request. A starting sender is a new process at its address: tokens that
--- a/pkg/quota/members.go
+++ b/pkg/quota/members.go
@@ -12,25 +12,35 @@
 const (
 	// A coordinator whose list of edges is not verified any more, since the store is down,
 	// goes on while the part staleQuorum of the edges say that they have the same list. One
-	// that begins needs more than the part beginQuorum. Together they exceed 1, so that
-	// coordinators of two lists that differ in up to a tenth of the edges never grant at
-	// the same time.
+	// that begins needs more than the part beginQuorum, of all and of the older half.
+	// Together they exceed 1, so that some edge belongs to both: coordinators of a list do
+	// not grant beside those of an earlier one that are cut off with all edges of theirs.
 	staleQuorum = 0.7
 	beginQuorum = 0.4
+	// minOlderHalf is the smallest half that counts: of fewer, the loss of one would keep
+	// the others from beginning.
+	minOlderHalf = 3
 	// confirmAge is the age of the list from which the other edges are asked for theirs.
 	confirmAge = 2 * time.Second
 )
 
+// Member is a registered edge.
+type Member struct {
+	Address string
+	Created uint64 // orders the edges by their first registration
+}
+
 // members is what a node knows of the registered edges.
 type members struct {
 	self      string
-	list      []string // sorted
-	hashes    []uint64 // of list
-	digest    uint64   // of list
-	listed    bool     // this edge is registered
+	list      []string        // sorted
+	hashes    []uint64        // of list
+	digest    uint64          // of list
+	older     map[string]bool // the half of list that was registered first
+	listed    bool            // this edge is registered
 	adoptedAt Time
-	// confirmed is when each other edge was asked that replied with the same digest.
-	confirmed map[string]Time
+	// confirmed has the other edges that replied with the same digest.
+	confirmed map[string]confirmation
 	// begun is set once no edge with an earlier list can still be a coordinator.
 	begun   bool
 	begunAt Time
@@ -45,11 +55,26 @@
 	widestN, widestK int
 }
 
+// confirmation is when an edge was asked that replied with the same digest.
+type confirmation struct{ first, last Time }
+
 // set adopts a list and reports whether it is another one.
-func (m *members) set(list []string, listed bool, now Time) bool {
-	list = slices.Clone(list)
+func (m *members) set(registered []Member, now Time) bool {
+	registered = slices.Clone(registered)
+	slices.SortFunc(registered, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(a.Created, b.Created), cmp.Compare(a.Address, b.Address))
+	})
+	list := make([]string, 0, len(registered))
+	for _, r := range registered {
+		list = append(list, r.Address)
+	}
+	older := make(map[string]bool)
+	for _, address := range list[:len(list)/2] {
+		older[address] = true
+	}
 	slices.Sort(list)
 	list = slices.Compact(list)
+	_, listed := slices.BinarySearch(list, m.self)
 	if m.known && listed == m.listed && slices.Equal(list, m.list) {
 		return false
 	}
@@ -59,13 +84,13 @@
 			m.lost = true
 		}
 	}
-	m.list, m.listed, m.known, m.adoptedAt, m.begun = list, listed, true, now, false
+	m.list, m.older, m.listed, m.known, m.adoptedAt, m.begun = list, older, listed, true, now, false
 	m.digest = xxhash.Sum64String(strings.Join(list, "\n"))
 	m.hashes = m.hashes[:0]
 	for _, address := range list {
 		m.hashes = append(m.hashes, xxhash.Sum64String(address))
 	}
-	m.confirmed = make(map[string]Time)
+	m.confirmed = make(map[string]confirmation)
 	return true
 }
 
@@ -75,15 +100,20 @@
 		delete(m.confirmed, address)
 		return
 	}
-	m.confirmed[address] = max(m.confirmed[address], sentAt)
+	c, ok := m.confirmed[address]
+	if !ok {
+		c.first = sentAt
+	}
+	c.last = max(c.last, sentAt)
+	m.confirmed[address] = c
 }
 
 // confirmations returns the number of edges, with this one, that confirmed the list at or
 // after a time.
 func (m *members) confirmations(since Time) int {
 	n := 1
-	for _, at := range m.confirmed {
-		if at >= since {
+	for _, c := range m.confirmed {
+		if c.last >= since {
 			n++
 		}
 	}
@@ -107,15 +137,38 @@
 	if m.begun || !m.listed {
 		return
 	}
-	n := m.confirmations(m.adoptedAt)
-	waited := now-m.adoptedAt >= ListAge+maxLife
-	recent := float64(m.confirmations(max(m.adoptedAt, now-ListAge))) > beginQuorum*float64(len(m.list))
-	if n == len(m.list) && !m.lost || waited && recent && m.isVerified && now-m.verifiedAt <= ListAge {
+	all := m.confirmations(m.adoptedAt) == len(m.list) && !m.lost
+	if all || m.isVerified && now-m.verifiedAt <= ListAge && m.settled(now-ListAge-maxLife) {
 		m.begun, m.begunAt = true, now
 		m.widestN, m.widestK = 0, 0
 	}
 }
 
+// settled reports whether a quorum has had this list since a time. If coordinators of an
+// earlier list had still been granting, one of the quorum would have told them otherwise.
+func (m *members) settled(since Time) bool {
+	if m.adoptedAt > since {
+		return false
+	}
+	all, older := 1, 0
+	if m.older[m.self] {
+		older++
+	}
+	for address, c := range m.confirmed {
+		if c.first > since {
+			continue
+		}
+		all++
+		if m.older[address] {
+			older++
+		}
+	}
+	if half := len(m.older); half >= minOlderHalf && float64(older) <= beginQuorum*float64(half) {
+		return false
+	}
+	return float64(all) > beginQuorum*float64(len(m.list))
+}
+
 // widen records the numbers of a list that has not begun and returns the numbers to divide
 // quotas by.
 func (m *members) widen(coordinators int) (n, k int) {
@@ -130,7 +183,7 @@
 func (m *members) unconfirmed(since Time) []string {
 	var list []string
 	for _, address := range m.list {
-		if at, ok := m.confirmed[address]; address != m.self && (!ok || at < since) {
+		if c, ok := m.confirmed[address]; address != m.self && (!ok || c.last < since) {
 			list = append(list, address)
 		}
 	}
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -53,13 +53,12 @@
 	}
 }
 
-// SetMembers sets the addresses of the registered edges. listed reports whether this edge is
-// one of them.
-func (n *Node) SetMembers(list []string, listed bool, now Time) {
+// SetMembers sets the registered edges. An edge that is not one of them coordinates nothing.
+func (n *Node) SetMembers(list []Member, now Time) {
 	m := &n.members
 	before, k := m.widen(n.coordinatorCount())
 	first := !m.known
-	if !m.set(list, listed, now) {
+	if !m.set(list, now) {
 		return
 	}
 	if !first {
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -120,3 +120,57 @@
 		}
 	}
 }
+
+// TestTwoViews guards against coordinators of two lists of edges that grant at the same time:
+// edges that do not hear of an addition go on with the old list, in a cut or a freeze.
+func TestTwoViews(t *testing.T) {
+	for _, thaws := range []bool{false, true} {
+		for seed := range uint64(10) {
+			s := newSim(seed, 8, Quota{300, 100})
+			s.setDemand(900, 0)
+			s.advance(10 * time.Second)
+			old := slices.Clone(s.edges)
+			s.noStore = 1
+			for _, e := range old {
+				e.group, e.frozen = 1, thaws
+			}
+			for _, address := range []string{"f0", "f1", "f2", "f3", "f4", "f5", "f6", "f7", "f8", "f9", "g0", "g1"} {
+				s.add(address, 100)
+			}
+			s.advance(7 * time.Second)
+			for _, e := range old {
+				if thaws {
+					s.thaw(e)
+				}
+			}
+			s.advance(7 * time.Second)
+			if worst, at := s.worst(); worst > 0 {
+				t.Errorf("seed %d, thaws %v: %.0f requests too many in the window from %v", seed, thaws, worst, at)
+			}
+		}
+	}
+}
+
+// TestRestartsInARow guards against buckets that fill up with each start, and tokens of an
+// earlier process that add to those of the next one.
+func TestRestartsInARow(t *testing.T) {
+	for _, each := range []bool{false, true} {
+		s := newSim(1, 10, Quota{300, 300})
+		s.advance(20 * time.Second)
+		s.setDemand(1200, 0)
+		s.advance(time.Second)
+		for i := range 20 {
+			for j, e := range s.edges {
+				if each && i%len(s.edges) != j {
+					continue
+				}
+				s.kill(e)
+				s.start(e)
+			}
+			s.advance(time.Duration(200+100*(i%20)) * time.Millisecond)
+		}
+		if worst, at := s.worst(); worst > 0 {
+			t.Errorf("one after the other %v: %.0f requests too many in the window from %v", each, worst, at)
+		}
+	}
+}
--- a/pkg/quota/schedule_test.go
+++ b/pkg/quota/schedule_test.go
@@ -58,46 +58,77 @@
 	t.Logf("%d schedules, %d requests served, closest window %.1f below its limit", schedules, served, -top)
 }
 
+// Kinds of faults.
+const (
+	restartOne = iota
+	restartAll
+	freeze
+	cutOne
+	cutHalf
+	storeDown
+	addEdges
+	removeEdge
+	forgetEdge
+	changeQuota
+)
+
+// themes are faults that make each other worse. A schedule has those of one theme.
+var themes = [][]int{
+	{restartOne, restartAll, freeze, cutOne, cutHalf, storeDown, addEdges, removeEdge, forgetEdge, changeQuota},
+	{restartOne, restartAll},
+	{restartAll, addEdges, removeEdge, forgetEdge},
+	{cutOne, cutHalf, addEdges, forgetEdge},
+	{cutHalf, addEdges, addEdges, storeDown},
+	{freeze, addEdges, removeEdge, forgetEdge},
+	{changeQuota, restartOne, cutHalf},
+}
+
 // playSchedule plays a random schedule and returns the largest excess of any window and the
 // number of requests served.
 func playSchedule(seed uint64, logf func(string, ...any)) (worst float64, at Time, served int) {
 	rng := rand.New(rand.NewPCG(seed, 2))
-	q := Quota{Rate: []float64{2, 10, 40}[rng.IntN(3)], Burst: []float64{0, 5, 40}[rng.IntN(3)]}
+	rate := []float64{5, 60, 300}[rng.IntN(3)]
+	q := Quota{Rate: rate, Burst: rate * []float64{0, 0.5, 2}[rng.IntN(3)]}
 	s := newSim(seed, 1+rng.IntN(10), q)
 	s.loss, s.late = []float64{0, 0.02, 0.2}[rng.IntN(3)], []float64{0, 0.05}[rng.IntN(2)]
 	s.latency = []time.Duration{time.Millisecond, 60 * time.Millisecond}[rng.IntN(2)]
-	over, skew := []float64{1, 1.5, 3}[rng.IntN(3)], float64(rng.IntN(4))
+	over, skew := []float64{1, 2, 4}[rng.IntN(3)], float64(rng.IntN(3))
+	theme := themes[rng.IntN(len(themes))]
+	s.advance(time.Duration(rng.IntN(10)) * time.Second) // buckets fill up
 	s.setDemand(over*q.Rate, skew)
 	logf("%d edges, quota %v, demand %g times, skew %g, loss %g, late %g, latency %v", len(s.edges), q, over, skew, s.loss, s.late, s.latency)
-	s.advance(time.Duration(1+rng.IntN(6)) * time.Second)
-	for range 2 + rng.IntN(4) {
-		logf("%v: %s", s.now, s.fault(rng))
+	s.advance(time.Duration(rng.IntN(3000)) * time.Millisecond)
+	for range 3 + rng.IntN(4) {
+		logf("%v: %s", s.now, s.fault(theme[rng.IntN(len(theme))], rng))
 		if rng.IntN(3) == 0 { // the callers go elsewhere
-			s.setDemand(over*s.current().quota.Rate, float64(rng.IntN(4)))
+			s.setDemand(over*s.current().quota.Rate, float64(rng.IntN(3)))
+		}
+		// Half of the faults come together with the next one.
+		if rng.IntN(2) == 0 {
+			s.advance(time.Duration(rng.IntN(2500)) * time.Millisecond)
 		}
-		s.advance(time.Duration(rng.IntN(2500)) * time.Millisecond)
 	}
-	s.advance(2 * time.Second)
+	s.advance(3 * time.Second)
 	worst, at = s.worst()
 	return worst, at, len(s.arrivals)
 }
 
 // fault makes something happen, in part only after a while, and returns its description.
-func (s *sim) fault(rng *rand.Rand) string {
+func (s *sim) fault(kind int, rng *rand.Rand) string {
 	e := s.edges[rng.IntN(len(s.edges))]
-	later := time.Duration(100+rng.IntN(4000)) * time.Millisecond
-	switch kind := rng.IntN(10); kind {
-	case 0:
+	later := time.Duration(100+rng.IntN(8000)) * time.Millisecond
+	switch kind {
+	case restartOne:
 		s.kill(e)
 		s.after(later/3, func() { s.start(e) })
 		return "restart of " + e.address
-	case 1:
+	case restartAll:
 		for _, e := range s.edges {
 			s.kill(e)
 			s.after(later/4+s.random(200*time.Millisecond), func() { s.start(e) })
 		}
 		return "restart of all"
-	case 2:
+	case freeze:
 		if e.up && !e.frozen {
 			e.frozen = true
 			run := e.run
@@ -108,14 +139,14 @@
 			})
 		}
 		return fmt.Sprintf("%s is frozen for %v", e.address, later)
-	case 3, 4:
+	case cutOne, cutHalf:
 		reaches := -1
 		if rng.IntN(2) == 0 {
 			reaches = 1
 		}
 		for _, o := range s.edges {
 			o.group = 0
-			if kind == 3 && o == e || kind == 4 && rng.IntN(2) == 0 {
+			if kind == cutOne && o == e || kind == cutHalf && rng.IntN(2) == 0 {
 				o.group = 1
 			}
 		}
@@ -127,27 +158,30 @@
 			s.noStore = -1
 		})
 		return fmt.Sprintf("cut (kind %d, %s) for %v, without the store: group %d", kind, e.address, later, reaches)
-	case 5:
+	case storeDown:
 		s.storeDown = true
 		s.after(later, func() { s.storeDown = false })
 		return fmt.Sprintf("the store is down for %v", later)
-	case 6:
-		n := 1 + rng.IntN(4)
+	case addEdges:
+		n := 1 + rng.IntN(8)
 		for range n {
 			s.add(fmt.Sprintf("f%d", len(s.edges)), e.demand)
 		}
 		return fmt.Sprintf("%d edges are added", n)
-	case 7: // the platform stops an instance and removes its registration
+	case removeEdge: // the platform stops an instance and removes its registration
 		s.kill(e)
 		s.put(func(st *storeState) { st.edges = without(st.edges, e.address) })
 		return e.address + " is removed"
+	case forgetEdge: // the same, but the process goes on until it learns of it
+		s.put(func(st *storeState) { st.edges = without(st.edges, e.address) })
+		return e.address + " is removed and goes on"
 	default:
 		factor := []float64{0.1, 0.5, 2, 8}[rng.IntN(4)]
 		s.put(func(st *storeState) {
 			st.version++
 			st.quota = Quota{max(st.quota.Rate*factor, 0.5), st.quota.Burst * factor}
-			if st.quota.Rate > 80 { // bounds the time of a run
-				st.quota = Quota{40, 40}
+			if st.quota.Rate > 300 { // bounds the time of a run
+				st.quota = Quota{300, 150}
 			}
 		})
 		return fmt.Sprintf("quota %v", s.current().quota)
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -202,11 +202,14 @@
 		verified = s.now
 	}
 	list := s.known(verified).edges
-	listed := slices.Contains(list, e.address)
-	if !listed && !known {
+	if !known && !slices.Contains(list, e.address) {
 		return
 	}
-	e.node.SetMembers(list, listed, s.now)
+	var members []Member
+	for i, address := range list {
+		members = append(members, Member{Address: address, Created: uint64(i)})
+	}
+	e.node.SetMembers(members, s.now)
 	if !s.storeDown && e.group != s.noStore {
 		e.node.SetVerified(verified)
 	}
@@ -280,7 +283,7 @@
 
 // arrive lets callers send requests.
 func (s *sim) arrive(e *simEdge, run int) {
-	rate := max(e.demand, 1) // so that a later rise is seen soon
+	rate := max(e.demand, 5) // so that a later rise is seen soon
 	gap := s.rng.ExpFloat64()
 	if s.regular {
 		gap, rate = 0.5+s.rng.Float64(), max(e.demand, 0.01)
