--- /dev/null
+++ b/pkg/quota/bench_test.go
@@ -0,0 +1,55 @@
+package quota
+
+import (
+	"testing"
+	"time"
+)
+
+// BenchmarkAdmit measures the check of a request while the workspace has 1,000 others.
+func BenchmarkAdmit(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		rate float64
+	}{{"admitted", 1e12}, {"refused", 1e-6}} {
+		b.Run(c.name, func(b *testing.B) {
+			n := NewNode(simBounds, "a", 0)
+			n.SetMembers([]Member{{Address: "a"}}, 0)
+			quotas := make(map[uint64]Quota)
+			for id := range uint64(1000) {
+				quotas[id] = Quota{Rate: c.rate}
+			}
+			n.SetQuotas(1, quotas, 0)
+			now := time.Minute
+			for i := 0; b.Loop(); i++ {
+				now += time.Microsecond
+				n.Admit(uint64(i%1000), now)
+			}
+		})
+	}
+}
+
+// BenchmarkDue measures a round of requests of an edge with 1,000 active workspaces among 410
+// edges.
+func BenchmarkDue(b *testing.B) {
+	n := NewNode(simBounds, "a", 0)
+	members := []Member{{Address: "a"}}
+	for i := range 409 {
+		members = append(members, Member{Address: string(rune('b' + i))})
+	}
+	n.SetMembers(members, 0)
+	quotas := make(map[uint64]Quota)
+	for id := range uint64(1000) {
+		quotas[id] = Quota{Rate: 20}
+	}
+	n.SetQuotas(1, quotas, 0)
+	for id := range quotas {
+		n.Admit(id, time.Minute)
+	}
+	now := time.Minute
+	for b.Loop() {
+		now += 50 * time.Millisecond
+		for _, a := range n.Due(false, now) {
+			n.Fail(a, now)
+		}
+	}
+}
