Quotas: start levels for small quotas, cost of the exchange

Cause: after a restart of all edges each of 8 coordinators of a small quota needed more than a second for its first token. Change: whole tokens of the slack to the first coordinators, staggered levels.

--- a/pkg/quota/bench_test.go
+++ b/pkg/quota/bench_test.go
@@ -10,7 +10,7 @@
 	for _, c := range []struct {
 		name string
 		rate float64
-	}{{"admitted", 1e12}, {"refused", 1e-6}} {
+	}{{"admitted", 1e12}, {"without tokens", 1e-6}} {
 		b.Run(c.name, func(b *testing.B) {
 			n := NewNode(simBounds, "a", 0)
 			n.SetMembers([]Member{{Address: "a"}}, 0)
@@ -22,7 +22,9 @@
 			now := time.Minute
 			for i := 0; b.Loop(); i++ {
 				now += time.Microsecond
-				n.Admit(uint64(i%1000), now)
+				if id := uint64(i % 1000); n.Admit(id, now).Outcome == Waiting {
+					n.Leave(id)
+				}
 			}
 		})
 	}
@@ -43,7 +45,9 @@
 	}
 	n.SetQuotas(1, quotas, 0)
 	for id := range quotas {
-		n.Admit(id, time.Minute)
+		if n.Admit(id, time.Minute).Outcome == Waiting {
+			n.Resume(id, true, time.Minute)
+		}
 	}
 	now := time.Minute
 	for b.Loop() {
--- a/pkg/quota/bounds.go
+++ b/pkg/quota/bounds.go
@@ -31,6 +31,7 @@
 	poolExtra  = 0.55 // added to the burst in the coordinators' buckets
 	baseExtra  = 0.05 // capacity of all base buckets
 	startExtra = 0.05 // in the buckets of coordinators that start; a window may hold two starts
+	startSlack = 0.05 // the same, of the slack only: small quotas need it most
 	// maxCoordinators is the largest number of coordinators of a workspace. With 8, the
 	// loss of one leaves 0.85 of the quota.
 	maxCoordinators = 8
@@ -84,6 +85,18 @@
 	return holders, baseShare * q.Rate / float64(holders), total / float64(holders)
 }
 
+// start returns the level of the bucket of the coordinator at a position among k, when its
+// process starts. Whole tokens go to the first ones, and the levels are staggered around the
+// same sum: the next tokens of a small quota come one after the other, not all at once.
+func (b Bounds) start(q Quota, position, k int) float64 {
+	total := startExtra*b.extra(q) + startSlack*b.Slack
+	stagger := 0.5 - (float64(position)+0.5)/float64(k)
+	if total >= float64(k) {
+		return total/float64(k) + stagger
+	}
+	return min(max(total-float64(position), 0), 1) + stagger
+}
+
 // life returns how long granted tokens of a workspace may be used.
 func (b Bounds) life(q Quota) time.Duration {
 	rate, capacity := b.pool(q)
--- a/pkg/quota/exchange.go
+++ b/pkg/quota/exchange.go
@@ -183,7 +183,8 @@
 		return p
 	}
 	m := &n.members
-	if !m.begun || !n.coordinates(id) {
+	_, position := m.ranked(id, 0)
+	if !m.begun || position < 0 || position >= n.coordinatorCount() {
 		return nil
 	}
 	p := &pool{bucket: bucket{at: now}, usedAt: now}
@@ -192,7 +193,7 @@
 	k := float64(n.coordinatorCount())
 	p.level = min(c.unused.level/k, p.rate*(now-m.begunAt).Seconds())
 	if m.begunAt == n.firstBegunAt {
-		p.level += startExtra * n.bounds.extra(c.Quota) / k
+		p.level += n.bounds.start(c.Quota, position, n.coordinatorCount())
 	}
 	p.level = min(p.level, p.capacity)
 	n.pools[id] = p
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -45,6 +46,7 @@
 }
 
 type simWaiter struct {
+	id    uint64
 	since Time
 	done  bool
 }
@@ -86,8 +88,11 @@
 	limits    map[uint64]*span
 	arrivals  []Time
 	messages  int
-	delays    []time.Duration // of admitted requests
-	regular   bool            // callers come at even distances, not at random
+	delays    []time.Duration  // of admitted requests
+	others    map[uint64]Quota // further workspaces, with their quotas
+	pick      func() uint64    // workspace of the next request; nil: simID
+	demands   int
+	regular   bool // callers come at even distances, not at random
 }
 
 func newSim(seed uint64, count int, q Quota) *sim {
@@ -219,7 +224,9 @@
 	}
 	if st := s.known(at); st.version > e.version {
 		e.version = st.version
-		e.node.SetQuotas(st.version, map[uint64]Quota{simID: st.quota}, s.now)
+		quotas := map[uint64]Quota{simID: st.quota}
+		maps.Copy(quotas, s.others)
+		e.node.SetQuotas(st.version, quotas, s.now)
 		if s.limits[st.version] == nil {
 			s.limits[st.version] = &span{from: s.now, limit: simBounds.Limit(st.quota)}
 		}
@@ -256,6 +263,7 @@
 			continue
 		}
 		s.messages++
+		s.demands += len(a.Request.Demands)
 		ended := false
 		s.after(simTimeout, func() {
 			s.do(e, run, func() {
@@ -300,12 +308,16 @@
 }
 
 func (s *sim) request(e *simEdge, run int) {
-	d := e.node.Admit(simID, s.now)
+	id := uint64(simID)
+	if s.pick != nil {
+		id = s.pick()
+	}
+	d := e.node.Admit(id, s.now)
 	if d.Outcome != Waiting {
 		s.end(e, d, 0)
 		return
 	}
-	w := &simWaiter{since: s.now}
+	w := &simWaiter{id: id, since: s.now}
 	e.waiters = append(e.waiters, w)
 	s.send(e, true)
 	s.after(MaxWait, func() {
@@ -317,7 +329,7 @@
 	if w.done {
 		return
 	}
-	if d := e.node.Resume(simID, last, s.now); d.Outcome != Waiting {
+	if d := e.node.Resume(w.id, last, s.now); d.Outcome != Waiting {
 		w.done = true
 		s.end(e, d, s.now-w.since)
 	}
--- a/pkg/quota/workspace.go
+++ b/pkg/quota/workspace.go
@@ -10,7 +10,7 @@
 	// MaxWait is how long a request may wait for the reply of a coordinator.
 	MaxWait = 100 * time.Millisecond
 	// prefetchTime is how long the tokens that an edge holds are to last.
-	prefetchTime = 500 * time.Millisecond
+	prefetchTime = time.Second
 	// keepOneRate is the rate, in requests a second, from which an edge always holds a token.
 	// Below it, most tokens would expire unused.
 	keepOneRate = 1
