Quotas: times of refusals leave room for new requests

Change: half of an edge's tokens are told to refused callers; tests of times, lives and late replies.

--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -12,6 +12,7 @@
 // TestUsableInCalm guards against a quota that can't be used: when all requests come through
 // one edge, when a small quota is spread over many edges, and when it has no burst.
 func TestUsableInCalm(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name  string
 		edges int
@@ -46,6 +47,7 @@
 
 // TestLossOfOneEdge guards against a quota that depends on one edge.
 func TestLossOfOneEdge(t *testing.T) {
+	t.Parallel()
 	for _, rate := range []float64{5, 100} {
 		for lost := range 10 {
 			s := newSim(uint64(lost), 10, Quota{rate, rate})
@@ -68,6 +70,7 @@
 // TestNormalUse guards against refusals and delays of a workspace within its quota: usual
 // traffic of 1/1.6 of the quota with bursts of twice that for a second.
 func TestNormalUse(t *testing.T) {
+	t.Parallel()
 	for _, q := range []Quota{{5, 10}, {36, 36}, {300, 300}, {300, 60}} {
 		for _, skew := range []float64{0, 1} {
 			s := newSim(3, 26, q)
@@ -97,6 +100,7 @@
 // TestRestartOfAll guards against edges that refuse usual traffic for long after all of them
 // were killed.
 func TestRestartOfAll(t *testing.T) {
+	t.Parallel()
 	for _, q := range []Quota{{36, 36}, {300, 300}} {
 		s := newSim(5, 26, q)
 		s.setDemand(q.Rate/1.6, 0)
@@ -124,6 +128,7 @@
 // TestTwoViews guards against coordinators of two lists of edges that grant at the same time:
 // edges that do not hear of an addition go on with the old list, in a cut or a freeze.
 func TestTwoViews(t *testing.T) {
+	t.Parallel()
 	for _, thaws := range []bool{false, true} {
 		for seed := range uint64(3) {
 			s := newSim(seed, 8, Quota{300, 100})
@@ -154,6 +159,7 @@
 // TestRestartsInARow guards against buckets that fill up with each start, and tokens of an
 // earlier process that add to those of the next one.
 func TestRestartsInARow(t *testing.T) {
+	t.Parallel()
 	for _, each := range []bool{false, true} {
 		s := newSim(1, 10, Quota{300, 300})
 		s.advance(20 * time.Second)
@@ -174,3 +180,79 @@
 		}
 	}
 }
+
+// TestRetryAfter guards against times at which refused callers are refused again: in a burst of
+// three times the quota for two seconds, callers are told times of which those after its end
+// must find a token. One in 20 may not: they are spread, and come to other edges.
+func TestRetryAfter(t *testing.T) {
+	t.Parallel()
+	for _, q := range []Quota{{20, 20}, {200, 100}} {
+		s := newSim(4, 10, q)
+		s.regular = true
+		s.setDemand(q.Rate/1.6, 0)
+		s.advance(30 * time.Second)
+		s.totals()
+		var returns, refusedAgain int
+		ends := s.now + 2*time.Second
+		s.onRefusal = func(after time.Duration) {
+			s.after(after+s.random(200*time.Millisecond), func() {
+				if s.now < ends {
+					return
+				}
+				returns++
+				e := s.edges[s.rng.IntN(len(s.edges))]
+				first := s.onRefusal
+				s.onRefusal = func(time.Duration) { refusedAgain++ }
+				s.request(e, e.run)
+				s.onRefusal = first
+			})
+		}
+		s.setDemand(3*q.Rate, 0)
+		s.advance(2 * time.Second)
+		s.setDemand(q.Rate/1.6, 0)
+		s.advance(20 * time.Second)
+		t.Logf("rate %g: %d came back, %d refused again", q.Rate, returns, refusedAgain)
+		if returns == 0 || float64(refusedAgain) > 0.05*float64(returns) {
+			t.Errorf("rate %g: %d of %d callers refused again", q.Rate, refusedAgain, returns)
+		}
+	}
+}
+
+// TestTokensExpire guards against tokens that are used after a freeze, and against a reply that
+// comes after it.
+func TestTokensExpire(t *testing.T) {
+	t.Parallel()
+	s := newSim(1, 2, Quota{50, 50})
+	s.advance(10 * time.Second)
+	n := s.edges[0].node
+	w := n.state(simID, s.now)
+	w.base = bucket{at: s.now}
+	w.waiting = 1
+	asks := n.Due(true, s.now)
+	if len(asks) != 1 {
+		t.Fatalf("%d requests", len(asks))
+	}
+	grant := Grant{Members: n.members.digest, Tokens: []Tokens{{Workspace: simID, Granted: 1, Life: 300 * time.Millisecond}}}
+	for _, c := range []struct {
+		name          string
+		repliedAfter  time.Duration
+		usedAfter     time.Duration
+		dropped, want bool
+	}{
+		{"at once", 0, 0, false, true},
+		{"before its end", 0, 299 * time.Millisecond, false, true},
+		{"after its end", 0, 300 * time.Millisecond, false, false},
+		{"a late reply", 2 * time.Second, 2 * time.Second, false, false},
+		{"its coordinator has started again", 0, 0, true, false},
+	} {
+		w.held = nil
+		n.Reply(asks[0], grant, s.now+c.repliedAfter)
+		if c.dropped {
+			n.Handle(Request{From: asks[0].To, Starting: true}, s.now)
+			n.Reply(asks[0], grant, s.now+c.repliedAfter) // of the earlier process
+		}
+		if got := w.take(s.now + c.usedAfter); got != c.want {
+			t.Errorf("%s: used %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/pkg/quota/schedule_test.go
+++ b/pkg/quota/schedule_test.go
@@ -20,6 +20,7 @@
 // are added, removed, killed, frozen and cut off, the store fails, quotas change and messages
 // are lost or late. QUOTA_SEED plays one seed and prints its events.
 func TestSchedules(t *testing.T) {
+	t.Parallel()
 	if v := os.Getenv("QUOTA_SEED"); v != "" {
 		seed, err := strconv.ParseUint(v, 10, 64)
 		if err != nil {
--- a/pkg/quota/window_test.go
+++ b/pkg/quota/window_test.go
@@ -41,6 +41,7 @@
 // TestExcess guards against a checker that misses a window: one that does not start at a
 // multiple of anything, one over a change of the limit, and one request too many.
 func TestExcess(t *testing.T) {
+	t.Parallel()
 	always := []span{{0, time.Hour, 3}}
 	ms := func(list ...int) (out []Time) {
 		for _, v := range list {
--- a/pkg/quota/workspace.go
+++ b/pkg/quota/workspace.go
@@ -16,6 +16,9 @@
 	keepOneRate = 1
 	// refusedPause is the time until a coordinator that grants nothing is asked again.
 	refusedPause = 100 * time.Millisecond
+	// returnShare is the part of the tokens that refused callers who return may find: new
+	// requests take the rest, 1/1.6 in ordinary use.
+	returnShare = 0.5
 	// unknownPause is told to callers while the coordinators are not known.
 	unknownPause = 500 * time.Millisecond
 	// An edge that does not answer is left out for failPause, which doubles with each
@@ -147,7 +150,7 @@
 	w.base.advance(w.base.capacity, now)
 	at = min(at, now+w.base.until(1))
 	rate := max(w.admitted.rate(now), w.quota.Rate*baseShare/maxCoordinators, 1/maxWait.Seconds())
-	spacing := time.Duration(float64(time.Second) / rate)
+	spacing := time.Duration(float64(time.Second) / (returnShare * rate))
 	at = max(at, min(w.promisedAt+spacing, now+maxWait))
 	w.promisedAt = at
 	return at - now
