--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -117,6 +117,9 @@
 	}
 	c.deadline = c.began.Add(c.timeout())
 	c.setDeliveryDeadline(c.deadline)
+	if !c.admitQuota() {
+		return
+	}
 	// Memory is accounted for by connection, not by address: all callers may come
 	// through one load balancer.
 	bodyHold := e.transit.Reservation("caller "+r.RemoteAddr, membudget.CallerShare)
--- a/pkg/edge/status.go
+++ b/pkg/edge/status.go
@@ -38,6 +38,7 @@
 	Transit       membudget.Usage  `json:"transit"`  // memory of bodies in transit
 	Workspaces    WorkspaceStatus  `json:"workspaces"`
 	Limits        LimitStatus      `json:"limits"`
+	Quotas        QuotaStatus      `json:"quotas"`
 }
 
 // LimitStatus is an edge's part of the rate limits of upstreams.
@@ -70,6 +71,7 @@
 			s.Limits.Shares[region] = f.Limits().Shares().Width(region)
 		}
 	})
+	s.Quotas = e.quotas.status()
 	e.suspects.mu.Lock()
 	s.Suspects = e.suspects.tracker.Suspects(now)
 	e.suspects.mu.Unlock()
