Bound what connections hold before a request exists, and the connections

Cause: net/http reads heads of 64 KB (1 MB on the readiness and metrics listeners) and decodes them without any account; open connections, upstream connections and peers without a Hello were not limited.

Change: the connection counts a head while it arrives (pkg/headlimit) and reserves its decoded size in the memory budget of the process until its request is answered. Header lines above the configuration's MaxHeaderBytes or 512 lines get 431; a lack of memory closes the heads that have waited longest, or answers 503 with Retry-After. pkg/fdlimit divides MaxFds: at the limit of open connections the one that has waited longest for a request is closed. The same listener serves readiness and metrics with 32 connections each. Peers may send 16 KB before their Hello; at most 256 handshakes and a share of MaxFds may be open.

--- a/pkg/edge/callerconn.go
+++ b/pkg/edge/callerconn.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"container/list"
 	"context"
 	"io"
 	"net"
@@ -12,6 +13,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/headlimit"
+	"github.com/yuccaspindle/yuccaspindle/pkg/membudget"
 )
 
 const (
@@ -77,6 +81,14 @@
 	busy          bool // the head of a request was received and its answer is not complete
 	early         bool // a byte of the next request came before that
 	expired       bool // no further request is waited for
+	evicted       bool // expired because of a limit
+	head          headlimit.Scanner
+	hold          *membudget.Reservation // for the head, until its request is answered
+
+	// place is where the connection waits in the queue of its owner; nil: it does not. Both are
+	// guarded by the owner.
+	queue *list.List
+	place *list.Element
 }
 
 // Read implements net.Conn.
@@ -85,8 +97,10 @@
 		return 0, io.EOF
 	}
 	n, err := c.TCPConn.Read(p)
-	if n > 0 {
-		c.received(len(p))
+	if n > 0 && c.received(len(p)) {
+		if err := c.checkHead(p[:n]); err != nil {
+			return 0, err
+		}
 	}
 	c.lastRead.Store(int32(classifyRead(err)))
 	return n, err
@@ -109,6 +123,7 @@
 		return c.TCPConn.Close()
 	}
 	c.owner.remove(c)
+	c.releaseHead()
 	if !c.lingers() || !c.owner.startLingering() {
 		return c.TCPConn.Close()
 	}
@@ -141,9 +156,10 @@
 	return !c.expired || c.busy
 }
 
-// received records that a read into a buffer returned data. net/http reads a single byte to
-// detect a disconnect; it belongs to the next request.
-func (c *callerConn) received(buffer int) {
+// received records that a read into a buffer returned data, and reports whether it belongs
+// to a head. net/http reads a single byte to detect a disconnect; it belongs to the next
+// request.
+func (c *callerConn) received(buffer int) (head bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -152,20 +168,28 @@
 	case c.expectedSince.IsZero():
 		c.expectedSince = time.Now()
 	}
+	return !c.busy
 }
 
 // setState follows the state that net/http gives a connection.
 func (c *callerConn) setState(s http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	switch s {
 	case http.StateActive:
+		c.mu.Lock()
 		c.busy, c.early, c.expectedSince = true, false, time.Time{}
+		c.hold.Transfer(ownerRequests)
+		c.mu.Unlock()
+		c.owner.dequeue(c)
 	case http.StateIdle:
+		c.mu.Lock()
 		if c.early {
 			c.expectedSince = time.Now()
 		}
 		c.busy = false
+		early := c.early
+		c.mu.Unlock()
+		c.releaseHead()
+		c.owner.enqueue(c, early)
 	}
 }
 
@@ -232,7 +256,10 @@
 		switch {
 		case err == nil:
 			l.accepted++
-			return l.conns.add(c), nil
+			if c := l.conns.add(c); c != nil {
+				return c, nil
+			}
+			continue
 		case !l.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
 		case l.accepted == 0:
@@ -265,34 +292,11 @@
 	}
 }
 
-// callerConns holds the open connections of callers.
-type callerConns struct {
-	mu        sync.Mutex
-	open      map[*callerConn]struct{}
-	lingering int // connections that are closed for sending only
-}
-
-func newCallerConns() *callerConns { return &callerConns{open: make(map[*callerConn]struct{})} }
-
-func (l *callerConns) add(tcp *net.TCPConn) *callerConn {
-	c := &callerConn{TCPConn: tcp, owner: l, expectedSince: time.Now()}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.open[c] = struct{}{}
-	return c
-}
-
-func (l *callerConns) remove(c *callerConn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.open, c)
-}
-
 // startLingering reports whether one more connection may stay open for reading.
 func (l *callerConns) startLingering() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.lingering >= maxLingering {
+	if l.lingering >= maxLingering || l.limits.open > 0 && l.lingering >= l.limits.open/lingeringDivisor {
 		return false
 	}
 	l.lingering++
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/fdlimit"
 	"github.com/yuccaspindle/yuccaspindle/pkg/fleet"
 	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
 	"github.com/yuccaspindle/yuccaspindle/pkg/membudget"
@@ -33,8 +34,8 @@
 	affinityCacheSize = 4096
 	// turnCacheSize limits the turns kept in memory as history for later turns.
 	turnCacheSize = 2048
-	// transitShare is the share of the process's memory for request and response
-	// bodies in transit. The rest is for connections, cached state and the garbage
+	// transitShare is the share of the process's memory for heads of requests, and for
+	// request and response bodies in transit. The rest is for connections, cached state and the garbage
 	// collector.
 	transitShare = 0.2
 	// defaultTransitLimit is the limit in bytes if the process has no memory limit.
@@ -116,6 +117,8 @@
 		admission:     newAdmission(),
 		suspendedTime: suspend.New().Total,
 	}
+	descriptors := fdlimit.ForEdge(settings.MaxFDs)
+	e.pool.SetLimit(descriptors.Upstreams)
 	e.metrics.transit(e.transit)
 	e.metrics.limitedUpstreams(e.limitedCount)
 	e.load.export(e.metrics, func() float64 { return float64(e.inFlight.count()) }, func() float64 { return float64(e.admission.limit()) })
@@ -140,6 +143,7 @@
 	}
 	e.transport, err = transport.New(transport.Config{
 		Listen: settings.PeerAddress(), Isolated: true, Logger: logger, Hello: e.hello, Dialer: dial,
+		MaxAccepted: descriptors.Peers,
 	}, e.servePeer)
 	if err != nil {
 		return nil, err
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -45,6 +45,17 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_callers_left_total{conn=%q}`, end)).Inc()
 }
 
+// connLimit counts a connection that was closed or refused at a limit, by listener.
+func (m *metrics) connLimit(listener, limit string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_connection_limits_total{listener=%q,limit=%q}`, listener, limit)).Inc()
+}
+
+// openConns exports the number of open connections of a listener and its limit.
+func (m *metrics) openConns(listener string, l *callerConns) {
+	m.set.NewGauge(fmt.Sprintf(`yucca_edge_connections{listener=%q}`, listener), func() float64 { return float64(l.count()) })
+	m.set.NewGauge(fmt.Sprintf(`yucca_edge_connections_limit{listener=%q}`, listener), func() float64 { return float64(l.limits.open) })
+}
+
 // handlerPanic counts a request that failed because of a fault of the edge.
 func (m *metrics) handlerPanic() { m.set.GetOrCreateCounter(`yucca_edge_panics_total`).Inc() }
 
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yuccaspindle/yuccaspindle/pkg/headlimit"
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
 
@@ -19,8 +20,13 @@
 	headerTimeout = 5 * time.Second
 	// idleTimeout exceeds the longest time for which callers keep an idle connection,
 	// so that the caller closes it and not the edge.
-	idleTimeout    = 120 * time.Second
+	idleTimeout = 120 * time.Second
+	// maxHeaderBytes is the most that a configuration can allow; see callerHeadLimits.
 	maxHeaderBytes = 64 << 10
+	// maxAdminBody limits the body of an operator's request.
+	maxAdminBody = 4 << 10
+	// adminTimeout limits the time to receive an operator's request, and to write its answer.
+	adminTimeout = 10 * time.Second
 	// drainListenTime is how long a stopping edge still accepts connections: the
 	// platform checks readiness once a second and reacts to the second failed check.
 	drainListenTime = 2500 * time.Millisecond
@@ -40,8 +46,7 @@
 func (e *Edge) serveCallers(ctx, stop context.Context) error {
 	requests, endRequests := context.WithCancelCause(context.Background())
 	defer endRequests(nil)
-	conns := newCallerConns()
-	listener := &callerListener{conns: conns, done: make(chan struct{})}
+	listener := e.newListener("callers", callerLimits(e.settings), func() headlimit.Limits { return callerHeadLimits(e.view.table.Load()) })
 	callers := &http.Server{
 		Handler:           http.HandlerFunc(e.serve),
 		ReadHeaderTimeout: headerTimeout,
@@ -62,10 +67,11 @@
 	servers := []struct {
 		address string
 		server  *http.Server
+		conns   *callerListener
 	}{
-		{e.settings.CallerListen, callers},
-		{e.settings.ReadyListen, &http.Server{Handler: ready, ReadHeaderTimeout: headerTimeout}},
-		{e.settings.MetricsListen, &http.Server{Handler: admin, ReadHeaderTimeout: headerTimeout}},
+		{e.settings.CallerListen, callers, listener},
+		{e.settings.ReadyListen, adminServer(ready), e.newAdminListener("readiness")},
+		{e.settings.MetricsListen, adminServer(admin), e.newAdminListener("metrics")},
 	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -77,9 +83,9 @@
 		// Servers that were drained are closed already. This closes them after a
 		// failed start.
 		defer s.server.Close()
-		if tcp, ok := ln.(*net.TCPListener); ok && s.server == callers {
-			listener.TCPListener = tcp
-			ln = listener
+		if tcp, ok := ln.(*net.TCPListener); ok {
+			s.conns.TCPListener = tcp
+			ln = s.conns
 		}
 		wg.Go(func() {
 			if err := s.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -95,6 +101,32 @@
 	return e.drain(callers, listener, endRequests)
 }
 
+// newListener returns a listener that lacks its socket.
+func (e *Edge) newListener(name string, l connLimits, head func() headlimit.Limits) *callerListener {
+	conns := newCallerConns(l, head, e.transit, newLimitLog(e.logger, e.metrics, name).record)
+	e.metrics.openConns(name, conns)
+	return &callerListener{conns: conns, done: make(chan struct{})}
+}
+
+// newAdminListener returns a listener for the platform and for operators, which lacks its
+// socket.
+func (e *Edge) newAdminListener(name string) *callerListener {
+	limits := connLimits{open: maxAdminConns / 2, headless: maxAdminConns / 2 / headlessDivisor}
+	return e.newListener(name, limits, func() headlimit.Limits { return callerHeadLimits(nil) })
+}
+
+func adminServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           http.MaxBytesHandler(h, maxAdminBody),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       adminTimeout,
+		WriteTimeout:      adminTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         trackState,
+	}
+}
+
 // drain completes the accepted requests. Responses now close their connections, and
 // the listener stays open until the platform sends no more callers. http.Server.Shutdown
 // is not used: it drops requests that it has read, if they were received after its call.
--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -1,5 +1,5 @@
-// Package membudget limits the memory that a process uses for data in transit:
-// request and response bodies that have been read but not yet forwarded.
+// Package membudget limits the memory that a process uses for data in transit: heads of
+// requests, and request and response bodies that have been read but not yet forwarded.
 package membudget
 
 import (
@@ -23,6 +23,10 @@
 const (
 	CallerShare   = 1.0 / 4
 	UpstreamShare = 1.0 / 12
+	// HeadShare is for the heads of requests that are still arriving, of all callers together.
+	// On the smallest edge of 112 MB it holds 220 heads of 16 KB, and some thousand ordinary
+	// ones.
+	HeadShare = 1.0 / 3
 	// pressureThreshold is the used fraction of a budget above which no further
 	// request should start.
 	pressureThreshold = 3.0 / 4
@@ -90,6 +94,18 @@
 	}
 }
 
+func (b *Budget) transfer(from, to string, n int64) {
+	if n <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.byOwner[from] -= n; b.byOwner[from] <= 0 {
+		delete(b.byOwner, from)
+	}
+	b.byOwner[to] += n
+}
+
 // Reservation is the part of a budget that one request uses on behalf of an
 // owner. It is not safe for concurrent use.
 type Reservation struct {
@@ -125,6 +141,20 @@
 	return nil
 }
 
+// GrowTo reserves what lacks to n bytes, like Grow.
+func (res *Reservation) GrowTo(n int) error {
+	if lacking := n - int(res.bytes); lacking > 0 {
+		return res.Grow(lacking)
+	}
+	return nil
+}
+
+// Transfer moves all reserved bytes to another owner, whose share is not checked.
+func (res *Reservation) Transfer(owner string) {
+	res.budget.transfer(res.owner, owner, res.bytes)
+	res.owner = owner
+}
+
 // Release returns all reserved bytes to the budget. It may be called more than
 // once.
 func (res *Reservation) Release() {
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -16,6 +16,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/crashreport"
 	"github.com/yuccaspindle/yuccaspindle/pkg/durable"
+	"github.com/yuccaspindle/yuccaspindle/pkg/fdlimit"
 	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
 	"github.com/yuccaspindle/yuccaspindle/pkg/peerstate"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
@@ -66,6 +67,7 @@
 	s.evidenceStore = loadEvidence(settings, logger)
 	s.transport, err = transport.New(transport.Config{
 		Listen: settings.PeerAddress(), Isolated: true, Logger: logger, Hello: s.hello,
+		MaxAccepted: fdlimit.ForStorage(settings.MaxFDs).Peers,
 	}, s.servePeer)
 	return s, err
 }
--- a/pkg/transport/error.go
+++ b/pkg/transport/error.go
@@ -13,6 +13,9 @@
 	ErrTooLarge      = fmt.Errorf("message exceeds %d bytes", MaxMessage)
 	ErrPlainText     = errors.New("plain TCP is allowed between loopback addresses only")
 	ErrNoHello       = errors.New("peer did not introduce itself")
+	ErrHelloTooLarge = errors.New("peer sends too much before it introduces itself")
+	// ErrTooManySessions means that all connections that may be open belong to known peers.
+	ErrTooManySessions = errors.New("too many connections of peers")
 )
 
 // Error is a failure of the transport. Sent is true when the request may have
--- a/pkg/transport/session.go
+++ b/pkg/transport/session.go
@@ -7,6 +7,7 @@
 	"io"
 	"log"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -59,7 +60,11 @@
 	if !s.dialed {
 		mux = yamux.Server
 	}
-	ys, err := mux(&frameConn{Conn: c}, t.muxConfig())
+	hello := &helloConn{Conn: c, left: maxHello}
+	if s.dialed { // the address is known, and streams may follow its Hello at once
+		hello.arrived.Store(true)
+	}
+	ys, err := mux(&frameConn{Conn: hello}, t.muxConfig())
 	if err != nil {
 		return fail(err)
 	}
@@ -67,7 +72,7 @@
 	// A hello exchange outside its deadline ends with the session.
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	if err := s.exchangeHello(); err != nil {
+	if err := s.exchangeHello(&hello.arrived); err != nil {
 		return fail(err)
 	}
 	s.remote = s.crosses()
@@ -99,8 +104,8 @@
 }
 
 // exchangeHello sends the Hello of the dialing side on the first stream and
-// the Hello of the accepting side back.
-func (s *Session) exchangeHello() error {
+// the Hello of the accepting side back. It sets arrived before the peer may send anything else.
+func (s *Session) exchangeHello(arrived *atomic.Bool) error {
 	var (
 		ys  *yamux.Stream
 		err error
@@ -129,6 +134,7 @@
 		if s.peer = m.GetHello(); s.peer == nil {
 			return ErrNoHello
 		}
+		arrived.Store(true)
 		return nil
 	}
 	first, second := send, recv
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -6,9 +6,11 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 )
@@ -22,6 +24,8 @@
 	KeepAlive time.Duration        // default DefaultKeepAlive
 	Logger    *slog.Logger         // default slog.Default
 	Link      *Link                // share of the link to other regions; nil: not limited
+	// MaxAccepted limits the connections that peers have made; 0: not limited.
+	MaxAccepted int
 	// Dialer makes the connections; nil: net.Dialer. Tests use it to separate
 	// processes.
 	Dialer func(ctx context.Context, address string) (net.Conn, error)
@@ -39,6 +43,10 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 
+	accepted   accepted
+	refused    atomic.Uint64 // accepted connections that became no session
+	refusedLog rate.Sometimes
+
 	mu       sync.Mutex
 	listener net.Listener
 	sessions map[*Session]struct{}
@@ -91,6 +99,8 @@
 		sessions: make(map[*Session]struct{}),
 		byAddr:   make(map[string]*dialing),
 		idle:     make(chan struct{}),
+
+		refusedLog: rate.Sometimes{Interval: refusedLogInterval},
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	if cfg.TLS == nil {
@@ -138,21 +148,42 @@
 			}
 			continue
 		}
-		go func() {
-			ctx, cancel := context.WithTimeout(t.ctx, handshakeTimeout)
-			s, err := t.newSession(ctx, conn, "")
-			cancel()
-			if err != nil {
-				t.log.Warn("session refused", "step", "hello", "peer", conn.RemoteAddr().String(), "err", err)
-				return
-			}
-			if t.add(s) {
-				s.serve()
-			}
-		}()
+		if !t.accepted.begin(conn, t.cfg.MaxAccepted) {
+			_ = conn.Close()
+			t.logRefused(conn, ErrTooManySessions)
+			continue
+		}
+		go t.serveAccepted(conn)
+	}
+}
+
+// serveAccepted serves a connection that a peer has made, until it ends.
+func (t *Transport) serveAccepted(conn net.Conn) {
+	defer t.accepted.end(conn)
+	ctx, cancel := context.WithTimeout(t.ctx, handshakeTimeout)
+	s, err := t.newSession(ctx, conn, "")
+	cancel()
+	if err != nil {
+		t.logRefused(conn, err)
+		return
+	}
+	t.accepted.introduced(conn)
+	if t.add(s) {
+		s.serve()
 	}
 }
 
+// logRefused logs some of the connections that became no session.
+func (t *Transport) logRefused(conn net.Conn, err error) {
+	t.refused.Add(1)
+	t.refusedLog.Do(func() {
+		t.log.Warn("session refused", "step", "hello", "peer", conn.RemoteAddr().String(), "err", err, "refused", t.refused.Load())
+	})
+}
+
+// Refused returns the number of accepted connections that became no session.
+func (t *Transport) Refused() uint64 { return t.refused.Load() }
+
 // add registers a session; it closes the session and returns false when the
 // transport is closing.
 func (t *Transport) add(s *Session) bool {
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -45,6 +45,8 @@
 	// connection does not outlive a run.
 	runs   map[string]checkedRun
 	dialed uint64
+	total  int // connections to all addresses
+	limit  int // of total; 0: none
 }
 
 // NewPool returns an empty pool.
@@ -52,6 +54,30 @@
 	return &Pool{idle: make(map[string][]*conn), open: make(map[string]int), runs: make(map[string]checkedRun)}
 }
 
+// SetLimit limits the connections to all addresses together; 0: no limit. It must be called
+// before the pool is used.
+func (p *Pool) SetLimit(connections int) { p.limit = connections }
+
+// makeRoomLocked reports whether another connection may be opened. At the limit it closes the
+// idle one that was used least recently. The caller must hold p.mu.
+func (p *Pool) makeRoomLocked() bool {
+	if p.limit <= 0 || p.total < p.limit {
+		return true
+	}
+	var oldest *conn
+	for _, list := range p.idle {
+		if len(list) > 0 && (oldest == nil || list[0].lastUsed.Before(oldest.lastUsed)) {
+			oldest = list[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.idle[oldest.address] = slices.Delete(p.idle[oldest.address], 0, 1)
+	p.discardLocked(oldest)
+	return true
+}
+
 type conn struct {
 	net.Conn
 	address  string
@@ -156,6 +182,7 @@
 // releaseLocked decrements the number of connections to an address. The caller
 // must hold p.mu.
 func (p *Pool) releaseLocked(address string) {
+	p.total--
 	if p.open[address]--; p.open[address] <= 0 {
 		delete(p.open, address)
 		delete(p.runs, address)
@@ -255,11 +282,12 @@
 // dial opens a new connection.
 func (p *Pool) dial(ctx context.Context, address string, limit int) (*conn, error) {
 	p.mu.Lock()
-	if limit > 0 && p.open[address] >= limit {
+	if limit > 0 && p.open[address] >= limit || !p.makeRoomLocked() {
 		p.mu.Unlock()
 		return nil, &Error{Step: StepDial, Addr: address, Err: ErrTooManyConnections}
 	}
 	p.open[address]++
+	p.total++
 	p.dialed++
 	p.mu.Unlock()
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
