A status outside 100 to 599 is a failure of the upstream

Cause: an upstream that answers 600 or 999 had its answer passed on with the signature; with Not-Executed its request counted as not run and was sent to another upstream. The question for an upstream's run took such an answer for one that names no run. A sidecar passed the status on, and an entry relayed any status of another process, which panics below 100.

The request may have run, also where the answer comes before the sidecar has released the body.

--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	stderrors "errors"
+	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
 	"github.com/yuccaspindle/yuccaspindle/pkg/frontend"
+	"github.com/yuccaspindle/yuccaspindle/pkg/httpstatus"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
@@ -162,7 +164,7 @@
 			}
 			p.chunk(d.Attempt, m.Data.GetChunk(), m.Data.GetTokens())
 		case *peerv1.Envelope_Done:
-			return core.AttemptDone{At: now(), Attempt: d.Attempt, Answer: answerFromDone(m.Done, partial)}
+			return attemptDone(d, m.Done, partial)
 		case *peerv1.Envelope_Failed:
 			return core.AttemptFailed{
 				At: now(), Attempt: d.Attempt, Ran: core.Ran(m.Failed.GetRan()),
@@ -173,6 +175,15 @@
 	}
 }
 
+// attemptDone returns the event of a whole answer. Status 0 is that of a complete answer of an
+// engine.
+func attemptDone(d core.Dispatch, m *peerv1.Done, partial partialAnswer) core.Event {
+	if status := int(m.GetStatus()); status != 0 && !httpstatus.ValidFinal(status) {
+		return attemptFailed(d, "receive from sidecar", core.RanUnknown, fmt.Errorf("%w: %d", httpstatus.ErrInvalid, status))
+	}
+	return core.AttemptDone{At: now(), Attempt: d.Attempt, Answer: answerFromDone(m, partial)}
+}
+
 // answerFromDone returns the complete answer: the output that previous attempts
 // have already streamed, followed by the output of this attempt.
 func answerFromDone(m *peerv1.Done, partial partialAnswer) core.Answer {
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -13,6 +13,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
 	"github.com/yuccaspindle/yuccaspindle/pkg/frontend"
+	"github.com/yuccaspindle/yuccaspindle/pkg/httpstatus"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
@@ -147,8 +148,13 @@
 	return copyResponse(st, w, progress)
 }
 
+// receiver is the receiving side of a stream.
+type receiver interface {
+	Recv() (*peerv1.Envelope, error)
+}
+
 // copyResponse copies the owner's response to the caller.
-func copyResponse(st *transport.Stream, w http.ResponseWriter, progress forwardProgress) (forwardProgress, error) {
+func copyResponse(st receiver, w http.ResponseWriter, progress forwardProgress) (forwardProgress, error) {
 	for {
 		env, err := st.Recv()
 		if err != nil {
@@ -160,6 +166,9 @@
 				progress.mayHaveRun = false // the peer declined the request without running it
 				return progress, errors.New("the peer no longer owns the slot")
 			}
+			if status := int(b.Head.GetStatus()); !httpstatus.ValidFinal(status) {
+				return progress, errors.Wrapf(httpstatus.ErrInvalid, "%d", status)
+			}
 			for _, h := range b.Head.GetHeaders() {
 				w.Header().Add(h.GetName(), h.GetValue())
 			}
--- a/pkg/sidecar/dispatch.go
+++ b/pkg/sidecar/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
 	decide "github.com/yuccaspindle/yuccaspindle/pkg/core/sidecar"
+	"github.com/yuccaspindle/yuccaspindle/pkg/httpstatus"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
@@ -79,7 +80,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	f := &peerv1.Failed{Ran: string(ran), Step: step, Peer: s.cfg.Upstream.URL, Message: err.Error()}
-	if !c.passed {
+	// An answer without meaning shows that the upstream has seen the request, at least its head.
+	if !c.passed && !errors.Is(err, httpstatus.ErrInvalid) {
 		f.Ran = string(core.RanNo)
 	}
 	if v := c.veto; v != nil {
--- a/pkg/upstream/error.go
+++ b/pkg/upstream/error.go
@@ -5,6 +5,8 @@
 	"net"
 
 	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/httpstatus"
 )
 
 // Causes of a failed exchange, wrapped by Error.
@@ -44,8 +46,9 @@
 }
 
 // IsInvalidResponse reports whether an exchange failed because the upstream sent
-// a response or state that is too large, belongs to another request or switches the
-// protocol. Such an upstream has not crashed.
+// a response or state that is too large, belongs to another request, switches the
+// protocol or has a status that is not HTTP. Such an upstream has not crashed.
 func IsInvalidResponse(err error) bool {
-	return errors.Is(err, ErrHeadTooLarge) || errors.Is(err, ErrStateTooLarge) || errors.Is(err, ErrResponseMismatch) || errors.Is(err, ErrProtocolSwitch)
+	return errors.Is(err, ErrHeadTooLarge) || errors.Is(err, ErrStateTooLarge) || errors.Is(err, ErrResponseMismatch) || errors.Is(err, ErrProtocolSwitch) ||
+		errors.Is(err, httpstatus.ErrInvalid)
 }
--- a/pkg/upstream/head.go
+++ b/pkg/upstream/head.go
@@ -3,6 +3,10 @@
 import (
 	"io"
 	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/httpstatus"
 )
 
 const (
@@ -45,6 +49,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if !httpstatus.Valid(resp.StatusCode) {
+			return nil, errors.Wrapf(httpstatus.ErrInvalid, "%d", resp.StatusCode)
+		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, ErrProtocolSwitch
 		}
