--- a/pkg/edge/callerconn.go
+++ b/pkg/edge/callerconn.go
@@ -94,9 +94,15 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	if !c.mayRead() {
+		if c.isEvicted() {
+			return 0, c.refuseEvicted()
+		}
 		return 0, io.EOF
 	}
 	n, err := c.TCPConn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.isEvicted() {
+		return 0, c.refuseEvicted()
+	}
 	if n > 0 && c.received(len(p)) {
 		if err := c.checkHead(p[:n]); err != nil {
 			return 0, err
--- a/pkg/edge/headguard.go
+++ b/pkg/edge/headguard.go
@@ -54,6 +54,7 @@
 	case err == nil:
 		return nil
 	case errors.Is(err, errHeadRefused): // evicted meanwhile
+		return c.refuseEvicted()
 	case errors.Is(err, headlimit.ErrTooLarge):
 		c.refuseHead(http.StatusRequestHeaderFieldsTooLarge, 0, limitHeadSize)
 	case errors.Is(err, headlimit.ErrTooManyLines):
@@ -63,10 +64,26 @@
 	default:
 		c.refuseHead(http.StatusServiceUnavailable, retryAfterBusy+rand.N(retryJitter), limitMemory)
 	}
-	// net/http answers no request whose reading fails with an error of this kind.
+	return c.refusedError()
+}
+
+// refusedError returns an error of reading after which net/http answers nothing.
+func (c *callerConn) refusedError() error {
 	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errHeadRefused}
 }
 
+// refuseEvicted answers a request whose head was not complete when its connection was closed
+// for others, and returns the error that ends the connection.
+func (c *callerConn) refuseEvicted() error {
+	c.mu.Lock()
+	begun := c.head.Begun() && !c.busy
+	c.mu.Unlock()
+	if begun {
+		c.writeRefusal(http.StatusServiceUnavailable, retryAfterBusy+rand.N(retryJitter))
+	}
+	return c.refusedError()
+}
+
 // countHead adds data to the head and reserves memory for it. If there is none, connections
 // that have waited longer for the rest of a head are closed.
 func (c *callerConn) countHead(p []byte) error {
@@ -117,9 +134,14 @@
 	c.head = headlimit.Scanner{}
 }
 
-// refuseHead answers a request whose head is not complete. It has not run.
+// refuseHead counts and answers a request whose head meets a limit.
 func (c *callerConn) refuseHead(status int, retryAfter time.Duration, reason string) {
 	c.owner.onLimit(reason, c.RemoteAddr())
+	c.writeRefusal(status, retryAfter)
+}
+
+// writeRefusal answers a request whose head is not complete. It has not run.
+func (c *callerConn) writeRefusal(status int, retryAfter time.Duration) {
 	h := http.Header{"Content-Length": {"0"}, "Connection": {"close"}}
 	platform.SetLocalResponseHeader(h, "", retryAfter)
 	var b bytes.Buffer
