--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -148,6 +148,7 @@
 	if err != nil {
 		return nil, err
 	}
+	e.metrics.peersRefused(e.transport.Refused)
 	e.ledger = ledger.NewClient(e.transport, e.view, settings.DisksToLose, logger)
 	e.settler = newSettler(e.ledger, logger)
 	e.confirmer = newConfirmer(e.ledger, e.load)
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -56,6 +56,11 @@
 	m.set.NewGauge(fmt.Sprintf(`yucca_edge_connections_limit{listener=%q}`, listener), func() float64 { return float64(l.limits.open) })
 }
 
+// peersRefused exports the number of accepted connections of peers that became no session.
+func (m *metrics) peersRefused(count func() uint64) {
+	m.set.NewGauge(`yucca_edge_peers_refused_total`, func() float64 { return float64(count()) })
+}
+
 // handlerPanic counts a request that failed because of a fault of the edge.
 func (m *metrics) handlerPanic() { m.set.GetOrCreateCounter(`yucca_edge_panics_total`).Inc() }
 
--- a/pkg/headlimit/headlimit_test.go
+++ b/pkg/headlimit/headlimit_test.go
@@ -61,3 +61,14 @@
 		}
 	})
 }
+
+// BenchmarkScan measures an ordinary head of 20 lines.
+func BenchmarkScan(b *testing.B) {
+	data := []byte("POST /a/b HTTP/1.1\r\n" + strings.Repeat("Some-Header: some-value-of-it\r\n", 20) + "\r\n")
+	for b.Loop() {
+		var s Scanner
+		if s.Scan(data, Limits{Bytes: 16 << 10, Lines: 512}) != nil || !s.Complete() {
+			b.Fatal("not complete")
+		}
+	}
+}
