--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -16,6 +16,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/crashreport"
 	"github.com/yuccaspindle/yuccaspindle/pkg/durable"
+	"github.com/yuccaspindle/yuccaspindle/pkg/fdlimit"
 	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
 	"github.com/yuccaspindle/yuccaspindle/pkg/peerstate"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
@@ -82,6 +83,7 @@
 	var err error
 	s.transport, err = transport.New(transport.Config{
 		Listen: s.settings.PeerAddress(), Isolated: true, Logger: s.logger, Hello: s.hello,
+		MaxAccepted: fdlimit.ForStorage(s.settings.MaxFDs).Peers,
 	}, s.servePeer)
 	if err != nil {
 		return err
