Let requests wait at the edge while all upstreams are full

Cause: a request that all upstreams reject is refused at once although room appears within its objective.

--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -127,13 +127,14 @@
 		default:
 			f.RecordFailure(m, violatesProtocol(err), now)
 		}
+		c.recordRoom(f, m, o, resp, now)
 		inFlight = m.InFlight()
 		leaving = m.ShuttingDown()
 	})
 	c.trackAttempt(m, leaving, o, resp, err)
 	c.removeIsolated(m.ID)
 	c.e.metrics.attempt(o.String())
-	action := c.tracker.RecordEnd(o, status >= http.StatusInternalServerError, now)
+	action := c.applyRetryBudget(o, c.tracker.RecordEnd(o, status >= http.StatusInternalServerError, now), now)
 	if o != attempt.Answered {
 		c.e.logger.Info("attempt failed", "id", c.req.ID, "upstream", m.ID, "address", m.Address, "version", m.SoftwareVersion,
 			"outcome", o, "status", status, "next", action, "in_flight", inFlight, "leaving", leaving,
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -74,6 +74,7 @@
 	times     *routeTimes
 	load      *load
 	admission *admission
+	lines     *lines
 
 	mu    sync.Mutex // guards fleet
 	fleet *fleet.Fleet
@@ -116,7 +117,9 @@
 		admission:     newAdmission(),
 		suspendedTime: suspend.New().Total,
 	}
+	e.lines = newLines(e)
 	e.metrics.transit(e.transit)
+	e.metrics.lines(e.lines)
 	e.metrics.limitedUpstreams(e.limitedCount)
 	e.load.export(e.metrics, func() float64 { return float64(e.inFlight.count()) }, func() float64 { return float64(e.admission.limit()) })
 	e.fleet.SetLeavingGrace(settings.DrainTime / leavingTimeDivisor)
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -72,6 +72,8 @@
 	// the time after which the caller should retry.
 	limited   bool
 	limitWait time.Duration
+	workspace *routing.Workspace // nil: none
+	inLine    lineState
 }
 
 // serve handles one request of a caller.
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/attempt"
 	"github.com/yuccaspindle/yuccaspindle/pkg/ledger"
 	"github.com/yuccaspindle/yuccaspindle/pkg/membudget"
+	"github.com/yuccaspindle/yuccaspindle/pkg/retrybudget"
 )
 
 // metrics holds the counters and histograms of one edge.
@@ -133,6 +134,22 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_over_budget_total{open_turns="%t"}`, u.OpenTurns > 0)).Inc()
 }
 
+// lines exports the requests that wait for room at the upstreams.
+func (m *metrics) lines(l *lines) {
+	m.set.NewGauge(`yucca_edge_line_waiting`, func() float64 { return float64(l.waiting()) })
+	m.set.NewGauge(`yucca_edge_line_bytes`, func() float64 { return float64(l.held()) })
+}
+
+// lineEnded records a wait for room at the upstreams by how it ended.
+func (m *metrics) lineEnded(end string, waited time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`yucca_edge_line_seconds{end=%q}`, end)).Update(waited.Seconds())
+}
+
+// retryDenied counts an attempt that the retry budget of a service did not allow, by cause.
+func (m *metrics) retryDenied(c retrybudget.Cause) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`yucca_edge_retries_denied_total{cause=%q}`, c.String())).Inc()
+}
+
 // firstEvent records the time to the first event of a stream.
 func (m *metrics) firstEvent(took time.Duration) {
 	m.set.GetOrCreateHistogram(`yucca_edge_first_event_seconds`).Update(took.Seconds())
--- a/pkg/edge/placement.go
+++ b/pkg/edge/placement.go
@@ -33,6 +33,9 @@
 	if c.limited {
 		return max(c.limitWait, time.Millisecond)
 	}
+	if after, ok := c.e.lines.retryAfter(c); ok {
+		return after
+	}
 	return retryAfterBusy
 }
 
@@ -49,7 +52,7 @@
 	limited := false
 	c.limited = false
 	c.e.withFleet(func(f *fleet.Fleet) {
-		if m = f.Pick(req, now); m != nil {
+		if m = c.pickWithRoom(f, req, now); m != nil {
 			cause, limited = c.cause(m, req.Affinity), m.Limited()
 			f.RecordStart(m, cause, now)
 			return
--- a/pkg/edge/plain.go
+++ b/pkg/edge/plain.go
@@ -19,8 +19,9 @@
 // servePlain serves a request whose response is read completely before it is
 // delivered, so that the caller never sees a truncated one.
 func (c *call) servePlain() {
+	defer c.leaveLine()
 	for {
-		if c.endBeforeAttempt() {
+		if c.endBeforeAttempt() || c.awaitRoom() {
 			return
 		}
 		m, why := c.place()
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -102,6 +102,7 @@
 	began := time.Now()
 	e.stopping.Store(&began)
 	e.draining.Store(true)
+	e.lines.recheck()
 	e.logger.Info("draining", "grace", e.settings.StopGrace)
 	time.Sleep(min(drainListenTime, e.settings.StopGrace/2))
 	l.stopAccepting()
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -75,9 +75,10 @@
 		s.lastID = c.req.LastEventID
 	}
 	defer t.settle()
+	defer c.leaveLine()
 	c.programStarted = c.continuesProgram() // the reservation tells of other edges' turns
 	for {
-		if c.endBeforeAttempt() || !t.ensureLease() {
+		if c.endBeforeAttempt() || c.awaitRoom() || !t.ensureLease() {
 			return
 		}
 		m, why := s.place()
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -234,6 +234,7 @@
 		return
 	}
 	defer v.checkLoaded()
+	defer v.e.lines.recheck() // the route or key of a waiting request may be gone
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if old := v.table.Load(); old != nil && cfg.Version <= old.Version() {
