Refuse waiting requests as soon as the edge stops

Cause: a request that waited through a stop was answered 0.1 s before the end of the grace; on a machine short of processor time its caller got a closed connection (TestWaitEnds/stop, once under -race). Change: a stopping edge refuses waiting requests at once with the Retry-After that leads to another edge. Result: go test -race -count=2 -run 'TestWaitingRequestIsServed|TestWaitEnds|TestRequestsRunOnce' ./pkg/edge: ok

--- a/pkg/edge/line.go
+++ b/pkg/edge/line.go
@@ -36,10 +36,11 @@
 }
 
 // awaitRoom waits while all upstreams that may get the request are known to be full. It
-// reports whether it ended the request. A stream that has begun does not wait.
+// reports whether it ended the request. A stream that has begun does not wait, nor does any
+// request while the edge stops.
 func (c *call) awaitRoom() (ended bool) {
 	c.leaveLine()
-	if c.headSent {
+	if c.headSent || c.e.stopping.Load() != nil {
 		return false
 	}
 	for again := false; ; again = true {
@@ -101,6 +102,10 @@
 		c.endGone()
 		return true
 	}
+	if c.e.stopping.Load() != nil {
+		c.endWaitAtStop()
+		return true
+	}
 	if c.endBeforeAttempt() {
 		return true
 	}
@@ -112,6 +117,16 @@
 	return true
 }
 
+// endWaitAtStop ends a waiting request of a stopping edge: another edge lets it wait longer.
+func (c *call) endWaitAtStop() {
+	if action := c.tracker.NoUpstreamLeft(); action != attempt.Refuse {
+		c.e.metrics.endedForStop(action)
+		c.fail(action, whyStop)
+		return
+	}
+	c.refuseAtStop()
+}
+
 // endGone ends a waiting request whose caller has left, or that waits at the end of a stop.
 func (c *call) endGone() {
 	if c.cutByStop() && c.tracker.NoUpstreamLeft() == attempt.Refuse {
--- a/pkg/edge/lines.go
+++ b/pkg/edge/lines.go
@@ -129,7 +129,7 @@
 	s := l.service(c.service)
 	l.count(c, s, now)
 	c.inLine.avoidFull = false
-	if s.line.Len() == 0 && !s.short(now) {
+	if s.line.Len() == 0 && !s.short(now) || l.e.stopping.Load() != nil {
 		return nil, pass
 	}
 	w := c.newWaiter()
