Count a request that was let through until it is placed

Cause: it counted against the free places until its attempt ended, so others waited although there was room. Change: call.pick releases it.

--- a/pkg/edge/line_test.go
+++ b/pkg/edge/line_test.go
@@ -94,6 +94,43 @@
 	}
 }
 
+// TestRunningRequestTakesNoFurtherPlace guards against a request that is let through and counts
+// twice until its end, at its upstream and as one on its way: others wait although there is
+// room.
+func TestRunningRequestTakesNoFurtherPlace(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	route := slowRoute(unsafeRoute)
+	route["TimeoutMs"] = 60000 // longer than the checks take
+	d.route(route)
+	hold := make(chan struct{})
+	ran := d.boundedUpstreams(1, 1, func() { <-hold })
+	p := d.edge("127.0.0.1")
+	release := sync.OnceFunc(func() { close(hold) })
+	t.Cleanup(release)
+	p.ready(t, 2, 0)
+	var wg sync.WaitGroup
+	send := func(id string) {
+		wg.Go(func() { p.call(t, "POST", "/unsafe/1", "x", map[string]string{"Attempt-Id": id}) })
+	}
+	runs := func(id string) func() bool {
+		return func() bool { n, _ := ran.runs(id); return n == 1 }
+	}
+	send("first")
+	eventually(t, "no request runs", runs("first"))
+	send("waits")
+	eventually(t, "the request does not wait", func() bool { return p.edge.lines.waiting() == 1 })
+	hold <- struct{}{}
+	eventually(t, "the waiting request does not run", runs("waits"))
+	eventually(t, "the running request counts as on its way", func() bool {
+		p.edge.lines.mu.Lock()
+		defer p.edge.lines.mu.Unlock()
+		return p.edge.lines.service("app").passing == 0
+	})
+	release()
+	wg.Wait()
+}
+
 // TestWaitEnds guards against a request that stays in the line, or runs, after its caller has
 // left, its route is gone, its time is over or the edge stops, and against a wrong answer.
 func TestWaitEnds(t *testing.T) {
--- a/pkg/edge/placement.go
+++ b/pkg/edge/placement.go
@@ -59,6 +59,7 @@
 		}
 		c.limitWait, c.limited = f.RefuseLimited(req, now)
 	})
+	c.leaveLine() // the attempt counts at the member now
 	if m != nil {
 		if limited {
 			c.e.metrics.limitedAttempt(cause.String())
