--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -79,6 +79,7 @@
 	startup   *startup
 	// keyDigests makes the digests by which log lines name keys.
 	keyDigests keyDigests
+	lines      *lines
 
 	mu    sync.Mutex // guards fleet
 	fleet *fleet.Fleet
@@ -127,6 +128,8 @@
 	e.pool.SetLimit(descriptors.Upstreams)
 	e.metrics.transit(e.transit)
 	e.startup.export(e.metrics)
+	e.lines = newLines(e)
+	e.metrics.lines(e.lines)
 	e.metrics.limitedUpstreams(e.limitedCount)
 	e.load.export(e.metrics, func() float64 { return float64(e.inFlight.count()) }, func() float64 { return float64(e.admission.limit()) })
 	e.fleet.SetLeavingGrace(settings.DrainTime / leavingTimeDivisor)
--- a/pkg/edge/placement.go
+++ b/pkg/edge/placement.go
@@ -33,6 +33,9 @@
 	if c.limited {
 		return max(c.limitWait, time.Millisecond)
 	}
+	if after, ok := c.e.lines.retryAfter(c); ok {
+		return after
+	}
 	return retryAfterBusy
 }
 
@@ -50,7 +53,7 @@
 	limited := false
 	c.limited = false
 	c.e.withFleet(func(f *fleet.Fleet) {
-		if m = f.Select(&req, now); m != nil {
+		if m = c.pickWithRoom(f, &req, now); m != nil {
 			cause, limited = c.cause(m, req.Affinity), m.Limited()
 			c.work = f.StartWork(m, &req, now)
 			f.RecordStart(m, cause, now)
@@ -58,6 +61,7 @@
 		}
 		c.limitWait, c.limited = f.RefuseLimited(req, now)
 	})
+	c.leaveLine() // the attempt counts at the member now
 	if m != nil {
 		if limited {
 			c.e.metrics.limitedAttempt(cause.String())
