--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -84,7 +84,6 @@
 	// the time after which the caller should retry.
 	limited   bool
 	limitWait time.Duration
-	workspace *routing.Workspace // nil: none
 	inLine    lineState
 }
 
