--- a/pkg/edge/quota.go
+++ b/pkg/edge/quota.go
@@ -84,7 +84,7 @@
 	if !c.workspace.HasQuota() {
 		return true
 	}
-	d := c.e.quotas.admit(c.r.Context(), workspaceID(c.workspace.Name))
+	d := c.e.quotas.admit(c.r.Context(), workspaceID(c.workspace.Name), c.beginsProgram())
 	if d.Outcome == quota.Admitted {
 		return true
 	}
@@ -93,10 +93,10 @@
 }
 
 // admit decides on a request. It waits for tokens that are on their way.
-func (q *quotas) admit(ctx context.Context, id uint64) quota.Decision {
+func (q *quotas) admit(ctx context.Context, id uint64, begins bool) quota.Decision {
 	q.applyTable()
 	q.mu.Lock()
-	d := q.node.Admit(id, q.now())
+	d := q.node.Admit(id, begins, q.now())
 	if d.Outcome != quota.Waiting {
 		q.mu.Unlock()
 		q.metrics.decided(d)
--- a/pkg/edge/quota_test.go
+++ b/pkg/edge/quota_test.go
@@ -135,7 +135,7 @@
 	q.node.SetQuotas(1, map[uint64]quota.Quota{id: {Rate: 1e12, Burst: 1e12}}, q.now())
 	time.Sleep(time.Millisecond)
 	for b.Loop() {
-		if d := q.admit(b.Context(), id); d.Outcome != quota.Admitted {
+		if d := q.admit(b.Context(), id, false); d.Outcome != quota.Admitted {
 			b.Fatal(d)
 		}
 	}
--- a/pkg/edge/urgency.go
+++ b/pkg/edge/urgency.go
@@ -1,6 +1,10 @@
 package edge
 
-import "time"
+import (
+	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/routing"
+)
 
 // Urgencies of requests at an engine, from 0 (first) to 9 (last).
 const (
@@ -43,6 +47,11 @@
 	return c.req.ParentTurnID != "" || c.req.Program != "" && c.e.knowsProgram(c.req.Program)
 }
 
+// beginsProgram reports whether this is the first request of a program, as far as this edge knows.
+func (c *call) beginsProgram() bool {
+	return c.route.Kind == routing.Stream && c.req.Program != "" && !c.continuesProgram()
+}
+
 // knowsProgram reports whether an earlier turn of a program was served, here or, as its
 // use of tokens shows, through another edge.
 func (e *Edge) knowsProgram(program string) bool {
--- a/pkg/quota/admit.go
+++ b/pkg/quota/admit.go
@@ -19,19 +19,24 @@
 	RetryAfter time.Duration
 }
 
-// Admit decides on a request. Requests of a workspace without a quota are admitted.
-func (n *Node) Admit(id uint64, now Time) Decision {
+// Admit decides on a request. Requests of a workspace without a quota are admitted. begins is
+// set for the first request of a program.
+func (n *Node) Admit(id uint64, begins bool, now Time) Decision {
 	w := n.state(id, now)
 	if w == nil {
 		return Decision{}
 	}
 	w.seen.add(now)
 	w.usedAt = now
+	if begins && !w.mayBegin(now) {
+		w.refused.add(now)
+		return Decision{Outcome: Refused, RetryAfter: beginPause}
+	}
 	if w.take(now) {
 		w.admitted.add(now)
 		return Decision{}
 	}
-	if w.mayGet(len(n.members.list), now) {
+	if w.mayGet(now) {
 		w.waiting++
 		return Decision{Outcome: Waiting}
 	}
@@ -50,7 +55,7 @@
 		return Decision{}
 	}
 	w.waiting = max(w.waiting-1, 0)
-	if !last && w.mayGet(len(n.members.list), now) {
+	if !last && w.mayGet(now) {
 		w.waiting++
 		return Decision{Outcome: Waiting}
 	}
--- a/pkg/quota/bench_test.go
+++ b/pkg/quota/bench_test.go
@@ -22,7 +22,7 @@
 			now := time.Minute
 			for i := 0; b.Loop(); i++ {
 				now += time.Microsecond
-				if id := uint64(i % 1000); n.Admit(id, now).Outcome == Waiting {
+				if id := uint64(i % 1000); n.Admit(id, false, now).Outcome == Waiting {
 					n.Leave(id)
 				}
 			}
@@ -45,7 +45,7 @@
 	}
 	n.SetQuotas(1, quotas, 0)
 	for id := range quotas {
-		if n.Admit(id, time.Minute).Outcome == Waiting {
+		if n.Admit(id, false, time.Minute).Outcome == Waiting {
 			n.Resume(id, true, time.Minute)
 		}
 	}
--- a/pkg/quota/exchange.go
+++ b/pkg/quota/exchange.go
@@ -224,7 +224,9 @@
 				w.turn++
 			}
 			next := w.nextAt
-			if !d.Urgent {
+			if d.Urgent {
+				w.recordShort(now)
+			} else {
 				next = w.laterAt
 			}
 			next[a.To] = now + min(max(t.Next, minNext), maxNext)
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -318,7 +318,7 @@
 	if s.pick != nil {
 		id = s.pick()
 	}
-	d := e.node.Admit(id, s.now)
+	d := e.node.Admit(id, false, s.now)
 	if d.Outcome != Waiting {
 		s.end(e, d, 0)
 		return
--- a/pkg/quota/workspace.go
+++ b/pkg/quota/workspace.go
@@ -7,8 +7,12 @@
 )
 
 const (
-	// MaxWait is how long a request may wait for the reply of a coordinator.
-	MaxWait = 100 * time.Millisecond
+	// MaxWait is how long a request may wait for a token. A refusal costs the caller one of
+	// two tries and at least as long.
+	MaxWait = 400 * time.Millisecond
+	// waitingShare is the part of a quota's rate that the requests waiting at one edge count
+	// on. Beyond it they would wait in vain.
+	waitingShare = 0.3
 	// prefetchTime is how long the tokens that an edge holds are to last.
 	prefetchTime = time.Second
 	// keepOneRate is the rate, in requests a second, from which an edge always holds a token.
@@ -57,8 +61,11 @@
 
 	seen, admitted, refused usage
 	usedAt                  Time
-	promisedAt              Time // latest time that a refused caller was told
-	turn                    int  // the coordinator that is asked first: the same one while it has tokens, so that it learns what was used
+	promisedAt              Time    // latest time that a refused caller was told
+	shortAt                 Time    // when a coordinator last had too few tokens
+	newShare                float64 // of the programs that may begin, at shortAt
+	newCredit               float64 // of a program that is to begin
+	turn                    int     // the coordinator that is asked first: the same one while it has tokens, so that it learns what was used
 }
 
 // drop removes the tokens for which f returns true.
@@ -130,7 +137,7 @@
 
 // mayGet reports whether a request may get a token if it waits: a coordinator is being
 // asked, or has not said that it has none, or will have some in time for it.
-func (w *workspace) mayGet(edges int, now Time) bool {
+func (w *workspace) mayGet(now Time) bool {
 	at, asking := w.readyAt(now)
 	if len(w.coordinators) == 0 || !asking && at > now+MaxWait {
 		return false
@@ -138,7 +145,7 @@
 	if at <= now {
 		return true
 	}
-	rate := max(w.admitted.rate(now), w.quota.Rate/float64(max(edges, 1)))
+	rate := max(w.admitted.rate(now), w.quota.Rate*waitingShare)
 	return float64(w.waiting) < 1+rate*MaxWait.Seconds()
 }
 
