Mend what the review of the merged parts found

Change: an attempt that was not written because of its key ends its work in the fleet; a configuration that introduces workspaces hides the key of requests that are under way; a request whose route becomes public or keyed meanwhile is refused or told no workspace; a wait for tokens ends at the request's deadline and frees its place if the caller leaves; replies of edges that coordinate nothing are no shortage; an upstream that failed after it rejected a request is not tried again; a full listener closes connections that wait longer than callers need, then idle ones; lingering connections count before the limit, not only at it; the parts beyond a quota leave room for two starts in a window.

--- a/pkg/edge/connlimit.go
+++ b/pkg/edge/connlimit.go
@@ -97,8 +97,8 @@
 	c.hold = l.budget.Reservation(ownerHeads, membudget.HeadShare)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.limits.open > 0 && len(l.open)-l.evicted >= l.limits.open && !l.evictLocked(&l.headless, now, nil, limitOpen) {
-		l.evictLocked(&l.idle, now, nil, limitOpen)
+	if l.limits.open > 0 && len(l.open)-l.evicted+l.lingering >= l.limits.open {
+		l.makePlaceLocked(now)
 	}
 	if l.limits.open > 0 && len(l.open)+l.lingering >= l.limits.open+evictionLag {
 		l.onLimit(limitRefused, tcp.RemoteAddr())
@@ -113,6 +113,18 @@
 	return c
 }
 
+// makePlaceLocked closes a connection for a new one: the one that has waited longest for its head,
+// if callers need less time for that, then an idle one. The caller must hold l.mu.
+func (l *callerConns) makePlaceLocked(now time.Time) {
+	first, second := &l.idle, &l.headless
+	if front := l.headless.Front(); front != nil && front.Value.(*callerConn).waitsLonger(now, requestWait) {
+		first, second = second, first
+	}
+	if !l.evictLocked(first, now, nil, limitOpen) {
+		l.evictLocked(second, now, nil, limitOpen)
+	}
+}
+
 // count returns the number of open connections.
 func (l *callerConns) count() int {
 	l.mu.Lock()
@@ -198,6 +210,13 @@
 	return true
 }
 
+// waitsLonger reports whether the connection has waited longer than d for a request.
+func (c *callerConn) waitsLonger(now time.Time, d time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.expectedSince.IsZero() && now.Sub(c.expectedSince) > d
+}
+
 func (c *callerConn) isEvicted() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -19,14 +19,11 @@
 		UpstreamID: m.ID, Priority: c.urgency(), LastEventID: lastEvent,
 		HideKey: c.hideKey, Workspace: c.workspaceName(),
 	})
-	req := &upstream.Request{
+	return &upstream.Request{
 		Address: m.Address, MaxConnections: c.connectionLimit(), ID: c.req.ID,
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body, Run: c.expectedRun(m),
+		BeforeWrite: c.mayWrite,
 	}
-	if c.hideKey {
-		req.BeforeWrite = c.mayWrite
-	}
-	return req
 }
 
 // send sends the request to a member and reads the response header.
--- a/pkg/edge/headguard.go
+++ b/pkg/edge/headguard.go
@@ -91,11 +91,12 @@
 	if err != nil {
 		return err
 	}
+	err = c.reserveHead()
 	for range maxMemoryEvictions {
-		err = c.reserveHead()
 		if err == nil || errors.Is(err, errHeadRefused) || !c.owner.evictHead(c) {
 			break
 		}
+		err = c.reserveHead()
 	}
 	if err == nil && wasWaiting {
 		c.owner.enqueue(c, true)
--- a/pkg/edge/line.go
+++ b/pkg/edge/line.go
@@ -251,6 +251,7 @@
 
 // recordRoom records what the end of an attempt tells about the member's room.
 func (c *call) recordRoom(f *fleet.Fleet, m *fleet.Member, o attempt.Outcome, resp *upstream.Response, now time.Time) {
+	delete(c.inLine.rejectedBy, m.ID) // an upstream that failed since is not tried again
 	switch {
 	case o == attempt.Answered:
 		f.RecordAccepted(m, now)
--- a/pkg/edge/lines.go
+++ b/pkg/edge/lines.go
@@ -297,6 +297,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.services[service]
+	if s == nil {
+		return false // its verdict was sent, and the line was dropped as unused
+	}
 	before := s.line.Len()
 	s.line.Leave(w.ticket, time.Now())
 	return s.line.Len() < before
--- a/pkg/edge/quota.go
+++ b/pkg/edge/quota.go
@@ -84,7 +84,8 @@
 	if !c.workspace.HasQuota() {
 		return true
 	}
-	d := c.e.quotas.admit(c.r.Context(), workspaceID(c.workspace.Name), c.beginsProgram())
+	wait := min(quota.MaxWait, time.Until(c.deadline))
+	d := c.e.quotas.admit(c.r.Context(), wait, workspaceID(c.workspace.Name), c.beginsProgram())
 	if d.Outcome == quota.Admitted {
 		return true
 	}
@@ -92,8 +93,8 @@
 	return false
 }
 
-// admit decides on a request. It waits for tokens that are on their way.
-func (q *quotas) admit(ctx context.Context, id uint64, begins bool) quota.Decision {
+// admit decides on a request. It waits for tokens that are on their way, at most for a time.
+func (q *quotas) admit(ctx context.Context, wait time.Duration, id uint64, begins bool) quota.Decision {
 	q.applyTable()
 	q.mu.Lock()
 	d := q.node.Admit(id, begins, q.now())
@@ -106,7 +107,7 @@
 	changed := q.changed
 	q.mu.Unlock()
 	notify(q.wake)
-	timer := time.NewTimer(quota.MaxWait)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	q.metrics.waited.Inc()
 	for last := false; d.Outcome == quota.Waiting; {
@@ -115,7 +116,8 @@
 		case <-timer.C:
 			last = true
 		case <-ctx.Done():
-			last = true
+			q.leave(id)
+			return quota.Decision{Outcome: quota.Refused}
 		}
 		q.mu.Lock()
 		d = q.node.Resume(id, last, q.now())
@@ -130,6 +132,14 @@
 	return d
 }
 
+// leave ends the wait of a request whose caller is gone.
+func (q *quotas) leave(id uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.waiting--
+	q.node.Leave(id)
+}
+
 // applyTable puts the quotas of the table in force, if it is another one.
 func (q *quotas) applyTable() {
 	table := q.e.view.table.Load()
--- a/pkg/edge/quota_test.go
+++ b/pkg/edge/quota_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/quota"
+	"github.com/yuccaspindle/yuccaspindle/pkg/routing"
 	"github.com/yuccaspindle/yuccaspindle/pkg/suspend"
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
@@ -28,7 +29,8 @@
 // refused.
 func quotaCall(e *Edge, workspace string) (admitted bool, refusal *httptest.ResponseRecorder) {
 	rec := httptest.NewRecorder()
-	c := &call{e: e, w: rec, r: httptest.NewRequest(http.MethodGet, "/", nil), began: time.Now(), table: e.view.table.Load()}
+	c := &call{e: e, w: rec, r: httptest.NewRequest(http.MethodGet, "/", nil), began: time.Now(), table: e.view.table.Load(), route: &routing.Route{}}
+	c.deadline = c.began.Add(time.Second)
 	c.workspace = c.table.WorkspaceByName(workspace)
 	return c.admitQuota(), rec
 }
@@ -135,7 +137,7 @@
 	q.node.SetQuotas(1, map[uint64]quota.Quota{id: {Rate: 1e12, Burst: 1e12}}, q.now())
 	time.Sleep(time.Millisecond)
 	for b.Loop() {
-		if d := q.admit(b.Context(), id, false); d.Outcome != quota.Admitted {
+		if d := q.admit(b.Context(), quota.MaxWait, id, false); d.Outcome != quota.Admitted {
 			b.Fatal(d)
 		}
 	}
--- a/pkg/edge/workspace.go
+++ b/pkg/edge/workspace.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -18,7 +19,7 @@
 	keyMissing
 	keyUnknown
 	keyRevoked // it was accepted before
-	keyMoved   // it belongs to another workspace than before
+	keyMoved   // it belongs to another workspace than before, or is needed only now
 	keyNotCurrent
 )
 
@@ -42,7 +43,7 @@
 	}
 	c.hideKey = true
 	if c.public(t) {
-		c.checked = t
+		c.workspace, c.checked = nil, t
 		return keyAccepted
 	}
 	if !c.e.trustsKeys() {
@@ -56,7 +57,7 @@
 		return keyRevoked
 	case !ok:
 		return keyUnknown
-	case c.workspace != nil && c.workspace.Name != w.Name:
+	case c.workspace != nil && c.workspace.Name != w.Name, c.workspace == nil && c.checked != nil:
 		return keyMoved
 	}
 	c.workspace, c.checked = w, t
@@ -78,10 +79,12 @@
 // recheckKey checks the key of the request before an attempt against the table in force. A
 // stream that has begun goes on.
 func (c *call) recheckKey() keyResult {
+	t := c.e.view.table.Load()
+	c.hideKey = c.hideKey || t.HasWorkspaces()
 	if c.headSent {
 		return keyAccepted
 	}
-	if t := c.e.view.table.Load(); t != c.checked {
+	if t != c.checked {
 		return c.checkKey(t)
 	}
 	if c.workspace != nil && !c.e.trustsKeys() {
@@ -94,7 +97,10 @@
 // about to be written.
 func (c *call) mayWrite() error {
 	if !c.hideKey {
-		return nil // the attempt was prepared without workspaces
+		if c.e.view.table.Load().HasWorkspaces() {
+			return &unwrittenError{keyMoved} // the attempt was prepared without workspaces and shows the key
+		}
+		return nil
 	}
 	if result := c.recheckKey(); result != keyAccepted {
 		return &unwrittenError{result}
@@ -109,7 +115,10 @@
 	if !errors.As(err, &unwritten) {
 		return false
 	}
-	c.e.withFleet(func(f *fleet.Fleet) { f.RecordEnd(m) })
+	c.e.withFleet(func(f *fleet.Fleet) {
+		f.EndWork(&c.work, false, c.writtenAt, time.Now())
+		f.RecordEnd(m)
+	})
 	c.removeIsolated(m.ID)
 	return c.refuseKey(unwritten.result)
 }
--- a/pkg/quota/bounds.go
+++ b/pkg/quota/bounds.go
@@ -28,9 +28,9 @@
 	baseShare = 0.03
 	// The following shares divide what may run beyond the quota in a window. What they
 	// leave covers views of the list of edges that differ for a moment.
-	poolExtra  = 0.8  // added to the burst in the coordinators' buckets
+	poolExtra  = 0.75 // added to the burst in the coordinators' buckets
 	baseExtra  = 0.05 // capacity of all base buckets
-	startExtra = 0.05 // in the buckets of coordinators that start; a window may hold two starts
+	startExtra = 0.03 // in the buckets of coordinators that start; a window may hold two starts
 	startSlack = 0.05 // the same, of the slack only: small quotas need it most
 	// maxCoordinators is the largest number of coordinators of a workspace. With 6, the
 	// loss of one leaves 0.82 of the quota. More of them leave each one too few tokens for the
--- a/pkg/quota/exchange.go
+++ b/pkg/quota/exchange.go
@@ -224,10 +224,10 @@
 				w.turn++
 			}
 			next := w.nextAt
-			if d.Urgent {
-				w.recordShort(now)
-			} else {
+			if !d.Urgent {
 				next = w.laterAt
+			} else if coordinates := !g.Refused && t.Life > 0; coordinates && int(t.Granted) < w.waiting {
+				w.recordShort(now)
 			}
 			next[a.To] = now + min(max(t.Next, minNext), maxNext)
 		}
