Fleet: comments and names of the placement by expected time

Cause: comments used terms before they were defined (home, pace, shed), one justified a weight by the figures of a test, and some names did not match what they name (line, average, eventToken). Change: comments only, and unexported names: regression, addReport, eventSize. No behaviour. Tests were not run.

--- a/pkg/fleet/filter.go
+++ b/pkg/fleet/filter.go
@@ -19,7 +19,7 @@
 	return [...]string{"usable", "excluded", "limited", "leaving", "suspended"}[v]
 }
 
-// filter applies all filters to a member. What a candidate offers is added to offered,
+// filter applies all filters to a member. The permits of a candidate are added to offered,
 // unless that is nil.
 func (f *Fleet) filter(m *Member, r *Request, offered *supply, now time.Time) verdict {
 	switch {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -88,7 +88,7 @@
 
 	limit *ratelimit.Limit // nil: the run has named no rate limit
 
-	room room // what its rejections tell
+	room room
 
 	// replacedUnixMs is the start of the run that the registration still names although
 	// this one has replaced it; 0: the registration names this run.
--- a/pkg/fleet/home.go
+++ b/pkg/fleet/home.go
@@ -6,19 +6,22 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// The home of a conversation is the member at which all processes of a region expect its cached
+// prompt. They find the same one without a message, by hashing (see group.homes).
+
 const (
-	// homeBelief is the share of a conversation that its home is believed to have cached if
-	// another process served the turn before. That process sent it there unless the home was
-	// much busier than others.
+	// homeBelief is the expected share of a conversation that is cached at its home if another
+	// process served the previous turn. That process sent it there unless the home was much
+	// busier than other members.
 	homeBelief = 0.9
 	// unknownRoaming is the share of later turns that come through another process than the
-	// turn before, until that was seen minSamples times.
+	// previous turn. It is assumed until minSamples later turns were counted.
 	unknownRoaming = 0.5
 )
 
-// homeShare returns the share of the conversation that its home is believed to have cached.
-// For a first turn, or if this process served one before, it stands for the turns that come
-// through other processes: they will look for it there, or have sent it there.
+// homeShare returns the expected share of the conversation that is cached at its home. For a
+// first turn, or if this process served an earlier one, it stands for the turns that come through
+// other processes: these will choose the home, or have chosen it.
 func (md *model) homeShare(r *Request) float64 {
 	if r.LaterTurn && r.Affinity == "" {
 		return homeBelief
@@ -29,7 +32,7 @@
 	return homeBelief * unknownRoaming
 }
 
-// recordRoaming records whether a later turn came through the same process as one before.
+// recordRoaming records whether a later turn came through the same process as an earlier one.
 func (md *model) recordRoaming(r *Request) {
 	switch {
 	case !r.LaterTurn:
@@ -40,14 +43,15 @@
 	}
 }
 
-// group holds the members of a service in the own region, or beyond it, in any order, with
-// the hashes of their ids: looking for a home reads them all.
+// group holds the members of a service that are all in the region of this process, or all in
+// other regions, in any order. The hashes of their ids are kept because the search for a home
+// reads all of them.
 type group struct {
 	members []*Member
 	hashes  []uint64
 }
 
-// groups holds the members of a service by their distance.
+// groups holds the members of a service, near: in the region of this process, far: in others.
 type groups struct{ near, far group }
 
 func (g *group) add(m *Member) {
@@ -94,9 +98,9 @@
 	}
 }
 
-// homes returns the two members of the region at which its processes look for a conversation
-// of which they know nothing: those with the highest hashes of the conversation and the
-// member. A change of the members moves only the conversations of those that came or went.
+// homes returns the home of a conversation and the member that replaces it if it is not usable:
+// those with the highest hashes of conversation and member (rendezvous hashing). A change of the
+// members moves only the conversations of those that were added or removed.
 func (g *group) homes(conversation uint64) [2]*Member {
 	var best [2]*Member
 	if conversation == 0 || len(g.members) == 0 {
--- a/pkg/fleet/model.go
+++ b/pkg/fleet/model.go
@@ -8,10 +8,12 @@
 	// modelWeight is the weight of the newest measurement of a service: an estimate follows
 	// about the last hundred.
 	modelWeight = 0.01
-	// regressionWeight is that of the relation between prompt and time, which has more noise.
+	// regressionWeight is the weight of the newest measurement in the relation between prompt
+	// and time, which has more noise.
 	regressionWeight = 0.004
 	// maxOutlier times the estimate is the largest value that a measurement counts as. A
-	// stopped process would otherwise count for a hundred others.
+	// measurement from a process that was stopped would otherwise weigh as much as a hundred
+	// others.
 	maxOutlier = 6.0
 	// minSpread is the standard deviation of the prompt lengths, relative to their mean,
 	// from which on the time of a prompt token can be told from the constant part.
@@ -36,10 +38,10 @@
 
 func (a *average) known() bool { return a.n >= minSamples }
 
-// line is a moving linear regression of y on x.
-type line struct{ x, y, xx, xy average }
+// regression is a moving linear regression of y on x.
+type regression struct{ x, y, xx, xy average }
 
-func (l *line) add(x, y float64) {
+func (l *regression) add(x, y float64) {
 	if l.y.known() {
 		y = min(y, maxOutlier*max(l.at(x), l.y.value))
 	}
@@ -51,7 +53,7 @@
 
 // slope returns the increase of y with x. If all x are about equal, it cannot be told from
 // the constant part: half of the proportion is assumed.
-func (l *line) slope() float64 {
+func (l *regression) slope() float64 {
 	if l.x.value <= 0 {
 		return 0
 	}
@@ -64,20 +66,20 @@
 	return min(max(slope, 0), proportion)
 }
 
-// at returns the y to expect at x.
-func (l *line) at(x float64) float64 { return max(l.y.value+l.slope()*(x-l.x.value), 0) }
+// at returns the expected y at x.
+func (l *regression) at(x float64) float64 { return max(l.y.value+l.slope()*(x-l.x.value), 0) }
 
 // model is what this process has learnt about the work of one service from its own
 // measurements, over all its upstreams. Times are in ms at the usual pace.
 type model struct {
-	members [reportKinds]int // by what their last report had
+	members [reportKinds]int // number of members by the kind of their last report
 
-	first    line    // time to the first event without its tokens, over tokens to read
-	step     average // time of a generated token
-	duration average // of a whole request
-	output   average // tokens generated for a request
-	read     average // prompt tokens of a request that were not cached
-	size     average // prompt and output tokens of a request
+	first    regression // time to the first event without its tokens, over tokens to read
+	step     average    // time of a generated token
+	duration average    // of a whole request
+	output   average    // tokens generated for a request
+	read     average    // prompt tokens of a request that were not cached
+	size     average    // prompt and output tokens of a request
 
 	others   average // requests of other processes at a report, per slot
 	ownShare average // requests of this process among all at a report
@@ -95,7 +97,7 @@
 	return md.first.y.known() && md.step.known()
 }
 
-// output returns the tokens that a request probably generates.
+// outputTokens returns the expected number of tokens that a request generates.
 func (md *model) outputTokens(r *Request) float64 {
 	if r.OutputTokens > 0 {
 		return float64(r.OutputTokens)
@@ -103,8 +105,8 @@
 	return md.output.value
 }
 
-// timeModel returns the model of a request's service, or nil if today's cost is in force:
-// no upstream reports a pace, or too little has been measured yet.
+// timeModel returns the model of a request's service, or nil if the cost by counts is in force:
+// most upstreams report no pace, or too little has been measured yet.
 func (f *Fleet) timeModel(r *Request) *model {
 	md := f.models[r.Service]
 	if md == nil || !md.paced() || !md.knows(r) {
@@ -116,18 +118,19 @@
 // reportKind is what the last load report of a member had.
 type reportKind int
 
+// Kinds of load reports.
 const (
 	reportsNothing reportKind = iota
 	reportsCounts             // running, waiting, slots
 	reportsPace               // and the pace
-	reportKinds
+	reportKinds               // number of kinds
 )
 
-// paced reports whether the upstreams of the service report a pace. A single one that does
-// among others which don't has no effect.
+// paced reports whether the upstreams of the service report a pace. It is true only if more
+// of them do than do not: a single one has no effect.
 func (md *model) paced() bool { return md.members[reportsPace] > md.members[reportsCounts] }
 
-// countReports records what the last report of a member had.
+// countReports records the kind of a member's last report.
 func (f *Fleet) countReports(m *Member, k reportKind) {
 	if m.reports == k {
 		return
@@ -156,22 +159,23 @@
 	e.pace.report(l.Pace, now)
 	slots := float64(max(m.Slots, 1))
 	md.others.add(min(m.otherRequests, maxQueueFactor*slots)/slots, modelWeight)
-	// The request that the report came with is no random one: it is left out.
+	// The request of this report is always one of this process. It is left out, since it would
+	// make the share too large.
 	if all := l.Running + l.Waiting - 1; all > 0 {
 		md.ownShare.add(min(max(float64(m.inFlight-1)/float64(all), 0), 1), modelWeight)
 	}
 }
 
-// maxQueueFactor times its slots is the number of requests that a member is believed to
-// have at most: its slots and a queue of three times as many.
+// maxQueueFactor times its slots is the largest number of requests that a member is assumed to
+// have: its slots and a queue of three times as many.
 const maxQueueFactor = 4.0
 
-// maxPlaces times its slots is the number of requests that a plausible report has at most.
-// Queues have three to four places for a slot.
+// maxPlaces times the slots is the largest number of running or waiting requests in a plausible
+// report. Queues have three to four places for each slot.
 const maxPlaces = 16
 
-// plausible reports whether a report with a pace may be of the member: its slots have not
-// become many times as many, nor has it many times more requests than slots.
+// plausible reports whether the member can have the load of a report with a pace: the number of
+// slots has not grown many times, and the requests are not many times the slots.
 func plausible(m *Member, l Load) bool {
 	if l.Pace == 0 {
 		return true
--- a/pkg/fleet/pace.go
+++ b/pkg/fleet/pace.go
@@ -6,13 +6,14 @@
 )
 
 const (
-	// reportValidity is the age from which on a reported pace has no weight. What slows an
-	// upstream changes about every 600 ms.
+	// reportValidity is the age from which on a reported pace has no weight. The load of the
+	// machine that slows an upstream changes about every 600 ms.
 	reportValidity = 600 * time.Millisecond
-	// measuredHalfLife is that of a pace that this process measured.
+	// measuredHalfLife is the half-life of a pace that this process measured.
 	measuredHalfLife = 400 * time.Millisecond
-	// priorMeasurements is the number of fresh measurements that what was known before counts
-	// as: a single one also depends on work that this process does not see.
+	// priorMeasurements is the number of fresh measurements that the usual and the reported
+	// pace together count as. A single measurement also depends on work that this process
+	// does not see.
 	priorMeasurements = 4.0
 	// usualWeight is the weight of the newest measurement in the usual pace of a member.
 	usualWeight = 0.05
@@ -21,8 +22,8 @@
 	// maxReportStep is how many times slower or faster than the average a report counts as in
 	// that average.
 	maxReportStep = 1.5
-	// maxDeviation is how many times slower or faster than usual a member is believed to be.
-	// Neighbours slow an upstream 2.5 times.
+	// maxDeviation is how many times slower or faster than usual a member is assumed to be at
+	// most. Other work on its machine slows an upstream 2.5 times.
 	maxDeviation = 4.0
 )
 
@@ -42,13 +43,13 @@
 	if p.reports.n > 0 {
 		v = min(max(v, p.reports.value/maxDeviation), p.reports.value*maxDeviation)
 	}
-	p.average(v)
+	p.addReport(v)
 	p.reported, p.reportedAt = v, now
 }
 
-// average adds a reported pace to the average one, which starts at the usual pace. A single
-// report changes it by little.
-func (p *pace) average(v float64) {
+// addReport adds a reported pace to the average of the reports, which starts at 1. A single
+// report changes it little.
+func (p *pace) addReport(v float64) {
 	if p.reports.n == 0 {
 		p.reports = average{value: 1, n: reportPrior}
 	}
@@ -77,9 +78,9 @@
 	return (reportPrior*prior + n*p.usual.value) / (reportPrior + n)
 }
 
-// now returns the pace at a time. What was measured here takes precedence over what was
-// reported. Reports count relative to the average one: whether they contain that a member
-// is always slow does not matter.
+// now returns the pace at a time. Measurements of this process take precedence over reports.
+// A report counts relative to the member's average report, so the result is the same whether or
+// not the reports include that the member is always slow.
 func (p *pace) now(now time.Time) float64 {
 	usual := p.usualPace()
 	v := usual
@@ -91,7 +92,7 @@
 	return v + fresh/(fresh+priorMeasurements)*(p.measured-v)
 }
 
-// decay returns the weight of something that was observed at a time; 0: never.
+// decay returns the weight of an observation made at a time; 0 for the zero time.
 func decay(at, now time.Time, halfLife time.Duration) float64 {
 	if at.IsZero() {
 		return 0
--- a/pkg/fleet/pick.go
+++ b/pkg/fleet/pick.go
@@ -56,7 +56,7 @@
 	// those of a whole one.
 	Partial bool
 
-	home *Member // where other processes probably sent the conversation
+	home *Member // home of the conversation; set by Select
 }
 
 // Components of the expected cost of a member, in ms. Those of distance, failures and
@@ -80,8 +80,8 @@
 // process has a permit for it.
 func (f *Fleet) Pick(r Request, now time.Time) *Member { return f.Select(&r, now) }
 
-// Select is Pick for a request that is passed to StartWork afterwards, in which it notes
-// what it assumed.
+// Select is like Pick, but also sets the home of the conversation in the request, which StartWork
+// needs afterwards.
 func (f *Fleet) Select(r *Request, now time.Time) *Member {
 	var offered supply
 	best, others := f.best(r, &offered, now)
--- a/pkg/fleet/prefix.go
+++ b/pkg/fleet/prefix.go
@@ -22,12 +22,13 @@
 // cacheOwner is the cache of one run of an upstream.
 type cacheOwner struct {
 	id uint64
-	// count is how many tokens were put into the cache. A cache that evicts the least
-	// recently used part has no part any more after whose last use more tokens than it
-	// holds were put into it.
+	// count is how many tokens were put into the cache. The cache evicts the least recently
+	// used part, so a part is gone once more tokens than the cache holds were put into it
+	// after the last use of that part.
 	count float64
 }
 
+// newPrefixCache returns an empty cache of at most limit parts.
 func newPrefixCache(limit int) *prefixCache {
 	parts, err := simplelru.NewLRU[uint64, cachedPart](limit, nil)
 	if err != nil {
--- a/pkg/fleet/room.go
+++ b/pkg/fleet/room.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// shedMemory is how long after its last rejection a member may count as full. A member
-	// that never rejects a request always counts as one with room.
+	// shedMemory is how long after its last rejection for lack of room a member counts as
+	// shedding load. Only members that shed can count as full.
 	shedMemory = 3 * time.Second
 	// firstPause and longestPause bound how long a member counts as full after a rejection;
 	// the pause doubles with each one until a request is accepted. A place becomes free
@@ -16,14 +16,14 @@
 	tryGap = 25 * time.Millisecond
 )
 
-// room is what the rejections and load reports of a member tell about its free places.
+// room is what is known of the free places of a member, from its rejections and load reports.
 type room struct {
 	rejectedAt time.Time
 	fullUntil  time.Time
 	pause      time.Duration // after the last rejection; 0: a request was accepted since
-	acceptedAt time.Time     // when a response last told that the member takes requests
-	// places are the requests that it can hold, running or waiting, as its load report
-	// with a rejection told; 0: unknown.
+	acceptedAt time.Time     // when a response last showed that the member accepts requests
+	// places are the requests that it can hold, running or waiting, according to the
+	// load report with a rejection; 0: unknown.
 	places float64
 }
 
@@ -36,8 +36,8 @@
 	Places    int
 	Unlimited bool
 	Limited   bool // some have a rate limit
-	// MayChange is set if a full candidate may turn out to have room: this process has
-	// attempts there, whose end tells, or it has not rejected the request.
+	// MayChange is set if this process can still learn that a full candidate has room: it has
+	// attempts there, whose end shows it, or the candidate has not rejected the request.
 	MayChange bool
 	// Next is when a candidate may have room again, if Full is set.
 	Next time.Time
@@ -55,7 +55,7 @@
 	}
 }
 
-// RecordAccepted records that a member took a request.
+// RecordAccepted records that a member accepted a request.
 func (f *Fleet) RecordAccepted(m *Member, now time.Time) {
 	m.room.pause, m.room.acceptedAt = 0, now
 	if m.room.places == 0 || f.load(m, now) < m.room.places {
@@ -79,8 +79,8 @@
 	return !m.room.rejectedAt.IsZero() && now.Sub(m.room.rejectedAt) < shedMemory
 }
 
-// freePlaces returns how many further requests a member that sheds has room for, as far as
-// known.
+// freePlaces returns how many further requests a member that sheds load has room for, as
+// far as known.
 func (f *Fleet) freePlaces(m *Member, now time.Time) int {
 	if now.Before(m.room.fullUntil) {
 		return 0
@@ -92,8 +92,8 @@
 }
 
 // freeFor returns the free places for a request, given when the member rejected it (zero: it
-// did not). That time has passed is no sign of room for a request that was rejected: it waits
-// for a response that is.
+// did not). After a rejection there are none until the member has accepted a later request: the
+// passage of time alone does not show that it has room.
 func (f *Fleet) freeFor(m *Member, rejectedAt, now time.Time) int {
 	if !rejectedAt.IsZero() && !m.room.acceptedAt.After(rejectedAt) {
 		return 0
@@ -109,8 +109,8 @@
 }
 
 // Room returns what the candidates for a request have room for. rejected holds when members
-// rejected it. Candidates that get no requests while others can, and services with rate
-// limits, which have their own rules, are not full.
+// rejected it. Members that shut down or are suspended are left out. Services with rate limits
+// never count as full, since permits decide there.
 func (f *Fleet) Room(r Request, rejected map[string]time.Time, now time.Time) Room {
 	var room Room
 	found := false
@@ -137,7 +137,7 @@
 	return room
 }
 
-// add adds a candidate that sheds.
+// add adds the free places of a candidate that sheds load.
 func (room *Room) add(f *Fleet, m *Member, rejectedAt, now time.Time) {
 	n := f.freeFor(m, rejectedAt, now)
 	room.Places += n
--- a/pkg/fleet/sample.go
+++ b/pkg/fleet/sample.go
@@ -6,25 +6,26 @@
 )
 
 const (
-	// sampleSize is how many usable members of the own region are compared. Other processes
-	// that decide at the same moment by the same reports compare others, so they do not all
-	// choose the same one.
+	// sampleSize is how many usable members of the region of this process are compared. Other
+	// processes that decide at the same moment by the same reports compare other members, so
+	// they do not all choose the same one.
 	sampleSize = 4
-	// farSampleSize is how many members of other regions are compared besides, in case the own
-	// region has no slots left.
+	// farSampleSize is how many members of other regions are compared besides, in case the
+	// region of this process has no slots left.
 	farSampleSize = 2
-	// maxProbes bounds the members that are looked at to find them.
+	// maxProbes bounds the members that are examined to find the sample.
 	maxProbes = 64
 	// sampleShare bounds the sample to a share of a small service's members, for the same
 	// reason.
 	sampleShare = 0.6
 )
 
-// choice holds the best of the members that were compared, in the own region and beyond.
+// choice holds the best members so far: near in the region of this process, far in others.
 type choice struct {
 	near, far         *Member
 	nearCost, farCost float64
-	// nearAlone is the cost of near without what it shares with the requests that run there.
+	// nearAlone is the cost of near without the parts that requests which run at the same time
+	// cause to each other.
 	nearAlone float64
 }
 
@@ -43,8 +44,8 @@
 }
 
 // best returns the member to choose. A request leaves the region only if it would have to
-// wait there for a slot or memory, or if the members there fail or are slow, not in order to
-// run beside fewer others: the link between regions has little bandwidth and is billed.
+// wait there for a slot or memory, or if the members there fail or are slow, but not in order to
+// share a member with fewer requests: the link between regions has little bandwidth and is billed.
 func (c *choice) best() *Member {
 	if c.near == nil || c.far != nil && c.farCost < c.nearAlone {
 		return c.far
@@ -54,8 +55,8 @@
 
 // bestOfSample returns the best of some random members, of the one that served the program
 // before and of the one at which all processes would look for the conversation. It returns
-// nil if a limit is in force, which has to be counted over all members, or if it finds none
-// in the own region.
+// nil if a rate limit is in force, since permits are counted over all members, or if it finds no
+// usable member in the region of this process.
 func (f *Fleet) bestOfSample(md *model, r *Request, now time.Time) *Member {
 	g := f.groups[r.Service]
 	if f.limits.Active() > 0 || g == nil {
@@ -99,10 +100,11 @@
 	}
 }
 
+// sampleOf returns how many of n members are compared.
 func sampleOf(n int) int { return min(sampleSize, int(math.Ceil(sampleShare*float64(n)))) }
 
-// bestByTime looks at all members, for a service with limits or whose sample has no usable
-// one. It returns the best of some of the usable ones, and the last resorts.
+// bestByTime filters all members, for a service with rate limits or if the sample has no usable
+// member. It returns the best of a random part of the usable ones, and the last resorts.
 func (f *Fleet) bestByTime(md *model, r *Request, offered *supply, now time.Time) (*Member, lastResorts) {
 	var others lastResorts
 	var c choice
@@ -125,7 +127,7 @@
 	if c.near != nil || near == 0 && c.far != nil {
 		return c.best(), others
 	}
-	// Few of many are usable: they are all compared.
+	// No usable near member was in the random part: all usable members are compared.
 	for i, m := range list {
 		if f.filter(m, r, nil, now) == usable {
 			c.add(f, md, m, r, mix(seed+uint64(i)), now)
--- a/pkg/fleet/score.go
+++ b/pkg/fleet/score.go
@@ -5,16 +5,16 @@
 // Score is the expected time to finish a request at a member, in ms, by its parts.
 type Score struct {
 	Queue    float64 // until a slot is free
-	Ahead    float64 // prompts that are read before
+	Ahead    float64 // reading of the prompts that come before
 	Prefill  float64 // the part of the prompt that is probably not cached
 	Decode   float64 // generating the output, or the whole time of a plain request
 	Batch    float64 // delay by the prompts of others during Decode
-	Delay    float64 // that the prompt causes to others there
-	Memory   float64 // a request that does not fit preempts another
-	Distance float64
+	Delay    float64 // caused by the prompt to the requests that run there
+	Memory   float64 // preemption of another request if this one does not fit
+	Distance float64 // round trip
 	Failure  float64
 	Warmup   float64
-	Pace     float64 // factor that is contained in the times of work
+	Pace     float64 // factor that the times of work already include
 
 	read int // prompt tokens to read
 }
@@ -27,16 +27,15 @@
 const (
 	// delayWeight is the weight of the delay that a prompt causes to the requests that run
 	// at a member, beside the time of the request itself. It is more than 1 since a prompt
-	// also delays those that come meanwhile and evicts the cached prompts of others. In
-	// TestLongAndShortPrompts, 0 and 0.5 lose cached prompts and time to both kinds; 2 and 3
-	// are about equal.
+	// also delays the requests that arrive while it is read, and evicts cached prompts. With a
+	// weight below 1, long prompts are read where short ones wait for their first event.
 	delayWeight = 2.0
-	// loadSpread is the error of the estimated number of requests at a member, about. A slot
-	// is probably free only if the estimate is that much below the slots.
+	// loadSpread is the approximate error of the estimated number of requests at a member. No
+	// wait for a slot is expected only if the estimate is that much below the slots.
 	loadSpread = 2.0
 	// averageLeft is the share of its work that a running request has left on average.
 	averageLeft = 0.5
-	// minShare bounds the share of a cache that is believed to be filled by this process.
+	// minShare is the smallest share of a cache that is assumed to be filled by this process.
 	minShare = 0.02
 )
 
@@ -93,8 +92,8 @@
 	return md.readTime*md.read.value + md.step.value*md.output.value
 }
 
-// othersAt estimates the requests of other processes at a member. With its age, a report
-// gives way to what is usual in the service.
+// othersAt estimates the requests of other processes at a member. The older a report is, the
+// more the average of the service counts instead.
 func (f *Fleet) othersAt(md *model, m *Member, slots float64, now time.Time) float64 {
 	usual := md.others.value * slots
 	reported := min(m.otherRequests, maxQueueFactor*slots)
--- a/pkg/fleet/work.go
+++ b/pkg/fleet/work.go
@@ -31,8 +31,8 @@
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// minRemaining is the share of its expected work that a running request has left at least,
-// on average: one that takes longer than expected goes on for an unknown time.
+// minRemaining is the smallest share of their expected work that running requests have left on
+// average: how long a request goes on that takes longer than expected is not known.
 const minRemaining = 0.2
 
 // remaining returns the work that the attempts of this process have left at the member.
@@ -45,8 +45,8 @@
 }
 
 // toRead returns the prompt tokens that the member has yet to read for this process. At
-// least half of those of attempts without a first event are left: more would be a sign of a
-// slow member.
+// least half of the tokens of attempts without a first event are left: a prompt that takes longer
+// shows that the member is slow, not that the prompt has been read.
 func (e *estimate) toRead(md *model, at, pace float64) float64 {
 	if e.unread == 0 {
 		return 0
@@ -79,15 +79,15 @@
 	ahead      float64 // tokens of other prompts to read before
 	queue      float64 // ms until a slot was expected to be free
 	distance   float64 // ms
-	tokens     float64
-	eventToken int
-	begun      float64
-	unread     bool // no first event yet
+	tokens     float64 // prompt and expected output
+	eventSize  int     // tokens of one event
+	begun      float64 // moment at which it was sent
+	unread     bool    // no first event yet
 
 	firstAt, lastAt time.Time
 	events          int
-	plain           bool
-	partial         bool
+	plain           bool // not a request to a model
+	partial         bool // as in Request
 }
 
 // Expected returns the time that the attempt should take at the usual pace, 0 if it is not
@@ -108,7 +108,7 @@
 	at, pace := f.moment(now), e.pace.now(now)
 	s := f.score(md, m, r, now)
 	w := Work{
-		model: md, est: e, prompt: r.Prompt, read: s.read, begun: at, unread: true, eventToken: r.EventTokens, distance: m.distance,
+		model: md, est: e, prompt: r.Prompt, read: s.read, begun: at, unread: true, eventSize: r.EventTokens, distance: m.distance,
 		plain: r.PromptTokens == 0, partial: r.Partial, ahead: e.toRead(md, at, pace),
 	}
 	if md.step.known() {
@@ -128,7 +128,8 @@
 	return w
 }
 
-// Event records an event of a stream. It needs no lock; FirstEvent must follow the first one.
+// Event records an event of a stream and reports whether it is the first one, after which
+// FirstEvent must be called. It needs no lock of the fleet.
 func (w *Work) Event(now time.Time) (first bool) {
 	if w.model == nil {
 		return false
@@ -162,7 +163,7 @@
 	md.readTime = md.first.slope()
 }
 
-// endReading records that the prompt has been read, or will not be.
+// endReading records that the prompt has been read, or that it will not be read.
 func (w *Work) endReading(at, pace float64) {
 	if w.unread {
 		w.unread = false
@@ -182,7 +183,7 @@
 	e.begun -= w.begun
 	e.tokens -= w.tokens
 	if e.running == 0 {
-		e.work, e.begun, e.tokens, e.unread, e.backlog = 0, 0, 0, 0, 0 // no sum of rounding errors
+		e.work, e.begun, e.tokens, e.unread, e.backlog = 0, 0, 0, 0, 0 // so that rounding errors do not add up
 	}
 	if complete && !w.partial && !sentAt.IsZero() {
 		f.learn(w, sentAt, now)
@@ -198,11 +199,11 @@
 		e.pace.measure(took/w.expected, now)
 	}
 	md.duration.addBounded(took, modelWeight)
-	if w.plain || w.events < 2 || w.eventToken == 0 {
+	if w.plain || w.events < 2 || w.eventSize == 0 {
 		return
 	}
-	output := w.events * w.eventToken
-	step := milliseconds(w.lastAt.Sub(w.firstAt)) / float64((w.events-1)*w.eventToken)
+	output := w.events * w.eventSize
+	step := milliseconds(w.lastAt.Sub(w.firstAt)) / float64((w.events-1)*w.eventSize)
 	if md.step.known() && md.step.value > 0 {
 		e.pace.measure(step/md.step.value, now)
 	}
