Edge queue: comments, names and one duplicate of the waiting requests

Cause: comments spoke of what is told or taken back, a constant was named a share but divides, a struct was unkeyed, and waitRequest chose the workspace's priority a second time although turnState already has it. Change: comments, unexported names (endWait, honoredDivisor), keyed fields, and waitRequest uses workspaceName and the priority of turnState. No behaviour. Tests were not run.

--- a/pkg/edge/line.go
+++ b/pkg/edge/line.go
@@ -20,10 +20,10 @@
 	whyLineExpired = "no room at the upstreams in time"
 )
 
-// lineState is what a request keeps for the line.
+// lineState is the state of a request with regard to the line of its service.
 type lineState struct {
 	counted   bool          // the request counts in the retry budget and in the usual traffic
-	usualTime time.Duration // that callers of the route begin with
+	usualTime time.Duration // time that callers of the route have for a request at first
 	since     time.Time     // when it first had to wait; zero: never
 	// rejectedBy holds when upstreams rejected the request for lack of room. It may go there
 	// again once they have room, since it has not run.
@@ -117,7 +117,7 @@
 	return true
 }
 
-// endWaitAtStop ends a waiting request of a stopping edge: another edge lets it wait longer.
+// endWaitAtStop ends a waiting request of a stopping edge: it can wait longer at another edge.
 func (c *call) endWaitAtStop() {
 	if action := c.tracker.NoUpstreamLeft(); action != attempt.Refuse {
 		c.e.metrics.endedForStop(action)
@@ -188,7 +188,7 @@
 	}
 	s, objective := c.turnState(), c.route.LatencyObjective
 	r := waitline.Request{
-		Class: c.route.Name, Priority: s.priority, NewProgram: !s.programStarted,
+		Workspace: c.workspaceName(), Class: c.route.Name, Priority: s.priority, NewProgram: !s.programStarted,
 		Due: c.began.Add(objective - lost - work), LeaveBy: waitline.LeaveBy(since, c.deadline, lost, work, objective),
 		Work: work, Bytes: int64(len(c.body)),
 	}
@@ -197,17 +197,11 @@
 	}
 	// A late program is worth a fraction of one in time; so is a request past its objective.
 	r.Late = r.Due.Before(now)
-	if w := c.workspace; w != nil {
-		r.Workspace = w.Name
-		if w.HasPriority {
-			r.Priority = w.Priority
-		}
-	}
 	return r
 }
 
-// lostTime returns the time that the caller has lost before, as with a refusal: it has less
-// time left than others of the route.
+// lostTime estimates the time that the caller lost before this request, for example by a refusal:
+// how much less time it has left than other callers of the route.
 func (c *call) lostTime() time.Duration {
 	if !c.req.HasTimeLeft {
 		return 0
@@ -249,7 +243,7 @@
 	return m
 }
 
-// recordRoom records what the end of an attempt tells about the member's room.
+// recordRoom records what the end of an attempt shows about the member's room.
 func (c *call) recordRoom(f *fleet.Fleet, m *fleet.Member, o attempt.Outcome, resp *upstream.Response, now time.Time) {
 	switch {
 	case o == attempt.Answered:
@@ -278,8 +272,8 @@
 
 // applyRetryBudget returns the next action after an attempt, given the one that the request
 // alone allows. While requests of a service wait for room, only a share of them gets further
-// attempts. An attempt that was not sent cost the service
-// nothing, and a stream that has begun goes on.
+// attempts. An attempt that was not sent does not count, since it cost the service nothing, and a
+// stream that has begun goes on.
 func (c *call) applyRetryBudget(o attempt.Outcome, next attempt.Action, now time.Time) attempt.Action {
 	allowed := c.e.lines.recordAttempt(c, o, next, now)
 	if allowed {
@@ -295,6 +289,7 @@
 	return c.tracker.NoUpstreamLeft()
 }
 
+// retryCause returns the budget that an attempt after one with this outcome counts in.
 func retryCause(o attempt.Outcome) retrybudget.Cause {
 	if o == attempt.Rejected {
 		return retrybudget.Rejection
--- a/pkg/edge/lines.go
+++ b/pkg/edge/lines.go
@@ -55,7 +55,7 @@
 	timer   *time.Timer // runs while requests wait
 }
 
-// verdict is what a request in the line is told.
+// verdict is the decision on a request that joins or is in the line.
 type verdict int
 
 const (
@@ -98,7 +98,7 @@
 	return s
 }
 
-// prune forgets the services that nobody waits for if there are too many.
+// prune removes the services without waiting requests if there are too many.
 func (l *lines) prune() {
 	if len(l.services) < maxServiceLines {
 		return
@@ -116,13 +116,13 @@
 	return !s.shedAt.IsZero() && now.Sub(s.shedAt) < lineMemory
 }
 
-// busy reports whether requests wait for room or had to a moment ago.
+// busy reports whether requests wait for room or had to within busyMemory.
 func (s *serviceLine) busy(now time.Time) bool {
 	return s.line.Len() > 0 || !s.waitAt.IsZero() && now.Sub(s.waitAt) < busyMemory
 }
 
-// enter decides whether a request may be placed now. If it has to wait, the waiter is told
-// the verdict later.
+// enter decides whether a request may be placed now. If it has to wait, the verdict
+// is sent to the waiter later.
 func (l *lines) enter(c *call, now time.Time) (*waiter, verdict) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -134,12 +134,12 @@
 	}
 	w := c.newWaiter()
 	room := l.room(c.service, w, now)
-	if c.isolated || room.Limited { // an upstream of its own, or rules of their own
+	if c.isolated || room.Limited { // it runs alone, or permits decide
 		return nil, pass
 	}
 	c.inLine.avoidFull = true
 	if room.Unlimited || room.Full && !room.MayChange {
-		return nil, pass // there is room, or nothing would tell that there is
+		return nil, pass // there is room, or this process could not learn that there is
 	}
 	if s.line.Len() == 0 && room.Places > s.passing {
 		s.passing++
@@ -149,7 +149,7 @@
 	return l.join(c, s, w, now)
 }
 
-// count records a request that is placed for the first time.
+// count records a request in the retry budget and in the usual traffic, once.
 func (l *lines) count(c *call, s *serviceLine, now time.Time) {
 	if c.inLine.counted {
 		return
@@ -171,7 +171,7 @@
 		s.timeLeft = make(map[string]longestTime)
 	}
 	if t := s.timeLeft[route]; d >= t.d || now.Sub(t.at) > timeLeftMemory {
-		s.timeLeft[route] = longestTime{d, now}
+		s.timeLeft[route] = longestTime{d: d, at: now}
 	}
 	return s.timeLeft[route].d
 }
@@ -192,7 +192,7 @@
 	w.changed, w.position = l.changed, s.line.Len()
 	out, joined := s.line.Join(w.ticket, now)
 	for _, t := range out {
-		l.tell(s, t, evicted, now)
+		l.endWait(s, t, evicted, now)
 	}
 	if !joined {
 		w.after = l.returnAfter(s, w.ticket.Request, c.deadline.Sub(now), now)
@@ -202,8 +202,8 @@
 	return w, wait
 }
 
-// tell ends the wait of a request that is no longer in the line.
-func (l *lines) tell(s *serviceLine, t *waitline.Ticket, v verdict, now time.Time) {
+// endWait sends its verdict to a request that is no longer in the line.
+func (l *lines) endWait(s *serviceLine, t *waitline.Ticket, v verdict, now time.Time) {
 	w := t.Value.(*waiter)
 	if v == pass {
 		s.passing++
@@ -213,6 +213,7 @@
 	w.verdict <- v
 }
 
+// returnAfter returns when the caller of a refused request should return.
 func (l *lines) returnAfter(s *serviceLine, r waitline.Request, left time.Duration, now time.Time) time.Duration {
 	if r.LeaveBy.Before(now) {
 		r.LeaveBy = now
@@ -224,7 +225,7 @@
 // that may not wait any longer. The caller holds the lock.
 func (l *lines) pump(service string, s *serviceLine, now time.Time) {
 	for _, t := range s.line.Expire(now) {
-		l.tell(s, t, expired, now)
+		l.endWait(s, t, expired, now)
 	}
 	var room fleet.Room
 	for s.line.Len() > 0 {
@@ -243,7 +244,7 @@
 		if t == nil {
 			break
 		}
-		l.tell(s, t, pass, now)
+		l.endWait(s, t, pass, now)
 	}
 	l.arm(service, s, room.Next, now)
 }
@@ -277,7 +278,8 @@
 	}
 }
 
-// room returns what the candidates of a request have room for; w is nil for any request.
+// room returns what the candidates of a request have room for. If w is nil, all members of the
+// service are candidates.
 func (l *lines) room(service string, w *waiter, now time.Time) (room fleet.Room) {
 	req := fleet.Request{Service: service}
 	var rejected map[string]time.Time
--- a/pkg/edge/urgency.go
+++ b/pkg/edge/urgency.go
@@ -47,7 +47,8 @@
 	return c.req.ParentTurnID != "" || c.req.Program != "" && c.e.knowsProgram(c.req.Program)
 }
 
-// beginsProgram reports whether this is the first request of a program, as far as this edge knows.
+// beginsProgram reports whether this is the first request of a program, as far as this edge
+// knows.
 func (c *call) beginsProgram() bool {
 	return c.route.Kind == routing.Stream && c.req.Program != "" && !c.continuesProgram()
 }
--- a/pkg/retrybudget/retrybudget.go
+++ b/pkg/retrybudget/retrybudget.go
@@ -8,14 +8,14 @@
 // Cause is why a request needs another attempt.
 type Cause int
 
-// Causes. Each has its own budget.
+// The causes, each with its own share of retries.
 const (
 	// Rejection: the upstream had no room and did not run the request. It cost a round trip.
 	Rejection Cause = iota
 	// Failure: the attempt may have run the request, and its work is lost.
 	Failure
 
-	causes = 2
+	causes = 2 // number of causes
 )
 
 // String implements fmt.Stringer.
@@ -102,6 +102,7 @@
 	return s
 }
 
+// inWindow reports whether a slot is in the window that ends now.
 func (b *Budget) inWindow(s slot, now time.Time) bool {
 	return s.number > 0 && b.number(now)-s.number < windowSlots
 }
--- a/pkg/waitline/drain.go
+++ b/pkg/waitline/drain.go
@@ -17,8 +17,8 @@
 
 // drain measures how many requests a line serves in a second while requests wait.
 type drain struct {
-	count   float64
-	seconds float64 // in which requests waited
+	count   float64 // requests served, of decreasing weight
+	seconds float64 // in which requests waited, of the same weight
 	at      time.Time
 }
 
@@ -38,6 +38,7 @@
 	d.seconds = d.seconds*rest + (1-rest)*drainHalfLife.Seconds()/math.Ln2
 }
 
+// served counts requests that were served; a negative number takes some back.
 func (d *drain) served(n float64) { d.count = max(d.count+n, 0) }
 
 // perSecond returns the requests that are served in a second.
@@ -49,8 +50,8 @@
 // wait.
 func (l *Line) Rate() float64 { return l.drain.perSecond() }
 
-// shareOf returns the part of the service that a class gets while all others wait, among
-// those of its priority.
+// shareOf returns the part of the service that the class of a request gets among the classes of
+// its priority that have waiting requests.
 func (l *Line) shareOf(r Request) float64 {
 	own, total, classes := 0.0, 0.0, 1
 	for _, w := range l.workspaces {
--- a/pkg/waitline/replay_test.go
+++ b/pkg/waitline/replay_test.go
@@ -128,7 +128,7 @@
 }
 
 func (r *replay) refuse(q *request, after time.Duration, now time.Time) {
-	if q.retries--; q.retries >= 0 && after <= q.by.Sub(now)/honoredShare {
+	if q.retries--; q.retries >= 0 && after <= q.by.Sub(now)/honoredDivisor {
 		r.schedule(now.Add(after), func(now time.Time) { r.arrive(q, now) })
 	}
 }
--- a/pkg/waitline/retryafter.go
+++ b/pkg/waitline/retryafter.go
@@ -6,8 +6,9 @@
 	// minRetryAfter is the shortest time after which a refused caller should return: a
 	// shorter one finds the same line.
 	minRetryAfter = 50 * time.Millisecond
-	// honoredShare is the part of its remaining time that a caller waits at most.
-	honoredShare = 3
+	// honoredDivisor divides the remaining time of a caller: it waits for the quotient at most
+	// before it returns.
+	honoredDivisor = 3
 	// maxReturns bounds the workspaces whose returning callers are spread.
 	maxReturns = 1024
 )
@@ -24,7 +25,7 @@
 		at = next
 	}
 	after := at.Sub(now) + time.Duration(draw*float64(pace))
-	if longest := max(timeLeft/honoredShare, minRetryAfter); after > longest {
+	if longest := max(timeLeft/honoredDivisor, minRetryAfter); after > longest {
 		// The caller would not wait that long. It returns as late as it accepts.
 		return longest/2 + time.Duration(draw*float64(longest/2))
 	}
@@ -33,7 +34,8 @@
 	return after
 }
 
-// pruneReturns forgets the times of callers that have returned if there are too many.
+// pruneReturns removes the times that have passed if there are too many, and all of them if that
+// is not enough.
 func (l *Line) pruneReturns(now time.Time) {
 	if len(l.returns) < maxReturns {
 		return
--- a/pkg/waitline/share.go
+++ b/pkg/waitline/share.go
@@ -32,7 +32,7 @@
 	used    float64 // service time of the served requests
 }
 
-// charge adds the service time of a request.
+// charge adds the service time of a request; a negative one takes an earlier charge back.
 func (c *class) charge(work time.Duration, weight float64) {
 	s := work.Seconds()
 	if work >= 0 {
@@ -73,8 +73,8 @@
 	return l.cfg.Usual.weight(w.name)
 }
 
-// activate prepares a class for its first waiting request. A workspace or class that did not
-// wait has no claim to the room that it did not use in the meantime.
+// activate prepares a class for its first waiting request. A workspace or class that had no
+// waiting requests gets no credit for the service that it did not use in the meantime.
 func (l *Line) activate(c *class, priority int) {
 	first := true
 	least := 0.0
@@ -120,12 +120,13 @@
 	return list
 }
 
-// countOf and bytesOf are what a request uses of the bounds of a line.
+// countOf and bytesOf return what a request uses of the limits on the number and on the memory of
+// waiting requests.
 func countOf(*Ticket) float64   { return 1 }
 func bytesOf(t *Ticket) float64 { return float64(t.Bytes) }
 
 // evict removes and returns the request that is refused first while the line is full: the
-// last one of the class that holds most compared with its share of limit. If no class holds
+// last one of the class that uses most compared with its share of limit. If no class uses
 // more than its share, it is the new request.
 func (l *Line) evict(use func(*Ticket) float64, limit float64, added *Ticket) *Ticket {
 	total, active := 0.0, l.order()
--- a/pkg/waitline/usual.go
+++ b/pkg/waitline/usual.go
@@ -24,9 +24,10 @@
 type Usual struct {
 	recent  map[string]*recent
 	began   time.Time
-	learned bool
+	learned bool // learningTime has passed since began
 }
 
+// recent counts the requests of one workspace, with a weight that halves in usualHalfLife.
 type recent struct {
 	count float64
 	at    time.Time
@@ -53,6 +54,7 @@
 	r.at = now
 }
 
+// decayed returns the count as of now.
 func (r *recent) decayed(now time.Time) float64 {
 	return r.count * math.Exp2(-now.Sub(r.at).Seconds()/usualHalfLife.Seconds())
 }
@@ -65,7 +67,7 @@
 	return unknownWeight
 }
 
-// forgetLeast forgets the half of the workspaces with the least traffic, about.
+// forgetLeast removes the workspaces whose traffic is not above the mean.
 func (u *Usual) forgetLeast(now time.Time) {
 	total := 0.0
 	for _, r := range u.recent {
--- a/pkg/waitline/waitline.go
+++ b/pkg/waitline/waitline.go
@@ -1,5 +1,5 @@
 // Package waitline holds the requests of one process that wait until an upstream of their
-// service has room. It decides who waits, who is served next, who is refused and when a
+// service has room, in one queue for each service, the line. It decides who waits, who is served next, who is refused and when a
 // refused caller should come again. It has no clock, no goroutine and no I/O; the time and
 // random numbers are passed in.
 package waitline
@@ -33,8 +33,8 @@
 	Class      string // requests that share the room of their workspace evenly with its other classes
 	Priority   int    // of workspace and class; 0 is served first
 	NewProgram bool   // no earlier turn of its program was served
-	// Late is set if the request can't meet its objective any more. Served before others,
-	// late requests would make those late, too.
+	// Late is set if the request can't meet its objective any more. If
+	// late requests were served first, they would make others late, too.
 	Late bool
 	// Due is the latest start at which the request's program ends in time. The earliest is
 	// served first among requests of equal rank.
@@ -50,7 +50,7 @@
 const (
 	newProgramRank = 1
 	lateRank       = 2
-	ranks          = 4
+	ranks          = 4 // number of ranks of one priority
 )
 
 // rank is the place of a request in its workspace and class; 0 is served first.
@@ -72,7 +72,7 @@
 type Ticket struct {
 	Request
 	JoinedAt time.Time
-	Value    any // of the caller of this package
+	Value    any // not used by this package
 
 	class   *class
 	waiting bool
@@ -155,8 +155,8 @@
 	return nil
 }
 
-// Return takes back that a request was served, because the upstream had no room. It may join
-// again and keeps its place.
+// Return undoes the accounting of a request that Next returned but whose upstream had no room.
+// The request may join again; JoinedAt keeps its place.
 func (l *Line) Return(t *Ticket, now time.Time) {
 	l.drain.advance(now, l.waiting > 0)
 	l.drain.served(-1)
