Quotas: comments, keyed fields and one repeated statement

Change: comments, order of two constants, keyed literals, one statement in Resume. No behaviour. Tests were not run.

--- a/pkg/edge/quota.go
+++ b/pkg/edge/quota.go
@@ -41,14 +41,14 @@
 	node    *quota.Node
 	table   *routing.Table // whose quotas are in force
 	names   map[uint64]string
-	changed chan struct{} // closed when tokens may have come
-	waiting int           // requests that wait for it
+	changed chan struct{} // closed when tokens may have arrived
+	waiting int           // requests that wait for changed
 
 	// The following fields belong to the goroutine of run.
 
 	viewedAt    quota.Time
-	suspended   time.Duration // total that was seen
-	suspendedAt quota.Time    // when it grew
+	suspended   time.Duration // total time of suspensions at the last look
+	suspendedAt quota.Time    // when it was last seen to have grown
 	over        map[uint64]bool
 	overAt      quota.Time
 }
--- a/pkg/edge/quotaexchange.go
+++ b/pkg/edge/quotaexchange.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// quotaTimeout limits one request: a round trip between regions and some of the time for
-	// which a request may wait.
+	// quotaTimeout limits one request for tokens. It exceeds a round trip between regions and
+	// leaves a waiting request time to ask another coordinator (see quota.MaxWait).
 	quotaTimeout = 100 * time.Millisecond
 	// maxQuotaDemands bounds the demands of one request that are answered.
 	maxQuotaDemands = 4096
--- a/pkg/quota/admit.go
+++ b/pkg/quota/admit.go
@@ -5,10 +5,10 @@
 // Outcome is what happens to a request.
 type Outcome int
 
-// The outcomes.
+// Outcomes of a check.
 const (
 	Admitted Outcome = iota
-	Waiting          // for the reply of a coordinator: call Resume after each one
+	Waiting          // for a reply of a coordinator; Resume must be called after each reply
 	Refused
 )
 
@@ -19,8 +19,8 @@
 	RetryAfter time.Duration
 }
 
-// Admit decides on a request. Requests of a workspace without a quota are admitted. begins is
-// set for the first request of a program.
+// Admit decides on a request. Requests of a workspace without a quota are admitted. begins says
+// whether it is the first request of a program.
 func (n *Node) Admit(id uint64, begins bool, now Time) Decision {
 	w := n.state(id, now)
 	if w == nil {
@@ -49,12 +49,11 @@
 	if w == nil {
 		return Decision{} // the quota was removed
 	}
+	w.waiting = max(w.waiting-1, 0)
 	if w.take(now) {
-		w.waiting = max(w.waiting-1, 0)
 		w.admitted.add(now)
 		return Decision{}
 	}
-	w.waiting = max(w.waiting-1, 0)
 	if !last && w.mayGet(now) {
 		w.waiting++
 		return Decision{Outcome: Waiting}
@@ -82,15 +81,15 @@
 	var list []Over
 	for _, w := range n.active {
 		if r := w.refused.rate(now); r > 0 {
-			list = append(list, Over{w.id, w.quota, w.seen.rate(now), w.admitted.rate(now), r})
+			list = append(list, Over{Workspace: w.id, Quota: w.quota, Seen: w.seen.rate(now), Admitted: w.admitted.rate(now), Refused: r})
 		}
 	}
 	return list
 }
 
-// State is what a node knows of its part as a coordinator.
+// State is the state of a node as a coordinator.
 type State struct {
-	Edges   int  // in its list
+	Edges   int  // in its list of edges
 	Begun   bool // no edge with an earlier list can be a coordinator
 	Current bool // the list is known to be current: tokens are granted
 	Pools   int  // workspaces of which it has granted tokens lately
--- a/pkg/quota/bounds.go
+++ b/pkg/quota/bounds.go
@@ -20,11 +20,11 @@
 }
 
 const (
-	// poolShare is the part of the rate that the coordinators grant. An edge through which
-	// all requests of a workspace come has to reach 0.95 of the quota with it.
+	// poolShare is the part of the rate that the coordinators grant. If all requests
+	// of a workspace come through one edge, that edge must still reach 0.95 of the quota.
 	poolShare = 0.98
 	// baseShare is the part of the rate that edges use without a coordinator. Together with
-	// poolShare it exceeds the quota by 1%, which is paid from the overrun.
+	// poolShare it exceeds the quota by 1%, which counts against the overrun.
 	baseShare = 0.03
 	// The following shares divide what may run beyond the quota in a window. What they
 	// leave covers views of the list of edges that differ for a moment.
@@ -37,8 +37,8 @@
 	// burst of requests that one program of a small workspace sends.
 	maxCoordinators = 6
 	// minCapacity is the least capacity of a coordinator's bucket: a token, and room for
-	// what comes while that token is on its way. slackPerCoordinator is the slack that
-	// pays for it.
+	// what comes while that token is on its way. slackPerCoordinator is the slack that each
+	// coordinator needs for it.
 	minCapacity         = 1.5
 	slackPerCoordinator = 2.5
 	// lifeShare is the part of the coordinators' buckets that edges may hold unused while
@@ -49,8 +49,8 @@
 	// they expire or are known to be used, they take room in the coordinator's bucket.
 	minLife = 150 * time.Millisecond
 	maxLife = time.Second
-	// ListAge is the age up to which a list of edges counts as current. In calm, the feeds
-	// between edges keep it below 2 s.
+	// ListAge is the age up to which a list of edges counts as current. In normal
+	// operation, the feeds between edges keep it below 2 s.
 	ListAge = 2500 * time.Millisecond
 )
 
@@ -76,7 +76,8 @@
 }
 
 // base returns the number of edges that have a base bucket, among n edges, and rate and
-// capacity of each one. A bucket that can't hold a token would be of no use.
+// capacity of each one. There are only
+// as many holders as buckets that can hold a whole token.
 func (b Bounds) base(q Quota, n int) (holders int, rate, capacity float64) {
 	total := baseExtra * b.extra(q)
 	holders = min(n, int(total))
--- a/pkg/quota/bucket.go
+++ b/pkg/quota/bucket.go
@@ -42,19 +42,19 @@
 	return time.Duration(min((level-b.level)/b.rate, maxWait.Seconds()) * float64(time.Second))
 }
 
-// issue is what a pool granted at once.
+// issue is a number of granted tokens that expire together.
 type issue struct {
 	count float64
 	until Time
 }
 
 // pool is a coordinator's bucket of one workspace. Granted tokens count against its
-// capacity until they expire or are used, so that tokens in the bucket and tokens in use by edges
-// never exceed it together.
+// capacity until they expire or are used, so that the tokens in the bucket and those that edges
+// hold never exceed it together.
 type pool struct {
 	bucket
 	issued      []issue // by expiry
-	outstanding float64
+	outstanding float64 // tokens in issued
 	usedAt      Time
 }
 
@@ -88,7 +88,7 @@
 			return n
 		}
 	}
-	p.issued = append(p.issued, issue{float64(n), until})
+	p.issued = append(p.issued, issue{count: float64(n), until: until})
 	return n
 }
 
@@ -105,8 +105,8 @@
 	}
 }
 
-// issueGrain rounds expiries up, so that grants of about the same time become one entry, which bounds the memory of
-// a pool.
+// issueGrain is the unit to which expiries are rounded up, so that grants of about the same time
+// become one entry. This bounds the memory of a pool.
 const issueGrain = 10 * time.Millisecond
 
 // isFull reports whether the pool is as if it had never been used.
--- a/pkg/quota/exchange.go
+++ b/pkg/quota/exchange.go
@@ -11,10 +11,11 @@
 	helloInterval     = 50 * time.Millisecond
 	helloTime         = time.Second
 	slowHelloInterval = time.Second
+	// staleHelloInterval is the time between two requests for the list of an edge while this
+	// edge's list has begun but is not verified.
+	staleHelloInterval = 700 * time.Millisecond
 	// maxHellos bounds the edges that are asked for their lists at once.
 	maxHellos = 32
-	// staleHelloInterval is that time while the list is not verified.
-	staleHelloInterval = 700 * time.Millisecond
 	// reserve is the part of a pool that is left for requests that wait.
 	reserve = 0.4
 	// minNext and maxNext bound the time after which a coordinator that had too few tokens
@@ -85,7 +86,7 @@
 	return 1
 }
 
-// demand adds what a workspace needs.
+// demand adds the requests for the tokens that a workspace needs.
 func (b *batch) demand(w *workspace) {
 	wanted, urgent := w.missing(b.now)
 	if wanted == 0 {
@@ -95,11 +96,12 @@
 	for _, c := range list {
 		w.asking[c] += each
 		a := b.to(c)
-		a.Request.Demands = append(a.Request.Demands, Demand{w.id, each, urgent, w.used[c]})
+		a.Request.Demands = append(a.Request.Demands, Demand{Workspace: w.id, Wanted: each, Urgent: urgent, Used: w.used[c]})
 		delete(w.used, c)
 	}
 }
 
+// ask returns a request to an edge, without demands.
 func (n *Node) ask(address string, now Time) Ask {
 	return Ask{
 		To: address, sentAt: now, generation: n.generation, dropped: n.dropped[address],
@@ -232,7 +234,7 @@
 			next[a.To] = now + min(max(t.Next, minNext), maxNext)
 		}
 		if !void && slices.Contains(w.coordinators, a.To) {
-			w.hold(holding{a.To, min(t.Granted, n.mostFrom(w)), a.sentAt + min(t.Life, maxLife)})
+			w.hold(holding{from: a.To, count: min(t.Granted, n.mostFrom(w)), until: a.sentAt + min(t.Life, maxLife)})
 		}
 	}
 }
@@ -244,7 +246,7 @@
 	return uint32(max(capacity/float64(n.coordinatorCount()), 1)) + 1
 }
 
-// answered records that a coordinator answered, or did not.
+// answered records that a request to a coordinator has ended, with or without a reply.
 func (w *workspace) answered(coordinator string, wanted uint32) {
 	if w.asking[coordinator] > wanted {
 		w.asking[coordinator] -= wanted
@@ -261,7 +263,7 @@
 			pause = min(2*f.pause, maxFailPause)
 		}
 	}
-	n.failures[a.To] = failure{now + pause, pause}
+	n.failures[a.To] = failure{until: now + pause, pause: pause}
 	for _, d := range a.Request.Demands {
 		if w := n.used[d.Workspace]; w != nil {
 			w.answered(a.To, d.Wanted)
--- a/pkg/quota/members.go
+++ b/pkg/quota/members.go
@@ -13,12 +13,13 @@
 	// A coordinator whose list of edges is not verified any more, since the store is down,
 	// goes on while the part staleQuorum of the edges say that they have the same list. One
 	// that begins needs more than the part beginQuorum, of all and of the older half.
-	// Together they exceed 1, so that some edge belongs to both: coordinators of a list do
-	// not grant beside those of an earlier one that are cut off with all edges of theirs.
+	// The sum exceeds 1, so some edge belongs to both. Coordinators of a new list therefore do
+	// not grant at the same time as those of an earlier list that are cut off together with the
+	// other edges of that list.
 	staleQuorum = 0.7
 	beginQuorum = 0.4
-	// minOlderHalf is the smallest half that counts: of fewer, the loss of one would keep
-	// the others from beginning.
+	// minOlderHalf is the smallest older half of which a quorum is needed. In a smaller one, the
+	// loss of one edge would keep the others from beginning.
 	minOlderHalf = 3
 	// confirmAge is the age of the list from which the other edges are asked for theirs.
 	confirmAge = 2 * time.Second
@@ -132,7 +133,7 @@
 	return float64(m.confirmations(now-ListAge)) >= staleQuorum*float64(len(m.list))
 }
 
-// update sets begun if it is time.
+// update sets begun if no coordinator of an earlier list can still grant tokens.
 func (m *members) update(now Time) {
 	if m.begun || !m.listed {
 		return
@@ -144,8 +145,8 @@
 	}
 }
 
-// settled reports whether a quorum has had this list since a time. If coordinators of an
-// earlier list had still been granting, one of the quorum would have told them otherwise.
+// settled reports whether a quorum has had this list since a time. Coordinators of an earlier
+// list need an edge of this quorum to go on, and it no longer confirms that list.
 func (m *members) settled(since Time) bool {
 	if m.adoptedAt > since {
 		return false
--- a/pkg/quota/messages.go
+++ b/pkg/quota/messages.go
@@ -7,14 +7,14 @@
 	From          string // address of the sender
 	ConfigVersion uint64
 	Members       uint64 // digest of the sender's list of edges
-	Starting      bool   // see Node.Handle
+	Starting      bool   // no list of the sender has begun since its process started; see Node.Handle
 	Demands       []Demand
 }
 
 // Demand is what the sender of a request needs of one workspace.
 type Demand struct {
-	Workspace uint64
-	Wanted    uint32
+	Workspace uint64 // identifies it; the same at all edges
+	Wanted    uint32 // tokens
 	Urgent    bool   // a request waits for the reply
 	Used      uint32 // tokens of the receiver that were used since the last request
 }
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Node is the part of one edge. It is not safe for concurrent use.
+// Node is the part of one edge in keeping the quotas. It is not safe for concurrent use.
 type Node struct {
 	bounds    Bounds
 	startedAt Time
@@ -24,11 +24,11 @@
 	active   []*workspace // the values of used, in a stable order
 	failures map[string]failure
 	helloAt  map[string]Time // last request for the list of each edge
-	// dropped counts how often the tokens of an edge were dropped since it had started
-	// again. Replies to earlier requests are void.
+	// dropped counts, by edge, how often its tokens were dropped because it had started again.
+	// Replies to requests that were sent before are ignored.
 	dropped    map[string]uint64
 	generation uint64 // of the list of edges
-	sweptAt    Time
+	sweptAt    Time   // see sweep
 }
 
 // config is the quota of a workspace. The bucket has the level that the pool of all
@@ -143,7 +143,8 @@
 	return n.members.listed && position >= 0 && position < n.coordinatorCount()
 }
 
-// locate computes what follows from the list of edges and the quota of a workspace.
+// locate computes the coordinators, the life of tokens and the base bucket of a workspace from the
+// list of edges and the quota.
 func (n *Node) locate(w *workspace, now Time) {
 	first, position := n.members.ranked(w.id, n.coordinatorCount())
 	w.coordinators = first
@@ -174,13 +175,14 @@
 	}
 }
 
+// resizePool computes rate and capacity of one pool.
 func (n *Node) resizePool(p *pool, c *config) {
 	_, k := n.members.widen(n.coordinatorCount())
 	rate, capacity := n.bounds.pool(c.Quota)
 	p.resize(rate/float64(k), max(capacity/float64(k), minCapacity))
 }
 
-// begin completes the start of a list of edges if it is time.
+// begin puts a new list of edges into use once members.update says that it has begun.
 func (n *Node) begin(now Time) {
 	m := &n.members
 	if m.begun {
--- a/pkg/quota/usage.go
+++ b/pkg/quota/usage.go
@@ -3,9 +3,10 @@
 import "time"
 
 const (
+	// usageSlot is the resolution of usage, and usageSlots how many of these it counts.
 	usageSlot  = 100 * time.Millisecond
 	usageSlots = 30
-	// recentSlots are those from which a rise of the demand is seen.
+	// recentSlots is the number of newest slots that show a rise of the demand.
 	recentSlots = 2
 )
 
@@ -31,6 +32,7 @@
 	}
 }
 
+// add counts an event.
 func (u *usage) add(now Time) {
 	u.advance(now)
 	u.counts[u.slot%usageSlots]++
--- a/pkg/quota/workspace.go
+++ b/pkg/quota/workspace.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// MaxWait is how long a request may wait for a token. A refusal costs the caller one of
-	// two tries and at least as long.
+	// MaxWait is how long a request may wait for a token. A refusal costs the caller at least
+	// as much time, and one of its two tries.
 	MaxWait = 400 * time.Millisecond
 	// waitingShare is the part of a quota's rate that the requests waiting at one edge count
-	// on. Beyond it they would wait in vain.
+	// on. More of them would not get a token in time.
 	waitingShare = 0.3
 	// prefetchTime is how long the tokens that an edge holds are to last.
 	prefetchTime = time.Second
@@ -20,10 +20,11 @@
 	keepOneRate = 1
 	// refusedPause is the time until a coordinator that grants nothing is asked again.
 	refusedPause = 100 * time.Millisecond
-	// returnShare is the part of the tokens that refused callers who return may find: new
-	// requests take the rest, 1/1.6 in ordinary use.
+	// returnShare is the part of the tokens that is promised to refused callers who come again.
+	// New requests take the rest: in ordinary use about 1/1.6 of the quota.
 	returnShare = 0.5
-	// unknownPause is told to callers while the coordinators are not known.
+	// unknownPause is the time after which refused callers should come again while the
+	// coordinators are not known.
 	unknownPause = 500 * time.Millisecond
 	// An edge that does not answer is left out for failPause, which doubles with each
 	// failure up to maxFailPause.
@@ -52,20 +53,22 @@
 	base  bucket
 	held  []holding // by expiry
 
-	coordinators []string        // of the current list
-	nextAt       map[string]Time // when a coordinator will have tokens again
-	laterAt      map[string]Time // when it will have more than it keeps for requests that wait
-	asking       map[string]uint32
+	coordinators []string          // of the current list
+	nextAt       map[string]Time   // when a coordinator will have tokens again
+	laterAt      map[string]Time   // when it will have more than it keeps for requests that wait
+	asking       map[string]uint32 // tokens that a coordinator is being asked for
 	used         map[string]uint32 // tokens of each coordinator used since the last request to it
 	waiting      int               // requests that wait for a reply
 
 	seen, admitted, refused usage
 	usedAt                  Time
-	promisedAt              Time    // latest time that a refused caller was told
+	promisedAt              Time    // latest time at which a refused caller was asked to come again
 	shortAt                 Time    // when a coordinator last had too few tokens
-	newShare                float64 // of the programs that may begin, at shortAt
-	newCredit               float64 // of a program that is to begin
-	turn                    int     // the coordinator that is asked first: the same one while it has tokens, so that it learns what was used
+	newShare                float64 // part of the programs that may begin, at shortAt
+	newCredit               float64 // sum of share over the programs since one began
+	// turn selects the coordinator that is asked first. It stays the same while that one has
+	// tokens, so that the coordinator learns which of its tokens were used.
+	turn int
 }
 
 // drop removes the tokens for which f returns true.
@@ -82,7 +85,7 @@
 	return n
 }
 
-// take uses one token.
+// take uses one token. It returns false if there is none.
 func (w *workspace) take(now Time) bool {
 	expired := 0
 	for expired < len(w.held) && (w.held[expired].until <= now || w.held[expired].count == 0) {
@@ -120,7 +123,7 @@
 	}
 }
 
-// readyAt returns when the first coordinator has tokens, or whether one is being asked.
+// readyAt returns when the first coordinator may have tokens, and whether one is being asked.
 func (w *workspace) readyAt(now Time) (at Time, asking bool) {
 	if len(w.coordinators) == 0 {
 		return now + unknownPause, false // the list of edges is not known yet
@@ -149,7 +152,7 @@
 	return float64(w.waiting) < 1+rate*MaxWait.Seconds()
 }
 
-// refuse returns the time after which a refused request should come again. Each refused
+// refuse counts a refusal and returns the time after which the request should come again. Each refused
 // caller gets a time of its own, as far apart as the tokens of this edge.
 func (w *workspace) refuse(now Time) time.Duration {
 	w.refused.add(now)
