Limits, workspaces, start and feeds: comments, two names and one error message

Change: comments; unexported names configFreshness and helloReceived; ErrHelloTooLarge says 'peer sent too many bytes before its Hello' (nothing compares its text). No behaviour. Tests were not run.

--- a/pkg/edge/connlimit.go
+++ b/pkg/edge/connlimit.go
@@ -14,20 +14,21 @@
 )
 
 const (
-	// connMemory is what an open connection holds without a request, in bytes: its goroutine
+	// connMemory is what an open connection without a request holds, in bytes: its goroutine
 	// and buffers (24 MB for 2,000). connMemoryShare is the share of the process's memory for
 	// all of them.
 	connMemory      = 12 << 10
 	connMemoryShare = 0.3
-	// headlessDivisor divides the open connections: the rest is for callers with a request, or
-	// that had one. Callers that comply send a head at once, or within 3 s.
+	// headlessDivisor divides the open connections: the quotient limits those without a whole
+	// head. The others are for callers with a request, or that had one. Callers that comply send a head at once, or within 3 s.
 	headlessDivisor = 2
-	// lingeringDivisor does the same for connections that are closed for sending only.
+	// lingeringDivisor divides the open connections: the quotient limits those that are closed
+	// for sending only.
 	lingeringDivisor = 4
 	// evictionLag is how many closed connections may still hold a descriptor until their
 	// goroutines have run.
 	evictionLag = 16
-	// maxEvictionTries limits the connections that are looked at to find one to close.
+	// maxEvictionTries limits the connections that are examined to find one to close.
 	maxEvictionTries = 16
 	// maxAdminConns limits the connections to the readiness and metrics listeners, half each. Few
 	// machines of the platform use them.
@@ -55,7 +56,7 @@
 		}
 	}
 	if open > 0 {
-		open = max(open-maxAdminConns, maxAdminConns) // which have listeners of their own
+		open = max(open-maxAdminConns, maxAdminConns) // the admin listeners need the rest
 	}
 	return connLimits{open: open, headless: open / headlessDivisor}
 }
@@ -79,7 +80,7 @@
 
 	mu        sync.Mutex
 	open      map[*callerConn]struct{}
-	evicted   int // of the open ones
+	evicted   int // open connections that were closed at a limit and have not ended
 	lingering int // connections that are closed for sending only
 	// Connections that wait for a request, the one that waits longest first.
 	headless, idle list.List
@@ -120,6 +121,7 @@
 	return len(l.open)
 }
 
+// remove removes a connection that has ended.
 func (l *callerConns) remove(c *callerConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -142,6 +144,7 @@
 	c.place = c.queue.PushBack(c)
 }
 
+// dequeue removes a connection from those that wait for a request.
 func (l *callerConns) dequeue(c *callerConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -184,8 +187,9 @@
 	return false
 }
 
-// evict ends the wait for a request because of a limit, unless a whole head has arrived or data
-// waits to be read for one that has not begun.
+// evict ends the wait for a request because of a limit, unless a whole head has arrived, or no
+// byte of a head was read yet and data waits to be read. If holding is set, a connection without a
+// byte of a head is left, since it holds no memory.
 func (c *callerConn) evict(now time.Time, holding bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -198,6 +202,7 @@
 	return true
 }
 
+// isEvicted reports whether the connection was closed at a limit.
 func (c *callerConn) isEvicted() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -34,8 +34,8 @@
 	affinityCacheSize = 4096
 	// turnCacheSize limits the turns kept in memory as history for later turns.
 	turnCacheSize = 2048
-	// transitShare is the share of the process's memory for heads of requests, and for
-	// request and response bodies in transit. The rest is for connections, cached state and the garbage
+	// transitShare is the share of the process's memory for heads of requests and for request
+	// and response bodies in transit. The rest is for connections, cached state and the garbage
 	// collector.
 	transitShare = 0.2
 	// defaultTransitLimit is the limit in bytes if the process has no memory limit.
--- a/pkg/edge/headguard.go
+++ b/pkg/edge/headguard.go
@@ -16,7 +16,8 @@
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
 
-// Owners of the memory of heads: while they arrive, and while their requests are answered.
+// Owners of the memory of heads in the budget: while they arrive, and while their requests are
+// answered.
 const (
 	ownerHeads    = "heads"
 	ownerRequests = "requests"
@@ -53,7 +54,7 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, errHeadRefused): // evicted meanwhile
+	case errors.Is(err, errHeadRefused): // the connection was evicted meanwhile
 		return c.refuseEvicted()
 	case errors.Is(err, headlimit.ErrTooLarge):
 		c.refuseHead(http.StatusRequestHeaderFieldsTooLarge, 0, limitHeadSize)
@@ -116,6 +117,7 @@
 	return first && c.requests.Load() > 0 && !c.head.Complete(), nil
 }
 
+// reserveHead reserves the memory of the part of the head that has arrived.
 func (c *callerConn) reserveHead() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -159,8 +161,8 @@
 	listener string
 
 	mu      sync.Mutex
-	lines   map[string]time.Time // last one by limit
-	skipped map[string]int
+	lines   map[string]time.Time // time of the last line, by limit
+	skipped map[string]int       // connections since that line, by limit
 }
 
 func newLimitLog(logger *slog.Logger, m *metrics, listener string) *limitLog {
--- a/pkg/edge/loadreport.go
+++ b/pkg/edge/loadreport.go
@@ -8,9 +8,9 @@
 	"github.com/yuccaspindle/yuccaspindle/platform"
 )
 
-// recordPace records the load report of a response that has just begun, if it has a pace: it
-// is of use for a few hundred ms only. Reports without one are recorded when the attempt has
-// ended, as the cost of their services expects.
+// recordPace records the load report of a response that has just begun, if it has a pace, which is
+// valid for a few hundred ms only. A report without a pace is recorded when the attempt has ended,
+// as the cost by counts requires.
 func (c *call) recordPace(m *fleet.Member, resp *upstream.Response) {
 	why := resp.MalformedLoad
 	if l := resp.Load; l != nil && l.Pace > 0 {
--- a/pkg/edge/startup.go
+++ b/pkg/edge/startup.go
@@ -7,10 +7,10 @@
 	"time"
 )
 
-// startStep is a step of an edge from its start to the first request that it serves whole.
+// startStep is a step of an edge from its start to its first complete response.
 type startStep int
 
-// Steps of a start. They may end in any order: a step that ends early waits for nothing.
+// Steps of a start. They may end in any order.
 const (
 	stepListening     startStep = iota // accepts connections of callers
 	stepConfiguration                  // has a configuration
@@ -19,7 +19,7 @@
 	stepFirstHistory                   // the earlier turns of a conversation were loaded
 	stepFirstEvent                     // a caller has the first event of a stream
 	stepFirstDurable                   // a turn is durable
-	startSteps
+	startSteps                         // number of steps
 )
 
 // String implements fmt.Stringer.
--- a/pkg/edge/view.go
+++ b/pkg/edge/view.go
@@ -48,7 +48,7 @@
 	table atomic.Pointer[routing.Table]
 
 	memberReader *memberReader
-	currency
+	configFreshness
 
 	mu        sync.Mutex
 	config    []byte // as stored
@@ -87,7 +87,7 @@
 		lost: map[string]bool{platform.KindConfig: true, platform.KindUpstreams: true, platform.KindNodes: true},
 	}
 	v.memberReader = newMemberReader(v.listStorage)
-	v.currency = currency{keyLimit: freshness.Limit(e.settings.RevocationTime), sinceBoot: suspend.Now}
+	v.configFreshness = configFreshness{keyLimit: freshness.Limit(e.settings.RevocationTime), sinceBoot: suspend.Now}
 	return v
 }
 
--- a/pkg/edge/work.go
+++ b/pkg/edge/work.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// maxPromptParts bounds the parts of a prompt that are looked up. Prompts have two to
-	// five; the rest of a longer list counts as not cached.
+	// maxPromptParts bounds the parts of a prompt that are looked up. Prompts have two to five
+	// parts; the rest of a longer list counts as not cached.
 	maxPromptParts = 16
 	// maxStatedTokens bounds what a caller can state. Prompts have up to some 10,000 tokens.
 	maxStatedTokens = 1 << 22
@@ -59,9 +59,11 @@
 	return c.parts
 }
 
+// statedTokens bounds a number of tokens that a caller stated.
 func statedTokens(n int) int { return min(max(n, 0), maxStatedTokens) }
 
-// recordPlacement counts by which cost the upstream of the current attempt was chosen.
+// recordPlacement starts the record of a placed attempt: it counts by which cost the upstream was
+// chosen, and with which expectations.
 func (c *call) recordPlacement() {
 	c.placed.expected, c.placed.read = c.work.Expected()
 	c.writtenAt = time.Time{}
--- a/pkg/edge/workspace.go
+++ b/pkg/edge/workspace.go
@@ -13,13 +13,14 @@
 // keyResult is the result of a check of a request's key.
 type keyResult int
 
+// Results of a check of a key.
 const (
 	keyAccepted keyResult = iota // or none is needed
 	keyMissing
 	keyUnknown
-	keyRevoked // it was accepted before
-	keyMoved   // it belongs to another workspace than before
-	keyNotCurrent
+	keyRevoked    // it was accepted before
+	keyMoved      // it belongs to another workspace than before
+	keyNotCurrent // the configuration is not known to be current
 )
 
 // String returns the reason in logs and metrics.
@@ -102,8 +103,8 @@
 	return nil
 }
 
-// endUnwritten ends a request whose attempt was not written because of its key: that says
-// nothing about the upstream. It reports whether it did.
+// endUnwritten ends a request whose attempt was not written because of its key, without counting
+// a failure of the upstream. It reports whether it did.
 func (c *call) endUnwritten(m *fleet.Member, err error) bool {
 	unwritten := (*unwrittenError)(nil)
 	if !errors.As(err, &unwritten) {
@@ -114,8 +115,8 @@
 	return c.refuseKey(unwritten.result)
 }
 
-// refuseKey refuses the request unless its key was accepted. It reports whether it did. A
-// request that may have run is not told that it did not.
+// refuseKey refuses the request unless its key was accepted. It reports whether it did. The
+// answer to a request that may have run does not claim that it has not run.
 func (c *call) refuseKey(result keyResult) bool {
 	if result == keyAccepted {
 		return false
@@ -131,7 +132,7 @@
 		c.refuse(http.StatusServiceUnavailable, retryAfterUnready, result.String())
 		return true
 	case keyMoved:
-		// The repeated request is one of the other workspace.
+		// A repeated request is valid, as one of the other workspace.
 		c.refuse(http.StatusServiceUnavailable, retryAfterBusy, result.String())
 		return true
 	}
--- a/pkg/edge/workspacefresh.go
+++ b/pkg/edge/workspacefresh.go
@@ -11,19 +11,19 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
-// dateInterval is the mean time between two questions to a peer while neither the store nor
-// a feed says that the configuration is current.
+// dateInterval is the mean time between two rounds of questions to peers while neither the store
+// nor a feed shows that the configuration is current.
 const dateInterval = time.Second
 
-// currency is whether the configuration in force is known to be current.
-type currency struct {
+// configFreshness is what is known of the age of the configuration in force.
+type configFreshness struct {
 	// keyLimit is the age of the newest check of the configuration from which requests with
-	// keys are refused; 0: they never are because of it.
+	// keys are refused; 0: its age does not matter.
 	keyLimit time.Duration
 	// sinceBoot is a clock that also counts suspensions.
 	sinceBoot func() time.Duration
-	checked   freshness.Checked
-	// refusesKeys is what the log was told last.
+	checked   freshness.Checked // newest check of the configuration
+	// refusesKeys is the state that was logged last.
 	refusesKeys atomic.Bool
 }
 
@@ -61,8 +61,9 @@
 	return age
 }
 
-// dateByPeers asks other edges when they checked the configuration, while this edge is about
-// to refuse requests with keys: a peer may reach the store that this edge does not.
+// dateByPeers asks other edges when they checked the configuration, if the newest check that
+// this edge knows of is older than half of the limit: a peer may reach a store that this edge
+// does not reach.
 func (v *view) dateByPeers(ctx context.Context) {
 	for {
 		select {
@@ -81,8 +82,8 @@
 	}
 }
 
-// dateByPeer asks one edge. It reports whether requests with keys are accepted for a while
-// then.
+// dateByPeer asks one edge. It reports whether the newest check is now younger than half of the
+// limit.
 func (v *view) dateByPeer(ctx context.Context, address string) bool {
 	var q freshness.Question
 	id := q.Ask(v.sinceBoot())
@@ -103,7 +104,7 @@
 	return v.checked.Within(v.keyLimit/2, v.sinceBoot())
 }
 
-// feedPings are the pings of a follower. Without pings, its channels are nil.
+// feedPings holds the pings of a follower. If the follower sends none, the channels are nil.
 type feedPings struct {
 	latest  atomic.Uint64
 	arrived chan struct{}
@@ -114,7 +115,7 @@
 func receivePings(st *transport.Stream, first uint64) *feedPings {
 	p := &feedPings{}
 	if first == 0 {
-		return p // also a follower of an older release
+		return p // the follower is of an older release, or needs no age
 	}
 	p.latest.Store(first)
 	p.arrived, p.ended = make(chan struct{}, 1), make(chan struct{})
@@ -146,6 +147,7 @@
 	Limit      time.Duration `json:"limit_ns"`
 }
 
+// workspaceStatus returns whether the edge accepts requests with keys.
 func (e *Edge) workspaceStatus() WorkspaceStatus {
 	s := WorkspaceStatus{AcceptsKeys: e.trustsKeys(), Limit: e.view.keyLimit}
 	if s.Limit > 0 {
--- a/pkg/edge/workspacefresh_test.go
+++ b/pkg/edge/workspacefresh_test.go
@@ -189,7 +189,7 @@
 		now := time.Hour
 		e := &Edge{metrics: newMetrics()}
 		e.logger = (&deployment{log: &testLog{}}).logger()
-		e.view = &view{e: e, currency: currency{keyLimit: 3400 * time.Millisecond, sinceBoot: func() time.Duration { return now }}}
+		e.view = &view{e: e, configFreshness: configFreshness{keyLimit: 3400 * time.Millisecond, sinceBoot: func() time.Duration { return now }}}
 		e.view.checked.Record(now)
 		first := table(north)
 		e.view.table.Store(first)
--- a/pkg/fdlimit/fdlimit.go
+++ b/pkg/fdlimit/fdlimit.go
@@ -9,7 +9,7 @@
 	// way, and one peer connection for each edge and storage process that contacts it.
 	upstreamDivisor = 6
 	peerDivisor     = 12
-	// fewest is the least part of each kind, for a limit below what a process needs.
+	// fewest is the smallest share of each kind, for a limit below what a process needs.
 	fewest = 16
 )
 
--- a/pkg/freshness/freshness.go
+++ b/pkg/freshness/freshness.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// owedShare is the share of the revocation time up to which a process is expected to
-	// serve by its state. Refusing earlier would count as a fault.
+	// owedShare is the share of the revocation time for which requests must be served by a state
+	// that was checked.
 	owedShare = 0.6
 	// arrivalTime is what an attempt may take until it is at its upstream: a body of 4 MB
 	// takes 1.53 s over the link of the smallest edge, 22 Mbit/s, and one way to another
@@ -30,7 +30,7 @@
 	return max(time.Duration(owedShare*float64(revocation)), revocation-arrivalTime)
 }
 
-// Checked is when the state was last known to be current. The zero value means never. It is
+// Checked holds when the state was last known to be current. The zero value means never. It is
 // safe for concurrent use.
 type Checked struct{ began atomic.Int64 }
 
@@ -60,7 +60,7 @@
 	return known && age < limit
 }
 
-// Question dates what another process says about the age of its state. An answer may have
+// Question determines the age of a state from the answer of another process. An answer may have
 // waited in a buffer for any time, while this process was stopped or the link was silent, so
 // its age counts from when the question was sent. The zero value has no open question.
 type Question struct {
@@ -75,8 +75,8 @@
 	return q.id
 }
 
-// Answer returns when the check began that an answer tells of. It reports false if the
-// answer is not one to the open question, or tells of no check.
+// Answer returns when the check that an answer names began, or earlier. It reports false if the
+// answer is not one to the open question, or names no check.
 func (q *Question) Answer(id uint64, age EncodedAge) (began time.Duration, ok bool) {
 	ago, known := age.decode()
 	if !q.Open(id) || !known {
@@ -100,6 +100,7 @@
 	return EncodedAge((age+time.Millisecond-1)/time.Millisecond) + 1
 }
 
+// decode returns the age. It reports false if the age is not known or too large.
 func (a EncodedAge) decode() (time.Duration, bool) {
 	if a == 0 || a > EncodedAge(maxAge/time.Millisecond) {
 		return 0, false
--- a/pkg/headlimit/headlimit.go
+++ b/pkg/headlimit/headlimit.go
@@ -15,9 +15,9 @@
 	ErrEmptyLines   = errors.New("too many empty lines before a request")
 )
 
-// Memory that a head takes once it is decoded. Values are copied while a line grows, and each
-// line takes a map entry, a name and a list of values. Measured with net/http: 117 KB for one
-// value of 62 KB, 352 KB for 7,500 lines of 8 bytes.
+// Memory that a head takes once net/http has decoded it. Values are copied while a line grows, and
+// each line takes a map entry, a name and a list of values. With net/http, one value of 62 KB takes
+// 117 KB, and 7,500 lines of 8 bytes take 352 KB.
 const (
 	memoryPerByte = 2
 	memoryPerLine = 64
@@ -36,14 +36,14 @@
 
 // Scanner measures one head. The zero value expects its first byte.
 type Scanner struct {
-	empty     int // empty lines before the request line
-	start     int // bytes of the request line
-	header    int // bytes of the header lines
-	lines     int // complete lines, with the request line
-	line      int // bytes of the last line, which is not complete
-	onlyCR    bool
-	complete  bool
-	overLimit error
+	empty     int   // empty lines before the request line
+	start     int   // bytes of the request line
+	header    int   // bytes of the header lines
+	lines     int   // complete lines, with the request line
+	line      int   // bytes of the last line, which is not complete
+	onlyCR    bool  // the last line is a carriage return so far
+	complete  bool  // the empty line after the head has arrived
+	overLimit error // of the first limit that was exceeded
 }
 
 // Scan adds the bytes that follow. Those behind the end of the head are ignored. After an
@@ -76,6 +76,7 @@
 	s.count(len(p))
 }
 
+// count adds bytes to the request line or to the header lines.
 func (s *Scanner) count(n int) {
 	if s.lines == 0 {
 		s.start += n
@@ -100,6 +101,7 @@
 	}
 }
 
+// check returns the error of the first limit that the head exceeds.
 func (s *Scanner) check(l Limits) error {
 	switch {
 	case s.start > l.Bytes || s.header > l.Bytes:
--- a/pkg/httpstatus/httpstatus.go
+++ b/pkg/httpstatus/httpstatus.go
@@ -1,4 +1,4 @@
-// Package httpstatus decides what is an HTTP status.
+// Package httpstatus checks whether a number is an HTTP status.
 package httpstatus
 
 import (
@@ -7,8 +7,8 @@
 	"github.com/pkg/errors"
 )
 
-// ErrInvalid means that the status of a response is none of HTTP. It says nothing, so the
-// request may have run.
+// ErrInvalid means that the status of a response is not an HTTP status. It does not show whether
+// the request was run, so it may have run.
 var ErrInvalid = errors.New("status of the response is not HTTP")
 
 const (
@@ -38,7 +38,7 @@
 	return resp, err
 }
 
-// CloseIdleConnections is called by http.Client.
+// CloseIdleConnections closes the idle connections of the wrapped transport. http.Client calls it.
 func (c checked) CloseIdleConnections() {
 	if t, ok := c.RoundTripper.(interface{ CloseIdleConnections() }); ok {
 		t.CloseIdleConnections()
--- a/pkg/ledger/log.go
+++ b/pkg/ledger/log.go
@@ -160,8 +160,8 @@
 	}
 }
 
-// readBufferBytes is the size of one read of a file. At the start each call of the operating
-// system delays the first request.
+// readBufferBytes is the size of one read of a file. Larger reads need fewer
+// system calls at the start, which delay the first request.
 const readBufferBytes = 256 << 10
 
 // readRecord returns the next record and its size in the file. The error is io.EOF at
--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -94,6 +94,7 @@
 	}
 }
 
+// transfer moves reserved bytes from one owner to another.
 func (b *Budget) transfer(from, to string, n int64) {
 	if n <= 0 {
 		return
@@ -141,7 +142,7 @@
 	return nil
 }
 
-// GrowTo reserves what lacks to n bytes, like Grow.
+// GrowTo reserves what is missing up to n bytes, like Grow.
 func (res *Reservation) GrowTo(n int) error {
 	if lacking := n - int(res.bytes); lacking > 0 {
 		return res.Grow(lacking)
--- a/pkg/peerstate/dating.go
+++ b/pkg/peerstate/dating.go
@@ -8,7 +8,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/freshness"
 )
 
-// Dating finds out, by pings on a feed, when the state that the feed brings was last checked.
+// Dating determines, by pings on a feed, when the state that the feed delivers was last checked.
 // The methods of a nil Dating do nothing.
 type Dating struct {
 	clock     func() time.Duration
@@ -20,7 +20,7 @@
 	ended    bool
 }
 
-// newDating returns nil unless somebody wants to know.
+// newDating returns a Dating that reports to onChecked; nil if clock or onChecked is nil.
 func newDating(clock func() time.Duration, onChecked func(began time.Duration)) *Dating {
 	if clock == nil || onChecked == nil {
 		return nil
@@ -63,7 +63,7 @@
 	})
 }
 
-// end ends the pings.
+// end stops the pings.
 func (d *Dating) end() {
 	if d == nil {
 		return
@@ -76,6 +76,7 @@
 	}
 }
 
+// feedRequest returns the message that asks for a feed, or sends a further ping on it.
 func feedRequest(noRedirect bool, ping uint64) *peerv1.Envelope {
 	return &peerv1.Envelope{Body: &peerv1.Envelope_FeedRequest{FeedRequest: &peerv1.FeedRequest{Insist: noRedirect, Ping: ping}}}
 }
--- a/pkg/peerstate/follower.go
+++ b/pkg/peerstate/follower.go
@@ -57,7 +57,7 @@
 	WatchStore func(ctx context.Context, wasDown bool)
 	// Clock and OnChecked date the state: OnChecked receives the reading of Clock at or before
 	// the begin of the newest check of the store that the state has passed. Without them,
-	// the entries are not asked.
+	// no pings are sent.
 	Clock     func() time.Duration
 	OnChecked func(began time.Duration)
 
--- a/pkg/quota/workspace.go
+++ b/pkg/quota/workspace.go
@@ -152,8 +152,8 @@
 	return float64(w.waiting) < 1+rate*MaxWait.Seconds()
 }
 
-// refuse counts a refusal and returns the time after which the request should come again. Each refused
-// caller gets a time of its own, as far apart as the tokens of this edge.
+// refuse counts a refusal and returns the time after which the request should come again. Each
+// refused caller gets a time of its own, as far apart as the tokens of this edge.
 func (w *workspace) refuse(now Time) time.Duration {
 	w.refused.add(now)
 	at, _ := w.readyAt(now)
--- a/pkg/sidecar/dispatch.go
+++ b/pkg/sidecar/dispatch.go
@@ -80,7 +80,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	f := &peerv1.Failed{Ran: string(ran), Step: step, Peer: s.cfg.Upstream.URL, Message: err.Error()}
-	// An answer without meaning shows that the upstream has seen the request, at least its head.
+	// A response whose status is not HTTP shows that the upstream has received the request, at
+	// least its head.
 	if !c.passed && !errors.Is(err, httpstatus.ErrInvalid) {
 		f.Ran = string(core.RanNo)
 	}
--- a/pkg/storewatch/group.go
+++ b/pkg/storewatch/group.go
@@ -36,7 +36,8 @@
 	OnChecked   func(began time.Duration)
 	CurrentKind string
 
-	// Both keep the reading of the monotonic clock, since the time of day may be set.
+	// The following times keep the reading of the monotonic clock, since the time of day may be
+	// set.
 	lastVerified atomic.Pointer[time.Time] // start of the last check that found no missing change
 	lastFailed   atomic.Pointer[time.Time] // last check at which the store was unavailable; nil: none
 	tracker      tracker
@@ -169,6 +170,7 @@
 	}
 }
 
+// requestList makes the watcher list its kind again.
 func (w *Watcher) requestList() {
 	select {
 	case w.relist <- struct{}{}:
--- a/pkg/transport/accepted.go
+++ b/pkg/transport/accepted.go
@@ -9,17 +9,17 @@
 )
 
 const (
-	// maxHello limits what is read from a peer before it has said who it is, in bytes. A Hello
+	// maxHello limits what is read from a peer before its Hello has arrived, in bytes. A Hello
 	// takes a few hundred. Streams opened before it would hold up to 256 KB each.
 	maxHello = 16 << 10
 	// maxHandshakes limits the accepted connections without a Hello. A handshake takes a few
-	// round trips; when the whole fleet starts again, those above the limit are made once more.
+	// round trips; peers whose connection is closed at the limit connect again.
 	maxHandshakes = 256
 	// refusedLogInterval is the time between two log lines about refused connections.
 	refusedLogInterval = time.Second
 )
 
-// accepted holds the connections that peers have made. The zero value is empty.
+// accepted holds the connections that were accepted from peers. The zero value is empty.
 type accepted struct {
 	mu    sync.Mutex
 	conns map[net.Conn]*list.Element // place in handshakes; nil: the peer has sent its Hello
@@ -29,7 +29,7 @@
 
 // begin registers an accepted connection, which has no Hello yet. If there are limit
 // connections, or too many without a Hello, it closes the oldest of these. It returns false if
-// all have one, so that the new connection must be closed. limit 0 means no limit.
+// all have sent a Hello; the new connection must then be closed. limit 0 means no limit.
 func (a *accepted) begin(c net.Conn, limit int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -50,8 +50,8 @@
 	return true
 }
 
-// introduced records that the peer has sent its Hello.
-func (a *accepted) introduced(c net.Conn) {
+// helloReceived records that the peer has sent its Hello.
+func (a *accepted) helloReceived(c net.Conn) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if place := a.conns[c]; place != nil {
--- a/pkg/transport/accepted_test.go
+++ b/pkg/transport/accepted_test.go
@@ -64,14 +64,14 @@
 			t.Fatal("refused below the limit")
 		}
 	}
-	a.introduced(known)
+	a.helloReceived(known)
 	next := conn()
 	if !a.begin(next, limit) || !isClosed(oldest) || isClosed(newer) || isClosed(known) {
 		t.Error("the oldest connection without a Hello is not the one that is closed")
 	}
 	a.end(oldest)
-	a.introduced(newer)
-	a.introduced(next)
+	a.helloReceived(newer)
+	a.helloReceived(next)
 	if a.begin(conn(), limit) {
 		t.Error("accepted above the limit of known peers")
 	}
--- a/pkg/transport/error.go
+++ b/pkg/transport/error.go
@@ -13,7 +13,7 @@
 	ErrTooLarge      = fmt.Errorf("message exceeds %d bytes", MaxMessage)
 	ErrPlainText     = errors.New("plain TCP is allowed between loopback addresses only")
 	ErrNoHello       = errors.New("peer did not introduce itself")
-	ErrHelloTooLarge = errors.New("peer sends too much before it introduces itself")
+	ErrHelloTooLarge = errors.New("peer sent too many bytes before its Hello")
 	// ErrTooManySessions means that all connections that may be open belong to known peers.
 	ErrTooManySessions = errors.New("too many connections of peers")
 )
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -167,7 +167,7 @@
 		t.logRefused(conn, err)
 		return
 	}
-	t.accepted.introduced(conn)
+	t.accepted.helloReceived(conn)
 	if t.add(s) {
 		s.serve()
 	}
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -46,7 +46,7 @@
 	runs   map[string]checkedRun
 	dialed uint64
 	total  int // connections to all addresses
-	limit  int // of total; 0: none
+	limit  int // largest total; 0: not limited
 }
 
 // NewPool returns an empty pool.
--- a/pkg/waitline/waitline.go
+++ b/pkg/waitline/waitline.go
@@ -1,7 +1,7 @@
 // Package waitline holds the requests of one process that wait until an upstream of their
-// service has room, in one queue for each service, the line. It decides who waits, who is served next, who is refused and when a
-// refused caller should come again. It has no clock, no goroutine and no I/O; the time and
-// random numbers are passed in.
+// service has room, in one queue for each service, the line. It decides who waits, who is served
+// next, who is refused and when a refused caller should come again. It has no clock, no goroutine
+// and no I/O; the time and random numbers are passed in.
 package waitline
 
 import (
