--- a/pkg/edge/connlimit.go
+++ b/pkg/edge/connlimit.go
@@ -20,7 +20,8 @@
 	connMemory      = 12 << 10
 	connMemoryShare = 0.3
 	// headlessDivisor divides the open connections: the quotient limits those without a whole
-	// head. The others are for callers with a request, or that had one. Callers that comply send a head at once, or within 3 s.
+	// head. The others are for callers with a request, or that had one. Callers that comply
+	// send a head at once, or within 3 s.
 	headlessDivisor = 2
 	// lingeringDivisor divides the open connections: the quotient limits those that are closed
 	// for sending only.
