Unused parts of quotas and the edge queue; remaining comments

Cause: Node.startedAt was written and never read, Line.Rate had no caller, two literals were unkeyed, and some comments still spoke of what is told or played. Change: NewNode without its time (callers, also in tests, pass one argument less), Line.Rate removed, keyed literals, comments. No assertion of a test is touched. Tests were not run.

--- a/pkg/edge/quota.go
+++ b/pkg/edge/quota.go
@@ -20,7 +20,7 @@
 	quotaIdleTick = 250 * time.Millisecond
 	// quotaViewInterval is how often the list of edges is compared with the view's.
 	quotaViewInterval = 100 * time.Millisecond
-	// minQuotaRetry is the shortest time that a refused caller is told.
+	// minQuotaRetry is the shortest Retry-After of a refusal.
 	minQuotaRetry = 10 * time.Millisecond
 )
 
@@ -58,7 +58,7 @@
 		e: e, began: time.Now(), wake: make(chan struct{}, 1), metrics: newQuotaMetrics(e.metrics),
 		changed: make(chan struct{}), over: make(map[uint64]bool),
 	}
-	q.node = quota.NewNode(quotaBounds(e.settings.Quota), e.settings.PeerAddress(), q.now())
+	q.node = quota.NewNode(quotaBounds(e.settings.Quota), e.settings.PeerAddress())
 	return q
 }
 
--- a/pkg/edge/quota_test.go
+++ b/pkg/edge/quota_test.go
@@ -129,7 +129,7 @@
 // BenchmarkAdmitQuota measures the check of a request: clock, lock and decision.
 func BenchmarkAdmitQuota(b *testing.B) {
 	q := &quotas{began: time.Now(), e: &Edge{suspendedTime: suspend.New().Total, view: &view{}}, metrics: newQuotaMetrics(newMetrics())}
-	q.node = quota.NewNode(defaultQuotaBounds, "a", q.now())
+	q.node = quota.NewNode(defaultQuotaBounds, "a")
 	q.node.SetMembers([]quota.Member{{Address: "a"}}, q.now())
 	id := workspaceID("acme")
 	q.node.SetQuotas(1, map[uint64]quota.Quota{id: {Rate: 1e12, Burst: 1e12}}, q.now())
--- a/pkg/edge/quotastatus.go
+++ b/pkg/edge/quotastatus.go
@@ -42,6 +42,7 @@
 	}
 }
 
+// decided counts a decision on a request.
 func (m *quotaMetrics) decided(d quota.Decision) {
 	if d.Outcome == quota.Refused {
 		m.refused.Inc()
@@ -50,6 +51,7 @@
 	m.admitted.Inc()
 }
 
+// ask counts a request for tokens that is sent.
 func (m *quotaMetrics) ask(a quota.Ask) {
 	m.asks.Inc()
 	for _, d := range a.Request.Demands {
@@ -57,8 +59,10 @@
 	}
 }
 
+// reply counts the tokens of a reply.
 func (m *quotaMetrics) reply(g quota.Grant) { m.granted.Add(granted(g)) }
 
+// handled counts a request of another edge and its answer.
 func (m *quotaMetrics) handled(g quota.Grant) {
 	m.answered.Inc()
 	if g.Refused && len(g.Tokens) > 0 {
@@ -67,6 +71,7 @@
 	m.given.Add(granted(g))
 }
 
+// granted returns the number of granted tokens.
 func granted(g quota.Grant) (n int) {
 	for _, t := range g.Tokens {
 		n += int(t.Granted)
--- a/pkg/edge/startup_test.go
+++ b/pkg/edge/startup_test.go
@@ -7,8 +7,8 @@
 	"testing"
 )
 
-// TestStartSteps guards against a start whose steps can't be told apart: after a power loss of
-// everything, an operator must see what the first answer waited for. Only the order of the steps
+// TestStartSteps guards against a start whose steps cannot be distinguished: after a power loss of
+// all processes, an operator must see what the first answer waited for. Only the order of the steps
 // is checked, not their times.
 func TestStartSteps(t *testing.T) {
 	t.Parallel()
--- a/pkg/edge/workspacefresh_test.go
+++ b/pkg/edge/workspacefresh_test.go
@@ -172,7 +172,7 @@
 	for _, c := range []struct {
 		name  string
 		age   time.Duration
-		table *routing.Table // that comes in force; nil: none
+		table *routing.Table // put in force; nil: none
 		begun bool
 		want  keyResult
 	}{
--- a/pkg/edge/workspacehistory_test.go
+++ b/pkg/edge/workspacehistory_test.go
@@ -10,7 +10,7 @@
 )
 
 // Guards against a turn that continues one of another workspace, from the memory of an edge,
-// from the ledger or after a restart of all processes, and against an answer that tells that
+// from the ledger or after a restart of all processes, and against an answer that reveals that
 // the turn exists.
 func TestHistoryOfAnotherWorkspace(t *testing.T) {
 	t.Parallel()
--- a/pkg/edge/workspacekey.go
+++ b/pkg/edge/workspacekey.go
@@ -9,8 +9,8 @@
 
 const (
 	keySaltBytes = 32
-	// keyDigestBytes is the length of a digest in a log line: enough to tell the keys of a
-	// deployment apart.
+	// keyDigestBytes is the length of a digest in a log line: enough to distinguish the
+	// keys of a deployment.
 	keyDigestBytes = 8
 )
 
--- a/pkg/fleet/model.go
+++ b/pkg/fleet/model.go
@@ -16,7 +16,7 @@
 	// others.
 	maxOutlier = 6.0
 	// minSpread is the standard deviation of the prompt lengths, relative to their mean,
-	// from which on the time of a prompt token can be told from the constant part.
+	// from which on the time of a prompt token can be separated from the constant part.
 	minSpread = 0.15
 )
 
@@ -51,8 +51,8 @@
 	l.xy.add(x*y, regressionWeight)
 }
 
-// slope returns the increase of y with x. If all x are about equal, it cannot be told from
-// the constant part: half of the proportion is assumed.
+// slope returns the increase of y with x. If all x are about equal, it cannot be separated
+// from the constant part: half of the proportion is assumed.
 func (l *regression) slope() float64 {
 	if l.x.value <= 0 {
 		return 0
@@ -69,8 +69,8 @@
 // at returns the expected y at x.
 func (l *regression) at(x float64) float64 { return max(l.y.value+l.slope()*(x-l.x.value), 0) }
 
-// model is what this process has learnt about the work of one service from its own
-// measurements, over all its upstreams. Times are in ms at the usual pace.
+// model holds the estimates of the work of one service, from the measurements of this process at
+// all its upstreams. Times are in ms at the usual pace.
 type model struct {
 	members [reportKinds]int // number of members by the kind of their last report
 
@@ -106,7 +106,7 @@
 }
 
 // timeModel returns the model of a request's service, or nil if the cost by counts is in force:
-// most upstreams report no pace, or too little has been measured yet.
+// the upstreams are not paced, or too little has been measured yet.
 func (f *Fleet) timeModel(r *Request) *model {
 	md := f.models[r.Service]
 	if md == nil || !md.paced() || !md.knows(r) {
--- a/pkg/fleet/room_test.go
+++ b/pkg/fleet/room_test.go
@@ -15,7 +15,7 @@
 	return f, f.Members("s")
 }
 
-// reject plays a request that a member rejects with a load report.
+// reject simulates a request that a member rejects with a load report.
 func reject(f *Fleet, m *Member, load int, now time.Time) {
 	f.RecordStart(m, ratelimit.First, now)
 	f.RecordLoad(m, Load{Running: 2, Waiting: load - 2, Slots: 2}, now)
@@ -59,7 +59,7 @@
 }
 
 // Guards against sending a rejected request to the same full members again because time has
-// passed, and against not sending it there once a response tells of room.
+// passed, and against not sending it there once a response shows room.
 func TestRoomForRejected(t *testing.T) {
 	f, m := roomFleet()
 	r := Request{Service: "s"}
--- a/pkg/fleet/sample.go
+++ b/pkg/fleet/sample.go
@@ -53,8 +53,8 @@
 	return c.near
 }
 
-// bestOfSample returns the best of some random members, of the one that served the program
-// before and of the one at which all processes would look for the conversation. It returns
+// bestOfSample returns the best of some random members, the one that served the program before
+// and the home of the conversation. It returns
 // nil if a rate limit is in force, since permits are counted over all members, or if it finds no
 // usable member in the region of this process.
 func (f *Fleet) bestOfSample(md *model, r *Request, now time.Time) *Member {
--- a/pkg/freshness/freshness_test.go
+++ b/pkg/freshness/freshness_test.go
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against a limit that refuses where serving is owed, that leaves no time for an
+// Guards against a limit that refuses where requests must be served, that leaves no time for an
 // attempt to arrive, or that exists where nobody asked for one.
 func TestLimit(t *testing.T) {
 	for revocation, want := range map[time.Duration]time.Duration{
--- a/pkg/quota/bench_test.go
+++ b/pkg/quota/bench_test.go
@@ -12,7 +12,7 @@
 		rate float64
 	}{{"admitted", 1e12}, {"without tokens", 1e-6}} {
 		b.Run(c.name, func(b *testing.B) {
-			n := NewNode(simBounds, "a", 0)
+			n := NewNode(simBounds, "a")
 			n.SetMembers([]Member{{Address: "a"}}, 0)
 			quotas := make(map[uint64]Quota)
 			for id := range uint64(1000) {
@@ -33,7 +33,7 @@
 // BenchmarkDue measures a round of requests of an edge with 1,000 active workspaces among 410
 // edges.
 func BenchmarkDue(b *testing.B) {
-	n := NewNode(simBounds, "a", 0)
+	n := NewNode(simBounds, "a")
 	members := []Member{{Address: "a"}}
 	for i := range 409 {
 		members = append(members, Member{Address: string(rune('b' + i))})
--- a/pkg/quota/members.go
+++ b/pkg/quota/members.go
@@ -212,14 +212,14 @@
 	}
 	var own scored
 	if found >= 0 {
-		own = scored{found, mix(workspace ^ mix(m.hashes[found]))}
+		own = scored{index: found, score: mix(workspace ^ mix(m.hashes[found]))}
 	}
 	compare := func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.index, b.index))
 	}
 	n = min(n, len(m.list), maxCoordinators)
 	for i, h := range m.hashes {
-		s := scored{i, mix(workspace ^ mix(h))}
+		s := scored{index: i, score: mix(workspace ^ mix(h))}
 		if found >= 0 && compare(s, own) < 0 {
 			above++
 		}
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -10,13 +10,12 @@
 
 // Node is the part of one edge in keeping the quotas. It is not safe for concurrent use.
 type Node struct {
-	bounds    Bounds
-	startedAt Time
-	members   members
-	version   uint64 // of the configuration
-	configs   map[uint64]*config
-	used      map[uint64]*workspace // that this edge has requests of
-	pools     map[uint64]*pool      // that this edge coordinates
+	bounds  Bounds
+	members members
+	version uint64 // of the configuration
+	configs map[uint64]*config
+	used    map[uint64]*workspace // that this edge has requests of
+	pools   map[uint64]*pool      // that this edge coordinates
 	// started is set once the first list of edges has begun, at firstBegunAt.
 	started      bool
 	firstBegunAt Time
@@ -44,10 +43,10 @@
 	pause time.Duration
 }
 
-// NewNode returns the node of an edge that starts now.
-func NewNode(bounds Bounds, self string, now Time) *Node {
+// NewNode returns the node of an edge that starts. self is the address of the edge.
+func NewNode(bounds Bounds, self string) *Node {
 	return &Node{
-		bounds: bounds, startedAt: now, members: members{self: self},
+		bounds: bounds, members: members{self: self},
 		configs: make(map[uint64]*config), used: make(map[uint64]*workspace), pools: make(map[uint64]*pool),
 		failures: make(map[string]failure), helloAt: make(map[string]Time), dropped: make(map[string]uint64),
 	}
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -160,7 +160,7 @@
 func (s *sim) start(e *simEdge) {
 	e.run++
 	e.up, e.frozen, e.pending, e.waiters, e.version, e.members = true, false, nil, nil, 0, -1
-	e.node = NewNode(simBounds, e.address, s.now)
+	e.node = NewNode(simBounds, e.address)
 	run := e.run
 	s.after(s.random(simTick), func() { s.tick(e, run) })
 	s.arrive(e, run)
--- a/pkg/waitline/drain.go
+++ b/pkg/waitline/drain.go
@@ -46,10 +46,6 @@
 	return (d.count + firstServed) / (d.seconds + firstTime.Seconds())
 }
 
-// Rate returns how many requests leave the line to be served in a second, while requests
-// wait.
-func (l *Line) Rate() float64 { return l.drain.perSecond() }
-
 // shareOf returns the part of the service that the class of a request gets among the classes of
 // its priority that have waiting requests.
 func (l *Line) shareOf(r Request) float64 {
