--- a/pkg/edge/quota.go
+++ b/pkg/edge/quota.go
@@ -20,7 +20,7 @@
 	quotaIdleTick = 250 * time.Millisecond
 	// quotaViewInterval is how often the list of edges is compared with the view's.
 	quotaViewInterval = 100 * time.Millisecond
-	// minQuotaRetry is the shortest time that a refused caller is told.
+	// minQuotaRetry is the shortest Retry-After of a refusal.
 	minQuotaRetry = 10 * time.Millisecond
 )
 
@@ -41,14 +41,14 @@
 	node    *quota.Node
 	table   *routing.Table // whose quotas are in force
 	names   map[uint64]string
-	changed chan struct{} // closed when tokens may have come
-	waiting int           // requests that wait for it
+	changed chan struct{} // closed when tokens may have arrived
+	waiting int           // requests that wait for changed
 
 	// The following fields belong to the goroutine of run.
 
 	viewedAt    quota.Time
-	suspended   time.Duration // total that was seen
-	suspendedAt quota.Time    // when it grew
+	suspended   time.Duration // total time of suspensions at the last look
+	suspendedAt quota.Time    // when it was last seen to have grown
 	over        map[uint64]bool
 	overAt      quota.Time
 }
@@ -58,7 +58,7 @@
 		e: e, began: time.Now(), wake: make(chan struct{}, 1), metrics: newQuotaMetrics(e.metrics),
 		changed: make(chan struct{}), over: make(map[uint64]bool),
 	}
-	q.node = quota.NewNode(quotaBounds(e.settings.Quota), e.settings.PeerAddress(), q.now())
+	q.node = quota.NewNode(quotaBounds(e.settings.Quota), e.settings.PeerAddress())
 	return q
 }
 
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -8,15 +8,14 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Node is the part of one edge. It is not safe for concurrent use.
+// Node is the part of one edge in keeping the quotas. It is not safe for concurrent use.
 type Node struct {
-	bounds    Bounds
-	startedAt Time
-	members   members
-	version   uint64 // of the configuration
-	configs   map[uint64]*config
-	used      map[uint64]*workspace // that this edge has requests of
-	pools     map[uint64]*pool      // that this edge coordinates
+	bounds  Bounds
+	members members
+	version uint64 // of the configuration
+	configs map[uint64]*config
+	used    map[uint64]*workspace // that this edge has requests of
+	pools   map[uint64]*pool      // that this edge coordinates
 	// started is set once the first list of edges has begun, at firstBegunAt.
 	started      bool
 	firstBegunAt Time
@@ -24,11 +23,11 @@
 	active   []*workspace // the values of used, in a stable order
 	failures map[string]failure
 	helloAt  map[string]Time // last request for the list of each edge
-	// dropped counts how often the tokens of an edge were dropped since it had started
-	// again. Replies to earlier requests are void.
+	// dropped counts, by edge, how often its tokens were dropped because it had started again.
+	// Replies to requests that were sent before are ignored.
 	dropped    map[string]uint64
 	generation uint64 // of the list of edges
-	sweptAt    Time
+	sweptAt    Time   // see sweep
 }
 
 // config is the quota of a workspace. The bucket has the level that the pool of all
@@ -44,10 +43,10 @@
 	pause time.Duration
 }
 
-// NewNode returns the node of an edge that starts now.
-func NewNode(bounds Bounds, self string, now Time) *Node {
+// NewNode returns the node of an edge that starts. self is the address of the edge.
+func NewNode(bounds Bounds, self string) *Node {
 	return &Node{
-		bounds: bounds, startedAt: now, members: members{self: self},
+		bounds: bounds, members: members{self: self},
 		configs: make(map[uint64]*config), used: make(map[uint64]*workspace), pools: make(map[uint64]*pool),
 		failures: make(map[string]failure), helloAt: make(map[string]Time), dropped: make(map[string]uint64),
 	}
@@ -143,7 +142,8 @@
 	return n.members.listed && position >= 0 && position < n.coordinatorCount()
 }
 
-// locate computes what follows from the list of edges and the quota of a workspace.
+// locate computes the coordinators, the life of tokens and the base bucket of a workspace from the
+// list of edges and the quota.
 func (n *Node) locate(w *workspace, now Time) {
 	first, position := n.members.ranked(w.id, n.coordinatorCount())
 	w.coordinators = first
@@ -174,13 +174,14 @@
 	}
 }
 
+// resizePool computes rate and capacity of one pool.
 func (n *Node) resizePool(p *pool, c *config) {
 	_, k := n.members.widen(n.coordinatorCount())
 	rate, capacity := n.bounds.pool(c.Quota)
 	p.resize(rate/float64(k), max(capacity/float64(k), minCapacity))
 }
 
-// begin completes the start of a list of edges if it is time.
+// begin puts a new list of edges into use once members.update says that it has begun.
 func (n *Node) begin(now Time) {
 	m := &n.members
 	if m.begun {
