--- a/review/harness2/history_test.go
+++ b/review/harness2/history_test.go
@@ -36,7 +36,7 @@
 	for _, p := range append(append([]*process{}, w.storages...), w.edges...) {
 		go w.supervise(p, done)
 	}
-	time.Sleep(time.Second)
+	time.Sleep(8 * time.Second) // traffic starts 10 s after the machines do
 	const program = "3fa81c"
 	c := newClient(w.edges[0])
 	parent := ""
--- a/review/harness2/main_test.go
+++ b/review/harness2/main_test.go
@@ -17,6 +17,7 @@
 	"memory":  restartMemory,
 	"history": longHistory,
 	"retire":  retireAndLose,
+	"tenants": tenantsAfterReplacement,
 }
 
 // mostTime is how long a case may take.
--- a/review/harness2/traffic_test.go
+++ b/review/harness2/traffic_test.go
@@ -211,7 +211,10 @@
 }
 
 // lookUp sends a request on the safe route.
-func (c *client) lookUp(id string) answer {
+func (c *client) lookUp(id string) answer { return c.lookUpWithKey(id, "") }
+
+// lookUpWithKey sends a request on the safe route with the key of a tenant.
+func (c *client) lookUpWithKey(id, key string) answer {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
@@ -222,6 +225,9 @@
 	req.Host = host
 	req.Header.Set("Attempt-Id", id)
 	req.Header.Set("Deadline-Ms", "1500")
+	if key != "" {
+		req.Header.Set("Authorization", "Token "+key)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return answer{err: err, took: time.Since(began)}
--- a/review/harness2/world_test.go
+++ b/review/harness2/world_test.go
@@ -67,6 +67,8 @@
 	storages []*process
 	record   *record
 	trouble  bool
+	bounds   map[string]any
+	added    int // edges that were added later
 }
 
 // record is the file that says what was sent, answered and run.
@@ -116,6 +118,7 @@
 	peakKB   int
 	signaled bool
 	starts   int
+	gone     bool // removed for good; used by one goroutine
 }
 
 // newWorld starts the store and the workers and prepares the processes. config is the first
@@ -125,7 +128,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{dir: dir, store: platformstore.New(), record: rec, trouble: os.Getenv("TROUBLE") != "0"}
+	w := &world{dir: dir, store: platformstore.New(), record: rec, trouble: os.Getenv("TROUBLE") != "0", bounds: bounds}
 	running.Store(w)
 	w.prefix = fmt.Sprintf("127.%d.%d.", 1+os.Getpid()%250, 1+(os.Getpid()/250)%250)
 	if w.peerPort, err = loopback.FreePort(loopback.Addresses(w.prefix, 1, 120)...); err != nil {
@@ -182,12 +185,12 @@
 	m := map[string]any{
 		"NodeName": p.name, "Role": p.role, "MachineClass": p.role, "Serves": []string{p.role}, "Ip": p.ip, "Zone": p.zone,
 		"Region": zones[p.zone], "Zones": zones, "InternalPortRange": []int{w.peerPort, w.peerPort + 1},
-		"Seeds":        []string{w.prefix + "1:8144", w.prefix + "2:8144", w.prefix + "3:8144"},
+		"Seeds":        w.seeds(),
 		"IsFirstStart": first, "IsCounted": p.role == "storage",
 		"Limits":  map[string]any{"CpuShare": 0.8, "Cores": 1, "MemoryMb": p.limits.memoryMB, "MaxFds": p.limits.fds, "LinkMbps": 1000.0, "DiskMb": p.limits.diskMB},
 		"DataDir": nil, "Discovery": "platform", "Entry": "vip", "HeartbeatMs": 1200,
 		"Contracts":      []string{"base", "drain", "config", "cost", "recover", "agent", "stream", "engine", "platform"},
-		"FaultTolerance": map[string]int{"MachineCount": 1, "Zones": 0, "RegionCount": 0}, "Bounds": bounds,
+		"FaultTolerance": map[string]int{"MachineCount": 1, "Zones": 0, "RegionCount": 0}, "Bounds": w.bounds,
 		"Platform":        map[string]any{"Address": strings.TrimPrefix(w.storeSrv.URL, "http://"), "form": "objects", "WritesPerS": 400, "ReadsPerS": 2000, "HistoryS": 20, "ValueBytes": 1 << 20, "TtlMinMs": 1000},
 		"ListenAddresses": map[string]string{},
 	}
@@ -204,6 +207,45 @@
 	return os.WriteFile(p.settings, data, 0o644)
 }
 
+// seeds returns the addresses of the first three edges that are there.
+func (w *world) seeds() (list []string) {
+	for _, e := range w.edges {
+		if len(list) < 3 && !e.gone {
+			list = append(list, e.ip+":8144")
+		}
+	}
+	return list
+}
+
+// replaceEdge removes an edge machine for good and adds a new one at another address.
+func (w *world) replaceEdge(e *process, after time.Duration) error {
+	w.record.line("%s is gone for good", e.name)
+	e.mu.Lock()
+	e.stopped = true
+	e.mu.Unlock()
+	e.signal(syscall.SIGKILL)
+	e.waitEnd(time.Second)
+	e.gone = true
+	time.Sleep(after)
+	w.added++
+	if err := w.addProcess("edge", e.zone, edgeCount+w.added, edgeLimits); err != nil {
+		return err
+	}
+	added := w.edges[len(w.edges)-1]
+	w.record.line("%s comes at another address", added.name)
+	return added.start(false)
+}
+
+// living returns the edges that are there.
+func (w *world) living() (list []*process) {
+	for _, e := range w.edges {
+		if !e.gone {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 // start starts the process with the command of the deploy file.
 func (p *process) start(first bool) error {
 	if err := p.writeSettings(first); err != nil {
@@ -341,7 +383,7 @@
 
 func (w *world) waitReady(limit time.Duration) error {
 	end := time.Now().Add(limit)
-	for _, e := range w.edges {
+	for _, e := range w.living() {
 		for !e.isReady() {
 			if time.Now().After(end) {
 				return fmt.Errorf("%s is not ready", e.name)
