--- a/review/harness2/history_test.go
+++ b/review/harness2/history_test.go
@@ -16,7 +16,7 @@
 	historyTurns   = 5
 	historyBody    = 3_500_000 // bytes; MaxBodyBytes is 4,194,304
 	historyRetainS = 60
-	historyTries   = 8
+	historyTries   = 6           // two client attempts, and the turn twice more
 	historyPause   = time.Second // before each try
 	firstPerTry    = 4           // first turns of other programs
 	contact        = 4 * time.Second
