--- a/pkg/edge/load.go
+++ b/pkg/edge/load.go
@@ -24,6 +24,7 @@
 	stepReserve ledgerStep = "reserve"
 	stepHistory ledgerStep = "history"
 	stepPassOn  ledgerStep = "pass on"
+	stepEvents  ledgerStep = "events"
 	stepCommit  ledgerStep = "commit"
 )
 
@@ -35,7 +36,7 @@
 
 func newLoad() *load {
 	l := &load{waiting: make(map[ledgerStep]*atomic.Int64)}
-	for _, s := range []ledgerStep{stepReserve, stepHistory, stepPassOn, stepCommit} {
+	for _, s := range []ledgerStep{stepReserve, stepHistory, stepPassOn, stepEvents, stepCommit} {
 		l.waiting[s] = new(atomic.Int64)
 	}
 	return l
@@ -77,6 +78,6 @@
 		waiting := func(s ledgerStep) int64 { return e.load.waiting[s].Load() }
 		e.logger.Warn("short of processor time", "run_wait_median_ms", now.Median.Milliseconds(), "run_wait_p99_ms", now.P99.Milliseconds(),
 			"open_requests", e.inFlight.count(), "limit", e.admission.limit(), "reserve", waiting(stepReserve), "history", waiting(stepHistory),
-			"pass_on", waiting(stepPassOn), "commit", waiting(stepCommit), "goroutines", now.Goroutines, "gc_cycles", now.GCCycles)
+			"pass_on", waiting(stepPassOn), "events", waiting(stepEvents), "commit", waiting(stepCommit), "goroutines", now.Goroutines, "gc_cycles", now.GCCycles)
 	}
 }
--- a/pkg/edge/origin.go
+++ b/pkg/edge/origin.go
@@ -19,7 +19,8 @@
 	whyVersionGone    = "no upstream of the stream's version"
 	whyServiceChanged = "the route no longer leads to the stream's service"
 	// A turn whose first events only its caller has would be stored without them.
-	whyEventsNotKept = "the first events of the turn are not kept"
+	whyEventsNotKept = "the first events of the turn are not recorded"
+	whyNoEventMemory = "no memory for the first events of the turn"
 )
 
 // streamKeyPrefix precedes the id of a stream in the ledger key of streams without a
@@ -229,14 +230,15 @@
 	return ""
 }
 
-// lookUpOrigin asks the ledger for the origin of a stream without a budget, unless this
-// edge knows it. The ledger reads what a reservation returns, so this one is empty.
-func (c *call) lookUpOrigin(ctx context.Context) (*peerv1.Origin, error) {
-	if c.req.ResumedID == "" || c.e.origins.Contains(c.req.ResumedID) || len(c.e.view.Storage()) == 0 {
-		return nil, nil
+// lookUpStream asks the ledger what is recorded of a stream without a budget, unless this edge
+// knows its origin and the events are not needed. The ledger reads what a reservation returns,
+// so this one is empty.
+func (c *call) lookUpStream(ctx context.Context) (ledger.Reservation, error) {
+	known := c.e.origins.Contains(c.req.ResumedID) && !c.route.KeepsHistory
+	if c.req.ResumedID == "" || known || len(c.e.view.Storage()) == 0 {
+		return ledger.Reservation{}, nil
 	}
-	res, err := c.e.ledger.Reserve(ctx, c.usage(0, true), 0, 0, c.resumedKey())
-	return res.Origin, err
+	return c.e.ledger.Reserve(ctx, c.usage(0, true), 0, 0, c.resumedKey())
 }
 
 // resumedKey returns the key of the attempt that began the stream which the request takes
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -47,8 +47,12 @@
 type stream struct {
 	c      *call
 	turn   *turn
-	lastID string // of the last event that the caller has; empty: it has none
+	lastID string // of the last event that the caller has, or is about to get; empty: it has none
 	events int
+	// recorder delivers the events of a turn that may be taken up; nil: they are delivered
+	// at once.
+	recorder *eventRecorder
+	resp     *upstream.Response // of the current attempt
 	// continues is set if the current attempt continues after a numbered event.
 	continues bool
 	// runLastID is the number of the last event of the current attempt; 0: none.
@@ -71,6 +75,9 @@
 		return
 	}
 	s := &stream{c: c, turn: t}
+	if c.recordsEvents() {
+		s.recorder = newEventRecorder(c, s.deliver)
+	}
 	if c.route.Resumable {
 		s.lastID = c.req.LastEventID
 	}
@@ -219,15 +226,38 @@
 	return resp, body, attempt.Answered, nil
 }
 
-// relay sends the events of a response to the caller as they arrive. Only data counts
-// as progress: comments and empty events do not keep a stalled stream alive.
+// relay sends the events of a response to the caller as they arrive.
 func (s *stream) relay(resp *upstream.Response, detectStall bool, hold *membudget.Reservation) error {
+	events := newEventReader(resp, hold)
+	defer events.close()
+	defer s.awaitDelivery() // also if the reading of events panics
+	s.resp = resp
+	rest, err := s.relayEvents(events, resp, detectStall)
+	if derr := s.awaitDelivery(); derr != nil {
+		return derr
+	}
+	if err == io.EOF {
+		return s.endStream(resp, rest)
+	}
+	return err
+}
+
+// awaitDelivery waits until all events that were received are delivered.
+func (s *stream) awaitDelivery() error {
+	if s.recorder == nil {
+		return nil
+	}
+	return s.recorder.drain()
+}
+
+// relayEvents relays events until the reader returns an error, which is io.EOF with the bytes
+// after the last event at the end of the response. Only data counts as progress: comments and
+// empty events do not keep a stalled stream alive.
+func (s *stream) relayEvents(events *eventReader, resp *upstream.Response, detectStall bool) (rest event, err error) {
 	c := s.c
-	_, err := strconv.ParseUint(s.lastID, 10, 64)
+	_, err = strconv.ParseUint(s.lastID, 10, 64)
 	s.continues, s.runLastID = err == nil, 0
 	progressBy := time.Now().Add(firstEventStallFactor * c.route.LatencyObjective)
-	events := newEventReader(resp, hold)
-	defer events.close()
 	for {
 		by := c.deadline
 		if detectStall && !s.unnumbered {
@@ -235,14 +265,11 @@
 		}
 		resp.SetReadDeadline(by)
 		ev, err := events.next()
-		if err == io.EOF {
-			return s.endStream(resp, ev)
-		}
 		if err != nil {
-			return err
+			return ev, err
 		}
-		if err := s.event(resp, ev); err != nil {
-			return err
+		if err := s.event(ev); err != nil {
+			return event{}, err
 		}
 		if ev.hasData {
 			progressBy = time.Now().Add(max(gapStallFactor*c.route.MaxEventGap, minGapStall))
@@ -280,23 +307,38 @@
 
 // event relays one event. It skips events that the caller already has, from an
 // upstream that resumed at an earlier one.
-func (s *stream) event(resp *upstream.Response, ev event) error {
-	c := s.c
+func (s *stream) event(ev event) error {
 	if ev.malformed {
 		return errMalformedEvent
 	}
 	if ev.hasData {
-		c.recordEvent()
+		s.c.recordEvent()
 	}
 	follows, err := s.follows(ev)
 	if err != nil || !follows {
 		return err
 	}
+	if ev.id != "" {
+		s.lastID = ev.id
+	}
+	if ev.hasData {
+		_, err := strconv.ParseUint(ev.id, 10, 64)
+		s.unnumbered = s.unnumbered || err != nil
+	}
+	if s.recorder != nil {
+		return s.recorder.add(ev)
+	}
+	return s.deliver(ev)
+}
+
+// deliver writes an event to the caller.
+func (s *stream) deliver(ev event) error {
+	c := s.c
 	if err := s.turn.awaitConfirmation(); err != nil {
 		return err
 	}
 	if !c.headSent {
-		s.writeHead(resp)
+		s.writeHead(s.resp)
 	}
 	if _, err := c.w.Write(ev.raw); err != nil {
 		return errors.Wrap(errCallerLeft, err.Error())
@@ -304,14 +346,9 @@
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		return errors.Wrap(errCallerLeft, err.Error())
 	}
-	if ev.id != "" {
-		s.lastID = ev.id
-	}
 	if !ev.hasData {
 		return nil
 	}
-	_, err = strconv.ParseUint(ev.id, 10, 64)
-	s.unnumbered = s.unnumbered || err != nil
 	s.events++
 	return s.turn.event(ev)
 }
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -56,8 +56,8 @@
 	output   []byte
 	tokens   int // delivered, as the budget counts them
 	hold     *membudget.Reservation
-	// origin is the recorded origin of the stream that the request takes up; nil: none.
-	origin *peerv1.Origin
+	// taken is what is recorded of the stream that the request takes up.
+	taken ledger.Reservation
 
 	beginDuration  time.Duration // wait for budget and history
 	commitDuration time.Duration // wait until the turn was durable
@@ -68,10 +68,6 @@
 // beginTurn reserves the turn's tokens and prepends the earlier turns to its input.
 // If the turn must not run, it answers the request and returns false.
 func (c *call) beginTurn() (*turn, bool) {
-	if c.takesUp() && c.route.KeepsHistory {
-		c.refuse(http.StatusServiceUnavailable, retryAfterBusy, whyEventsNotKept)
-		return nil, false
-	}
 	admitted, ok := c.admitTurn()
 	if !ok {
 		c.refuseOverload()
@@ -103,7 +99,10 @@
 		c.e.logger.Warn("history not known", "id", c.req.ID, "parent", c.req.ParentTurnID, "err", historyErr)
 		c.refuse(http.StatusServiceUnavailable, retryAfterUnready, "history not known")
 	case c.takesUp():
-		refusal := c.continueOrigin(t.origin)
+		refusal := c.continueOrigin(t.taken.Origin)
+		if refusal == "" {
+			refusal = t.takeOverEvents()
+		}
 		if refusal == "" {
 			return t, true
 		}
@@ -161,7 +160,7 @@
 	c := t.c
 	if !c.hasBudget() {
 		if c.takesUp() {
-			t.origin, err = c.lookUpOrigin(ctx)
+			t.taken, err = c.lookUpStream(ctx)
 		}
 		return err
 	}
@@ -187,7 +186,7 @@
 	if res.Spent > 0 {
 		c.e.spent.Add(c.req.Program, res.Spent)
 	}
-	t.origin = res.Origin
+	t.taken = res
 	c.budgetUse = ledger.UseOf(res.Records, u.GetAttempt())
 	if err == nil {
 		c.e.startup.end(stepFirstQuorum)
@@ -298,13 +297,18 @@
 	if !t.c.route.KeepsHistory {
 		return nil
 	}
-	if len(t.output)+len(ev.data) > maxTurnOutput {
+	return t.keepOutput(ev.data)
+}
+
+// keepOutput adds the data of an event to the output of the turn.
+func (t *turn) keepOutput(data []byte) error {
+	if len(t.output)+len(data) > maxTurnOutput {
 		return errTurnTooLarge
 	}
-	if err := t.hold.Grow(len(ev.data) + 1); err != nil {
+	if err := t.hold.Grow(len(data) + 1); err != nil {
 		return err
 	}
-	t.output = append(append(t.output, ev.data...), '\n')
+	t.output = append(append(t.output, data...), '\n')
 	return nil
 }
 
--- a/pkg/ledger/server.go
+++ b/pkg/ledger/server.go
@@ -109,7 +109,7 @@
 		return &peerv1.LedgerReply{Status: s.Store.WriteStatus(), Missing: s.lackedTurns(op.Write.GetRecords())}
 	case *peerv1.LedgerRequest_Reserve:
 		return &peerv1.LedgerReply{
-			Status: s.Store.UsageStatus(), Usage: s.Store.Usage(op.Reserve.GetUsage().GetProgram(), op.Reserve.GetContinues()),
+			Status: s.Store.UsageStatus(), Usage: boundParts(s.Store.Usage(op.Reserve.GetUsage().GetProgram(), op.Reserve.GetContinues())),
 			Group: s.otherGroup(op.Reserve),
 		}
 	case *peerv1.LedgerRequest_Compare:
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -52,8 +52,11 @@
 	usage map[uint64]*peerv1.Usage
 	// leaseEnds holds the ends of the leases of leased records.
 	leaseEnds map[uint64]time.Time
-	expires   time.Time
-	file      int // the oldest one with records of the program
+	// partsExpire holds when the recorded events of an attempt are removed, which take more
+	// memory than the rest of its record.
+	partsExpire map[uint64]time.Time
+	expires     time.Time
+	file        int // the oldest one with records of the program
 }
 
 // turn is a turn record with its expiry time.
@@ -100,12 +103,18 @@
 func (s *State) applyUsage(u *peerv1.Usage, now time.Time) {
 	p := s.programs[u.GetProgram()]
 	if p == nil {
-		p = &programUsage{usage: make(map[uint64]*peerv1.Usage), leaseEnds: make(map[uint64]time.Time), file: s.file}
+		p = &programUsage{
+			usage: make(map[uint64]*peerv1.Usage), leaseEnds: make(map[uint64]time.Time),
+			partsExpire: make(map[uint64]time.Time), file: s.file,
+		}
 		s.programs[u.GetProgram()] = p
 	}
 	p.expires = now.Add(retention(u.GetRetentionMs()))
 	merged := newerUsage(p.usage[u.GetAttempt()], u)
 	p.usage[u.GetAttempt()] = merged
+	if u.GetPart() != nil {
+		p.partsExpire[u.GetAttempt()] = p.expires
+	}
 	if merged.GetLeased() {
 		p.leaseEnds[u.GetAttempt()] = now.Add(ReservationLease)
 	} else {
@@ -120,20 +129,30 @@
 }
 
 // newerUsage merges two versions of a usage record: the newer one, with the origin that
-// has the higher revision.
+// has the higher revision and the events of both.
 func newerUsage(a, b *peerv1.Usage) *peerv1.Usage {
 	newer, older := b, a
 	if newerTokens(a, b) == a {
 		newer, older = a, b
 	}
-	if older.GetOrigin() == nil || newer.GetOrigin() != nil && newer.GetOrigin().GetRevision() >= older.GetOrigin().GetRevision() {
+	o, part := newerOrigin(newer.GetOrigin(), older.GetOrigin()), mergeParts(newer.GetPart(), older.GetPart())
+	if o == newer.GetOrigin() && part == newer.GetPart() {
 		return newer
 	}
-	merged := proto.CloneOf(newer)
-	merged.Origin = older.GetOrigin()
+	merged := withoutPart(newer)
+	merged.Origin, merged.Part = o, part
 	return merged
 }
 
+// newerOrigin returns the one of two origins that has the higher revision, the first if both
+// have the same.
+func newerOrigin(a, b *peerv1.Origin) *peerv1.Origin {
+	if b == nil || a != nil && a.GetRevision() >= b.GetRevision() {
+		return a
+	}
+	return b
+}
+
 // newerTokens returns the version of a usage record that replaces the other, as far as
 // its tokens are concerned. A settled version replaces an open one, and an open one a
 // leased one; of two leased ones the later revision wins, otherwise the one with more tokens.
@@ -183,16 +202,17 @@
 
 // Usage returns the usage records of a program. Settled records with zero tokens
 // are omitted, since a program that loops creates hundreds of them, and so are leased
-// ones whose lease has ended. Only the record of the attempt origin is complete, with its
-// origin; 0: none is. Records that are not part of the state yet may be added.
-func (s *State) Usage(name string, origin uint64, now time.Time, added ...*peerv1.Usage) []*peerv1.Usage {
+// ones whose lease has ended. Only the record of the attempt that began a stream is complete,
+// with its origin, and those with parts of that stream; 0: none is. Records that are not part
+// of the state yet may be added.
+func (s *State) Usage(name string, stream uint64, now time.Time, added ...*peerv1.Usage) []*peerv1.Usage {
 	usage := s.countedUsage(name, now)
 	if len(added) > 0 {
 		usage = MergeUsage(slices.Collect(maps.Values(usage)), added)
 	}
 	list := make([]*peerv1.Usage, 0, len(usage))
 	for _, u := range usage {
-		if origin != 0 && u.GetAttempt() == origin {
+		if stream != 0 && (u.GetAttempt() == stream || u.GetPart().GetStream() == stream) {
 			list = append(list, u)
 			continue
 		}
@@ -293,6 +313,7 @@
 			_, _ = h.Write(binary.LittleEndian.AppendUint32(nil, o.GetRevision()))
 			_, _ = h.WriteString(o.GetService() + "\x00" + o.GetVersion())
 		}
+		hashPart(h, u.GetPart())
 	case *peerv1.LedgerRecord_Turn:
 		return turnDigest(b.Turn.GetId())
 	}
@@ -344,7 +365,9 @@
 	for name, p := range s.programs {
 		if now.After(p.expires) {
 			delete(s.programs, name)
+			continue
 		}
+		p.expireParts(now)
 	}
 	for id, t := range s.turns {
 		if now.After(t.expires) {
--- a/pkg/ledger/store.go
+++ b/pkg/ledger/store.go
@@ -384,10 +384,10 @@
 
 // Usage returns the usage records of a program, as State.Usage does, with those that wait
 // for the disk.
-func (s *Store) Usage(program string, origin uint64) []*peerv1.Usage {
+func (s *Store) Usage(program string, stream uint64) []*peerv1.Usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state.Usage(program, origin, time.Now(), s.unsynced[program]...)
+	return s.state.Usage(program, stream, time.Now(), s.unsynced[program]...)
 }
 
 // Chain returns a turn and its ancestors as far as this process has them, oldest
