--- a/pkg/edge/harness_test.go
+++ b/pkg/edge/harness_test.go
@@ -181,11 +181,16 @@
 		}
 	}
 	d.routes = append(d.routes, r)
+	d.limitBodies(4 << 20)
+}
+
+// limitBodies puts the configuration in force with a limit of bodies in bytes.
+func (d *deployment) limitBodies(limit int) {
 	d.version += 3
 	d.store.Put(platform.KindConfig, platform.ConfigName, map[string]any{
 		"Version": d.version, "Routes": d.routes,
 		"Services": []map[string]any{{"Name": "llm", "Engine": map[string]any{"ChunkTokens": 14}}, {"Name": "app"}},
-		"Limits":   map[string]any{"MaxBodyBytes": 4 << 20},
+		"Limits":   map[string]any{"MaxBodyBytes": limit},
 	})
 }
 
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -50,7 +50,7 @@
 		if len(turns) == 0 {
 			return &peerv1.LedgerReply{Status: peerv1.LedgerReply_NOT_FOUND}
 		}
-		return &peerv1.LedgerReply{Status: peerv1.LedgerReply_OK, Turns: turns}
+		return ledger.ChainReply(turns)
 	}
 	req.RelayTo = ""
 	ctx, cancel := context.WithTimeout(ctx, ledger.RelayedTimeout)
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -28,8 +27,7 @@
 	completeTimeout = 3 * time.Second
 	// commitRetryTimeout limits the write of a stream's origin beside its first attempt.
 	commitRetryTimeout = 60 * time.Second
-	// maxTurnOutput limits the output of one turn in bytes, so that its ledger record
-	// fits into one message.
+	// maxTurnOutput limits the output of one turn in bytes.
 	maxTurnOutput = 4 << 20
 )
 
@@ -42,7 +40,10 @@
 	durabilityNo       durability = "no"
 )
 
-var errTurnTooLarge = errors.New("the output of the turn exceeds the size limit")
+var errTurnTooLarge = errors.New("the turn exceeds the size limit")
+
+// whyTurnTooLarge is the reason for refusing a turn whose input alone can't be stored.
+const whyTurnTooLarge = "input too large for a turn"
 
 // turn is one turn of a program: its reserved tokens, input and output.
 type turn struct {
@@ -68,6 +69,10 @@
 // beginTurn reserves the turn's tokens and prepends the earlier turns to its input.
 // If the turn must not run, it answers the request and returns false.
 func (c *call) beginTurn() (*turn, bool) {
+	if c.route.KeepsHistory && len(c.body) >= ledger.MaxTurnBytes {
+		c.refuse(http.StatusRequestEntityTooLarge, 0, whyTurnTooLarge)
+		return nil, false
+	}
 	admitted, ok := c.admitTurn()
 	if !ok {
 		c.refuseOverload()
@@ -226,70 +231,6 @@
 	return nil
 }
 
-// maxCachedChain limits the walk through the cache, in case parents form a cycle.
-const maxCachedChain = 4096
-
-// cachedChain returns the cached end of a conversation, oldest turn first.
-func (e *Edge) cachedChain(id string) []*peerv1.TurnRecord {
-	var chain []*peerv1.TurnRecord
-	for range maxCachedChain {
-		r, ok := e.turns.Get(id)
-		if !ok {
-			break
-		}
-		chain = append(chain, r)
-		if id = r.GetParent(); id == "" {
-			break
-		}
-	}
-	slices.Reverse(chain)
-	return chain
-}
-
-// chain returns a turn and all turns before it, oldest first, from memory, from the
-// ledger or from another edge.
-func (e *Edge) chain(ctx context.Context, id string) ([]*peerv1.TurnRecord, error) {
-	chain := e.cachedChain(id)
-	if len(chain) > 0 {
-		if id = chain[0].GetParent(); id == "" {
-			return chain, nil
-		}
-	}
-	earlier, err := e.ledger.Chain(ctx, id)
-	if errors.Is(err, ledger.ErrNotFound) {
-		earlier, err = e.chainFromPeers(ctx, id, err)
-	}
-	if err != nil {
-		return nil, err
-	}
-	for _, r := range earlier {
-		e.turns.Add(r.GetId(), r)
-	}
-	return append(earlier, chain...), nil
-}
-
-// chainFromPeers returns a turn that no storage process has and all turns before it.
-// notFound is what the ledger returned for the turn; it is returned if no other edge has
-// the turn either.
-func (e *Edge) chainFromPeers(ctx context.Context, id string, notFound error) ([]*peerv1.TurnRecord, error) {
-	chain, err := e.fetchTurnFromPeers(ctx, id)
-	switch {
-	case errors.Is(err, ledger.ErrNotFound):
-		return nil, notFound
-	case err != nil:
-		return nil, err
-	}
-	e.logger.Warn("turn only found in the memory of another edge", "turn", id, "err", notFound)
-	if parent := chain[0].GetParent(); parent != "" {
-		first, err := e.ledger.Chain(ctx, parent)
-		if err != nil {
-			return nil, err
-		}
-		chain = append(first, chain...)
-	}
-	return chain, nil
-}
-
 // event counts an event that was delivered. It returns an error if the output of the
 // turn cannot be kept.
 func (t *turn) event(ev event) error {
@@ -302,7 +243,8 @@
 
 // keepOutput adds the data of an event to the output of the turn.
 func (t *turn) keepOutput(data []byte) error {
-	if len(t.output)+len(data) > maxTurnOutput {
+	size := len(t.output) + len(data) + 1
+	if size > maxTurnOutput || len(t.input)+size > ledger.MaxTurnBytes {
 		return errTurnTooLarge
 	}
 	if err := t.hold.Grow(len(data) + 1); err != nil {
--- a/pkg/ledger/carry.go
+++ b/pkg/ledger/carry.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 )
 
@@ -56,7 +54,7 @@
 		)
 	})
 	first := -1 // file with the first batch
-	for batch, rest := splitRecords(recs); len(batch) > 0; batch, rest = splitRecords(rest) {
+	for batch := range SplitRecords(recs, carryBytes) {
 		if err := s.log.Append(batch, time.Now()); err != nil {
 			s.logger.Warn("failed to keep the records of a ledger file", "file", file, "records", len(recs), "err", err)
 			return false
@@ -77,17 +75,6 @@
 	return true
 }
 
-// splitRecords returns the first records, of about carryBytes, and the others.
-func splitRecords(recs []*peerv1.LedgerRecord) (batch, rest []*peerv1.LedgerRecord) {
-	size := 0
-	for i, rec := range recs {
-		if size += proto.Size(rec); size >= carryBytes {
-			return recs[:i+1], recs[i+1:]
-		}
-	}
-	return recs, nil
-}
-
 // recordsIn returns the records that the state may lack after the loss of a file.
 func (s *State) recordsIn(file int) []*peerv1.LedgerRecord {
 	var list []*peerv1.LedgerRecord
--- a/pkg/ledger/client.go
+++ b/pkg/ledger/client.go
@@ -200,8 +200,11 @@
 func (c *Client) requestWithRetry(ctx context.Context, m Member, req *peerv1.LedgerRequest, failed chan<- struct{}) memberReply {
 	for {
 		reply, err := c.requestOnce(ctx, m, req, failed)
-		if err == nil && conclusive(reply.GetStatus()) {
+		switch {
+		case err == nil && conclusive(reply.GetStatus()):
 			return memberReply{member: m, reply: reply}
+		case errors.Is(err, errRequestTooLarge):
+			return memberReply{member: m, err: err}
 		}
 		signal(failed)
 		select {
--- a/pkg/ledger/read.go
+++ b/pkg/ledger/read.go
@@ -13,24 +13,25 @@
 // Chain returns a turn and all its ancestors, oldest first. It fails with ErrNotFound
 // only if every active storage process, by a list that was read from the platform's
 // store after the call, replied that it does not have the turn. The turns of one chain
-// may be stored on different members, so Chain assembles it from several requests; if an
-// ancestor is missing it fails with ErrNoMajority.
+// may be stored on different members, and one message may not hold them, so Chain assembles
+// it from several requests; if an ancestor is missing it fails with ErrNoMajority. With an
+// error it returns the last turns of the chain, which it has read.
 func (c *Client) Chain(ctx context.Context, id string) ([]*peerv1.TurnRecord, error) {
 	var chain []*peerv1.TurnRecord
 	for len(chain) < maxChainTurns {
 		tail, err := c.tail(ctx, id)
 		if errors.Is(err, ErrNotFound) && len(chain) > 0 {
-			return nil, errors.Wrapf(ErrNoMajority, "ancestor turn %s is missing", id)
+			return chain, errors.Wrapf(ErrNoMajority, "ancestor turn %s is missing", id)
 		}
 		if err != nil {
-			return nil, err
+			return chain, err
 		}
 		chain = append(tail, chain...)
 		if id = tail[0].GetParent(); id == "" {
 			return chain, nil
 		}
 	}
-	return nil, errors.Wrapf(ErrNoMajority, "chain exceeds %d turns", maxChainTurns)
+	return chain, errors.Wrapf(ErrNoMajority, "chain exceeds %d turns", maxChainTurns)
 }
 
 // tail returns a turn and as many of its ancestors as one member has. It asks the
--- a/pkg/ledger/server.go
+++ b/pkg/ledger/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"log/slog"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -19,6 +21,8 @@
 	// Group returns the replica group of a program as this process knows it, and whether
 	// it receives changes of the members; nil: it knows none.
 	Group func(program string) ([]Member, bool)
+	// Logger gets what the server can't tell its clients; nil: it is dropped.
+	Logger *slog.Logger
 }
 
 // Serve handles the single request of a stream.
@@ -48,9 +52,23 @@
 }
 
 func (s Server) handleBatch(ctx context.Context, st *transport.Stream, batch *peerv1.LedgerBatch) {
-	m := &peerv1.LedgerReplies{Replies: s.handleAll(ctx, batch.GetRequests())}
-	// If the reply cannot be sent, the stream ends and Recv fails.
-	_ = st.Send(&peerv1.Envelope{Body: &peerv1.Envelope_LedgerReplies{LedgerReplies: m}})
+	for replies := range splitReplies(s.handleAll(ctx, batch.GetRequests())) {
+		m := &peerv1.LedgerReplies{Replies: replies}
+		if err := st.Send(&peerv1.Envelope{Body: &peerv1.Envelope_LedgerReplies{LedgerReplies: m}}); err != nil {
+			s.log().Warn("ledger replies not sent, the stream ends", "peer", st.Session().Addr(),
+				"replies", len(replies), "bytes", proto.Size(m), "err", err)
+			_ = st.Close() // the client would wait for these replies until its time is over
+			return
+		}
+	}
+}
+
+// log returns the logger of the server.
+func (s Server) log() *slog.Logger {
+	if s.Logger == nil {
+		return slog.New(slog.DiscardHandler)
+	}
+	return s.Logger
 }
 
 // handleAll stores the records of all requests with one write to disk and returns
@@ -117,7 +135,7 @@
 	case *peerv1.LedgerRequest_Fetch:
 		// A stored turn is valid even if this process is not complete.
 		if chain := s.Store.Chain(op.Fetch.GetTurn()); len(chain) > 0 {
-			return &peerv1.LedgerReply{Status: peerv1.LedgerReply_OK, Turns: chain}
+			return ChainReply(chain)
 		}
 		if status == peerv1.LedgerReply_OK {
 			status = peerv1.LedgerReply_NOT_FOUND
@@ -182,20 +200,11 @@
 	for _, d := range p.GetHave() {
 		have[d] = true
 	}
-	var recs []*peerv1.LedgerRecord
-	size := 0
-	for _, rec := range s.Store.Records(p.GetPart()) {
-		if have[Digest(rec)] {
-			continue
-		}
-		recs = append(recs, rec)
-		if size += proto.Size(rec); size < pullReplyBytes {
-			continue
-		}
-		if err := st.Send(replyEnvelope(&peerv1.LedgerReply{Status: peerv1.LedgerReply_OK, Records: recs, More: true})); err != nil {
+	recs := slices.DeleteFunc(s.Store.Records(p.GetPart()), func(rec *peerv1.LedgerRecord) bool { return have[Digest(rec)] })
+	for batch := range SplitRecords(recs, pullReplyBytes) {
+		if err := st.Send(replyEnvelope(&peerv1.LedgerReply{Status: peerv1.LedgerReply_OK, Records: batch, More: true})); err != nil {
 			return err
 		}
-		recs, size = nil, 0
 	}
-	return st.Send(replyEnvelope(&peerv1.LedgerReply{Status: s.Store.Status(), Records: recs, Kept: s.Store.Kept()}))
+	return st.Send(replyEnvelope(&peerv1.LedgerReply{Status: s.Store.Status(), Kept: s.Store.Kept()}))
 }
--- a/pkg/ledger/stream_pool.go
+++ b/pkg/ledger/stream_pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
@@ -51,6 +52,9 @@
 // within probeAfter, the session is probed. The error wraps errUnreachable if the
 // connection could not be opened.
 func (p *streamPool) call(ctx context.Context, address string, req *peerv1.LedgerRequest) (*peerv1.LedgerReply, error) {
+	if tooLarge(req) {
+		return nil, errors.Wrapf(errRequestTooLarge, "to %s, %d bytes", address, proto.Size(req))
+	}
 	b := p.get(address)
 	reply := make(chan *peerv1.LedgerReply, 1)
 	id := b.register(reply)
@@ -164,15 +168,16 @@
 	if err != nil {
 		return
 	}
-	var first *peerv1.LedgerRequest
+	var next *peerv1.LedgerRequest
 	select {
-	case first = <-b.queue:
+	case next = <-b.queue:
 	case <-ctx.Done():
 		return
 	case <-s.Done():
 		return
 	}
-	st, err := s.Open(ctx, b.nextBatch(first))
+	batch, next := b.nextBatch(next)
+	st, err := s.Open(ctx, batch)
 	if err != nil {
 		return
 	}
@@ -187,29 +192,40 @@
 		b.receive(st)
 	}()
 	for {
-		select {
-		case req := <-b.queue:
-			if st.Send(b.nextBatch(req)) != nil {
+		if next == nil {
+			select {
+			case next = <-b.queue:
+			case <-ctx.Done():
 				return
 			}
-		case <-ctx.Done():
+		}
+		batch, next = b.nextBatch(next)
+		if st.Send(batch) != nil {
 			return
 		}
 	}
 }
 
-// nextBatch returns a message with the first request and all queued ones.
-func (b *batchStream) nextBatch(first *peerv1.LedgerRequest) *peerv1.Envelope {
-	list := []*peerv1.LedgerRequest{first}
-	for {
+// nextBatch returns a message with the first request and the queued ones up to batchBytes, and
+// the request that begins the next message; nil: none has to wait.
+func (b *batchStream) nextBatch(first *peerv1.LedgerRequest) (batch *peerv1.Envelope, next *peerv1.LedgerRequest) {
+	list, size := []*peerv1.LedgerRequest{first}, proto.Size(first)
+	for next == nil {
+		var req *peerv1.LedgerRequest
 		select {
-		case req := <-b.queue:
-			list = append(list, req)
-			continue
+		case req = <-b.queue:
 		default:
 		}
-		return &peerv1.Envelope{Body: &peerv1.Envelope_LedgerBatch{LedgerBatch: &peerv1.LedgerBatch{Requests: list}}}
+		if req == nil {
+			break
+		}
+		if size += proto.Size(req); size > batchBytes {
+			next = req
+			break
+		}
+		list = append(list, req)
 	}
+	return &peerv1.Envelope{Body: &peerv1.Envelope_LedgerBatch{LedgerBatch: &peerv1.LedgerBatch{Requests: list}}}, next
 }
 
 // receive passes replies to the callers until the stream ends.
--- a/pkg/ledger/write.go
+++ b/pkg/ledger/write.go
@@ -68,8 +68,12 @@
 // them, also if they are too few. If the list of members changes before a quorum has
 // acknowledged, it asks the replica group of the new list. Only the context limits it.
 func (c *Client) WriteWithReceipt(ctx context.Context, program string, recs []*peerv1.LedgerRecord) (Receipt, error) {
+	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: recs}}}
+	if tooLarge(req) {
+		return Receipt{}, errRequestTooLarge
+	}
 	for {
-		receipt, err := c.writeToGroup(ctx, program, recs)
+		receipt, err := c.writeToGroup(ctx, program, req)
 		if err == nil || ctx.Err() != nil {
 			return receipt, err
 		}
@@ -81,15 +85,14 @@
 	}
 }
 
-// writeToGroup stores records at a quorum of the program's current replica group. It
+// writeToGroup sends a write to a quorum of the program's current replica group. It
 // fails once that group has changed or cannot be a quorum.
-func (c *Client) writeToGroup(ctx context.Context, program string, recs []*peerv1.LedgerRecord) (Receipt, error) {
+func (c *Client) writeToGroup(ctx context.Context, program string, req *peerv1.LedgerRequest) (Receipt, error) {
 	group := ReplicaGroup(c.directory.Storage(), program)
 	need := c.quorum(len(group))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go c.cancelOnChange(ctx, cancel, program, group)
-	req := &peerv1.LedgerRequest{Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: recs}}}
 	replies, err := c.queryMembers(ctx, c.sortByDistance(group), need, req, func(r []memberReply, _ int) bool { return countOK(r) >= need })
 	receipt := Receipt{Acknowledged: acknowledged(replies), Asked: len(group), incomplete: incompleteChains(replies)}
 	if err == nil && c.countListed(receipt.Acknowledged) < need {
--- a/pkg/storage/replicate.go
+++ b/pkg/storage/replicate.go
@@ -17,8 +17,12 @@
 // maxConcurrentPushes limits the members that records are sent to at the same time.
 const maxConcurrentPushes = 8
 
-// pushBatchSize is the largest number of records in one write to another member.
-const pushBatchSize = 200
+// Limits of one write to another member: the number of records, and their size unless it is one
+// record that is larger.
+const (
+	pushBatchSize  = 200
+	pushBatchBytes = 4 << 20
+)
 
 // replicateUsage sends the usage records of this process to the members that enter the
 // replica groups of their programs with a change of the members. Each quorum of a new group
@@ -36,21 +40,26 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(maxConcurrentPushes)
 	for m, recs := range list {
-		g.Go(func() error {
-			for batch := range slices.Chunk(recs, pushBatchSize) {
-				_, err := s.request(ctx, m.Address, &peerv1.LedgerRequest{
-					Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: batch}},
-				})
-				if err != nil {
-					return errors.Wrapf(err, "send records to %s", m.Name)
-				}
-			}
-			return nil
-		})
+		g.Go(func() error { return s.pushTo(ctx, m, recs) })
 	}
 	return g.Wait()
 }
 
+// pushTo sends records to one member.
+func (s *Storage) pushTo(ctx context.Context, m ledger.Member, recs []*peerv1.LedgerRecord) error {
+	for part := range slices.Chunk(recs, pushBatchSize) {
+		for batch := range ledger.SplitRecords(part, pushBatchBytes) {
+			_, err := s.request(ctx, m.Address, &peerv1.LedgerRequest{
+				Op: &peerv1.LedgerRequest_Write{Write: &peerv1.Write{Records: batch}},
+			})
+			if err != nil {
+				return errors.Wrapf(err, "send records to %s", m.Name)
+			}
+		}
+	}
+	return nil
+}
+
 // newReplicas returns the usage records that each member has to get because it enters the
 // replica group of their program with a change of the members.
 func (s *Storage) newReplicas(change memberChange, recs []*peerv1.LedgerRecord) map[ledger.Member][]*peerv1.LedgerRecord {
--- a/pkg/storage/retire_test.go
+++ b/pkg/storage/retire_test.go
@@ -108,6 +108,31 @@
 	}
 }
 
+// Guards against a retirement that is never completed, because turns with large inputs are sent
+// in one message.
+func TestRetirementWithLargeTurns(t *testing.T) {
+	_, members := startMembers(t, 3)
+	leaving := members[0]
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	const turns = 12
+	for i := range turns {
+		rec := &peerv1.TurnRecord{Id: fmt.Sprint("t", i), Input: make([]byte, 1<<20), RetentionMs: 60_000}
+		if err := leaving.ledger.Write(ctx, []*peerv1.LedgerRecord{{Body: &peerv1.LedgerRecord_Turn{Turn: rec}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ownRegistration(t, leaving)
+	if err := leaving.leaveLedger(ctx, true); err != nil {
+		t.Fatal(err)
+	}
+	for i := range turns {
+		if id := fmt.Sprint("t", i); len(members[1].ledger.Chain(id)) != 1 || len(members[2].ledger.Chain(id)) != 1 {
+			t.Errorf("the others lack %s", id)
+		}
+	}
+}
+
 // Guards against a storage process that was removed from the ledger while its
 // machine was suspended, and that acts as a member until the watch reports it.
 func TestRemovedWhileSuspended(t *testing.T) {
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -166,7 +166,7 @@
 	case <-ctx.Done():
 		return
 	}
-	server := ledger.Server{Store: s.ledger, Group: s.replicaGroup}
+	server := ledger.Server{Store: s.ledger, Group: s.replicaGroup, Logger: s.logger}
 	var err error
 	switch m := first.GetBody().(type) {
 	case *peerv1.Envelope_LedgerBatch:
