Callers outside the limits: turns that are kept for later ones are limited in bytes

What callers saw: callers that send turns with large inputs, each inside the limits of a request, make an edge keep up to 2,048 of them, whatever their size, until it exceeds its memory and is killed.

Cause and evidence: the cache of turns counted turns. TestCrowdOfLargeTurns (real processes, an edge with MemoryMb 64, four callers with 40 turns of 1 MB each) on: peak memory 181.3 MB, 160 of 160 turns answered whole.

Change: the cache holds 0.15 of MemoryMb; turns that were used longest ago are given up, and read from the storage processes when they are needed. The crowd and the bound (64 MB) were fixed before the change.

"pipelined requests" is a new case of TestCrowdOfBodies: it passes, 46.5 MB.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -32,8 +32,6 @@
 const (
 	// affinityCacheSize limits the conversations whose last upstream is remembered.
 	affinityCacheSize = 4096
-	// turnCacheSize limits the turns kept in memory as history for later turns.
-	turnCacheSize = 2048
 	// transitShare is the share of the process's memory for heads of requests and for request
 	// and response bodies in transit. The rest is for connections, cached state and the garbage
 	// collector.
@@ -84,8 +82,8 @@
 	mu    sync.Mutex // guards fleet
 	fleet *fleet.Fleet
 
-	affinity *lru.Cache[string, string]             // conversation to upstream
-	turns    *lru.Cache[string, *peerv1.TurnRecord] // by turn ID
+	affinity *lru.Cache[string, string] // conversation to upstream
+	turns    *turnCache
 	// origins holds the origins of streams without a token budget that began here, by
 	// the id of the request.
 	origins *lru.Cache[string, origin.Origin]
@@ -145,9 +143,10 @@
 	if e.affinity, err = lru.New[string, string](affinityCacheSize); err != nil {
 		return nil, err
 	}
-	if e.turns, err = lru.New[string, *peerv1.TurnRecord](turnCacheSize); err != nil {
+	if e.turns, err = newTurnCache(turnCacheLimit(settings.MemoryMB)); err != nil {
 		return nil, err
 	}
+	e.metrics.turnMemory(e.turns)
 	if e.origins, err = lru.New[string, origin.Origin](affinityCacheSize); err != nil {
 		return nil, err
 	}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -67,6 +67,12 @@
 	m.set.NewGauge(fmt.Sprintf(`yucca_edge_connections_limit{listener=%q}`, listener), func() float64 { return float64(l.limits.open) })
 }
 
+// turnMemory exports the memory of the turns that are kept for later ones and its limit.
+func (m *metrics) turnMemory(kept *turnCache) {
+	m.set.NewGauge(`yucca_edge_turn_cache_bytes`, func() float64 { return float64(kept.size()) })
+	m.set.NewGauge(`yucca_edge_turn_cache_limit_bytes`, func() float64 { return float64(kept.limit) })
+}
+
 // peersRefused exports the number of accepted connections of peers that became no session.
 func (m *metrics) peersRefused(count func() uint64) {
 	m.set.NewGauge(`yucca_edge_peers_refused_total`, func() float64 { return float64(count()) })
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -58,6 +58,11 @@
 }
 
 func newCrowdSite(t *testing.T, bin string, fds int) *crowdSite {
+	return newCrowdSiteWith(t, bin, fds, crowdMemoryMB)
+}
+
+// newCrowdSiteWith returns a site whose storage process has a memory limit of its own.
+func newCrowdSiteWith(t *testing.T, bin string, fds, storageMemoryMB int) *crowdSite {
 	s := &soak{t: t, bin: bin, store: platformstore.New()}
 	s.port = freePort(t, crowdEdgeIP, crowdStorageIP)
 	srv := httptest.NewServer(s.store)
@@ -77,7 +82,11 @@
 	s.store.Put(platform.KindUpstreams, "u1", map[string]any{
 		"Service": "app", "Address": strings.TrimPrefix(up.URL, "http://"), "Zone": "a1", "Slots": 8, "State": "ready", "born": 1,
 	})
-	site := &crowdSite{s: s, edge: s.newLimitedProcess("edge", crowdEdgeIP, fds), storage: s.newLimitedProcess("storage", crowdStorageIP, fds)}
+	site := &crowdSite{
+		s:       s,
+		edge:    s.newLimitedProcess("edge", crowdEdgeIP, fds, crowdMemoryMB),
+		storage: s.newLimitedProcess("storage", crowdStorageIP, fds, storageMemoryMB),
+	}
 	for _, p := range []*process{site.storage, site.edge} {
 		p.start(s.bin)
 	}
@@ -86,7 +95,7 @@
 }
 
 // newLimitedProcess returns a process with the limits of this test that was not started.
-func (s *soak) newLimitedProcess(role, ip string, fds int) *process {
+func (s *soak) newLimitedProcess(role, ip string, fds, memoryMB int) *process {
 	p := &process{t: s.t, role: role, ip: ip, zone: "a1", dir: filepath.Join(s.t.TempDir(), "data")}
 	p.caller = net.JoinHostPort(ip, strconv.Itoa(freePort(s.t, ip)))
 	p.ready = net.JoinHostPort(ip, strconv.Itoa(freePort(s.t, ip)))
@@ -95,7 +104,7 @@
 		"NodeName": role, "Ip": ip, "Zone": p.zone, "Region": "a", "Zones": zones,
 		"ListenAddresses":   map[string]string{"Frontend": p.caller, "Ready": p.ready},
 		"InternalPortRange": []int{s.port}, "IsFirstStart": true,
-		"Limits":   map[string]int{"MemoryMb": crowdMemoryMB, "MaxFds": fds},
+		"Limits":   map[string]int{"MemoryMb": memoryMB, "MaxFds": fds},
 		"Bounds":   map[string]int{"GraceS": 5},
 		"Platform": map[string]string{"Address": s.storeURL.addr()},
 	}
@@ -277,6 +286,7 @@
 	for name, m := range map[string]member{
 		"empty lines after an answer, CR LF": repeat(whole, always("\r\n"), endlessBody),
 		"empty lines after an answer, LF":    repeat(whole, always("\n"), endlessBody),
+		"pipelined requests":                 repeat(whole, always(whole), overlongHead),
 		"head after an answer":               repeat(whole+openHead, shortLine, overlongHead),
 		"chunk extensions":                   repeat(chunked+"1;", always("a"), endlessBody),
 		"chunks with extensions":             repeat(chunked, always("1;"+strings.Repeat("a", 1000)+"\r\nx\r\n"), endlessBody),
