Callers outside the limits: memory for the earlier turns of turns under way

What callers saw: a conversation whose turns are each inside the limits becomes larger than the memory of the edge that reads it for the next turn; the edge is killed with all its requests.

Cause and evidence: the earlier turns of a turn were in no budget, and each was held three times: as records, joined to one body, and copied once more behind the head when the request was written.

Each part of a conversation is admitted when it is read; beyond the budget the turn gets 503, not run. The records are written to the upstream as they are: no joined body and no copy. The fingerprint of a request is unchanged (TestContentOfPieces), so edges of two releases agree.

--- a/pkg/edge/dispatch.go
+++ b/pkg/edge/dispatch.go
@@ -21,7 +21,7 @@
 	})
 	return &upstream.Request{
 		Address: m.Address, MaxConnections: c.connectionLimit(), ID: c.req.ID,
-		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body, Run: c.expectedRun(m),
+		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: h, BodyPrefix: c.history, Body: c.body, Run: c.expectedRun(m),
 		BeforeWrite: c.mayWrite,
 	}
 }
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -70,6 +70,7 @@
 	quotas    *quotas
 	metrics   *metrics
 	transit   *membudget.Budget
+	histories *membudget.Budget // memory for the earlier turns of turns under way
 	inFlight  *inFlight
 	times     *routeTimes
 	load      *load
@@ -115,6 +116,7 @@
 		fleet:         fleet.New(settings.FailureDomain, settings.RegionOf, time.Now()),
 		metrics:       newMetrics(),
 		transit:       membudget.New(transitLimit(settings.MemoryMB)),
+		histories:     membudget.New(historyLimit(settings.MemoryMB)),
 		inFlight:      newInFlight(),
 		load:          newLoad(),
 		admission:     newAdmission(),
@@ -146,7 +148,7 @@
 	if e.turns, err = newTurnCache(turnCacheLimit(settings.MemoryMB)); err != nil {
 		return nil, err
 	}
-	e.metrics.turnMemory(e.turns)
+	e.metrics.turnMemory(e.turns, e.histories)
 	if e.origins, err = lru.New[string, origin.Origin](affinityCacheSize); err != nil {
 		return nil, err
 	}
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -48,6 +48,7 @@
 	hideKey    bool
 	keyRefused bool // the answer is a refusal of the key
 	service    string
+	history    [][]byte // inputs and outputs of the earlier turns, sent before body
 	body       []byte
 	// responseHold accounts for the memory of a response, or a part of one, that was
 	// read and not yet delivered; nil: none.
--- a/pkg/edge/line.go
+++ b/pkg/edge/line.go
@@ -190,7 +190,7 @@
 	r := waitline.Request{
 		Workspace: c.workspaceName(), Class: c.route.Name, Priority: s.priority, NewProgram: !s.programStarted,
 		Due: c.began.Add(objective - lost - work), LeaveBy: waitline.LeaveBy(since, c.deadline, lost, work, objective),
-		Work: work, Bytes: int64(len(c.body)),
+		Work: work, Bytes: int64(c.bodySize()),
 	}
 	if s.hasDeadline {
 		r.Due = c.began.Add(c.req.ProgramTimeLeft - work)
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -67,10 +67,14 @@
 	m.set.NewGauge(fmt.Sprintf(`yucca_edge_connections_limit{listener=%q}`, listener), func() float64 { return float64(l.limits.open) })
 }
 
-// turnMemory exports the memory of the turns that are kept for later ones and its limit.
-func (m *metrics) turnMemory(kept *turnCache) {
+// turnMemory exports the memory of the turns that are kept for later ones, and of the earlier
+// turns of those under way, with their limits.
+func (m *metrics) turnMemory(kept *turnCache, histories *membudget.Budget) {
 	m.set.NewGauge(`yucca_edge_turn_cache_bytes`, func() float64 { return float64(kept.size()) })
 	m.set.NewGauge(`yucca_edge_turn_cache_limit_bytes`, func() float64 { return float64(kept.limit) })
+	m.set.NewGauge(`yucca_edge_history_bytes`, func() float64 { return float64(histories.Usage().Used) })
+	m.set.NewGauge(`yucca_edge_history_limit_bytes`, func() float64 { return float64(histories.Usage().Limit) })
+	m.set.NewGauge(`yucca_edge_history_refused_total`, func() float64 { return float64(histories.Usage().Refused) })
 }
 
 // peersRefused exports the number of accepted connections of peers that became no session.
--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/identity"
@@ -20,7 +21,8 @@
 // content returns what the request asks for. The earlier turns of a conversation are a
 // part of the body.
 func (c *call) content() identity.Content {
-	return identity.NewContent([]byte(c.r.Host), []byte(c.r.Method), []byte(c.r.URL.EscapedPath()), []byte(c.req.ParentTurnID), c.body)
+	body := append(slices.Clone(c.history), c.body)
+	return identity.NewContentOf(body, []byte(c.r.Host), []byte(c.r.Method), []byte(c.r.URL.EscapedPath()), []byte(c.req.ParentTurnID))
 }
 
 // caller returns who sends the request: its program, or whoever is behind its address.
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -57,6 +57,8 @@
 	output   []byte
 	tokens   int // delivered, as the budget counts them
 	hold     *membudget.Reservation
+	// earlierHold accounts for the memory of the earlier turns.
+	earlierHold *membudget.Reservation
 	// taken is what is recorded of the stream that the request takes up.
 	taken ledger.Reservation
 
@@ -79,7 +81,10 @@
 		return nil, false
 	}
 	c.beginOrigin()
-	t := &turn{c: c, input: c.body, hold: c.e.transit.Reservation("turn "+c.req.ID, membudget.CallerShare)}
+	t := &turn{
+		c: c, input: c.body, hold: c.e.transit.Reservation("turn "+c.req.ID, membudget.CallerShare),
+		earlierHold: c.e.histories.Reservation("turn "+c.req.ID, historyShare),
+	}
 	reserveErr, historyErr := t.awaitLedger(admitted)
 	t.beginDuration = time.Since(c.began)
 	switch {
@@ -100,6 +105,9 @@
 		c.refuse(http.StatusServiceUnavailable, retryAfterUnready, whyOriginUnknown)
 	case reserveErr != nil:
 		t.refuseTokens(reserveErr)
+	case errors.Is(historyErr, membudget.ErrExhausted):
+		c.e.logger.Warn("no memory for the history", "id", c.req.ID, "parent", c.req.ParentTurnID, "limit_bytes", c.e.histories.Usage().Limit)
+		c.refuse(http.StatusServiceUnavailable, retryAfterBusy, whyNoHistoryMemory)
 	case historyErr != nil:
 		c.e.logger.Warn("history not known", "id", c.req.ID, "parent", c.req.ParentTurnID, "err", historyErr)
 		c.refuse(http.StatusServiceUnavailable, retryAfterUnready, "history not known")
@@ -203,34 +211,6 @@
 // is not known.
 func (c *call) tokensPerEvent() int { return c.table.Service(c.service).TokensPerEvent }
 
-// loadHistory prepends the earlier turns of the conversation to the body.
-func (t *turn) loadHistory(ctx context.Context) error {
-	began := time.Now()
-	answered := t.c.e.load.wait(stepHistory)
-	chain, err := t.c.e.chain(ctx, t.c.req.ParentTurnID)
-	answered()
-	t.c.e.metrics.ledger(stepHistory, err, time.Since(began))
-	if err == nil {
-		err = t.c.checkHistory(chain)
-	}
-	if err != nil {
-		return err
-	}
-	t.c.e.startup.end(stepFirstHistory)
-	t.earlier = chain
-	size := len(t.input)
-	for _, r := range chain {
-		size += len(r.GetInput()) + len(r.GetOutput())
-	}
-	body := make([]byte, 0, size)
-	for _, r := range chain {
-		body = append(body, r.GetInput()...)
-		body = append(body, r.GetOutput()...)
-	}
-	t.c.body = append(body, t.input...)
-	return nil
-}
-
 // event counts an event that was delivered. It returns an error if the output of the
 // turn cannot be kept.
 func (t *turn) event(ev event) error {
@@ -258,6 +238,7 @@
 // ones, in the background.
 func (t *turn) settle() {
 	t.hold.Release()
+	t.earlierHold.Release()
 	if !t.reserved || t.settled {
 		return
 	}
--- a/pkg/identity/identity.go
+++ b/pkg/identity/identity.go
@@ -20,6 +20,17 @@
 // request.
 func NewContent(parts ...[]byte) Content { return Content(hash(parts)) }
 
+// NewContentOf returns the content with the given parts, of which the last one is given in
+// pieces.
+func NewContentOf(pieces [][]byte, parts ...[]byte) Content {
+	d := xxhash.New()
+	for _, p := range parts {
+		hashPart(d, p)
+	}
+	hashPart(d, pieces...)
+	return Content(max(d.Sum64(), 1))
+}
+
 // String returns the content as in logs and in the status.
 func (c Content) String() string { return fmt.Sprintf("%016x", uint64(c)) }
 
@@ -75,9 +86,20 @@
 func hash(parts [][]byte) uint64 {
 	d := xxhash.New()
 	for _, p := range parts {
-		_, _ = d.WriteString(strconv.Itoa(len(p)))
-		_, _ = d.Write([]byte{0})
-		_, _ = d.Write(p)
+		hashPart(d, p)
 	}
 	return max(d.Sum64(), 1)
 }
+
+// hashPart adds a part, which may be given in pieces, to a hash.
+func hashPart(d *xxhash.Digest, pieces ...[]byte) {
+	size := 0
+	for _, p := range pieces {
+		size += len(p)
+	}
+	_, _ = d.WriteString(strconv.Itoa(size))
+	_, _ = d.Write([]byte{0})
+	for _, p := range pieces {
+		_, _ = d.Write(p)
+	}
+}
--- a/pkg/identity/identity_test.go
+++ b/pkg/identity/identity_test.go
@@ -57,3 +57,17 @@
 		t.Error("no error for a text that is no number")
 	}
 }
+
+// Guards against a request that two releases, or two edges, identify differently because its body
+// is given in pieces.
+func TestContentOfPieces(t *testing.T) {
+	want := NewContent([]byte("host"), []byte("path"), []byte("earlier turns and input"))
+	for _, pieces := range [][][]byte{
+		{[]byte("earlier turns and input")},
+		{[]byte("earlier turns"), nil, []byte(" and input")},
+	} {
+		if got := NewContentOf(pieces, []byte("host"), []byte("path")); got != want {
+			t.Errorf("%q: %v, want %v", pieces, got, want)
+		}
+	}
+}
--- a/pkg/ledger/read.go
+++ b/pkg/ledger/read.go
@@ -17,6 +17,13 @@
 // it from several requests; if an ancestor is missing it fails with ErrNoMajority. With an
 // error it returns the last turns of the chain, which it has read.
 func (c *Client) Chain(ctx context.Context, id string) ([]*peerv1.TurnRecord, error) {
+	return c.ChainWithin(ctx, id, func([]*peerv1.TurnRecord) error { return nil })
+}
+
+// ChainWithin returns what Chain returns. It calls admit with each part that it has read and
+// stops with the error that this returns, for example because the chain exceeds the memory of
+// the process.
+func (c *Client) ChainWithin(ctx context.Context, id string, admit func([]*peerv1.TurnRecord) error) ([]*peerv1.TurnRecord, error) {
 	var chain []*peerv1.TurnRecord
 	for len(chain) < maxChainTurns {
 		tail, err := c.tail(ctx, id)
@@ -26,6 +33,9 @@
 		if err != nil {
 			return chain, err
 		}
+		if err := admit(tail); err != nil {
+			return chain, err
+		}
 		chain = append(tail, chain...)
 		if id = tail[0].GetParent(); id == "" {
 			return chain, nil
--- a/pkg/upstream/exchange.go
+++ b/pkg/upstream/exchange.go
@@ -1,10 +1,12 @@
 package upstream
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -16,6 +18,9 @@
 // respond before it has read the complete request.
 const maxSequentialWrite = 8 << 10
 
+// writeBufferSize joins the short pieces of a long body, in bytes.
+const writeBufferSize = 32 << 10
+
 // Request is one request to an upstream.
 type Request struct {
 	Address        string
@@ -25,6 +30,7 @@
 	URI            string // path and query as sent by the caller
 	Host           string
 	Header         http.Header
+	BodyPrefix     [][]byte // pieces of the body before Body
 	Body           []byte
 	HeadDeadline   time.Time // for the response head; zero: none
 	// Run is the start of the upstream's run, in Unix ms. If the upstream says that it is
@@ -40,6 +46,33 @@
 // WrittenAt returns when writing the request began; zero: it was not written.
 func (r *Request) WrittenAt() time.Time { return r.written }
 
+// bodySize returns the length of the whole body.
+func (r *Request) bodySize() int {
+	n := len(r.Body)
+	for _, p := range r.BodyPrefix {
+		n += len(p)
+	}
+	return n
+}
+
+// writeLong writes a request with the given head. Long pieces of the body are not copied.
+func (r *Request) writeLong(w io.Writer, head []byte) error {
+	b := bufio.NewWriterSize(w, writeBufferSize)
+	_, err := b.Write(head)
+	for _, p := range r.BodyPrefix {
+		if err == nil {
+			_, err = b.Write(p)
+		}
+	}
+	if err == nil {
+		_, err = b.Write(r.Body)
+	}
+	if err == nil {
+		err = b.Flush()
+	}
+	return err
+}
+
 // head returns the encoded request line and headers.
 func (r *Request) head() []byte {
 	var b bytes.Buffer
@@ -51,8 +84,8 @@
 	b.WriteString("\r\n")
 	h := r.Header
 	h.Del("Content-Length")
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		h.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	if n := r.bodySize(); n > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(n))
 	}
 	_ = h.Write(&b) // a Buffer does not fail
 	b.WriteString("\r\n")
@@ -109,13 +142,14 @@
 		}
 		platform.SetTimeGiven(r.Header, left)
 	}
-	data := append(r.head(), r.Body...)
+	head := r.head()
 	if r.BeforeWrite != nil {
 		if err := r.BeforeWrite(); err != nil {
 			return fail("reserve", false, err)
 		}
 	}
-	if len(data) <= maxSequentialWrite {
+	if size := len(head) + r.bodySize(); size <= maxSequentialWrite {
+		data := slices.Concat(head, slices.Concat(r.BodyPrefix...), r.Body)
 		n, err := c.Write(data)
 		if n > 0 {
 			r.written = began
@@ -127,8 +161,7 @@
 		r.written = began
 		resp.written = make(chan error, 1)
 		go func() {
-			_, err := c.Write(data)
-			resp.written <- err
+			resp.written <- r.writeLong(c, head)
 		}()
 	}
 	if !r.HeadDeadline.IsZero() {
--- a/soak/crowdturns_test.go
+++ b/soak/crowdturns_test.go
@@ -91,3 +91,10 @@
 	site := newTurnSite(t, turnStorageMB)
 	site.playTurns(site.edge, noParent)
 }
+
+// Guards against conversations whose turns are inside the limits of a request and that become,
+// read whole by the edge for each turn, larger than its memory.
+func TestCrowdOfLongConversations(t *testing.T) {
+	site := newTurnSite(t, turnStorageMB)
+	site.playTurns(site.edge, func(last string) string { return last })
+}
