Callers outside the limits: a storage process refuses turns beyond its memory

What callers saw: turns with large inputs, each inside the limits of a request, make a storage process exceed its memory and be killed; it keeps every turn in memory until twice its retention is over.

Cause and evidence: nothing limits what a storage process accepts.

Change: turns and recorded events may take 0.4 of MemoryMb. Beyond, a write of them gets the status FULL, which is not repeated; usage records are stored as before, so budgets hold. The edge breaks the turn off as not durable, and for a second refuses turns whose replica group has no quorum with memory, before they run (503). Older edges take the status for a failure and repeat the write.

--- a/pkg/edge/longhistory_test.go
+++ b/pkg/edge/longhistory_test.go
@@ -115,3 +115,39 @@
 		t.Errorf("a turn that fits: status %d, %v", a.status, a.err)
 	}
 }
+
+// TestTurnsWithoutStorageMemory guards against turns that run although it is known that they
+// can't be stored, and against edges that refuse them for good.
+func TestTurnsWithoutStorageMemory(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	route := clone(history)
+	route["RetentionS"] = 1
+	d.route(route)
+	var r runs
+	d.upstream("u1", "llm", func(w http.ResponseWriter, req *http.Request) {
+		r.record(req)
+		events(w, req, 1, 2)
+	})
+	for i := range 3 {
+		s := d.settings(fmt.Sprintf("127.0.0.%d", 11+i))
+		s.DataDir, s.MemoryMB = t.TempDir(), 5 // 2 MB of it for turns
+		d.storageWith(s)
+	}
+	p := d.edge("127.0.0.1")
+	p.ready(t, 1, 3)
+	input := strings.Repeat("x", 2<<20)
+	if a := sendLong(t, p, "t1", "", input); !a.whole() {
+		t.Fatalf("t1: status %d, %v", a.status, a.err)
+	}
+	if a := sendLong(t, p, "t2", "", "in"); a.err == nil {
+		t.Errorf("t2 ends as stored: status %d", a.status)
+	}
+	count := r.count()
+	if a := sendLong(t, p, "t3", "", "in"); a.status != http.StatusServiceUnavailable || r.count() != count {
+		t.Errorf("t3: status %d, %d runs, want 503 and none", a.status, r.count()-count)
+	}
+	eventually(t, "no turn is stored after the first one has expired", func() bool {
+		return sendLong(t, p, "t4", "", "in").whole()
+	})
+}
--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -40,8 +40,15 @@
 	durabilityNo       durability = "no"
 )
 
+// retryAfterFull is when a caller should return whose turn the storage processes have no memory
+// for.
+const retryAfterFull = time.Second
+
 var errTurnTooLarge = errors.New("the turn exceeds the size limit")
 
+// whyStorageFull is the reason for refusing a turn that could not be stored at its end.
+const whyStorageFull = "no memory for turns at the storage processes"
+
 // whyTurnTooLarge is the reason for refusing a turn whose input alone can't be stored.
 const whyTurnTooLarge = "input too large for a turn"
 
@@ -75,6 +82,10 @@
 		c.refuse(http.StatusRequestEntityTooLarge, 0, whyTurnTooLarge)
 		return nil, false
 	}
+	if c.route.KeepsHistory && c.e.ledger.Full(c.req.Program) {
+		c.refuse(http.StatusServiceUnavailable, retryAfterFull, whyStorageFull)
+		return nil, false
+	}
 	admitted, ok := c.admitTurn()
 	if !ok {
 		c.refuseOverload()
--- a/pkg/ledger/client.go
+++ b/pkg/ledger/client.go
@@ -23,6 +23,8 @@
 	// ErrBudgetReserved means that the turn may fit the budget once reservations of turns
 	// that were not passed on have ended, within ReservationLease.
 	ErrBudgetReserved = errors.New("the rest of the program's token budget is reserved")
+	// ErrFull means that too few storage processes have memory for a turn or for events.
+	ErrFull = errors.New("the storage processes have no memory for turns")
 )
 
 // Member is an active storage process.
@@ -71,6 +73,7 @@
 	tolerated          int
 	streamPool         *streamPool
 	unreachableMembers unreachableMembers
+	fullMembers        fullMembers
 	logger             *slog.Logger
 }
 
@@ -230,7 +233,7 @@
 // retried soon.
 func conclusive(s peerv1.LedgerReply_Status) bool {
 	switch s {
-	case peerv1.LedgerReply_OK, peerv1.LedgerReply_NOT_FOUND, peerv1.LedgerReply_LEAVING, peerv1.LedgerReply_OVER_BUDGET:
+	case peerv1.LedgerReply_OK, peerv1.LedgerReply_NOT_FOUND, peerv1.LedgerReply_LEAVING, peerv1.LedgerReply_OVER_BUDGET, peerv1.LedgerReply_FULL:
 		return true
 	}
 	return false
--- a/pkg/ledger/server.go
+++ b/pkg/ledger/server.go
@@ -77,7 +77,11 @@
 func (s Server) handleAll(ctx context.Context, reqs []*peerv1.LedgerRequest) []*peerv1.LedgerReply {
 	var recs []*peerv1.LedgerRecord
 	refused := make([]bool, len(reqs))
+	full := make([]bool, len(reqs))
 	for i, req := range reqs {
+		if full[i] = addsMemory(req) && s.Store.Full(); full[i] {
+			continue
+		}
 		if r := req.GetReserve(); r != nil {
 			if refused[i] = !s.Store.admit(r); refused[i] {
 				continue
@@ -94,6 +98,8 @@
 	for i, req := range reqs {
 		var r *peerv1.LedgerReply
 		switch {
+		case full[i]:
+			r = &peerv1.LedgerReply{Status: peerv1.LedgerReply_FULL}
 		case failed && !refused[i] && len(recordsToWrite(req)) > 0:
 			r = &peerv1.LedgerReply{Status: peerv1.LedgerReply_FAILED}
 		default:
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -42,6 +42,8 @@
 	keptFile int
 	// file is the number of the file with the records that are applied next.
 	file int
+	// bytes is the memory of all turns and recorded events.
+	bytes int64
 	// usageComplete is set if the state has all usage records that the process ever
 	// acknowledged. Turns may still be missing.
 	usageComplete bool
@@ -82,6 +84,10 @@
 		s.applyUsage(b.Usage, now)
 	case *peerv1.LedgerRecord_Turn:
 		expires := now.Add(retention(b.Turn.GetRetentionMs()))
+		if old := s.turns[b.Turn.GetId()]; old != nil {
+			s.bytes -= turnBytes(old.record)
+		}
+		s.bytes += turnBytes(b.Turn)
 		s.turns[b.Turn.GetId()] = &turn{record: b.Turn, expires: expires, file: s.file}
 		// All turns of a chain are kept as long as its last one.
 		id := b.Turn.GetParent()
@@ -110,7 +116,9 @@
 		s.programs[u.GetProgram()] = p
 	}
 	p.expires = now.Add(retention(u.GetRetentionMs()))
-	merged := newerUsage(p.usage[u.GetAttempt()], u)
+	old := p.usage[u.GetAttempt()]
+	merged := newerUsage(old, u)
+	s.bytes += partBytes(merged.GetPart()) - partBytes(old.GetPart())
 	p.usage[u.GetAttempt()] = merged
 	if u.GetPart() != nil {
 		p.partsExpire[u.GetAttempt()] = p.expires
@@ -364,13 +372,15 @@
 func (s *State) Expire(now time.Time) {
 	for name, p := range s.programs {
 		if now.After(p.expires) {
+			s.bytes -= p.removeParts(nil)
 			delete(s.programs, name)
 			continue
 		}
-		p.expireParts(now)
+		s.bytes -= p.removeParts(&now)
 	}
 	for id, t := range s.turns {
 		if now.After(t.expires) {
+			s.bytes -= turnBytes(t.record)
 			delete(s.turns, id)
 		}
 	}
--- a/pkg/ledger/store.go
+++ b/pkg/ledger/store.go
@@ -38,7 +38,11 @@
 	state *State // of the records that are synced to disk
 	// unsynced are the usage records of writes that wait for the disk.
 	unsynced unsyncedUsage
-	leaving  bool
+	// pendingBytes is the size of the writes that wait for the disk; bytesLimit is the memory
+	// for these and for the turns and events of the state, 0: no limit.
+	pendingBytes, bytesLimit int64
+	full                     bool // as of the last write of turns or events
+	leaving                  bool
 	// removed is set once another process has removed this one from the ledger.
 	removed bool
 	// suspendedTime returns for how long the machine was suspended in total. If that
@@ -151,12 +155,17 @@
 // power loss may remove them before. The exception is Usage, which returns them at once,
 // so that of two concurrent reservations at least one sees the other.
 func (s *Store) Write(ctx context.Context, recs []*peerv1.LedgerRecord) error {
+	total := int64(0)
 	for _, r := range recs {
 		// No start reads such a record, or what follows in its file.
-		if size := proto.Size(r); size == 0 || size > maxRecordBytes {
+		size := proto.Size(r)
+		if size == 0 || size > maxRecordBytes {
 			return errors.Errorf("record of %d bytes, expected 1 to %d", size, maxRecordBytes)
 		}
+		total += int64(size)
 	}
+	s.addPending(total)
+	defer s.addPending(-total)
 	s.mu.Lock()
 	for _, r := range recs {
 		s.unsynced.add(r)
--- a/pkg/ledger/streampart.go
+++ b/pkg/ledger/streampart.go
@@ -156,13 +156,17 @@
 	_, _ = h.Write(b)
 }
 
-// expireParts removes the recorded events whose retention time has passed. The rest of the
-// records stays as long as the program.
-func (p *programUsage) expireParts(now time.Time) {
+// removeParts removes the recorded events whose retention time has passed, or all if now is nil,
+// and returns the memory that they had. The rest of the records stays as long as the program.
+func (p *programUsage) removeParts(now *time.Time) (bytes int64) {
 	for attempt, expires := range p.partsExpire {
-		if now.After(expires) {
-			p.usage[attempt] = withoutPart(p.usage[attempt])
-			delete(p.partsExpire, attempt)
+		if now != nil && !now.After(expires) {
+			continue
 		}
+		u := p.usage[attempt]
+		bytes += partBytes(u.GetPart())
+		p.usage[attempt] = withoutPart(u)
+		delete(p.partsExpire, attempt)
 	}
+	return bytes
 }
--- a/pkg/ledger/write.go
+++ b/pkg/ledger/write.go
@@ -74,7 +74,7 @@
 	}
 	for {
 		receipt, err := c.writeToGroup(ctx, program, req)
-		if err == nil || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil || errors.Is(err, ErrFull) {
 			return receipt, err
 		}
 		select {
@@ -86,7 +86,8 @@
 }
 
 // writeToGroup sends a write to a quorum of the program's current replica group. It
-// fails once that group has changed or cannot be a quorum.
+// fails once that group has changed or cannot be a quorum, with ErrFull if that is for want of
+// memory.
 func (c *Client) writeToGroup(ctx context.Context, program string, req *peerv1.LedgerRequest) (Receipt, error) {
 	group := ReplicaGroup(c.directory.Storage(), program)
 	need := c.quorum(len(group))
@@ -94,6 +95,10 @@
 	defer cancel()
 	go c.cancelOnChange(ctx, cancel, program, group)
 	replies, err := c.queryMembers(ctx, c.sortByDistance(group), need, req, func(r []memberReply, _ int) bool { return countOK(r) >= need })
+	full := c.fullMembers.note(replies, time.Now())
+	if err != nil && full > 0 && full > len(group)-need {
+		err = errors.Wrapf(ErrFull, "replies [%s]", describe(replies))
+	}
 	receipt := Receipt{Acknowledged: acknowledged(replies), Asked: len(group), incomplete: incompleteChains(replies)}
 	if err == nil && c.countListed(receipt.Acknowledged) < need {
 		err = errors.Wrapf(ErrNoMajority, "members that acknowledged were taken out, replies [%s]", describe(replies))
--- a/pkg/storage/storage.go
+++ b/pkg/storage/storage.go
@@ -65,6 +65,7 @@
 		s.closeTransport()
 		return nil, err
 	}
+	s.ledger.LimitMemory(int64(turnMemoryShare * float64(settings.MemoryMB) * bytesPerMB))
 	removeTemporary(settings, logger)
 	s.snapshot = loadSnapshot(settings, logger)
 	s.store.Store(platform.NewStore(settings.StoreAddress))
@@ -104,6 +105,13 @@
 	}
 }
 
+// turnMemoryShare is the share of the process's memory for turns and recorded events; the rest is
+// for messages, the garbage collector and what is copied from other members.
+const (
+	turnMemoryShare = 0.4
+	bytesPerMB      = 1 << 20
+)
+
 // removeTemporary removes what killed processes have left in the data folder. It is not
 // essential, so an error is only logged.
 func removeTemporary(settings *platform.Settings, logger *slog.Logger) {
--- a/soak/crowdturns_test.go
+++ b/soak/crowdturns_test.go
@@ -98,3 +98,10 @@
 	site := newTurnSite(t, turnStorageMB)
 	site.playTurns(site.edge, func(last string) string { return last })
 }
+
+// Guards against the same turns at a storage process, which keeps all that it stores in memory
+// until their retention time is over.
+func TestCrowdOfLargeTurnsAtStorage(t *testing.T) {
+	site := newTurnSite(t, crowdMemoryMB)
+	site.playTurns(site.storage, noParent)
+}
