--- a/pkg/edge/turn.go
+++ b/pkg/edge/turn.go
@@ -44,13 +44,13 @@
 // for.
 const retryAfterFull = time.Second
 
-var errTurnTooLarge = errors.New("the turn exceeds the size limit")
-
-// whyStorageFull is the reason for refusing a turn that could not be stored at its end.
-const whyStorageFull = "no memory for turns at the storage processes"
+// Reasons for refusing a turn that could not be stored.
+const (
+	whyStorageFull  = "no memory for turns at the storage processes"
+	whyTurnTooLarge = "input too large for a turn"
+)
 
-// whyTurnTooLarge is the reason for refusing a turn whose input alone can't be stored.
-const whyTurnTooLarge = "input too large for a turn"
+var errTurnTooLarge = errors.New("the turn exceeds the size limit")
 
 // turn is one turn of a program: its reserved tokens, input and output.
 type turn struct {
@@ -66,7 +66,7 @@
 	hold     *membudget.Reservation
 	// earlierHold accounts for the memory of the earlier turns.
 	earlierHold *membudget.Reservation
-	// taken is what is recorded of the stream that the request takes up.
+	// taken is what is recorded of the stream that the request takes up, until it goes on.
 	taken ledger.Reservation
 
 	beginDuration  time.Duration // wait for budget and history
@@ -127,6 +127,7 @@
 		if refusal == "" {
 			refusal = t.takeOverEvents()
 		}
+		t.taken = ledger.Reservation{} // its records may hold many events
 		if refusal == "" {
 			return t, true
 		}
@@ -210,7 +211,9 @@
 	if res.Spent > 0 {
 		c.e.spent.Add(c.req.Program, res.Spent)
 	}
-	t.taken = res
+	if c.takesUp() {
+		t.taken = res
+	}
 	c.budgetUse = ledger.UseOf(res.Records, u.GetAttempt())
 	if err == nil {
 		c.e.startup.end(stepFirstQuorum)
--- a/pkg/ledger/memory.go
+++ b/pkg/ledger/memory.go
@@ -103,9 +103,19 @@
 	return ok
 }
 
+// none reports whether no member was full lately.
+func (f *fullMembers) none() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.since) == 0
+}
+
 // Full reports whether a turn of a program can't be stored, as far as is known: too many members
 // of its replica group had no memory a moment ago.
 func (c *Client) Full(program string) bool {
+	if c.fullMembers.none() {
+		return false
+	}
 	group, now := ReplicaGroup(c.directory.Storage(), program), time.Now()
 	full := 0
 	for _, m := range group {
--- a/pkg/ledger/stream_pool.go
+++ b/pkg/ledger/stream_pool.go
@@ -209,23 +209,19 @@
 // nextBatch returns a message with the first request and the queued ones up to batchBytes, and
 // the request that begins the next message; nil: none has to wait.
 func (b *batchStream) nextBatch(first *peerv1.LedgerRequest) (batch *peerv1.Envelope, next *peerv1.LedgerRequest) {
-	list, size := []*peerv1.LedgerRequest{first}, proto.Size(first)
-	for next == nil {
-		var req *peerv1.LedgerRequest
+	requests := &peerv1.LedgerBatch{Requests: []*peerv1.LedgerRequest{first}}
+	batch = &peerv1.Envelope{Body: &peerv1.Envelope_LedgerBatch{LedgerBatch: requests}}
+	for size := proto.Size(first); ; {
 		select {
-		case req = <-b.queue:
+		case next = <-b.queue:
 		default:
+			return batch, nil
 		}
-		if req == nil {
-			break
+		if size += proto.Size(next); size > batchBytes {
+			return batch, next
 		}
-		if size += proto.Size(req); size > batchBytes {
-			next = req
-			break
-		}
-		list = append(list, req)
+		requests.Requests = append(requests.Requests, next)
 	}
-	return &peerv1.Envelope{Body: &peerv1.Envelope_LedgerBatch{LedgerBatch: &peerv1.LedgerBatch{Requests: list}}}, next
 }
 
 // receive passes replies to the callers until the stream ends.
