Two suspected requests placed at the same moment don't share an upstream

Cause: whether an upstream is occupied by a suspected request is asked under the lock of the fleet, and the request was entered after the lock was released. A second one that was placed between the two saw the upstream free.

Change: the request is entered under the same lock. A race of a few microseconds; the test shows it now and then only.

--- a/pkg/edge/placement.go
+++ b/pkg/edge/placement.go
@@ -57,6 +57,7 @@
 			cause, limited = c.cause(m, req.Affinity), m.Limited()
 			c.work = f.StartWork(m, &req, now)
 			f.RecordStart(m, cause, now)
+			c.addIsolated(m.ID) // before another suspected request is placed
 			return
 		}
 		c.limitWait, c.limited = f.RefuseLimited(req, now)
@@ -69,7 +70,6 @@
 		c.triedUpstreams[m.ID] = true
 		c.sentAt = now
 		c.recordPlacement()
-		c.addIsolated(m.ID)
 	}
 	return m
 }
