--- a/review/harness3/client_test.go
+++ b/review/harness3/client_test.go
@@ -25,10 +25,19 @@
 
 // send sends a turn of a program to an edge, on a connection of its own, and reads its answer.
 func (w *world) send(p *process, program string, budget, most int) turn {
+	return w.sendTurn(p, program, "", budget, most, 1200)
+}
+
+// sendHistory sends a turn that continues from another one, with an input of a size.
+func (w *world) sendHistory(p *process, program, parent string, size int) turn {
+	return w.sendTurn(p, program, parent, 1<<20, 280, size)
+}
+
+func (w *world) sendTurn(p *process, program, parent string, budget, most, size int) turn {
 	t := turn{id: fmt.Sprintf("%016x", rand.Uint64())}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.caller+"/lohu930/2f", strings.NewReader(strings.Repeat("t", 1200)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.caller+"/lohu930/2f", strings.NewReader(strings.Repeat("t", size)))
 	if err != nil {
 		w.t.Error(err)
 		return t
@@ -40,6 +49,9 @@
 	} {
 		req.Header.Set(name, value)
 	}
+	if parent != "" {
+		req.Header.Set("Parent-Turn", parent)
+	}
 	tr := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	defer tr.CloseIdleConnections()
 	resp, err := tr.RoundTrip(req)
--- a/review/harness3/world_test.go
+++ b/review/harness3/world_test.go
@@ -130,15 +130,23 @@
 	return p
 }
 
+// memory returns the process's limit in MB.
+func (p *process) memory() int {
+	if p.role == "edge" {
+		return 134
+	}
+	return 154
+}
+
 // writeSettings writes the settings file as the platform does from the template, which is all
 // fields as JSON.
 func (p *process) writeSettings(firstStart bool) {
 	w := p.w
-	listen, serves, memory, fds := map[string]any{}, []string{"storage"}, 154, 8200
+	listen, serves, memory, fds := map[string]any{}, []string{"storage"}, p.memory(), 8200
 	var dataDir any
 	if p.role == "edge" {
 		listen = map[string]any{"Frontend": p.caller, "Ready": p.ready, "ControlPlane": net.JoinHostPort(p.ip, "8144")}
-		serves, memory, fds = []string{"edge", "control"}, 134, 4100
+		serves, fds = []string{"edge", "control"}, 4100
 	} else {
 		dataDir = p.dataDir
 	}
