An early answer that is reset during the upload is no complete one

What callers saw: an upstream answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is still being written. The caller gets that part as a complete, signed answer.

Cause: a request of more than 8 KB is written in a goroutine of its own, beside the reading of the answer. A socket reports an error to one call only. If the write is blocked, it is woken by the reset and takes ECONNRESET; the next read gets io.EOF, and that ends a body that has neither a length nor chunks.

Change: peerreset.Conn, which the pool puts around its connections. At io.EOF its read ends the write that is under way by its deadline, and looks at the error of the first write that failed. A write that took an error of the socket has already got it by then and is about to return, so nothing is waited for.

Why it works: without an end of the peer's side (FIN) the write's error is ECONNRESET, or another errno if the connection was lost. After such an end a reset gives EPIPE, and a peer that is only slow to read gives the deadline. Only the first kind turns the end into an error, so an answer that was ended in good order stays whole, whether the rest of the request is read at once, late or never, or reset later. The error takes the path of any reset during a body: what was read counts for the events of a stream and for what may be retried, and the connection is closed.

--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/peerreset"
 )
 
 const (
@@ -300,8 +302,9 @@
 		p.mu.Unlock()
 		return nil, &Error{Step: StepDial, Addr: address, Err: err}
 	}
-	limiter := &headLimitReader{r: nc}
-	return &conn{Conn: nc, address: address, limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferBytes), idleTime: defaultIdleTime, opened: time.Now()}, nil
+	tc := peerreset.NewConn(nc) // long requests are written beside reading
+	limiter := &headLimitReader{r: tc}
+	return &conn{Conn: tc, address: address, limiter: limiter, br: bufio.NewReaderSize(limiter, readBufferBytes), idleTime: defaultIdleTime, opened: time.Now()}, nil
 }
 
 // Probe checks that a connection to an address can be had, a new one if fresh is
