--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -11,7 +11,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
 	"github.com/yuccaspindle/yuccaspindle/pkg/frontend"
-	"github.com/yuccaspindle/yuccaspindle/pkg/httpstatus"
+	"github.com/yuccaspindle/yuccaspindle/pkg/httpcheck"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
@@ -178,8 +178,8 @@
 // attemptDone returns the event of a whole answer. Status 0 is that of a complete answer of an
 // engine.
 func attemptDone(d core.Dispatch, m *peerv1.Done, partial partialAnswer) core.Event {
-	if status := int(m.GetStatus()); status != 0 && !httpstatus.ValidFinal(status) {
-		return attemptFailed(d, "receive from sidecar", core.RanUnknown, fmt.Errorf("%w: %d", httpstatus.ErrInvalid, status))
+	if status := int(m.GetStatus()); status != 0 && !httpcheck.ValidFinalStatus(status) {
+		return attemptFailed(d, "receive from sidecar", core.RanUnknown, fmt.Errorf("%w: %d", httpcheck.ErrStatus, status))
 	}
 	return core.AttemptDone{At: now(), Attempt: d.Attempt, Answer: answerFromDone(m, partial)}
 }
--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -13,7 +13,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
 	"github.com/yuccaspindle/yuccaspindle/pkg/frontend"
-	"github.com/yuccaspindle/yuccaspindle/pkg/httpstatus"
+	"github.com/yuccaspindle/yuccaspindle/pkg/httpcheck"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
@@ -166,8 +166,8 @@
 				progress.mayHaveRun = false // the peer declined the request without running it
 				return progress, errors.New("the peer no longer owns the slot")
 			}
-			if status := int(b.Head.GetStatus()); !httpstatus.ValidFinal(status) {
-				return progress, errors.Wrapf(httpstatus.ErrInvalid, "%d", status)
+			if status := int(b.Head.GetStatus()); !httpcheck.ValidFinalStatus(status) {
+				return progress, errors.Wrapf(httpcheck.ErrStatus, "%d", status)
 			}
 			for _, h := range b.Head.GetHeaders() {
 				w.Header().Add(h.GetName(), h.GetValue())
--- a/pkg/sidecar/dispatch.go
+++ b/pkg/sidecar/dispatch.go
@@ -12,7 +12,7 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
 	decide "github.com/yuccaspindle/yuccaspindle/pkg/core/sidecar"
-	"github.com/yuccaspindle/yuccaspindle/pkg/httpstatus"
+	"github.com/yuccaspindle/yuccaspindle/pkg/httpcheck"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
@@ -82,7 +82,7 @@
 	f := &peerv1.Failed{Ran: string(ran), Step: step, Peer: s.cfg.Upstream.URL, Message: err.Error()}
 	// A response whose status is not HTTP shows that the upstream has received the request, at
 	// least its head.
-	if !c.passed && !errors.Is(err, httpstatus.ErrInvalid) {
+	if !c.passed && !errors.Is(err, httpcheck.ErrStatus) {
 		f.Ran = string(core.RanNo)
 	}
 	if v := c.veto; v != nil {
--- a/pkg/sidecar/model.go
+++ b/pkg/sidecar/model.go
@@ -13,7 +13,7 @@
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
-	"github.com/yuccaspindle/yuccaspindle/pkg/httpstatus"
+	"github.com/yuccaspindle/yuccaspindle/pkg/httpcheck"
 )
 
 // Ends of a stream that are no whole answer.
@@ -255,7 +255,7 @@
 // ended handles the end of a reader without a whole answer.
 func (m *modelCall) ended(ctx context.Context, it item) (outcome, bool) {
 	s, c := m.s, m.c
-	if errors.Is(it.err, httpstatus.ErrInvalid) {
+	if errors.Is(it.err, httpcheck.ErrStatus) {
 		return s.fail(c, core.RanUnknown, "engine", it.err), true
 	}
 	if !c.wasPassed() {
--- a/pkg/sidecar/upstream.go
+++ b/pkg/sidecar/upstream.go
@@ -15,7 +15,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/yuccaspindle/yuccaspindle/pkg/httpstatus"
+	"github.com/yuccaspindle/yuccaspindle/pkg/httpcheck"
 )
 
 const (
@@ -58,8 +58,8 @@
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &upstream{
 		base: strings.TrimSuffix(cfg.Upstream.URL, "/"), token: cfg.Upstream.OrderToken,
-		pooled: &http.Client{Transport: httpstatus.Checked(tr), CheckRedirect: noRedirect},
-		fresh:  &http.Client{Transport: httpstatus.Checked(once), CheckRedirect: noRedirect},
+		pooled: &http.Client{Transport: httpcheck.Transport(tr), CheckRedirect: noRedirect},
+		fresh:  &http.Client{Transport: httpcheck.Transport(once), CheckRedirect: noRedirect},
 	}
 }
 
--- a/pkg/upstream/error.go
+++ b/pkg/upstream/error.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/yuccaspindle/yuccaspindle/pkg/httpstatus"
+	"github.com/yuccaspindle/yuccaspindle/pkg/httpcheck"
 )
 
 // Causes of a failed exchange, wrapped by Error.
@@ -50,5 +50,5 @@
 // protocol or has a status that is not HTTP. Such an upstream has not crashed.
 func IsInvalidResponse(err error) bool {
 	return errors.Is(err, ErrHeadTooLarge) || errors.Is(err, ErrStateTooLarge) || errors.Is(err, ErrResponseMismatch) || errors.Is(err, ErrProtocolSwitch) ||
-		errors.Is(err, httpstatus.ErrInvalid)
+		errors.Is(err, httpcheck.ErrStatus)
 }
--- a/pkg/upstream/head.go
+++ b/pkg/upstream/head.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/yuccaspindle/yuccaspindle/pkg/httpstatus"
+	"github.com/yuccaspindle/yuccaspindle/pkg/httpcheck"
 )
 
 const (
@@ -49,8 +49,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if !httpstatus.Valid(resp.StatusCode) {
-			return nil, errors.Wrapf(httpstatus.ErrInvalid, "%d", resp.StatusCode)
+		if !httpcheck.ValidStatus(resp.StatusCode) {
+			return nil, errors.Wrapf(httpcheck.ErrStatus, "%d", resp.StatusCode)
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, ErrProtocolSwitch
