An answer with a blank in the name of a field is refused

What callers saw: an upstream answers with a field such as "X Y: 1" or "X-Y : 1". The caller gets a signed success with that line. With "Content-Length : 8" or "Transfer-Encoding : chunked" the framing is not seen either: the caller gets another body than the upstream's, up to the raw chunks.

Cause: the parser of net/http lets blanks pass in names of fields, and keeps such a name as it is, so that no lookup finds it. Nothing behind it checked names. Control bytes, an empty name and a line without a colon are refused by that parser.

Change: httpcheck.Response refuses a response whose fields have names that are no tokens. The reader of heads in pkg/upstream and the transport of the sidecar's clients use it, so it holds for answers, streams, interim answers, the question for a run, health checks, orders and moves of the cache. The upstream counts as one that breaks the protocol, as with an invalid status; the request may have run.

Why it works: every response passes one of the two, and a name with a blank stays in the header as received. Whole answers lose nothing: a folded line is joined as before.

--- a/pkg/httpcheck/transport.go
+++ b/pkg/httpcheck/transport.go
@@ -1,13 +1,8 @@
 package httpcheck
 
-import (
-	"net/http"
+import "net/http"
 
-	"github.com/pkg/errors"
-)
-
-// Transport returns a transport that fails with ErrStatus instead of returning a response
-// whose status is not HTTP.
+// Transport returns a transport whose responses are checked by Response.
 func Transport(rt http.RoundTripper) http.RoundTripper { return transport{rt} }
 
 type transport struct{ http.RoundTripper }
@@ -15,11 +10,14 @@
 // RoundTrip implements http.RoundTripper.
 func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	resp, err := t.RoundTripper.RoundTrip(r)
-	if err == nil && !ValidStatus(resp.StatusCode) {
+	if err != nil {
+		return nil, err
+	}
+	if err := Response(resp); err != nil {
 		_ = resp.Body.Close()
-		return nil, errors.Wrapf(ErrStatus, "%d", resp.StatusCode)
+		return nil, err
 	}
-	return resp, err
+	return resp, nil
 }
 
 // CloseIdleConnections closes the idle connections of the wrapped transport. http.Client calls it.
--- a/pkg/sidecar/dispatch.go
+++ b/pkg/sidecar/dispatch.go
@@ -80,9 +80,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	f := &peerv1.Failed{Ran: string(ran), Step: step, Peer: s.cfg.Upstream.URL, Message: err.Error()}
-	// A response whose status is not HTTP shows that the upstream has received the request, at
-	// least its head.
-	if !c.passed && !errors.Is(err, httpcheck.ErrStatus) {
+	// A response that is not HTTP shows that the upstream has received the request, at least
+	// its head.
+	if !c.passed && !httpcheck.IsInvalid(err) {
 		f.Ran = string(core.RanNo)
 	}
 	if v := c.veto; v != nil {
--- a/pkg/sidecar/model.go
+++ b/pkg/sidecar/model.go
@@ -255,7 +255,7 @@
 // ended handles the end of a reader without a whole answer.
 func (m *modelCall) ended(ctx context.Context, it item) (outcome, bool) {
 	s, c := m.s, m.c
-	if errors.Is(it.err, httpcheck.ErrStatus) {
+	if httpcheck.IsInvalid(it.err) {
 		return s.fail(c, core.RanUnknown, "engine", it.err), true
 	}
 	if !c.wasPassed() {
--- a/pkg/upstream/error.go
+++ b/pkg/upstream/error.go
@@ -47,8 +47,8 @@
 
 // IsInvalidResponse reports whether an exchange failed because the upstream sent
 // a response or state that is too large, belongs to another request, switches the
-// protocol or has a status that is not HTTP. Such an upstream has not crashed.
+// protocol or has a status or a field that is not HTTP. Such an upstream has not crashed.
 func IsInvalidResponse(err error) bool {
 	return errors.Is(err, ErrHeadTooLarge) || errors.Is(err, ErrStateTooLarge) || errors.Is(err, ErrResponseMismatch) || errors.Is(err, ErrProtocolSwitch) ||
-		errors.Is(err, httpcheck.ErrStatus)
+		httpcheck.IsInvalid(err)
 }
--- a/pkg/upstream/head.go
+++ b/pkg/upstream/head.go
@@ -4,8 +4,6 @@
 	"io"
 	"net/http"
 
-	"github.com/pkg/errors"
-
 	"github.com/yuccaspindle/yuccaspindle/pkg/httpcheck"
 )
 
@@ -49,8 +47,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if !httpcheck.ValidStatus(resp.StatusCode) {
-			return nil, errors.Wrapf(httpcheck.ErrStatus, "%d", resp.StatusCode)
+		if err := httpcheck.Response(resp); err != nil {
+			return nil, err
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, ErrProtocolSwitch
