The status of an answer that another process tells is checked as well

What callers would see: a call of a service whose status is 000, 600 or 20 is answered with it, or with 200 for 000.

Cause: two ways lead past the check. An entry takes the status 0 of any whole answer for that of an engine, which has none, so a service's 000 that a sidecar of an older release relays is a success. The outcome of a call whose answer was lost is told by the service in a JSON text, with a status of its own, and neither the sidecar nor the entry looked at that.

Change: status 0 is that of an engine only; an outcome whose status is not HTTP tells no answer, so that the call ends as one whose outcome is unknown and is never repeated.

Why it works: all three ways in which an answer reaches an entry (dispatch, resolve, owner's response) end in a check by httpcheck.ValidFinalStatus now.

--- a/pkg/edge/status600_test.go
+++ b/pkg/edge/status600_test.go
@@ -32,7 +32,7 @@
 	}
 	p := d.edge("127.0.0.1")
 	p.ready(t, 3, 0)
-	for _, s := range []string{"600 X", "999 X", "600 X\r\nNot-Executed: 1", "999 X\r\nNot-Executed: 1"} {
+	for _, s := range []string{"000 X", "099 X", "600 X", "999 X", "000 X\r\nNot-Executed: 1", "600 X\r\nNot-Executed: 1", "999 X\r\nNot-Executed: 1"} {
 		for _, path := range []string{"/unsafe/1", "/resumable/1"} {
 			status.Store(s)
 			attempts.Store(0)
--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -164,7 +164,7 @@
 			}
 			p.chunk(d.Attempt, m.Data.GetChunk(), m.Data.GetTokens())
 		case *peerv1.Envelope_Done:
-			return attemptDone(d, m.Done, partial)
+			return attemptDone(d, p.req.Call.Kind, m.Done, partial)
 		case *peerv1.Envelope_Failed:
 			return core.AttemptFailed{
 				At: now(), Attempt: d.Attempt, Ran: core.Ran(m.Failed.GetRan()),
@@ -175,10 +175,11 @@
 	}
 }
 
-// attemptDone returns the event of a whole answer. Status 0 is that of a complete answer of an
-// engine.
-func attemptDone(d core.Dispatch, m *peerv1.Done, partial partialAnswer) core.Event {
-	if status := int(m.GetStatus()); status != 0 && !httpcheck.ValidFinalStatus(status) {
+// attemptDone returns the event of a whole answer. An answer of an engine that is complete has
+// the status 0, an answer of a service has the status of its response.
+func attemptDone(d core.Dispatch, kind core.CallKind, m *peerv1.Done, partial partialAnswer) core.Event {
+	status := int(m.GetStatus())
+	if !httpcheck.ValidFinalStatus(status) && (status != 0 || kind == core.KindService) {
 		return attemptFailed(d, "receive from sidecar", core.RanUnknown, fmt.Errorf("%w: %d", httpcheck.ErrStatus, status))
 	}
 	return core.AttemptDone{At: now(), Attempt: d.Attempt, Answer: answerFromDone(m, partial)}
@@ -220,19 +221,32 @@
 	ctx, cancel := context.WithTimeout(n.ctx, peerRequestTimeout)
 	defer cancel()
 	outcome := core.OutcomeResolved{Attempt: e.Attempt, Ran: core.RanUnknown}
-	if m, err := n.queryOutcome(ctx, e); err != nil {
+	m, err := n.queryOutcome(ctx, e)
+	if err != nil {
 		outcome.Unreachable = true
-		n.log.Warn("outcome not resolved", "attempt", e.Attempt, "program", e.Program, "peer", e.Upstream, "error", err)
 	} else {
-		outcome.Ran = core.Ran(m.GetRan())
-		if m.GetDone() != nil {
-			outcome.Answer = answerFromDone(m.GetDone(), partialAnswer{})
-		}
+		outcome.Ran, outcome.Answer, err = decodeOutcome(m)
+	}
+	if err != nil {
+		n.log.Warn("outcome not resolved", "attempt", e.Attempt, "program", e.Program, "peer", e.Upstream, "error", err)
 	}
 	outcome.At = now()
 	n.loop.post(outcome)
 }
 
+// decodeOutcome returns whether a claimed call of a service ran, and its answer if it did. It
+// returns an error and RanUnknown if the status of the answer is not HTTP.
+func decodeOutcome(m *peerv1.Outcome) (core.Ran, core.Answer, error) {
+	done := m.GetDone()
+	if done == nil {
+		return core.Ran(m.GetRan()), core.Answer{}, nil
+	}
+	if status := int(done.GetStatus()); !httpcheck.ValidFinalStatus(status) {
+		return core.RanUnknown, core.Answer{}, fmt.Errorf("%w: %d", httpcheck.ErrStatus, status)
+	}
+	return core.Ran(m.GetRan()), answerFromDone(done, partialAnswer{}), nil
+}
+
 // peerRequestTimeout limits one request to a peer, including the time for which an
 // outcome is polled while the attempt is still running.
 const peerRequestTimeout = 5 * time.Second
--- a/pkg/sidecar/service.go
+++ b/pkg/sidecar/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
+	"github.com/yuccaspindle/yuccaspindle/pkg/httpcheck"
 )
 
 // serviceOutcome is the answer of GET /outcomes/{key}.
@@ -141,5 +142,9 @@
 	if err := s.up.getJSON(ctx, s.up.fresh, "/outcomes/"+escape(key), &o); err != nil || o.Running || o.Status == 0 {
 		return nil
 	}
+	if !httpcheck.ValidFinalStatus(int(o.Status)) {
+		s.log.Warn("outcome ignored", "step", "look up outcome", "peer", s.cfg.Upstream.URL, "key", key, "err", httpcheck.ErrStatus, "status", o.Status)
+		return nil
+	}
 	return &peerv1.Done{Body: o.Body, Status: o.Status}
 }
