The sidecar's client: a service's early answer that is reset is no complete one

Callers of a service behind a sidecar saw the same as callers of an edge: a service answered a long call at once with a 200 without a length, sent a part of the body and reset the connection while the call was still being written. The part became the outcome of the call.

Cause: net/http writes a request on a goroutine beside the one that reads the answer, so the write may receive the reset and the read gets io.EOF, which ends a body without a length.

Change: both transports of the sidecar dial through peerreset.Dial. A read that meets the end of the connection ends the write that is under way and returns its error, if it is one of the connection.

--- a/pkg/sidecar/upstream.go
+++ b/pkg/sidecar/upstream.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/httpcheck"
+	"github.com/yuccaspindle/yuccaspindle/pkg/peerreset"
 )
 
 const (
@@ -48,12 +49,13 @@
 			Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3,
 		},
 	}
+	dial := peerreset.Dial(dialer.DialContext).Wrap() // net/http writes a request beside reading its answer
 	tr := &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConns: cfg.IdleConns,
+		DialContext: dial, DisableCompression: true, MaxIdleConns: cfg.IdleConns,
 		MaxIdleConnsPerHost: cfg.IdleConns, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	once := &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
+		DialContext: dial, DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &upstream{
