A sidecar's call has its permission before its head is written

Callers of a service behind a sidecar could be told that a call had not run although the service had begun it: the service answered to the head of the call and reset the connection, and the sidecar reported ran "no". Such a call is sent again elsewhere, a non-idempotent one too.

Cause: the permission was asked by the first read of the body. net/http sends the head before it reads a body that it doesn't know, so an answer, or its reset, could come before the permission. For the same reason a call that was refused at this point (a higher epoch, a restarted upstream) had sent its head.

Change: the permission is asked when the request gets its connection (httptrace.GotConn). If it is refused, the connection is closed before anything is written. The exception for invalid answers in Sidecar.fail is no longer needed, since an answer comes only to a call that was passed on.

--- a/pkg/sidecar/dispatch.go
+++ b/pkg/sidecar/dispatch.go
@@ -12,7 +12,6 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
 	"github.com/yuccaspindle/yuccaspindle/pkg/core"
 	decide "github.com/yuccaspindle/yuccaspindle/pkg/core/sidecar"
-	"github.com/yuccaspindle/yuccaspindle/pkg/httpcheck"
 	"github.com/yuccaspindle/yuccaspindle/pkg/transport"
 )
 
@@ -80,9 +79,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	f := &peerv1.Failed{Ran: string(ran), Step: step, Peer: s.cfg.Upstream.URL, Message: err.Error()}
-	// A response that is not HTTP shows that the upstream has received the request, at least
-	// its head.
-	if !c.passed && !httpcheck.IsInvalid(err) {
+	if !c.passed {
 		f.Ran = string(core.RanNo)
 	}
 	if v := c.veto; v != nil {
--- a/pkg/sidecar/earlyreset_test.go
+++ b/pkg/sidecar/earlyreset_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/yuccaspindle/yuccaspindle/pkg/api/peerv1"
+	"github.com/yuccaspindle/yuccaspindle/pkg/core"
 )
 
 // longCall is the size in bytes of a call that does not fit into the buffers of a connection
@@ -38,8 +39,8 @@
 			for _, nonIdempotent := range []bool{false, true} {
 				id := fmt.Sprintf("reset after %v, try %d, non-idempotent %v", pause, try, nonIdempotent)
 				r := receive(p.dispatch(bookLong(id, nonIdempotent)))
-				if r.done != nil || r.failed == nil {
-					t.Errorf("%s: %+v", id, r)
+				if r.done != nil || r.failed == nil || r.failed.Ran == string(core.RanNo) {
+					t.Errorf("%s: %+v, failed %+v", id, r, r.failed)
 				}
 			}
 		}
--- a/pkg/sidecar/upstream.go
+++ b/pkg/sidecar/upstream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"syscall"
@@ -133,35 +134,17 @@
 // refused reports that nothing listens at the upstream's address.
 func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-// gatedBody is a request body that asks for permission immediately before its
-// first byte is written. It cannot be rewound, and it is not http.NoBody even
-// when empty, so that net/http never repeats a request with an Idempotency-Key
-// on its own.
-type gatedBody struct {
-	gate func() error
-	open bool
-	r    *bytes.Reader
-}
-
-func newGatedBody(b []byte, gate func() error) *gatedBody {
-	return &gatedBody{gate: gate, r: bytes.NewReader(b)}
-}
-
-func (g *gatedBody) Read(p []byte) (int, error) {
-	if !g.open {
-		if err := g.gate(); err != nil {
-			return 0, err
-		}
-		g.open = true
-	}
-	return g.r.Read(p)
-}
-
-func (g *gatedBody) Close() error { return nil }
-
-// post prepares a gated request.
+// post prepares a request that asks for permission immediately before the first byte of its
+// head is written. Without permission it closes its connection, and nothing is written.
 func (u *upstream) post(ctx context.Context, path string, body []byte, gate func() error) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u.base+path, newGatedBody(body, gate))
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if gate() != nil {
+			_ = i.Conn.Close()
+		}
+	}})
+	// A body that can't be rewound, and isn't http.NoBody even when empty, keeps net/http from
+	// repeating a request with an Idempotency-Key on its own.
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u.base+path, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		return nil, err
 	}
