An outcome without an answer is not an empty answer

Cause: the sidecar tells such an outcome as ran "yes" without Done. decodeOutcome made an empty Answer of the missing message, and the core records the answer of each outcome that ran.

Evidence: TestOutcomeWithoutAnswer failed before (ran "yes" without an error).

Change: decodeOutcome returns an error and RanUnknown for it, as for an answer whose status isn't HTTP, so the call ends with outcome_unknown and is never repeated.

Measured: pkg/entry passes.

--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -234,17 +234,24 @@
 	n.loop.post(outcome)
 }
 
+// errNoAnswer means that a call ran and that its sidecar doesn't have the answer: it was broken
+// or too long.
+var errNoAnswer = stderrors.New("the call ran, but its answer is lost")
+
 // decodeOutcome returns whether a claimed call of a service ran, and its answer if it did. It
-// returns an error and RanUnknown if the status of the answer is not HTTP.
+// returns an error and RanUnknown if the answer is lost or its status is not HTTP.
 func decodeOutcome(m *peerv1.Outcome) (core.Ran, core.Answer, error) {
-	done := m.GetDone()
-	if done == nil {
-		return core.Ran(m.GetRan()), core.Answer{}, nil
+	ran, done := core.Ran(m.GetRan()), m.GetDone()
+	switch {
+	case done == nil && ran == core.RanYes:
+		return core.RanUnknown, core.Answer{}, errNoAnswer
+	case done == nil:
+		return ran, core.Answer{}, nil
 	}
 	if status := int(done.GetStatus()); !httpcheck.ValidFinalStatus(status) {
 		return core.RanUnknown, core.Answer{}, fmt.Errorf("%w: %d", httpcheck.ErrStatus, status)
 	}
-	return core.Ran(m.GetRan()), answerFromDone(done, partialAnswer{}), nil
+	return ran, answerFromDone(done, partialAnswer{}), nil
 }
 
 // peerRequestTimeout limits one request to a peer, including the time for which an
--- a/pkg/entry/status_test.go
+++ b/pkg/entry/status_test.go
@@ -72,3 +72,14 @@
 		t.Errorf("an outcome that did not run: ran %s, %v", ran, err)
 	}
 }
+
+// Guards against an outcome without an answer, of a call whose answer was broken or too long,
+// that becomes an empty answer with status 200.
+func TestOutcomeWithoutAnswer(t *testing.T) {
+	if ran, _, err := decodeOutcome(&peerv1.Outcome{Ran: string(core.RanYes)}); ran != core.RanUnknown || !errors.Is(err, errNoAnswer) {
+		t.Errorf("ran %s, %v", ran, err)
+	}
+	if ran, _, err := decodeOutcome(&peerv1.Outcome{Ran: string(core.RanUnknown)}); ran != core.RanUnknown || err != nil {
+		t.Errorf("unknown: ran %s, %v", ran, err)
+	}
+}
