A broken answer to a caller of HTTP/1.0 ends with a reset

Callers that speak HTTP/1.0 got a stream that the edge broke off, because its upstream broke off or at the end of a stop, as a complete answer: status 200, the events so far, and the connection closed in good order.

Cause: an answer to HTTP/1.0 has no chunks, so one without a length ends with its connection. The edge aborts the handler of a broken answer, and the connection was then closed in the same way as after a complete one. With HTTP/1.1 the missing last chunk shows the break.

Answers that are read whole before they are passed on already held.

Change: the connection of a caller knows whether the answer under way is one to HTTP/1.0 that is not complete, or was complete when a write failed, and resets itself at its close. A reset discards what the caller's side has not accepted yet; such an answer is not whole in any case. Answers to HTTP/1.1, and complete ones to HTTP/1.0, close as before.

--- a/pkg/edge/caller.go
+++ b/pkg/edge/caller.go
@@ -81,7 +81,7 @@
 	return false
 }
 
-// beginOnConn counts the request on its connection.
+// beginOnConn counts the request on its connection and begins its answer there.
 func (c *call) beginOnConn() {
 	c.conn = callerConnOf(c.r.Context())
 	if c.conn == nil {
@@ -89,6 +89,14 @@
 	}
 	c.onConn = c.conn.requests.Add(1)
 	c.writtenBefore = c.conn.written.Load()
+	c.conn.beginAnswer(c.r)
+}
+
+// endOnConn records that the answer is complete.
+func (c *call) endOnConn() {
+	if c.conn != nil {
+		c.conn.endAnswer()
+	}
 }
 
 // connAttrs returns the state of the caller's connection for a log line: how reading from
--- a/pkg/edge/callerconn.go
+++ b/pkg/edge/callerconn.go
@@ -64,6 +64,16 @@
 	return "failed"
 }
 
+// answerState says whether the end of a connection would end an answer.
+type answerState int32
+
+const (
+	answerFramed answerState = iota // it has a length or chunks
+	answerOpen                      // to HTTP/1.0, which has no chunks; not complete
+	answerWhole                     // to HTTP/1.0, complete
+	answerBroken                    // to HTTP/1.0, a write failed
+)
+
 // callerConn is the connection of a caller. It records what tells the causes of lost
 // answers apart.
 type callerConn struct {
@@ -73,6 +83,7 @@
 	lastRead atomic.Int32 // connEnd of the last read
 	owner    *callerConns
 	closed   atomic.Bool
+	answer   atomic.Int32 // answerState of the last request
 
 	mu sync.Mutex
 	// expectedSince is when the connection was accepted, or the first byte of the next
@@ -116,6 +127,9 @@
 func (c *callerConn) Write(p []byte) (int, error) {
 	n, err := c.TCPConn.Write(p)
 	c.written.Add(int64(n))
+	if err != nil && answerState(c.answer.Load()) != answerFramed {
+		c.answer.Store(int32(answerBroken))
+	}
 	return n, err
 }
 
@@ -124,12 +138,17 @@
 // only and read until the caller closes it, at most for lingerTime. An idle one is closed
 // at once: a request that crosses the close must be seen as not read, so that its caller
 // may repeat it. A second call closes the connection at once.
+// An unframed answer that is broken off is reset: a close would end it as complete.
 func (c *callerConn) Close() error {
 	if !c.closed.CompareAndSwap(false, true) {
 		return c.TCPConn.Close()
 	}
 	c.owner.remove(c)
 	c.releaseHead()
+	if s := answerState(c.answer.Load()); s == answerOpen || s == answerBroken {
+		_ = c.SetLinger(0)
+		return c.TCPConn.Close()
+	}
 	if !c.lingers() || !c.owner.startLingering() {
 		return c.TCPConn.Close()
 	}
@@ -154,6 +173,20 @@
 	return (c.busy || !c.expectedSince.IsZero() && !c.expired) && c.end() != connFinished && c.end() != connReset
 }
 
+// beginAnswer must be called before an answer is written.
+func (c *callerConn) beginAnswer(r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
+		c.answer.Store(int32(answerFramed))
+	} else {
+		c.answer.Store(int32(answerOpen))
+	}
+}
+
+// endAnswer must be called after an answer was written that is complete.
+func (c *callerConn) endAnswer() {
+	c.answer.CompareAndSwap(int32(answerOpen), int32(answerWhole))
+}
+
 // mayRead reports whether a read makes sense: a connection that expired while it was idle
 // takes no further request.
 func (c *callerConn) mayRead() bool {
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -232,12 +232,13 @@
 	}
 }
 
-// recoverPanic answers a request whose handling failed because of a fault of the edge:
-// net/http would close the connection without an answer. Streams that have begun break
-// off.
+// recoverPanic ends the answer on its connection. It answers a request whose handling failed
+// because of a fault of the edge: net/http would close the connection without an answer.
+// Streams that have begun break off.
 func (c *call) recoverPanic() {
 	v := recover()
 	if v == nil {
+		c.endOnConn()
 		return
 	}
 	if v == http.ErrAbortHandler {
@@ -249,6 +250,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.respond(http.StatusBadGateway, 0, "fault of the edge")
+	c.endOnConn()
 }
 
 // callerGone reports whether the caller has disconnected.
