A plain answer of a lost owner is forwarded again, not cut

Callers of an entry that doesn't own their program could get a part of a plain answer as a complete one if the owner was lost inside it: the status and the headers, a cut body, an error event behind it, and the end of the answer in good order.

Cause: copyResponse passed on each message as it came, and a failure after the head ended the answer in the way of an event stream, whose callers look for its end mark.

Evidence: TestBrokenResponseOfOwner: a response that was lost after its head, inside its body or before its end had begun to reach the caller before, in 3 of 3 cases; a body without a head became a 200.

Change: an event stream is passed on as it comes, as before. Any other response is held until its end, so that the forwarding is repeated with the same key and the next owner answers. It gets its length, by which any break on the way to the caller shows, with HTTP/1.0 too.

--- a/pkg/entry/forward.go
+++ b/pkg/entry/forward.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -153,8 +154,10 @@
 	Recv() (*peerv1.Envelope, error)
 }
 
-// copyResponse copies the owner's response to the caller.
+// copyResponse copies the owner's response to the caller. It copies an event stream, whose end
+// its last event marks, as it comes, and any other response once it is complete.
 func copyResponse(st receiver, w http.ResponseWriter, progress forwardProgress) (forwardProgress, error) {
+	var held heldResponse
 	for {
 		env, err := st.Recv()
 		if err != nil {
@@ -169,12 +172,17 @@
 			if status := int(b.Head.GetStatus()); !httpcheck.ValidFinalStatus(status) {
 				return progress, errors.Wrapf(httpcheck.ErrStatus, "%d", status)
 			}
-			for _, h := range b.Head.GetHeaders() {
-				w.Header().Add(h.GetName(), h.GetValue())
+			if !isEventStream(b.Head) {
+				held.head = b.Head
+				continue
 			}
 			progress.responseStarted = true
-			w.WriteHeader(int(b.Head.GetStatus()))
+			writeHead(w, b.Head)
 		case *peerv1.Envelope_Data:
+			if !progress.responseStarted {
+				held.body = append(held.body, b.Data.GetChunk()...)
+				continue
+			}
 			if _, err := w.Write(b.Data.GetChunk()); err != nil {
 				return progress, nil // the caller has disconnected
 			}
@@ -182,11 +190,47 @@
 				f.Flush()
 			}
 		case *peerv1.Envelope_End:
+			if progress.responseStarted {
+				return progress, nil
+			}
+			if held.head == nil {
+				return progress, errors.New("the peer sent no response")
+			}
+			progress.responseStarted = true
+			held.send(w)
 			return progress, nil
 		}
 	}
 }
 
+// heldResponse is a response that is not complete yet.
+type heldResponse struct {
+	head *peerv1.ResponseHead
+	body []byte
+}
+
+func (h *heldResponse) send(w http.ResponseWriter) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(h.body))) // any break shows, also to HTTP/1.0
+	writeHead(w, h.head)
+	_, _ = w.Write(h.body) // fails if the caller has disconnected
+}
+
+func writeHead(w http.ResponseWriter, head *peerv1.ResponseHead) {
+	for _, h := range head.GetHeaders() {
+		w.Header().Add(h.GetName(), h.GetValue())
+	}
+	w.WriteHeader(int(head.GetStatus()))
+}
+
+func isEventStream(head *peerv1.ResponseHead) bool {
+	for _, h := range head.GetHeaders() {
+		if http.CanonicalHeaderKey(h.GetName()) == "Content-Type" && strings.HasPrefix(h.GetValue(), "text/event-stream") {
+			return true
+		}
+	}
+	return false
+}
+
 // hasNotOwnerHeader reports whether a response declines a request because the peer
 // does not own the program.
 func hasNotOwnerHeader(h *peerv1.ResponseHead) bool {
--- a/pkg/entry/status_test.go
+++ b/pkg/entry/status_test.go
@@ -11,31 +11,34 @@
 	"github.com/yuccaspindle/yuccaspindle/pkg/httpcheck"
 )
 
-// oneMessage is a stream of one message.
-type oneMessage struct{ m *peerv1.Envelope }
+// messages is a stream that ends in good order after its messages.
+type messages []*peerv1.Envelope
 
-func (s *oneMessage) Recv() (*peerv1.Envelope, error) {
-	if s.m == nil {
+func (s *messages) Recv() (*peerv1.Envelope, error) {
+	if len(*s) == 0 {
 		return nil, io.EOF
 	}
-	m := s.m
-	s.m = nil
+	m := (*s)[0]
+	*s = (*s)[1:]
 	return m, nil
 }
 
+func headMessage(status int32, name, value string) *peerv1.Envelope {
+	return &peerv1.Envelope{Body: &peerv1.Envelope_Head{Head: &peerv1.ResponseHead{Status: status, Headers: []*peerv1.Header{{Name: name, Value: value}}}}}
+}
+
 // Guards against a status that is not HTTP and that another process, of an older release,
 // relays: an owner's response and a sidecar's answer.
 func TestInvalidStatusOfAnotherProcess(t *testing.T) {
 	for _, status := range []int32{-1, 0, 20, 99, 600, 999} {
 		w := httptest.NewRecorder()
-		head := &peerv1.Envelope{Body: &peerv1.Envelope_Head{Head: &peerv1.ResponseHead{Status: status, Headers: []*peerv1.Header{{Name: "X", Value: "y"}}}}}
 		progress, err := func() (p forwardProgress, err error) {
 			defer func() {
 				if r := recover(); r != nil {
 					t.Errorf("status %d: panic: %v", status, r)
 				}
 			}()
-			return copyResponse(&oneMessage{head}, w, forwardProgress{mayHaveRun: true})
+			return copyResponse(&messages{headMessage(status, "X", "y")}, w, forwardProgress{mayHaveRun: true})
 		}()
 		if progress.responseStarted || !progress.mayHaveRun || err == nil || len(w.Header()) > 0 {
 			t.Errorf("response with status %d: %+v, %v, header %v", status, progress, err, w.Header())
@@ -83,3 +86,37 @@
 		t.Errorf("unknown: ran %s, %v", ran, err)
 	}
 }
+
+// Guards against a response of an owner that is lost before its end, and of which the caller
+// gets a part as a complete answer: only an event stream may begin before its end is known.
+func TestBrokenResponseOfOwner(t *testing.T) {
+	data := func(s string) *peerv1.Envelope {
+		return &peerv1.Envelope{Body: &peerv1.Envelope_Data{Data: &peerv1.Data{Chunk: []byte(s)}}}
+	}
+	end := &peerv1.Envelope{Body: &peerv1.Envelope_End{End: &peerv1.End{}}}
+	plain, stream := headMessage(201, "Content-Type", "application/json"), headMessage(200, "Content-Type", "text/event-stream; charset=utf-8")
+	for _, c := range []struct {
+		name    string
+		stream  messages
+		started bool
+		failed  bool
+		body    string
+		length  string
+	}{
+		{"whole", messages{plain, data(`{"a":`), data(`1}`), end}, true, false, `{"a":1}`, "7"},
+		{"empty", messages{plain, end}, true, false, "", "0"},
+		{"lost after the head", messages{plain}, false, true, "", ""},
+		{"lost inside the body", messages{plain, data(`{"a":`)}, false, true, "", ""},
+		{"lost before the end", messages{plain, data(`{"a":1}`)}, false, true, "", ""},
+		{"without a head", messages{data(`{"a":1}`), end}, false, true, "", ""},
+		{"whole stream", messages{stream, data("1"), data("2"), end}, true, false, "12", ""},
+		{"lost stream", messages{stream, data("1")}, true, true, "1", ""},
+	} {
+		w := httptest.NewRecorder()
+		progress, err := copyResponse(&c.stream, w, forwardProgress{mayHaveRun: true})
+		if progress.responseStarted != c.started || (err != nil) != c.failed || !progress.mayHaveRun ||
+			w.Body.String() != c.body || w.Header().Get("Content-Length") != c.length || (len(w.Header()) > 0) != c.started {
+			t.Errorf("%s: %+v, %v, body %q, header %v", c.name, progress, err, w.Body, w.Header())
+		}
+	}
+}
