Clients of the stores check that a response is HTTP

A process could conclude from a broken response of the platform's store, or of the store behind the object API, that an object exists, is missing or has changed, or that a write was made. No caller has been seen to be hurt by it; the same check was missing as for answers of upstreams.

Cause: the parser of net/http lets a blank in the name of a field and the status 000 pass. The object API's client took 000 for a rejected request, which isn't repeated.

A part of a response that was reset was no fault here: both read JSON documents, which are whole or fail to decode.

--- a/pkg/cli/opscmd/client.go
+++ b/pkg/cli/opscmd/client.go
@@ -12,6 +12,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/httpcheck"
 )
 
 // Exit codes of the operators' commands.
@@ -53,7 +55,8 @@
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
 	req.Header.Set("Yucca-Caller", cmd.String("caller"))
-	resp, err := http.DefaultClient.Do(req)
+	client := &http.Client{Transport: httpcheck.Transport(http.DefaultTransport)}
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, cli.Exit(errors.Wrapf(err, "reach entry %s", cmd.String("address")), exitUnreachable)
 	}
--- a/pkg/loadgen/loadgen.go
+++ b/pkg/loadgen/loadgen.go
@@ -13,6 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
 
+	"github.com/yuccaspindle/yuccaspindle/pkg/httpcheck"
 	"github.com/yuccaspindle/yuccaspindle/pkg/trace"
 )
 
@@ -82,7 +83,7 @@
 		o.Drain = time.Minute
 	}
 	if o.Client == nil {
-		o.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second}}
+		o.Client = &http.Client{Transport: httpcheck.Transport(&http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second})}
 	}
 	r := &runner{
 		o: o, t: t, program: newHistogram(), call: newHistogram(), ttft: newHistogram(), between: newHistogram(),
--- a/pkg/objectapi/http.go
+++ b/pkg/objectapi/http.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/httpcheck"
 )
 
 // ClientConfig describes the connection to the store. Zero fields take the
@@ -66,11 +68,11 @@
 	b := &httpBackend{
 		base: strings.TrimSuffix(u.Scheme+"://"+u.Host+u.Path, "/"),
 		name: cfg.Name,
-		hc: &http.Client{Transport: &http.Transport{
+		hc: &http.Client{Transport: httpcheck.Transport(&http.Transport{
 			TLSClientConfig:     cfg.TLS,
 			MaxIdleConnsPerHost: 16,
 			IdleConnTimeout:     90 * time.Second,
-		}},
+		})},
 	}
 	return &HTTPClient{backend: b, client: &client{
 		b: b, peer: u.Host, limiter: rate.NewLimiter(rate.Limit(cfg.Rate), cfg.Burst),
