The listener of a slow link stands in one place

pkg/edge and pkg/sidecar each had the code that gives an upstream a small receive buffer, so that writing a long request blocks. It is pkg/standin/slowlink now.

--- a/pkg/edge/earlyreset_test.go
+++ b/pkg/edge/earlyreset_test.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,15 +8,13 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
+
+	"github.com/yuccaspindle/yuccaspindle/pkg/standin/slowlink"
 )
 
 const (
-	// slowLinkBuffer is the receive buffer in bytes of an upstream that reads no body, so
-	// that writing a long request blocks as on a slow link.
-	slowLinkBuffer = 4096
 	// longUpload and shortUpload are sizes of request bodies in bytes; neither fits into
 	// the buffers of a connection to an upstream with a slow link.
 	longUpload  = 3 << 20
@@ -27,16 +24,7 @@
 // slowUpstream registers an upstream on a slow link.
 func (d *deployment) slowUpstream(id, service string, h http.HandlerFunc) {
 	d.t.Helper()
-	limit := func(_, _ string, c syscall.RawConn) (err error) {
-		cerr := c.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowLinkBuffer)
-		})
-		if cerr != nil {
-			return cerr
-		}
-		return err
-	}
-	ln, err := (&net.ListenConfig{Control: limit}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	ln, err := slowlink.Listen()
 	if err != nil {
 		d.t.Fatal(err)
 	}
