The connection of an invalid response is not used again

A sidecar, or a client of a store, that had refused a response because of its status or a field could send its next request on the same connection. If the field that isn't seen was a length, the rest of the refused response would be the answer to that request.

Cause: net/http returns a connection to its pool before the caller sees a response that seems to have no body, so closing the body doesn't close the connection.

Change: httpcheck.Transport notes the connection of a request and closes it if the response is invalid. Another request that takes it in the moment between fails.

--- a/pkg/httpcheck/transport.go
+++ b/pkg/httpcheck/transport.go
@@ -1,20 +1,31 @@
 package httpcheck
 
-import "net/http"
+import (
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
 
-// Transport returns a transport whose responses are checked by Response.
+// Transport returns a transport whose responses are checked by Response. It closes the
+// connection of an invalid one, which net/http keeps if there seems to be no body: what follows
+// may be a part of the response.
 func Transport(rt http.RoundTripper) http.RoundTripper { return transport{rt} }
 
 type transport struct{ http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
 func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.RoundTripper.RoundTrip(r)
+	var conn net.Conn // of the last try
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { conn = i.Conn }}
+	resp, err := t.RoundTripper.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
 	if err := Response(resp); err != nil {
 		_ = resp.Body.Close()
+		if conn != nil {
+			_ = conn.Close()
+		}
 		return nil, err
 	}
 	return resp, nil
