TestCancelBeforeAdmission waits until the engine has read the request

The sidecar tells its owner that a call has started when it has its permission. That was after the head of the request had been sent, and is before it now, so an owner that is lost at this moment may cancel a call of which nothing is written. Such a call is not admitted, and its outcome is reported as unknown, which is safe. The test took "started" for "received".

Change: the stand-in engine counts the requests that it has read. The test drops the owner once its request was read, and checks that it isn't admitted by then, which it assumed before; all other checks and bounds are as they were.

--- a/pkg/sidecar/model_test.go
+++ b/pkg/sidecar/model_test.go
@@ -180,6 +180,10 @@
 	if m, err := st.Recv(); err != nil || m.GetStarted() == nil {
 		t.Fatalf("%v, %v", m, err)
 	}
+	eventually(t, "the engine receives the request", func() bool { return e.Stats().Received == 1 })
+	if e.Stats().Runs["a1"] != 0 {
+		t.Fatal("the engine has admitted the request before its cancel")
+	}
 	p.drop()
 	eventually(t, "the engine admits the request", func() bool { return e.Stats().Runs["a1"] == 1 })
 	admitted := time.Now()
--- a/pkg/standin/engine/faults.go
+++ b/pkg/standin/engine/faults.go
@@ -29,7 +29,8 @@
 type Stats struct {
 	Incarnation uint64         `json:"incarnation"`
 	Crashes     int            `json:"crashes"`
-	Runs        map[string]int `json:"runs"` // by request id
+	Received    int            `json:"received"` // requests read, admitted or not
+	Runs        map[string]int `json:"runs"`     // by request id
 	Orders      []OrderRequest `json:"orders"`
 	Running     int            `json:"running"`
 }
@@ -49,7 +50,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := Stats{
-		Incarnation: s.incarnation, Crashes: s.crashes, Runs: maps.Clone(s.runs),
+		Incarnation: s.incarnation, Crashes: s.crashes, Received: s.received, Runs: maps.Clone(s.runs),
 		Orders: append([]OrderRequest(nil), s.orders...),
 	}
 	for _, r := range s.states {
@@ -60,7 +61,7 @@
 	return st
 }
 
-// takeFaults returns the faults that hit a request and counts them, and the id
+// takeFaults counts a request and returns the faults that hit it, counting them, and the id
 // of an earlier request.
 func (s *Server) takeFaults(q *chatRequest) (Faults, string) {
 	s.mu.Lock()
@@ -70,6 +71,7 @@
 		other = "other-" + q.RequestID
 	}
 	s.lastID = q.RequestID
+	s.received++
 	contains := func(text string) bool {
 		for _, m := range q.Messages {
 			if strings.Contains(string(m), text) {
--- a/pkg/standin/engine/server.go
+++ b/pkg/standin/engine/server.go
@@ -57,6 +57,7 @@
 	orders      []OrderRequest
 	lastID      string
 	crashes     int
+	received    int // requests read, admitted or not
 	cancel      context.CancelFunc
 }
 
